Lay the ground: messages, link, settings, typed errors, policy interface

Cause: every later part needs the same words for a class, a team, a backend server, a revision and a claim, and one way for our processes to call each other. What was weighed: gRPC between processes (brings its own balancing and discovery, which must stay unused) against yamux streams with protobuf frames; the latter was taken as the house style asks.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# lilacbridge: build, test, prove and show. See README.md.
+SHELL := /bin/bash
+GOBIN := $(shell go env GOPATH)/bin
+STATICCHECK_VERSION := 2026.2.2
+BUF_VERSION := v1.57.2
+PROTOC_GEN_GO_VERSION := v1.36.12
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+LDFLAGS := -X github.com/lilacbridge/lilacbridge/process/build.Version=$(VERSION)
+FLEET ?= agence
+
+.PHONY: all build test fmt lint vet generate tools demo
+all: build
+
+build:
+	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
+
+test:
+	go test -race -timeout 280s ./...
+
+fmt:
+	@bad=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint: $(GOBIN)/staticcheck
+	$(GOBIN)/staticcheck ./...
+
+$(GOBIN)/staticcheck:
+	go install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
+
+# The generated code is committed; only a change of a .proto file needs this.
+tools:
+	go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+generate:
+	PATH=$(GOBIN):$$PATH buf generate
+
+demo: build
+	FLEET=$(FLEET) bash scripts/demo.sh
--- /dev/null
+++ b/api/lilacbridge/v1/doc.go
@@ -0,0 +1,3 @@
+// Package lilacv1 holds the messages between lilacbridge's own processes,
+// generated from the .proto files beside it by "make generate".
+package lilacv1
--- /dev/null
+++ b/connection/link/client.go
@@ -0,0 +1,185 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// redialPause keeps a dead peer from costing a dial for every call.
+	redialPause = 200 * time.Millisecond
+	// keepAlive finds a silently cut connection within about this time.
+	keepAlive = 2 * time.Second
+)
+
+// Client calls one other process over a single connection, dialled when first
+// needed and again after it breaks.
+type Client struct {
+	address string
+	id      Identity
+
+	mu       sync.Mutex
+	session  *yamux.Session
+	failed   time.Time
+	failure  error
+	closed   bool
+	peerSeen Peer
+}
+
+var _ Caller = (*Client)(nil)
+
+// NewClient returns a Client for host:port; it dials nothing yet.
+func NewClient(address string, id Identity) *Client {
+	return &Client{address: address, id: id}
+}
+
+// Address returns the host:port that the client calls.
+func (c *Client) Address() string { return c.address }
+
+// ErrNotSent marks a failure before any byte of the call was written.
+var ErrNotSent = errors.New("not sent")
+
+func unavailable(err error, address string, sent error) error {
+	return fault.Wrap(errors.Join(err, sent), lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "no answer from "+address+"; check that the process runs and the network between")
+}
+
+// connect returns the live session. It holds c.mu while it dials, so that one
+// dial serves all calls that wait.
+func (c *Client) connect(ctx context.Context) (*yamux.Session, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, net.ErrClosed
+	}
+	if c.session != nil && !c.session.IsClosed() {
+		return c.session, nil
+	}
+	if c.failure != nil && time.Since(c.failed) < redialPause {
+		return nil, c.failure
+	}
+	session, err := c.dial(ctx)
+	if err != nil {
+		c.failed, c.failure = time.Now(), err
+		return nil, err
+	}
+	c.session, c.failure = session, nil
+	return session, nil
+}
+
+func (c *Client) dial(ctx context.Context) (*yamux.Session, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	peer, err := handshake(conn, c.id, dialerRole, acceptorRole)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	c.peerSeen = peer
+	return yamux.Client(conn, sessionConfig())
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	config.EnableKeepAlive = true
+	config.KeepAliveInterval = keepAlive
+	config.ConnectionWriteTimeout = keepAlive
+	config.StreamOpenTimeout = 0
+	return config
+}
+
+type clientStream struct {
+	conn   *yamux.Stream
+	reader *bufio.Reader
+	stop   func() bool
+}
+
+// Open dials if needed, and sends the request. Failures before the first byte
+// wrap ErrNotSent.
+func (c *Client) Open(ctx context.Context, method string, req proto.Message) (Stream, error) {
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	session, err := c.connect(ctx)
+	if err != nil {
+		return nil, unavailable(err, c.address, ErrNotSent)
+	}
+	conn, err := session.OpenStream()
+	if err != nil {
+		return nil, unavailable(err, c.address, ErrNotSent)
+	}
+	open := &lilacv1.LinkOpen{Method: method}
+	if deadline, ok := ctx.Deadline(); ok {
+		open.TimeoutMs = uint32(max(1, time.Until(deadline).Milliseconds()))
+	}
+	// An expired context unblocks reads and writes at once.
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	s := &clientStream{conn: conn, reader: bufio.NewReader(conn), stop: stop}
+	if err := writeFrame(conn, open); err != nil {
+		s.Close()
+		return nil, unavailable(err, c.address, nil)
+	}
+	if err := writeFrame(conn, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Message{Message: payload}}); err != nil {
+		s.Close()
+		return nil, unavailable(err, c.address, nil)
+	}
+	return s, nil
+}
+
+// Call opens a stream and reads its single answer.
+func (c *Client) Call(ctx context.Context, method string, req, resp proto.Message) error {
+	err := callOver(ctx, c, method, req, resp)
+	if err != nil && ctx.Err() != nil {
+		return fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "no answer in time from "+c.address)
+	}
+	return err
+}
+
+// Close ends the connection and refuses further calls.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.session == nil {
+		return nil
+	}
+	return c.session.Close()
+}
+
+// Recv reads the next message; io.EOF after the closing status of a call that
+// went well, else its error.
+func (s *clientStream) Recv(m proto.Message) error {
+	frame := &lilacv1.LinkFrame{}
+	if err := readFrame(s.reader, frame); err != nil {
+		return unavailable(errors.Join(err, io.ErrUnexpectedEOF), s.conn.RemoteAddr().String(), nil)
+	}
+	if status := frame.GetStatus(); status != nil {
+		if err := fault.FromStatus(status); err != nil {
+			return err
+		}
+		return io.EOF
+	}
+	return proto.Unmarshal(frame.GetMessage(), m)
+}
+
+// Close gives the stream up; the answering side's context ends.
+func (s *clientStream) Close() error {
+	s.stop()
+	return s.conn.Close()
+}
--- /dev/null
+++ b/connection/link/handshake.go
@@ -0,0 +1,98 @@
+package link
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	handshakeTimeout = 3 * time.Second
+	nonceSize        = 32
+	// dialerRole and acceptorRole keep a proof from being reflected to its sender.
+	dialerRole   = "dialer"
+	acceptorRole = "acceptor"
+)
+
+// Identity is what a process shows of itself, with the key that it shares with
+// all others.
+type Identity struct {
+	Peer Peer
+	Key  []byte
+}
+
+// unbufferedReader reads byte by byte, so that no byte of the yamux session is
+// swallowed by a buffer of the handshake.
+type unbufferedReader struct{ io.Reader }
+
+func (r unbufferedReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
+
+func readFrame(r protodelim.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
+}
+
+func writeFrame(w io.Writer, m proto.Message) error {
+	bw := bufio.NewWriter(w)
+	if _, err := protodelim.MarshalTo(bw, m); err != nil {
+		return err
+	}
+	return bw.Flush()
+}
+
+func sign(key []byte, role string, own, other *lilacv1.LinkHello) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(role))
+	mac.Write(other.GetNonce())
+	mac.Write(own.GetNonce())
+	mac.Write([]byte(own.GetProcess() + "\x00" + own.GetDataCenter()))
+	return mac.Sum(nil)
+}
+
+// handshake proves the shared key to the other end and checks its proof.
+//
+// It guards against a stranger on the network who speaks as one of our
+// processes: it shows as ErrorKind_ERROR_KIND_UNAUTHENTICATED on both sides.
+// It holds because each side signs the other's fresh nonce with its own role,
+// so an old or reflected proof does not pass.
+func handshake(conn net.Conn, id Identity, role, otherRole string) (Peer, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return Peer{}, err
+	}
+	own := &lilacv1.LinkHello{Process: id.Peer.Process, DataCenter: id.Peer.DataCenter, Nonce: make([]byte, nonceSize)}
+	if _, err := rand.Read(own.Nonce); err != nil {
+		return Peer{}, err
+	}
+	if err := writeFrame(conn, own); err != nil {
+		return Peer{}, err
+	}
+	r := unbufferedReader{conn}
+	other := &lilacv1.LinkHello{}
+	if err := readFrame(r, other); err != nil {
+		return Peer{}, err
+	}
+	if err := writeFrame(conn, &lilacv1.LinkProof{Signature: sign(id.Key, role, own, other)}); err != nil {
+		return Peer{}, err
+	}
+	proof := &lilacv1.LinkProof{}
+	if err := readFrame(r, proof); err != nil {
+		return Peer{}, err
+	}
+	if len(other.GetNonce()) != nonceSize || !hmac.Equal(proof.GetSignature(), sign(id.Key, otherRole, other, own)) {
+		return Peer{}, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "the other process holds a different key; give all processes the same key file")
+	}
+	return Peer{Process: other.GetProcess(), DataCenter: other.GetDataCenter()}, conn.SetDeadline(time.Time{})
+}
--- /dev/null
+++ b/connection/link/link_test.go
@@ -0,0 +1,89 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+func testMux() *Mux {
+	mux := NewMux()
+	mux.Handle("echo", Unary(func(_ context.Context, peer Peer, req *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) {
+		return &lilacv1.QueryReply{Instance: req.GetSubject(), DataCenter: peer.DataCenter}, nil
+	}))
+	mux.Handle("refuse", func(context.Context, *Exchange) error {
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "ask the leader", fault.WithLeader("127.0.0.1:1"),
+			fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE), fault.WithRetryAfter(1500*time.Millisecond))
+	})
+	mux.Handle("three", func(_ context.Context, x *Exchange) error {
+		for range 3 {
+			if err := x.Send(&lilacv1.QueryReply{}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return mux
+}
+
+func serve(t *testing.T, key string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := NewServer(Identity{Peer: Peer{Process: "s", DataCenter: "dc"}, Key: []byte(key)}, testMux())
+	go server.Serve(listener)
+	t.Cleanup(func() { listener.Close(); server.Close() })
+	return listener.Addr().String()
+}
+
+func callers(t *testing.T) map[string]Caller {
+	peer := Peer{Process: "c", DataCenter: "dakar-a"}
+	client := NewClient(serve(t, "one key of all"), Identity{Peer: peer, Key: []byte("one key of all")})
+	t.Cleanup(func() { client.Close() })
+	return map[string]Caller{"network": client, "local": &Local{Mux: testMux(), Self: peer}}
+}
+
+func TestCallsAndStreams(t *testing.T) {
+	for name, caller := range callers(t) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reply := &lilacv1.QueryReply{}
+			is.NoErr(caller.Call(t.Context(), "echo", &lilacv1.QueryRequest{Subject: "x"}, reply))
+			is.Equal(reply.GetInstance(), "x")
+			is.Equal(reply.GetDataCenter(), "dakar-a")
+
+			err := caller.Call(t.Context(), "refuse", &lilacv1.QueryRequest{}, reply)
+			is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER))
+			is.Equal(fault.LeaderOf(err), "127.0.0.1:1")
+			is.Equal(fault.NotRunOf(err), lilacv1.NotRun_NOT_RUN_TRUE)
+			is.Equal(fault.RetryAfterOf(err), 1500*time.Millisecond)
+
+			is.True(fault.Is(caller.Call(t.Context(), "none", &lilacv1.QueryRequest{}, reply), lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
+
+			stream, err := caller.Open(t.Context(), "three", &lilacv1.QueryRequest{})
+			is.NoErr(err)
+			for range 3 {
+				is.NoErr(stream.Recv(reply))
+			}
+			is.Equal(stream.Recv(reply), io.EOF)
+			is.NoErr(stream.Close())
+		})
+	}
+}
+
+// A stranger on the network calls a state process with a key of its own. The
+// connection must end before any handler runs, and the caller must be told why.
+func TestOtherKeyIsRefused(t *testing.T) {
+	is := is.New(t)
+	client := NewClient(serve(t, "one key of all"), Identity{Key: []byte("another key")})
+	defer client.Close()
+	err := client.Call(t.Context(), "echo", &lilacv1.QueryRequest{}, &lilacv1.QueryReply{})
+	is.True(err != nil)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE))
+}
--- /dev/null
+++ b/connection/link/local.go
@@ -0,0 +1,90 @@
+package link
+
+import (
+	"context"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// Local calls a Mux of the same process, with every message encoded and
+// decoded as on the network. Tests under testing/synctest use it, since yamux
+// shares timers between bubbles.
+type Local struct {
+	Mux  *Mux
+	Self Peer
+}
+
+var _ Caller = (*Local)(nil)
+
+type localStream struct {
+	messages chan []byte
+	done     chan error
+	cancel   context.CancelFunc
+}
+
+// Open starts the handler in a goroutine of its own.
+func (l *Local) Open(ctx context.Context, method string, req proto.Message) (Stream, error) {
+	payload, err := proto.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &localStream{messages: make(chan []byte), done: make(chan error, 1), cancel: cancel}
+	send := func(m proto.Message) error {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			return err
+		}
+		select {
+		case s.messages <- b:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	x := &Exchange{Peer: l.Self, payload: payload, send: send}
+	go func() { s.done <- l.Mux.serve(ctx, method, x) }()
+	return s, nil
+}
+
+// Call opens a stream and reads its single answer.
+func (l *Local) Call(ctx context.Context, method string, req, resp proto.Message) error {
+	return callOver(ctx, l, method, req, resp)
+}
+
+// Recv reads the next message or the closing status.
+func (s *localStream) Recv(m proto.Message) error {
+	select {
+	case b := <-s.messages:
+		return proto.Unmarshal(b, m)
+	case err := <-s.done:
+		s.done <- err
+		if err == nil {
+			return io.EOF
+		}
+		return fault.FromStatus(fault.ToStatus(err))
+	}
+}
+
+// Close ends the handler's context.
+func (s *localStream) Close() error {
+	s.cancel()
+	return nil
+}
+
+// callOver makes a unary call of a stream.
+func callOver(ctx context.Context, c Caller, method string, req, resp proto.Message) error {
+	s, err := c.Open(ctx, method, req)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	err = s.Recv(resp)
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/connection/link/server.go
@@ -0,0 +1,147 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// Server accepts connections of other processes and hands their streams to a Mux.
+type Server struct {
+	id  Identity
+	mux *Mux
+	// OnRefused is told of each connection that failed the handshake; may be nil.
+	OnRefused func(remote string, err error)
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewServer returns a Server that answers from mux.
+func NewServer(id Identity, mux *Mux) *Server {
+	return &Server{id: id, mux: mux, conns: make(map[net.Conn]struct{})}
+}
+
+// Serve accepts until the listener or the server is closed, which gives nil.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !s.track(conn) {
+			conn.Close()
+			return nil
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	conn.Close()
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	s.wg.Done()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.untrack(conn)
+	peer, err := handshake(conn, s.id, acceptorRole, dialerRole)
+	if err != nil {
+		if s.OnRefused != nil {
+			s.OnRefused(conn.RemoteAddr().String(), err)
+		}
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		return
+	}
+	defer session.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.serveStream(ctx, peer, stream)
+		}()
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, peer Peer, stream *yamux.Stream) {
+	defer stream.Close()
+	reader := bufio.NewReader(stream)
+	open := &lilacv1.LinkOpen{}
+	if err := readFrame(reader, open); err != nil {
+		return
+	}
+	frame := &lilacv1.LinkFrame{}
+	if err := readFrame(reader, frame); err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if open.GetTimeoutMs() > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, time.Duration(open.GetTimeoutMs())*time.Millisecond)
+		defer stop()
+	}
+	// The caller sends nothing more: the read ends when it closes the stream.
+	go func() {
+		defer cancel()
+		reader.ReadByte()
+	}()
+	x := &Exchange{Peer: peer, RequestID: open.GetRequestId(), payload: frame.GetMessage()}
+	x.send = func(m proto.Message) error {
+		payload, err := proto.Marshal(m)
+		if err != nil {
+			return err
+		}
+		return writeFrame(stream, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Message{Message: payload}})
+	}
+	err := s.mux.serve(ctx, open.GetMethod(), x)
+	_ = writeFrame(stream, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Status{Status: fault.ToStatus(err)}})
+}
+
+// Close ends all connections and waits for their handlers.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	return nil
+}
--- /dev/null
+++ b/process/settings/entry.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"errors"
+	"time"
+)
+
+// Entry holds the settings of an entry instance.
+type Entry struct {
+	Common `yaml:",inline"`
+	// Callers is the address for callers' HTTP requests. No default.
+	Callers Address `yaml:"callers"`
+	// Operators is the address for operators' statements. No default.
+	Operators Address `yaml:"operators"`
+	// State lists all state processes. No default.
+	State []Peer `yaml:"state"`
+	// Entries lists the other entry instances that are known at start. Default none.
+	Entries []Peer `yaml:"entries"`
+	// CallerKeyFile holds the key that callers' tokens are made with. No default.
+	CallerKeyFile string `yaml:"caller_key_file"`
+	// OperatorTokensFile holds one "name token" a line. No default.
+	OperatorTokensFile string `yaml:"operator_tokens_file"`
+	// InstanceList is the URL of the platform's list of instances. Default none.
+	InstanceList string `yaml:"instance_list"`
+	// Limits bound what one caller may send.
+	Limits EntryLimits `yaml:"limits"`
+	// Policy holds the weights of the fleet.
+	Policy Policy `yaml:"policy"`
+	// Drain is how long streams may go on after SIGTERM. Default 5m.
+	Drain Duration `yaml:"drain"`
+}
+
+// EntryLimits bound what one caller may send.
+type EntryLimits struct {
+	// BodyBytes is the largest body. Default 1048576.
+	BodyBytes int64 `yaml:"body_bytes"`
+	// HeaderBytes is the largest header. Default 16384.
+	HeaderBytes int `yaml:"header_bytes"`
+	// ReadTimeout is how long a caller may take to send its request. Default 10s.
+	ReadTimeout Duration `yaml:"read_timeout"`
+}
+
+// Policy holds the weights by which fleets differ; see docs/OPERATING.md.
+type Policy struct {
+	// AttainmentWeight is what an answer within its targets is worth. Default 1.
+	AttainmentWeight float64 `yaml:"attainment_weight"`
+	// WasteWeight is what a wasted token costs. Default 0.5.
+	WasteWeight float64 `yaml:"waste_weight"`
+	// RemoteCost is the price of another data centre, as added time. Default 50ms.
+	RemoteCost Duration `yaml:"remote_cost"`
+	// SubsetSize is how many backend servers of a pool an instance uses; 0 means all up to 100.
+	SubsetSize int `yaml:"subset_size"`
+	// RetryShare is the retries allowed for each first try. Default 0.1.
+	RetryShare float64 `yaml:"retry_share"`
+}
+
+const (
+	defaultBodyBytes   = 1 << 20
+	defaultHeaderBytes = 16 << 10
+	defaultReadTimeout = 10 * time.Second
+	defaultDrain       = 5 * time.Minute
+	defaultRemoteCost  = 50 * time.Millisecond
+	defaultRetryShare  = 0.1
+	defaultWasteWeight = 0.5
+)
+
+// Validate checks the fields that their types can't, and fills in defaults.
+func (e *Entry) Validate() error {
+	all := e.problems()
+	all = append(all, peerProblems("state", e.State)...)
+	all = append(all, peerProblems("entries", e.Entries)...)
+	required := func(missing bool, field string) {
+		if missing {
+			all = append(all, &Problem{Line: 1, Field: field, Message: "missing; add it, see docs/OPERATING.md"})
+		}
+	}
+	required(e.Callers.Value == "", "callers")
+	required(e.Operators.Value == "", "operators")
+	required(len(e.State) == 0, "state")
+	required(e.CallerKeyFile == "", "caller_key_file")
+	required(e.OperatorTokensFile == "", "operator_tokens_file")
+	if e.Policy.RetryShare < 0 || e.Policy.RetryShare > 1 {
+		all = append(all, &Problem{Line: 1, Field: "policy.retry_share", Message: "must lie between 0 and 1"})
+	}
+	e.fill()
+	return errors.Join(all...)
+}
+
+func (e *Entry) fill() {
+	if e.Limits.BodyBytes == 0 {
+		e.Limits.BodyBytes = defaultBodyBytes
+	}
+	if e.Limits.HeaderBytes == 0 {
+		e.Limits.HeaderBytes = defaultHeaderBytes
+	}
+	if e.Policy.AttainmentWeight == 0 {
+		e.Policy.AttainmentWeight = 1
+	}
+	if e.Policy.WasteWeight == 0 {
+		e.Policy.WasteWeight = defaultWasteWeight
+	}
+	if e.Policy.RetryShare == 0 {
+		e.Policy.RetryShare = defaultRetryShare
+	}
+	e.Limits.ReadTimeout.Duration = e.Limits.ReadTimeout.Or(defaultReadTimeout)
+	e.Policy.RemoteCost.Duration = e.Policy.RemoteCost.Or(defaultRemoteCost)
+	e.Drain.Duration = e.Drain.Or(defaultDrain)
+}
--- /dev/null
+++ b/request/policy/api.go
@@ -0,0 +1,206 @@
+// Package policy decides, for one instance, which request runs when and on
+// which backend server, which waits, and which is refused.
+//
+// It is a deterministic core: Step takes the time and one event and returns
+// actions. It starts no goroutine, reads no clock, opens no socket and draws
+// its random numbers from a seeded source. The entry process and the bench run
+// the same core.
+package policy
+
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// ID names a request within one instance's life.
+type ID uint64
+
+// Event is something that happened; see the types below.
+type Event interface{ event() }
+
+// Action is something the shell must do at once; see the types below.
+type Action interface{ action() }
+
+// Arrival is a new request that passed the checks of its form.
+type Arrival struct {
+	ID    ID
+	Class string
+	Team  string
+	// Target is the model or service that it asks for.
+	Target string
+	// Digest is SHA-256 of team, path and body, in hexadecimal.
+	Digest string
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// MaxTokens is the caller's bound on the answer; 0 means none.
+	MaxTokens int
+	// Prefix holds the hash of each block of the prompt, each over all before it.
+	Prefix []uint64
+	// Deadline is the caller's own; zero means none.
+	Deadline time.Time
+	// Idempotent requests may be sent again after they reached a server.
+	Idempotent bool
+}
+
+// Canceled tells that the caller has gone.
+type Canceled struct{ ID ID }
+
+// Sent tells that the first byte of an attempt may have been written.
+type Sent struct {
+	ID      ID
+	Attempt int
+}
+
+// Tokens tells that the answer grew; the first one carries the first token.
+type Tokens struct {
+	ID      ID
+	Attempt int
+	Count   int
+}
+
+// Finished tells that the whole answer came.
+type Finished struct {
+	ID      ID
+	Attempt int
+}
+
+// Failed tells that an attempt ended without a whole answer.
+type Failed struct {
+	ID      ID
+	Attempt int
+	// Sent is false only where it is proved that no byte was written.
+	Sent bool
+	// Crashed is true where the server itself went away (connection reset or refused).
+	Crashed bool
+	// RetryAfter is the server's own, where it refused for load.
+	RetryAfter time.Duration
+	// Refused is true where the server refused the request and did not run it.
+	Refused bool
+	// Final is true where another server would answer the same, such as a bad request.
+	Final bool
+}
+
+// LoadReport is a server's own word on its load, late by Age.
+type LoadReport struct {
+	Server  string
+	Running int
+	Waiting int
+	// KVUsed is the used share of the KV cache, 0 to 1.
+	KVUsed float64
+	Age    time.Duration
+}
+
+// CacheEvent tells that a server stored or dropped a prefix block.
+type CacheEvent struct {
+	Server   string
+	Sequence uint64
+	Stored   []uint64
+	Dropped  []uint64
+	// Cleared means that the whole cache was emptied.
+	Cleared bool
+}
+
+// ServerState is what membership knows of a server besides the configuration.
+type ServerState struct {
+	Server string
+	// Leaving servers get no new work.
+	Leaving bool
+	// Gone servers are down.
+	Gone bool
+}
+
+// Configured brings a newer revision into force.
+type Configured struct{ View *model.View }
+
+// PeerDigest is another instance's digest.
+type PeerDigest struct{ Digest *lilacv1.Digest }
+
+// PeerGone tells that another instance is no longer reached.
+type PeerGone struct{ Instance string }
+
+// Draining tells that this instance takes no new requests.
+type Draining struct{}
+
+// Tick lets time-driven decisions happen; the shell sends one each TickInterval.
+type Tick struct{}
+
+// TickInterval is how often the shell sends a Tick.
+const TickInterval = 10 * time.Millisecond
+
+// Start tells the shell to send the request to the server.
+type Start struct {
+	ID      ID
+	Server  string
+	Attempt int
+	// Priority is for engines that honour one; 0 is the most urgent.
+	Priority int
+	// ResumeFrom names the server that holds the first part of a broken
+	// stream, where it may be resumed; empty otherwise. The tokens so far, which
+	// the shell keeps, go along as a prefix.
+	ResumeFrom string
+	// Continue is true where the caller already holds a part of the answer.
+	Continue bool
+}
+
+// Refuse tells the shell to answer the caller at once with a typed error.
+type Refuse struct {
+	ID         ID
+	Kind       fault.Kind
+	Message    string
+	NotRun     fault.NotRun
+	RetryAfter time.Duration
+}
+
+// Stop tells the shell to cancel an attempt at its server, at once.
+type Stop struct {
+	ID      ID
+	Server  string
+	Attempt int
+}
+
+// Convict tells the shell to propose that all instances refuse this request.
+type Convict struct {
+	Digest  string
+	Team    string
+	Servers []string
+}
+
+// Broken tells the shell to end a stream with an explicit error, since the
+// rest of the answer can't be had. It never looks complete.
+type Broken struct {
+	ID         ID
+	Kind       fault.Kind
+	Message    string
+	RetryAfter time.Duration
+}
+
+func (Arrival) event()     {}
+func (Canceled) event()    {}
+func (Sent) event()        {}
+func (Tokens) event()      {}
+func (Finished) event()    {}
+func (Failed) event()      {}
+func (LoadReport) event()  {}
+func (CacheEvent) event()  {}
+func (ServerState) event() {}
+func (Configured) event()  {}
+func (PeerDigest) event()  {}
+func (PeerGone) event()    {}
+func (Draining) event()    {}
+func (Tick) event()        {}
+
+func (Start) action()   {}
+func (Refuse) action()  {}
+func (Stop) action()    {}
+func (Convict) action() {}
+func (Broken) action()  {}
+
+// Core is what the entry process and the bench drive. Calls must not overlap.
+type Core interface {
+	Step(now time.Time, event Event) []Action
+	// Digest returns what the other instances must know, as of now.
+	Digest(now time.Time) *lilacv1.Digest
+}
--- /dev/null
+++ b/version/model/view.go
@@ -0,0 +1,57 @@
+// Package model gives an indexed, immutable view of one revision of the
+// configuration: classes, teams, backend servers and their states.
+package model
+
+import (
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// Tiers is the number of service tiers; tier 0 is the most urgent.
+const Tiers = 4
+
+// View is a revision as the request path reads it. It is never changed once
+// made, so any goroutine may read it without a lock.
+type View struct {
+	Revision    uint64
+	Classes     map[string]*lilacv1.Class
+	Teams       map[string]*lilacv1.Team
+	Servers     map[string]*lilacv1.Server
+	Instances   map[string]*lilacv1.InstanceState
+	Convictions map[string]*lilacv1.Conviction
+	Orders      []*lilacv1.ModelOrder
+	// Pools holds the backend servers of each model or service, in order of name.
+	Pools map[string][]*lilacv1.Server
+}
+
+// NewView indexes a snapshot, which must not be changed afterwards.
+func NewView(s *lilacv1.Snapshot) *View {
+	v := &View{
+		Revision:    s.GetRevision(),
+		Classes:     make(map[string]*lilacv1.Class, len(s.GetClasses())),
+		Teams:       make(map[string]*lilacv1.Team, len(s.GetTeams())),
+		Servers:     make(map[string]*lilacv1.Server, len(s.GetServers())),
+		Instances:   make(map[string]*lilacv1.InstanceState, len(s.GetInstances())),
+		Convictions: make(map[string]*lilacv1.Conviction, len(s.GetConvictions())),
+		Orders:      s.GetOrders(),
+		Pools:       make(map[string][]*lilacv1.Server),
+	}
+	for _, class := range s.GetClasses() {
+		v.Classes[class.GetName()] = class
+	}
+	for _, team := range s.GetTeams() {
+		v.Teams[team.GetName()] = team
+	}
+	for _, server := range s.GetServers() {
+		v.Servers[server.GetName()] = server
+		for _, name := range server.GetServes() {
+			v.Pools[name] = append(v.Pools[name], server)
+		}
+	}
+	for _, instance := range s.GetInstances() {
+		v.Instances[instance.GetName()] = instance
+	}
+	for _, conviction := range s.GetConvictions() {
+		v.Convictions[conviction.GetDigest()] = conviction
+	}
+	return v
+}
