--- /dev/null
+++ b/version/model/merge.go
@@ -0,0 +1,30 @@
+package model
+
+import (
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// Merge returns old with the named fields taken from update. Neither argument
+// is changed. With no fields named, or no old object, it returns update.
+func Merge[M proto.Message](old, update M, fields []string) (M, error) {
+	if len(fields) == 0 || !old.ProtoReflect().IsValid() {
+		return update, nil
+	}
+	merged := proto.CloneOf(old)
+	to, from := merged.ProtoReflect(), update.ProtoReflect()
+	for _, name := range fields {
+		field := to.Descriptor().Fields().ByName(protoreflect.Name(name))
+		if field == nil {
+			return merged, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE, "no field %q in %s; run one version on all instances", name, to.Descriptor().Name())
+		}
+		to.Clear(field)
+		if from.Has(field) {
+			to.Set(field, from.Get(field))
+		}
+	}
+	return merged, nil
+}
