Give operators a client, a statement handler and fleet files

Cause: an operator must ask the whole fleet and change it through any entry instance, and a lost answer must never look like "not made". The client makes the command id, sends the same id again, and keeps "unknown" once an answer may have been lost. A query names the instances that did not answer. Ruled out: a client that talks to the state processes itself, since it would need the key of our processes and know their addresses.

--- /dev/null
+++ b/cmd/lilacctl/apply.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"os"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"github.com/lilacbridge/lilacbridge/connection/operator"
+)
+
+func newApply(g *globalFlags) *cobra.Command {
+	request := &operator.ApplyRequest{}
+	var file string
+	cmd := &cobra.Command{
+		Use:   "apply -f FILE",
+		Short: "Bring classes, teams and servers to those of a file, as one revision",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runApply(cmd, g, file, request)
+		},
+	}
+	cmd.Flags().StringVarP(&file, "file", "f", "", "the fleet file")
+	cmd.Flags().StringVar(&request.CommandID, "command-id", "", "id of an earlier try, to learn what became of it")
+	cmd.Flags().Uint64Var(&request.IfRevision, "if-revision", 0, "refuse unless this is the current revision")
+	cmd.Flags().BoolVar(&request.DryRun, "dry-run", false, "show the difference without making it")
+	cmd.Flags().BoolVar(&request.Prune, "prune", false, "drop what the file lacks")
+	_ = cmd.MarkFlagRequired("file")
+	return cmd
+}
+
+func runApply(cmd *cobra.Command, g *globalFlags, file string, request *operator.ApplyRequest) error {
+	document, err := os.ReadFile(file)
+	if err != nil {
+		return usageError{err}
+	}
+	client, err := g.client()
+	if err != nil {
+		return err
+	}
+	request.Document = string(document)
+	if request.CommandID == "" {
+		request.CommandID = uuid.NewString()
+	}
+	reply, err := client.Apply(cmd.Context(), request)
+	if err != nil {
+		return err
+	}
+	return print(os.Stdout, g.output, reply)
+}
--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -1,4 +1,5 @@
-// Command lilacctl is the operators' client of lilacbridge.
+// Command lilacctl is the operators' client of lilacbridge: it sends
+// statements, applies fleet files, checks settings and reads data folders.
 package main
 
 import (
@@ -11,9 +12,24 @@
 )
 
 func main() {
-	root := &cobra.Command{Use: "lilacctl", Short: "Ask and order a lilacbridge fleet", Version: build.Version}
+	root := newRoot()
 	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
+		fmt.Fprintln(os.Stderr, "lilacctl:", err)
+		os.Exit(exitCode(err))
 	}
 }
+
+func newRoot() *cobra.Command {
+	flags := &globalFlags{}
+	root := &cobra.Command{
+		Use:           "lilacctl",
+		Short:         "Ask and order a lilacbridge fleet",
+		Version:       build.Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags.register(root)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(newExec(flags), newShow(flags), newApply(flags), newWatch(flags), newCheck(), newToken())
+	return root
+}
--- /dev/null
+++ b/connection/operator/change.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/version/fleet"
+	"github.com/lilacbridge/lilacbridge/version/statement"
+)
+
+func (h *handler) statement(ctx context.Context, who string, body []byte) (*Reply, error) {
+	request := &StatementRequest{}
+	if err := decode(body, request); err != nil {
+		return nil, err
+	}
+	parsed, err := statement.Parse(request.Statement)
+	if err != nil {
+		return nil, err
+	}
+	if parsed.Show != nil {
+		return h.query(ctx, parsed.Show)
+	}
+	changes, err := parsed.Changes()
+	if err != nil {
+		return nil, err
+	}
+	proposal := h.proposal(who, request.CommandID, request.Statement, changes, request.DryRun)
+	if parsed.IfRevision != nil {
+		proposal.IfRevision = *parsed.IfRevision
+	}
+	return h.propose(ctx, proposal)
+}
+
+func (h *handler) apply(ctx context.Context, who string, body []byte) (*Reply, error) {
+	request := &ApplyRequest{}
+	if err := decode(body, request); err != nil {
+		return nil, err
+	}
+	file, err := fleet.Parse([]byte(request.Document))
+	if err != nil {
+		return nil, err
+	}
+	view := h.View()
+	diff := file.Diff(view, request.Prune)
+	if len(diff.Changes) == 0 {
+		return &Reply{Change: &Change{Revision: view.Revision, CommandID: request.CommandID, DryRun: request.DryRun}}, nil
+	}
+	proposal := h.proposal(who, request.CommandID, "APPLY", diff.Changes, request.DryRun)
+	proposal.IfRevision = request.IfRevision
+	reply, err := h.propose(ctx, proposal)
+	if err != nil {
+		return nil, err
+	}
+	reply.Change.Diff = diff.Lines
+	return reply, nil
+}
+
+func (h *handler) proposal(who, command, text string, changes []*lilacv1.Change, dryRun bool) *lilacv1.Proposal {
+	if command == "" {
+		command = uuid.NewString()
+	}
+	return &lilacv1.Proposal{
+		CommandId: command, Who: who, Instance: h.Instance, Statement: text, Changes: changes, DryRun: dryRun,
+		ProposedUnixMs: h.Now().UnixMilli(),
+	}
+}
+
+// propose sends a change to the log. An error that leaves open whether the
+// change was accepted names the command id, by which the client asks again.
+func (h *handler) propose(ctx context.Context, proposal *lilacv1.Proposal) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	reply, err := h.State.Propose(ctx, proposal)
+	if err != nil && fault.NotRunOf(err) == lilacv1.NotRun_NOT_RUN_UNKNOWN && lostAnswer(err) {
+		return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN,
+			"the answer was lost and the change may be in force; send it again with command id "+proposal.GetCommandId()+" to learn which")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Reply{Change: &Change{
+		Revision: reply.GetRevision(), Repeated: reply.GetRepeatedCommand(), DryRun: proposal.GetDryRun(), CommandID: proposal.GetCommandId(),
+	}}, nil
+}
+
+func lostAnswer(err error) bool {
+	kind := fault.KindOf(err)
+	return kind == lilacv1.ErrorKind_ERROR_KIND_TIMEOUT || kind == lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE || kind == lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN
+}
--- /dev/null
+++ b/connection/operator/configured.go
@@ -0,0 +1,84 @@
+package operator
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/version/model"
+	"github.com/lilacbridge/lilacbridge/version/table"
+)
+
+func wallClock(unixMs int64) string {
+	return time.UnixMilli(unixMs).UTC().Format(time.RFC3339)
+}
+
+func ms(n uint32) string { return (time.Duration(n) * time.Millisecond).String() }
+
+func late(policy lilacv1.LatePolicy) string {
+	if policy == lilacv1.LatePolicy_LATE_POLICY_REFUSE {
+		return "refuse"
+	}
+	return "run"
+}
+
+// configured returns the rows of a subject that stands in the configuration.
+func configured(view *model.View, subject string) *table.Table {
+	switch subject {
+	case "classes":
+		return classes(view)
+	case "teams":
+		return teams(view)
+	case "convictions":
+		return convictions(view)
+	}
+	return models(view)
+}
+
+func classes(view *model.View) *table.Table {
+	t := &table.Table{Columns: []string{"class", "tier", "first_token", "between_tokens", "share", "late"}, Rows: [][]string{}}
+	for _, name := range slices.Sorted(maps.Keys(view.Classes)) {
+		c := view.Classes[name]
+		share := strconv.FormatFloat(float64(c.GetSharePermille())/10, 'f', -1, 64) + "%"
+		t.Rows = append(t.Rows, []string{
+			name, strconv.Itoa(int(c.GetTier())), ms(c.GetFirstTokenMs()), ms(c.GetBetweenTokensMs()), share, late(c.GetLate()),
+		})
+	}
+	return t
+}
+
+func teams(view *model.View) *table.Table {
+	t := &table.Table{Columns: []string{"team", "weight", "tokens_per_second", "burst"}, Rows: [][]string{}}
+	for _, name := range slices.Sorted(maps.Keys(view.Teams)) {
+		team := view.Teams[name]
+		t.Rows = append(t.Rows, []string{
+			name, strconv.Itoa(int(max(1, team.GetWeight()))),
+			strconv.FormatUint(team.GetTokensPerSecond(), 10), strconv.FormatUint(team.GetBurstTokens(), 10),
+		})
+	}
+	return t
+}
+
+func convictions(view *model.View) *table.Table {
+	t := &table.Table{Columns: []string{"digest", "team", "servers", "expires"}, Rows: [][]string{}}
+	for _, digest := range slices.Sorted(maps.Keys(view.Convictions)) {
+		c := view.Convictions[digest]
+		t.Rows = append(t.Rows, []string{digest, c.GetTeam(), strings.Join(c.GetServers(), ","), wallClock(c.GetExpiresUnixMs())})
+	}
+	return t
+}
+
+func models(view *model.View) *table.Table {
+	t := &table.Table{Columns: []string{"server", "model", "adapter", "wanted"}, Rows: [][]string{}}
+	for _, order := range view.Orders {
+		wanted := "unloaded"
+		if order.GetLoaded() {
+			wanted = "loaded"
+		}
+		t.Rows = append(t.Rows, []string{order.GetServer(), order.GetModel(), order.GetAdapter(), wanted})
+	}
+	return t
+}
--- /dev/null
+++ b/process/secret/secret_test.go
@@ -0,0 +1,54 @@
+package secret
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func write(t *testing.T, text string, mode os.FileMode) string {
+	file := filepath.Join(t.TempDir(), "keys")
+	is.New(t).NoErr(os.WriteFile(file, []byte(text), mode))
+	return file
+}
+
+// A team's caller writes another team's name into its token. It must not be
+// able to speak as that team.
+func TestTokenSpeaksForOneTeamOnly(t *testing.T) {
+	is := is.New(t)
+	key := []byte("0123456789abcdef")
+	token := CallerToken(key, "coop.west")
+	team, ok := TeamOf(key, token)
+	is.True(ok)
+	is.Equal(team, "coop.west")
+	for _, forged := range []string{"coop.east" + token[len("coop.west"):], token[:len(token)-1], "coop.west.", "", ".", CallerToken([]byte("another key that is long"), "coop.west")} {
+		_, ok := TeamOf(key, forged)
+		is.True(!ok)
+	}
+}
+
+func TestKeyFileMustBePrivateAndLong(t *testing.T) {
+	is := is.New(t)
+	_, err := ReadKey(write(t, "0123456789abcdef\n", 0o644))
+	is.True(err != nil) // readable by others
+	_, err = ReadKey(write(t, "short\n", 0o600))
+	is.True(err != nil)
+	key, err := ReadKey(write(t, "0123456789abcdef\n", 0o600))
+	is.NoErr(err)
+	is.Equal(len(key), 16)
+}
+
+func TestOperators(t *testing.T) {
+	is := is.New(t)
+	operators, err := ReadOperators(write(t, "# name token\nop-1 0123456789abcdef\nop-2 fedcba9876543210\n", 0o600))
+	is.NoErr(err)
+	who, ok := operators.Who("fedcba9876543210")
+	is.True(ok)
+	is.Equal(who, "op-2")
+	_, ok = operators.Who("fedcba9876543211")
+	is.True(!ok)
+	_, err = ReadOperators(write(t, "op-1\n", 0o600))
+	is.True(err != nil)
+}
