--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,8 @@
 
 demo: build
 	FLEET=$(FLEET) bash scripts/demo.sh
+
+# Lines of code by kind.
+.PHONY: lines
+lines:
+	@bash scripts/lines.sh
