Add a first policy core: queue by tier, least in flight, refusals, retries

This one queues by tier, starts on the open server with the least in flight, retries only idempotent or provably unsent requests from a budget, ejects crashed servers for two seconds, and gives each request one final action; it counts the invariants it checks of itself and shows them by Stats(). Weighed: sending everything at once and queueing at the engines, ruled out since a queue there can't be reordered.

--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -203,4 +203,6 @@
 	Step(now time.Time, event Event) []Action
 	// Digest returns what the other instances must know, as of now.
 	Digest(now time.Time) *lilacv1.Digest
+	// Stats returns the counters and the invariants that were seen broken.
+	Stats() Stats
 }
--- /dev/null
+++ b/request/policy/core_test.go
@@ -0,0 +1,85 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func testView() *model.View {
+	return model.NewView(&lilacv1.Snapshot{
+		Revision: 1,
+		Classes: []*lilacv1.Class{
+			{Name: "alerts", Tier: 0, FirstTokenMs: 420, BetweenTokensMs: 65},
+			{Name: "batch", Tier: 3, FirstTokenMs: 5000, BetweenTokensMs: 200},
+		},
+		Teams: []*lilacv1.Team{{Name: "a"}, {Name: "b"}},
+		Servers: []*lilacv1.Server{
+			{Name: "r1", DataCenter: "dakar-a", Serves: []string{"redaction"}, Slots: 2},
+			{Name: "r2", DataCenter: "dakar-a", Serves: []string{"redaction"}, Slots: 2},
+		},
+	})
+}
+
+func newCore() *core {
+	c := New(Options{Instance: "e1", DataCenter: "dakar-a", Seed: 1, Weights: settings.Policy{RetryShare: 0.1}}).(*core)
+	c.Step(epoch, Configured{View: testView()})
+	return c
+}
+
+func arrival(id ID, class string) Arrival {
+	return Arrival{ID: id, Class: class, Team: "a", Target: "redaction", Digest: string(rune('a' + id)), PromptTokens: 10, Idempotent: true}
+}
+
+func TestArrivalStartsOnAServerWithRoom(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	actions := c.Step(epoch, arrival(1, "alerts"))
+	is.Equal(len(actions), 1)
+	start := actions[0].(Start)
+	is.Equal(start.ID, ID(1))
+	is.Equal(start.Attempt, 1)
+}
+
+func TestUnknownClassIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	refusal := c.Step(epoch, arrival(1, "nosuch"))[0].(Refuse)
+	is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_CLASS)
+	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
+}
+
+// A booking is sent, then its server crashes. The caller must learn that the
+// outcome is unknown; a second try could book the berth twice.
+func TestNonIdempotentIsNotSentTwice(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	a := arrival(1, "alerts")
+	a.Idempotent = false
+	start := c.Step(epoch, a)[0].(Start)
+	c.Step(epoch, Sent{ID: 1, Attempt: start.Attempt})
+	refusal := c.Step(epoch, Failed{ID: 1, Attempt: start.Attempt, Sent: true, Crashed: true})[0].(Refuse)
+	is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN)
+	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
+}
+
+// The connection to a server breaks in the middle of an answer. The caller
+// holds two tokens; the rest comes from the other server.
+func TestBrokenStreamIsContinuedElsewhere(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	start := c.Step(epoch, arrival(1, "alerts"))[0].(Start)
+	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 2})
+	again := c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})[0].(Start)
+	is.True(again.Server != start.Server)
+	is.True(again.Continue)
+	is.Equal(len(c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 1})), 0)
+	is.Equal(c.requests[1].got, 2) // a late token of the first attempt counts for nothing
+}
--- /dev/null
+++ b/request/policy/options.go
@@ -0,0 +1,82 @@
+package policy
+
+import (
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// Options are what a core needs to know of its instance.
+type Options struct {
+	// Instance is the name of this instance.
+	Instance string
+	// DataCenter that the instance stands in.
+	DataCenter string
+	// Incarnation is fresh at each start of the process.
+	Incarnation string
+	// Seed of the random numbers for spread and picks.
+	Seed uint64
+	// Weights are the fleet's own, from the settings.
+	Weights settings.Policy
+}
+
+// Invariant names a property that the core checks of itself.
+type Invariant string
+
+// The invariants, as they stand in docs/PROOFS.md.
+const (
+	// InvariantTier: no higher tier is shed or preempted for a lower one.
+	InvariantTier Invariant = "tier_order"
+	// InvariantOneFinal: each ID gets exactly one final action.
+	InvariantOneFinal Invariant = "one_final"
+	// InvariantLeaving: no start on a server known to be leaving or gone.
+	InvariantLeaving Invariant = "leaving_server"
+	// InvariantBudget: retries stay within their budget.
+	InvariantBudget Invariant = "retry_budget"
+	// InvariantIdempotent: no restart of a sent request that isn't idempotent.
+	InvariantIdempotent Invariant = "at_most_once"
+	// InvariantDeadline: no start after the deadline.
+	InvariantDeadline Invariant = "deadline"
+	// InvariantSuspects: no suspect shares an engine, none runs after two crashes.
+	InvariantSuspects Invariant = "suspects"
+)
+
+// Stats are counters since the start, and the invariants seen broken.
+type Stats struct {
+	Arrivals  uint64
+	Starts    uint64
+	Finished  uint64
+	Canceled  uint64
+	Refused   uint64
+	Broken    uint64
+	Retries   uint64
+	Continued uint64
+	Preempted uint64
+	Moved     uint64
+	Crashes   uint64
+	Convicted uint64
+	// Waiting and Running are as of now.
+	Waiting int
+	Running int
+	// Checked counts evaluations of invariants; Violations those that failed.
+	Checked    uint64
+	Violations map[Invariant]uint64
+}
+
+func (c *core) check(name Invariant, holds bool) bool {
+	c.stats.Checked++
+	if !holds {
+		c.stats.Violations[name]++
+	}
+	return holds
+}
+
+// Stats returns a copy that the caller may keep.
+func (c *core) Stats() Stats {
+	copied := c.stats
+	copied.Violations = make(map[Invariant]uint64, len(c.stats.Violations))
+	for name, count := range c.stats.Violations {
+		copied.Violations[name] = count
+	}
+	copied.Running = c.running
+	copied.Waiting = len(c.requests) - c.running
+	return copied
+}
