--- /dev/null
+++ b/standin/answer.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MedianWord before a number, as one word of the prompt, sets the median
+	// length of the answer in tokens. The router knows nothing of it.
+	MedianWord = "median="
+	// RefWord before a name, as one word of a prompt or body, lets GET /stats
+	// count how often that request ran.
+	RefWord = "ref:"
+
+	defaultMedian = 40
+	// sigma is the spread of the logarithm of lengths: one in twenty answers is
+	// longer than 3.7 times the median.
+	sigma = 0.8
+	// longest bounds an answer, in medians.
+	longest = 8
+)
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is the text of a message. In JSON it may be a string or text parts.
+type Content string
+
+// UnmarshalJSON reads a string, null or a list of text parts.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err == nil {
+		*c = Content(text)
+		return nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		*c += Content(part.Text)
+	}
+	return nil
+}
+
+// Answer returns the tokens that a model answers to the messages; joined they
+// are the text. maxTokens bounds their number; 0 means no bound.
+func Answer(model string, messages []Message, maxTokens int) []string {
+	tokens := wholeAnswer(model, messages)
+	if maxTokens > 0 && len(tokens) > maxTokens {
+		return tokens[:maxTokens]
+	}
+	return tokens
+}
+
+// Continue returns the rest of an answer whose beginning is the last message.
+// As with real engines, maxTokens bounds only the tokens still to come.
+func Continue(model string, messages []Message, maxTokens int) []string {
+	last := len(messages) - 1
+	tokens := wholeAnswer(model, messages[:last])
+	done := min(len(strings.Fields(string(messages[last].Content))), len(tokens))
+	tokens = tokens[done:]
+	if maxTokens > 0 && len(tokens) > maxTokens {
+		return tokens[:maxTokens]
+	}
+	return tokens
+}
+
+func wholeAnswer(model string, messages []Message) []string {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(model)
+	median := defaultMedian
+	for _, message := range messages {
+		_, _ = hash.WriteString("\x00" + message.Role + "\x00" + string(message.Content))
+		if stated, ok := wordAfter(string(message.Content), MedianWord); ok {
+			median = atoiOr(stated, median)
+		}
+	}
+	random := rand.New(rand.NewPCG(hash.Sum64(), 0))
+	length := float64(median) * math.Exp(sigma*random.NormFloat64())
+	length = math.Min(math.Max(length, 1), float64(longest*median))
+	tokens := make([]string, int(length))
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf(" %s%02x", syllables[random.IntN(len(syllables))], random.IntN(256))
+	}
+	tokens[0] = strings.TrimPrefix(tokens[0], " ")
+	return tokens
+}
+
+var syllables = []string{"ba", "co", "di", "fe", "gu", "la", "mo", "ni", "pa", "ru", "sé", "ti", "vo", "ñu"}
+
+func wordAfter(text, prefix string) (string, bool) {
+	for _, word := range strings.Fields(text) {
+		if rest, ok := strings.CutPrefix(word, prefix); ok {
+			return rest, true
+		}
+	}
+	return "", false
+}
+
+func atoiOr(text string, byDefault int) int {
+	number, err := strconv.Atoi(text)
+	if err != nil || number < 1 {
+		return byDefault
+	}
+	return number
+}
--- /dev/null
+++ b/standin/engine_http.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// Routes adds the engine's protocol to an HTTP server.
+func (e *Engine) Routes(server *khttp.Server) {
+	server.HandleFunc("/v1/chat/completions", e.serveChat)
+	server.HandleFunc("/v1/models", e.serveModels)
+	server.HandleFunc("/v1/resume", e.serveResume)
+	server.HandleFunc("/v1/cancel", e.serveCancel)
+	server.HandleFunc("/v1/kv/export", e.serveExport)
+	server.HandleFunc("/v1/kv/import", e.serveImport)
+	server.HandleFunc("/load", e.serveLoad)
+	server.HandleFunc("/cache/events", e.serveEvents)
+	server.HandleFunc("/orders", e.serveOrders)
+	server.HandleFunc("/fault", e.serveFault)
+	server.HandleFunc("/stats", e.serveStats)
+}
+
+type chatRequest struct {
+	Model               string    `json:"model"`
+	Messages            []Message `json:"messages"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	ContinueFinal       bool      `json:"continue_final_message"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+func (c *chatRequest) maxTokens() int { return max(c.MaxTokens, c.MaxCompletionTokens) }
+
+// sequence makes the sequence that answers the request.
+func (c *chatRequest) sequence(id string, priority int) *sequence {
+	answer := Answer
+	bare := c.Messages
+	if c.ContinueFinal {
+		answer = Continue
+		bare = c.Messages[:len(c.Messages)-1]
+	}
+	s := &sequence{id: id, model: c.Model, priority: priority, continued: c.ContinueFinal, words: promptWords(c.Messages)}
+	s.tokens = answer(c.Model, c.Messages, c.maxTokens())
+	s.cut = len(s.tokens) < len(answer(c.Model, c.Messages, 0))
+	for _, message := range bare {
+		if ref, ok := wordAfter(string(message.Content), RefWord); ok {
+			s.ref = ref
+		}
+	}
+	return s
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var chat chatRequest
+	if err := json.NewDecoder(r.Body).Decode(&chat); err != nil || len(chat.Messages) == 0 {
+		writeError(w, http.StatusBadRequest, "body is no chat completion request")
+		return
+	}
+	if !e.has(chat.Model) {
+		writeError(w, http.StatusNotFound, "model "+chat.Model+" is not loaded")
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		id = fmt.Sprintf("own-%d", time.Now().UnixNano())
+	}
+	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	if !e.submit(chat.sequence(id, priority)) {
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusTooManyRequests, "queue is full")
+		return
+	}
+	s := e.attach(id)
+	if s == nil {
+		writeError(w, http.StatusGone, "canceled")
+		return
+	}
+	defer e.detach(s)
+	if chat.Stream {
+		e.stream(w, r, s, 0, chat.StreamOptions.IncludeUsage)
+		return
+	}
+	e.whole(w, r, s)
+}
+
+func (e *Engine) has(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.orders.loaded.Models, model)
+}
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	type entry struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	data := []entry{}
+	e.mu.Lock()
+	for _, model := range e.orders.loaded.Models {
+		data = append(data, entry{ID: model, Object: "model", OwnedBy: "standin"})
+	}
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"object": "list", "data": data})
+}
+
+type byRequest struct {
+	RequestID   string `json:"request_id"`
+	AfterTokens int    `json:"after_tokens"`
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	var by byRequest
+	if err := json.NewDecoder(r.Body).Decode(&by); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s := e.attach(by.RequestID)
+	if s == nil {
+		writeError(w, http.StatusNotFound, "no such request here")
+		return
+	}
+	defer e.detach(s)
+	e.stream(w, r, s, by.AfterTokens, false)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var by byRequest
+	if err := json.NewDecoder(r.Body).Decode(&by); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !e.cancel(by.RequestID) {
+		writeError(w, http.StatusNotFound, "no such request here")
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var by byRequest
+	if err := json.NewDecoder(r.Body).Decode(&by); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	data, ok := e.export(by.RequestID)
+	if !ok {
+		writeError(w, http.StatusNotFound, "no such request here")
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(data)
+}
+
+// maxKV bounds an imported sequence, in bytes.
+const maxKV = 16 << 20
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxKV))
+	if err != nil || !e.importKV(data) {
+		writeError(w, http.StatusBadRequest, "not taken over")
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.report(time.Now()))
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	events := e.cache.since(after, time.Now().Add(-e.config.ReportLag))
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"events": events})
+}
+
+func (e *Engine) serveOrders(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Method == http.MethodPost {
+		var order Order
+		if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		if !e.orders.take(order) {
+			writeError(w, http.StatusConflict, "fencing number is old")
+			return
+		}
+	}
+	writeJSON(w, e.orders.loaded)
+}
+
+func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&fault); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if fault.Crash {
+		e.config.Crash()
+		return
+	}
+	e.mu.Lock()
+	e.fault = fault
+	e.mu.Unlock()
+	writeJSON(w, fault)
+}
+
+func (e *Engine) serveStats(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.stats)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]any{"message": message, "type": strings.ToLower(http.StatusText(status))}})
+}
--- /dev/null
+++ b/standin/orders.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"slices"
+)
+
+// Order tells an engine to load or unload a model or adapter.
+type Order struct {
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Fencing uint64 `json:"fencing"`
+}
+
+// Loaded is what an engine has loaded and the newest fencing number that it took.
+type Loaded struct {
+	Models   []string `json:"models"`
+	Adapters []string `json:"adapters"`
+	Fencing  uint64   `json:"fencing"`
+}
+
+type orderBook struct {
+	loaded        Loaded
+	ignoreFencing bool
+}
+
+func newOrderBook(models []string, ignoreFencing bool) orderBook {
+	return orderBook{
+		loaded:        Loaded{Models: slices.Clone(models), Adapters: []string{}},
+		ignoreFencing: ignoreFencing,
+	}
+}
+
+// take carries an order out; false where its fencing number is old.
+func (b *orderBook) take(order Order) bool {
+	if order.Fencing < b.loaded.Fencing && !b.ignoreFencing {
+		return false
+	}
+	b.loaded.Fencing = order.Fencing
+	list, name := &b.loaded.Models, order.Model
+	if order.Adapter != "" {
+		list, name = &b.loaded.Adapters, order.Adapter
+	}
+	*list = slices.DeleteFunc(*list, func(other string) bool { return other == name })
+	if order.Kind == "load" {
+		*list = append(*list, name)
+	}
+	return true
+}
--- /dev/null
+++ b/standin/sequence.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+)
+
+// sequence is one answer in the making.
+type sequence struct {
+	id       string
+	model    string
+	ref      string
+	words    []string
+	priority int
+	// tokens are those this sequence makes; made of them are done.
+	tokens    []string
+	made      int
+	cut       bool
+	continued bool
+	imported  bool
+	ready     time.Time
+	done      bool
+	gone      bool
+	readers   int
+	unread    time.Time
+	// changed is closed and replaced whenever made, done or gone change.
+	changed chan struct{}
+}
+
+func (s *sequence) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *sequence) has(word string) bool { return slices.Contains(s.words, word) }
+
+// submit queues a sequence; false where the queue is full or the id is in use.
+func (e *Engine) submit(s *sequence) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, used := e.byID[s.id]; used || e.fault.Refuse || len(e.waiting) >= e.config.MaxWaiting {
+		return false
+	}
+	s.changed = make(chan struct{})
+	s.unread = time.Now()
+	e.byID[s.id] = s
+	e.enqueue(s)
+	return true
+}
+
+func (e *Engine) enqueue(s *sequence) {
+	e.waiting = append(e.waiting, s)
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// attach finds a sequence for a reader, which must detach later.
+func (e *Engine) attach(id string) *sequence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.byID[id]
+	if !ok {
+		return nil
+	}
+	s.readers++
+	return s
+}
+
+func (e *Engine) detach(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.readers--
+	s.unread = time.Now()
+}
+
+// state returns the tokens made so far, whether no more will come, whether the
+// sequence was canceled, and a channel that closes at the next change.
+func (e *Engine) state(s *sequence) (made []string, done, gone bool, changed <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.tokens[:s.made], s.done, s.gone, s.changed
+}
+
+// cancel frees the slot of a sequence at once.
+func (e *Engine) cancel(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.byID[id]
+	if !ok {
+		return false
+	}
+	if !s.done {
+		e.stats.TokensCanceled += s.made
+		e.stats.TokensSaved += len(s.tokens) - s.made
+	}
+	e.remove(s)
+	return true
+}
+
+func (e *Engine) remove(s *sequence) {
+	same := func(other *sequence) bool { return other == s }
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	e.running = slices.DeleteFunc(e.running, same)
+	delete(e.byID, s.id)
+	s.gone = !s.done
+	s.announce()
+}
+
+// dropUnread cancels the sequences whose reader left and did not come back.
+func (e *Engine) dropUnread(now time.Time) {
+	for _, s := range slices.Concat(e.running, e.waiting) {
+		if s.readers == 0 && now.Sub(s.unread) > e.config.ResumeWindow {
+			e.stats.TokensCanceled += s.made
+			e.remove(s)
+		}
+	}
+}
+
+func (e *Engine) forgetLater(s *sequence) {
+	time.AfterFunc(e.config.ResumeWindow, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.byID[s.id] == s {
+			delete(e.byID, s.id)
+		}
+	})
+}
+
+// exported is the opaque form in which a sequence moves to another engine.
+type exported struct {
+	ID       string   `json:"id"`
+	Model    string   `json:"model"`
+	Words    []string `json:"words"`
+	Priority int      `json:"priority"`
+	Tokens   []string `json:"tokens"`
+	Made     int      `json:"made"`
+	Cut      bool     `json:"cut"`
+}
+
+// export stops a sequence here and returns it for import elsewhere.
+func (e *Engine) export(id string) ([]byte, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.byID[id]
+	if !ok || s.done {
+		return nil, false
+	}
+	data, err := json.Marshal(exported{ID: s.id, Model: s.model, Words: s.words, Priority: s.priority, Tokens: s.tokens, Made: s.made, Cut: s.cut})
+	e.remove(s)
+	return data, err == nil
+}
+
+// importKV takes a sequence over; it goes on at once.
+func (e *Engine) importKV(data []byte) bool {
+	var x exported
+	if json.Unmarshal(data, &x) != nil || x.ID == "" || x.Made > len(x.Tokens) {
+		return false
+	}
+	s := &sequence{id: x.ID, model: x.Model, words: x.Words, priority: x.Priority, tokens: x.Tokens, made: x.Made, cut: x.Cut, continued: true, imported: true}
+	if !e.submit(s) {
+		return false
+	}
+	e.mu.Lock()
+	e.stats.Continued++
+	e.mu.Unlock()
+	return true
+}
