Add the load tool: seeded open-loop load that checks every answer

The servers' own counts are held against the answers, since a doubled run or a false not_run shows nowhere else. Weighed: a closed loop of callers, ruled out because a slow fleet would then meet less load. Keep-alive is off in the load tool: a request written to an idle connection that a draining entry closes looks like a cut answer.

--- /dev/null
+++ b/cmd/lilacload/main.go
@@ -0,0 +1,86 @@
+// Command lilacload makes load for a lilacbridge fleet and checks every answer.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lilacbridge/lilacbridge/process/build"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// errBroken is the end of a run in which a promise was broken.
+var errBroken = errors.New("a promise was broken")
+
+func main() {
+	root := &cobra.Command{
+		Use:           "lilacload",
+		Short:         "Load a lilacbridge fleet and check every answer",
+		Version:       build.Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(), portsCommand(), tokenCommand())
+	err := root.Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if errors.Is(err, errBroken) {
+		os.Exit(1)
+	}
+	os.Exit(settings.ExitCode)
+}
+
+func portsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "ports N",
+		Short: "Print N free loopback ports",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			var n int
+			if _, err := fmt.Sscan(args[0], &n); err != nil {
+				return fmt.Errorf("%q is no number of ports", args[0])
+			}
+			return printPorts(command, n)
+		},
+	}
+}
+
+// printPorts holds all listeners until the last is open, so that no port comes twice.
+func printPorts(command *cobra.Command, n int) error {
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer listener.Close()
+		fmt.Fprintln(command.OutOrStdout(), listener.Addr().(*net.TCPAddr).Port)
+	}
+	return nil
+}
+
+func tokenCommand() *cobra.Command {
+	var keyFile string
+	command := &cobra.Command{
+		Use:   "token TEAM",
+		Short: "Print a caller's token for a team",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			key, err := secret.ReadKey(keyFile)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(command.OutOrStdout(), secret.CallerToken(key, args[0]))
+			return nil
+		},
+	}
+	command.Flags().StringVar(&keyFile, "key-file", "", "file with the callers' key")
+	_ = command.MarkFlagRequired("key-file")
+	return command
+}
--- /dev/null
+++ b/loadgen/arrivals.go
@@ -0,0 +1,189 @@
+package loadgen
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/standin"
+)
+
+const (
+	defaultGrace       = 30 * time.Second
+	defaultResendAfter = 100 * time.Millisecond
+	// cancelAfter is the number of tokens after which an impatient caller leaves.
+	cancelAfter = 5
+)
+
+// Request is one thing that a caller wants; it may be sent more than once.
+type Request struct {
+	// Ref names the request; it stands in its prompt or body.
+	Ref    string
+	At     time.Duration
+	Flow   *Flow
+	Team   string
+	Stream bool
+	// Key is the Idempotency-Key, or "".
+	Key string
+	// Sends are the times and entries of each send, at least one.
+	Sends []Send
+	// CancelAfter is the number of tokens after which the caller leaves; 0 for never.
+	CancelAfter int
+	Text        string
+}
+
+// Send is one time that a request is sent.
+type Send struct {
+	At    time.Duration
+	Entry int
+}
+
+// Messages is the conversation of a chat request.
+func (r *Request) Messages() []standin.Message {
+	return []standin.Message{{Role: "user", Content: standin.Content(r.Text)}}
+}
+
+// Arrivals returns the requests of the plan in order of time.
+func Arrivals(plan *Plan, entries int) []*Request {
+	var all []*Request
+	for i := range plan.Flows {
+		flow := &plan.Flows[i]
+		source := &source{
+			plan:    plan,
+			flow:    flow,
+			index:   i,
+			random:  rand.New(rand.NewPCG(plan.Seed, uint64(i))),
+			entries: flow.entriesOf(entries),
+		}
+		all = append(all, source.all()...)
+	}
+	slices.SortStableFunc(all, func(a, b *Request) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
+func (f *Flow) entriesOf(entries int) []int {
+	var usable []int
+	for _, entry := range f.Entries {
+		if entry >= 0 && entry < entries {
+			usable = append(usable, entry)
+		}
+	}
+	for entry := 0; len(f.Entries) == 0 && entry < entries; entry++ {
+		usable = append(usable, entry)
+	}
+	return usable
+}
+
+// rateAt returns the rate, a second, and the time of its next change.
+func (f *Flow) rateAt(at, end time.Duration) (rate float64, until time.Duration) {
+	rate, until = f.Rate, end
+	for _, burst := range f.Bursts {
+		for _, edge := range []time.Duration{burst.From.Duration, burst.To.Duration} {
+			if edge > at && edge < until {
+				until = edge
+			}
+		}
+		if at >= burst.From.Duration && at < burst.To.Duration {
+			rate *= burst.Factor
+		}
+	}
+	return rate, until
+}
+
+// source draws the arrivals of one flow, a Poisson process.
+type source struct {
+	plan    *Plan
+	flow    *Flow
+	index   int
+	random  *rand.Rand
+	entries []int
+}
+
+func (s *source) all() []*Request {
+	var all []*Request
+	end := s.plan.Duration.Duration
+	for at := time.Duration(0); at < end && len(s.entries) > 0; {
+		rate, until := s.flow.rateAt(at, end)
+		if rate <= 0 {
+			at = until
+			continue
+		}
+		next := at + time.Duration(s.random.ExpFloat64()/rate*float64(time.Second))
+		// A Poisson process has no memory: a draw past a change of rate is
+		// drawn again from there.
+		if next >= until {
+			at = until
+			continue
+		}
+		at = next
+		all = append(all, s.request(at, len(all)))
+	}
+	return all
+}
+
+func (s *source) request(at time.Duration, number int) *Request {
+	flow := s.flow
+	r := &Request{
+		Ref:    fmt.Sprintf("%d-%d-%d", s.plan.Seed, s.index, number),
+		At:     at,
+		Flow:   flow,
+		Team:   s.team(),
+		Stream: flow.Kind == KindChat && s.random.Float64() < flow.StreamShare,
+		Sends:  []Send{{At: at, Entry: s.entry()}},
+	}
+	keyed := s.random.Float64() < flow.KeyedShare
+	resent := s.random.Float64() < flow.ResendShare
+	canceled := s.random.Float64() < flow.CancelShare
+	if keyed {
+		r.Key = "key-" + r.Ref
+	}
+	if keyed && resent {
+		r.Sends = append(r.Sends, Send{At: at + flow.ResendAfter.Duration, Entry: s.entry()})
+	}
+	if canceled && r.Stream && !keyed {
+		r.CancelAfter = cancelAfter
+	}
+	r.Text = s.text(r)
+	return r
+}
+
+func (s *source) entry() int { return s.entries[s.random.IntN(len(s.entries))] }
+
+func (s *source) team() string {
+	if s.flow.FixedText != "" {
+		return s.plan.Teams[0].Name
+	}
+	sum := 0.0
+	for _, team := range s.plan.Teams {
+		sum += team.Share
+	}
+	draw := s.random.Float64() * sum
+	for _, team := range s.plan.Teams {
+		draw -= team.Share
+		if draw < 0 {
+			return team.Name
+		}
+	}
+	return s.plan.Teams[len(s.plan.Teams)-1].Name
+}
+
+func (s *source) text(r *Request) string {
+	if s.flow.FixedText != "" {
+		return s.flow.FixedText
+	}
+	var words []string
+	for i := range s.flow.SharedWords {
+		words = append(words, fmt.Sprintf("%s%d", r.Team, i))
+	}
+	words = append(words, standin.RefWord+r.Ref)
+	if s.flow.MedianTokens > 0 {
+		words = append(words, fmt.Sprintf("%s%d", standin.MedianWord, s.flow.MedianTokens))
+	}
+	for range s.flow.OwnWords {
+		words = append(words, fmt.Sprintf("w%d", s.random.IntN(10000)))
+	}
+	return strings.Join(words, " ")
+}
--- /dev/null
+++ b/loadgen/caller.go
@@ -0,0 +1,184 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Caller sends requests to a fleet's entries, as callers behind a balancer do.
+type Caller struct {
+	// Entries are base URLs.
+	Entries []string
+	// Token returns the bearer token of a team.
+	Token func(team string) string
+	// Client makes the calls.
+	Client *http.Client
+
+	mu   sync.Mutex
+	down map[int]time.Time
+}
+
+// downFor is how long the balancer leaves out an entry that took no connection.
+const downFor = time.Second
+
+// NewCaller returns a Caller that makes a connection for each request.
+func NewCaller(entries []string, token func(string) string) *Caller {
+	transport := &http.Transport{
+		// An entry that shuts down closes idle connections; a request written to one
+		// at that moment is lost without an answer, which would look like a cut one.
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		DialContext:        (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+	return &Caller{Entries: entries, Token: token, Client: &http.Client{Transport: transport}, down: make(map[int]time.Time)}
+}
+
+// Do sends the request once. Where an entry takes no connection, or refuses
+// because it drains, nothing ran there: the next entry is tried.
+func (c *Caller) Do(ctx context.Context, r *Request, send Send) *Outcome {
+	o := &Outcome{}
+	for try := range len(c.Entries) {
+		entry := (send.Entry + try) % len(c.Entries)
+		if try < len(c.Entries)-1 && c.isDown(entry) {
+			continue
+		}
+		o = c.once(ctx, r, c.Entries[entry])
+		o.Moved = try
+		leaving := o.Kind == "draining" && o.NotRun == "true" && o.Tokens == 0
+		if o.Kind != KindConnect && !leaving {
+			return o
+		}
+		c.setDown(entry)
+	}
+	return o
+}
+
+func (c *Caller) isDown(entry int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.down[entry])
+}
+
+func (c *Caller) setDown(entry int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down[entry] = time.Now().Add(downFor)
+}
+
+// callCtx is a call's context, which the caller may leave.
+type callCtx struct {
+	context.Context
+	leave context.CancelFunc
+}
+
+func (c *Caller) once(ctx context.Context, r *Request, base string) *Outcome {
+	call, leave := context.WithCancel(ctx)
+	defer leave()
+	o := &Outcome{Request: r}
+	start := time.Now()
+	defer func() { o.Total = time.Since(start) }()
+	request, err := c.build(call, r, base)
+	if err != nil {
+		o.Problem = err.Error()
+		return o
+	}
+	response, err := c.Client.Do(request)
+	if err != nil {
+		o.Kind = kindOf(ctx, err)
+		return o
+	}
+	defer response.Body.Close()
+	o.Status = response.StatusCode
+	o.RequestID = response.Header.Get("X-Request-Id")
+	o.Instance = response.Header.Get("X-Lilac-Instance")
+	o.Server = response.Header.Get("X-Lilac-Server")
+	if r.Stream && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		readStream(&callCtx{Context: ctx, leave: leave}, o, response.Body, start)
+		return o
+	}
+	readWhole(ctx, o, response.Body, start)
+	return o
+}
+
+func (c *Caller) build(ctx context.Context, r *Request, base string) (*http.Request, error) {
+	url, body := base+"/services/"+r.Flow.Target+r.Flow.Path, []byte(r.Text)
+	contentType := "text/plain"
+	if r.Flow.Kind == KindChat {
+		chat := map[string]any{"model": r.Flow.Target, "messages": r.Messages(), "stream": r.Stream}
+		if r.Flow.MaxTokens > 0 {
+			chat["max_tokens"] = r.Flow.MaxTokens
+		}
+		data, err := json.Marshal(chat)
+		if err != nil {
+			return nil, err
+		}
+		url, body, contentType = base+"/v1/chat/completions", data, "application/json"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// The transport must not send a request again by itself: it would hide a
+	// connection that the entry broke.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", contentType)
+	request.Header.Set("Authorization", "Bearer "+c.Token(r.Team))
+	request.Header.Set("X-Lilac-Class", r.Flow.Class)
+	if r.Key != "" {
+		request.Header.Set("Idempotency-Key", r.Key)
+	}
+	if deadline := r.Flow.Deadline.Duration; deadline > 0 {
+		request.Header.Set("X-Lilac-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	}
+	return request, nil
+}
+
+// kindOf tells a connection that was never made from one that broke.
+func kindOf(ctx context.Context, err error) string {
+	var op *net.OpError
+	switch {
+	case ctx.Err() != nil:
+		return KindTimeout
+	case errors.As(err, &op) && op.Op == "dial", errors.Is(err, syscall.ECONNREFUSED):
+		return KindConnect
+	}
+	return KindCut
+}
+
+func readWhole(ctx context.Context, o *Outcome, body io.Reader, start time.Time) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		o.Kind = kindOf(ctx, err)
+		return
+	}
+	o.FirstToken = time.Since(start)
+	if o.Status != http.StatusOK {
+		if !o.takeError(data) {
+			o.Kind = "status_" + strconv.Itoa(o.Status)
+			o.Problem = "error is not typed: " + string(data)
+		}
+		return
+	}
+	if o.Request.Flow.Kind == KindService {
+		o.Problem = compare(o.Request, string(data))
+		return
+	}
+	var answer chunk
+	if json.Unmarshal(data, &answer) != nil || len(answer.Choices) != 1 {
+		o.Problem = "answer is no chat completion: " + string(data)
+		return
+	}
+	text := answer.Choices[0].Message.Content
+	o.Tokens = len(strings.Fields(text))
+	o.Problem = compare(o.Request, text)
+}
--- /dev/null
+++ b/loadgen/report.go
@@ -0,0 +1,200 @@
+package loadgen
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Percentiles of a time, in milliseconds.
+type Percentiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+// ClassReport is what one class got.
+type ClassReport struct {
+	Class string `json:"class"`
+	Tier  int    `json:"tier"`
+	// Requests that arrived, and Sends with the resends among them.
+	Requests int `json:"requests"`
+	Sends    int `json:"sends"`
+	// Whole is the number of requests with their own whole answer.
+	Whole int `json:"whole"`
+	// Met is the number of those within the class's targets.
+	Met int `json:"met"`
+	// Attainment is Met over the requests whose callers stayed, 0 to 1.
+	Attainment float64 `json:"attainment"`
+	// Goodput is tokens a second of the answers within their targets.
+	Goodput float64 `json:"goodput_tokens_per_second"`
+	// Wasted is the number of tokens received in answers that never became whole.
+	Wasted int `json:"wasted_tokens"`
+	// Canceled is the number of requests whose callers left.
+	Canceled int `json:"canceled"`
+	// Errors by kind, of all sends.
+	Errors map[string]int `json:"errors"`
+	// FirstToken and Gap are measured on whole answers.
+	FirstToken Percentiles `json:"first_token"`
+	Gap        Percentiles `json:"between_tokens"`
+	// LongestMS is the longest time to a whole answer's first token, in milliseconds.
+	LongestMS float64 `json:"longest_first_token_ms"`
+}
+
+// Report is what the callers got, by class, and the promises that were broken.
+type Report struct {
+	Seed    uint64        `json:"seed"`
+	Classes []ClassReport `json:"classes"`
+	// TokensMade by the engines, TokensDelivered in whole answers.
+	TokensMade      int `json:"tokens_made"`
+	TokensDelivered int `json:"tokens_delivered"`
+	TokensSaved     int `json:"tokens_saved_by_cancel"`
+	// Moved is the number of sends that the balancer took to another entry.
+	Moved int `json:"moved"`
+	Cut   int `json:"cut"`
+	// DoubleRuns are keyed requests that ran more than once.
+	DoubleRuns []string `json:"double_runs"`
+	// FalseNotRun are requests that ran although every answer said not_run.
+	FalseNotRun []string `json:"false_not_run"`
+	// Problems are answers that were not whole or not the request's own.
+	Problems []string `json:"problems"`
+	// Silent are the backend servers whose counts are lacking.
+	Silent []string `json:"silent"`
+}
+
+// Broken is the number of broken promises.
+func (r *Report) Broken() int { return len(r.DoubleRuns) + len(r.FalseNotRun) + len(r.Problems) }
+
+// Targets are the targets of each class.
+type Targets map[string]Target
+
+// Judge makes the report.
+func Judge(plan *Plan, targets Targets, outcomes []*Outcome, counts Counts) *Report {
+	report := &Report{Seed: plan.Seed, TokensMade: counts.TokensMade, TokensSaved: counts.TokensSaved, Silent: counts.Silent}
+	sends := bySends(outcomes)
+	byClass := make(map[string][][]*Outcome)
+	for _, all := range sends {
+		class := all[0].Request.Flow.Class
+		byClass[class] = append(byClass[class], all)
+		report.judgeRuns(all, counts.Runs[all[0].Request.Ref])
+	}
+	for _, class := range slices.Sorted(maps.Keys(byClass)) {
+		report.Classes = append(report.Classes, judgeClass(plan, class, targets[class], byClass[class]))
+	}
+	slices.SortStableFunc(report.Classes, func(a, b ClassReport) int { return cmp.Compare(a.Tier, b.Tier) })
+	report.sum(outcomes)
+	return report
+}
+
+// bySends groups the outcomes of each request, in the order of the requests.
+func bySends(outcomes []*Outcome) [][]*Outcome {
+	grouped := make(map[*Request][]*Outcome)
+	for _, o := range outcomes {
+		grouped[o.Request] = append(grouped[o.Request], o)
+	}
+	sends := slices.Collect(maps.Values(grouped))
+	slices.SortFunc(sends, func(a, b []*Outcome) int {
+		return cmp.Or(cmp.Compare(a[0].Request.At, b[0].Request.At), cmp.Compare(a[0].Request.Ref, b[0].Request.Ref))
+	})
+	return sends
+}
+
+// judgeRuns holds what the callers were told against what the servers ran.
+func (r *Report) judgeRuns(all []*Outcome, runs int) {
+	request := all[0].Request
+	if request.Key != "" && runs > 1 {
+		r.DoubleRuns = append(r.DoubleRuns, fmt.Sprintf("%s ran %d times", request.Ref, runs))
+	}
+	mayHaveRun := slices.ContainsFunc(all, func(o *Outcome) bool { return o.NotRun != "true" })
+	if !mayHaveRun && runs > 0 {
+		r.FalseNotRun = append(r.FalseNotRun, fmt.Sprintf("%s ran %d times, told %s", request.Ref, runs, all[0].Kind))
+	}
+}
+
+func (r *Report) sum(outcomes []*Outcome) {
+	for _, o := range outcomes {
+		if o.Whole() {
+			r.TokensDelivered += o.Tokens
+		}
+		if o.Moved > 0 {
+			r.Moved++
+		}
+		if o.Kind == KindCut {
+			r.Cut++
+		}
+		if o.Problem != "" {
+			r.Problems = append(r.Problems, fmt.Sprintf("%s (%s at %s): %s", o.Request.Ref, o.RequestID, o.Instance, o.Problem))
+		}
+	}
+	slices.Sort(r.Problems)
+}
+
+func judgeClass(plan *Plan, class string, target Target, requests [][]*Outcome) ClassReport {
+	report := ClassReport{Class: class, Tier: target.Tier, Requests: len(requests), Errors: make(map[string]int)}
+	first, gaps := newHistogram(), newHistogram()
+	good := 0
+	for _, all := range requests {
+		report.Sends += len(all)
+		best := report.take(all)
+		if best == nil {
+			continue
+		}
+		report.Whole++
+		record(first, best.FirstToken)
+		for _, gap := range best.Gaps {
+			record(gaps, gap)
+		}
+		if best.Met(target) {
+			report.Met++
+			good += best.Tokens
+		}
+	}
+	if stayed := report.Requests - report.Canceled; stayed > 0 {
+		report.Attainment = float64(report.Met) / float64(stayed)
+	}
+	report.Goodput = float64(good) / plan.Duration.Seconds()
+	report.FirstToken, report.Gap = percentiles(first), percentiles(gaps)
+	report.LongestMS = float64(first.Max()) / 1000
+	return report
+}
+
+// take counts one request's sends and returns its first whole answer, if any.
+func (c *ClassReport) take(all []*Outcome) *Outcome {
+	var best *Outcome
+	for _, o := range all {
+		if o.Kind != "" {
+			c.Errors[o.Kind]++
+		}
+		if o.Canceled {
+			c.Canceled++
+		}
+		if !o.Whole() {
+			c.Wasted += o.Tokens
+			continue
+		}
+		if best == nil || o.FirstToken < best.FirstToken {
+			best = o
+		}
+	}
+	return best
+}
+
+const (
+	longestUS = int64(10 * time.Minute / time.Microsecond)
+	digits    = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestUS, digits) }
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), longestUS))
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Percentiles{P50: ms(50), P95: ms(95), P99: ms(99)}
+}
--- /dev/null
+++ b/loadgen/run.go
@@ -0,0 +1,47 @@
+package loadgen
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Run sends the requests at their times and returns one outcome for each send,
+// in order of the requests. It ends when all are answered, or at the plan's
+// grace after the last arrival.
+func Run(ctx context.Context, plan *Plan, requests []*Request, caller *Caller) []*Outcome {
+	limit := plan.Duration.Duration + plan.Grace.Duration
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	start := time.Now()
+	var outcomes []*Outcome
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, r := range requests {
+		for _, send := range r.Sends {
+			calls.Go(func() {
+				if !waitUntil(ctx, start.Add(send.At)) {
+					return
+				}
+				o := caller.Do(ctx, r, send)
+				o.Request = r
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes = append(outcomes, o)
+			})
+		}
+	}
+	calls.Wait()
+	return outcomes
+}
+
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/loadgen/stream.go
@@ -0,0 +1,110 @@
+package loadgen
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+)
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+	} `json:"choices"`
+}
+
+const doneMark = "[DONE]"
+
+// readStream reads server-sent events up to [DONE], a typed error, or a break.
+func readStream(call *callCtx, o *Outcome, body io.Reader, start time.Time) {
+	var text strings.Builder
+	last := start
+	reader := bufio.NewReader(body)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			endOfStream(call, o, text.String(), err)
+			return
+		}
+		data, ok := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == doneMark {
+			o.Problem = compare(o.Request, text.String())
+			return
+		}
+		if o.takeError([]byte(data)) {
+			finishBroken(o, reader, text.String())
+			return
+		}
+		content, ok := contentOf(data)
+		if !ok {
+			o.Problem = "event is no chunk: " + data
+			return
+		}
+		if content == "" {
+			continue
+		}
+		now := time.Now()
+		o.token(now, start, last)
+		last = now
+		text.WriteString(content)
+		if o.Request.CancelAfter > 0 && o.Tokens >= o.Request.CancelAfter {
+			o.Canceled = true
+			call.leave()
+			return
+		}
+	}
+}
+
+func (o *Outcome) token(now, start, last time.Time) {
+	o.Tokens++
+	if o.Tokens == 1 {
+		o.FirstToken = now.Sub(start)
+		return
+	}
+	o.Gaps = append(o.Gaps, now.Sub(last))
+}
+
+func contentOf(data string) (string, bool) {
+	var event chunk
+	if json.Unmarshal([]byte(data), &event) != nil {
+		return "", false
+	}
+	if len(event.Choices) == 0 {
+		return "", true
+	}
+	return event.Choices[0].Delta.Content, true
+}
+
+// finishBroken checks that a stream that ended with an error does not look whole.
+func finishBroken(o *Outcome, rest io.Reader, text string) {
+	if o.Problem == "" {
+		o.Problem = comparePart(o.Request, text)
+	}
+	tail, _ := io.ReadAll(rest)
+	if strings.Contains(string(tail), doneMark) {
+		o.Problem = "stream ends with an error and with " + doneMark
+	}
+}
+
+// endOfStream judges a stream that stopped without [DONE] and without an error.
+func endOfStream(call *callCtx, o *Outcome, text string, err error) {
+	o.Problem = comparePart(o.Request, text)
+	if err == io.EOF {
+		o.Kind = KindCut
+		if o.Problem == "" {
+			o.Problem = "stream ends without " + doneMark + " and without an error"
+		}
+		return
+	}
+	o.Kind = kindOf(call, err)
+}
