Carry callers' requests through an entry to backend servers

The entry had no request path. This adds the thin one: checks before anything else with a typed error each, chat completions streamed and whole, plain services, claims in the ledger, and the shell around the policy core. Weighed: a goroutine for each attempt (a switch for each token) against reading the engine's stream in the handler's own goroutine with tokens told to the core in batches; the second was taken. net/http sends a POST again by itself when it carries an Idempotency-Key and a body that can be had again, so bodies are hidden from it. "Not run" comes from a record that seals each attempt, so that no byte can follow the statement. An unmodified openai-go client streams an answer through an entry as a test; it passes with the race detector. Continued streams, drain and the wiring to the state processes have code but no test yet.

--- /dev/null
+++ b/daemon/entry/convict.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+const (
+	// maxConvicts bounds the convictions that wait to be proposed.
+	maxConvicts = 256
+	// convictionTime is how long a conviction lasts.
+	convictionTime = 24 * time.Hour
+	convictPause   = 500 * time.Millisecond
+	convictTimeout = 5 * time.Second
+)
+
+// convict is called by the core's goroutine and must not wait.
+func (e *Entry) convict(c policy.Convict) {
+	select {
+	case e.convicts <- c:
+	default:
+		e.counters.Broken("convictions_pile_up")
+	}
+}
+
+// proposeConvictions proposes each conviction until it is accepted, so that all
+// instances refuse the request that crashes servers.
+func (e *Entry) proposeConvictions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-e.convicts:
+			e.proposeConviction(ctx, c)
+		}
+	}
+}
+
+func (e *Entry) proposeConviction(ctx context.Context, c policy.Convict) {
+	now := time.Now()
+	proposal := &lilacv1.Proposal{
+		// One id for all tries, so that it is accepted once.
+		CommandId: rand.Text(), Who: "lilacbridge", Instance: e.settings.Name, Statement: "CONVICT " + c.Digest,
+		ProposedUnixMs: now.UnixMilli(),
+		Changes: []*lilacv1.Change{{Op: &lilacv1.Change_Convict{Convict: &lilacv1.Conviction{
+			Digest: c.Digest, Team: c.Team, Servers: c.Servers, ExpiresUnixMs: now.Add(convictionTime).UnixMilli(),
+		}}}},
+	}
+	e.logger.Warn("convicted a request that crashed backend servers", "digest", c.Digest, "servers", c.Servers)
+	for ctx.Err() == nil {
+		if e.proposeOnce(ctx, proposal) {
+			return
+		}
+		_ = sleep(ctx, convictPause)
+	}
+}
+
+func (e *Entry) proposeOnce(ctx context.Context, proposal *lilacv1.Proposal) bool {
+	ctx, cancel := context.WithTimeout(ctx, convictTimeout)
+	defer cancel()
+	_, err := e.state.Propose(ctx, proposal)
+	return err == nil
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,125 @@
+// Package entry composes an entry instance: callers' HTTP in, backend servers
+// out.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/caller"
+	"github.com/lilacbridge/lilacbridge/connection/engine"
+	"github.com/lilacbridge/lilacbridge/connection/service"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
+	"github.com/lilacbridge/lilacbridge/process/metrics"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/request/outcome"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+	"github.com/lilacbridge/lilacbridge/request/relay"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// State is what an entry needs of the state processes.
+type State interface {
+	outcome.Ledger
+	Propose(ctx context.Context, proposal *lilacv1.Proposal) (*lilacv1.ProposeReply, error)
+}
+
+// Options are the parts that an Entry is made of.
+type Options struct {
+	Settings  *settings.Entry
+	CallerKey []byte
+	State     State
+	Logger    hclog.Logger
+	// Core decides; nil means the product's own policy.
+	Core policy.Core
+}
+
+// Entry is the request path of an entry instance, without its listeners.
+type Entry struct {
+	settings *settings.Entry
+	logger   hclog.Logger
+	state    State
+	registry *prometheus.Registry
+	counters *metrics.Entry
+	clients  *upstream.Client
+	relay    *relay.Relay
+	claims   *outcome.Claims
+	callers  *caller.Handler
+	poller   *engine.Poller
+	convicts chan policy.Convict
+	leaving  atomic.Bool
+	life     context.Context
+	end      context.CancelFunc
+}
+
+// New makes an Entry; Work must run for it to answer.
+func New(options Options) *Entry {
+	e := &Entry{
+		settings: options.Settings, logger: options.Logger, state: options.State,
+		registry: metrics.NewRegistry(), clients: upstream.NewClient(), convicts: make(chan policy.Convict, maxConvicts),
+	}
+	e.life, e.end = context.WithCancel(context.Background())
+	e.counters = metrics.NewEntry(e.registry)
+	e.claims = outcome.NewClaims(e.life, options.State)
+	core := options.Core
+	if core == nil {
+		core = newCore(options.Settings)
+	}
+	engines := engine.NewClient(e.clients)
+	e.relay = relay.New(relay.Options{
+		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
+		Counter: e.counters, OnConvict: e.convict,
+	})
+	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
+	e.poller = engine.NewPoller(engines, reports{e.relay})
+	return e
+}
+
+func newCore(s *settings.Entry) policy.Core {
+	var seed [8]byte
+	_, _ = rand.Read(seed[:])
+	return policy.New(policy.Options{
+		Instance: s.Name, DataCenter: s.DataCenter, Incarnation: rand.Text(),
+		Seed: binary.LittleEndian.Uint64(seed[:]), Weights: s.Policy,
+	})
+}
+
+// Configure brings a revision into force.
+func (e *Entry) Configure(view *model.View) {
+	e.relay.Configure(view)
+	e.poller.Watch(pollSet(view, e.settings.Name))
+}
+
+// Work runs the entry's goroutines until ctx ends.
+func (e *Entry) Work(ctx context.Context) {
+	go e.poller.Run(ctx)
+	go e.proposeConvictions(ctx)
+	e.relay.Run(ctx)
+}
+
+// Digest returns what other instances must know of this one.
+func (e *Entry) Digest(ctx context.Context) (*lilacv1.Digest, error) {
+	digest, err := e.relay.Digest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	digest.Leaving = digest.GetLeaving() || e.leaving.Load()
+	return digest, nil
+}
+
+// Ready returns nil where the entry takes requests, else why not.
+func (e *Entry) Ready() error {
+	switch {
+	case e.leaving.Load():
+		return errLeaving
+	case e.relay.View() == nil:
+		return errNoConfiguration
+	}
+	return nil
+}
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -28,6 +28,9 @@
 	Policy Policy `yaml:"policy"`
 	// Drain is how long streams may go on after SIGTERM. Default 5m.
 	Drain Duration `yaml:"drain"`
+	// DrainLag is how long the instance goes on accepting after SIGTERM, while
+	// /readyz says no and the balancer has not looked yet. Default 3s.
+	DrainLag Duration `yaml:"drain_lag"`
 }
 
 // EntryLimits bound what one caller may send.
@@ -58,6 +61,7 @@
 	defaultBodyBytes   = 1 << 20
 	defaultHeaderBytes = 16 << 10
 	defaultReadTimeout = 10 * time.Second
+	defaultDrainLag    = 3 * time.Second
 	defaultDrain       = 5 * time.Minute
 	defaultRemoteCost  = 50 * time.Millisecond
 	defaultRetryShare  = 0.1
@@ -105,4 +109,5 @@
 	e.Limits.ReadTimeout.Duration = e.Limits.ReadTimeout.Or(defaultReadTimeout)
 	e.Policy.RemoteCost.Duration = e.Policy.RemoteCost.Or(defaultRemoteCost)
 	e.Drain.Duration = e.Drain.Or(defaultDrain)
+	e.DrainLag.Duration = e.DrainLag.Or(defaultDrainLag)
 }
