--- /dev/null
+++ b/connection/caller/chat.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// ChatFields are the fields of a chat completions body that lilacbridge reads.
+type ChatFields struct {
+	Model               string        `json:"model"`
+	Messages            []Message     `json:"messages"`
+	Stream              bool          `json:"stream"`
+	StreamOptions       StreamOptions `json:"stream_options"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	N                   *int          `json:"n"`
+	LogProbs            bool          `json:"logprobs"`
+	ContinueFinal       bool          `json:"continue_final_message"`
+}
+
+// StreamOptions are the caller's wishes for a stream.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Message is one turn of the conversation.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is a message's text, sent as a string, null or a list of parts.
+type Content string
+
+// UnmarshalJSON reads each of the three forms; parts that are no text count as none.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	data = bytes.TrimSpace(data)
+	if len(data) == 0 || data[0] != '[' {
+		var text *string
+		if err := json.Unmarshal(data, &text); err != nil {
+			return err
+		}
+		if text != nil {
+			*c = Content(*text)
+		}
+		return nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	var all strings.Builder
+	for _, part := range parts {
+		all.WriteString(part.Text)
+	}
+	*c = Content(all.String())
+	return nil
+}
+
+// Bound returns the caller's bound on the answer's tokens; 0 means none.
+func (f *ChatFields) Bound() int { return max(f.MaxTokens, f.MaxCompletionTokens) }
+
+// Texts returns the text of each message, in order.
+func (f *ChatFields) Texts() []string {
+	texts := make([]string, len(f.Messages))
+	for i := range f.Messages {
+		texts[i] = string(f.Messages[i].Content)
+	}
+	return texts
+}
+
+// parseChat reads a body and refuses what can't be routed whole.
+func parseChat(body []byte) (ChatFields, error) {
+	var fields ChatFields
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return fields, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "body is no chat completions JSON: "+err.Error())
+	}
+	switch {
+	case fields.Model == "":
+		return fields, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "body names no model; add \"model\"")
+	case len(fields.Messages) == 0:
+		return fields, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "body holds no messages; add \"messages\"")
+	case fields.N != nil && *fields.N != 1:
+		return fields, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "only n = 1 is served; send one request for each answer")
+	case fields.LogProbs:
+		return fields, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "logprobs can't be carried over a broken stream; leave it out")
+	case fields.MaxTokens < 0 || fields.MaxCompletionTokens < 0:
+		return fields, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "max_tokens is negative; leave it out for no bound")
+	}
+	return fields, nil
+}
--- /dev/null
+++ b/connection/caller/check.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+const (
+	classHeader    = "X-Lilac-Class"
+	deadlineHeader = "X-Lilac-Deadline-Ms"
+	keyHeader      = "Idempotency-Key"
+	defaultClass   = "default"
+	// maxKey is the longest Idempotency-Key, in bytes.
+	maxKey = 255
+	// maxDeadline is the longest deadline that a caller may state.
+	maxDeadline = 24 * time.Hour
+	// notReadyRetry tells callers when to try an instance that is starting.
+	notReadyRetry = 2 * time.Second
+)
+
+// headerSize adds up the header as it came, in bytes.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI)
+	for key, values := range r.Header {
+		for _, value := range values {
+			size += len(key) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+func (h *Handler) checkHeader(r *http.Request) error {
+	if headerSize(r) > h.limits.HeaderBytes {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "header is longer than "+strconv.Itoa(h.limits.HeaderBytes)+" bytes; shorten it")
+	}
+	return nil
+}
+
+// checkMeta reads who asks, for which class and until when.
+func (h *Handler) checkMeta(r *http.Request, view *model.View, meta *Meta) error {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "no caller token; send Authorization: Bearer <token>")
+	}
+	if meta.Team, ok = secret.TeamOf(h.callerKey, strings.TrimSpace(token)); !ok {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "caller token is not valid here; ask the operators for one")
+	}
+	if view.Teams[meta.Team] == nil {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_TEAM, "team "+strconv.Quote(meta.Team)+" is not configured; ask the operators to add it")
+	}
+	if meta.Class = r.Header.Get(classHeader); meta.Class == "" {
+		meta.Class = defaultClass
+	}
+	if view.Classes[meta.Class] == nil {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_CLASS, "class "+strconv.Quote(meta.Class)+" is not configured; name one in "+classHeader)
+	}
+	if meta.Key = r.Header.Get(keyHeader); len(meta.Key) > maxKey {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "Idempotency-Key is longer than "+strconv.Itoa(maxKey)+" bytes; shorten it")
+	}
+	meta.Path = r.URL.RequestURI()
+	return checkDeadline(r, meta)
+}
+
+func checkDeadline(r *http.Request, meta *Meta) error {
+	text := r.Header.Get(deadlineHeader)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, deadlineHeader+" must be whole milliseconds between 1 and "+strconv.FormatInt(maxDeadline.Milliseconds(), 10))
+	}
+	meta.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+// readBody reads the whole body within the read timeout.
+//
+// It guards against callers that send a byte now and then to hold connections
+// and memory (slow loris). It shows as many open connections without requests.
+// It holds because the deadline covers the whole body, not each read.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength > h.limits.BodyBytes {
+		return nil, h.tooLarge()
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(h.limits.ReadTimeout.Duration))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	var network net.Error
+	switch {
+	case err == nil:
+		return body, control.SetReadDeadline(time.Time{})
+	case errors.As(err, &tooLarge):
+		return nil, h.tooLarge()
+	case errors.As(err, &network) && network.Timeout():
+		return nil, refused(lilacv1.ErrorKind_ERROR_KIND_SLOW_CALLER, "body did not come within "+h.limits.ReadTimeout.String()+"; send it faster")
+	}
+	return nil, refused(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "body broke off; send it again")
+}
+
+func (h *Handler) tooLarge() error {
+	return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "body is larger than "+strconv.FormatInt(h.limits.BodyBytes, 10)+" bytes; shorten it")
+}
--- /dev/null
+++ b/connection/caller/handler.go
@@ -0,0 +1,170 @@
+// Package caller is the HTTP front towards callers: it checks requests, hands
+// them on, and writes answers and typed errors.
+//
+// Every check comes before anything reaches a backend server.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+const (
+	chatPath      = "/v1/chat/completions"
+	modelsPath    = "/v1/models"
+	servicePrefix = "/services/"
+	idBytes       = 16
+)
+
+// Handler answers callers.
+type Handler struct {
+	instance  string
+	callerKey []byte
+	limits    settings.EntryLimits
+	router    Router
+	counter   Counter
+}
+
+var _ http.Handler = (*Handler)(nil)
+
+// NewHandler returns a Handler that hands checked requests to router.
+func NewHandler(s *settings.Entry, callerKey []byte, router Router, counter Counter) *Handler {
+	return &Handler{instance: s.Name, callerKey: callerKey, limits: s.Limits, router: router, counter: counter}
+}
+
+func newRequestID() string {
+	var id [idBytes]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answer := newAnswer(w, newRequestID(), h.instance)
+	err := h.serve(w, r, answer)
+	if err == nil {
+		return
+	}
+	h.counter.Refused(fault.Name(fault.KindOf(err)))
+	answer.Fail(err)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, answer *Answer) error {
+	if err := h.checkHeader(r); err != nil {
+		return err
+	}
+	view := h.router.View()
+	if view == nil {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no configuration yet; try again or at another instance", fault.WithRetryAfter(notReadyRetry))
+	}
+	meta := Meta{RequestID: answer.RequestID}
+	if err := h.checkMeta(r, view, &meta); err != nil {
+		return err
+	}
+	switch path := r.URL.Path; {
+	case path == chatPath && r.Method == http.MethodPost:
+		return h.chat(w, r, view, meta, answer)
+	case path == modelsPath && r.Method == http.MethodGet:
+		return h.models(view, answer)
+	case strings.HasPrefix(path, servicePrefix):
+		return h.service(w, r, view, meta, answer)
+	}
+	return refused(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "nothing at "+r.Method+" "+strconv.Quote(r.URL.Path)+"; see docs/INTERFACES.md")
+}
+
+func (h *Handler) chat(w http.ResponseWriter, r *http.Request, view *model.View, meta Meta, answer *Answer) error {
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	fields, err := parseChat(body)
+	if err != nil {
+		return err
+	}
+	if !serves(view, fields.Model, lilacv1.ServerKind_SERVER_KIND_ENGINE) {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_MODEL, "model "+strconv.Quote(fields.Model)+" is served by no engine; see GET "+modelsPath)
+	}
+	meta.Target, meta.Body = fields.Model, body
+	h.counter.Request(meta.Class)
+	ctx, cancel := withDeadline(r, &meta)
+	defer cancel()
+	return h.router.Chat(ctx, &Chat{Meta: meta, ChatFields: fields}, answer)
+}
+
+func (h *Handler) service(w http.ResponseWriter, r *http.Request, view *model.View, meta Meta, answer *Answer) error {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
+	if !serves(view, name, lilacv1.ServerKind_SERVER_KIND_SERVICE) {
+		return refused(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "service "+strconv.Quote(name)+" is served by no server; check the path")
+	}
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	uri := strings.TrimPrefix(r.URL.RequestURI(), servicePrefix)
+	uri = uri[strings.IndexAny(uri+"/", "/?"):]
+	if !strings.HasPrefix(uri, "/") {
+		uri = "/" + uri
+	}
+	meta.Target, meta.Body = name, body
+	h.counter.Request(meta.Class)
+	ctx, cancel := withDeadline(r, &meta)
+	defer cancel()
+	return h.router.Service(ctx, &Service{Meta: meta, Method: r.Method, URI: uri, Header: r.Header}, answer)
+}
+
+// withDeadline gives the request a context that ends with its caller or deadline.
+func withDeadline(r *http.Request, meta *Meta) (context.Context, context.CancelFunc) {
+	if meta.Deadline.IsZero() {
+		return r.Context(), func() {}
+	}
+	return context.WithDeadline(r.Context(), meta.Deadline)
+}
+
+func serves(view *model.View, name string, kind lilacv1.ServerKind) bool {
+	for _, server := range view.Pools[name] {
+		if server.GetKind() == kind {
+			return true
+		}
+	}
+	return false
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+func (h *Handler) models(view *model.View, answer *Answer) error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for name := range view.Pools {
+		if serves(view, name, lilacv1.ServerKind_SERVER_KIND_ENGINE) {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "lilacbridge"})
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	body, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	answer.Begin(http.StatusOK, "application/json", "")
+	_, err = answer.Write(body)
+	return err
+}
--- /dev/null
+++ b/connection/engine/report.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// Load is an engine's own report on its load.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+	// KVUsed is the used share of the KV cache, 0 to 1.
+	KVUsed float64 `json:"kv_used"`
+	// MeasuredUnixMs is the engine's wall clock when it measured.
+	MeasuredUnixMs int64 `json:"measured_unix_ms"`
+}
+
+// CacheEvent tells which prefix blocks were stored and dropped.
+type CacheEvent struct {
+	Sequence uint64   `json:"seq"`
+	Stored   []string `json:"stored"`
+	Dropped  []string `json:"dropped"`
+	Cleared  bool     `json:"cleared"`
+}
+
+// Load asks an engine or service for its load.
+func (c *Client) Load(ctx context.Context, address string) (*Load, error) {
+	load := &Load{}
+	return load, c.get(ctx, address, "/load", load)
+}
+
+// CacheEvents asks for the events after the sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+	var reply struct {
+		Events []CacheEvent `json:"events"`
+	}
+	err := c.get(ctx, address, "/cache/events?after="+strconv.FormatUint(after, 10), &reply)
+	return reply.Events, err
+}
+
+func (c *Client) get(ctx context.Context, address, path string, into any) error {
+	data, err := c.exchange(ctx, http.MethodGet, address, path, nil, maxReport)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("report of %s%s does not decode: %w", address, path, err)
+	}
+	return nil
+}
+
+// Blocks decodes hexadecimal block hashes; it skips those that are none.
+func Blocks(texts []string) []uint64 {
+	blocks := make([]uint64, 0, len(texts))
+	for _, text := range texts {
+		if block, err := strconv.ParseUint(text, 16, 64); err == nil {
+			blocks = append(blocks, block)
+		}
+	}
+	return blocks
+}
--- /dev/null
+++ b/process/metrics/metrics.go
@@ -0,0 +1,86 @@
+// Package metrics holds a process's counters, for /metrics. Labels are bounded:
+// class, kind, pool, tier, end; never a team or a request.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/lilacbridge/lilacbridge/process/build"
+)
+
+// NewRegistry returns a registry with the process's own figures and its version.
+func NewRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	info := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "lilacbridge_build_info", Help: "Always 1; the label names the version.",
+		ConstLabels: prometheus.Labels{"version": build.Version},
+	})
+	info.Set(1)
+	registry.MustRegister(info, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return registry
+}
+
+// Handler serves the registry.
+func Handler(registry *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{Registry: registry})
+}
+
+// firstTokenBuckets are in seconds.
+var firstTokenBuckets = []float64{.05, .1, .2, .3, .42, .6, 1, 2, 4, 8, 16, 32, 64}
+
+// Entry holds the counters of an entry instance.
+type Entry struct {
+	requests   *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	tokens     prometheus.Counter
+	saved      prometheus.Counter
+	broken     *prometheus.CounterVec
+}
+
+// NewEntry returns counters registered with registry.
+func NewEntry(registry *prometheus.Registry) *Entry {
+	counters := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+	}
+	e := &Entry{
+		requests:   counters("lilacbridge_requests_total", "Requests that passed the checks.", "class"),
+		refusals:   counters("lilacbridge_errors_total", "Errors answered to callers.", "kind"),
+		attempts:   counters("lilacbridge_attempts_total", "Attempts at backend servers, by how they ended.", "end"),
+		broken:     counters("lilacbridge_invariants_broken_total", "Broken invariants; must stay 0.", "invariant"),
+		tokens:     prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_total", Help: "Tokens of answers that came."}),
+		saved:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_saved_total", Help: "Tokens of broken answers that were not made again."}),
+		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lilacbridge_first_token_seconds", Help: "From arrival to the first token.", Buckets: firstTokenBuckets}, []string{"class"}),
+	}
+	registry.MustRegister(e.requests, e.refusals, e.attempts, e.broken, e.tokens, e.saved, e.firstToken)
+	return e
+}
+
+// Request counts a request that passed the checks.
+func (e *Entry) Request(class string) { e.requests.WithLabelValues(class).Inc() }
+
+// Refused counts an error answered to a caller.
+func (e *Entry) Refused(kind string) { e.refusals.WithLabelValues(kind).Inc() }
+
+// Attempt counts how an attempt ended.
+func (e *Entry) Attempt(end string) { e.attempts.WithLabelValues(end).Inc() }
+
+// FirstToken observes the time from arrival to the first token.
+func (e *Entry) FirstToken(class string, wait time.Duration) {
+	e.firstToken.WithLabelValues(class).Observe(wait.Seconds())
+}
+
+// Tokens counts tokens of answers.
+func (e *Entry) Tokens(n int) { e.tokens.Add(float64(n)) }
+
+// Saved counts tokens that were not made again.
+func (e *Entry) Saved(n int) { e.saved.Add(float64(n)) }
+
+// Broken counts a broken invariant.
+func (e *Entry) Broken(invariant string) { e.broken.WithLabelValues(invariant).Inc() }
--- /dev/null
+++ b/request/relay/classify.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// errFinal marks a failure that another server would repeat.
+var errFinal = errors.New("no other server would do better")
+
+// classify says how an attempt failed, for the core and as a counter's label.
+func classify(err error, unsent bool) (policy.Failed, string) {
+	failed := policy.Failed{Sent: !unsent}
+	var status *upstream.StatusError
+	switch {
+	case errors.Is(err, errFinal):
+		failed.Final = true
+		return failed, "final"
+	case errors.As(err, &status):
+		return classifyStatus(failed, status)
+	case errors.Is(err, errStalled):
+		return failed, "stalled"
+	case errors.Is(err, upstream.ErrNotBound):
+		return failed, "not_bound"
+	case upstream.Crashed(err):
+		failed.Crashed = true
+		return failed, "crashed"
+	}
+	return failed, "failed"
+}
+
+func classifyStatus(failed policy.Failed, status *upstream.StatusError) (policy.Failed, string) {
+	failed.RetryAfter = status.RetryAfter
+	switch {
+	case status.Busy() && (status.NotRun || status.Status == http.StatusTooManyRequests):
+		failed.Refused = true
+		return failed, "refused"
+	case status.Status == http.StatusNotFound, status.Status == http.StatusGone, status.Status == http.StatusRequestTimeout:
+		// The engine has not loaded the model, or lost the request: others may do better.
+		return failed, "failed"
+	case status.Status < http.StatusInternalServerError:
+		failed.Final = true
+		return failed, "final"
+	}
+	return failed, "failed"
+}
--- /dev/null
+++ b/request/relay/relay.go
@@ -0,0 +1,166 @@
+// Package relay is the shell around the policy core: it carries requests to
+// backend servers and their answers back, as the core decides.
+//
+// One goroutine owns the core. A request lives in the goroutine of its HTTP
+// handler; it posts events to the core's mailbox and gets actions by a channel
+// of its own.
+//
+// Locks: Relay.mu (the table of requests) before flight.mu; the mailbox's lock
+// is taken last and held for an append only.
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/engine"
+	"github.com/lilacbridge/lilacbridge/connection/service"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/request/outcome"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// Counter counts what the relay does; labels are bounded.
+type Counter interface {
+	// Attempt counts an attempt's end, such as "finished" or "crashed".
+	Attempt(end string)
+	// FirstToken observes the time from arrival to the first token, by class.
+	FirstToken(class string, wait time.Duration)
+	// Tokens counts tokens passed on.
+	Tokens(n int)
+	// Saved counts tokens of broken answers that were not made again.
+	Saved(n int)
+	// Broken counts a broken invariant, by its name.
+	Broken(invariant string)
+}
+
+// Options are the parts that a Relay works with.
+type Options struct {
+	Core     policy.Core
+	Engines  *engine.Client
+	Services *service.Client
+	Claims   *outcome.Claims
+	Counter  Counter
+	// OnConvict is told of a request that crashes servers; it must not block.
+	OnConvict func(policy.Convict)
+	// StallAfter is how long a stream that began may stay silent. Default 30s.
+	StallAfter time.Duration
+}
+
+const (
+	defaultStall = 30 * time.Second
+	// drainRetry tells refused callers to come back, which the balancer then
+	// sends elsewhere.
+	drainRetry = time.Second
+)
+
+// Relay carries requests; see the package.
+type Relay struct {
+	Options
+	box  *mailbox
+	view atomic.Pointer[model.View]
+	next atomic.Uint64
+
+	mu       sync.Mutex
+	flights  map[policy.ID]*flight
+	draining bool
+	// idle is closed when draining and no request is left.
+	idle chan struct{}
+}
+
+// New returns a Relay; Run must be called for it to work.
+func New(options Options) *Relay {
+	if options.StallAfter == 0 {
+		options.StallAfter = defaultStall
+	}
+	if options.OnConvict == nil {
+		options.OnConvict = func(policy.Convict) {}
+	}
+	return &Relay{Options: options, box: newMailbox(), flights: make(map[policy.ID]*flight), idle: make(chan struct{})}
+}
+
+// View returns the configuration in force; nil while none is known.
+func (r *Relay) View() *model.View { return r.view.Load() }
+
+// Configure brings a newer configuration into force.
+func (r *Relay) Configure(view *model.View) {
+	if old := r.view.Load(); old != nil && old.Revision > view.Revision {
+		r.Counter.Broken("revision_went_back")
+		return
+	}
+	r.view.Store(view)
+	r.Post(policy.Configured{View: view})
+}
+
+// Post hands an event from outside of requests to the core.
+func (r *Relay) Post(event policy.Event) { r.box.post(event) }
+
+// enter lets a new request in, or refuses it while the instance drains. The
+// test and the entry in the table are one step, so that a drain misses none.
+func (r *Relay) enter(f *flight) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return f.record.Error(lilacv1.ErrorKind_ERROR_KIND_DRAINING, "this instance is shutting down; send the request to another one", fault.WithRetryAfter(drainRetry))
+	}
+	f.id = policy.ID(r.next.Add(1))
+	r.flights[f.id] = f
+	return nil
+}
+
+func (r *Relay) leave(f *flight) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.flights, f.id)
+	r.closeIdle()
+}
+
+func (r *Relay) closeIdle() {
+	if !r.draining || len(r.flights) > 0 {
+		return
+	}
+	select {
+	case <-r.idle:
+	default:
+		close(r.idle)
+	}
+}
+
+// Drain refuses new requests from now on; Idle is closed when the last one in
+// progress has ended.
+func (r *Relay) Drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return
+	}
+	r.draining = true
+	r.Post(policy.Draining{})
+	r.closeIdle()
+}
+
+// Idle is closed once the relay drains and no request is in progress.
+func (r *Relay) Idle() <-chan struct{} { return r.idle }
+
+// InFlight returns the number of requests in progress.
+func (r *Relay) InFlight() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.flights)
+}
+
+// Digest asks the core what other instances must know.
+func (r *Relay) Digest(ctx context.Context) (*lilacv1.Digest, error) {
+	reply := make(chan *lilacv1.Digest, 1)
+	r.box.ask(func(core policy.Core, now time.Time) { reply <- core.Digest(now) })
+	select {
+	case digest := <-reply:
+		return digest, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/version/prefix/prefix.go
@@ -0,0 +1,64 @@
+// Package prefix counts the words of a prompt and hashes its prefix blocks, the
+// same at entry instances and at engines, so that both sides know a cached
+// prefix by the same numbers.
+package prefix
+
+import (
+	"unicode"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockWords is the number of words of one prefix block.
+const BlockWords = 16
+
+// separator keeps "ab c" and "a bc" apart.
+var separator = []byte{0}
+
+// Words counts the white-space separated words of the texts.
+func Words(texts ...string) int {
+	count := 0
+	for _, text := range texts {
+		eachWord(text, func(string) { count++ })
+	}
+	return count
+}
+
+// Blocks returns the hash of each whole block of the texts' words, read as one
+// sequence. Each hash is xxhash64 over all words up to the block's end, so that
+// equal hashes mean equal prefixes. A last block that is not full has none.
+func Blocks(texts ...string) []uint64 {
+	var blocks []uint64
+	digest := xxhash.New()
+	count := 0
+	add := func(word string) {
+		digest.WriteString(word)
+		digest.Write(separator)
+		count++
+		if count%BlockWords == 0 {
+			blocks = append(blocks, digest.Sum64())
+		}
+	}
+	for _, text := range texts {
+		eachWord(text, add)
+	}
+	return blocks
+}
+
+func eachWord(text string, f func(string)) {
+	start := -1
+	for i, r := range text {
+		switch {
+		case !unicode.IsSpace(r):
+			if start < 0 {
+				start = i
+			}
+		case start >= 0:
+			f(text[start:i])
+			start = -1
+		}
+	}
+	if start >= 0 {
+		f(text[start:])
+	}
+}
