Add the bench: baselines and the core in virtual time over fake engines

The policy can only be improved against measured rows, so the bench comes before the policy. Eight instances each run their own core over ten engines (two of them half as fast) and three services in three data centres; digests and load reports are late and lossy. Weighed: real sockets, ruled out for time and repeatability.

The core's interface gains the action Announce: send the digest at once.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 LDFLAGS := -X github.com/lilacbridge/lilacbridge/process/build.Version=$(VERSION)
 FLEET ?= agence
 
-.PHONY: all build test fmt lint vet generate tools demo
+.PHONY: all build test fmt lint vet generate tools demo bench bench-choose
 all: build
 
 build:
@@ -40,3 +40,12 @@
 
 demo: build
 	FLEET=$(FLEET) bash scripts/demo.sh
+
+# SCENARIO and FLEET-like limits are optional: make bench SCENARIO=burst SEED=2
+SEED ?= 1
+bench:
+	go run ./cmd/lilacbench --seed $(SEED) $(if $(SCENARIO),--scenario $(SCENARIO)) $(if $(BENCH_FLEET),--fleet $(BENCH_FLEET))
+
+# Cost of one decision at 13, 500 and 5,900 replicas.
+bench-choose:
+	go test -run '^$$' -bench Decision -benchmem ./request/policy
--- /dev/null
+++ b/internal/bench/engine.go
@@ -0,0 +1,190 @@
+package bench
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// prefillToken is the engine time for one prompt token that isn't cached.
+	prefillToken = 120 * time.Microsecond
+	// chunk is how many prompt tokens one step takes in.
+	chunk = 256
+	// engineQueue is how many requests wait at an engine before it refuses.
+	engineQueue = 32
+	// cacheBlocks is the prefix cache's size.
+	cacheBlocks = 2500
+	// restartTime is how long an engine that a request crashed stays down.
+	restartTime = 15 * time.Second
+	// crashAfter is the number of tokens after which the crashing request strikes.
+	crashAfter = 3
+)
+
+// engineSpeed gives the time of a step and what each request adds to it; two
+// engines of ten are half as fast, since engines carry uneven load.
+func engineSpeed(i int) (base, each time.Duration) {
+	if i == 2 || i == 7 {
+		return 26 * time.Millisecond, 4400 * time.Microsecond
+	}
+	return 13 * time.Millisecond, 2200 * time.Microsecond
+}
+
+// job is one attempt at one engine.
+type job struct {
+	call     *call
+	instance *instance
+	attempt  int
+	priority int
+	seq      uint64
+	prefill  int
+	// made counts the answer's tokens, those of earlier attempts included.
+	made    int
+	stopped bool
+	at      backend
+}
+
+// engine batches continuously: each step gives every running request a token,
+// after its prompt was taken in chunk by chunk.
+type engine struct {
+	world      *world
+	name       string
+	dataCenter string
+	base, each time.Duration
+	slow       float64
+	running    []*job
+	waiting    []*job
+	stepping   bool
+	down       bool
+	epoch      int
+	seq        uint64
+	cache      cache
+	cacheSeq   uint64
+	reports    []report
+	crashes    int
+	busy       time.Duration
+}
+
+type report struct {
+	at               time.Duration
+	running, waiting int
+}
+
+// accept takes a job in, or refuses it for load.
+func (e *engine) accept(j *job) bool {
+	if len(e.waiting) >= engineQueue {
+		return false
+	}
+	e.seq++
+	j.seq = e.seq
+	at, _ := slices.BinarySearchFunc(e.waiting, j, func(a, b *job) int {
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		return int(a.seq) - int(b.seq)
+	})
+	e.waiting = slices.Insert(e.waiting, at, j)
+	e.wake()
+	return true
+}
+
+func (e *engine) wake() {
+	if e.stepping || e.down {
+		return
+	}
+	e.admit()
+	if len(e.running) == 0 {
+		return
+	}
+	e.step()
+}
+
+func (e *engine) admit() {
+	for len(e.running) < engineSlots && len(e.waiting) > 0 {
+		j := e.waiting[0]
+		e.waiting = slices.Delete(e.waiting, 0, 1)
+		if j.stopped {
+			continue
+		}
+		cached := e.cache.hit(j.call.prefix) * blockTokens
+		j.prefill = max(j.call.prompt+j.made-cached, 1)
+		if j.attempt > 1 {
+			e.world.tally.redone += j.prefill
+		}
+		e.running = append(e.running, j)
+	}
+}
+
+func (e *engine) step() {
+	e.stepping = true
+	left, decoding := chunk, 0
+	for _, j := range e.running {
+		if j.prefill == 0 {
+			decoding++
+			continue
+		}
+		take := min(j.prefill, left)
+		j.prefill -= take
+		left -= take
+	}
+	length := e.base + time.Duration(len(e.running))*e.each + time.Duration(chunk-left)*prefillToken
+	length = time.Duration(float64(length) * e.slow)
+	e.busy += length
+	epoch := e.epoch
+	e.world.clock.after(length, func() {
+		if e.epoch == epoch {
+			e.stepped()
+		}
+	})
+}
+
+// stepped hands out the tokens of a step and begins the next one.
+func (e *engine) stepped() {
+	e.stepping = false
+	kept := e.running[:0]
+	for _, j := range e.running {
+		if j.stopped {
+			continue
+		}
+		if j.prefill > 0 {
+			kept = append(kept, j)
+			continue
+		}
+		j.made++
+		e.world.tally.made++
+		if j.made == 1 || j.attempt > 1 {
+			e.cache.store(j.call.prefix)
+		}
+		if j.call.crashes && j.made >= crashAfter {
+			e.crash(restartTime)
+			return
+		}
+		done := j.made >= j.call.output
+		e.world.deliver(e.dataCenter, j, done)
+		if !done {
+			kept = append(kept, j)
+		}
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+	e.wake()
+}
+
+// crash drops all that runs and waits; callers see their connections reset.
+func (e *engine) crash(downFor time.Duration) {
+	if e.down {
+		return
+	}
+	e.down, e.stepping = true, false
+	e.epoch++
+	e.crashes++
+	jobs := append(slices.Clone(e.running), e.waiting...)
+	e.running, e.waiting = nil, nil
+	e.cache.clear()
+	for _, j := range jobs {
+		if !j.stopped {
+			j.stopped = true
+			e.world.reset(e.dataCenter, j)
+		}
+	}
+	e.world.clock.after(downFor, func() { e.down = false })
+}
--- /dev/null
+++ b/internal/bench/instance.go
@@ -0,0 +1,223 @@
+package bench
+
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// maker makes a policy for one instance.
+type maker func(options policy.Options) policy.Core
+
+// instance is the shell of one core: it carries events in and actions out.
+type instance struct {
+	world      *world
+	name       string
+	dataCenter string
+	core       policy.Core
+	live       map[policy.ID]*call
+	jobs       map[policy.ID]*job
+	heard      map[string]time.Duration
+	remote     int
+	started    int
+	// misled counts refusals that said "not run" of calls that ran.
+	misled int
+}
+
+func newInstance(w *world, i int, seed uint64, make maker) *instance {
+	in := &instance{world: w, name: instanceName(i), dataCenter: w.fleet.dataCenter(i)}
+	in.live, in.jobs, in.heard = map[policy.ID]*call{}, map[policy.ID]*job{}, map[string]time.Duration{}
+	in.core = make(policy.Options{Instance: in.name, DataCenter: in.dataCenter, Incarnation: "1", Seed: seed + uint64(i), Weights: w.fleet.weights})
+	return in
+}
+
+func (in *instance) step(event policy.Event) {
+	for _, action := range in.core.Step(in.world.clock.time(), event) {
+		in.perform(action)
+	}
+}
+
+func (in *instance) arrive(k *call) {
+	id := policy.ID(k.id)
+	in.live[id] = k
+	target := in.world.fleet.engines
+	if k.class.service {
+		target = in.world.fleet.service
+	}
+	in.world.clock.after(k.class.patience, func() { in.giveUp(k) })
+	in.step(policy.Arrival{
+		ID: id, Class: k.class.name, Team: teamName(k.team), Target: target, Digest: k.digest,
+		PromptTokens: k.prompt, Prefix: k.prefix, Idempotent: k.idempotent,
+	})
+}
+
+// giveUp ends a call whose caller has seen nothing for too long.
+func (in *instance) giveUp(k *call) {
+	if k.outcome != pending || k.got > 0 {
+		return
+	}
+	in.step(policy.Canceled{ID: policy.ID(k.id)})
+	in.end(k, abandoned)
+}
+
+func (in *instance) end(k *call, o outcome) {
+	k.outcome = o
+	k.ended = in.world.clock.now
+	delete(in.live, policy.ID(k.id))
+	delete(in.jobs, policy.ID(k.id))
+	in.world.left--
+}
+
+// perform must not call step: actions are gathered in the core's own slice.
+func (in *instance) perform(action policy.Action) {
+	switch a := action.(type) {
+	case policy.Start:
+		in.start(a)
+	case policy.Stop:
+		in.stop(a)
+	case policy.Refuse:
+		in.refuse(a)
+	case policy.Broken:
+		if k := in.live[a.ID]; k != nil {
+			k.refusal = fault.Name(a.Kind)
+			in.end(k, broken)
+		}
+	case policy.Convict:
+		in.world.convict(in, a)
+	case policy.Announce:
+		in.world.clock.after(0, in.sendDigest)
+	}
+}
+
+func (in *instance) refuse(a policy.Refuse) {
+	k := in.live[a.ID]
+	if k == nil {
+		return
+	}
+	if a.NotRun == lilacv1.NotRun_NOT_RUN_TRUE && k.runs > 0 {
+		in.misled++
+	}
+	k.refusal = fault.Name(a.Kind)
+	in.end(k, refused)
+}
+
+func (in *instance) start(a policy.Start) {
+	k := in.live[a.ID]
+	if k == nil {
+		return
+	}
+	j := &job{call: k, instance: in, attempt: a.Attempt, priority: a.Priority, made: k.got}
+	in.jobs[a.ID] = j
+	if a.Attempt > 1 {
+		k.restarts++
+	}
+	b := in.world.backends[a.Server]
+	j.at = b
+	in.started++
+	if b.place() != in.dataCenter {
+		in.remote++
+	}
+	if !in.world.linked(in.dataCenter, b.place()) {
+		in.world.clock.after(connectLimit, func() { in.fail(j, policy.Failed{}) })
+		return
+	}
+	delay := latency(in.dataCenter, b.place())
+	in.world.clock.after(delay, func() { in.reach(j, b, delay) })
+}
+
+// reach is the moment at which an attempt comes to its server.
+func (in *instance) reach(j *job, b backend, delay time.Duration) {
+	if j.stopped {
+		return
+	}
+	if b.isDown() {
+		in.world.clock.after(delay, func() { in.fail(j, policy.Failed{Crashed: true}) })
+		return
+	}
+	if in.jobs[policy.ID(j.call.id)] == j {
+		in.step(policy.Sent{ID: policy.ID(j.call.id), Attempt: j.attempt})
+	}
+	if !b.accept(j) {
+		in.world.clock.after(delay, func() { in.fail(j, policy.Failed{Sent: true, Refused: true, RetryAfter: time.Second}) })
+	}
+}
+
+func (in *instance) stop(a policy.Stop) {
+	j := in.jobs[a.ID]
+	if j == nil || j.attempt != a.Attempt {
+		return
+	}
+	delete(in.jobs, a.ID)
+	in.halt(j)
+}
+
+// halt lets the server know that nobody waits for this attempt any more.
+func (in *instance) halt(j *job) {
+	place := j.at.place()
+	if !in.world.linked(in.dataCenter, place) {
+		return
+	}
+	in.world.clock.after(latency(in.dataCenter, place), func() { j.stopped = true })
+}
+
+func (in *instance) fail(j *job, f policy.Failed) {
+	id := policy.ID(j.call.id)
+	if in.jobs[id] != j {
+		return
+	}
+	delete(in.jobs, id)
+	f.ID, f.Attempt = id, j.attempt
+	in.step(f)
+}
+
+func (in *instance) token(j *job, done bool) {
+	id := policy.ID(j.call.id)
+	if in.jobs[id] != j {
+		return
+	}
+	k := j.call
+	now := in.world.clock.now
+	if k.got == 0 {
+		k.first = now
+	}
+	k.got++
+	k.last = now
+	in.step(policy.Tokens{ID: id, Attempt: j.attempt, Count: 1})
+	if done && in.jobs[id] == j {
+		in.end(k, answered)
+		in.step(policy.Finished{ID: id, Attempt: j.attempt})
+	}
+}
+
+// sendDigest tells the other instances, and notices those that fell silent.
+func (in *instance) sendDigest() {
+	w := in.world
+	digest := in.core.Digest(w.clock.time())
+	for _, other := range w.instances {
+		if other == in {
+			continue
+		}
+		if w.linked(in.dataCenter, other.dataCenter) && w.random.Float64() >= digestLoss {
+			w.clock.after(latency(in.dataCenter, other.dataCenter), func() {
+				other.heard[in.name] = w.clock.now
+				other.step(policy.PeerDigest{Digest: digest})
+			})
+		}
+		if last, known := in.heard[other.name]; known && w.clock.now-last > peerTimeout {
+			delete(in.heard, other.name)
+			in.step(policy.PeerGone{Instance: other.name})
+		}
+	}
+}
+
+// loseRemote ends attempts across a cut once they were silent for too long.
+func (in *instance) loseRemote() {
+	for _, k := range in.world.calls {
+		j := in.jobs[policy.ID(k.id)]
+		if j != nil && j.instance == in && !in.world.linked(in.dataCenter, j.at.place()) {
+			in.world.clock.after(silenceLimit, func() { in.fail(j, policy.Failed{Sent: true}) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/world.go
@@ -0,0 +1,236 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+const (
+	nearLatency   = 500 * time.Microsecond
+	farLatency    = 25 * time.Millisecond
+	reportEvery   = 200 * time.Millisecond
+	digestEvery   = 500 * time.Millisecond
+	digestLoss    = 0.02
+	peerTimeout   = 3 * time.Second
+	connectLimit  = time.Second
+	silenceLimit  = 3 * time.Second
+	convictTime   = 150 * time.Millisecond
+	cacheEvery    = 500 * time.Millisecond
+	cacheLoss     = 0.05
+	resendPause   = 20 * time.Millisecond
+	resends       = 16
+	drainLimit    = 150 * time.Second
+	crashingFirst = 1 << 40
+)
+
+// tally counts what the engines did, over the whole run.
+type tally struct {
+	made   int
+	redone int
+}
+
+// backend is an engine or a plain service.
+type backend interface {
+	accept(j *job) bool
+	isDown() bool
+	place() string
+	sample(at time.Duration)
+	reportAt(at time.Duration) (report, bool)
+}
+
+// world is one run.
+type world struct {
+	clock     clock
+	fleet     *fleet
+	scenario  *scenario
+	random    *rand.Rand
+	snapshot  *lilacv1.Snapshot
+	view      *model.View
+	engines   []*engine
+	backends  map[string]backend
+	names     []string
+	instances []*instance
+	calls     []*call
+	crashing  []*call
+	left      int
+	cutOff    string
+	tally     tally
+	revision  uint64
+	convicted []*lilacv1.Conviction
+}
+
+func newWorld(f *fleet, s *scenario, seed uint64, make maker) *world {
+	w := &world{fleet: f, scenario: s, random: rand.New(rand.NewPCG(seed, 99)), backends: map[string]backend{}, view: f.view(), revision: 1}
+	for i := range engineCount {
+		base, each := engineSpeed(i)
+		e := &engine{world: w, name: engineName(i), dataCenter: f.dataCenter(i), base: base, each: each, slow: 1}
+		w.engines = append(w.engines, e)
+		w.add(e.name, e)
+	}
+	for i := range serviceCount {
+		w.add(serviceName(i), &service{world: w, name: serviceName(i), dataCenter: f.dataCenter(i)})
+	}
+	for i := range instanceCount {
+		w.instances = append(w.instances, newInstance(w, i, seed, make))
+	}
+	return w
+}
+
+func (w *world) add(name string, b backend) {
+	w.backends[name] = b
+	w.names = append(w.names, name)
+}
+
+// linked tells whether two data centres reach each other.
+func (w *world) linked(a, b string) bool {
+	return a == b || w.cutOff == "" || a != w.cutOff && b != w.cutOff
+}
+
+func latency(a, b string) time.Duration {
+	if a == b {
+		return nearLatency
+	}
+	return farLatency
+}
+
+// deliver carries one token, or a service's answer, to the instance.
+func (w *world) deliver(from string, j *job, done bool) {
+	if !w.linked(from, j.instance.dataCenter) {
+		return
+	}
+	w.clock.after(latency(from, j.instance.dataCenter), func() { j.instance.token(j, done) })
+}
+
+// reset carries the news of a broken connection.
+func (w *world) reset(from string, j *job) {
+	if !w.linked(from, j.instance.dataCenter) {
+		return
+	}
+	w.clock.after(latency(from, j.instance.dataCenter), func() {
+		j.instance.fail(j, policy.Failed{Sent: true, Crashed: true})
+	})
+}
+
+// run plays the arrivals and returns when every call has ended.
+func (w *world) run(calls []*call) {
+	w.calls = calls
+	w.left = len(calls)
+	for _, k := range calls {
+		w.clock.after(k.at, func() { w.instances[k.instance].arrive(k) })
+	}
+	for i, in := range w.instances {
+		in.step(policy.Configured{View: w.view})
+		w.every(time.Duration(i)*time.Millisecond, policy.TickInterval, func() { in.step(policy.Tick{}) })
+		w.every(time.Duration(i)*60*time.Millisecond, digestEvery, in.sendDigest)
+	}
+	w.every(0, reportEvery, w.report)
+	w.every(0, cacheEvery, w.cacheEvents)
+	if w.scenario.faults != nil {
+		w.scenario.faults(w)
+	}
+	for w.clock.now < w.scenario.length+drainLimit && (w.left > 0 || w.clock.now < w.scenario.length) {
+		w.clock.next()
+	}
+}
+
+func (w *world) every(first, interval time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		w.clock.after(interval, again)
+	}
+	w.clock.after(first, again)
+}
+
+// report delivers each backend's load as it was a lag ago; a crashed engine's
+// last reports go on describing the past for that long.
+func (w *world) report() {
+	lag := w.scenario.reportLag
+	for _, name := range w.names {
+		b := w.backends[name]
+		b.sample(w.clock.now)
+		r, ok := b.reportAt(w.clock.now - lag)
+		if !ok {
+			continue
+		}
+		age := w.clock.now - r.at
+		for _, in := range w.instances {
+			if w.linked(b.place(), in.dataCenter) {
+				in.step(policy.LoadReport{Server: name, Running: r.running, Waiting: r.waiting, KVUsed: float64(r.running) / engineSlots, Age: age})
+			}
+		}
+	}
+}
+
+// cacheEvents publishes what the prefix caches stored and dropped, late and with gaps.
+func (w *world) cacheEvents() {
+	for _, e := range w.engines {
+		c := &e.cache
+		if len(c.stored) == 0 && len(c.dropped) == 0 && !c.cleared {
+			continue
+		}
+		e.cacheSeq++
+		event := policy.CacheEvent{Server: e.name, Sequence: e.cacheSeq, Stored: c.stored, Dropped: c.dropped, Cleared: c.cleared}
+		c.stored, c.dropped, c.cleared = nil, nil, false
+		if w.random.Float64() < cacheLoss {
+			continue
+		}
+		for _, in := range w.instances {
+			if w.linked(e.dataCenter, in.dataCenter) {
+				w.clock.after(cacheEvery, func() { in.step(event) })
+			}
+		}
+	}
+}
+
+// convict shares a conviction with every instance that is reached.
+func (w *world) convict(from *instance, c policy.Convict) {
+	w.clock.after(convictTime, func() {
+		w.revision++
+		w.convicted = append(w.convicted, &lilacv1.Conviction{Digest: c.Digest, Team: c.Team, Servers: c.Servers})
+		view := *w.view
+		view.Revision = w.revision
+		view.Convictions = make(map[string]*lilacv1.Conviction)
+		for _, conviction := range w.convicted {
+			view.Convictions[conviction.Digest] = conviction
+		}
+		w.view = &view
+		for _, in := range w.instances {
+			if w.linked(from.dataCenter, in.dataCenter) {
+				in.step(policy.Configured{View: w.view})
+			}
+		}
+	})
+}
+
+// sendCrashing sends the crashing request to the next instance; its caller
+// sends it again as soon as an answer or error came.
+func (w *world) sendCrashing(n int) {
+	if n >= resends {
+		return
+	}
+	k := &call{
+		id: crashingFirst + uint64(n), class: &w.fleet.classes[1], at: w.clock.now, team: 2, instance: n % instanceCount,
+		prompt: 200, output: 200, digest: "crashing", idempotent: true, crashes: true,
+		prefix: prefixOf(77, 2, 0, 12, 200, 1),
+	}
+	w.crashing = append(w.crashing, k)
+	w.left++
+	w.instances[k.instance].arrive(k)
+	var watch func()
+	watch = func() {
+		if k.outcome == pending {
+			w.clock.after(resendPause, watch)
+			return
+		}
+		w.sendCrashing(n + 1)
+	}
+	w.clock.after(resendPause, watch)
+}
+
+func instanceName(i int) string { return fmt.Sprintf("entry-%d", i) }
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -177,6 +177,11 @@
 	RetryAfter time.Duration
 }
 
+// Announce tells the shell to send the digest to all other instances at once,
+// since it holds news that can't wait for the next interval.
+type Announce struct{}
+
+func (Announce) action()   {}
 func (Arrival) event()     {}
 func (Canceled) event()    {}
 func (Sent) event()        {}
