Let the load tool give changes and check that none is lost

The failure runs need a writer that knows which changes were accepted, in which order of revisions and with what longest pause, and a check that each of them is in force at every entry. Weighed: a shell loop over the client; a process for each change would blur the pause that tells how long no leader was there. The fleet file is now read by the same package as the operators' client reads it.

--- a/cmd/lilacload/main.go
+++ b/cmd/lilacload/main.go
@@ -14,8 +14,11 @@
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
-// errBroken is the end of a run in which a promise was broken.
-var errBroken = errors.New("a promise was broken")
+// The ends of a run that is not as it must be.
+var (
+	errBroken = errors.New("a promise was broken")
+	errTooFew = errors.New("too few")
+)
 
 func main() {
 	root := &cobra.Command{
@@ -25,13 +28,13 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), portsCommand(), tokenCommand())
+	root.AddCommand(runCommand(), changesCommand(), verifyCommand(), portsCommand(), tokenCommand())
 	err := root.Execute()
 	if err == nil {
 		return
 	}
 	fmt.Fprintln(os.Stderr, err)
-	if errors.Is(err, errBroken) {
+	if errors.Is(err, errBroken) || errors.Is(err, errTooFew) {
 		os.Exit(1)
 	}
 	os.Exit(settings.ExitCode)
--- a/cmd/lilacload/run.go
+++ b/cmd/lilacload/run.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/spf13/cobra"
-	"gopkg.in/yaml.v3"
 
 	"github.com/lilacbridge/lilacbridge/loadgen"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/fleet"
 )
 
 type runOptions struct {
@@ -24,6 +24,7 @@
 	seed      uint64
 	duration  time.Duration
 	noCuts    bool
+	minWhole  float64
 }
 
 func runCommand() *cobra.Command {
@@ -43,40 +44,26 @@
 	flags.Uint64Var(&o.seed, "seed", 0, "seed instead of the plan's")
 	flags.DurationVar(&o.duration, "duration", 0, "duration instead of the plan's")
 	flags.BoolVar(&o.noCuts, "no-cuts", false, "an answer that breaks off is a broken promise")
+	flags.Float64Var(&o.minWhole, "min-whole", 0, "least share of each class's requests that must get a whole answer")
 	for _, name := range []string{"plan", "fleet", "key-file", "entry"} {
 		_ = command.MarkFlagRequired(name)
 	}
 	return command
 }
 
-// fleet is the part of the fleet's file that the load tool reads.
-type fleet struct {
-	Classes []struct {
-		Name            string `yaml:"name"`
-		Tier            int    `yaml:"tier"`
-		FirstTokenMS    int64  `yaml:"first_token_ms"`
-		BetweenTokensMS int64  `yaml:"between_tokens_ms"`
-	} `yaml:"classes"`
-	Servers []struct {
-		Name    string `yaml:"name"`
-		Address string `yaml:"address"`
-		Kind    string `yaml:"kind"`
-	} `yaml:"servers"`
-}
-
-func (f *fleet) targets() loadgen.Targets {
+func targets(f *fleet.Fleet) loadgen.Targets {
 	targets := make(loadgen.Targets)
 	for _, class := range f.Classes {
 		targets[class.Name] = loadgen.Target{
-			Tier:          class.Tier,
-			FirstToken:    time.Duration(class.FirstTokenMS) * time.Millisecond,
-			BetweenTokens: time.Duration(class.BetweenTokensMS) * time.Millisecond,
+			Tier:          int(class.Tier),
+			FirstToken:    time.Duration(class.FirstTokenMs) * time.Millisecond,
+			BetweenTokens: time.Duration(class.BetweenTokensMs) * time.Millisecond,
 		}
 	}
 	return targets
 }
 
-func (f *fleet) backends() []loadgen.Backend {
+func backends(f *fleet.Fleet) []loadgen.Backend {
 	var backends []loadgen.Backend
 	for _, server := range f.Servers {
 		backends = append(backends, loadgen.Backend{Name: server.Name, Address: server.Address, Service: server.Kind == "service"})
@@ -84,13 +71,12 @@
 	return backends
 }
 
-func readFleet(file string) (*fleet, error) {
+func readFleet(file string) (*fleet.Fleet, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{}
-	return f, yaml.Unmarshal(data, f)
+	return fleet.Parse(data)
 }
 
 func (o *runOptions) plan() (*loadgen.Plan, error) {
@@ -112,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	fleet, err := readFleet(o.fleetFile)
+	file, err := readFleet(o.fleetFile)
 	if err != nil {
 		return err
 	}
@@ -126,17 +112,26 @@
 	}
 	caller := loadgen.NewCaller(urls, func(team string) string { return secret.CallerToken(key, team) })
 	requests := loadgen.Arrivals(plan, len(urls))
-	before := loadgen.Ask(command.Context(), fleet.backends())
+	before := loadgen.Ask(command.Context(), backends(file))
 	outcomes := loadgen.Run(command.Context(), plan, requests, caller)
-	after := loadgen.Ask(command.Context(), fleet.backends())
-	report := loadgen.Judge(plan, fleet.targets(), outcomes, after.Since(before))
+	after := loadgen.Ask(command.Context(), backends(file))
+	report := loadgen.Judge(plan, targets(file), outcomes, after.Since(before))
 	report.Print(command.OutOrStdout())
 	if err := o.writeJSON(report); err != nil {
 		return err
 	}
+	return o.verdict(report)
+}
+
+func (o *runOptions) verdict(report *loadgen.Report) error {
 	if report.Broken() > 0 || (o.noCuts && report.Cut > 0) {
 		return errBroken
 	}
+	for _, class := range report.Classes {
+		if stayed := class.Requests - class.Canceled; float64(class.Whole) < o.minWhole*float64(stayed) {
+			return fmt.Errorf("class %s: %d whole answers of %d: %w", class.Class, class.Whole, stayed, errTooFew)
+		}
+	}
 	return nil
 }
 
