--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,16 @@
 demo: build
 	FLEET=$(FLEET) bash scripts/demo.sh
 
+# Real processes killed, frozen and emptied under load.
+.PHONY: fail soak
+fail: build
+	FLEET=$(FLEET) bash scripts/fail.sh
+
+# The policy on real processes under bursts, stragglers and crashes.
+MINUTES ?= 2
+soak: build
+	FLEET=$(FLEET) MINUTES=$(MINUTES) bash scripts/soak.sh
+
 # Lines of code by kind.
 .PHONY: lines
 lines:
