Let the stand-ins echo the request id and services report their load

The entries tell answers apart by the request id that an engine sends back, and poll services for load as well as engines; the first stand-in did neither, so an entry would have refused each answer. Prefix hashes come from version/prefix now, instead of a second copy of the same sums.

--- a/cmd/lilacbridge-standin/main.go
+++ b/cmd/lilacbridge-standin/main.go
@@ -70,6 +70,7 @@
 	var listen string
 	command := &cobra.Command{Use: "service", Short: "Stand in for one replica of a plain service", Args: cobra.NoArgs}
 	command.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	command.Flags().IntVar(&config.Slots, "slots", 16, "calls at once that it reports as its size")
 	command.Flags().DurationVar(&config.Latency, "latency", 20*time.Millisecond, "time that each call takes")
 	command.RunE = func(*cobra.Command, []string) error {
 		return serve(listen, standin.NewService(config).Routes)
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -6,25 +6,13 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/lilacbridge/lilacbridge/version/prefix"
 )
 
-// blockWords is the number of words in one block of the prefix cache.
-const blockWords = 16
+const blockWords = prefix.BlockWords
 
-// blocks returns the hash of each whole block of the prompt, each over all before it.
-func blocks(words []string) []uint64 {
-	hash := xxhash.New()
-	var hashes []uint64
-	for i, word := range words {
-		_, _ = hash.WriteString(word)
-		_, _ = hash.Write([]byte{0})
-		if (i+1)%blockWords == 0 {
-			hashes = append(hashes, hash.Sum64())
-		}
-	}
-	return hashes
-}
+// blocks returns the hash of each whole block of the prompt.
+func blocks(words []string) []uint64 { return prefix.Blocks(words...) }
 
 func promptWords(messages []Message) []string {
 	var words []string
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -13,6 +13,9 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
+// requestIDHeader names the request in both directions.
+const requestIDHeader = "X-Request-Id"
+
 // Routes adds the engine's protocol to an HTTP server.
 func (e *Engine) Routes(server *khttp.Server) {
 	server.HandleFunc("/v1/chat/completions", e.serveChat)
@@ -71,7 +74,7 @@
 		writeError(w, http.StatusNotFound, "model "+chat.Model+" is not loaded")
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(requestIDHeader)
 	if id == "" {
 		id = fmt.Sprintf("own-%d", time.Now().UnixNano())
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -14,6 +14,8 @@
 
 // ServiceConfig holds the settings of a stand-in service.
 type ServiceConfig struct {
+	// Slots is the number of calls at once that it reports as its size.
+	Slots int
 	// Latency of each call.
 	Latency time.Duration
 	// Crash ends the process, at once.
@@ -26,6 +28,8 @@
 	mu     sync.Mutex
 	fault  Fault
 	stats  ServiceStats
+	// running is the number of calls in progress.
+	running int
 }
 
 // ServiceStats counts what a service did.
@@ -61,6 +65,7 @@
 // Routes adds the service's calls to an HTTP server.
 func (s *Service) Routes(server *khttp.Server) {
 	server.HandleFunc("/stats", s.serveStats)
+	server.HandleFunc("/load", s.serveLoad)
 	server.HandleFunc("/fault", s.serveFault)
 	server.HandlePrefix("/", http.HandlerFunc(s.serveCall))
 }
@@ -99,6 +104,7 @@
 		return
 	}
 	s.count(r.Header.Get("Idempotency-Key"), string(body))
+	defer s.end()
 	// The call ran, and its caller is left without an answer.
 	if fault.BreakAfter > 0 {
 		panic(http.ErrAbortHandler)
@@ -108,6 +114,7 @@
 		latency = time.Duration(float64(latency) * fault.Straggle)
 	}
 	sleep(r.Context(), latency)
+	w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(AnswerOf(r.Method, r.URL.Path, body))
 }
@@ -122,6 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Calls++
+	s.running++
 	if key != "" {
 		s.stats.Runs[key]++
 	}
@@ -129,3 +137,16 @@
 		s.stats.Refs[ref]++
 	}
 }
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// serveLoad reports the load as an engine does; a service has no queue of its own.
+func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, Load{Running: s.running, Slots: s.config.Slots, MeasuredUnixMS: time.Now().UnixMilli()})
+}
