--- a/cmd/lilacload/run.go
+++ b/cmd/lilacload/run.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +26,9 @@
 	duration  time.Duration
 	noCuts    bool
 	minWhole  float64
+	// minAttainment by class, and the error kinds that a class must not get.
+	minAttainment map[string]string
+	forbid        map[string]string
 }
 
 func runCommand() *cobra.Command {
@@ -45,6 +49,8 @@
 	flags.DurationVar(&o.duration, "duration", 0, "duration instead of the plan's")
 	flags.BoolVar(&o.noCuts, "no-cuts", false, "an answer that breaks off is a broken promise")
 	flags.Float64Var(&o.minWhole, "min-whole", 0, "least share of each class's requests that must get a whole answer")
+	flags.StringToStringVar(&o.minAttainment, "min-attainment", nil, "least attainment of a class, such as alerts=0.9")
+	flags.StringToStringVar(&o.forbid, "forbid", nil, "kind of error that a class must not get, such as alerts=overloaded")
 	for _, name := range []string{"plan", "fleet", "key-file", "entry"} {
 		_ = command.MarkFlagRequired(name)
 	}
@@ -128,6 +134,9 @@
 		return errBroken
 	}
 	for _, class := range report.Classes {
+		if err := o.classVerdict(class); err != nil {
+			return err
+		}
 		if stayed := class.Requests - class.Canceled; float64(class.Whole) < o.minWhole*float64(stayed) {
 			return fmt.Errorf("class %s: %d whole answers of %d: %w", class.Class, class.Whole, stayed, errTooFew)
 		}
@@ -135,6 +144,22 @@
 	return nil
 }
 
+func (o *runOptions) classVerdict(class loadgen.ClassReport) error {
+	if text, ok := o.minAttainment[class.Class]; ok {
+		least, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("min-attainment of %s: %w", class.Class, err)
+		}
+		if class.Attainment < least {
+			return fmt.Errorf("class %s: attainment %.3f is below %s: %w", class.Class, class.Attainment, text, errTooFew)
+		}
+	}
+	if kind := o.forbid[class.Class]; kind != "" && class.Errors[kind] > 0 {
+		return fmt.Errorf("class %s got %d times %s: %w", class.Class, class.Errors[kind], kind, errBroken)
+	}
+	return nil
+}
+
 func (o *runOptions) writeJSON(report *loadgen.Report) error {
 	if o.jsonFile == "" {
 		return nil
--- /dev/null
+++ b/scripts/fail.sh
@@ -0,0 +1,141 @@
+#!/usr/bin/env bash
+# Breaks real processes under load and prints, for each fault, whether the
+# promises held: accepted changes lost, keyed requests run twice, and how long no
+# change was accepted (the time without a leader). FLEET=agence|madryn.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+
+FLEET="${FLEET:-agence}"
+FREEZE_SECONDS=20
+RESTART_CHANGES=600
+ROWS=()
+ROW=0
+
+# writer RECORD ARGUMENT...: gives changes and records the accepted ones.
+writer() {
+  local record="$1"
+  shift
+  start writer "$BIN/lilacload" changes --endpoint "$(addresses operators "${ENTRIES[@]}")" \
+    --token-file "$WORK/keys/operator.token" --record "$record" "$@"
+}
+
+# number TEXT FILE: the number before (or after) the text in the file's last line with it.
+number_before() { grep -oE "[0-9]+ $1" "$2" | tail -1 | grep -oE '^[0-9]+'; }
+number_after() { grep -oE "$1 [0-9]+" "$2" | tail -1 | grep -oE '[0-9]+$'; }
+
+# row NAME SECONDS FAULT: runs load and writer for the seconds, and the fault in them.
+row() {
+  local name="$1" seconds="$2" act="$3" verdict=held
+  ROW=$((ROW + 1))
+  local load_log="$WORK/log/load-$ROW.log" record="$WORK/changes-$ROW.json" verify_log="$WORK/log/verify-$ROW.log"
+  say "-- $name"
+  load --seed "$((100 + ROW))" --duration "${seconds}s" "${LOAD_FLAGS[@]}" > "$load_log" 2>&1 &
+  PID[load]=$!
+  : > "$WORK/log/writer.log"
+  writer "$record" --prefix "row$ROW" --duration "${seconds}s"
+  sleep 3
+  "$act" || { broken "$name: the fault could not be made"; verdict=broken; }
+  wait_end load $((seconds + 40)) || { broken "$name: the load did not end"; verdict=broken; STATUS=1; }
+  ((STATUS == 0)) || { broken "$name: $(tail -1 "$load_log")"; verdict=broken; }
+  wait_end writer 60 || { broken "$name: the writer did not end"; verdict=broken; STATUS=1; }
+  ((STATUS == 0)) || { broken "$name: the writer: $(tail -1 "$WORK/log/writer.log")"; verdict=broken; }
+  verify "$record" > "$verify_log" 2>&1 || { broken "$name: accepted changes: $(tail -2 "$verify_log" | tr '\n' ' ')"; verdict=broken; }
+  ROWS+=("$(printf '%-46s %-7s %8s %8s %8s %12s' "$name" "$verdict" "$(number_after accepted "$verify_log")" \
+    "$(number_after lost "$verify_log")" "$(number_before 'double runs' "$load_log")" "$(number_after longest_gap_ms "$WORK/log/writer.log")")")
+  say "${ROWS[-1]}"
+}
+
+verify() {
+  "$BIN/lilacload" verify --endpoint "$(addresses operators "${ENTRIES[@]}")" --token-file "$WORK/keys/operator.token" --record "$1"
+}
+
+LOAD_FLAGS=()
+
+kill_leader() {
+  local name
+  name="$(leader)"
+  [[ -n "$name" ]] || return 1
+  kill_hard "$name"
+  sleep 4
+  start_state "$name"
+}
+
+freeze_leader() {
+  local name
+  name="$(leader)"
+  [[ -n "$name" ]] || return 1
+  signal "$name" STOP
+  sleep "$FREEZE_SECONDS"
+  signal "$name" CONT
+}
+
+# a_follower prints a state process that does not lead.
+a_follower() {
+  local name now
+  now="$(leader)"
+  for name in "${STATES[@]}"; do [[ "$name" != "$now" ]] && { printf '%s' "$name"; return; }; done
+}
+
+empty_voter() {
+  local name
+  name="$(a_follower)"
+  kill_hard "$name"
+  sleep 2
+  rm -rf "${WORK:?}/$(field "$name" data)"
+  # An emptied process must not found a group by itself; see docs/OPERATING.md.
+  sed -i 's/^bootstrap: true/bootstrap: false/' "$WORK/conf/$name.yaml"
+  start_state "$name"
+  sleep 6
+  alive "$name" || { tail -3 "$WORK/log/$name.log" >&2; return 1; }
+  # A second failure right after the repair.
+  kill_leader
+}
+
+restart_all() {
+  local name
+  for name in "${STATES[@]}" "${ENTRIES[@]}"; do signal "$name" KILL; done
+  for name in "${STATES[@]}" "${ENTRIES[@]}"; do kill_hard "$name"; done
+  for name in "${STATES[@]}"; do start_state "$name"; done
+  for name in "${ENTRIES[@]}"; do start_entry "$name"; done
+  for name in "${ENTRIES[@]}"; do wait_ready "$name" 20 || return 1; done
+}
+
+# kill_entry kills an entry that waits for slow answers of claimed requests.
+kill_entry() {
+  local name="${ENTRIES[0]}"
+  kill_hard "$name"
+  sleep 3
+  start_entry "$name"
+  wait_ready "$name" 15
+}
+
+slow_services() {
+  local address
+  while read -r _ address _; do fault "$address" "{\"straggle\": $1}"; done < <(servers_of service)
+}
+
+prepare "$FLEET"
+start_fleet || verdict fail
+ctl apply -f "$WORK/conf/fleet.yaml" > "$WORK/log/apply.log" 2>&1 || { broken "the fleet's file was not accepted: $(tail -1 "$WORK/log/apply.log")"; verdict fail; }
+sleep 1
+
+row "kill -9 of the leader" 12 kill_leader
+row "leader frozen for $FREEZE_SECONDS s, then woken" $((FREEZE_SECONDS + 8)) freeze_leader
+row "data folder of a voter deleted, then a leader lost" 24 empty_voter
+
+say "-- $RESTART_CHANGES changes before the restart"
+writer "$WORK/changes-many.json" --prefix many --count "$RESTART_CHANGES" --interval 0
+wait_end writer 90 || broken "$RESTART_CHANGES changes were not given in 90 s"
+tail -1 "$WORK/log/writer.log"
+row "all restarted at once after $RESTART_CHANGES changes" 14 restart_all
+verify "$WORK/changes-many.json" || broken "changes given before the restart are lost"
+
+slow_services 40
+row "kill -9 of an entry with claims in progress" 12 kill_entry
+slow_services 1
+
+printf '\n%-46s %-7s %8s %8s %8s %12s\n' fault verdict accepted lost double "no leader ms"
+printf '%s\n' "${ROWS[@]}"
+stop_all
+verdict fail
