--- /dev/null
+++ b/connection/spreadlink/serve.go
@@ -0,0 +1,176 @@
+// Package spreadlink carries revisions of the configuration over the link: a
+// Server gives them to others, a Watcher follows them on an entry instance.
+package spreadlink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/version/spread"
+)
+
+const (
+	// batch and batchBytes bound the revisions of one update.
+	batch      = 256
+	batchBytes = 1 << 20
+	// maxTail is how many revisions behind a watcher may be and still get them
+	// one by one; further behind it takes a snapshot.
+	maxTail = 4096
+	// emptyAge is how fresh a source must be to say that there is no revision
+	// at all. A process that has just started holds none either.
+	emptyAge = time.Second
+)
+
+// Source is what a Server gives on: the state machine of a state process or the
+// revisions that an entry holds.
+type Source interface {
+	// Revision is the newest held here.
+	Revision() uint64
+	// Since returns revisions after have, oldest first; false where they are not held.
+	Since(have uint64, limit int) ([]*lilacv1.Revision, bool)
+	// Config is the whole configuration.
+	Config() *lilacv1.Snapshot
+	// Changed is closed at the next revision.
+	Changed() <-chan struct{}
+	// Known returns the newest revision known of, and the age of that knowledge.
+	Known() (newest uint64, age time.Duration)
+}
+
+// Server answers the watch and snapshot methods from a Source.
+type Server struct {
+	source Source
+
+	mu     sync.Mutex
+	parts  []*lilacv1.SnapshotPart
+	closed chan struct{}
+	once   sync.Once
+}
+
+// NewServer returns a Server of the source.
+func NewServer(source Source) *Server {
+	return &Server{source: source, closed: make(chan struct{})}
+}
+
+// Register adds the methods prefix+".watch" and prefix+".snapshot", where
+// prefix is "state" or "entry".
+func (s *Server) Register(mux *link.Mux, prefix string) {
+	mux.Handle(prefix+".watch", s.watch)
+	mux.Handle(prefix+".snapshot", s.snapshot)
+}
+
+// Close ends all streams, so that the watchers go elsewhere.
+func (s *Server) Close() { s.once.Do(func() { close(s.closed) }) }
+
+func (s *Server) watch(ctx context.Context, x *link.Exchange) error {
+	req := &lilacv1.WatchRequest{}
+	if err := x.Request(req); err != nil {
+		return err
+	}
+	have := req.GetHave()
+	for {
+		// Taken before the revisions are read, so that none slips between.
+		changed := s.source.Changed()
+		next, err := s.update(have)
+		if err != nil {
+			return err
+		}
+		if err := x.Send(next); err != nil {
+			return err
+		}
+		if n := len(next.GetRevisions()); n > 0 {
+			have = next.GetRevisions()[n-1].GetNumber()
+			if have < s.source.Revision() {
+				continue
+			}
+		}
+		if err := s.wait(ctx, changed); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Server) wait(ctx context.Context, changed <-chan struct{}) error {
+	timer := time.NewTimer(spread.SignOfLife)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-s.closed:
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this process is stopping; follow another")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (s *Server) update(have uint64) (*lilacv1.WatchUpdate, error) {
+	newest, age := s.source.Known()
+	update := &lilacv1.WatchUpdate{Newest: newest, AgeMs: uint32(min(age.Milliseconds(), 1<<31))}
+	if s.source.Revision() == 0 && age > emptyAge {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "no revision has come here yet; follow another process")
+	}
+	revisions, ok := s.source.Since(have, batch)
+	if held := s.source.Revision(); !ok || held > have && held-have > maxTail {
+		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "revision %d is too long ago to go on from; take a snapshot first", have)
+	}
+	update.Revisions = fitting(revisions)
+	return update, nil
+}
+
+// fitting cuts the list so that an update stays far below the largest frame.
+func fitting(revisions []*lilacv1.Revision) []*lilacv1.Revision {
+	total := 0
+	for i, revision := range revisions {
+		total += proto.Size(revision)
+		if total > batchBytes && i > 0 {
+			return revisions[:i]
+		}
+	}
+	return revisions
+}
+
+func (s *Server) snapshot(ctx context.Context, x *link.Exchange) error {
+	req := &lilacv1.SnapshotRequest{}
+	if err := x.Request(req); err != nil {
+		return err
+	}
+	parts, err := s.partsFor(req)
+	if err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if err := x.Send(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// partsFor returns what is missing of the transfer that broke, or all parts of
+// the present revision. The parts are kept for a resume and for others who
+// start at the same time.
+func (s *Server) partsFor(req *lilacv1.SnapshotRequest) ([]*lilacv1.SnapshotPart, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	resumed := len(s.parts) > 0 && req.GetRevision() == s.parts[0].GetRevision() && req.GetFromPart() < uint32(len(s.parts))
+	if resumed && req.GetFromPart() > 0 {
+		return s.parts[req.GetFromPart():], nil
+	}
+	if len(s.parts) > 0 && s.source.Revision()-s.parts[0].GetRevision() < maxTail/2 {
+		if _, ok := s.source.Since(s.parts[0].GetRevision(), 1); ok {
+			return s.parts, nil
+		}
+	}
+	parts, err := spread.Split(s.source.Config())
+	if err != nil {
+		return nil, err
+	}
+	s.parts = parts
+	return parts, nil
+}
--- /dev/null
+++ b/connection/spreadlink/watcher.go
@@ -0,0 +1,331 @@
+package spreadlink
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/config"
+	"github.com/lilacbridge/lilacbridge/version/model"
+	"github.com/lilacbridge/lilacbridge/version/spread"
+)
+
+const (
+	tick = 250 * time.Millisecond
+	// retryPause keeps a target that fails at once from costing a processor.
+	retryPause = 200 * time.Millisecond
+)
+
+// Options say who watches and whom it may follow.
+type Options struct {
+	// Instance and DataCenter of the entry itself.
+	Instance   string
+	DataCenter string
+	// State lists all state processes.
+	State []settings.Peer
+	// Entries lists the entries known at start; SetEntries replaces them.
+	Entries []settings.Peer
+	// Dial returns the caller for an address; the same one each time.
+	Dial func(address string) link.Caller
+	// OnView is told of each newer revision, in order; may be nil.
+	OnView func(*model.View)
+	// Logger gets a line for each change of whom the entry follows; may be nil.
+	Logger hclog.Logger
+}
+
+// Watcher follows the revisions on one entry and gives them on to others.
+type Watcher struct {
+	options Options
+	holder  *config.Holder
+	core    *spread.Core
+	events  chan spread.Event
+
+	mu      sync.Mutex
+	entries []settings.Peer
+	changed chan struct{}
+	known   knowledge
+	// stateTurn counts the state processes that failed, to go round them.
+	stateTurn int
+
+	// receiving is held by the one goroutine that receives; it guards assembly.
+	receiving sync.Mutex
+	assembly  spread.Assembly
+}
+
+// knowledge is the newest revision heard of and when that was known for sure.
+type knowledge struct {
+	newest uint64
+	at     time.Time
+}
+
+var _ Source = (*Watcher)(nil)
+
+// NewWatcher returns a Watcher that holds no revision yet.
+func NewWatcher(options Options) *Watcher {
+	if options.OnView == nil {
+		options.OnView = func(*model.View) {}
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	return &Watcher{
+		options: options,
+		holder:  config.NewHolder(),
+		core:    spread.NewCore(options.Instance),
+		events:  make(chan spread.Event, 64),
+		entries: options.Entries,
+		changed: make(chan struct{}),
+	}
+}
+
+// Current returns the newest revision in force here, or nil before the first.
+func (w *Watcher) Current() *model.View { return w.holder.Current() }
+
+// Revision returns the number of the newest revision in force here.
+func (w *Watcher) Revision() uint64 { return w.holder.Revision() }
+
+// Since returns revisions after have.
+func (w *Watcher) Since(have uint64, limit int) ([]*lilacv1.Revision, bool) {
+	return w.holder.Since(have, limit)
+}
+
+// Config returns the whole configuration.
+func (w *Watcher) Config() *lilacv1.Snapshot { return w.holder.Config() }
+
+// Changed returns a channel that is closed at the next revision.
+func (w *Watcher) Changed() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// Known returns the newest revision heard of, and the age of that knowledge.
+func (w *Watcher) Known() (newest uint64, age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.known.newest, time.Since(w.known.at)
+}
+
+// SetEntries replaces the entries of all data centres that are taken for alive.
+func (w *Watcher) SetEntries(entries []settings.Peer) {
+	w.mu.Lock()
+	w.entries = slices.Clone(entries)
+	w.mu.Unlock()
+	w.send(context.Background(), w.entriesEvent())
+}
+
+func (w *Watcher) entriesEvent() spread.Entries {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for _, entry := range w.entries {
+		if entry.DataCenter == w.options.DataCenter {
+			names = append(names, entry.Name)
+		}
+	}
+	return spread.Entries{Names: names}
+}
+
+// send gives the core an event; the newest list of entries is never lost, since
+// Run asks for it again on each tick.
+func (w *Watcher) send(ctx context.Context, event spread.Event) {
+	select {
+	case w.events <- event:
+	case <-ctx.Done():
+	default:
+	}
+}
+
+// Run follows the revisions until ctx ends, which gives nil.
+func (w *Watcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var following sync.WaitGroup
+	defer following.Wait()
+	stop := context.CancelFunc(func() {})
+	defer func() { stop() }()
+	step := func(event spread.Event) {
+		for _, follow := range w.core.Step(time.Now(), event) {
+			stop()
+			var followed context.Context
+			followed, stop = context.WithCancel(ctx)
+			following.Go(func() { w.follow(followed, follow.Target) })
+		}
+	}
+	step(w.entriesEvent())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-w.events:
+			step(event)
+		case <-ticker.C:
+			step(w.entriesEvent())
+			step(spread.Tick{})
+		}
+	}
+}
+
+// follow receives from one target until the stream breaks.
+func (w *Watcher) follow(ctx context.Context, target spread.Target) {
+	caller, prefix, name := w.caller(target)
+	if caller == nil {
+		w.broken(ctx, target)
+		return
+	}
+	w.receiving.Lock()
+	defer w.receiving.Unlock()
+	w.options.Logger.Debug("following revisions", "from", name)
+	err := w.receive(ctx, caller, prefix, target)
+	if fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND) {
+		err = w.fetch(ctx, caller, prefix, target)
+		if err == nil {
+			err = w.receive(ctx, caller, prefix, target)
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	w.options.Logger.Info("lost the sender of revisions", "from", name, "error", err)
+	w.broken(ctx, target)
+}
+
+func (w *Watcher) broken(ctx context.Context, target spread.Target) {
+	if target.State() {
+		w.mu.Lock()
+		w.stateTurn++
+		w.mu.Unlock()
+	}
+	select {
+	case <-time.After(retryPause):
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case w.events <- spread.Broken{Target: target}:
+	case <-ctx.Done():
+	}
+}
+
+// caller finds the target's address. State processes of the own data centre
+// come first.
+func (w *Watcher) caller(target spread.Target) (caller link.Caller, prefix, name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !target.State() {
+		for _, entry := range w.entries {
+			if entry.Name == target.Entry {
+				return w.options.Dial(entry.Address.Value), "entry", entry.Name
+			}
+		}
+		return nil, "", ""
+	}
+	if len(w.options.State) == 0 {
+		return nil, "", ""
+	}
+	near := slices.Clone(w.options.State)
+	slices.SortStableFunc(near, func(a, b settings.Peer) int {
+		return w.distance(a) - w.distance(b)
+	})
+	peer := near[w.stateTurn%len(near)]
+	return w.options.Dial(peer.Address.Value), "state", peer.Name
+}
+
+func (w *Watcher) distance(peer settings.Peer) int {
+	if peer.DataCenter == w.options.DataCenter {
+		return 0
+	}
+	return 1
+}
+
+func (w *Watcher) receive(ctx context.Context, caller link.Caller, prefix string, target spread.Target) error {
+	stream, err := caller.Open(ctx, prefix+".watch", &lilacv1.WatchRequest{
+		Have: w.holder.Revision(), Instance: w.options.Instance, DataCenter: w.options.DataCenter,
+	})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		update := &lilacv1.WatchUpdate{}
+		if err := stream.Recv(update); err != nil {
+			return err
+		}
+		if err := w.take(update); err != nil {
+			return err
+		}
+		w.send(ctx, spread.Heard{Target: target, Age: time.Duration(update.GetAgeMs()) * time.Millisecond})
+	}
+}
+
+func (w *Watcher) take(update *lilacv1.WatchUpdate) error {
+	// A sender that holds nothing has nothing to say of the newest either.
+	if len(update.GetRevisions()) > 0 || w.holder.Current() == nil && update.GetNewest() == 0 {
+		if err := w.apply(func() error { return w.holder.Apply(update.GetRevisions()) }); err != nil {
+			return err
+		}
+	}
+	w.learn(update.GetNewest(), time.Duration(update.GetAgeMs())*time.Millisecond)
+	return nil
+}
+
+func (w *Watcher) learn(newest uint64, age time.Duration) {
+	at := time.Now().Add(-age)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.known.newest = max(w.known.newest, newest, w.holder.Revision())
+	if at.After(w.known.at) {
+		w.known.at = at
+	}
+}
+
+// apply takes something newer into force and tells the watchers of this one.
+func (w *Watcher) apply(change func() error) error {
+	before := w.holder.Current()
+	if err := change(); err != nil {
+		return err
+	}
+	view := w.holder.Current()
+	if view == before {
+		return nil
+	}
+	w.options.OnView(view)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return nil
+}
+
+// fetch takes a snapshot, from where the last transfer broke if the sender
+// still holds that one.
+func (w *Watcher) fetch(ctx context.Context, caller link.Caller, prefix string, target spread.Target) error {
+	revision, part := w.assembly.Resume()
+	stream, err := caller.Open(ctx, prefix+".snapshot", &lilacv1.SnapshotRequest{Instance: w.options.Instance, Revision: revision, FromPart: part})
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		part := &lilacv1.SnapshotPart{}
+		if err := stream.Recv(part); err != nil {
+			return errors.Join(err, context.Cause(ctx))
+		}
+		whole, err := w.assembly.Add(part)
+		if err != nil {
+			return err
+		}
+		w.send(ctx, spread.Heard{Target: target})
+		if whole != nil {
+			return w.apply(func() error { return w.holder.Load(whole) })
+		}
+	}
+}
--- /dev/null
+++ b/daemon/state/admin.go
@@ -0,0 +1,39 @@
+package state
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// readyContact is how fresh the contact with a leader must be for /readyz.
+const readyContact = 5 * time.Second
+
+// newAdmin returns the server of /metrics, /healthz, /readyz and pprof.
+func newAdmin(address string, s *Service, stopping func() bool) *kratoshttp.Server {
+	server := kratoshttp.NewServer(kratoshttp.Address(address), kratoshttp.Timeout(0))
+	server.Handle("/metrics", promhttp.HandlerFor(newRegistry(s), promhttp.HandlerOpts{}))
+	server.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	server.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		status := s.log.Status()
+		switch {
+		case stopping():
+			http.Error(w, "stopping", http.StatusServiceUnavailable)
+		case status.Contact > readyContact:
+			http.Error(w, "no leader with a quorum; see lilacctl status", http.StatusServiceUnavailable)
+		default:
+			fmt.Fprintln(w, "ready")
+		}
+	})
+	server.HandleFunc("/debug/pprof/", pprof.Index)
+	server.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	server.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	server.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	server.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	server.HandlePrefix("/debug/pprof/", http.HandlerFunc(pprof.Index))
+	return server
+}
--- /dev/null
+++ b/daemon/state/daemon.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/build"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// stopTimeout bounds a graceful stop.
+const stopTimeout = 10 * time.Second
+
+// RunningLog is a Log with its life cycle.
+type RunningLog interface {
+	Log
+	// Run drives the log until ctx ends or it fails, as on a broken disk.
+	Run(ctx context.Context) error
+	// Transfer hands leadership to another process, if this one leads.
+	Transfer(ctx context.Context) error
+	// Close syncs and closes the files.
+	Close() error
+}
+
+// OpenLog opens the replicated log of a state process. It adds its own methods
+// to mux and calls the others through id.
+type OpenLog func(s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger) (RunningLog, error)
+
+// Daemon is a state process.
+type Daemon struct {
+	settings *settings.State
+	logger   hclog.Logger
+	log      RunningLog
+	service  *Service
+	listener net.Listener
+	links    *link.Server
+	stopping atomic.Bool
+}
+
+// NewDaemon opens the log and the link's listener; Run serves.
+func NewDaemon(s *settings.State, logger hclog.Logger, open OpenLog) (*Daemon, error) {
+	key, err := secret.ReadKey(s.LinkKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	machine := NewMachine(s.AuditRetention, ledger.Limits{Retention: s.ClaimRetention.Duration})
+	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: key}
+	mux := link.NewMux()
+	log, err := open(s, machine, mux, id, logger)
+	if err != nil {
+		return nil, err
+	}
+	service := NewService(machine, log)
+	service.Register(mux)
+	listener, err := net.Listen("tcp", s.Link.Value)
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	return &Daemon{
+		settings: s, logger: logger, log: log, service: service,
+		listener: listener, links: link.NewServer(id, mux),
+	}, nil
+}
+
+// Run serves until SIGTERM, SIGINT or the end of ctx. It then hands leadership
+// over, so that statements and claims wait for no election, and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	// The framework's own lines are no changes of state.
+	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group errgroup.Group
+	app := kratos.New(
+		kratos.Name("lilacbridge-state"),
+		kratos.ID(d.settings.Name),
+		kratos.Version(build.Version),
+		kratos.Context(ctx),
+		kratos.Server(newAdmin(d.settings.Admin.Value, d.service, d.stopping.Load)),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(stopTimeout),
+		kratos.BeforeStop(func(context.Context) error { return d.handOver() }),
+	)
+	// A log that fails, as on a broken disk, ends the whole process.
+	stopApp := func(err error) error {
+		if err != nil {
+			d.logger.Error("stopping", "error", err)
+			return errors.Join(err, app.Stop())
+		}
+		return nil
+	}
+	group.Go(func() error { return stopApp(d.log.Run(running)) })
+	group.Go(func() error { return stopApp(d.links.Serve(d.listener)) })
+	group.Go(func() error { return d.service.Run(running) })
+	d.logger.Info("started", "link", d.listener.Addr().String(), "version", build.Version)
+	err := app.Run()
+	stop()
+	d.listener.Close()
+	d.links.Close()
+	err = errors.Join(err, group.Wait(), d.log.Close())
+	d.logger.Info("stopped")
+	return err
+}
+
+func (d *Daemon) handOver() error {
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout/2)
+	defer cancel()
+	if err := d.log.Transfer(ctx); err != nil {
+		d.logger.Warn("leadership not handed over; the others will elect", "error", err)
+	}
+	d.service.Close()
+	return nil
+}
--- /dev/null
+++ b/daemon/state/fake_test.go
@@ -0,0 +1,176 @@
+package state
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
+	"github.com/lilacbridge/lilacbridge/connection/stateclient"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// sharedLog stands in for the replicated log of a whole group: one order of
+// commands, applied to every machine at once.
+type sharedLog struct {
+	mu       sync.Mutex
+	index    uint64
+	machines []*Machine
+	leader   string
+}
+
+func (g *sharedLog) run(command []byte) []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index++
+	var result []byte
+	for _, machine := range g.machines {
+		result = machine.Apply(g.index, command)
+	}
+	return result
+}
+
+// memberLog is one process's view of the sharedLog; before is called ahead of
+// each command and may fail or hang it, after may lose its answer.
+type memberLog struct {
+	group   *sharedLog
+	address string
+	before  func(ctx context.Context) error
+	after   func() error
+}
+
+func (l *memberLog) leads() bool {
+	l.group.mu.Lock()
+	defer l.group.mu.Unlock()
+	return l.group.leader == l.address
+}
+
+func (l *memberLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if !l.leads() {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "ask the leader",
+			fault.WithLeader(l.group.leader), fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+	}
+	if l.before != nil {
+		if err := l.before(ctx); err != nil {
+			return nil, err
+		}
+	}
+	result := l.group.run(command)
+	l.group.mu.Lock()
+	after := l.after
+	l.group.mu.Unlock()
+	if after != nil {
+		return result, after()
+	}
+	return result, nil
+}
+
+func (l *memberLog) setAfter(after func() error) {
+	l.group.mu.Lock()
+	defer l.group.mu.Unlock()
+	l.after = after
+}
+
+func (l *memberLog) Barrier(ctx context.Context) error {
+	if !l.leads() {
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "ask the leader", fault.WithLeader(l.group.leader))
+	}
+	return nil
+}
+
+func (l *memberLog) Status() LogStatus {
+	return LogStatus{Leads: l.leads(), Status: &lilacv1.StateStatus{Leader: l.group.leader, Process: l.address}}
+}
+
+// process is a state process over the real link.
+type process struct {
+	peer    settings.Peer
+	log     *memberLog
+	service *Service
+	server  *link.Server
+}
+
+// group starts n state processes, the first of which leads.
+func group(t *testing.T, n int) (*sharedLog, []*process) {
+	shared := &sharedLog{}
+	var all []*process
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		address := listener.Addr().String()
+		machine := NewMachine(0, ledger.Limits{})
+		shared.machines = append(shared.machines, machine)
+		log := &memberLog{group: shared, address: address}
+		service := NewService(machine, log)
+		mux := link.NewMux()
+		service.Register(mux)
+		server := link.NewServer(link.Identity{Key: testKey}, mux)
+		go server.Serve(listener)
+		name := string(rune('a' + i))
+		p := &process{peer: settings.Peer{Name: name, Address: settings.Address{Value: address}, DataCenter: "dc-" + name}, log: log, service: service, server: server}
+		all = append(all, p)
+		t.Cleanup(func() {
+			service.Close()
+			listener.Close()
+			server.Close()
+		})
+	}
+	shared.leader = all[0].peer.Address.Value
+	return shared, all
+}
+
+var testKey = []byte("one key for all tests")
+
+func newClient(t *testing.T, all []*process, name string) *stateclient.Client {
+	dialed := dialer(t)
+	var peers []settings.Peer
+	for _, p := range all {
+		peers = append(peers, p.peer)
+	}
+	return stateclient.New(stateclient.Options{Instance: name, DataCenter: "dc-b", Peers: peers, Dial: dialed})
+}
+
+func dialer(t *testing.T) func(string) link.Caller {
+	var mu sync.Mutex
+	clients := make(map[string]*link.Client)
+	return func(address string) link.Caller {
+		mu.Lock()
+		defer mu.Unlock()
+		if clients[address] == nil {
+			client := link.NewClient(address, link.Identity{Peer: link.Peer{Process: "entry"}, Key: testKey})
+			clients[address] = client
+			t.Cleanup(func() { client.Close() })
+		}
+		return clients[address]
+	}
+}
+
+func proposal(id, name string, tier uint32) *lilacv1.Proposal {
+	change := &lilacv1.Change{Op: &lilacv1.Change_SetClass{SetClass: &lilacv1.Class{Name: name, Tier: tier, FirstTokenMs: 420}}}
+	return &lilacv1.Proposal{CommandId: id, Who: "awa", Statement: "SET CLASS " + name, Changes: []*lilacv1.Change{change}, ProposedUnixMs: time.Now().UnixMilli()}
+}
+
+// serveEntry lets others follow the watcher, and returns the address.
+func serveEntry(t *testing.T, w *spreadlink.Watcher) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	mux := link.NewMux()
+	served := spreadlink.NewServer(w)
+	served.Register(mux, "entry")
+	server := link.NewServer(link.Identity{Key: testKey}, mux)
+	go server.Serve(listener)
+	t.Cleanup(func() {
+		served.Close()
+		listener.Close()
+		server.Close()
+	})
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/daemon/state/log.go
@@ -0,0 +1,31 @@
+package state
+
+import (
+	"context"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// Log is the replicated log as a Service needs it.
+type Log interface {
+	// Propose replicates a command, and returns its result once it is committed
+	// and applied here. On any but the leader it fails as NOT_LEADER.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// Barrier returns once this process has applied all that was committed when
+	// it was called; only the leader can tell.
+	Barrier(ctx context.Context) error
+	// Status tells where this process stands.
+	Status() LogStatus
+}
+
+// LogStatus is where one process of the group stands.
+type LogStatus struct {
+	// Leads is true on the leader, as far as it knows.
+	Leads bool
+	// Contact is the age of the last proof of a leader with a quorum: on the
+	// leader the last round of heartbeats, elsewhere the last word from it.
+	Contact time.Duration
+	// Status is what operators see; Revision and Claims are filled in by the Service.
+	Status *lilacv1.StateStatus
+}
--- /dev/null
+++ b/daemon/state/metrics.go
@@ -0,0 +1,35 @@
+package state
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/lilacbridge/lilacbridge/process/build"
+)
+
+// newRegistry returns the metrics of a state process.
+func newRegistry(s *Service) *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	gauge := func(name, help string, value func() float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "lilacbridge_state_" + name, Help: help}, value))
+	}
+	gauge("revision", "Newest revision applied here.", func() float64 { return float64(s.machine.Counts().Revision) })
+	gauge("applied_index", "Last log entry applied here.", func() float64 { return float64(s.machine.Counts().Applied) })
+	gauge("claims", "Keys of non-idempotent requests within their retention.", func() float64 { return float64(s.machine.Counts().Claims) })
+	gauge("open_claims", "Non-idempotent requests claimed and not ended.", func() float64 { return float64(s.machine.Counts().OpenClaims) })
+	gauge("tombstones", "Remembered keys past their retention.", func() float64 { return float64(s.machine.Counts().Tombstones) })
+	gauge("late_outcomes", "Outcomes that came after their claim had ended otherwise.", func() float64 { return float64(s.machine.Counts().LateOutcomes) })
+	gauge("leads", "1 on the leader.", func() float64 {
+		if s.log.Status().Leads {
+			return 1
+		}
+		return 0
+	})
+	gauge("leader_contact_seconds", "Age of the last proof of a leader with a quorum.", func() float64 { return s.log.Status().Contact.Seconds() })
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lilacbridge_build_info", Help: "Always 1; the label says which version runs.",
+		ConstLabels: prometheus.Labels{"version": build.Version},
+	}, func() float64 { return 1 }))
+	return registry
+}
--- /dev/null
+++ b/daemon/state/service_test.go
@@ -0,0 +1,268 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+const (
+	notRunTrue    = lilacv1.NotRun_NOT_RUN_TRUE
+	notRunUnknown = lilacv1.NotRun_NOT_RUN_UNKNOWN
+)
+
+func digest(b byte) []byte {
+	d := make([]byte, 32)
+	d[0] = b
+	return d
+}
+
+func claimOf(key string) *lilacv1.ClaimRequest {
+	return &lilacv1.ClaimRequest{Team: "coop", Key: key, Digest: digest(1)}
+}
+
+func TestTheWholeInterface(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 3)
+	c := newClient(t, all, "entry-1")
+
+	reply, err := c.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	is.Equal(reply.GetRevision(), uint64(1))
+	again, err := c.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	is.True(again.GetRepeatedCommand())
+
+	stale := proposal("two", "alerts", 2)
+	stale.IfRevision = 7
+	lost, err := c.Propose(t.Context(), stale)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	is.Equal(lost.GetWinner().GetNumber(), uint64(1))
+	_, err = c.Propose(t.Context(), proposal("three", "alerts", 9))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE))
+	is.Equal(fault.NotRunOf(err), notRunTrue)
+	dry := proposal("four", "reports", 1)
+	dry.DryRun = true
+	preview, err := c.Propose(t.Context(), dry)
+	is.NoErr(err)
+	is.Equal(preview.GetRevision(), uint64(2))
+
+	claim := claimOf("k")
+	granted, err := c.Claim(t.Context(), claim)
+	is.NoErr(err)
+	is.True(granted.GetGranted())
+	done := &lilacv1.OutcomeRequest{Team: "coop", Key: "k", Attempt: claim.GetAttempt(), State: lilacv1.ClaimState_CLAIM_STATE_RAN, Answer: &lilacv1.StoredAnswer{Status: 200, Body: []byte("filed")}}
+	_, err = c.Outcome(t.Context(), done)
+	is.NoErr(err)
+	second, err := newClient(t, all, "entry-2").Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	is.Equal(string(second.GetAnswer().GetBody()), "filed")
+
+	audit, err := c.Audit(t.Context(), &lilacv1.AuditRequest{})
+	is.NoErr(err)
+	is.Equal(len(audit.GetRevisions()), 1)
+	is.Equal(audit.GetRevisions()[0].GetWho(), "awa")
+	for _, answer := range c.Status(t.Context()) {
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status.GetRevision(), uint64(1))
+		is.Equal(answer.Status.GetClaims(), uint64(1))
+	}
+}
+
+// What the client makes of each way in which a call can fail, and what it says
+// of the command: refused and surely not in the log, or perhaps in it.
+func TestFaultsOnTheWayToTheLeader(t *testing.T) {
+	noLeader := func(s *sharedLog, _ []*process) { s.leader = "" }
+	for _, c := range []struct {
+		name   string
+		fault  func(*sharedLog, []*process)
+		kind   fault.Kind
+		notRun fault.NotRun
+	}{
+		{"nothing", func(*sharedLog, []*process) {}, 0, 0},
+		{"leader moved", func(s *sharedLog, all []*process) { s.leader = all[2].peer.Address.Value }, 0, 0},
+		{"one follower down", func(_ *sharedLog, all []*process) { all[1].server.Close() }, 0, 0},
+		{"no leader known", noLeader, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, notRunTrue},
+		{"answer lost once", func(_ *sharedLog, all []*process) {
+			lost := false
+			all[0].log.after = func() error {
+				if lost {
+					return nil
+				}
+				lost = true
+				return fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "answer lost")
+			}
+		}, 0, 0},
+		{"every answer lost", func(_ *sharedLog, all []*process) {
+			all[0].log.after = func() error { return errors.New("answer lost") }
+		}, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, notRunUnknown},
+		{"leader frozen", func(_ *sharedLog, all []*process) {
+			all[0].log.before = func(ctx context.Context) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, notRunUnknown},
+		{"disk full", func(_ *sharedLog, all []*process) {
+			all[0].log.before = func(context.Context) error {
+				return fault.New(lilacv1.ErrorKind_ERROR_KIND_DISK_FULL, "make room", fault.WithNotRun(notRunTrue))
+			}
+		}, lilacv1.ErrorKind_ERROR_KIND_DISK_FULL, notRunTrue},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			shared, all := group(t, 3)
+			c.fault(shared, all)
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			defer cancel()
+			reply, err := newClient(t, all, "entry-1").Propose(ctx, proposal("one", "alerts", 0))
+			is.Equal(fault.KindOf(err), c.kind)
+			if c.kind == 0 {
+				is.Equal(reply.GetRevision(), uint64(1))
+				is.Equal(all[1].service.machine.Revision(), uint64(1))
+				return
+			}
+			is.Equal(fault.NotRunOf(err), c.notRun)
+		})
+	}
+}
+
+// A data centre is cut off. The answer to a claim is lost, so the entry can't
+// know whether it stands; it does not send the request and tells its caller "not
+// run". When the link heals, the claim must be given up by itself, so that the
+// caller's resend runs.
+func TestClaimWhoseAnswerWasLostIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 1)
+	all[0].log.setAfter(func() error { return errors.New("answer lost") })
+	c := newClient(t, all, "entry-1")
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := c.Claim(ctx, claimOf("k"))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM))
+	is.Equal(fault.NotRunOf(err), notRunTrue)
+	is.Equal(all[0].service.machine.Counts().OpenClaims, 1)
+	all[0].log.setAfter(nil)
+	running, stop := context.WithCancel(t.Context())
+	defer stop()
+	go c.Run(running)
+	for all[0].service.machine.Counts().OpenClaims > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	granted, err := newClient(t, all, "entry-2").Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	is.True(granted.GetGranted())
+}
+
+// An entry is silent for longer than claims may wait, so the leader takes it for
+// dead and its claim becomes unknown. The entry was only cut off: when it comes
+// back it must be able to claim again without a restart.
+func TestSilentEntryLosesItsClaimsAndComesBack(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 1)
+	service := all[0].service
+	now := time.Now()
+	service.lives.now = func() time.Time { return now }
+	c := newClient(t, all, "entry-1")
+	_, err := c.Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	service.endSilent(t.Context())
+	now = now.Add(goneAfter)
+	service.endSilent(t.Context())
+	is.Equal(service.machine.Counts().OpenClaims, 1)
+	now = now.Add(time.Second)
+	service.endSilent(t.Context())
+	is.Equal(service.machine.Counts().OpenClaims, 0)
+	old, err := newClient(t, all, "entry-2").Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	is.Equal(old.GetState(), lilacv1.ClaimState_CLAIM_STATE_UNKNOWN)
+	fresh, err := c.Claim(t.Context(), claimOf("k2"))
+	is.NoErr(err)
+	is.True(fresh.GetGranted())
+}
+
+func TestMachineComesBackFromItsSnapshot(t *testing.T) {
+	is := is.New(t)
+	shared, all := group(t, 1)
+	c := newClient(t, all, "entry-1")
+	_, err := c.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	_, err = c.Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	_, err = c.Lease(t.Context(), &lilacv1.LeaseRequest{Name: "orders", DurationMs: 1000})
+	is.NoErr(err)
+	data, err := shared.machines[0].Snapshot()
+	is.NoErr(err)
+	restored := NewMachine(0, shared.machines[0].ledger.Limits())
+	is.NoErr(restored.Restore(data))
+	same, err := restored.Snapshot()
+	is.NoErr(err)
+	is.Equal(data, same)
+	is.True(restored.Restore([]byte("no snapshot")) != nil)
+}
+
+// watchers starts n entries of one data centre and returns them with the
+// channels on which each tells its newest revision.
+func watchers(t *testing.T, all []*process, n int) []*spreadlink.Watcher {
+	dial := dialer(t)
+	var state []settings.Peer
+	for _, p := range all {
+		state = append(state, p.peer)
+	}
+	var entries []settings.Peer
+	var started []*spreadlink.Watcher
+	for i := range n {
+		w := spreadlink.NewWatcher(spreadlink.Options{Instance: string(rune('1' + i)), DataCenter: "dakar-a", State: state, Dial: dial})
+		entries = append(entries, settings.Peer{Name: string(rune('1' + i)), DataCenter: "dakar-a", Address: settings.Address{Value: serveEntry(t, w)}})
+		started = append(started, w)
+	}
+	for _, w := range started {
+		w.SetEntries(entries)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			stop()
+			<-done
+		})
+	}
+	return started
+}
+
+func waitFor(w *spreadlink.Watcher, revision uint64) *model.View {
+	for {
+		changed := w.Changed()
+		if w.Current() != nil && w.Revision() >= revision {
+			return w.Current()
+		}
+		<-changed
+	}
+}
+
+func TestRevisionsReachAllEntries(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 3)
+	entries := watchers(t, all, 4)
+	for _, w := range entries {
+		waitFor(w, 0)
+	}
+	c := newClient(t, all, "entry-1")
+	_, err := c.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	_, err = c.Propose(t.Context(), proposal("two", "alerts", 3))
+	is.NoErr(err)
+	for _, w := range entries {
+		is.Equal(waitFor(w, 2).Classes["alerts"].GetTier(), uint32(3))
+	}
+}
--- /dev/null
+++ b/process/lease/lease.go
@@ -0,0 +1,93 @@
+// Package lease is the deterministic state machine of leases with fencing
+// numbers, and the holder's own check of its lease.
+//
+// The log holds no time: who holds a lease, under which fencing number and for
+// how long, is replicated; whether it has run out is judged by the leader's
+// monotonic clock from the last renewal that it applied (Timer).
+package lease
+
+import (
+	"maps"
+	"slices"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// maxDurationMs is the longest lease.
+const maxDurationMs = 60_000
+
+// Table holds all leases. Calls must not overlap.
+type Table struct {
+	leases map[string]*lilacv1.LeaseEntry
+}
+
+// NewTable returns a Table without leases.
+func NewTable() *Table { return &Table{leases: make(map[string]*lilacv1.LeaseEntry)} }
+
+// Apply takes, renews or gives back a lease.
+//
+// It guards against two holders that both give orders: the second is granted
+// only with the fencing number of the one that has run out, and each new
+// holding gets a number greater than all before, so that an engine can tell.
+func (t *Table) Apply(r *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error) {
+	if r.GetName() == "" || r.GetHolder() == "" || r.GetIncarnation() == "" || r.GetDurationMs() > maxDurationMs {
+		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "a lease names what it is for, its holder and incarnation, and lasts at most %d ms", maxDurationMs)
+	}
+	old := t.leases[r.GetName()]
+	if old == nil {
+		old = &lilacv1.LeaseEntry{Name: r.GetName()}
+	}
+	own := old.GetHolder() == r.GetHolder() && old.GetIncarnation() == r.GetIncarnation()
+	free := old.GetHolder() == "" || old.GetFencing() == r.GetExpiredFencing()
+	if r.GetDurationMs() == 0 {
+		return t.giveBack(old, own), nil
+	}
+	if !own && !free {
+		return reply(old, false), nil
+	}
+	next := &lilacv1.LeaseEntry{
+		Name: r.GetName(), Holder: r.GetHolder(), Incarnation: r.GetIncarnation(),
+		Fencing: old.GetFencing(), DurationMs: r.GetDurationMs(), Renewal: old.GetRenewal() + 1,
+	}
+	if !own {
+		next.Fencing++
+	}
+	t.leases[r.GetName()] = next
+	return reply(next, true), nil
+}
+
+func (t *Table) giveBack(old *lilacv1.LeaseEntry, own bool) *lilacv1.LeaseReply {
+	if own {
+		old = &lilacv1.LeaseEntry{Name: old.GetName(), Fencing: old.GetFencing(), Renewal: old.GetRenewal() + 1}
+		t.leases[old.GetName()] = old
+	}
+	return reply(old, false)
+}
+
+func reply(e *lilacv1.LeaseEntry, granted bool) *lilacv1.LeaseReply {
+	return &lilacv1.LeaseReply{
+		Granted: granted, Holder: e.GetHolder(), Incarnation: e.GetIncarnation(),
+		Fencing: e.GetFencing(), DurationMs: e.GetDurationMs(), Renewal: e.GetRenewal(),
+	}
+}
+
+// All returns the leases in order of name.
+func (t *Table) All() []*lilacv1.LeaseEntry {
+	list := make([]*lilacv1.LeaseEntry, 0, len(t.leases))
+	for _, name := range slices.Sorted(maps.Keys(t.leases)) {
+		list = append(list, t.leases[name])
+	}
+	return list
+}
+
+// Snapshot returns all that Restore needs.
+func (t *Table) Snapshot() *lilacv1.LeaseSnapshot { return &lilacv1.LeaseSnapshot{Leases: t.All()} }
+
+// Restore replaces the whole state.
+func (t *Table) Restore(s *lilacv1.LeaseSnapshot) {
+	t.leases = make(map[string]*lilacv1.LeaseEntry)
+	for _, e := range s.GetLeases() {
+		t.leases[e.GetName()] = e
+	}
+}
--- /dev/null
+++ b/process/ledger/keytime.go
@@ -0,0 +1,54 @@
+package ledger
+
+import (
+	"encoding/hex"
+	"strings"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	// maxAhead is how far a key's own time may lie ahead of the ledger's.
+	maxAhead = time.Hour
+
+	uuidLength = 36
+	// timeDigits are the hexadecimal digits of the time in a UUID of version 7.
+	timeDigits = 12
+)
+
+// keyTime returns the time in Unix milliseconds that a key carries in itself:
+// keys that are UUIDs of version 7 (RFC 9562) do.
+func keyTime(key string) (int64, bool) {
+	if len(key) != uuidLength || key[8] != '-' || key[13] != '-' || key[18] != '-' || key[23] != '-' || key[14] != '7' {
+		return 0, false
+	}
+	digits := strings.ReplaceAll(key, "-", "")
+	raw, err := hex.DecodeString(digits)
+	if err != nil {
+		return 0, false
+	}
+	var ms int64
+	for _, b := range raw[:timeDigits/2] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms, true
+}
+
+// checkTimed refuses a key from the future: its own time would refuse it only
+// long after its entry has been dropped.
+func (l *Ledger) checkTimed(key string) error {
+	made, timed := keyTime(key)
+	if !timed || made <= l.nowMs+maxAhead.Milliseconds() {
+		return nil
+	}
+	return fault.New(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST,
+		"the time in the Idempotency-Key lies more than an hour ahead; set the caller's clock",
+		fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+}
+
+func isTimed(key string) bool {
+	_, timed := keyTime(key)
+	return timed
+}
--- /dev/null
+++ b/process/ledger/ledger.go
@@ -0,0 +1,262 @@
+// Package ledger is the deterministic state machine that lets each
+// non-idempotent request run at most once.
+//
+// A request is claimed by team and key before its first byte goes out, and its
+// outcome is recorded when it ended. States only move forward: claimed, then
+// ran, unknown or not_run; only not_run lets a new claim follow. Time comes in
+// the commands and only grows. See docs/notes/ledger.md for what a key means
+// after its retention.
+package ledger
+
+import (
+	"container/list"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// Limits bound what the ledger keeps. All processes of a group must have the same.
+type Limits struct {
+	// Retention is how long a key's state and answer are kept. Default 24h.
+	Retention time.Duration
+	// AnswerBytes is the largest answer that is kept. Default 64 KiB.
+	AnswerBytes int
+	// TotalAnswerBytes bounds all kept answers together; the oldest go first.
+	// Default 32 MiB.
+	TotalAnswerBytes int
+	// Entries bounds the keys within their retention; ended ones become
+	// tombstones early where there are more. Default 100000.
+	Entries int
+	// Tombstones bounds the remembered keys past their retention, once for keys
+	// that carry a time and once for the others. A key that is not remembered
+	// would run again, so new claims are refused when there is no room to
+	// remember them. Default 1000000.
+	Tombstones int
+}
+
+const (
+	defaultRetention        = 24 * time.Hour
+	defaultAnswerBytes      = 64 << 10
+	defaultTotalAnswerBytes = 32 << 20
+	defaultEntries          = 100000
+	defaultTombstones       = 1000000
+
+	digestBytes = 32
+	maxKeyBytes = 256
+	// maxGone is how many gone incarnations are remembered.
+	maxGone = 16384
+	// sweepStep bounds the old entries that one command clears away, so that no
+	// command is slow.
+	sweepStep = 8
+)
+
+func (l Limits) withDefaults() Limits {
+	fill := func(field *int, value int) {
+		if *field <= 0 {
+			*field = value
+		}
+	}
+	if l.Retention <= 0 {
+		l.Retention = defaultRetention
+	}
+	fill(&l.AnswerBytes, defaultAnswerBytes)
+	fill(&l.TotalAnswerBytes, defaultTotalAnswerBytes)
+	fill(&l.Entries, defaultEntries)
+	fill(&l.Tombstones, defaultTombstones)
+	return l
+}
+
+type id struct{ team, key string }
+
+// entry is a remembered request; the fields of the message are only changed here.
+type entry struct {
+	*lilacv1.LedgerEntry
+	place       *list.Element
+	answerPlace *list.Element
+}
+
+// Ledger is the state machine. Calls must not overlap.
+type Ledger struct {
+	limits  Limits
+	nowMs   int64
+	entries map[id]*entry
+	// order holds the entries from the oldest claim on; answers those with a
+	// kept body, from the oldest answer on.
+	order       *list.List
+	answers     *list.List
+	answerBytes int
+	tombstones  *tombstones
+	instances   *incarnations
+	// untimed counts the entries whose key carries no time; each has a place
+	// among the tombstones reserved.
+	untimed int
+	late    uint64
+}
+
+// New returns an empty Ledger.
+func New(limits Limits) *Ledger {
+	return &Ledger{
+		limits:     limits.withDefaults(),
+		entries:    make(map[id]*entry),
+		order:      list.New(),
+		answers:    list.New(),
+		tombstones: newTombstones(),
+		instances:  newIncarnations(),
+	}
+}
+
+// Len returns the number of keys within their retention.
+func (l *Ledger) Len() int { return len(l.entries) }
+
+// Tombstones returns the number of remembered keys past their retention.
+func (l *Ledger) Tombstones() int { return l.tombstones.size() }
+
+// LateOutcomes counts outcomes that came when the claim had already ended
+// otherwise, as when its instance was taken for dead; the state stayed.
+func (l *Ledger) LateOutcomes() uint64 { return l.late }
+
+// advance moves the ledger's time; a command with an older time changes nothing.
+func (l *Ledger) advance(nowUnixMs int64) {
+	l.nowMs = max(l.nowMs, nowUnixMs)
+	l.sweep()
+}
+
+// Claim decides whether the request may run. Its order of checks matters: a key
+// that might have run before is never granted, whatever else is wrong with it.
+func (l *Ledger) Claim(r *lilacv1.ClaimRequest) (*lilacv1.ClaimReply, error) {
+	l.advance(r.GetNowUnixMs())
+	if err := checkClaim(r); err != nil {
+		return nil, err
+	}
+	if err := l.instances.seen(r.GetInstance(), r.GetIncarnation(), l.endOpenClaims); err != nil {
+		return nil, err
+	}
+	key := id{r.GetTeam(), r.GetKey()}
+	if l.expired(key) {
+		return &lilacv1.ClaimReply{Expired: true}, nil
+	}
+	if old, ok := l.entries[key]; ok {
+		return l.again(old, r), nil
+	}
+	if err := l.checkTimed(r.GetKey()); err != nil {
+		return nil, err
+	}
+	if err := l.makeRoom(r.GetKey()); err != nil {
+		return nil, err
+	}
+	l.add(&lilacv1.LedgerEntry{
+		Team: r.GetTeam(), Key: r.GetKey(), Digest: r.GetDigest(),
+		Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), Attempt: r.GetAttempt(),
+		State: lilacv1.ClaimState_CLAIM_STATE_CLAIMED, ClaimedUnixMs: l.nowMs,
+	})
+	return &lilacv1.ClaimReply{Granted: true, State: lilacv1.ClaimState_CLAIM_STATE_CLAIMED}, nil
+}
+
+func checkClaim(r *lilacv1.ClaimRequest) error {
+	problem := ""
+	switch {
+	case r.GetTeam() == "":
+		problem = "the claim names no team"
+	case r.GetKey() == "" || len(r.GetKey()) > maxKeyBytes:
+		problem = "an Idempotency-Key has 1 to 256 bytes"
+	case len(r.GetDigest()) != digestBytes:
+		problem = "the claim carries no SHA-256 of the request"
+	case r.GetInstance() == "" || r.GetIncarnation() == "" || r.GetAttempt() == "":
+		problem = "the claim names no instance, incarnation or attempt"
+	default:
+		return nil
+	}
+	return fault.New(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, problem+"; mend the request", fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+}
+
+// again answers a claim of a key that is known.
+func (l *Ledger) again(old *entry, r *lilacv1.ClaimRequest) *lilacv1.ClaimReply {
+	if len(old.GetDigest()) == 0 {
+		// Released before the claim itself arrived; the first body to come counts.
+		old.Digest = r.GetDigest()
+	}
+	if string(old.GetDigest()) != string(r.GetDigest()) {
+		return &lilacv1.ClaimReply{State: old.GetState(), BodyDiffers: true}
+	}
+	sameAttempt := old.GetAttempt() == r.GetAttempt()
+	switch old.GetState() {
+	case lilacv1.ClaimState_CLAIM_STATE_CLAIMED:
+		// The same attempt again means that its answer was lost on the way.
+		return &lilacv1.ClaimReply{Granted: sameAttempt, State: old.GetState()}
+	case lilacv1.ClaimState_CLAIM_STATE_NOT_RUN:
+		// A delayed copy of a claim that was given up must not open it again:
+		// nobody waits for its grant any more.
+		if sameAttempt {
+			return &lilacv1.ClaimReply{State: old.GetState()}
+		}
+		l.reopen(old, r)
+		return &lilacv1.ClaimReply{Granted: true, State: old.GetState()}
+	}
+	return &lilacv1.ClaimReply{State: old.GetState(), Answer: old.GetAnswer()}
+}
+
+// Outcome records how a claimed request ended. The same outcome again is
+// confirmed again; a state that is no longer claimed stays as it is.
+func (l *Ledger) Outcome(r *lilacv1.OutcomeRequest) (*lilacv1.OutcomeReply, error) {
+	l.advance(r.GetNowUnixMs())
+	if !ended(r.GetState()) || r.GetTeam() == "" || r.GetKey() == "" || r.GetAttempt() == "" || len(r.GetKey()) > maxKeyBytes {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "an outcome names team, key, attempt and one of ran, unknown or not_run")
+	}
+	key := id{r.GetTeam(), r.GetKey()}
+	old, ok := l.entries[key]
+	if !ok {
+		return l.outcomeWithoutClaim(key, r)
+	}
+	if old.GetAttempt() != r.GetAttempt() {
+		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "another attempt holds this key, in state %s; the outcome is not recorded", StateName(old.GetState()))
+	}
+	if old.GetState() != lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
+		if old.GetState() != r.GetState() {
+			l.late++
+		}
+		return &lilacv1.OutcomeReply{State: old.GetState()}, nil
+	}
+	l.finish(old, r.GetState(), r.GetAnswer())
+	return &lilacv1.OutcomeReply{State: old.GetState()}, nil
+}
+
+// outcomeWithoutClaim remembers that an attempt was given up before its claim arrived.
+//
+// It guards against a claim that is delayed on the way while its instance gives
+// up and says so: the claim would stand open for ever and the caller's resend
+// would be told "in progress". It holds because the attempt is already marked
+// not_run when its claim arrives.
+func (l *Ledger) outcomeWithoutClaim(key id, r *lilacv1.OutcomeRequest) (*lilacv1.OutcomeReply, error) {
+	if l.expired(key) || r.GetState() != lilacv1.ClaimState_CLAIM_STATE_NOT_RUN {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "no such claim is remembered; its retention has passed, or it never was")
+	}
+	if l.checkTimed(r.GetKey()) != nil || l.makeRoom(r.GetKey()) != nil {
+		return &lilacv1.OutcomeReply{State: r.GetState()}, nil
+	}
+	l.add(&lilacv1.LedgerEntry{Team: r.GetTeam(), Key: r.GetKey(), Attempt: r.GetAttempt(), State: r.GetState(), ClaimedUnixMs: l.nowMs})
+	return &lilacv1.OutcomeReply{State: r.GetState()}, nil
+}
+
+func ended(state lilacv1.ClaimState) bool {
+	switch state {
+	case lilacv1.ClaimState_CLAIM_STATE_RAN, lilacv1.ClaimState_CLAIM_STATE_UNKNOWN, lilacv1.ClaimState_CLAIM_STATE_NOT_RUN:
+		return true
+	}
+	return false
+}
+
+// StateName returns the state as it stands in messages, such as "not_run".
+func StateName(state lilacv1.ClaimState) string {
+	switch state {
+	case lilacv1.ClaimState_CLAIM_STATE_CLAIMED:
+		return "claimed"
+	case lilacv1.ClaimState_CLAIM_STATE_RAN:
+		return "ran"
+	case lilacv1.ClaimState_CLAIM_STATE_UNKNOWN:
+		return "unknown"
+	case lilacv1.ClaimState_CLAIM_STATE_NOT_RUN:
+		return "not_run"
+	}
+	return "unspecified"
+}
--- /dev/null
+++ b/process/ledger/ledger_test.go
@@ -0,0 +1,234 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	claimed = lilacv1.ClaimState_CLAIM_STATE_CLAIMED
+	ran     = lilacv1.ClaimState_CLAIM_STATE_RAN
+	unknown = lilacv1.ClaimState_CLAIM_STATE_UNKNOWN
+	notRun  = lilacv1.ClaimState_CLAIM_STATE_NOT_RUN
+
+	hour  = int64(time.Hour / time.Millisecond)
+	start = 1_764_700_000_000
+)
+
+func digest(b byte) []byte {
+	d := make([]byte, digestBytes)
+	d[0] = b
+	return d
+}
+
+func claim(key, attempt string, nowMs int64) *lilacv1.ClaimRequest {
+	return &lilacv1.ClaimRequest{Team: "coop", Key: key, Digest: digest(1), Instance: "entry-1", Incarnation: "one", Attempt: attempt, NowUnixMs: nowMs}
+}
+
+func outcome(key, attempt string, state lilacv1.ClaimState, body string) *lilacv1.OutcomeRequest {
+	return &lilacv1.OutcomeRequest{Team: "coop", Key: key, Attempt: attempt, State: state, NowUnixMs: start,
+		Answer: &lilacv1.StoredAnswer{Status: 200, Body: []byte(body)}}
+}
+
+func timedKey(ms int64, n int) string {
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
+
+// grant claims and fails the test unless the claim is granted.
+func grant(t *testing.T, l *Ledger, r *lilacv1.ClaimRequest) {
+	t.Helper()
+	reply, err := l.Claim(r)
+	is := is.New(t)
+	is.NoErr(err)
+	is.True(reply.GetGranted())
+}
+
+func TestSecondClaimIsToldWhereTheFirstStands(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		end     lilacv1.ClaimState
+		granted bool
+		state   lilacv1.ClaimState
+	}{
+		{"in progress", claimed, false, claimed},
+		{"ran", ran, false, ran},
+		{"unknown", unknown, false, unknown},
+		{"not run", notRun, true, claimed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(Limits{})
+			grant(t, l, claim("k", "a1", start))
+			grant(t, l, claim("k", "a1", start))
+			if c.end != claimed {
+				_, err := l.Outcome(outcome("k", "a1", c.end, "filed"))
+				is.NoErr(err)
+			}
+			other := claim("k", "a2", start)
+			other.Digest = digest(2)
+			reply, err := l.Claim(other)
+			is.NoErr(err)
+			is.True(reply.GetBodyDiffers() && !reply.GetGranted())
+			reply, err = l.Claim(claim("k", "a2", start))
+			is.NoErr(err)
+			is.Equal(reply.GetGranted(), c.granted)
+			is.Equal(reply.GetState(), c.state)
+			is.Equal(string(reply.GetAnswer().GetBody()) == "filed", c.end == ran)
+		})
+	}
+}
+
+// An entry dies with a booking in flight and is replaced. Its caller sends the
+// booking again: it must hear "unknown", never run it again. A claim of the dead
+// one that was still on the way must not be granted any more.
+func TestClaimOfADeadInstanceBecomesUnknown(t *testing.T) {
+	for name, die := range map[string]func(l *Ledger) error{
+		"declared gone": func(l *Ledger) error {
+			l.Gone(&lilacv1.IncarnationsGone{Incarnations: []string{"one"}, NowUnixMs: start})
+			return nil
+		},
+		"restarted": func(l *Ledger) error {
+			r := claim("other", "b", start)
+			r.Incarnation = "two"
+			_, err := l.Claim(r)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(Limits{})
+			grant(t, l, claim("k", "a1", start))
+			is.NoErr(die(l))
+			again := claim("k", "a2", start)
+			again.Instance, again.Incarnation = "entry-2", "three"
+			reply, err := l.Claim(again)
+			is.NoErr(err)
+			is.True(!reply.GetGranted())
+			is.Equal(reply.GetState(), unknown)
+			_, err = l.Claim(claim("late", "a3", start))
+			is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+			late, err := l.Outcome(outcome("k", "a1", notRun, ""))
+			is.NoErr(err)
+			is.Equal(late.GetState(), unknown)
+			is.Equal(l.LateOutcomes(), uint64(1))
+		})
+	}
+}
+
+// An entry gives up on a claim whose answer does not come, and says that the
+// request did not run. Then the delayed claim arrives after all. It must not
+// stand open, or the caller's resend would be "in progress" for ever.
+func TestDelayedClaimAfterItWasGivenUp(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{})
+	_, err := l.Outcome(outcome("k", "a1", notRun, ""))
+	is.NoErr(err)
+	reply, err := l.Claim(claim("k", "a1", start))
+	is.NoErr(err)
+	is.True(!reply.GetGranted())
+	grant(t, l, claim("k", "a2", start))
+}
+
+// A caller keeps an old key and sends it long after the retention. Whether the
+// key carries its time or not, whatever has been cleared away, and also after a
+// restart from a snapshot: it must be refused as expired and never run again.
+func TestKeyPastItsRetentionNeverRunsAgain(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{Retention: time.Hour})
+	keys := []string{"plain", timedKey(start, 1), timedKey(start-hour/2, 2)}
+	for i, key := range keys {
+		grant(t, l, claim(key, fmt.Sprint("a", i), start))
+		_, err := l.Outcome(outcome(key, fmt.Sprint("a", i), ran, "x"))
+		is.NoErr(err)
+	}
+	for after := int64(1); after < 50; after++ {
+		grant(t, l, claim(fmt.Sprint("filler", after), "f", start+after*hour))
+		for _, key := range keys {
+			reply, err := l.Claim(claim(key, "again", start+after*hour))
+			is.NoErr(err)
+			is.True(!reply.GetGranted() && reply.GetExpired())
+		}
+		restored := New(Limits{Retention: time.Hour})
+		restored.Restore(l.Snapshot())
+		l = restored
+	}
+	// The plain key and the fillers are remembered, the timed ones need no place.
+	is.Equal(l.Len()+l.Tombstones(), 1+49)
+}
+
+func TestFullLedgerRefusesRatherThanForgets(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{Retention: time.Hour, Entries: 4, Tombstones: 6})
+	for i := range 6 {
+		grant(t, l, claim(fmt.Sprint(i), "a", start))
+		_, err := l.Outcome(outcome(fmt.Sprint(i), "a", ran, "x"))
+		is.NoErr(err)
+	}
+	_, err := l.Claim(claim("one more", "a", start))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_LIMIT))
+	is.Equal(fault.NotRunOf(err), lilacv1.NotRun_NOT_RUN_TRUE)
+	for i := range 6 {
+		reply, err := l.Claim(claim(fmt.Sprint(i), "b", start))
+		is.NoErr(err)
+		is.True(!reply.GetGranted())
+	}
+	grant(t, l, claim(timedKey(start, 1), "a", start))
+	_, err = l.Claim(claim(timedKey(start+2*hour, 1), "a", start))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{AnswerBytes: 4, TotalAnswerBytes: 8})
+	for i, body := range []string{"large", "aaaa", "bbbb", "cccc"} {
+		key := fmt.Sprint(i)
+		grant(t, l, claim(key, "a", start))
+		_, err := l.Outcome(outcome(key, "a", ran, body))
+		is.NoErr(err)
+	}
+	for key, tooLarge := range map[string]bool{"0": true, "1": true, "2": false, "3": false} {
+		reply, err := l.Claim(claim(key, "b", start))
+		is.NoErr(err)
+		is.Equal(reply.GetAnswer().GetTooLarge(), tooLarge)
+		is.Equal(reply.GetAnswer().GetStatus(), uint32(200))
+	}
+	is.Equal(l.answerBytes, 8)
+}
+
+func TestSnapshotHoldsEverything(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{Retention: time.Hour})
+	for i := range 20 {
+		grant(t, l, claim(fmt.Sprint(i), fmt.Sprint(i), start+int64(i)*hour/8))
+	}
+	l.Gone(&lilacv1.IncarnationsGone{Incarnations: []string{"one"}})
+	restored := New(Limits{Retention: time.Hour})
+	restored.Restore(proto.CloneOf(l.Snapshot()))
+	is.True(proto.Equal(l.Snapshot(), restored.Snapshot()))
+	is.Equal(restored.OpenClaims(), 0)
+}
+
+func TestMalformedClaimsAreRefused(t *testing.T) {
+	for name, spoil := range map[string]func(*lilacv1.ClaimRequest){
+		"no team":     func(r *lilacv1.ClaimRequest) { r.Team = "" },
+		"no key":      func(r *lilacv1.ClaimRequest) { r.Key = "" },
+		"long key":    func(r *lilacv1.ClaimRequest) { r.Key = string(make([]byte, 257)) },
+		"no digest":   func(r *lilacv1.ClaimRequest) { r.Digest = nil },
+		"no instance": func(r *lilacv1.ClaimRequest) { r.Instance = "" },
+		"no attempt":  func(r *lilacv1.ClaimRequest) { r.Attempt = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := claim("k", "a", start)
+			spoil(r)
+			_, err := New(Limits{}).Claim(r)
+			is.New(t).True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
+		})
+	}
+}
--- /dev/null
+++ b/version/config/change.go
@@ -0,0 +1,108 @@
+package config
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// undo takes back one step of a revision.
+type undo func()
+
+// put sets items[name], or drops it where item is nil, and returns the undo.
+func put[K comparable, T any](items map[K]*T, name K, item *T) undo {
+	old, had := items[name]
+	if item == nil {
+		delete(items, name)
+	} else {
+		items[name] = item
+	}
+	return func() {
+		if had {
+			items[name] = old
+		} else {
+			delete(items, name)
+		}
+	}
+}
+
+// change applies one step that has been checked, and returns its undos.
+func (t *tables) change(c *lilacv1.Change) []undo {
+	switch op := c.GetOp().(type) {
+	case *lilacv1.Change_SetClass:
+		return t.putClass(op.SetClass.GetName(), op.SetClass)
+	case *lilacv1.Change_DropClass:
+		return t.putClass(op.DropClass, nil)
+	case *lilacv1.Change_SetTeam:
+		return []undo{put(t.teams, op.SetTeam.GetName(), op.SetTeam)}
+	case *lilacv1.Change_DropTeam:
+		return []undo{put(t.teams, op.DropTeam, nil)}
+	case *lilacv1.Change_SetServer:
+		return []undo{put(t.servers, op.SetServer.GetName(), op.SetServer)}
+	case *lilacv1.Change_DropServer:
+		return t.dropServer(op.DropServer)
+	case *lilacv1.Change_DrainServer:
+		return t.drainServer(op.DrainServer)
+	case *lilacv1.Change_SetInstance:
+		return []undo{t.setInstance(op.SetInstance)}
+	case *lilacv1.Change_Convict:
+		return []undo{put(t.convictions, op.Convict.GetDigest(), op.Convict)}
+	case *lilacv1.Change_LiftConviction:
+		return []undo{put(t.convictions, op.LiftConviction, nil)}
+	case *lilacv1.Change_OrderModel:
+		return []undo{put(t.orders, keyOf(op.OrderModel), op.OrderModel)}
+	}
+	return nil
+}
+
+func (t *tables) putClass(name string, class *lilacv1.Class) []undo {
+	shares := t.shares
+	t.shares += class.GetSharePermille() - t.classes[name].GetSharePermille()
+	return []undo{put(t.classes, name, class), func() { t.shares = shares }}
+}
+
+// dropServer drops the orders for the server too: they would never be carried out.
+func (t *tables) dropServer(name string) []undo {
+	undos := []undo{put(t.servers, name, nil)}
+	for key := range t.orders {
+		if key.server == name {
+			undos = append(undos, put(t.orders, key, nil))
+		}
+	}
+	return undos
+}
+
+func (t *tables) drainServer(drain *lilacv1.ServerDrain) []undo {
+	server := proto.CloneOf(t.servers[drain.GetServer()])
+	if server == nil {
+		return nil
+	}
+	server.Draining = drain.GetDraining()
+	return []undo{put(t.servers, server.GetName(), server)}
+}
+
+// setInstance keeps draining instances only: names of replaced instances would
+// pile up otherwise.
+func (t *tables) setInstance(state *lilacv1.InstanceState) undo {
+	if !state.GetDraining() {
+		return put(t.instances, state.GetName(), nil)
+	}
+	return put(t.instances, state.GetName(), state)
+}
+
+// dropExpired drops convictions whose time is over at the proposal's clock.
+func (t *tables) dropExpired(nowUnixMs int64) []undo {
+	var undos []undo
+	for digest, conviction := range t.convictions {
+		if conviction.GetExpiresUnixMs() <= nowUnixMs {
+			undos = append(undos, put(t.convictions, digest, nil))
+		}
+	}
+	return undos
+}
+
+func takeBack(undos []undo) {
+	for i := len(undos) - 1; i >= 0; i-- {
+		undos[i]()
+	}
+}
--- /dev/null
+++ b/version/config/config_test.go
@@ -0,0 +1,213 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+func class(name string, tier, share uint32) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_SetClass{SetClass: &lilacv1.Class{Name: name, Tier: tier, FirstTokenMs: 420, SharePermille: share}}}
+}
+
+func team(name string) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_SetTeam{SetTeam: &lilacv1.Team{Name: name, Weight: 1}}}
+}
+
+func server(name, address string) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_SetServer{SetServer: &lilacv1.Server{
+		Name: name, Address: address, DataCenter: "dakar-a", Kind: lilacv1.ServerKind_SERVER_KIND_ENGINE, Serves: []string{"redaction"}}}}
+}
+
+func convict(digest string, expires int64) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_Convict{Convict: &lilacv1.Conviction{Digest: digest, ExpiresUnixMs: expires}}}
+}
+
+func order(name, model string) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_OrderModel{OrderModel: &lilacv1.ModelOrder{Server: name, Model: model, Loaded: true}}}
+}
+
+func proposal(id string, changes ...*lilacv1.Change) *lilacv1.Proposal {
+	return &lilacv1.Proposal{CommandId: id, Who: "awa", Instance: "entry-1", Statement: "statement " + id, Changes: changes, ProposedUnixMs: 1000}
+}
+
+func kindOf(r *lilacv1.CommandResult) fault.Kind { return r.GetStatus().GetKind() }
+
+func TestInvalidChangesChangeNothing(t *testing.T) {
+	for name, changes := range map[string][]*lilacv1.Change{
+		"no change":             nil,
+		"unknown kind":          {{}},
+		"tier above 3":          {class("a", 4, 0)},
+		"shares above 1000":     {class("a", 0, 600), class("b", 0, 500)},
+		"share that wraps":      {class("a", 0, 600), class("b", 0, 4294967295)},
+		"class without name":    {class("", 0, 0)},
+		"class without target":  {{Op: &lilacv1.Change_SetClass{SetClass: &lilacv1.Class{Name: "a"}}}},
+		"drop of unknown class": {{Op: &lilacv1.Change_DropClass{DropClass: "none"}}},
+		"drop of unknown team":  {{Op: &lilacv1.Change_DropTeam{DropTeam: "none"}}},
+		"address by name":       {server("r1", "engine.example:80")},
+		"address without port":  {server("r1", "10.0.0.1")},
+		"drain of unknown":      {{Op: &lilacv1.Change_DrainServer{DrainServer: &lilacv1.ServerDrain{Server: "none"}}}},
+		"order to unknown":      {order("none", "m")},
+		"convict for ever":      {convict("d", 0)},
+		"lift of unknown":       {{Op: &lilacv1.Change_LiftConviction{LiftConviction: "none"}}},
+		"last of three wrong":   {team("x"), class("y", 1, 100), class("z", 9, 0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := NewMachine(0)
+			is.Equal(kindOf(m.Apply(proposal("1", class("kept", 0, 100)))), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
+			before := m.Config()
+			is.Equal(kindOf(m.Apply(proposal("2", changes...))), lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE)
+			is.True(proto.Equal(before, m.Config()))
+			is.Equal(m.tables.shares, uint32(100))
+		})
+	}
+}
+
+// Two operators both look at revision 1 and both order a change with
+// IF REVISION 1. One must win, and the other must be told whose change, under
+// which number, came first, even when more changes followed.
+func TestEqualNumbersHaveOneWinner(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(0)
+	m.Apply(proposal("1", class("a", 0, 0)))
+	first, second := proposal("2", class("a", 1, 0)), proposal("3", class("a", 2, 0))
+	first.IfRevision, second.IfRevision = 1, 1
+	first.Who = "moussa"
+	is.Equal(m.Apply(first).GetPropose().GetRevision(), uint64(2))
+	m.Apply(proposal("4", team("t")))
+	lost := m.Apply(second)
+	is.Equal(kindOf(lost), lilacv1.ErrorKind_ERROR_KIND_CONFLICT)
+	is.Equal(lost.GetPropose().GetWinner().GetNumber(), uint64(2))
+	is.Equal(lost.GetPropose().GetWinner().GetWho(), "moussa")
+	again := m.Apply(second)
+	is.Equal(kindOf(again), lilacv1.ErrorKind_ERROR_KIND_CONFLICT)
+	is.True(again.GetPropose().GetRepeatedCommand())
+}
+
+// An operator's answer is lost and the client sends the command again, in the
+// meantime another operator changed the same class. The resend must get its
+// first answer and must not undo the other's change, also after the process
+// restarted from a snapshot.
+func TestResentCommandGetsItsFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(0)
+	m.Apply(proposal("1", class("a", 0, 0)))
+	m.Apply(proposal("2", class("a", 3, 0)))
+	restored := NewMachine(0)
+	restored.Restore(m.Snapshot())
+	for _, machine := range []*Machine{m, restored} {
+		again := machine.Apply(proposal("1", class("a", 0, 0)))
+		is.Equal(again.GetPropose().GetRevision(), uint64(1))
+		is.True(again.GetPropose().GetRepeatedCommand())
+		is.Equal(machine.Config().GetClasses()[0].GetTier(), uint32(3))
+		is.Equal(machine.Revision(), uint64(2))
+		other := proposal("1", class("b", 0, 0))
+		other.Statement = "another"
+		is.Equal(kindOf(machine.Apply(other)), lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST)
+	}
+}
+
+func TestRetentionBoundsTrailAndCommands(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(10)
+	for i := range 30 {
+		m.Apply(proposal(fmt.Sprint(i), team(fmt.Sprint(i))))
+	}
+	is.Equal(len(m.Audit(0, 100)), 10)
+	is.Equal(m.Audit(25, 3)[0].GetNumber(), uint64(25))
+	is.Equal(len(m.audit.commands), 10)
+	_, held := m.Since(19, 5)
+	is.Equal(held, false)
+	revisions, held := m.Since(20, 5)
+	is.True(held)
+	is.Equal(revisions[0].GetNumber(), uint64(21))
+	is.Equal(len(revisions), 5)
+	for i := range RefusedRetention + 10 {
+		m.Apply(proposal(fmt.Sprint("bad", i)))
+	}
+	is.Equal(len(m.refused.results), RefusedRetention)
+}
+
+func TestDryRunChangesNothing(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(0)
+	p := proposal("1", class("a", 0, 500), team("t"))
+	p.DryRun = true
+	is.Equal(m.Apply(p).GetPropose().GetRevision(), uint64(1))
+	is.Equal(m.Revision(), uint64(0))
+	is.Equal(m.tables.shares, uint32(0))
+	p.DryRun = false
+	is.Equal(m.Apply(p).GetPropose().GetRepeatedCommand(), false)
+}
+
+// The followers apply the same revisions as the machine and must end with the
+// same configuration: convictions that ran out, drained servers and orders for
+// a dropped server included.
+func TestHolderEndsWhereTheMachineIs(t *testing.T) {
+	is := is.New(t)
+	m, h := NewMachine(0), NewHolder()
+	is.NoErr(h.Load(m.Config()))
+	late := proposal("5", team("t2"))
+	late.ProposedUnixMs = 5000
+	for _, p := range []*lilacv1.Proposal{
+		proposal("1", class("a", 0, 10), team("t"), server("r1", "10.0.0.1:80"), server("r2", "10.0.0.2:80")),
+		proposal("2", order("r1", "m"), order("r2", "m"), convict("d1", 4000), convict("d2", 9000)),
+		proposal("3", &lilacv1.Change{Op: &lilacv1.Change_DrainServer{DrainServer: &lilacv1.ServerDrain{Server: "r2", Draining: true}}}),
+		proposal("4", &lilacv1.Change{Op: &lilacv1.Change_DropServer{DropServer: "r1"}}),
+		late,
+	} {
+		is.Equal(kindOf(m.Apply(p)), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
+	}
+	held := h.Current()
+	revisions, _ := m.Since(0, 100)
+	is.NoErr(h.Apply(revisions[:2]))
+	is.NoErr(h.Apply(revisions))
+	is.True(proto.Equal(h.Config(), m.Config()))
+	is.Equal(len(held.Classes), 0)
+	view := h.Current()
+	is.Equal(len(view.Convictions), 1)
+	is.Equal(len(view.Orders), 1)
+	is.True(view.Servers["r2"].GetDraining())
+	is.Equal(len(view.Pools["redaction"]), 1)
+
+	is.True(fault.Is(h.Load(m.Config()), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	gap := []*lilacv1.Revision{{Number: 9}}
+	is.True(fault.Is(h.Apply(gap), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	is.Equal(h.Revision(), uint64(5))
+}
+
+// BenchmarkChange45000Teams shows that the cost of a change does not grow with
+// the teams on a state process, and what a follower pays.
+func BenchmarkChange45000Teams(b *testing.B) {
+	for _, teams := range []int{10, 45000} {
+		m := NewMachine(1000)
+		for i := range teams {
+			m.Apply(proposal(fmt.Sprint("t", i), team(fmt.Sprint(i))))
+		}
+		h := NewHolder()
+		if err := h.Load(m.Config()); err != nil {
+			b.Fatal(err)
+		}
+		for kind, change := range map[string]*lilacv1.Change{"class": class("a", 0, 1), "team": team("1")} {
+			b.Run(fmt.Sprintf("machine/%s/teams=%d", kind, teams), func(b *testing.B) {
+				for i := range b.N {
+					m.Apply(proposal(fmt.Sprint(b.N, kind, i), change))
+				}
+			})
+			b.Run(fmt.Sprintf("holder/%s/teams=%d", kind, teams), func(b *testing.B) {
+				for range b.N {
+					r := &lilacv1.Revision{Number: h.Revision() + 1, Changes: []*lilacv1.Change{change}}
+					if err := h.Apply([]*lilacv1.Revision{r}); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/version/config/tables.go
@@ -0,0 +1,104 @@
+// Package config is the deterministic state machine of the configuration: it
+// applies proposals, which become revisions, and keeps the audit trail.
+//
+// Machine runs on the state processes, Holder on every instance that follows
+// the revisions. Both change the same tables by the same code, so that a
+// revision means the same everywhere.
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// orderKey names what a ModelOrder is about.
+type orderKey struct{ server, model, adapter string }
+
+// tables hold one revision's items by name. Items are replaced, never changed
+// in place, so that readers may keep them.
+type tables struct {
+	revision    uint64
+	classes     map[string]*lilacv1.Class
+	teams       map[string]*lilacv1.Team
+	servers     map[string]*lilacv1.Server
+	instances   map[string]*lilacv1.InstanceState
+	convictions map[string]*lilacv1.Conviction
+	orders      map[orderKey]*lilacv1.ModelOrder
+	// shares is the sum of the classes' shares, in permille.
+	shares uint32
+}
+
+func newTables() tables {
+	return tables{
+		classes:     make(map[string]*lilacv1.Class),
+		teams:       make(map[string]*lilacv1.Team),
+		servers:     make(map[string]*lilacv1.Server),
+		instances:   make(map[string]*lilacv1.InstanceState),
+		convictions: make(map[string]*lilacv1.Conviction),
+		orders:      make(map[orderKey]*lilacv1.ModelOrder),
+	}
+}
+
+func keyOf(o *lilacv1.ModelOrder) orderKey {
+	return orderKey{o.GetServer(), o.GetModel(), o.GetAdapter()}
+}
+
+// load adds the items of a snapshot.
+func (t *tables) load(s *lilacv1.Snapshot) {
+	t.revision = s.GetRevision()
+	for _, item := range s.GetClasses() {
+		t.classes[item.GetName()] = item
+		t.shares += item.GetSharePermille()
+	}
+	for _, item := range s.GetTeams() {
+		t.teams[item.GetName()] = item
+	}
+	for _, item := range s.GetServers() {
+		t.servers[item.GetName()] = item
+	}
+	for _, item := range s.GetInstances() {
+		t.instances[item.GetName()] = item
+	}
+	for _, item := range s.GetConvictions() {
+		t.convictions[item.GetDigest()] = item
+	}
+	for _, item := range s.GetOrders() {
+		t.orders[keyOf(item)] = item
+	}
+}
+
+// snapshot lists all items in order of name, so that equal tables give equal
+// snapshots, byte for byte.
+func (t *tables) snapshot() *lilacv1.Snapshot {
+	return &lilacv1.Snapshot{
+		Revision:    t.revision,
+		Classes:     sorted(t.classes),
+		Teams:       sorted(t.teams),
+		Servers:     sorted(t.servers),
+		Instances:   sorted(t.instances),
+		Convictions: sorted(t.convictions),
+		Orders:      sortedOrders(t.orders),
+	}
+}
+
+func sorted[T any](items map[string]T) []T {
+	list := make([]T, 0, len(items))
+	for _, name := range slices.Sorted(maps.Keys(items)) {
+		list = append(list, items[name])
+	}
+	return list
+}
+
+func sortedOrders(orders map[orderKey]*lilacv1.ModelOrder) []*lilacv1.ModelOrder {
+	list := slices.Collect(maps.Values(orders))
+	slices.SortFunc(list, func(a, b *lilacv1.ModelOrder) int {
+		return cmp.Or(
+			cmp.Compare(a.GetServer(), b.GetServer()),
+			cmp.Compare(a.GetModel(), b.GetModel()),
+			cmp.Compare(a.GetAdapter(), b.GetAdapter()))
+	})
+	return list
+}
--- /dev/null
+++ b/version/config/validate.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+const (
+	// maxName is the longest name of an item, in bytes.
+	maxName = 128
+	// maxChanges is the most steps that one proposal may hold.
+	maxChanges = 10000
+	// maxProposalBytes keeps a revision within one message between processes.
+	maxProposalBytes = 1 << 20
+	// wholeShare is what the shares of all classes may add up to, in permille.
+	wholeShare = 1000
+	// maxConvictions bounds what instances may add by themselves.
+	maxConvictions = 10000
+)
+
+func invalid(format string, args ...any) error {
+	return fault.New(lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE, fmt.Sprintf(format, args...),
+		fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+}
+
+func checkName(what, name string) error {
+	if name == "" || len(name) > maxName {
+		return invalid("a %s needs a name of 1 to %d bytes", what, maxName)
+	}
+	return nil
+}
+
+func checkKnown[T any](items map[string]*T, what, name string) error {
+	if _, ok := items[name]; !ok {
+		return invalid("there is no %s %q; SHOW lists those that there are", what, name)
+	}
+	return nil
+}
+
+// check tells why a step can't be applied to the tables as they stand.
+func (t *tables) check(c *lilacv1.Change) error {
+	switch op := c.GetOp().(type) {
+	case *lilacv1.Change_SetClass:
+		return t.checkClass(op.SetClass)
+	case *lilacv1.Change_DropClass:
+		return checkKnown(t.classes, "class", op.DropClass)
+	case *lilacv1.Change_SetTeam:
+		return checkName("team", op.SetTeam.GetName())
+	case *lilacv1.Change_DropTeam:
+		return checkKnown(t.teams, "team", op.DropTeam)
+	case *lilacv1.Change_SetServer:
+		return checkServer(op.SetServer)
+	case *lilacv1.Change_DropServer:
+		return checkKnown(t.servers, "server", op.DropServer)
+	case *lilacv1.Change_DrainServer:
+		return checkKnown(t.servers, "server", op.DrainServer.GetServer())
+	case *lilacv1.Change_SetInstance:
+		return checkName("instance", op.SetInstance.GetName())
+	case *lilacv1.Change_Convict:
+		return t.checkConviction(op.Convict)
+	case *lilacv1.Change_LiftConviction:
+		return checkKnown(t.convictions, "conviction", op.LiftConviction)
+	case *lilacv1.Change_OrderModel:
+		return t.checkOrder(op.OrderModel)
+	}
+	return invalid("a change of a kind that this version does not know; run one version on all instances")
+}
+
+func (t *tables) checkClass(class *lilacv1.Class) error {
+	if err := checkName("class", class.GetName()); err != nil {
+		return err
+	}
+	if class.GetTier() >= model.Tiers {
+		return invalid("class %q has tier %d; write 0 (most urgent) to %d", class.GetName(), class.GetTier(), model.Tiers-1)
+	}
+	if class.GetFirstTokenMs() == 0 {
+		return invalid("class %q has no target for the first token; write one in ms", class.GetName())
+	}
+	// In 64 bits, so that a huge share can't wrap round and pass.
+	others := uint64(t.shares) - uint64(t.classes[class.GetName()].GetSharePermille())
+	if total := others + uint64(class.GetSharePermille()); total > wholeShare {
+		return invalid("the classes' shares would add up to %d permille; lower one, %d is all", total, wholeShare)
+	}
+	return nil
+}
+
+func checkServer(server *lilacv1.Server) error {
+	if err := checkName("server", server.GetName()); err != nil {
+		return err
+	}
+	if _, err := netip.ParseAddrPort(server.GetAddress()); err != nil {
+		return invalid("server %q has address %q; write an IP number with a port, such as 10.1.0.4:8000", server.GetName(), server.GetAddress())
+	}
+	if server.GetDataCenter() == "" {
+		return invalid("server %q has no data centre; name the one that it stands in", server.GetName())
+	}
+	kind := server.GetKind()
+	if kind != lilacv1.ServerKind_SERVER_KIND_ENGINE && kind != lilacv1.ServerKind_SERVER_KIND_SERVICE {
+		return invalid("server %q is neither engine nor service; say which", server.GetName())
+	}
+	if len(server.GetServes()) == 0 {
+		return invalid("server %q serves nothing; name its models or services", server.GetName())
+	}
+	return nil
+}
+
+func (t *tables) checkConviction(conviction *lilacv1.Conviction) error {
+	if err := checkName("conviction's digest", conviction.GetDigest()); err != nil {
+		return err
+	}
+	if conviction.GetExpiresUnixMs() <= 0 {
+		return invalid("conviction %q has no expiry; give one", conviction.GetDigest())
+	}
+	if _, known := t.convictions[conviction.GetDigest()]; !known && len(t.convictions) >= maxConvictions {
+		return invalid("%d convictions stand already; lift some, or find what crashes the servers", maxConvictions)
+	}
+	return nil
+}
+
+func (t *tables) checkOrder(order *lilacv1.ModelOrder) error {
+	if err := checkName("model", order.GetModel()); err != nil {
+		return err
+	}
+	server, ok := t.servers[order.GetServer()]
+	if !ok {
+		return invalid("there is no server %q; SHOW servers lists those that there are", order.GetServer())
+	}
+	if server.GetKind() != lilacv1.ServerKind_SERVER_KIND_ENGINE {
+		return invalid("server %q is no engine; only engines load models", order.GetServer())
+	}
+	return nil
+}
--- /dev/null
+++ b/version/spread/core.go
@@ -0,0 +1,178 @@
+// Package spread decides from whom an entry instance receives revisions, and
+// cuts snapshots into parts.
+//
+// The entries of a data centre form a tree by rank: one of them, the relay,
+// follows a state process and the others follow each other below it, so that
+// each revision crosses into a data centre once. The rank is a hash of the
+// name, so that all entries agree on it without a message. An entry follows
+// only those of a rank above its own, which keeps the tree free of cycles also
+// while entries disagree about who lives.
+package spread
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Fanout is how many entries follow one entry directly.
+	Fanout = 8
+	// silence is how long a sender may say nothing before another is taken. A
+	// sender gives a sign of life each SignOfLife.
+	silence = 3 * time.Second
+	// behindLimit is the age of a sender's knowledge above which another is taken.
+	behindLimit = 5 * time.Second
+	// avoidance is how long a failed sender is passed over.
+	avoidance = 10 * time.Second
+)
+
+// SignOfLife is how often a sender sends an update when nothing changes.
+const SignOfLife = time.Second
+
+// Target is whom to follow: an entry by name, or a state process where Entry is empty.
+type Target struct{ Entry string }
+
+// State tells whether the target is a state process.
+func (t Target) State() bool { return t.Entry == "" }
+
+// Event is something that happened; see the types below.
+type Event interface{ event() }
+
+// Entries names the entries of the own data centre that are taken for alive,
+// in any order; the own name counts whether or not it is there.
+type Entries struct{ Names []string }
+
+// Heard tells that the target sent an update.
+type Heard struct {
+	Target Target
+	// Age of the target's knowledge of the newest revision.
+	Age time.Duration
+}
+
+// Broken tells that the stream from the target ended, or could not be opened.
+type Broken struct{ Target Target }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Entries) event() {}
+func (Heard) event()   {}
+func (Broken) event()  {}
+func (Tick) event()    {}
+
+// Follow tells the shell to leave whom it follows and to follow the target.
+type Follow struct{ Target Target }
+
+// Core decides whom one entry follows. Calls must not overlap.
+type Core struct {
+	self string
+	// above holds the entries of a rank above the own, best rank first, with
+	// all positions counted in the data centre.
+	above   []string
+	avoided map[string]time.Time
+	current Target
+	// following is false until the first Follow.
+	following bool
+	heard     time.Time
+}
+
+// NewCore returns the core of the entry named self, which follows nobody yet.
+func NewCore(self string) *Core {
+	return &Core{self: self, avoided: make(map[string]time.Time)}
+}
+
+// Current returns whom the entry follows.
+func (c *Core) Current() Target { return c.current }
+
+func rank(name string) uint64 { return xxhash.Sum64String(name) }
+
+func compareRank(a, b string) int {
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
+}
+
+// Step takes one event and returns whom to follow from now on, or nil for no change.
+func (c *Core) Step(now time.Time, event Event) []Follow {
+	switch e := event.(type) {
+	case Entries:
+		c.setEntries(e.Names)
+	case Heard:
+		if e.Target != c.current {
+			return nil
+		}
+		c.heard = now
+		if e.Age > behindLimit {
+			c.avoid(now)
+		}
+	case Broken:
+		if e.Target != c.current {
+			return nil
+		}
+		c.avoid(now)
+		if c.current.State() {
+			// Another state process, or the same again: the shell goes round.
+			c.following = false
+		}
+	case Tick:
+		if c.following && now.Sub(c.heard) > silence {
+			c.avoid(now)
+			c.following = c.following && !c.current.State()
+		}
+	}
+	return c.choose(now)
+}
+
+func (c *Core) setEntries(names []string) {
+	c.above = c.above[:0]
+	for _, name := range names {
+		if name != c.self && compareRank(name, c.self) < 0 {
+			c.above = append(c.above, name)
+		}
+	}
+	slices.SortFunc(c.above, compareRank)
+	c.above = slices.Compact(c.above)
+}
+
+// avoid passes the current target over for a while.
+//
+// It guards against a relay that died, hangs or is itself cut off from the
+// state processes: it shows as silence, a broken stream or a growing age. It
+// holds because the next in rank, or a state process, is followed instead, and
+// because the avoided one is tried again only later.
+func (c *Core) avoid(now time.Time) {
+	if !c.current.State() {
+		c.avoided[c.current.Entry] = now.Add(avoidance)
+	}
+}
+
+func (c *Core) choose(now time.Time) []Follow {
+	for name, until := range c.avoided {
+		if !now.Before(until) {
+			delete(c.avoided, name)
+		}
+	}
+	target := c.parent()
+	if c.following && target == c.current {
+		return nil
+	}
+	c.current, c.following, c.heard = target, true, now
+	return []Follow{{Target: target}}
+}
+
+// parent is the place above the own one in a tree of Fanout by rank, over the
+// entries that are not avoided.
+func (c *Core) parent() Target {
+	usable := make([]string, 0, len(c.above))
+	for _, name := range c.above {
+		if _, avoided := c.avoided[name]; !avoided {
+			usable = append(usable, name)
+		}
+	}
+	position := len(usable)
+	if position == 0 {
+		return Target{}
+	}
+	return Target{Entry: usable[(position-1)/Fanout]}
+}
