--- a/connection/stateclient/client.go
+++ b/connection/stateclient/client.go
@@ -202,7 +202,8 @@
 	switch fault.KindOf(err) {
 	case lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM,
 		lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT,
-		lilacv1.ErrorKind_ERROR_KIND_INTERNAL, lilacv1.ErrorKind_ERROR_KIND_DRAINING:
+		lilacv1.ErrorKind_ERROR_KIND_INTERNAL, lilacv1.ErrorKind_ERROR_KIND_DRAINING,
+		lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN:
 		return false
 	}
 	return true
--- a/daemon/state/admin.go
+++ b/daemon/state/admin.go
@@ -7,16 +7,18 @@
 	"time"
 
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lilacbridge/lilacbridge/process/metrics"
 )
 
 // readyContact is how fresh the contact with a leader must be for /readyz.
 const readyContact = 5 * time.Second
 
 // newAdmin returns the server of /metrics, /healthz, /readyz and pprof.
-func newAdmin(address string, s *Service, stopping func() bool) *kratoshttp.Server {
+func newAdmin(address string, s *Service, registry *prometheus.Registry, stopping func() bool) *kratoshttp.Server {
 	server := kratoshttp.NewServer(kratoshttp.Address(address), kratoshttp.Timeout(0))
-	server.Handle("/metrics", promhttp.HandlerFor(newRegistry(s), promhttp.HandlerOpts{}))
+	server.Handle("/metrics", metrics.Handler(registry))
 	server.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	server.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		status := s.log.Status()
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -12,11 +12,13 @@
 	"github.com/go-kratos/kratos/v2"
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/build"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
@@ -37,7 +39,7 @@
 
 // OpenLog opens the replicated log of a state process. It adds its own methods
 // to mux and calls the others through id.
-type OpenLog func(s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger) (RunningLog, error)
+type OpenLog func(s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger, registry prometheus.Registerer) (RunningLog, error)
 
 // Daemon is a state process.
 type Daemon struct {
@@ -45,6 +47,7 @@
 	logger   hclog.Logger
 	log      RunningLog
 	service  *Service
+	registry *prometheus.Registry
 	listener net.Listener
 	links    *link.Server
 	stopping atomic.Bool
@@ -59,18 +62,20 @@
 	machine := NewMachine(s.AuditRetention, ledger.Limits{Retention: s.ClaimRetention.Duration})
 	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: key}
 	mux := link.NewMux()
-	log, err := open(s, machine, mux, id, logger)
+	registry := metrics.NewRegistry()
+	log, err := open(s, machine, mux, id, logger, registry)
 	if err != nil {
 		return nil, err
 	}
 	service := NewService(machine, log)
 	service.Register(mux)
+	register(registry, service)
 	listener, err := net.Listen("tcp", s.Link.Value)
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
 	}
 	return &Daemon{
-		settings: s, logger: logger, log: log, service: service,
+		settings: s, logger: logger, log: log, service: service, registry: registry,
 		listener: listener, links: link.NewServer(id, mux),
 	}, nil
 }
@@ -88,7 +93,7 @@
 		kratos.ID(d.settings.Name),
 		kratos.Version(build.Version),
 		kratos.Context(ctx),
-		kratos.Server(newAdmin(d.settings.Admin.Value, d.service, d.stopping.Load)),
+		kratos.Server(newAdmin(d.settings.Admin.Value, d.service, d.registry, d.stopping.Load)),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(stopTimeout),
 		kratos.BeforeStop(func(context.Context) error { return d.handOver() }),
--- a/daemon/state/metrics.go
+++ b/daemon/state/metrics.go
@@ -2,15 +2,10 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-
-	"github.com/lilacbridge/lilacbridge/process/build"
 )
 
-// newRegistry returns the metrics of a state process.
-func newRegistry(s *Service) *prometheus.Registry {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+// register adds the gauges of a state process.
+func register(registry prometheus.Registerer, s *Service) {
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "lilacbridge_state_" + name, Help: help}, value))
 	}
@@ -27,9 +22,4 @@
 		return 0
 	})
 	gauge("leader_contact_seconds", "Age of the last proof of a leader with a quorum.", func() float64 { return s.log.Status().Contact.Seconds() })
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "lilacbridge_build_info", Help: "Always 1; the label says which version runs.",
-		ConstLabels: prometheus.Labels{"version": build.Version},
-	}, func() float64 { return 1 }))
-	return registry
 }
--- /dev/null
+++ b/version/spread/spread_test.go
@@ -0,0 +1,141 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+var start = time.Unix(1_764_700_000, 0)
+
+func names(n int) []string {
+	all := make([]string, n)
+	for i := range all {
+		all[i] = fmt.Sprint("entry-", i)
+	}
+	slices.SortFunc(all, compareRank)
+	return all
+}
+
+func follows(t *testing.T, actions []Follow) Target {
+	t.Helper()
+	if len(actions) != 1 {
+		t.Fatalf("want one Follow, got %v", actions)
+	}
+	return actions[0].Target
+}
+
+func TestTreeHasOneRelayAndNoCycle(t *testing.T) {
+	for _, n := range []int{1, 2, 9, 10, 220} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			all := names(n)
+			children := make(map[Target]int)
+			for i, self := range all {
+				target := follows(t, NewCore(self).Step(start, Entries{all}))
+				children[target]++
+				is.True(target.State() || slices.Index(all, target.Entry) < i)
+			}
+			is.Equal(children[Target{}], 1)
+			for _, count := range children {
+				is.True(count <= Fanout)
+			}
+		})
+	}
+}
+
+// The relay of a data centre dies, hangs, or is cut off from the state
+// processes without noticing. The entries below it would stand still with an old
+// configuration. Each must go to the next in rank, and the first of them to a
+// state process; later the relay is tried again.
+func TestFailedRelayIsReplaced(t *testing.T) {
+	all := names(6)
+	for name, fail := range map[string]func(c *Core, relay Target) []Follow{
+		"dies":    func(c *Core, relay Target) []Follow { return c.Step(start, Broken{relay}) },
+		"hangs":   func(c *Core, _ Target) []Follow { return c.Step(start.Add(silence+1), Tick{}) },
+		"behind":  func(c *Core, relay Target) []Follow { return c.Step(start, Heard{relay, behindLimit + 1}) },
+		"removed": func(c *Core, _ Target) []Follow { return c.Step(start, Entries{all[1:]}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i, self := range all[1:] {
+				c := NewCore(self)
+				relay := follows(t, c.Step(start, Entries{all}))
+				is.Equal(relay, Target{all[0]})
+				next := follows(t, fail(c, relay))
+				if i == 0 {
+					is.True(next.State())
+				} else {
+					is.Equal(next, Target{all[1]})
+				}
+				if name != "removed" {
+					is.Equal(follows(t, c.Step(start.Add(silence+avoidance+2), Tick{})).Entry == all[0], true)
+				}
+			}
+		})
+	}
+}
+
+func TestBrokenStateProcessIsFollowedAgain(t *testing.T) {
+	is := is.New(t)
+	c := NewCore("only")
+	is.True(follows(t, c.Step(start, Entries{})).State())
+	is.True(follows(t, c.Step(start, Broken{Target{}})).State())
+	is.Equal(len(c.Step(start, Broken{Target{"unknown"}})), 0)
+	is.True(follows(t, c.Step(start.Add(silence+1), Tick{})).State())
+}
+
+func large(revision uint64, teams int) *lilacv1.Snapshot {
+	s := &lilacv1.Snapshot{Revision: revision, Classes: []*lilacv1.Class{{Name: "alerts"}}}
+	for i := range teams {
+		s.Teams = append(s.Teams, &lilacv1.Team{Name: fmt.Sprint("team-", i), TokensPerSecond: uint64(i)})
+	}
+	return s
+}
+
+// A transfer of a large snapshot breaks in the middle. The receiver goes on from
+// the part that it lacks; a sender that has moved on gives a newer snapshot from
+// its beginning. Nothing half is ever taken into force.
+func TestBrokenTransferResumes(t *testing.T) {
+	is := is.New(t)
+	whole := large(7, 5000)
+	parts, err := Split(whole)
+	is.NoErr(err)
+	is.Equal(len(parts), 4)
+	again, err := Split(whole)
+	is.NoErr(err)
+	a := &Assembly{}
+	for _, part := range parts[:2] {
+		got, err := a.Add(part)
+		is.NoErr(err)
+		is.True(got == nil)
+	}
+	revision, next := a.Resume()
+	is.Equal(revision, uint64(7))
+	_, err = a.Add(parts[3])
+	is.True(err != nil)
+	var got *lilacv1.Snapshot
+	for _, part := range again[next:] {
+		got, err = a.Add(part)
+		is.NoErr(err)
+	}
+	is.True(proto.Equal(got, whole))
+
+	newer, err := Split(large(9, 1))
+	is.NoErr(err)
+	_, err = a.Add(parts[0])
+	is.NoErr(err)
+	for _, part := range newer {
+		got, err = a.Add(part)
+		is.NoErr(err)
+	}
+	is.Equal(got.GetRevision(), uint64(9))
+	_, err = a.Add(&lilacv1.SnapshotPart{Parts: 1, Data: []byte("torn")})
+	is.True(err != nil)
+}
