Call a change unknown also where the quorum was lost on the way

Cause: the client of the state processes gives no_quorum with not_run unknown when a process may have taken the command before it fell silent; the handler passed that on as no_quorum, which an operator reads as not made. Ruled out: changing the kind there, since claims rely on it.

--- a/connection/operator/change.go
+++ b/connection/operator/change.go
@@ -87,6 +87,10 @@
 }
 
 func lostAnswer(err error) bool {
-	kind := fault.KindOf(err)
-	return kind == lilacv1.ErrorKind_ERROR_KIND_TIMEOUT || kind == lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE || kind == lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN
+	switch fault.KindOf(err) {
+	case lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE,
+		lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM:
+		return true
+	}
+	return false
 }
--- a/connection/operator/operator_test.go
+++ b/connection/operator/operator_test.go
@@ -113,7 +113,8 @@
 	is.Equal(reply.Change.Revision, uint64(42))
 	is.Equal(state.proposals[1].GetCommandId(), "c1")
 
-	state.errors = []error{lost, lost, lost}
+	noLeader := fault.New(lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, "no leader within reach", fault.WithNotRun(lilacv1.NotRun_NOT_RUN_UNKNOWN))
+	state.errors = []error{lost, noLeader, lost}
 	_, err = client.Statement(t.Context(), &StatementRequest{Statement: "DROP TEAM x", CommandID: "c2"})
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN))
 	is.True(strings.Contains(err.Error(), "c2"))
