--- /dev/null
+++ b/connection/replicalink/transport_test.go
@@ -0,0 +1,241 @@
+package replicalink
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/replica"
+	"github.com/lilacbridge/lilacbridge/process/wal"
+)
+
+// journal is a state machine that keeps all commands in order.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(_ uint64, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return fmt.Appendf(nil, "%d", len(j.commands))
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	b := []byte{1}
+	for _, command := range j.commands {
+		b = append(append(b, command...), 0)
+	}
+	return b, nil
+}
+
+func (j *journal) Restore(data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = nil
+	start := 1
+	for i := 1; i < len(data); i++ {
+		if data[i] == 0 {
+			j.commands = append(j.commands, string(data[start:i]))
+			start = i + 1
+		}
+	}
+	return nil
+}
+
+func (j *journal) all() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.commands...)
+}
+
+// process is one state process without its daemon.
+type process struct {
+	name     string
+	listener net.Listener
+	server   *link.Server
+	out      *Transport
+	node     *replica.Node
+	machine  *journal
+}
+
+type fleet struct {
+	t         *testing.T
+	is        *is.I
+	folder    string
+	addresses map[string]string
+	running   map[string]*process
+}
+
+var key = []byte("the key that all share")
+
+func newFleet(t *testing.T, names ...string) *fleet {
+	f := &fleet{t: t, is: is.New(t), folder: t.TempDir(), addresses: map[string]string{}, running: map[string]*process{}}
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		f.is.NoErr(err)
+		f.addresses[name] = listener.Addr().String()
+		f.is.NoErr(listener.Close())
+	}
+	for _, name := range names {
+		f.start(name, true)
+	}
+	t.Cleanup(func() {
+		for name := range f.running {
+			f.stop(name)
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(name string, bootstrap bool) *process {
+	listener, err := net.Listen("tcp", f.addresses[name])
+	f.is.NoErr(err)
+	identity := link.Identity{Peer: link.Peer{Process: name}, Key: key}
+	p := &process{name: name, listener: listener, machine: &journal{}}
+	p.out = New(func(address string) link.Caller { return link.NewClient(address, identity) })
+	folder, err := wal.OSFolder(filepath.Join(f.folder, name))
+	f.is.NoErr(err)
+	var peers []replica.Peer
+	for other, address := range f.addresses {
+		if other != name {
+			peers = append(peers, replica.Peer{Name: other, Address: address})
+		}
+	}
+	p.node, err = replica.Open(replica.Options{Name: name, Address: f.addresses[name], Peers: peers, Bootstrap: bootstrap,
+		Heartbeat: 30 * time.Millisecond, Election: 200 * time.Millisecond, Folder: folder, Machine: p.machine, Transport: p.out, SnapshotEvery: 100})
+	f.is.NoErr(err)
+	mux := link.NewMux()
+	Handle(mux, p.node)
+	p.server = link.NewServer(identity, mux)
+	go p.server.Serve(listener)
+	f.running[name] = p
+	return p
+}
+
+func (f *fleet) stop(name string) {
+	p := f.running[name]
+	delete(f.running, name)
+	f.is.NoErr(p.node.Close())
+	f.is.NoErr(p.listener.Close())
+	f.is.NoErr(p.server.Close())
+	f.is.NoErr(p.out.Close())
+}
+
+// propose sends the command to whoever leads, until it is accepted.
+func (f *fleet) propose(command string) {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 20*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, p := range f.running {
+			if p.node.Status().Role != replica.Leader {
+				continue
+			}
+			if _, err := p.node.Propose(ctx, []byte(command)); err == nil {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("%s was not accepted", command)
+}
+
+func (f *fleet) until(what string, holds func() bool) {
+	deadline := time.Now().Add(20 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			for name, p := range f.running {
+				f.t.Logf("%s: %+v", name, p.node.Status())
+			}
+			f.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Three empty processes whose settings say bootstrap found one group; what one
+// accepts all apply, in the same order.
+func TestThreeProcessesAgree(t *testing.T) {
+	f := newFleet(t, "state-a", "state-b", "state-c")
+	var want []string
+	for i := range 250 {
+		want = append(want, fmt.Sprint("change ", i))
+		f.propose(want[i])
+	}
+	for _, p := range f.running {
+		f.until("all commands on "+p.name, func() bool { return len(p.machine.all()) >= len(want) })
+		f.is.Equal(p.machine.all(), want)
+	}
+}
+
+// Kill the leader: the others go on. Delete its folder: it comes back empty,
+// its settings still say bootstrap, and it must join as a new member and count
+// again, without founding a group of its own.
+func TestLostDiskComesBackUnderNewIdentity(t *testing.T) {
+	f := newFleet(t, "state-a", "state-b", "state-c")
+	f.propose("before")
+	f.until("members", func() bool { return len(f.running["state-b"].node.Status().Voters()) == 3 })
+	lost := f.running["state-b"].node.Status()
+	f.stop("state-b")
+	for i := range 300 {
+		f.propose(fmt.Sprint("while away ", i))
+	}
+	folder := filepath.Join(f.folder, "state-b")
+	f.is.NoErr(os.RemoveAll(folder))
+	back := f.start("state-b", true)
+	f.until("repair", func() bool {
+		s := back.node.Status()
+		return len(s.Voters()) == 3 && len(s.Learners()) == 0 && s.Group == lost.Group && s.ID != lost.ID
+	})
+	f.stop("state-c")
+	f.propose("with the repaired one only")
+	f.until("all commands", func() bool { return len(back.machine.all()) == 302 })
+}
+
+// All processes stop at once after hundreds of changes; each must come back
+// with all of them from its own files.
+func TestRestartOfAllKeepsEverything(t *testing.T) {
+	f := newFleet(t, "state-a", "state-b", "state-c")
+	for i := range 150 {
+		f.propose(fmt.Sprint("change ", i))
+	}
+	names := []string{"state-a", "state-b", "state-c"}
+	for _, name := range names {
+		f.stop(name)
+	}
+	for _, name := range names {
+		f.start(name, true)
+	}
+	f.propose("after")
+	for _, p := range f.running {
+		f.until("all commands on "+p.name, func() bool { return len(p.machine.all()) == 151 })
+	}
+}
+
+// The others are gone: the last process must refuse at once with a typed
+// error that says that nothing ran.
+func TestWithoutQuorumIsRefused(t *testing.T) {
+	f := newFleet(t, "state-a", "state-b", "state-c")
+	f.propose("before")
+	f.stop("state-a")
+	f.stop("state-b")
+	left := f.running["state-c"].node
+	f.until("no leader", func() bool { return left.Status().Role != replica.Leader && left.Status().Leader == "" })
+	_, err := left.Propose(t.Context(), []byte("alone"))
+	f.is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM))
+	f.is.Equal(fault.NotRunOf(err), lilacv1.NotRun_NOT_RUN_TRUE)
+	f.is.True(fault.Is(left.Barrier(t.Context()), lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM))
+}
--- /dev/null
+++ b/process/replica/core.go
@@ -0,0 +1,317 @@
+// Package replica replicates commands over the few processes that have a disk:
+// a leader elected for a term, a log that a quorum syncs, snapshots, and
+// changes of members one at a time.
+//
+// Core is the deterministic part: events in, actions out, no clock, disk or
+// network. Node is the shell around it that a process runs.
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+const (
+	// maxAppendBytes bounds the entries of one message, in bytes.
+	maxAppendBytes = 1 << 20
+	// maxInFlight bounds the messages with entries that wait for one follower.
+	maxInFlight = 32
+	// maxUncommitted bounds the entries that wait for the quorum.
+	maxUncommitted = 16384
+	// snapshotChunk is the part of a snapshot in one message, in bytes; well
+	// under link.MaxFrame.
+	snapshotChunk = 512 << 10
+	// entryOverhead is a generous estimate of an entry's bytes beside its data.
+	entryOverhead = 24
+	// promoteLag is how many entries a learner may be behind to be promoted.
+	promoteLag = 64
+)
+
+// Peer is another process of the settings, asked at a start without a group.
+type Peer struct{ Name, Address string }
+
+// Config is what the core knows from settings and random bits of the shell.
+type Config struct {
+	Name, Address, DataCenter string
+	// ID is the identity: fresh random bits for an empty folder, else the stored one.
+	ID string
+	// FreshGroup names the group if this process founds one.
+	FreshGroup string
+	// Peers are the other processes of the settings.
+	Peers []Peer
+	// Bootstrap lets the process found a group with Peers.
+	Bootstrap bool
+	// Heartbeat is the leader's interval.
+	Heartbeat time.Duration
+	// Election is the shortest silence before a vote; a wait is up to twice that.
+	Election time.Duration
+	// Seed of the election timeouts.
+	Seed uint64
+}
+
+// Role is what the process does in the group.
+type Role int
+
+const (
+	// Waiting processes belong to no group yet.
+	Waiting Role = iota
+	// Follower takes entries from the leader; learners are followers too.
+	Follower
+	// PreCandidate asks whether a vote could be won.
+	PreCandidate
+	// Candidate asks for votes.
+	Candidate
+	// Leader orders the log.
+	Leader
+)
+
+var roleNames = [...]string{"waiting", "follower", "pre-candidate", "candidate", "leader"}
+
+// String returns the role as operators read it.
+func (r Role) String() string { return roleNames[r] }
+
+// Restored is what the files held at the start; zero for an empty folder.
+type Restored struct {
+	Hard     *lilacv1.RaftHardState
+	Snapshot *lilacv1.RaftSnapshotMeta
+	Entries  []*lilacv1.RaftEntry
+}
+
+// Core is the deterministic consensus core of one process.
+type Core struct {
+	cfg  Config
+	rng  *rand.Rand
+	now  time.Duration
+	out  []Action
+	role Role
+
+	group, vote string
+	term        uint64
+	hardDirty   bool
+
+	log             memoryLog
+	snapshot        *lilacv1.RaftSnapshotMeta
+	commit, applied uint64
+	members         memberLog
+
+	leader, leaderAddress string
+	heardLeader           time.Duration
+	electionAt            time.Duration
+	votes                 map[string]bool
+	diskFull              bool
+
+	lead     leading
+	join     joining
+	incoming incoming
+
+	// Checked counts invariants checked, BrokenCount those that did not hold.
+	Checked, BrokenCount uint64
+	// Ignored counts messages meant for another identity or group.
+	Ignored uint64
+}
+
+// NewCore returns a core at time now, which continues from restored.
+func NewCore(cfg Config, restored Restored, now time.Duration) *Core {
+	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)), now: now}
+	c.heardLeader = now - 2*cfg.Election
+	if hard := restored.Hard; hard != nil {
+		c.cfg.ID, c.group, c.term, c.vote = hard.GetId(), hard.GetGroup(), hard.GetTerm(), hard.GetVote()
+	} else {
+		c.hardDirty = true
+	}
+	if c.group == "" {
+		// A founding that a crash cut short left files that mean nothing.
+		restored.Snapshot, restored.Entries = nil, nil
+	}
+	if meta := restored.Snapshot; meta != nil {
+		c.snapshot = meta
+		c.log.reset(meta.GetIndex(), meta.GetTerm())
+		c.commit, c.applied = meta.GetIndex(), meta.GetIndex()
+		c.members.reset(meta.GetIndex(), meta.GetMembers())
+	}
+	c.log.append(restored.Entries...)
+	c.log.saved, c.log.synced = c.log.last(), c.log.last()
+	for _, entry := range restored.Entries {
+		c.members.note(entry)
+	}
+	if c.group != "" {
+		c.role = Follower
+	}
+	c.resetElection()
+	return c
+}
+
+// Step takes one event at time now, since any fixed moment, and returns what
+// is to be done. The returned slice is valid until the next Step.
+func (c *Core) Step(now time.Duration, e Event) []Action {
+	c.out = c.out[:0]
+	c.check(now >= c.now, "time_monotonic", "time went back")
+	c.now = max(now, c.now)
+	// Before the event: a leader that was frozen must not act on it.
+	c.checkQuorum()
+	switch e := e.(type) {
+	case Tick:
+		c.tick()
+	case Received:
+		c.receive(e.Message)
+	case Propose:
+		c.propose(e)
+	case Read:
+		c.read(e)
+	case Flush:
+		c.flush()
+	case Synced:
+		c.synced(e)
+	case DiskFull:
+		c.setDiskFull(e.Full)
+	case Compacted:
+		c.compacted(e)
+	case ChangeMembers:
+		c.changeMembers(e)
+	case HandOver:
+		c.handOver()
+	}
+	c.persist()
+	c.apply()
+	return c.out
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+// check counts an invariant; if it does not hold, the caller must not go on.
+func (c *Core) check(holds bool, invariant, detail string) bool {
+	c.Checked++
+	if !holds {
+		c.BrokenCount++
+		c.emit(Broken{Invariant: invariant, Detail: detail})
+	}
+	return holds
+}
+
+func (c *Core) tick() {
+	switch c.role {
+	case Waiting:
+		c.seekGroup()
+	case Leader:
+		c.leaderTick()
+	default:
+		c.seekAgain()
+		if c.now >= c.electionAt && c.isVoter(c.cfg.ID) && !c.diskFull {
+			c.campaign()
+		}
+	}
+}
+
+// persist hands over what must be synced.
+func (c *Core) persist() {
+	p := Persist{}
+	if c.hardDirty {
+		p.Hard = &lilacv1.RaftHardState{Id: c.cfg.ID, Group: c.group, Term: c.term, Vote: c.vote}
+		c.hardDirty = false
+	}
+	if c.log.saved < c.log.last() {
+		p.Entries = slices.Clone(c.log.entries[c.log.saved-c.log.base:])
+		c.log.saved = c.log.last()
+	}
+	if p.Hard != nil || len(p.Entries) > 0 {
+		c.emit(p)
+	}
+}
+
+func (c *Core) synced(e Synced) {
+	if term, ok := c.log.term(e.Index); ok && term == e.Term && e.Index > c.log.synced {
+		c.log.synced = e.Index
+	}
+	switch c.role {
+	case Candidate:
+		if e.HardTerm == c.term {
+			c.countVote(c.cfg.ID)
+		}
+	case Leader:
+		c.advanceCommit()
+	}
+}
+
+// apply hands over entries that are committed and synced here.
+func (c *Core) apply() {
+	until := min(c.commit, c.log.synced)
+	if until <= c.applied {
+		return
+	}
+	entries := slices.Clone(c.log.entries[c.applied-c.log.base : until-c.log.base])
+	if !c.check(entries[0].GetIndex() == c.applied+1, "apply_in_order", "entry to apply does not follow the last one") {
+		return
+	}
+	c.applied = until
+	c.emit(Apply{Entries: entries})
+	for _, entry := range entries {
+		if entry.GetKind() == lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_MEMBERS {
+			c.membersCommitted(entry)
+		}
+	}
+}
+
+// setDiskFull gives the office to a voter that can still write, if there is one.
+func (c *Core) setDiskFull(full bool) {
+	c.diskFull = full
+	if full {
+		c.handOver()
+	}
+}
+
+func (c *Core) setTerm(term uint64, vote string) {
+	if !c.check(term >= c.term, "term_never_falls", "a lower term was to be taken") {
+		return
+	}
+	if !c.check(term > c.term || c.vote == "" || c.vote == vote, "one_vote_per_term", "a second vote in one term") {
+		return
+	}
+	if term != c.term || vote != c.vote {
+		c.term, c.vote, c.hardDirty = term, vote, true
+	}
+}
+
+func (c *Core) setRole(role Role, leader, address string) {
+	changed := c.role != role || c.leader != leader
+	c.role, c.leader, c.leaderAddress = role, leader, address
+	if changed {
+		c.emit(RoleChanged{Role: role, Term: c.term, Leader: leader})
+	}
+}
+
+func (c *Core) resetElection() {
+	spread := time.Duration(c.rng.Int64N(int64(c.cfg.Election)))
+	c.electionAt = c.now + c.cfg.Election + spread
+}
+
+// compacted drops entries that a synced snapshot covers.
+func (c *Core) compacted(e Compacted) {
+	if !c.check(e.Meta.GetIndex() <= c.applied, "snapshot_of_applied_only", "snapshot lies after the applied index") {
+		return
+	}
+	if e.Meta.GetIndex() > c.snapshot.GetIndex() {
+		c.snapshot = e.Meta
+	}
+	c.log.compact(min(e.Keep, c.snapshot.GetIndex()))
+	c.members.compact(c.log.base)
+}
+
+// MembersAt returns the members in force at an applied index, for a snapshot.
+func (c *Core) MembersAt(index uint64) *lilacv1.RaftMembers {
+	return proto.Clone(c.members.at(index)).(*lilacv1.RaftMembers)
+}
+
+// TermAt returns the term of the entry at index; 0 if it is not held.
+func (c *Core) TermAt(index uint64) uint64 {
+	term, _ := c.log.term(index)
+	return term
+}
+
+func (c *Core) self() *lilacv1.RaftMember {
+	return &lilacv1.RaftMember{Id: c.cfg.ID, Name: c.cfg.Name, Address: c.cfg.Address, DataCenter: c.cfg.DataCenter}
+}
--- /dev/null
+++ b/process/replica/election.go
@@ -0,0 +1,126 @@
+package replica
+
+import "strconv"
+
+// campaign begins with a pre-vote.
+//
+// It guards against a process that was cut off and raised its term again and
+// again: once healed it would unseat a working leader and refuse statements for
+// an election. It holds because the term is raised only after a quorum has said
+// that it hears no leader and that the log here is not behind.
+func (c *Core) campaign() {
+	c.votes = map[string]bool{}
+	c.setRole(PreCandidate, "", "")
+	c.resetElection()
+	if c.countPreVote(c.cfg.ID) {
+		return
+	}
+	c.askVoters(kindPreVote, c.term+1, false)
+}
+
+func (c *Core) askVoters(kind kind, term uint64, transfer bool) {
+	for _, member := range c.members.latest().GetMembers() {
+		if member.GetVoter() && member.GetId() != c.cfg.ID {
+			m := &message{Kind: kind, To: member.GetId(), Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer}
+			c.send(member.GetAddress(), m, true)
+		}
+	}
+}
+
+func (c *Core) preVoteAsked(m *message) {
+	grant := m.GetTerm() > c.term && !c.hearsLeader() && !c.log.behind(m.GetIndex(), m.GetLogTerm())
+	answer := &message{Kind: kindPreVoteReply, Term: m.GetTerm()}
+	if !grant {
+		answer.Reject, answer.Term = true, c.term
+	}
+	c.reply(m, answer)
+}
+
+func (c *Core) preVoteReply(m *message) {
+	if c.role == PreCandidate && !m.GetReject() && m.GetTerm() == c.term+1 {
+		c.countPreVote(m.GetFrom())
+	}
+}
+
+func (c *Core) countPreVote(id string) bool {
+	c.votes[id] = true
+	if !c.quorum(c.votes) {
+		return false
+	}
+	c.candidate(false)
+	return true
+}
+
+// candidate raises the term and asks for votes. The own vote counts once it is
+// synced, as anyone else's.
+func (c *Core) candidate(transfer bool) {
+	c.setTerm(c.term+1, c.cfg.ID)
+	c.votes = map[string]bool{}
+	c.setRole(Candidate, "", "")
+	c.resetElection()
+	c.askVoters(kindVote, c.term, transfer)
+}
+
+// voteAsked grants at most one vote in a term, and none to a log that is behind.
+// The answer goes out after the vote is synced: a voter that crashes and comes
+// back must not vote twice in one term.
+func (c *Core) voteAsked(m *message) {
+	free := c.vote == "" || c.vote == m.GetFrom()
+	grant := m.GetTerm() == c.term && free && c.mayVote() && !c.log.behind(m.GetIndex(), m.GetLogTerm())
+	if grant {
+		c.setTerm(c.term, m.GetFrom())
+		c.resetElection()
+	}
+	c.reply(m, &message{Kind: kindVoteReply, Term: c.term, Reject: !grant})
+}
+
+// mayVote tells whether no leader and no own candidacy is known in the term.
+func (c *Core) mayVote() bool {
+	return (c.role == Follower || c.role == PreCandidate) && c.leader == ""
+}
+
+func (c *Core) voteReply(m *message) {
+	if c.role == Candidate && m.GetTerm() == c.term && !m.GetReject() {
+		c.countVote(m.GetFrom())
+	}
+}
+
+func (c *Core) countVote(id string) {
+	c.votes[id] = true
+	if c.quorum(c.votes) {
+		c.becomeLeader()
+	}
+}
+
+// timeoutNow campaigns at once: the leader that hands over is known to step back.
+func (c *Core) timeoutNow(m *message) {
+	if m.GetTerm() == c.term && c.role == Follower && c.isVoter(c.cfg.ID) {
+		c.candidate(true)
+	}
+}
+
+// quorum tells whether the identities hold a majority of the voters in force.
+func (c *Core) quorum(ids map[string]bool) bool {
+	voters, yes := 0, 0
+	for _, member := range c.members.latest().GetMembers() {
+		if !member.GetVoter() {
+			continue
+		}
+		voters++
+		if ids[member.GetId()] {
+			yes++
+		}
+	}
+	return yes > voters/2
+}
+
+func (c *Core) isVoter(id string) bool {
+	member := find(c.members.latest(), id)
+	return member.GetVoter()
+}
+
+func (c *Core) becomeLeader() {
+	c.check(c.vote == c.cfg.ID, "leader_voted_for_itself", "elected in term "+strconv.FormatUint(c.term, 10)+" without the own vote")
+	c.setRole(Leader, c.cfg.ID, c.cfg.Address)
+	c.startLeading()
+}
--- /dev/null
+++ b/process/replica/join.go
@@ -0,0 +1,157 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// forgottenElections is the silence, in election timeouts, after which a
+// learner asks to be taken in again.
+const forgottenElections = 4
+
+// joining is the state of a process that belongs to no group.
+type joining struct {
+	askAt time.Duration
+	// founders are the answers of peers without a group, by name.
+	founders map[string]founder
+}
+
+type founder struct {
+	member *lilacv1.RaftMember
+	heard  time.Duration
+}
+
+// founderNames are the sorted names of the group that the settings found; none
+// without Bootstrap.
+func (c *Core) founderNames() []string {
+	if !c.cfg.Bootstrap {
+		return nil
+	}
+	names := []string{c.cfg.Name}
+	for _, peer := range c.cfg.Peers {
+		names = append(names, peer.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// seekGroup asks all peers what they belong to.
+func (c *Core) seekGroup() {
+	if c.now < c.join.askAt {
+		return
+	}
+	c.join.askAt = c.now + c.cfg.Election/2
+	for _, peer := range c.cfg.Peers {
+		c.askGroup(peer.Address)
+	}
+	c.found()
+}
+
+func (c *Core) askGroup(address string) {
+	c.send(address, &message{Kind: kindHello, Member: c.self(), Founders: c.founderNames()}, true)
+}
+
+// forgotten tells whether this process belongs to a group of which no leader
+// has sent it anything for long, although it is no voter: the entry that took
+// it in was lost with the leader that wrote it.
+func (c *Core) forgotten() bool {
+	return c.role == Follower && !c.isVoter(c.cfg.ID) && c.now-c.heardLeader > forgottenElections*c.cfg.Election
+}
+
+// seekAgain asks to be taken in once more.
+func (c *Core) seekAgain() {
+	if !c.forgotten() || c.now < c.join.askAt {
+		return
+	}
+	c.join.askAt = c.now + c.cfg.Election
+	for _, peer := range c.cfg.Peers {
+		c.askGroup(peer.Address)
+	}
+}
+
+// hello tells a process without a group what this one belongs to.
+func (c *Core) hello(m *message) {
+	answer := &message{Kind: kindHelloReply, Member: c.self(), Leader: c.leaderAddress}
+	if c.role == Waiting {
+		answer.Founders = c.founderNames()
+	}
+	c.reply(m, answer)
+}
+
+func (c *Core) helloReply(m *message) {
+	if m.GetTo() != c.cfg.ID || (c.role != Waiting && !c.forgotten()) {
+		return
+	}
+	if c.group != "" && m.GetGroup() != c.group {
+		return
+	}
+	if m.GetGroup() == "" {
+		c.noteFounder(m)
+		c.found()
+		return
+	}
+	// There is a group already: a process that still says it may found one has
+	// lost its disk.
+	c.join.founders = nil
+	switch m.GetLeader() {
+	case "":
+	case m.GetFromAddress():
+		c.send(m.GetFromAddress(), &message{Kind: kindJoin, To: m.GetFrom(), Member: c.self()}, true)
+	default:
+		c.askGroup(m.GetLeader())
+	}
+}
+
+func (c *Core) noteFounder(m *message) {
+	if c.join.founders == nil {
+		c.join.founders = map[string]founder{}
+	}
+	delete(c.join.founders, m.GetMember().GetName())
+	if slices.Equal(m.GetFounders(), c.founderNames()) {
+		c.join.founders[m.GetMember().GetName()] = founder{member: m.GetMember(), heard: c.now}
+	}
+}
+
+// found founds the group, if this process bears the first name and all others
+// have answered just now that they belong to none.
+//
+// It guards against a voter that lost its disk while its settings still say
+// bootstrap: it would found a second group under the names of the first, and
+// with another such process overrule what was committed. It holds because any
+// process that has a group says so, and one that does not answer stops the
+// founding. If a founder loses its disk at once, its second group and the first
+// one can't both have a quorum: each of the others binds its identity to one
+// group for ever.
+func (c *Core) found() {
+	names := c.founderNames()
+	if len(names) == 0 || names[0] != c.cfg.Name {
+		return
+	}
+	members := &lilacv1.RaftMembers{}
+	for _, name := range names {
+		if name == c.cfg.Name {
+			self := c.self()
+			self.Voter = true
+			members.Members = append(members.Members, self)
+			continue
+		}
+		f, ok := c.join.founders[name]
+		if !ok || c.now-f.heard > c.cfg.Election {
+			return
+		}
+		member := f.member
+		member.Voter = true
+		members.Members = append(members.Members, member)
+	}
+	if !c.check(c.group == "", "group_set_once", "a process with a group was to found another") {
+		return
+	}
+	c.group, c.hardDirty = c.cfg.FreshGroup, true
+	c.setTerm(1, "")
+	c.install(&lilacv1.RaftSnapshotMeta{Index: 1, Term: 1, Members: members}, nil)
+	c.join = joining{}
+	c.setRole(Follower, "", "")
+	c.resetElection()
+}
--- /dev/null
+++ b/process/replica/lead.go
@@ -0,0 +1,336 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// progress is what the leader knows of one other member.
+type progress struct {
+	member *lilacv1.RaftMember
+	// match is the last index known to be synced there; next the one to send.
+	match, next uint64
+	// probing members get one message at a time, until one is accepted.
+	probing, probed bool
+	// inFlight holds the last index of each message with entries that waits.
+	inFlight []uint64
+	// heard is when an answer last came.
+	heard time.Duration
+	// round is the newest heartbeat round that was echoed.
+	round    uint64
+	transfer *transfer
+	diskFull bool
+}
+
+type pendingRead struct{ ticket, index, round uint64 }
+
+// leading is the leader's state; it is gone with the office.
+type leading struct {
+	progress map[string]*progress
+	// firstIndex is the empty entry that began the term.
+	firstIndex  uint64
+	heartbeatAt time.Duration
+	round       uint64
+	newReads    []uint64
+	reads       []pendingRead
+	// handTo is the voter that takes over, until handUntil.
+	handTo    string
+	handUntil time.Duration
+	// repairIndex is the entry that promotes the replacement repairID.
+	repairID    string
+	repairIndex uint64
+}
+
+func (c *Core) startLeading() {
+	c.lead = leading{progress: map[string]*progress{}, heartbeatAt: c.now + c.cfg.Heartbeat}
+	c.syncProgress()
+	c.lead.firstIndex = c.appendOwn(lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_EMPTY, nil)
+	c.broadcast(true)
+}
+
+// syncProgress gives each other member in force a progress.
+func (c *Core) syncProgress() {
+	old := c.lead.progress
+	c.lead.progress = map[string]*progress{}
+	for _, member := range c.members.latest().GetMembers() {
+		if member.GetId() == c.cfg.ID {
+			continue
+		}
+		p := old[member.GetId()]
+		if p == nil {
+			p = &progress{next: c.log.last() + 1, probing: true, heard: c.now}
+		}
+		p.member = member
+		c.lead.progress[member.GetId()] = p
+	}
+}
+
+// others returns the progress of all other members, in the order of the members.
+func (c *Core) others() []*progress {
+	var all []*progress
+	for _, member := range c.members.latest().GetMembers() {
+		if p := c.lead.progress[member.GetId()]; p != nil {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// appendOwn puts an entry of the own term at the end of the log.
+func (c *Core) appendOwn(kind lilacv1.RaftEntryKind, data []byte) uint64 {
+	entry := &lilacv1.RaftEntry{Index: c.log.last() + 1, Term: c.term, Kind: kind, Data: data}
+	c.check(c.log.lastTerm() <= c.term, "terms_grow_along_the_log", "last term of the log is above the own one")
+	c.log.append(entry)
+	c.members.note(entry)
+	return entry.GetIndex()
+}
+
+// checkQuorum ends the office of a leader that has not heard a quorum for an
+// election timeout.
+//
+// It guards against a leader that is cut off, or was frozen and wakes: it would
+// go on taking statements that can't be committed, while another one leads. It
+// holds because the check stands before each event, with the time as of now.
+func (c *Core) checkQuorum() {
+	if c.role != Leader {
+		return
+	}
+	heard := map[string]bool{c.cfg.ID: true}
+	for id, p := range c.lead.progress {
+		heard[id] = c.now-p.heard <= c.cfg.Election
+	}
+	if !c.quorum(heard) {
+		c.follow(c.term, "", "")
+	}
+}
+
+func (c *Core) stepDown() {
+	for _, ticket := range c.lead.newReads {
+		c.refuse(ticket)
+	}
+	for _, read := range c.lead.reads {
+		c.refuse(read.ticket)
+	}
+	c.lead = leading{}
+}
+
+func (c *Core) refuse(ticket uint64) {
+	reason := NotLeader
+	if c.role == Leader || !c.hearsLeader() {
+		reason = NoQuorum
+	}
+	c.emit(Refused{Ticket: ticket, Reason: reason})
+}
+
+func (c *Core) propose(e Propose) {
+	switch {
+	case c.role != Leader:
+		c.refuse(e.Ticket)
+	case c.lead.handTo != "":
+		c.emit(Refused{Ticket: e.Ticket, Reason: HandingOver})
+	case c.diskFull:
+		c.emit(Refused{Ticket: e.Ticket, Reason: NoSpace})
+	case c.log.last()-c.commit >= maxUncommitted:
+		c.emit(Refused{Ticket: e.Ticket, Reason: Busy})
+	default:
+		index := c.appendOwn(lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND, e.Command)
+		c.emit(Accepted{Ticket: e.Ticket, Index: index, Term: c.term})
+	}
+}
+
+func (c *Core) leaderTick() {
+	if c.lead.handTo != "" && c.now >= c.lead.handUntil {
+		c.lead.handTo = ""
+	}
+	for _, p := range c.others() {
+		c.resendChunk(p)
+	}
+	if c.now < c.lead.heartbeatAt {
+		return
+	}
+	c.lead.heartbeatAt = c.now + c.cfg.Heartbeat
+	c.broadcast(true)
+	c.repair()
+}
+
+// flush sends what the events of a batch left to send.
+func (c *Core) flush() {
+	if c.role != Leader {
+		return
+	}
+	started := c.startReads()
+	c.broadcast(started)
+	c.finishReads()
+}
+
+func (c *Core) broadcast(heartbeat bool) {
+	for _, p := range c.others() {
+		c.sendTo(p, heartbeat)
+	}
+}
+
+// sendTo sends entries that the member lacks; with heartbeat at least an empty message.
+func (c *Core) sendTo(p *progress, heartbeat bool) {
+	if p.transfer != nil {
+		return
+	}
+	sent := false
+	for p.next <= c.log.last() && c.maySend(p) {
+		if !c.sendEntries(p, maxAppendBytes) {
+			return
+		}
+		sent = true
+	}
+	if heartbeat && !sent {
+		c.sendEntries(p, 0)
+	}
+}
+
+func (c *Core) maySend(p *progress) bool {
+	if p.diskFull {
+		return false
+	}
+	if p.probing {
+		return !p.probed
+	}
+	return len(p.inFlight) < maxInFlight
+}
+
+// sendEntries sends entries of up to so many bytes, none for 0; false if the
+// member needs a snapshot instead.
+func (c *Core) sendEntries(p *progress, bytes int) bool {
+	previous := p.next - 1
+	term, held := c.log.term(previous)
+	if !held {
+		c.startTransfer(p)
+		return false
+	}
+	m := &message{Kind: kindAppend, To: p.member.GetId(), Term: c.term, Index: previous, LogTerm: term, Commit: c.commit, Round: c.lead.round}
+	if bytes > 0 {
+		m.Entries = c.log.from(p.next, bytes)
+		last := previous + uint64(len(m.Entries))
+		if p.probing {
+			p.probed = true
+		} else {
+			p.next = last + 1
+			p.inFlight = append(p.inFlight, last)
+		}
+	}
+	c.send(p.member.GetAddress(), m, false)
+	return true
+}
+
+func (c *Core) answered(m *message) *progress {
+	if c.role != Leader || m.GetTerm() != c.term {
+		return nil
+	}
+	p := c.lead.progress[m.GetFrom()]
+	if p == nil {
+		return nil
+	}
+	p.heard, p.diskFull = c.now, m.GetDiskFull()
+	p.round = max(p.round, m.GetRound())
+	return p
+}
+
+func (c *Core) appendReply(m *message) {
+	p := c.answered(m)
+	if p == nil {
+		return
+	}
+	if m.GetReject() {
+		c.refusedAt(p, m)
+		return
+	}
+	c.matched(p, m.GetIndex())
+}
+
+// refusedAt goes back to where the member's log may still match. Old refusals,
+// which came late, are told by their index.
+func (c *Core) refusedAt(p *progress, m *message) {
+	if p.transfer != nil || m.GetIndex() <= p.match || m.GetIndex() >= p.next {
+		return
+	}
+	if p.probing && m.GetIndex() != p.next-1 {
+		return
+	}
+	p.next = max(p.match+1, min(m.GetIndex(), m.GetHint()+1))
+	p.probing, p.probed, p.inFlight = true, false, nil
+	c.sendTo(p, true)
+}
+
+func (c *Core) matched(p *progress, index uint64) {
+	if !c.check(index <= c.log.last(), "follower_not_ahead_of_leader", fmt.Sprintf("%s matched %d after the last index %d", p.member.GetName(), index, c.log.last())) {
+		return
+	}
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	p.probing, p.probed = false, false
+	p.inFlight = slices.DeleteFunc(p.inFlight, func(last uint64) bool { return last <= p.match })
+	c.advanceCommit()
+	c.continueHandOver(p)
+	c.sendTo(p, false)
+}
+
+// advanceCommit commits what a quorum has synced, and only entries of the own
+// term by count.
+//
+// It guards against an entry of an older term that stands on a quorum and is
+// still overwritten by a leader that never saw it: it would be applied here and
+// lost there. It holds because an entry of the own term above it keeps such a
+// leader from being elected.
+func (c *Core) advanceCommit() {
+	if c.role != Leader {
+		return
+	}
+	var synced []uint64
+	for _, member := range c.members.latest().GetMembers() {
+		switch {
+		case !member.GetVoter():
+		case member.GetId() == c.cfg.ID:
+			synced = append(synced, c.log.synced)
+		default:
+			synced = append(synced, c.lead.progress[member.GetId()].match)
+		}
+	}
+	if len(synced) == 0 {
+		return
+	}
+	slices.Sort(synced)
+	index := synced[(len(synced)-1)/2]
+	if index <= c.commit {
+		return
+	}
+	if term, _ := c.log.term(index); term != c.term {
+		return
+	}
+	c.commit = index
+}
+
+// handOver begins to give the office to the most caught-up voter.
+func (c *Core) handOver() {
+	if c.role != Leader || c.lead.handTo != "" {
+		return
+	}
+	var best *progress
+	for _, p := range c.others() {
+		fit := p.member.GetVoter() && !p.diskFull && c.now-p.heard <= c.cfg.Election
+		if fit && (best == nil || p.match > best.match) {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	c.lead.handTo, c.lead.handUntil = best.member.GetId(), c.now+c.cfg.Election
+	c.continueHandOver(best)
+}
+
+func (c *Core) continueHandOver(p *progress) {
+	if c.role == Leader && c.lead.handTo == p.member.GetId() && p.match == c.log.last() {
+		c.send(p.member.GetAddress(), &message{Kind: kindTimeoutNow, To: p.member.GetId(), Term: c.term}, false)
+	}
+}
--- /dev/null
+++ b/process/replica/members.go
@@ -0,0 +1,278 @@
+package replica
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// memberLog remembers which members each part of the log was written under.
+type memberLog struct{ history []membersAt }
+
+type membersAt struct {
+	index   uint64
+	members *lilacv1.RaftMembers
+}
+
+func (l *memberLog) latest() *lilacv1.RaftMembers {
+	if len(l.history) == 0 {
+		return nil
+	}
+	return l.history[len(l.history)-1].members
+}
+
+func (l *memberLog) latestIndex() uint64 {
+	if len(l.history) == 0 {
+		return 0
+	}
+	return l.history[len(l.history)-1].index
+}
+
+func (l *memberLog) at(index uint64) *lilacv1.RaftMembers {
+	var members *lilacv1.RaftMembers
+	for _, h := range l.history {
+		if h.index <= index {
+			members = h.members
+		}
+	}
+	return members
+}
+
+func (l *memberLog) note(entry *lilacv1.RaftEntry) {
+	if entry.GetKind() != lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_MEMBERS {
+		return
+	}
+	members := &lilacv1.RaftMembers{}
+	if err := proto.Unmarshal(entry.GetData(), members); err == nil {
+		l.history = append(l.history, membersAt{index: entry.GetIndex(), members: members})
+	}
+}
+
+func (l *memberLog) cut(index uint64) {
+	l.history = slices.DeleteFunc(l.history, func(h membersAt) bool { return h.index >= index })
+}
+
+func (l *memberLog) reset(index uint64, members *lilacv1.RaftMembers) {
+	l.history = []membersAt{{index: index, members: members}}
+}
+
+// compact drops what is older than the members at index.
+func (l *memberLog) compact(index uint64) {
+	for len(l.history) > 1 && l.history[1].index <= index {
+		l.history = l.history[1:]
+	}
+}
+
+func find(members *lilacv1.RaftMembers, id string) *lilacv1.RaftMember {
+	for _, member := range members.GetMembers() {
+		if member.GetId() == id {
+			return member
+		}
+	}
+	return nil
+}
+
+// Members returns the members in force, the newest change included.
+func (c *Core) Members() []*lilacv1.RaftMember { return c.members.latest().GetMembers() }
+
+// mayChange tells whether a change of members may begin.
+//
+// It guards against two changes at once, of which two quorums might not share a
+// voter: both could elect a leader. It holds because a change moves one voter,
+// and begins only after the last one and an entry of the own term are committed.
+func (c *Core) mayChange() bool {
+	return c.role == Leader && !c.diskFull && c.lead.handTo == "" && c.commit >= c.lead.firstIndex && c.members.latestIndex() <= c.commit
+}
+
+func voters(members *lilacv1.RaftMembers) []string {
+	var ids []string
+	for _, member := range members.GetMembers() {
+		if member.GetVoter() {
+			ids = append(ids, member.GetId())
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// putMembers appends the change; the caller has asked mayChange.
+func (c *Core) putMembers(members *lilacv1.RaftMembers) (uint64, bool) {
+	before, after := voters(c.members.latest()), voters(members)
+	moved := 0
+	for _, id := range before {
+		if !slices.Contains(after, id) {
+			moved++
+		}
+	}
+	moved += len(after) + moved - len(before)
+	if !c.check(moved <= 1 && len(after) > 0, "one_voter_changes_at_a_time", "a change moves more than one voter") {
+		return 0, false
+	}
+	index := c.appendOwn(lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_MEMBERS, mustMarshal(members))
+	c.syncProgress()
+	c.emit(MembersChanged{Members: members.GetMembers()})
+	return index, true
+}
+
+func mustMarshal(m proto.Message) []byte {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err) // Messages of our own types always marshal.
+	}
+	return b
+}
+
+func (c *Core) copyMembers() *lilacv1.RaftMembers {
+	return proto.Clone(c.members.latest()).(*lilacv1.RaftMembers)
+}
+
+func without(members *lilacv1.RaftMembers, id string) *lilacv1.RaftMembers {
+	members.Members = slices.DeleteFunc(members.Members, func(m *lilacv1.RaftMember) bool { return m.GetId() == id })
+	return members
+}
+
+// joinAsked takes a process in as a learner. One that bears the name of a
+// voter, with another identity, has lost its disk: it will replace that voter.
+func (c *Core) joinAsked(m *message) {
+	asks := m.GetMember()
+	if !c.mayChange() || find(c.members.latest(), asks.GetId()) != nil {
+		return
+	}
+	members := c.copyMembers()
+	learner := &lilacv1.RaftMember{Id: asks.GetId(), Name: asks.GetName(), Address: asks.GetAddress(), DataCenter: asks.GetDataCenter()}
+	for _, member := range members.GetMembers() {
+		if member.GetName() != asks.GetName() {
+			continue
+		}
+		if member.GetId() == c.cfg.ID || c.recent(member.GetId()) {
+			return // Two processes run under one name; the first one stays.
+		}
+		learner.Replaces = member.GetId()
+		if !member.GetVoter() {
+			learner.Replaces = member.GetReplaces()
+		}
+	}
+	members.Members = slices.DeleteFunc(members.Members, func(m *lilacv1.RaftMember) bool {
+		return !m.GetVoter() && m.GetName() == learner.GetName()
+	})
+	members.Members = append(members.Members, learner)
+	c.putMembers(members)
+}
+
+// recent tells whether the member answered lately.
+func (c *Core) recent(id string) bool {
+	p := c.lead.progress[id]
+	return p != nil && c.now-p.heard <= 2*c.cfg.Election
+}
+
+// repair moves the replacement of a lost voter on by one step: the lost
+// identity goes first, then the learner that has caught up becomes a voter.
+//
+// It guards against a second failure right after a repair. If the empty process
+// counted at once, a quorum could consist of it and of one that is behind, and
+// committed entries would be lost. It holds because a learner counts for
+// nothing until it has synced the log, and the repair is reported only when the
+// promotion is committed and synced by the new voter itself.
+func (c *Core) repair() {
+	c.reportRepair()
+	if !c.mayChange() {
+		return
+	}
+	for _, member := range c.members.latest().GetMembers() {
+		if member.GetVoter() || member.GetReplaces() == "" || !c.caughtUp(member.GetId()) {
+			continue
+		}
+		if find(c.members.latest(), member.GetReplaces()) != nil {
+			if !c.recent(member.GetReplaces()) {
+				c.putMembers(without(c.copyMembers(), member.GetReplaces()))
+			}
+			return
+		}
+		c.promote(member.GetId())
+		return
+	}
+}
+
+func (c *Core) promote(id string) (uint64, bool) {
+	members := c.copyMembers()
+	member := find(members, id)
+	member.Voter, member.Replaces = true, ""
+	index, ok := c.putMembers(members)
+	if ok {
+		c.lead.repairID, c.lead.repairIndex = id, index
+	}
+	return index, ok
+}
+
+func (c *Core) reportRepair() {
+	p := c.lead.progress[c.lead.repairID]
+	if p != nil && c.commit >= c.lead.repairIndex && p.match >= c.lead.repairIndex {
+		c.lead.repairID = ""
+		c.emit(Repaired{Member: p.member})
+	}
+}
+
+// caughtUp tells whether the member has synced nearly all of the log just now.
+func (c *Core) caughtUp(id string) bool {
+	p := c.lead.progress[id]
+	return p != nil && p.transfer == nil && c.now-p.heard <= c.cfg.Election && p.match+promoteLag >= c.log.last() && p.match >= c.lead.firstIndex
+}
+
+// changeMembers makes one step that an operator orders.
+func (c *Core) changeMembers(e ChangeMembers) {
+	if c.role != Leader {
+		c.refuse(e.Ticket)
+		return
+	}
+	if !c.mayChange() {
+		c.emit(Refused{Ticket: e.Ticket, Reason: InvalidChange, Detail: "another change of members is under way; try again shortly"})
+		return
+	}
+	index, detail := c.orderedChange(e)
+	if detail != "" {
+		c.emit(Refused{Ticket: e.Ticket, Reason: InvalidChange, Detail: detail})
+		return
+	}
+	c.emit(Accepted{Ticket: e.Ticket, Index: index, Term: c.term})
+}
+
+func (c *Core) orderedChange(e ChangeMembers) (uint64, string) {
+	member := find(c.members.latest(), e.Member.GetId())
+	switch {
+	case e.Kind == AddLearner && member != nil:
+		return 0, "it is a member already"
+	case e.Kind == AddLearner:
+		members := c.copyMembers()
+		learner := proto.Clone(e.Member).(*lilacv1.RaftMember)
+		learner.Voter = false
+		members.Members = append(members.Members, learner)
+		index, _ := c.putMembers(members)
+		return index, ""
+	case member == nil:
+		return 0, "no such member; list the members by the process's status"
+	case e.Kind == Promote && member.GetVoter():
+		return 0, "it is a voter already"
+	case e.Kind == Promote && !c.caughtUp(member.GetId()):
+		return 0, "the learner has not caught up; try again when it has"
+	case e.Kind == Promote:
+		index, _ := c.promote(member.GetId())
+		return index, ""
+	case member.GetId() == c.cfg.ID:
+		return 0, "the leader can't take itself out; restart it to hand over, then try again"
+	default:
+		index, ok := c.putMembers(without(c.copyMembers(), member.GetId()))
+		if !ok {
+			return 0, "the last voter can't be taken out"
+		}
+		return index, ""
+	}
+}
+
+// membersCommitted ends the office of a leader that was taken out.
+func (c *Core) membersCommitted(entry *lilacv1.RaftEntry) {
+	if c.role == Leader && entry.GetIndex() == c.members.latestIndex() && !c.isVoter(c.cfg.ID) {
+		c.follow(c.term, "", "")
+	}
+}
--- /dev/null
+++ b/process/replica/status.go
@@ -0,0 +1,127 @@
+package replica
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// Status describes a node to operators.
+type Status struct {
+	// ID is the own identity, Group the group's; empty while Waiting.
+	ID, Group string
+	Role      Role
+	Term      uint64
+	// Leader is the leader's identity, LeaderName its name and LeaderAddress
+	// where it is reached; empty if none is known.
+	Leader, LeaderName, LeaderAddress string
+	CommitIndex, AppliedIndex         uint64
+	LastIndex, SnapshotIndex          uint64
+	Members                           []*lilacv1.RaftMember
+	DiskFull                          bool
+	// InvariantsChecked and InvariantsBroken count since the start.
+	InvariantsChecked, InvariantsBroken uint64
+}
+
+// Voters returns the names of the voters in force.
+func (s Status) Voters() []string { return s.names(true) }
+
+// Learners returns the names of the members that do not count.
+func (s Status) Learners() []string { return s.names(false) }
+
+func (s Status) names(voter bool) []string {
+	var names []string
+	for _, member := range s.Members {
+		if member.GetVoter() == voter {
+			names = append(names, member.GetName())
+		}
+	}
+	return names
+}
+
+// Status returns the node's state as of the last turn of its loop.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.status
+}
+
+func (n *Node) publish() {
+	c := n.core
+	members := c.Members()
+	leader := find(c.members.latest(), c.leader)
+	s := Status{ID: c.cfg.ID, Group: c.group, Role: c.role, Term: c.term, Leader: c.leader, LeaderName: leader.GetName(), LeaderAddress: c.leaderAddress,
+		CommitIndex: c.commit, AppliedIndex: n.applied, LastIndex: c.log.last(), SnapshotIndex: c.snapshot.GetIndex(),
+		Members: members, DiskFull: n.full, InvariantsChecked: c.Checked, InvariantsBroken: c.BrokenCount}
+	n.mu.Lock()
+	n.status = s
+	n.mu.Unlock()
+	n.metrics.term.Set(float64(s.Term))
+	n.metrics.commit.Set(float64(s.CommitIndex))
+	n.metrics.applied.Set(float64(s.AppliedIndex))
+	n.metrics.leads.Set(boolean(s.Role == Leader))
+	n.metrics.checked.Set(float64(s.InvariantsChecked))
+	n.metrics.ignored.Set(float64(c.Ignored))
+	n.metrics.syncs.Set(float64(n.store.Syncs))
+}
+
+type metrics struct {
+	term, commit, applied, leads, checked, ignored, syncs, diskFull prometheus.Gauge
+	sent, dropped, cutBytes, installs, snapshots, repairs           prometheus.Counter
+	elections                                                       prometheus.Counter
+	syncSeconds                                                     prometheus.Histogram
+	broken, refused                                                 *prometheus.CounterVec
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func newMetrics(registerer prometheus.Registerer, process string) *metrics {
+	var all []prometheus.Collector
+	labels := prometheus.Labels{"process": process}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Name: "lilacbridge_replica_" + name, Help: help, ConstLabels: labels})
+		all = append(all, g)
+		return g
+	}
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_replica_" + name, Help: help, ConstLabels: labels})
+		all = append(all, c)
+		return c
+	}
+	vector := func(name, label, help string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lilacbridge_replica_" + name, Help: help, ConstLabels: labels}, []string{label})
+		all = append(all, v)
+		return v
+	}
+	m := &metrics{
+		term:      gauge("term", "Term that the process is in."),
+		commit:    gauge("commit_index", "Last log entry known to be committed."),
+		applied:   gauge("applied_index", "Last log entry applied to the state machine."),
+		leads:     gauge("leader", "1 if the process leads the group."),
+		checked:   gauge("invariants_checked", "Invariants checked since the start."),
+		ignored:   gauge("messages_ignored", "Messages for another identity or group, or from a candidate nobody needs."),
+		syncs:     gauge("log_syncs", "Syncs of the log since the start."),
+		diskFull:  gauge("disk_full", "1 while the disk takes no more."),
+		sent:      counter("messages_sent_total", "Messages handed to the transport."),
+		dropped:   counter("messages_dropped_total", "Messages dropped because the process was too busy."),
+		cutBytes:  counter("log_cut_bytes_total", "Bytes of torn records cut at the start."),
+		installs:  counter("snapshots_installed_total", "Snapshots taken from the leader."),
+		snapshots: counter("snapshots_written_total", "Snapshots written of the own state."),
+		repairs:   counter("repairs_total", "Lost voters replaced."),
+		elections: counter("candidacies_total", "Candidacies of this process."),
+		broken:    vector("invariants_broken_total", "invariant", "Invariants that did not hold; the step was refused."),
+		refused:   vector("refused_total", "kind", "Proposals and reads refused, by kind."),
+	}
+	m.syncSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "lilacbridge_replica_sync_seconds", Help: "Time to write and sync a batch of the log.",
+		ConstLabels: labels, Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16)})
+	all = append(all, m.syncSeconds)
+	if registerer != nil {
+		registerer.MustRegister(all...)
+	}
+	return m
+}
--- /dev/null
+++ b/process/wal/record.go
@@ -0,0 +1,89 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	// headerSize is the length (4 bytes) and the checksum (4 bytes) before a record.
+	headerSize = 8
+	// maxRecord bounds a record, so that a damaged length is seen as such.
+	maxRecord = 64 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// checksum covers the offset too: bytes of a record that stand elsewhere, such
+// as inside a command, are never taken for a record.
+func checksum(offset int64, payload []byte) uint32 {
+	var head [12]byte
+	binary.LittleEndian.PutUint64(head[:8], uint64(offset))
+	binary.LittleEndian.PutUint32(head[8:], uint32(len(payload)))
+	return crc32.Update(crc32.Checksum(head[:], castagnoli), castagnoli, payload)
+}
+
+// appendRecord adds the record for payload, which will stand at offset, to b.
+func appendRecord(b []byte, offset int64, payload []byte) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint32(b, checksum(offset, payload))
+	return append(b, payload...)
+}
+
+// recordAt returns the payload of the record at offset of data, or nil if
+// there is no whole and sound one.
+func recordAt(data []byte, offset int) []byte {
+	if len(data)-offset < headerSize {
+		return nil
+	}
+	length := int(binary.LittleEndian.Uint32(data[offset:]))
+	if length == 0 || length > maxRecord || length > len(data)-offset-headerSize {
+		return nil
+	}
+	payload := data[offset+headerSize : offset+headerSize+length]
+	if checksum(int64(offset), payload) != binary.LittleEndian.Uint32(data[offset+4:]) {
+		return nil
+	}
+	return payload
+}
+
+// soundAfter returns the offset of the first sound record after offset, or -1.
+func soundAfter(data []byte, offset int) int {
+	for at := offset + 1; at+headerSize < len(data); at++ {
+		if recordAt(data, at) != nil {
+			return at
+		}
+	}
+	return -1
+}
+
+func marshal(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err) // Messages of our own types always marshal.
+	}
+	return b
+}
+
+// Damage is an error in the durable files that no crash can have left.
+type Damage struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error names the file, the offset and the remedy.
+func (d *Damage) Error() string {
+	return fmt.Sprintf("%s at offset %d: %s; the disk lost or changed synced data: move the data folder away and start with an empty one, so that this process joins again under a new identity", d.File, d.Offset, d.Reason)
+}
+
+func damaged(folder Folder, name string, offset int64, reason string) error {
+	d := &Damage{File: folder.Path() + "/" + name, Offset: offset, Reason: reason}
+	return fault.Wrap(d, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "data folder is damaged")
+}
--- /dev/null
+++ b/process/wal/snapshot.go
@@ -0,0 +1,178 @@
+package wal
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	snapshotPrefix = "snapshot-"
+	tempSuffix     = ".tmp"
+)
+
+func snapshotName(meta *lilacv1.RaftSnapshotMeta) string {
+	return fmt.Sprintf("%s%016x-%016x", snapshotPrefix, meta.GetIndex(), meta.GetTerm())
+}
+
+// SaveSnapshot writes a snapshot of the own state machine and removes what it
+// makes superfluous, except segments that hold an entry after keep.
+func (s *Store) SaveSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte, keep uint64) error {
+	if err := s.writeSnapshot(meta, data); err != nil {
+		return err
+	}
+	return s.compact(min(keep, meta.GetIndex()))
+}
+
+// InstallSnapshot writes a snapshot that came from the leader and gives up the
+// log before it.
+func (s *Store) InstallSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
+	if err := s.writeSnapshot(meta, data); err != nil {
+		return err
+	}
+	if err := s.append(&lilacv1.WalRecord{Base: meta}); err != nil {
+		return err
+	}
+	return s.compact(meta.GetIndex())
+}
+
+// writeSnapshot makes the file whole under a temporary name first: a crash
+// leaves either the old snapshot or the new one, never a torn one.
+func (s *Store) writeSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	name := snapshotName(meta)
+	file, err := s.folder.Create(name + tempSuffix)
+	if err != nil {
+		return s.failed(err)
+	}
+	head := appendRecord(nil, 0, marshal(meta))
+	b := append(head, appendRecord(nil, int64(len(head)), append([]byte{0}, data...))...)
+	if _, err := file.Write(b); err != nil {
+		file.Close()
+		_ = s.folder.Remove(name + tempSuffix)
+		return s.failed(err)
+	}
+	err = file.Sync()
+	file.Close()
+	if err != nil {
+		return s.syncFailed(err)
+	}
+	if err := s.folder.Rename(name+tempSuffix, name); err != nil {
+		return s.failed(err)
+	}
+	if err := s.syncFolder(); err != nil {
+		return err
+	}
+	old := s.snapshot
+	s.snapshot = meta
+	if old != nil && snapshotName(old) != name {
+		return s.folder.Remove(snapshotName(old))
+	}
+	return nil
+}
+
+// compact removes the oldest segments whose entries all lie at or before index.
+func (s *Store) compact(index uint64) error {
+	for len(s.segments) > 1 && s.segments[0].last <= index {
+		if err := s.folder.Remove(segmentName(s.segments[0].number)); err != nil {
+			return err
+		}
+		s.segments = s.segments[1:]
+	}
+	return nil
+}
+
+// Snapshot returns the newest snapshot's description; nil if there is none.
+func (s *Store) Snapshot() *lilacv1.RaftSnapshotMeta { return s.snapshot }
+
+// ReadSnapshot returns up to n bytes of the newest snapshot's data from offset.
+func (s *Store) ReadSnapshot(offset uint64, n int) ([]byte, error) {
+	start := headerSize + len(marshal(s.snapshot)) + headerSize + 1
+	n = min(n, int(s.snapshot.GetSize()-offset))
+	return s.folder.ReadAt(snapshotName(s.snapshot), int64(start)+int64(offset), n)
+}
+
+func readSnapshot(folder Folder, name string) (*lilacv1.RaftSnapshotMeta, []byte, error) {
+	size, err := folder.Size(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := folder.ReadAt(name, 0, int(size))
+	if err != nil {
+		return nil, nil, err
+	}
+	meta := &lilacv1.RaftSnapshotMeta{}
+	head := recordAt(b, 0)
+	if head == nil || proto.Unmarshal(head, meta) != nil || snapshotName(meta) != name {
+		return nil, nil, damaged(folder, name, 0, "the snapshot's description is damaged")
+	}
+	offset := headerSize + len(head)
+	data := recordAt(b, offset)
+	if data == nil || uint64(len(data)) != meta.GetSize()+1 {
+		return nil, nil, damaged(folder, name, int64(offset), "the snapshot's data is damaged")
+	}
+	return meta, data[1:], nil
+}
+
+// Report describes a data folder to operators.
+type Report struct {
+	// Empty is true when the process never ran, or lost its disk.
+	Empty bool
+	// ID is the process's identity in the group, Group the group's.
+	ID, Group string
+	Term      uint64
+	Vote      string
+	// SnapshotIndex is 0 if there is no snapshot.
+	SnapshotIndex uint64
+	SnapshotBytes uint64
+	// FirstIndex and LastIndex bound the entries after the snapshot; 0 if none.
+	FirstIndex, LastIndex uint64
+	LastTerm              uint64
+	Segments, Records     int
+	// TornBytes would be cut at the next start.
+	TornBytes int64
+	// Unfinished are files that a crash left; the next start removes them.
+	Unfinished []string
+	// Members are those of the snapshot and the entries after it.
+	Members []*lilacv1.RaftMember
+}
+
+// Inspect reads a data folder and changes nothing; it works while the process
+// runs. An error names the damage.
+func Inspect(folder Folder) (*Report, error) {
+	r, err := read(folder)
+	if err != nil {
+		if _, listErr := folder.List(); listErr != nil {
+			return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "data folder can't be read; check its path and rights")
+		}
+		return nil, err
+	}
+	s := r.state
+	report := &Report{Empty: s.Hard == nil, ID: s.Hard.GetId(), Group: s.Hard.GetGroup(), Term: s.Hard.GetTerm(), Vote: s.Hard.GetVote(),
+		SnapshotIndex: s.Snapshot.GetIndex(), SnapshotBytes: s.Snapshot.GetSize(), Segments: len(r.segments), Records: r.records,
+		TornBytes: s.CutBytes, Members: s.Snapshot.GetMembers().GetMembers()}
+	for _, name := range r.garbage {
+		if strings.HasSuffix(name, tempSuffix) {
+			report.Unfinished = append(report.Unfinished, name)
+		}
+	}
+	for _, entry := range s.Entries {
+		if entry.GetKind() == lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_MEMBERS {
+			members := &lilacv1.RaftMembers{}
+			if proto.Unmarshal(entry.GetData(), members) == nil {
+				report.Members = members.GetMembers()
+			}
+		}
+	}
+	if n := len(s.Entries); n > 0 {
+		report.FirstIndex, report.LastIndex = s.Entries[0].GetIndex(), s.Entries[n-1].GetIndex()
+		report.LastTerm = s.Entries[n-1].GetTerm()
+	}
+	return report, nil
+}
