--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -95,15 +95,6 @@
 	},
 }
 
-func fleetByName(name string) (*fleet, error) {
-	for i := range fleets {
-		if fleets[i].name == name {
-			return &fleets[i], nil
-		}
-	}
-	return nil, fmt.Errorf("no fleet %q; use agence or madryn", name)
-}
-
 func (f *fleet) dataCenter(i int) string { return f.dataCenters[i%len(f.dataCenters)] }
 
 func engineName(i int) string  { return fmt.Sprintf("engine-%02d", i) }
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -49,7 +49,6 @@
 	fleet     *fleet
 	scenario  *scenario
 	random    *rand.Rand
-	snapshot  *lilacv1.Snapshot
 	view      *model.View
 	engines   []*engine
 	backends  map[string]backend
--- /dev/null
+++ b/request/choose/filter.go
@@ -0,0 +1,46 @@
+package choose
+
+// Open bars servers that get no new work, and the one that failed just now.
+type Open struct{}
+
+var _ Filter = Open{}
+
+// Allow implements Filter.
+func (Open) Allow(r *Request, c *Candidate) bool {
+	return !c.Barred && (r.Avoid == "" || c.Name != r.Avoid)
+}
+
+// Room bars servers that would run more than keeps their targets, the
+// reserve for more urgent tiers included.
+type Room struct{}
+
+var _ Filter = Room{}
+
+// Allow implements Filter.
+func (Room) Allow(r *Request, c *Candidate) bool {
+	return c.Load+1 <= c.Limit-r.Reserve+r.Over
+}
+
+// Quarantine keeps two suspects off the same server: if it crashed, nobody
+// could tell which of them did it.
+type Quarantine struct{}
+
+var _ Filter = Quarantine{}
+
+// Allow implements Filter.
+func (Quarantine) Allow(r *Request, c *Candidate) bool {
+	return !r.Alone || !c.Trial
+}
+
+// OnTime bars servers that are expected to miss the request's targets.
+type OnTime struct{}
+
+var _ Filter = OnTime{}
+
+// Allow implements Filter.
+func (OnTime) Allow(r *Request, c *Candidate) bool {
+	if r.Between > 0 && c.Gap > r.Between {
+		return false
+	}
+	return r.FirstBy <= 0 || c.First <= r.FirstBy
+}
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -6,11 +6,9 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/request/queue"
 )
 
-// queueLimit is how many requests wait in one pool before the lowest tier is shed.
-const queueLimit = 256
-
 // defaultClass serves requests that name no class, where it is configured.
 const defaultClass = "default"
 
@@ -19,7 +17,7 @@
 	if !c.check(InvariantOneFinal, c.requests[a.ID] == nil) {
 		return
 	}
-	r := &request{Arrival: a, arrived: now}
+	r := &request{Arrival: a, held: now}
 	if refusal, ok := c.admit(now, r); !ok {
 		refusal.ID = a.ID
 		refusal.NotRun = lilacv1.NotRun_NOT_RUN_TRUE
@@ -31,15 +29,18 @@
 	if !a.Deadline.IsZero() {
 		c.timers.add(a.Deadline, a.ID)
 	}
-	r.pool.push(r)
+	c.charge(now, r)
+	r.pool.use(r.class, now)
+	c.fillItem(now, r)
+	c.enqueue(now, r)
 	c.dispatch(now, r.pool)
-	c.shed(now, r.pool)
+	c.relieve(now, r.pool)
 }
 
 // admit checks what the configuration says of the request.
 func (c *core) admit(now time.Time, r *request) (Refuse, bool) {
 	if c.draining {
-		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_DRAINING, "this instance is shutting down; send the request again, another instance takes it", time.Second)
+		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_DRAINING, "this instance is shutting down; send the request again, another instance takes it", c.spread(time.Second))
 	}
 	if r.Class == "" {
 		r.Class = defaultClass
@@ -48,19 +49,24 @@
 	if r.class == nil {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_CLASS, fmt.Sprintf("class %q is not configured; ask the operators for the classes, or SET CLASS", r.Class), 0)
 	}
-	if c.view.Teams[r.Team] == nil {
+	team := c.view.Teams[r.Team]
+	if team == nil {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_TEAM, fmt.Sprintf("team %q is not configured; ask the operators to SET TEAM", r.Team), 0)
 	}
-	if c.view.Convictions[r.Digest] != nil {
-		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_CONVICTED, "this request crashed two backend servers and is barred; change it, or ask the operators to lift the conviction", 0)
+	if c.view.Convictions[r.Digest] != nil || c.suspects.Get(r.Digest).Convicted() {
+		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 	}
 	r.pool = c.pools[r.Target]
-	if r.pool == nil {
+	if r.pool == nil || len(r.pool.servers) == 0 {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_MODEL, fmt.Sprintf("no backend server serves %q; GET /v1/models lists what is served", r.Target), 0)
 	}
 	if !r.Deadline.IsZero() && !r.Deadline.After(now) {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline had passed on arrival; allow more time", 0)
 	}
+	r.limit = limitOf(team)
+	if wait, ok := c.limits.Allow(r.Team, r.limit, now); !ok {
+		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_LIMIT, fmt.Sprintf("team %q has spent its tokens a second; come back after Retry-After, or ask the operators to raise the limit", r.Team), c.spread(max(wait, minRetryAfter)))
+	}
 	return Refuse{}, true
 }
 
@@ -68,36 +74,63 @@
 	return Refuse{Kind: kind, Message: message, RetryAfter: after}, false
 }
 
-// shed gives up the newest of the lowest tier while the queue is over its limit.
-func (c *core) shed(now time.Time, p *pool) {
-	for p.waiting() > queueLimit {
-		r := p.lowest()
-		p.remove(r)
-		c.check(InvariantTier, p.lowestTier() <= r.tier())
-		c.end(r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, "all backend servers are busy; send the request again after Retry-After", c.spread(time.Second))
+// charge takes the expected tokens out of the team's limit; the end settles the rest.
+func (c *core) charge(now time.Time, r *request) {
+	r.estimated = 1
+	if !r.pool.service {
+		r.estimated = c.estimates.Left(r.key(), 0)
+		if r.MaxTokens > 0 {
+			r.estimated = min(r.estimated, float64(r.MaxTokens))
+		}
 	}
+	r.charged = float64(r.PromptTokens) + r.estimated
+	c.limits.Spend(r.Team, r.limit, r.charged, now)
 }
 
-// spread lengthens a delay by up to its half, so that callers don't return together.
-func (c *core) spread(delay time.Duration) time.Duration {
-	return delay + time.Duration(c.random.Int64N(int64(delay)/2+1))
+// prefillShare is what a prompt token costs of what a generated one does.
+const prefillShare = 0.05
+
+func (c *core) fillItem(now time.Time, r *request) {
+	weight := max(float64(c.view.Teams[r.Team].GetWeight()), 1)
+	cost := r.estimated
+	if !r.pool.service {
+		cost += prefillShare * float64(r.PromptTokens)
+	}
+	r.item = queue.Item{
+		ID: uint64(r.ID), Tier: r.tier(), Class: r.Class, Team: r.Team,
+		Weight: weight, Cost: cost, Arrived: now,
+	}
+	r.item.Due = now.Add(r.first() - r.pool.expectFirst(r))
 }
 
-// end gives the request its one final action, by what its caller holds already.
-func (c *core) end(r *request, kind fault.Kind, message string, after time.Duration) {
-	if !c.check(InvariantOneFinal, c.requests[r.ID] == r) {
-		return
+// expectFirst is the time to the first token that is kept free of waiting.
+func (p *pool) expectFirst(r *request) time.Duration {
+	best := time.Duration(-1)
+	for i := range min(len(p.servers), dueSample) {
+		s := p.servers[i]
+		first := s.firstToken(s.load(), s.uncached(r))
+		if best < 0 || first < best {
+			best = first
+		}
 	}
-	delete(c.requests, r.ID)
-	if r.got > 0 {
-		c.stats.Broken++
-		c.emit(Broken{ID: r.ID, Kind: kind, Message: message, RetryAfter: after})
+	return min(best+best/4, r.first()/2)
+}
+
+// dueSample is how many servers are asked for the time to a first token.
+const dueSample = 4
+
+// enqueue lets the request wait: as a suspect, or in its tier.
+func (c *core) enqueue(now time.Time, r *request) {
+	r.pool.dirty = true
+	if c.suspects.Len() > 0 && c.suspects.Get(r.Digest) != nil {
+		r.held = now
+		r.pool.quarantine = append(r.pool.quarantine, r)
 		return
 	}
-	notRun := lilacv1.NotRun_NOT_RUN_TRUE
-	if r.sentEver {
-		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
+	r.item.Late = false
+	if r.got > 0 {
+		// A continued answer goes first where it would fall behind its pace.
+		r.item.Due = now.Add(max(r.firstBy(now), 0))
 	}
-	c.stats.Refused++
-	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after})
+	r.pool.queue.Push(&r.item)
 }
--- /dev/null
+++ b/request/policy/choice.go
@@ -0,0 +1,109 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/request/choose"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// reserves are the slots of each server that a tier leaves free for more urgent ones.
+var reserves = [model.Tiers]float64{0, 0.5, 1, 2}
+
+const (
+	// urgentOver is how many of the most urgent tier may wait at an engine that
+	// honours priorities: the next slot that falls free is theirs.
+	urgentOver = 1
+	// crowdWeight is the weight of what a request adds to others' gaps.
+	crowdWeight = 0.5
+)
+
+// chooser holds the ways of choosing and the memory that they share.
+type chooser struct {
+	onTime     choose.Chooser
+	late       choose.Chooser
+	candidates []choose.Candidate
+}
+
+func newChooser(remotePrice time.Duration) chooser {
+	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: remotePrice}, choose.Crowd{Weight: crowdWeight}}
+	return chooser{
+		onTime: choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: choose.Least{}},
+		late:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}, Scorers: scorers, Picker: choose.Least{}},
+	}
+}
+
+// describe fills in the candidates for a request; a large pool is sampled.
+func (c *core) describe(now time.Time, r *request) {
+	servers := r.pool.servers
+	c.choice.candidates = c.choice.candidates[:0]
+	if len(servers) <= choose.Sample+choose.Sample/2 {
+		for i, s := range servers {
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i))
+		}
+		return
+	}
+	start := c.random.IntN(len(servers))
+	step := 1 + c.random.IntN(len(servers)-1)
+	for i := range choose.Sample {
+		at := (start + i*step) % len(servers)
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at))
+	}
+}
+
+// how says how a request looks for a server.
+type how struct {
+	reserve, over float64
+	late          bool
+	alone         bool
+}
+
+// choose returns the server for the request, or nil while none has room.
+func (c *core) choose(now time.Time, r *request, h how) *server {
+	c.describe(now, r)
+	asked := choose.Request{
+		FirstBy: r.firstBy(now), Between: r.between(), Avoid: r.failedOn,
+		Left: r.left(c), Reserve: h.reserve, Over: h.over, Alone: h.alone,
+	}
+	if len(r.pool.servers) == 1 {
+		asked.Avoid = ""
+	}
+	way := &c.choice.onTime
+	if h.late || !c.possible(r) {
+		way = &c.choice.late
+	}
+	at := way.Choose(&asked, c.choice.candidates, c.random)
+	if at < 0 {
+		return nil
+	}
+	return r.pool.servers[c.choice.candidates[at].Index]
+}
+
+// possible tells whether any server that is looked at keeps the gap between
+// tokens at all, empty; if none does, waiting for one would help nobody.
+func (c *core) possible(r *request) bool {
+	between := r.between()
+	if between == 0 || r.pool.service {
+		return true
+	}
+	for i := range c.choice.candidates {
+		candidate := &c.choice.candidates[i]
+		s := r.pool.servers[candidate.Index]
+		if !candidate.Barred && s.gapAt(1) <= between {
+			return true
+		}
+	}
+	return false
+}
+
+// left is the expected number of tokens to come.
+func (r *request) left(c *core) float64 {
+	if r.pool.service {
+		return 0
+	}
+	left := c.estimates.Left(r.key(), r.got)
+	if r.MaxTokens > 0 {
+		left = min(left, float64(max(r.MaxTokens-r.got, 1)))
+	}
+	return left
+}
--- /dev/null
+++ b/request/policy/configure.go
@@ -0,0 +1,155 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/choose"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// configure brings a revision into force; requests that run go on.
+func (c *core) configure(now time.Time, view *model.View) {
+	old := c.view
+	c.view = view
+	for digest := range old.Convictions {
+		if view.Convictions[digest] == nil {
+			c.suspects.Cleared(digest)
+		}
+	}
+	c.configureServers(now, view)
+	c.configurePools(view)
+	for _, p := range c.poolOrder {
+		c.reclass(now, p)
+		p.measure(now)
+		c.dispatch(now, p)
+	}
+}
+
+func (c *core) configureServers(now time.Time, view *model.View) {
+	for name, configured := range view.Servers {
+		s := c.servers[name]
+		if s == nil {
+			s = newServer(name)
+			s.reportAge = -1
+			c.servers[name] = s
+		}
+		c.configureServer(now, s, configured)
+	}
+	c.ordered = c.ordered[:0]
+	for name, s := range c.servers {
+		if view.Servers[name] == nil {
+			if len(s.own) == 0 {
+				delete(c.servers, name)
+				continue
+			}
+			s.close(now, &s.configLeaving, true)
+		}
+		c.ordered = append(c.ordered, s)
+	}
+	slices.SortFunc(c.ordered, func(a, b *server) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (c *core) configureServer(now time.Time, s *server, configured *lilacv1.Server) {
+	s.dataCenter = configured.GetDataCenter()
+	s.remote = s.dataCenter != c.options.DataCenter
+	s.service = configured.GetKind() == lilacv1.ServerKind_SERVER_KIND_SERVICE
+	s.slots = int(configured.GetSlots())
+	if s.slots == 0 {
+		s.slots = defaultSlots
+	}
+	s.close(now, &s.configLeaving, configured.GetDraining())
+}
+
+// close sets one of the reasons for which a server gets no new work.
+func (s *server) close(now time.Time, reason *bool, closed bool) {
+	before := s.closed()
+	*reason = closed
+	if !before && s.closed() {
+		s.closedAt = now
+	}
+}
+
+func (c *core) configurePools(view *model.View) {
+	for name, p := range c.pools {
+		if view.Pools[name] == nil {
+			p.servers = nil
+		}
+	}
+	for name, members := range view.Pools {
+		p := c.pools[name]
+		if p == nil {
+			p = newPool(name)
+			c.pools[name] = p
+		}
+		names := make([]string, len(members))
+		for i, member := range members {
+			names[i] = member.GetName()
+		}
+		slices.Sort(names)
+		p.servers = p.servers[:0]
+		for _, chosen := range choose.Subset(c.options.Instance, names, c.options.Weights.SubsetSize) {
+			p.servers = append(p.servers, c.servers[chosen])
+		}
+		p.service = len(p.servers) > 0 && p.servers[0].service
+	}
+	c.poolOrder = c.poolOrder[:0]
+	for _, p := range c.pools {
+		c.poolOrder = append(c.poolOrder, p)
+	}
+	slices.SortFunc(c.poolOrder, func(a, b *pool) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+}
+
+// reclass gives waiting and running requests their class's new settings. A
+// request whose class is gone keeps the old ones.
+func (c *core) reclass(now time.Time, p *pool) {
+	for _, u := range p.uses {
+		if class := c.view.Classes[u.class.GetName()]; class != nil {
+			u.class = class
+			p.queue.SetShare(class.GetName(), shareOf(class))
+		}
+	}
+	p.tighten(now)
+}
+
+func (c *core) serverState(now time.Time, e ServerState) {
+	s := c.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.close(now, &s.leaving, e.Leaving)
+	s.close(now, &s.gone, e.Gone)
+	for _, p := range c.poolOrder {
+		p.measure(now)
+		c.dispatch(now, p)
+	}
+}
+
+func (c *core) loadReport(now time.Time, e LoadReport) {
+	s := c.servers[e.Server]
+	if s == nil {
+		return
+	}
+	// A crashed server's last reports describe the time before the crash.
+	if now.Add(-e.Age).Before(s.crashedAt) {
+		s.reportAge = -1
+		return
+	}
+	s.reportAge = e.Age.Seconds()
+	s.reported = max(0, float64(e.Running+e.Waiting)-s.ownAgo(e.Age))
+	s.join(len(c.peers) > 0)
+	for _, p := range c.poolOrder {
+		p.dirty = p.dirty || p.queue.Len() > 0
+	}
+}
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -4,45 +4,78 @@
 	"math/rand/v2"
 	"time"
 
-	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/estimate"
+	"github.com/lilacbridge/lilacbridge/request/limits"
+	"github.com/lilacbridge/lilacbridge/request/retry"
+	"github.com/lilacbridge/lilacbridge/request/suspect"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
+const (
+	// slowTick is the interval of work that needn't be done at each tick.
+	slowTick = 100 * time.Millisecond
+	// expireEvery is how often old suspicions are dropped.
+	expireEvery = time.Minute
+)
+
 // core is the state of one instance's policy.
 type core struct {
-	options  Options
-	view     *model.View
-	random   *rand.Rand
-	requests map[ID]*request
-	servers  map[string]*server
-	pools    map[string]*pool
-	timers   timers
-	draining bool
-	running  int
-	starts   uint64
-	retries  uint64
-	sequence uint64
-	stats    Stats
-	actions  []Action
+	options   Options
+	view      *model.View
+	random    *rand.Rand
+	requests  map[ID]*request
+	servers   map[string]*server
+	ordered   []*server
+	pools     map[string]*pool
+	poolOrder []*pool
+	peers     map[string]*peer
+	peerNames []string
+	// known counts instances that were ever heard, this one included.
+	known     map[string]bool
+	cutUntil  map[string]time.Time
+	timers    timers
+	estimates *estimate.Table
+	budget    *retry.Budget
+	suspects  *suspect.Table
+	limits    *limits.Table
+	choice    chooser
+	draining  bool
+	running   int
+	sequence  uint64
+	slowAt    time.Time
+	expireAt  time.Time
+	stats     Stats
+	actions   []Action
+	announced bool
 }
 
 // New returns a core that refuses everything until its first Configured event.
 func New(options Options) Core {
 	return &core{
-		options:  options,
-		view:     model.NewView(nil),
-		random:   rand.New(rand.NewPCG(options.Seed, uint64(len(options.Instance)))),
-		requests: make(map[ID]*request),
-		servers:  make(map[string]*server),
-		pools:    make(map[string]*pool),
-		stats:    Stats{Violations: make(map[Invariant]uint64)},
+		options:   options,
+		view:      model.NewView(nil),
+		random:    rand.New(rand.NewPCG(options.Seed, uint64(len(options.Instance)))),
+		requests:  make(map[ID]*request),
+		servers:   make(map[string]*server),
+		pools:     make(map[string]*pool),
+		peers:     make(map[string]*peer),
+		known:     map[string]bool{options.Instance: true},
+		cutUntil:  make(map[string]time.Time),
+		estimates: estimate.NewTable(),
+		budget:    retry.New(options.Weights.RetryShare),
+		suspects:  suspect.NewTable(),
+		limits:    limits.NewTable(),
+		choice:    newChooser(options.Weights.RemoteCost.Duration),
+		stats:     Stats{Violations: make(map[Invariant]uint64)},
 	}
 }
 
 // Step takes one event and returns what the shell must do, in order. The slice
 // is valid until the next call.
 func (c *core) Step(now time.Time, event Event) []Action {
+	clear(c.actions)
 	c.actions = c.actions[:0]
+	c.announced = false
 	switch e := event.(type) {
 	case Arrival:
 		c.arrive(now, e)
@@ -58,10 +91,16 @@
 		c.failed(now, e)
 	case LoadReport:
 		c.loadReport(now, e)
+	case CacheEvent:
+		c.cacheEvent(e)
 	case ServerState:
 		c.serverState(now, e)
 	case Configured:
 		c.configure(now, e.View)
+	case PeerDigest:
+		c.peerDigest(now, e.Digest)
+	case PeerGone:
+		c.peerGone(now, e.Instance)
 	case Draining:
 		c.draining = true
 	case Tick:
@@ -70,23 +109,18 @@
 	return c.actions
 }
 
-// Digest tells the other instances what this one does.
-func (c *core) Digest(now time.Time) *lilacv1.Digest {
-	c.sequence++
-	return &lilacv1.Digest{
-		Instance:    c.options.Instance,
-		DataCenter:  c.options.DataCenter,
-		Incarnation: c.options.Incarnation,
-		Sequence:    c.sequence,
-		Leaving:     c.draining,
-		Revision:    c.view.Revision,
-	}
-}
-
 func (c *core) emit(action Action) {
 	c.actions = append(c.actions, action)
 }
 
+// announce has the digest sent at once, at most once for each event.
+func (c *core) announce() {
+	if !c.announced {
+		c.announced = true
+		c.emit(Announce{})
+	}
+}
+
 func (c *core) tick(now time.Time) {
 	for {
 		id, due := c.timers.due(now)
@@ -94,10 +128,36 @@
 			break
 		}
 		if r := c.requests[id]; r != nil {
-			c.expire(r)
+			c.expire(now, r)
 		}
 	}
-	for _, p := range c.poolsInOrder() {
+	for _, p := range c.poolOrder {
+		c.expireLate(now, p)
+		if p.dirty {
+			c.dispatch(now, p)
+		}
+	}
+	if now.Before(c.slowAt) {
+		return
+	}
+	c.slowAt = now.Add(slowTick)
+	c.housekeep(now)
+}
+
+// housekeep does what needs doing ten times a second.
+func (c *core) housekeep(now time.Time) {
+	for _, s := range c.ordered {
+		s.sample(now)
+	}
+	for _, p := range c.poolOrder {
+		p.measure(now)
+		c.cutoff(now, p)
+		c.relieve(now, p)
+		c.moveStragglers(now, p)
 		c.dispatch(now, p)
 	}
+	if now.After(c.expireAt) {
+		c.expireAt = now.Add(expireEvery)
+		c.suspects.Expire(now)
+	}
 }
--- a/request/policy/core_test.go
+++ b/request/policy/core_test.go
@@ -38,6 +38,21 @@
 	return Arrival{ID: id, Class: class, Team: "a", Target: "redaction", Digest: string(rune('a' + id)), PromptTokens: 10, Idempotent: true}
 }
 
+// only returns the one action of its type; a second one, or none, ends the test.
+func only[A Action](t *testing.T, actions []Action) A {
+	t.Helper()
+	var found []A
+	for _, action := range actions {
+		if a, ok := action.(A); ok {
+			found = append(found, a)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d actions of the type wanted, among %v", len(found), actions)
+	}
+	return found[0]
+}
+
 func TestArrivalStartsOnAServerWithRoom(t *testing.T) {
 	is := is.New(t)
 	c := newCore()
@@ -65,7 +80,7 @@
 	a.Idempotent = false
 	start := c.Step(epoch, a)[0].(Start)
 	c.Step(epoch, Sent{ID: 1, Attempt: start.Attempt})
-	refusal := c.Step(epoch, Failed{ID: 1, Attempt: start.Attempt, Sent: true, Crashed: true})[0].(Refuse)
+	refusal := only[Refuse](t, c.Step(epoch, Failed{ID: 1, Attempt: start.Attempt, Sent: true, Crashed: true}))
 	is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN)
 	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
 }
@@ -77,7 +92,7 @@
 	c := newCore()
 	start := c.Step(epoch, arrival(1, "alerts"))[0].(Start)
 	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 2})
-	again := c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})[0].(Start)
+	again := only[Start](t, c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true}))
 	is.True(again.Server != start.Server)
 	is.True(again.Continue)
 	is.Equal(len(c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 1})), 0)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -4,64 +4,122 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/queue"
+	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
-// dispatch starts waiting requests while a server has room for the next one.
+// dispatch starts waiting requests while servers have room: first what a class
+// is owed by its guaranteed share, then by tier what can still be on time,
+// then by tier what is late.
 func (c *core) dispatch(now time.Time, p *pool) {
-	for {
-		r := p.next()
-		if r == nil {
+	p.dirty = false
+	c.tryTrials(now, p)
+	for p.queue.Len() > 0 {
+		if !c.startOwed(now, p) && !c.startNext(now, p) {
 			return
 		}
-		s := c.choose(now, r)
-		if s == nil {
-			return
-		}
-		p.remove(r)
-		c.start(now, r, s)
 	}
 }
 
-// choose returns the open server with the least in flight, or nil.
-func (c *core) choose(now time.Time, r *request) *server {
-	var best *server
-	for _, s := range r.pool.servers {
-		if !s.open(now) || s.name == r.failedOn && len(r.pool.servers) > 1 {
-			continue
-		}
-		if best == nil || s.load() < best.load() {
-			best = s
+func (c *core) startOwed(now time.Time, p *pool) bool {
+	item := p.queue.Owed()
+	if item == nil {
+		return false
+	}
+	r := c.requests[ID(item.ID)]
+	s := c.choose(now, r, how{late: true})
+	if s == nil {
+		return false
+	}
+	p.queue.Settle(item)
+	c.begin(now, r, s)
+	return true
+}
+
+func (c *core) startNext(now time.Time, p *pool) bool {
+	for _, late := range [...]bool{false, true} {
+		for tier := range model.Tiers {
+			if item := p.queue.Peek(tier, late); item != nil && c.tryStart(now, p, item) {
+				return true
+			}
 		}
 	}
-	return best
+	return false
+}
+
+func (c *core) tryStart(now time.Time, p *pool, item *queue.Item) bool {
+	urgent := item.Tier == 0 && !item.Late
+	if !urgent && float64(len(p.running)) >= p.quota {
+		return false
+	}
+	r := c.requests[ID(item.ID)]
+	h := how{reserve: reserves[item.Tier], late: item.Late}
+	if urgent {
+		h.over = urgentOver
+	}
+	s := c.choose(now, r, h)
+	if s == nil {
+		s = c.preempt(now, r)
+	}
+	if s == nil {
+		return false
+	}
+	c.begin(now, r, s)
+	return true
+}
+
+// begin takes the request out of the queue and starts it.
+func (c *core) begin(now time.Time, r *request, s *server) {
+	r.pool.queue.Started(&r.item)
+	r.pool.queue.Served(r.Class, r.item.Cost, now)
+	c.start(now, r, s)
 }
 
 func (c *core) start(now time.Time, r *request, s *server) {
 	if !c.check(InvariantIdempotent, r.Idempotent || !r.sentEver) {
-		c.end(r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "the request may have run; ask for its outcome by its Idempotency-Key", 0)
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 		return
 	}
-	c.check(InvariantLeaving, !s.leaving && !s.gone)
+	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
 	r.attempt++
 	r.server = s
 	r.sentNow = false
+	r.gotNow = 0
 	r.started, r.lastAt = now, now
-	s.inFlight++
+	r.uncached, r.ahead = s.uncached(r), s.ahead
+	r.expected = s.firstToken(s.load()+1, r.uncached)
+	s.attach(r)
+	s.ahead += r.uncached
+	r.pool.attach(r)
+	for _, hash := range r.Prefix {
+		s.cache.add(hash)
+	}
 	c.running++
 	c.stats.Starts++
 	if r.attempt == 1 {
-		c.starts++
+		c.budget.Earn()
+	}
+	if r.got > 0 {
+		c.stats.Continued++
 	}
 	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), Continue: r.got > 0})
 }
 
 // leave takes the request off its server.
-func (c *core) leave(r *request) {
-	if r.server == nil {
+func (c *core) leave(now time.Time, r *request) {
+	s := r.server
+	if s == nil {
 		return
 	}
-	r.server.inFlight--
+	if r.gotNow == 0 {
+		s.ahead = max(0, s.ahead-r.uncached)
+	} else {
+		s.decoding--
+	}
+	s.detach(r)
+	r.pool.detach(r)
 	r.server = nil
 	c.running--
+	c.endTrial(now, r, s)
 }
--- /dev/null
+++ b/request/policy/failure.go
@@ -0,0 +1,105 @@
+package policy
+
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	// maxAttempts bounds the starts of one request.
+	maxAttempts = 10
+	// cutFor is how long another data centre is left alone after a silent failure there.
+	cutFor = time.Second
+
+	outcomeMessage   = "the backend server failed after the request was sent; ask for its outcome by its Idempotency-Key"
+	convictedMessage = "this request crashed two backend servers and is barred; change it, or ask the operators to lift the conviction"
+)
+
+func (c *core) failed(now time.Time, e Failed) {
+	r := c.current(e.ID, e.Attempt)
+	if r == nil {
+		return
+	}
+	s := r.server
+	e.Sent = e.Sent || r.sentNow && !e.Refused
+	if e.Crashed && e.Sent {
+		c.suspectCrash(now, r, s)
+	}
+	c.leave(now, r)
+	r.failedOn = s.name
+	r.sentEver = r.sentEver || e.Sent && !e.Refused
+	c.blame(now, s, e)
+	if kind, message, giveUp := c.verdict(now, r, e); giveUp {
+		after := time.Duration(0)
+		if kind == lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED {
+			after = c.retryAfter(r.pool)
+		}
+		c.end(now, r, kind, message, after)
+	} else {
+		c.enqueue(now, r)
+	}
+	c.dispatch(now, r.pool)
+}
+
+// blame draws the server's part from a failure.
+func (c *core) blame(now time.Time, s *server, e Failed) {
+	switch {
+	case e.Refused:
+		s.busyUntil = now.Add(max(e.RetryAfter, minBusy))
+	case e.Final:
+	case e.Crashed:
+		if !now.Before(s.ejectedUntil) {
+			c.stats.Crashes++
+			s.eject(now)
+			c.announce()
+		}
+		s.crashedAt = now
+		s.reportAge = -1
+		s.cache.clear()
+	default:
+		// No word at all: the server hangs, or the way to it is cut. A cut
+		// shows at one server of a data centre and holds for all of it.
+		s.eject(now)
+		if s.remote {
+			c.cutUntil[s.dataCenter] = now.Add(cutFor)
+			c.barDataCenter(now, s.dataCenter)
+		}
+	}
+}
+
+// barDataCenter keeps new work off a data centre that seems to be cut off.
+func (c *core) barDataCenter(now time.Time, dataCenter string) {
+	for _, s := range c.ordered {
+		if s.dataCenter == dataCenter && now.Sub(s.lastToken) > cutFor {
+			s.eject(now)
+		}
+	}
+}
+
+// verdict says whether a failed request is given up, and as what. A retry is
+// taken from the budget unless the server did not run the request at all.
+func (c *core) verdict(now time.Time, r *request, e Failed) (fault.Kind, string, bool) {
+	if c.suspects.Get(r.Digest).Convicted() {
+		return lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, true
+	}
+	if e.Final {
+		return lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "the backend server refused the request itself; change it", true
+	}
+	if !r.Idempotent && r.sentEver {
+		return lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, true
+	}
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline passed; allow more time", true
+	}
+	if e.Refused || !e.Sent {
+		return 0, "", false
+	}
+	if r.attempt >= maxAttempts || !c.budget.Take() {
+		return lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED, "the backend server failed and the retry budget is spent; send the request again after Retry-After", true
+	}
+	c.check(InvariantBudget, c.budget.Holds())
+	c.stats.Retries++
+	return 0, "", false
+}
--- /dev/null
+++ b/request/policy/final.go
@@ -0,0 +1,88 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound what callers are told.
+	minRetryAfter = 500 * time.Millisecond
+	maxRetryAfter = time.Minute
+)
+
+// spread lengthens a delay by up to its half, so that callers don't return together.
+func (c *core) spread(delay time.Duration) time.Duration {
+	return delay + time.Duration(c.random.Int64N(int64(delay)/2+1))
+}
+
+// retryAfter is when the queue of now will have been served, spread out.
+func (c *core) retryAfter(p *pool) time.Duration {
+	return c.spread(min(max(p.wait(), minRetryAfter), maxRetryAfter))
+}
+
+// end gives the request its one final action, by what its caller holds already.
+func (c *core) end(now time.Time, r *request, kind fault.Kind, message string, after time.Duration) {
+	if !c.check(InvariantOneFinal, c.requests[r.ID] == r) {
+		return
+	}
+	c.forget(now, r)
+	if r.got > 0 {
+		c.stats.Broken++
+		c.emit(Broken{ID: r.ID, Kind: kind, Message: message, RetryAfter: after})
+		return
+	}
+	notRun := lilacv1.NotRun_NOT_RUN_TRUE
+	if r.sentEver {
+		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
+	}
+	c.stats.Refused++
+	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after})
+}
+
+// forget drops the request and settles what its team was charged.
+func (c *core) forget(now time.Time, r *request) {
+	delete(c.requests, r.ID)
+	used := float64(r.got)
+	if r.sentEver {
+		used += float64(r.PromptTokens)
+	}
+	c.limits.Spend(r.Team, r.limit, used-r.charged, now)
+	r.pool.queue.Charge(&r.item, float64(r.got)-r.estimated)
+}
+
+// stop takes the request out of the queue or off its server.
+func (c *core) stop(now time.Time, r *request) {
+	if r.server == nil {
+		c.unqueue(r)
+		return
+	}
+	c.emit(Stop{ID: r.ID, Server: r.server.name, Attempt: r.attempt})
+	c.leave(now, r)
+}
+
+func (c *core) unqueue(r *request) {
+	r.pool.queue.Remove(&r.item)
+	if i := slices.Index(r.pool.quarantine, r); i >= 0 {
+		r.pool.quarantine = slices.Delete(r.pool.quarantine, i, i+1)
+	}
+}
+
+func (c *core) cancel(now time.Time, id ID) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	c.stop(now, r)
+	c.forget(now, r)
+	c.stats.Canceled++
+	c.dispatch(now, r.pool)
+}
+
+func (c *core) expire(now time.Time, r *request) {
+	c.stop(now, r)
+	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline passed; allow more time, or use a more urgent class", 0)
+}
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/request/estimate"
 )
 
 // Options are what a core needs to know of its instance.
@@ -56,6 +57,8 @@
 	// Waiting and Running are as of now.
 	Waiting int
 	Running int
+	// Estimates is how far predicted answer lengths were off.
+	Estimates estimate.Error
 	// Checked counts evaluations of invariants; Violations those that failed.
 	Checked    uint64
 	Violations map[Invariant]uint64
@@ -76,6 +79,7 @@
 	for name, count := range c.stats.Violations {
 		copied.Violations[name] = count
 	}
+	copied.Estimates = c.estimates.Errors()
 	copied.Running = c.running
 	copied.Waiting = len(c.requests) - c.running
 	return copied
--- /dev/null
+++ b/request/policy/overload.go
@@ -0,0 +1,63 @@
+package policy
+
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/queue"
+)
+
+const (
+	// maxWait is the longest queue, as the time that serving it takes.
+	maxWait = 20 * time.Second
+	// minQueue is how many requests may wait in any case.
+	minQueue = 8
+
+	overloadMessage = "all backend servers are busy; send the request again after Retry-After"
+	lateMessage     = "the class's target can't be met any more and its setting refuses late answers; send the request again after Retry-After"
+)
+
+// expireLate looks after requests that can't meet their target any more: by
+// their class's setting they run late or are refused, never silently dropped.
+func (c *core) expireLate(now time.Time, p *pool) {
+	var refused []*request
+	p.queue.Expired(now, func(item *queue.Item) {
+		r := c.requests[ID(item.ID)]
+		if r.class.GetLate() == lilacv1.LatePolicy_LATE_POLICY_REFUSE && r.got == 0 {
+			refused = append(refused, r)
+		}
+	})
+	for _, r := range refused {
+		c.unqueue(r)
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_LATE, lateMessage, c.retryAfter(p))
+	}
+}
+
+// cutoff brings the pool's cutoff up to date with what the peers said.
+func (c *core) cutoff(now time.Time, p *pool) {
+	if p.tiers.Update(now) {
+		c.announce()
+	}
+}
+
+// relieve sheds while the queue takes longer than maxWait: the lowest tier
+// that waits, and only as far as all instances have cut the lower ones off.
+func (c *core) relieve(now time.Time, p *pool) {
+	for p.queue.Len() > minQueue && p.wait() > maxWait {
+		tier := p.queue.LowestTier()
+		if !p.tiers.MayShed(tier, now) {
+			p.tiers.HoldBack(tier, now)
+			c.cutoff(now, p)
+			return
+		}
+		c.shed(now, p, tier)
+	}
+}
+
+func (c *core) shed(now time.Time, p *pool, tier int) {
+	r := c.requests[ID(p.queue.Victim(tier).ID)]
+	c.check(InvariantTier, p.queue.LowestTier() <= r.tier() && p.tiers.MayShed(tier, now))
+	after := c.retryAfter(p)
+	c.unqueue(r)
+	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, overloadMessage, after)
+}
--- /dev/null
+++ b/request/policy/peers.go
@@ -0,0 +1,189 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/limits"
+)
+
+// peerEject is how long a peer's word keeps a server out, unless own requests
+// have come through since.
+const peerEject = time.Second
+
+// peer is another instance, by its last digest.
+type peer struct {
+	incarnation string
+	sequence    uint64
+	dataCenter  string
+	at          time.Time
+	leaving     bool
+	loads       []peerLoad
+	trials      []*server
+}
+
+type peerLoad struct {
+	server   *server
+	inFlight float64
+}
+
+// Digest tells the other instances what this one does.
+func (c *core) Digest(now time.Time) *lilacv1.Digest {
+	c.sequence++
+	d := &lilacv1.Digest{
+		Instance:    c.options.Instance,
+		DataCenter:  c.options.DataCenter,
+		Incarnation: c.options.Incarnation,
+		Sequence:    c.sequence,
+		Leaving:     c.draining,
+		Revision:    c.view.Revision,
+		Suspects:    c.suspects.Share(now),
+		Spends:      c.spends(),
+	}
+	for _, p := range c.poolOrder {
+		d.Cutoffs = append(d.Cutoffs, p.tiers.Tell(p.demand(), p.queue.LowestTier()))
+	}
+	for _, s := range c.ordered {
+		if len(s.own) > 0 {
+			d.Loads = append(d.Loads, &lilacv1.ServerLoad{Server: s.name, InFlight: uint32(len(s.own)), TokensLeft: uint64(s.ahead), GapUs: uint32(s.norm * 1e6)})
+		}
+		if now.Before(s.ejectedUntil) && now.Sub(s.crashedAt) < peerEject {
+			d.Ejected = append(d.Ejected, s.name)
+		}
+	}
+	return d
+}
+
+// spends lists what limited teams spent here. Without limits it is empty.
+func (c *core) spends() []*lilacv1.TeamSpend {
+	var all []*lilacv1.TeamSpend
+	for name, team := range c.view.Teams {
+		if spent := c.limits.Spent(name); team.GetTokensPerSecond() > 0 && spent > 0 {
+			all = append(all, &lilacv1.TeamSpend{Team: name, Tokens: spent})
+		}
+	}
+	slices.SortFunc(all, func(a, b *lilacv1.TeamSpend) int {
+		if a.GetTeam() < b.GetTeam() {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func limitOf(team *lilacv1.Team) limits.Limit {
+	return limits.Limit{Rate: float64(team.GetTokensPerSecond()), Burst: float64(team.GetBurstTokens())}
+}
+
+func (c *core) peerDigest(now time.Time, d *lilacv1.Digest) {
+	name := d.GetInstance()
+	if name == c.options.Instance {
+		return
+	}
+	p := c.peers[name]
+	if p == nil {
+		p = &peer{}
+		c.peers[name] = p
+		c.known[name] = true
+		c.namePeers()
+	} else if p.incarnation == d.GetIncarnation() && d.GetSequence() <= p.sequence {
+		return
+	}
+	p.incarnation, p.sequence, p.at = d.GetIncarnation(), d.GetSequence(), now
+	p.dataCenter, p.leaving = d.GetDataCenter(), d.GetLeaving()
+	c.takeLoads(p, d.GetLoads())
+	c.takeSuspects(now, p, d.GetSuspects())
+	for _, spend := range d.GetSpends() {
+		if team := c.view.Teams[spend.GetTeam()]; team != nil {
+			c.limits.Told(name, spend.GetTeam(), limitOf(team), spend.GetTokens(), now)
+		}
+	}
+	for _, ejected := range d.GetEjected() {
+		c.takeEjected(now, ejected)
+	}
+	c.takeCutoffs(now, name, d.GetCutoffs())
+}
+
+func (c *core) takeCutoffs(now time.Time, name string, cutoffs []*lilacv1.PoolCutoff) {
+	byPool := make(map[string]*lilacv1.PoolCutoff, len(cutoffs))
+	for _, cutoff := range cutoffs {
+		byPool[cutoff.GetPool()] = cutoff
+	}
+	for _, p := range c.poolOrder {
+		p.tiers.Observe(name, byPool[p.name], now)
+		p.quota = p.tiers.Quota(p.capacity, p.demand())
+		c.cutoff(now, p)
+		c.dispatch(now, p)
+	}
+}
+
+func (c *core) takeLoads(p *peer, loads []*lilacv1.ServerLoad) {
+	c.dropLoads(p)
+	for _, load := range loads {
+		if s := c.servers[load.GetServer()]; s != nil {
+			s.peers += float64(load.GetInFlight())
+			p.loads = append(p.loads, peerLoad{server: s, inFlight: float64(load.GetInFlight())})
+			s.join(true)
+		}
+	}
+}
+
+func (c *core) dropLoads(p *peer) {
+	for _, load := range p.loads {
+		load.server.peers = max(0, load.server.peers-load.inFlight)
+		load.server.join(true)
+	}
+	p.loads = p.loads[:0]
+}
+
+// takeEjected believes a peer's word of a crash for a moment: its connections
+// broke before ours noticed.
+func (c *core) takeEjected(now time.Time, name string) {
+	s := c.servers[name]
+	if s == nil || now.Before(s.ejectedUntil) || now.Sub(s.lastToken) < peerEject/2 {
+		return
+	}
+	s.ejectedUntil = now.Add(peerEject)
+	s.probing = true
+}
+
+func (c *core) peerGone(now time.Time, name string) {
+	p := c.peers[name]
+	if p == nil {
+		return
+	}
+	c.dropLoads(p)
+	c.dropTrials(p)
+	delete(c.peers, name)
+	if p.leaving {
+		// It went in order and spends nothing any more.
+		delete(c.known, name)
+	}
+	c.namePeers()
+	for _, pool := range c.poolOrder {
+		pool.tiers.Gone(name)
+		pool.measure(now)
+		c.cutoff(now, pool)
+		c.dispatch(now, pool)
+	}
+}
+
+// namePeers keeps the reachable instances in order, this one included.
+func (c *core) namePeers() {
+	c.peerNames = append(c.peerNames[:0], c.options.Instance)
+	for name := range c.peers {
+		c.peerNames = append(c.peerNames, name)
+	}
+	slices.Sort(c.peerNames)
+	c.limits.SetShare(len(c.peerNames), len(c.known))
+}
+
+// rank is this instance's place among the reachable ones.
+func (c *core) rank() (place, of int) {
+	if len(c.peerNames) == 0 {
+		return 0, 1
+	}
+	place, _ = slices.BinarySearch(c.peerNames, c.options.Instance)
+	return place, len(c.peerNames)
+}
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -1,60 +1,139 @@
 package policy
 
 import (
-	"slices"
+	"time"
 
-	"github.com/lilacbridge/lilacbridge/version/model"
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/queue"
+	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
 
+// tightFor is how long a class's target binds the pool after its last request.
+const tightFor = time.Minute
+
 // pool is a model or service with its servers and what waits for it.
 type pool struct {
 	name    string
+	service bool
 	servers []*server
-	queues  [model.Tiers][]*request
+	queue   *queue.Queue
+	tiers   *tiers.Table
+	// running are the requests that this instance runs in the pool.
+	running []*request
+	byTier  tiers.Demand
+	// quarantine holds suspects that wait for their trial.
+	quarantine []*request
+	// tight is the tightest target between tokens of the classes in use.
+	tight time.Duration
+	used  map[string]*classUse
+	uses  []*classUse
+	// capacity is how many requests the pool runs within targets, quota this
+	// instance's part of it, rate its tokens a second, gap its mean gap.
+	capacity, quota, rate float64
+	gap                   time.Duration
+	// dirty is true while waiting requests may have found room.
+	dirty bool
 }
 
-func (p *pool) waiting() int {
-	sum := 0
-	for _, queue := range p.queues {
-		sum += len(queue)
-	}
-	return sum
+type classUse struct {
+	class *lilacv1.Class
+	at    time.Time
 }
 
-func (p *pool) push(r *request) {
-	tier := r.tier()
-	p.queues[tier] = append(p.queues[tier], r)
+func newPool(name string) *pool {
+	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name), used: make(map[string]*classUse), quota: 1, rate: 1}
 }
 
-func (p *pool) remove(r *request) {
-	tier := r.tier()
-	if i := slices.Index(p.queues[tier], r); i >= 0 {
-		p.queues[tier] = slices.Delete(p.queues[tier], i, i+1)
+// use notes that a class's requests come to the pool.
+func (p *pool) use(class *lilacv1.Class, now time.Time) {
+	u := p.used[class.GetName()]
+	if u == nil {
+		u = &classUse{}
+		p.used[class.GetName()] = u
+		p.uses = append(p.uses, u)
 	}
+	u.class, u.at = class, now
+	p.queue.SetShare(class.GetName(), shareOf(class))
+	p.tighten(now)
 }
 
-// next returns the oldest of the most urgent tier that waits, or nil.
-func (p *pool) next() *request {
-	for _, queue := range p.queues {
-		if len(queue) > 0 {
-			return queue[0]
+// defaultShare is the guaranteed share of a class that states none.
+const defaultShare = 0.02
+
+func shareOf(class *lilacv1.Class) float64 {
+	if class.GetSharePermille() == 0 {
+		return defaultShare
+	}
+	return float64(class.GetSharePermille()) / 1000
+}
+
+func (p *pool) tighten(now time.Time) {
+	p.tight = 0
+	for _, u := range p.uses {
+		target := time.Duration(u.class.GetBetweenTokensMs()) * time.Millisecond
+		if target > 0 && now.Sub(u.at) < tightFor && (p.tight == 0 || target < p.tight) {
+			p.tight = target
 		}
 	}
-	return nil
 }
 
-// lowestTier returns the least urgent tier that waits, or -1.
-func (p *pool) lowestTier() int {
-	for tier := len(p.queues) - 1; tier >= 0; tier-- {
-		if len(p.queues[tier]) > 0 {
-			return tier
+func (p *pool) demand() tiers.Demand {
+	demand := p.byTier
+	for tier := range demand {
+		demand[tier] += float64(p.queue.TierLen(tier))
+	}
+	return demand
+}
+
+// measure works out capacity, quota and rate from what is known of the servers.
+func (p *pool) measure(now time.Time) {
+	p.tighten(now)
+	p.capacity, p.rate, p.gap = 0, 0, 0
+	open := 0
+	for _, s := range p.servers {
+		if s.closed() || now.Before(s.ejectedUntil) {
+			continue
 		}
+		open++
+		n := s.limit(p.tight, p.tight)
+		p.capacity += n
+		p.rate += s.rateAt(n)
+		p.gap += s.gapAt(n)
 	}
-	return -1
+	if open > 0 {
+		p.gap /= time.Duration(open)
+	}
+	p.quota = p.tiers.Quota(p.capacity, p.demand())
+	if p.capacity > 0 {
+		p.rate *= min(1, p.quota/p.capacity)
+	}
+	p.rate = max(p.rate, 1)
+}
+
+// rateAt is the tokens a second, or a service's answers, at load n.
+func (s *server) rateAt(n float64) float64 {
+	if s.service {
+		return float64(s.slots) / s.answer
+	}
+	return n / s.gapAt(n).Seconds()
+}
+
+// wait is how long the queue takes at this instance's rate.
+func (p *pool) wait() time.Duration {
+	return time.Duration(p.queue.Cost() / p.rate * float64(time.Second))
+}
+
+func (p *pool) attach(r *request) {
+	r.poolAt = len(p.running)
+	p.running = append(p.running, r)
+	p.byTier[r.tier()]++
 }
 
-// lowest returns the newest of the least urgent tier that waits.
-func (p *pool) lowest() *request {
-	queue := p.queues[p.lowestTier()]
-	return queue[len(queue)-1]
+func (p *pool) detach(r *request) {
+	last := len(p.running) - 1
+	p.running[r.poolAt] = p.running[last]
+	p.running[r.poolAt].poolAt = r.poolAt
+	p.running[last] = nil
+	p.running = p.running[:last]
+	p.byTier[r.tier()]--
 }
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -5,30 +5,65 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/estimate"
+	"github.com/lilacbridge/lilacbridge/request/limits"
+	"github.com/lilacbridge/lilacbridge/request/queue"
 )
 
 // request is one request from its arrival to its final action.
 type request struct {
 	Arrival
-	class   *lilacv1.Class
-	pool    *pool
-	arrived time.Time
+	class *lilacv1.Class
+	limit limits.Limit
+	pool  *pool
+	item  queue.Item
 	// server is nil while the request waits.
 	server  *server
 	attempt int
 	// sentNow: the present attempt may have written a byte; sentEver: any did.
 	sentNow  bool
 	sentEver bool
-	// got counts the tokens that the caller holds; lastAt is when the last came.
-	got     int
-	started time.Time
-	lastAt  time.Time
+	// got counts the tokens that the caller holds, gotNow those of this attempt.
+	got, gotNow int
+	started     time.Time
+	firstAt     time.Time
+	lastAt      time.Time
+	// estimated is the length predicted at the arrival, charged what the team paid.
+	estimated float64
+	charged   float64
+	// uncached is the prompt work of this attempt, ahead what stood before it.
+	uncached, ahead float64
+	expected        time.Duration
 	// failedOn names the server of the last failed attempt.
 	failedOn string
+	// trial is true while it runs as a suspect; held is since when it waits as one.
+	trial bool
+	held  time.Time
+	// ownAt and poolAt are its places in its server's and its pool's lists.
+	ownAt, poolAt int
 }
 
 func (r *request) tier() int { return int(r.class.GetTier()) }
 
+func (r *request) key() estimate.Key { return estimate.Key{Class: r.Class, Team: r.Team} }
+
+func (r *request) first() time.Duration {
+	return time.Duration(r.class.GetFirstTokenMs()) * time.Millisecond
+}
+
+func (r *request) between() time.Duration {
+	return time.Duration(r.class.GetBetweenTokensMs()) * time.Millisecond
+}
+
+// firstBy is the time left for the first token; an answer that has begun has
+// time as far as it is ahead of its class's pace.
+func (r *request) firstBy(now time.Time) time.Duration {
+	if r.got == 0 {
+		return r.item.Arrived.Add(r.first()).Sub(now)
+	}
+	return r.firstAt.Add(time.Duration(r.got) * r.between()).Sub(now)
+}
+
 // timer is the moment at which a request's deadline passes.
 type timer struct {
 	at time.Time
--- /dev/null
+++ b/request/policy/server.go
@@ -0,0 +1,271 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/request/choose"
+)
+
+const (
+	// defaultSlots is how many requests a server runs at once if it doesn't say.
+	defaultSlots = 8
+	// minBusy is how long a server that refused for load gets nothing, at least.
+	minBusy = 100 * time.Millisecond
+	// ejectFirst is how long a failed server gets nothing; it doubles up to ejectMost.
+	ejectFirst = time.Second
+	ejectMost  = 8 * time.Second
+	// batchBase is the size of a batch at which a step costs twice what an empty
+	// one would: engines' steps take a fixed time and some for each request.
+	batchBase = 6
+	// defaultNorm is the gap between tokens over batch size plus batchBase, in
+	// seconds, before anything was measured.
+	defaultNorm = 0.0018
+	// defaultPrefill is the time for a prompt token before anything was measured, in seconds.
+	defaultPrefill = 0.00015
+	// defaultService is the time of a plain service's answer before anything was measured, in seconds.
+	defaultService = 0.08
+	// learn is the weight of one measurement; jumpLearn where it is far off.
+	learn     = 0.05
+	jumpLearn = 0.2
+	jump      = 2.5
+	// headroom keeps the gap between tokens below its target.
+	headroom = 0.93
+	// historyLength times slowTick is how far back own load is remembered.
+	historyLength = 64
+	// leavingGrace is within what time a leaving server's news must take effect.
+	leavingGrace = 3 * time.Second
+	// reportTrust is the age at which a report of load counts half, in seconds.
+	reportTrust = 0.4
+	// digestAge is the usual age of what peers tell, in seconds.
+	digestAge = 0.35
+)
+
+// server is a backend server as this instance sees it.
+type server struct {
+	name       string
+	dataCenter string
+	remote     bool
+	service    bool
+	slots      int
+	// configLeaving is the operators' word, leaving and gone membership's.
+	configLeaving, leaving, gone bool
+	closedAt                     time.Time
+
+	own []*request
+	// ahead is the prompt work of own requests that have no first token yet.
+	ahead float64
+	// peers is what other instances run here, by their digests.
+	peers float64
+	// others joins peers with reports.
+	others float64
+
+	norm      float64
+	prefill   float64
+	answer    float64
+	decoding  int
+	lastToken time.Time
+	stall     time.Duration
+
+	history   [historyLength]int16
+	historyAt int
+	reportAge float64
+	reported  float64
+
+	ejectedUntil time.Time
+	ejectFor     time.Duration
+	// probing allows one request at a time until the server has proved itself.
+	probing   bool
+	crashedAt time.Time
+	busyUntil time.Time
+
+	trial      string
+	peerTrials int
+	cache      prefixSet
+}
+
+func newServer(name string) *server {
+	return &server{name: name, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, cache: newPrefixSet()}
+}
+
+func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
+
+func (s *server) barred(now time.Time) bool {
+	if s.closed() || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) {
+		return true
+	}
+	return s.probing && len(s.own) > 0
+}
+
+// load is the estimated number of requests of all instances on the server.
+func (s *server) load() float64 { return float64(len(s.own)) + s.others }
+
+// gapAt is the expected gap between tokens in a batch of n.
+func (s *server) gapAt(n float64) time.Duration {
+	gap := time.Duration(s.norm * (n + batchBase) * float64(time.Second))
+	return max(gap, s.stall)
+}
+
+// sustain is the batch size that keeps the gap within the target.
+func (s *server) sustain(target time.Duration) float64 {
+	if target <= 0 {
+		return float64(s.slots)
+	}
+	return min(float64(s.slots), headroom*target.Seconds()/s.norm-batchBase)
+}
+
+// limit is how many requests the server takes: what keeps the tightest target
+// in the pool, or where it can't keep that at all, the asking class's own.
+func (s *server) limit(tight, own time.Duration) float64 {
+	if s.service {
+		return float64(s.slots) * serviceOver
+	}
+	n := s.sustain(tight)
+	if n < minTight {
+		n = s.sustain(own)
+	}
+	return max(n, 1)
+}
+
+const (
+	// serviceOver lets calls to plain services wait at the service a little:
+	// they are shorter than the age of what is known of its load.
+	serviceOver = 1.5
+	// minTight is the batch below which a server is left to looser classes.
+	minTight = 3
+)
+
+// measured takes in one gap between tokens.
+func (s *server) measured(gap time.Duration) {
+	sample := gap.Seconds() / (s.load() + batchBase)
+	weight := learn
+	if sample > jump*s.norm {
+		weight = jumpLearn
+	}
+	s.norm += weight * (sample - s.norm)
+}
+
+// answered takes in the time to a first token, or to a service's answer.
+func (s *server) answered(r *request, took time.Duration) {
+	if s.service {
+		s.answer += learn * (took.Seconds() - s.answer)
+		return
+	}
+	work := r.uncached + r.ahead
+	if work < 64 {
+		return
+	}
+	sample := (took - s.gapAt(s.load())).Seconds() / work
+	sample = min(max(sample, 0), 20*defaultPrefill)
+	s.prefill += learn * (sample - s.prefill)
+}
+
+// firstToken is the expected time to the first token of a prompt on top of load n.
+func (s *server) firstToken(n, uncached float64) time.Duration {
+	if s.service {
+		return time.Duration(s.answer * max(1, n/float64(s.slots)) * float64(time.Second))
+	}
+	first := s.gapAt(n) + time.Duration(s.prefill*(uncached+s.ahead)*float64(time.Second))
+	if over := n - float64(s.slots); over > 0 {
+		first += time.Duration(over * slotWait * float64(s.gapAt(n)))
+	}
+	return first
+}
+
+// slotWait is how many gaps it takes until one of a full batch ends.
+const slotWait = 12
+
+// sample remembers own load and notices a server that fell silent: its own
+// requests have begun their answers, and no token came for several gaps.
+func (s *server) sample(now time.Time) {
+	s.historyAt = (s.historyAt + 1) % historyLength
+	s.history[s.historyAt] = int16(len(s.own))
+	s.stall = 0
+	if s.decoding == 0 {
+		return
+	}
+	silent := now.Sub(s.lastToken)
+	if silent > stallFloor && silent > stallGaps*s.gapAt(s.load()) {
+		s.stall = silent
+	}
+}
+
+const (
+	// stallGaps is how many gaps of silence make a stall, stallFloor the least time.
+	stallGaps  = 5
+	stallFloor = 250 * time.Millisecond
+)
+
+// ownAgo returns how many own requests the server ran some time ago.
+func (s *server) ownAgo(age time.Duration) float64 {
+	back := int(age / slowTick)
+	if back >= historyLength {
+		back = historyLength - 1
+	}
+	return float64(s.history[(s.historyAt-back+historyLength)%historyLength])
+}
+
+// join weighs what peers tell against what the server reported, by age.
+func (s *server) join(peersKnown bool) {
+	if s.reportAge < 0 {
+		s.others = s.peers
+		return
+	}
+	if !peersKnown {
+		s.others = s.reported
+		return
+	}
+	report := 1 / (reportTrust + s.reportAge)
+	// Reports older than a few seconds describe other requests than today's.
+	if s.reportAge > 2 {
+		report = 0
+	}
+	digest := 1 / (reportTrust + digestAge)
+	s.others = (report*s.reported + digest*s.peers) / (report + digest)
+}
+
+// eject keeps new work away after a failure, for longer each time.
+func (s *server) eject(now time.Time) {
+	if now.Before(s.ejectedUntil) {
+		return
+	}
+	s.ejectFor = min(max(2*s.ejectFor, ejectFirst), ejectMost)
+	s.ejectedUntil = now.Add(s.ejectFor)
+	s.probing = true
+}
+
+// proved ends the server's probation.
+func (s *server) proved() {
+	s.probing = false
+	s.ejectFor = 0
+}
+
+func (s *server) attach(r *request) {
+	r.ownAt = len(s.own)
+	s.own = append(s.own, r)
+}
+
+func (s *server) detach(r *request) {
+	last := len(s.own) - 1
+	s.own[r.ownAt] = s.own[last]
+	s.own[r.ownAt].ownAt = r.ownAt
+	s.own[last] = nil
+	s.own = s.own[:last]
+}
+
+// candidate describes the server with the request on it.
+func (s *server) candidate(r *request, now time.Time, index int) choose.Candidate {
+	n := s.load() + 1
+	c := choose.Candidate{
+		Name: s.name, Index: index, Remote: s.remote, Barred: s.barred(now),
+		Trial: s.trial != "" || s.peerTrials > 0,
+		Load:  n - 1, Limit: s.limit(r.pool.tight, r.between()),
+	}
+	if c.Barred {
+		return c
+	}
+	c.First = s.firstToken(n, s.uncached(r))
+	if !s.service {
+		c.Gap = s.gapAt(n)
+	}
+	return c
+}
--- /dev/null
+++ b/request/policy/suspects.go
@@ -0,0 +1,179 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/suspect"
+)
+
+const (
+	// trialTokens is how far a suspect must get past its start to be cleared.
+	trialTokens = 16
+	// askPause is how long an instance waits for the others' word before it
+	// tries a suspect that it learned of, plus rankPause for each rank, so that
+	// two instances don't begin together.
+	askPause  = 700 * time.Millisecond
+	rankPause = 100 * time.Millisecond
+	// elsewhereFor is how long a peer's word of a trial counts.
+	elsewhereFor = 1500 * time.Millisecond
+	// ownServersFor is how long a suspect waits for one of the servers that
+	// are this instance's for trials before it takes any.
+	ownServersFor = time.Second
+)
+
+// suspectCrash notes that the request was in flight on a server that crashed.
+func (c *core) suspectCrash(now time.Time, r *request, s *server) {
+	if c.suspects.Crashed(r.Digest, r.Team, s.name, now) {
+		c.announce()
+	}
+	c.convict(now, r.Digest)
+}
+
+// convict asks once for the conviction of a digest with two crashes.
+func (c *core) convict(now time.Time, digest string) {
+	e := c.suspects.Get(digest)
+	if !e.Convicted() || e.Told {
+		return
+	}
+	e.Told = true
+	c.stats.Convicted++
+	c.emit(Convict{Digest: digest, Team: e.Team, Servers: slices.Clone(e.Servers)})
+	c.announce()
+}
+
+// takeSuspects takes in a peer's suspects and the servers that it tries them on.
+func (c *core) takeSuspects(now time.Time, p *peer, suspects []*lilacv1.Suspect) {
+	c.dropTrials(p)
+	for _, s := range suspects {
+		if server := c.servers[s.GetTrial()]; server != nil {
+			server.peerTrials++
+			p.trials = append(p.trials, server)
+		}
+	}
+	if len(suspects) > 0 && c.suspects.Merge(suspects, now) {
+		c.stopConvicted(now)
+	}
+}
+
+func (c *core) dropTrials(p *peer) {
+	for _, server := range p.trials {
+		server.peerTrials--
+	}
+	p.trials = p.trials[:0]
+}
+
+// stopConvicted ends the copies of convicted requests that run or wait here.
+func (c *core) stopConvicted(now time.Time) {
+	var ids []ID
+	for id, r := range c.requests {
+		if c.suspects.Get(r.Digest).Convicted() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r := c.requests[id]
+		c.stop(now, r)
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
+	}
+}
+
+// tryTrials starts suspects, each alone of its kind on its server.
+func (c *core) tryTrials(now time.Time, p *pool) {
+	for i := 0; i < len(p.quarantine); {
+		r := p.quarantine[i]
+		if !c.tryTrial(now, r) {
+			i++
+			continue
+		}
+		if i < len(p.quarantine) && p.quarantine[i] == r {
+			p.quarantine = slices.Delete(p.quarantine, i, i+1)
+		}
+	}
+}
+
+// tryTrial returns true once the request no longer waits for a trial.
+func (c *core) tryTrial(now time.Time, r *request) bool {
+	e := c.suspects.Get(r.Digest)
+	if e == nil {
+		r.item.Late = false
+		r.pool.queue.Push(&r.item)
+		return true
+	}
+	if e.Convicted() {
+		c.unqueue(r)
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
+		return true
+	}
+	if c.mustWait(now, r, e) {
+		return false
+	}
+	s := c.trialServer(now, r, e)
+	if s == nil {
+		return false
+	}
+	e.Trial = s.name
+	s.trial = r.Digest
+	r.trial = true
+	c.announce()
+	c.start(now, r, s)
+	return true
+}
+
+// mustWait tells whether another copy of the suspect runs, or may soon. A
+// crash of one's own leaves the first trial to oneself; a suspect that a peer
+// told of is tried only when no peer tries it.
+func (c *core) mustWait(now time.Time, r *request, e *suspect.Entry) bool {
+	if e.Trial != "" || now.Sub(e.Elsewhere) < elsewhereFor {
+		return true
+	}
+	if r.failedOn != "" && slices.Contains(e.Servers, r.failedOn) {
+		return false
+	}
+	rank, _ := c.rank()
+	return now.Sub(r.held) < askPause+time.Duration(rank)*rankPause
+}
+
+// trialServer finds the server for a suspect. Each reachable instance has
+// servers of its own for trials, so that two instances don't put their
+// suspects together before either has told of it.
+func (c *core) trialServer(now time.Time, r *request, e *suspect.Entry) *server {
+	rank, of := c.rank()
+	var best *server
+	for i, s := range r.pool.servers {
+		if s.barred(now) || s.trial != "" || s.peerTrials > 0 || slices.Contains(e.Servers, s.name) {
+			continue
+		}
+		mine := i%of == rank
+		if !mine && now.Sub(r.held) < ownServersFor+time.Duration(rank)*rankPause {
+			continue
+		}
+		if s.load() >= float64(s.slots) {
+			continue
+		}
+		if best == nil || s.load() < best.load() {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *core) endTrial(now time.Time, r *request, s *server) {
+	if !r.trial {
+		return
+	}
+	r.trial = false
+	s.trial = ""
+	if e := c.suspects.Get(r.Digest); e != nil {
+		e.Trial = ""
+	}
+	r.pool.dirty = true
+}
+
+// clearSuspect ends the trial of a request that ran past the place of the crash.
+func (c *core) clearSuspect(now time.Time, r *request) {
+	c.endTrial(now, r, r.server)
+	c.suspects.Cleared(r.Digest)
+}
--- /dev/null
+++ b/request/queue/queue.go
@@ -0,0 +1,291 @@
+// Package queue orders the requests that wait for one pool.
+//
+// Tiers come first. Within a tier, teams are kept fair by tokens: each has a
+// virtual time that its requests push on by their cost over the team's weight.
+// Among the teams within a window of the smallest virtual time, the request
+// with the least slack goes first. Requests that can't meet their target any
+// more stand apart, so that they make no other one late too.
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// Window is how many tokens (by weight) a team may be ahead of the one that
+// got least and still be chosen for its lesser slack.
+const Window = 3000
+
+// Item is a request that waits.
+type Item struct {
+	ID    uint64
+	Tier  int
+	Class string
+	Team  string
+	// Weight of the team; at least 1.
+	Weight float64
+	// Cost is the expected work in tokens.
+	Cost float64
+	// Arrived is when the request came; Due is the latest start that meets its target.
+	Arrived time.Time
+	Due     time.Time
+	// Late is set once Due has passed.
+	Late bool
+
+	index   int
+	waiting bool
+}
+
+// Waiting tells whether the item is in a queue.
+func (i *Item) Waiting() bool { return i.waiting }
+
+// items is a heap: on time by Due, late by Arrived.
+type items []*Item
+
+func (h items) Len() int { return len(h) }
+func (h items) Less(i, j int) bool {
+	a, b := h[i].key(), h[j].key()
+	if a.Equal(b) {
+		return h[i].ID < h[j].ID
+	}
+	return a.Before(b)
+}
+func (h items) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *items) Push(x any) {
+	item := x.(*Item)
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+func (h *items) Pop() any {
+	old := *h
+	item := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return item
+}
+
+func (i *Item) key() time.Time {
+	if i.Late {
+		return i.Arrived
+	}
+	return i.Due
+}
+
+// team is one team's part of a tier.
+type team struct {
+	name    string
+	virtual float64
+	onTime  items
+	late    items
+}
+
+func (t *team) heap(late bool) *items {
+	if late {
+		return &t.late
+	}
+	return &t.onTime
+}
+
+// tier holds the teams that wait, in order of their coming; all also has the
+// virtual times of those that don't.
+type tier struct {
+	all    map[string]*team
+	active []*team
+	// floor is the virtual time below which no team falls by staying away.
+	floor float64
+	count int
+	late  int
+}
+
+// maxIdleTeams bounds the virtual times kept for teams that don't wait.
+const maxIdleTeams = 1024
+
+// Queue holds what waits for one pool.
+type Queue struct {
+	tiers   [model.Tiers]tier
+	classes map[string]*classQueue
+	names   []string
+	count   int
+	cost    float64
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	q := &Queue{classes: make(map[string]*classQueue)}
+	for i := range q.tiers {
+		q.tiers[i].all = make(map[string]*team)
+	}
+	return q
+}
+
+// Len returns the number of requests that wait.
+func (q *Queue) Len() int { return q.count }
+
+// Cost returns the expected tokens of all that waits.
+func (q *Queue) Cost() float64 { return q.cost }
+
+// TierLen returns the number of requests of the tier that wait.
+func (q *Queue) TierLen(tier int) int { return q.tiers[tier].count }
+
+// Push adds the item.
+func (q *Queue) Push(item *Item) {
+	t := &q.tiers[item.Tier]
+	of := t.all[item.Team]
+	if of == nil {
+		t.forget()
+		of = &team{name: item.Team}
+		t.all[item.Team] = of
+	}
+	if len(of.onTime)+len(of.late) == 0 {
+		of.virtual = max(of.virtual, t.floor)
+		t.active = append(t.active, of)
+	}
+	heap.Push(of.heap(item.Late), item)
+	item.waiting = true
+	q.add(item, 1)
+	q.classOf(item.Class).push(item)
+}
+
+// forget drops idle teams once there are many; they start again at the floor.
+func (t *tier) forget() {
+	if len(t.all) < maxIdleTeams {
+		return
+	}
+	for name, of := range t.all {
+		if len(of.onTime)+len(of.late) == 0 {
+			delete(t.all, name)
+		}
+	}
+}
+
+func (q *Queue) add(item *Item, sign int) {
+	t := &q.tiers[item.Tier]
+	t.count += sign
+	q.count += sign
+	q.cost += float64(sign) * item.Cost
+	if item.Late {
+		t.late += sign
+	}
+	q.classOf(item.Class).waiting += sign
+}
+
+// Remove takes the item out, if it waits.
+func (q *Queue) Remove(item *Item) {
+	if !item.waiting {
+		return
+	}
+	t := &q.tiers[item.Tier]
+	of := t.all[item.Team]
+	heap.Remove(of.heap(item.Late), item.index)
+	item.waiting = false
+	q.add(item, -1)
+	if len(of.onTime)+len(of.late) == 0 {
+		t.deactivate(of)
+	}
+	if q.count == 0 {
+		q.cost = 0
+	}
+}
+
+func (t *tier) deactivate(of *team) {
+	for i, other := range t.active {
+		if other == of {
+			t.active = append(t.active[:i], t.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// Peek returns the next request of the tier, on time or late, or nil.
+func (q *Queue) Peek(tierNumber int, late bool) *Item {
+	t := &q.tiers[tierNumber]
+	if late && t.late == 0 || !late && t.count == t.late {
+		return nil
+	}
+	least, found := 0.0, false
+	for _, of := range t.active {
+		if len(*of.heap(late)) > 0 && (!found || of.virtual < least) {
+			least, found = of.virtual, true
+		}
+	}
+	var best *Item
+	for _, of := range t.active {
+		waiting := *of.heap(late)
+		if len(waiting) == 0 || of.virtual > least+Window {
+			continue
+		}
+		if first := waiting[0]; best == nil || first.key().Before(best.key()) {
+			best = first
+		}
+	}
+	return best
+}
+
+// Started takes the item out and charges its team.
+func (q *Queue) Started(item *Item) {
+	q.Remove(item)
+	t := &q.tiers[item.Tier]
+	of := t.all[item.Team]
+	t.floor = max(t.floor, of.virtual-Window)
+	of.virtual += item.Cost / max(item.Weight, 1)
+}
+
+// Charge corrects a team by what a request really cost.
+func (q *Queue) Charge(item *Item, tokens float64) {
+	if of := q.tiers[item.Tier].all[item.Team]; of != nil {
+		of.virtual += tokens / max(item.Weight, 1)
+	}
+}
+
+// Expired moves requests whose latest start has passed to the late ones and
+// calls each with them.
+func (q *Queue) Expired(now time.Time, each func(*Item)) {
+	for i := range q.tiers {
+		t := &q.tiers[i]
+		if t.count == t.late {
+			continue
+		}
+		for _, of := range t.active {
+			for len(of.onTime) > 0 && of.onTime[0].Due.Before(now) {
+				item := heap.Pop(&of.onTime).(*Item)
+				item.Late = true
+				t.late++
+				heap.Push(&of.late, item)
+				each(item)
+			}
+		}
+	}
+}
+
+// LowestTier returns the least urgent tier that waits, or -1.
+func (q *Queue) LowestTier() int {
+	for i := len(q.tiers) - 1; i >= 0; i-- {
+		if q.tiers[i].count > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// Victim returns the request to give up first in the tier: a late one before
+// one on time, of the team that is furthest ahead, and not its oldest.
+func (q *Queue) Victim(tierNumber int) *Item {
+	t := &q.tiers[tierNumber]
+	late := t.late > 0
+	var from *team
+	for _, of := range t.active {
+		if len(*of.heap(late)) > 0 && (from == nil || of.virtual > from.virtual) {
+			from = of
+		}
+	}
+	if from == nil {
+		return nil
+	}
+	waiting := *from.heap(late)
+	return waiting[len(waiting)-1]
+}
--- /dev/null
+++ b/request/suspect/table.go
@@ -0,0 +1,140 @@
+// Package suspect finds the request that crashes backend servers.
+//
+// All requests in flight on a server that crashes are suspects by digest. A
+// suspect runs again only as the one suspect on its server; two crashes
+// convict it, and a run that gets well past the place of the crash clears it.
+// What is known is shared with the other instances in digests.
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+const (
+	// Crashes is the number of lost servers that convicts.
+	Crashes = 2
+	// keep is how long a suspicion lasts without news.
+	keep = 10 * time.Minute
+	// share is how long a suspicion is told to the other instances.
+	share = 20 * time.Second
+	// maxEntries bounds the table; the oldest goes first.
+	maxEntries = 4096
+)
+
+// Entry is what is known of one digest.
+type Entry struct {
+	Digest string
+	Team   string
+	// Servers that crashed while they ran it, in order of name.
+	Servers []string
+	// Trial is the server on which this instance tries it now.
+	Trial string
+	// Learned is when this instance last heard something new of it.
+	Learned time.Time
+	// Elsewhere is when a peer last told that it tries the request.
+	Elsewhere time.Time
+	// Told is true once this instance asked for the conviction.
+	Told bool
+}
+
+// Convicted tells whether the request must not run again.
+func (e *Entry) Convicted() bool { return e != nil && len(e.Servers) >= Crashes }
+
+// Table holds the suspects that one instance knows.
+type Table struct {
+	entries map[string]*Entry
+	order   []string
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: make(map[string]*Entry)} }
+
+// Get returns the entry of a digest, or nil.
+func (t *Table) Get(digest string) *Entry { return t.entries[digest] }
+
+// Len returns the number of suspects.
+func (t *Table) Len() int { return len(t.entries) }
+
+func (t *Table) entry(digest, team string) *Entry {
+	e := t.entries[digest]
+	if e == nil {
+		e = &Entry{Digest: digest, Team: team}
+		t.entries[digest] = e
+		t.order = append(t.order, digest)
+	}
+	if len(t.order) > maxEntries {
+		delete(t.entries, t.order[0])
+		t.order = t.order[1:]
+	}
+	return e
+}
+
+// Crashed notes that a server went down with the request in flight. It
+// returns true where that is news.
+func (t *Table) Crashed(digest, team, server string, now time.Time) bool {
+	e := t.entry(digest, team)
+	at, known := slices.BinarySearch(e.Servers, server)
+	if known {
+		return false
+	}
+	e.Servers = slices.Insert(e.Servers, at, server)
+	e.Learned = now
+	return true
+}
+
+// Cleared drops the suspicion: the request ran past the place of the crash.
+func (t *Table) Cleared(digest string) {
+	if t.entries[digest] == nil {
+		return
+	}
+	delete(t.entries, digest)
+	if at := slices.Index(t.order, digest); at >= 0 {
+		t.order = slices.Delete(t.order, at, at+1)
+	}
+}
+
+// Merge takes in a peer's suspects; it returns true where one is convicted by it.
+func (t *Table) Merge(suspects []*lilacv1.Suspect, now time.Time) bool {
+	convicted := false
+	for _, s := range suspects {
+		before := t.entries[s.GetDigest()].Convicted()
+		for _, server := range s.GetServers() {
+			t.Crashed(s.GetDigest(), s.GetTeam(), server, now)
+		}
+		e := t.entries[s.GetDigest()]
+		if e != nil && s.GetTrial() != "" {
+			e.Elsewhere = now
+		}
+		convicted = convicted || !before && e.Convicted()
+	}
+	return convicted
+}
+
+// Expire drops what is old; call it now and then.
+func (t *Table) Expire(now time.Time) {
+	kept := t.order[:0]
+	for _, digest := range t.order {
+		if e := t.entries[digest]; now.Sub(e.Learned) > keep {
+			delete(t.entries, digest)
+		} else {
+			kept = append(kept, digest)
+		}
+	}
+	t.order = kept
+}
+
+// Share returns what the other instances should know: recent suspicions.
+func (t *Table) Share(now time.Time) []*lilacv1.Suspect {
+	var all []*lilacv1.Suspect
+	for _, digest := range t.order {
+		e := t.entries[digest]
+		if now.Sub(e.Learned) > share && e.Trial == "" {
+			continue
+		}
+		all = append(all, &lilacv1.Suspect{Digest: digest, Team: e.Team, Servers: e.Servers, Trial: e.Trial})
+	}
+	return all
+}
