--- /dev/null
+++ b/cmd/lilacload/run.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lilacbridge/lilacbridge/loadgen"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/fleet"
+)
+
+type runOptions struct {
+	planFile  string
+	fleetFile string
+	keyFile   string
+	jsonFile  string
+	entries   []string
+	seed      uint64
+	duration  time.Duration
+	noCuts    bool
+	minWhole  float64
+	// minAttainment by class, and the error kinds that a class must not get.
+	minAttainment map[string]string
+	forbid        map[string]string
+}
+
+func runCommand() *cobra.Command {
+	var o runOptions
+	command := &cobra.Command{
+		Use:   "run",
+		Short: "Send the load of a plan and print what the callers got",
+		Args:  cobra.NoArgs,
+		RunE:  func(command *cobra.Command, _ []string) error { return o.run(command) },
+	}
+	flags := command.Flags()
+	flags.StringVar(&o.planFile, "plan", "", "YAML file with the load")
+	flags.StringVar(&o.fleetFile, "fleet", "", "YAML file with the fleet's classes and servers")
+	flags.StringVar(&o.keyFile, "key-file", "", "file with the callers' key")
+	flags.StringVar(&o.jsonFile, "json", "", "also write the report as JSON to this file")
+	flags.StringSliceVar(&o.entries, "entry", nil, "address of an entry, more than once")
+	flags.Uint64Var(&o.seed, "seed", 0, "seed instead of the plan's")
+	flags.DurationVar(&o.duration, "duration", 0, "duration instead of the plan's")
+	flags.BoolVar(&o.noCuts, "no-cuts", false, "an answer that breaks off is a broken promise")
+	flags.Float64Var(&o.minWhole, "min-whole", 0, "least share of each class's requests that must get a whole answer")
+	flags.StringToStringVar(&o.minAttainment, "min-attainment", nil, "least attainment of a class, such as alerts=0.9")
+	flags.StringToStringVar(&o.forbid, "forbid", nil, "kind of error that a class must not get, such as alerts=overloaded")
+	for _, name := range []string{"plan", "fleet", "key-file", "entry"} {
+		_ = command.MarkFlagRequired(name)
+	}
+	return command
+}
+
+func targets(f *fleet.Fleet) loadgen.Targets {
+	targets := make(loadgen.Targets)
+	for _, class := range f.Classes {
+		targets[class.Name] = loadgen.Target{
+			Tier:          int(class.Tier),
+			FirstToken:    time.Duration(class.FirstTokenMs) * time.Millisecond,
+			BetweenTokens: time.Duration(class.BetweenTokensMs) * time.Millisecond,
+		}
+	}
+	return targets
+}
+
+func backends(f *fleet.Fleet) []loadgen.Backend {
+	var backends []loadgen.Backend
+	for _, server := range f.Servers {
+		backends = append(backends, loadgen.Backend{Name: server.Name, Address: server.Address, Service: server.Kind == "service"})
+	}
+	return backends
+}
+
+func readFleet(file string) (*fleet.Fleet, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.Parse(data)
+}
+
+func (o *runOptions) plan() (*loadgen.Plan, error) {
+	plan := &loadgen.Plan{}
+	if err := settings.Load(o.planFile, plan); err != nil {
+		return nil, err
+	}
+	if o.seed != 0 {
+		plan.Seed = o.seed
+	}
+	if o.duration != 0 {
+		plan.Duration.Duration = o.duration
+	}
+	return plan, nil
+}
+
+func (o *runOptions) run(command *cobra.Command) error {
+	plan, err := o.plan()
+	if err != nil {
+		return err
+	}
+	file, err := readFleet(o.fleetFile)
+	if err != nil {
+		return err
+	}
+	key, err := secret.ReadKey(o.keyFile)
+	if err != nil {
+		return err
+	}
+	var urls []string
+	for _, entry := range o.entries {
+		urls = append(urls, "http://"+strings.TrimPrefix(entry, "http://"))
+	}
+	caller := loadgen.NewCaller(urls, func(team string) string { return secret.CallerToken(key, team) })
+	requests := loadgen.Arrivals(plan, len(urls))
+	before := loadgen.Ask(command.Context(), backends(file))
+	outcomes := loadgen.Run(command.Context(), plan, requests, caller)
+	after := loadgen.Ask(command.Context(), backends(file))
+	report := loadgen.Judge(plan, targets(file), outcomes, after.Since(before))
+	report.Print(command.OutOrStdout())
+	if err := o.writeJSON(report); err != nil {
+		return err
+	}
+	return o.verdict(report)
+}
+
+func (o *runOptions) verdict(report *loadgen.Report) error {
+	if report.Broken() > 0 || (o.noCuts && report.Cut > 0) {
+		return errBroken
+	}
+	for _, class := range report.Classes {
+		if err := o.classVerdict(class); err != nil {
+			return err
+		}
+		if stayed := class.Requests - class.Canceled; float64(class.Whole) < o.minWhole*float64(stayed) {
+			return fmt.Errorf("class %s: %d whole answers of %d: %w", class.Class, class.Whole, stayed, errTooFew)
+		}
+	}
+	return nil
+}
+
+func (o *runOptions) classVerdict(class loadgen.ClassReport) error {
+	if text, ok := o.minAttainment[class.Class]; ok {
+		least, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("min-attainment of %s: %w", class.Class, err)
+		}
+		if class.Attainment < least {
+			return fmt.Errorf("class %s: attainment %.3f is below %s: %w", class.Class, class.Attainment, text, errTooFew)
+		}
+	}
+	if kind := o.forbid[class.Class]; kind != "" && class.Errors[kind] > 0 {
+		return fmt.Errorf("class %s got %d times %s: %w", class.Class, class.Errors[kind], kind, errBroken)
+	}
+	return nil
+}
+
+func (o *runOptions) writeJSON(report *loadgen.Report) error {
+	if o.jsonFile == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return fmt.Errorf("report as JSON: %w", err)
+	}
+	return os.WriteFile(o.jsonFile, append(data, '\n'), 0o644)
+}
