Notice cut-off data centres and overfull engines; never shed a begun answer

Cause, by the misses one by one: every missed alert had been started at once and waited at an engine, since others' requests there were unknown or a slot that was counted on did not fall free; in a cut, requests went on being sent across it and waited for the connect limit; sheds hit paused answers. Change: a first token later than twice the expected time closes the server for 0.3 s and moves the request where that still meets the target (retry budget); each tier but the first leaves 2, 2.5 or 3 slots of a server free; a data centre whose instances fell silent for 1.3 s, or whose answers stop all at once, gets nothing until it is heard again; victims are never begun answers.

--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -113,6 +113,7 @@
 	if a.Attempt > 1 {
 		k.restarts++
 	}
+	k.lastStart, k.server = in.world.clock.now, a.Server
 	b := in.world.backends[a.Server]
 	j.at = b
 	in.started++
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -35,6 +35,9 @@
 	restarts int
 	ranTwice bool
 	runs     int
+	// lastStart and server are those of the latest attempt.
+	lastStart time.Duration
+	server    string
 }
 
 type outcome int
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -131,6 +131,7 @@
 	if r.got > 0 {
 		// A continued answer goes first where it would fall behind its pace.
 		r.item.Due = now.Add(max(r.firstBy(now), 0))
+		r.item.Begun = true
 	}
 	r.pool.queue.Push(&r.item)
 }
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -8,12 +8,12 @@
 )
 
 // reserves are the slots of each server that a tier leaves free for more urgent ones.
-var reserves = [model.Tiers]float64{0, 0.5, 1, 2}
+var reserves = [model.Tiers]float64{0, 2, 2.5, 3}
 
 const (
 	// urgentOver is how many of the most urgent tier may wait at an engine that
 	// honours priorities: the next slot that falls free is theirs.
-	urgentOver = 1
+	urgentOver = 0
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
 )
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -31,8 +31,9 @@
 	peers     map[string]*peer
 	peerNames []string
 	// known counts instances that were ever heard, this one included.
-	known     map[string]bool
-	cutUntil  map[string]time.Time
+	known map[string]bool
+	// heardOf is when any instance of a data centre was last heard.
+	heardOf   map[string]time.Time
 	timers    timers
 	estimates *estimate.Table
 	budget    *retry.Budget
@@ -60,7 +61,7 @@
 		pools:     make(map[string]*pool),
 		peers:     make(map[string]*peer),
 		known:     map[string]bool{options.Instance: true},
-		cutUntil:  make(map[string]time.Time),
+		heardOf:   make(map[string]time.Time),
 		estimates: estimate.NewTable(),
 		budget:    retry.New(options.Weights.RetryShare),
 		suspects:  suspect.NewTable(),
@@ -149,6 +150,7 @@
 	for _, s := range c.ordered {
 		s.sample(now)
 	}
+	c.noticeCuts(now)
 	for _, p := range c.poolOrder {
 		p.measure(now)
 		c.cutoff(now, p)
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -10,8 +10,6 @@
 const (
 	// maxAttempts bounds the starts of one request.
 	maxAttempts = 10
-	// cutFor is how long another data centre is left alone after a silent failure there.
-	cutFor = time.Second
 
 	outcomeMessage   = "the backend server failed after the request was sent; ask for its outcome by its Idempotency-Key"
 	convictedMessage = "this request crashed two backend servers and is barred; change it, or ask the operators to lift the conviction"
@@ -59,22 +57,8 @@
 		s.reportAge = -1
 		s.cache.clear()
 	default:
-		// No word at all: the server hangs, or the way to it is cut. A cut
-		// shows at one server of a data centre and holds for all of it.
+		// No word at all: the server hangs, or the way to it is cut.
 		s.eject(now)
-		if s.remote {
-			c.cutUntil[s.dataCenter] = now.Add(cutFor)
-			c.barDataCenter(now, s.dataCenter)
-		}
-	}
-}
-
-// barDataCenter keeps new work off a data centre that seems to be cut off.
-func (c *core) barDataCenter(now time.Time, dataCenter string) {
-	for _, s := range c.ordered {
-		if s.dataCenter == dataCenter && now.Sub(s.lastToken) > cutFor {
-			s.eject(now)
-		}
 	}
 }
 
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -10,8 +10,10 @@
 	// maxMoves bounds the moves of one round.
 	maxMoves = 4
 	// overdueFactor is how many times the expected time a first token may take.
-	overdueFactor = 3
-	overdueFloor  = 300 * time.Millisecond
+	overdueFactor = 2
+	overdueFloor  = 50 * time.Millisecond
+	// fullFor is how long a server gets nothing after a late first token.
+	fullFor = 300 * time.Millisecond
 )
 
 // preempt makes room for a request that would be late, by pausing one of the
@@ -97,8 +99,11 @@
 		return false
 	}
 	s := r.server
+	if s.cut {
+		return now.Sub(r.lastAt) > giveUpSilent || r.gotNow == 0 && now.Sub(r.started) > answersSilent
+	}
 	if r.gotNow == 0 {
-		return now.Sub(r.started) > max(overdueFactor*r.expected, overdueFloor) && s.stalled(r.pool)
+		return c.overdue(now, r)
 	}
 	if !s.stalled(r.pool) {
 		return false
@@ -106,6 +111,16 @@
 	return r.between() > 0 && r.pace(c.estimates.Left(r.key(), r.got), s.gapAt(s.load()), now) > r.between()
 }
 
+// overdue tells whether the first token is later than it should be: the
+// server holds more than this instance knows of. It gets no more for a moment.
+func (c *core) overdue(now time.Time, r *request) bool {
+	if now.Sub(r.started) < overdueFactor*r.expected+overdueFloor {
+		return false
+	}
+	r.server.fullUntil = now.Add(fullFor)
+	return true
+}
+
 // stalled tells whether the server is far slower than its pool.
 func (s *server) stalled(p *pool) bool {
 	return s.gapAt(s.load()) > time.Duration(strayFactor*float64(p.gap))
@@ -117,16 +132,12 @@
 	return time.Duration((float64(past) + left*float64(gap)) / (float64(r.got) + left))
 }
 
+// move takes the request to another server if that one would be in time.
 func (c *core) move(now time.Time, r *request) bool {
 	before, avoid := r.server, r.failedOn
 	r.failedOn = before.name
-	s := c.choose(now, r, how{late: true})
-	left := c.estimates.Left(r.key(), r.got)
-	if s == nil || r.got > 0 && r.pace(left, s.gapAt(s.load()+1), now.Add(s.firstToken(s.load()+1, s.uncached(r)))) > r.between() || s.stalled(r.pool) {
-		r.failedOn = avoid
-		return false
-	}
-	if !c.budget.Take() {
+	s := c.choose(now, r, how{late: before.cut})
+	if s == nil || !before.cut && !c.better(now, r, s) || !c.budget.Take() {
 		r.failedOn = avoid
 		return false
 	}
@@ -136,3 +147,14 @@
 	c.start(now, r, s)
 	return true
 }
+
+// better tells whether the answer would still keep its targets on the server.
+func (c *core) better(now time.Time, r *request, s *server) bool {
+	n := s.load() + 1
+	first := s.firstToken(n, s.uncached(r))
+	if r.got == 0 {
+		return first <= r.firstBy(now)
+	}
+	left := c.estimates.Left(r.key(), r.got)
+	return !s.stalled(r.pool) && r.pace(left, s.gapAt(n), now.Add(first)) <= r.between()
+}
--- a/request/policy/overload.go
+++ b/request/policy/overload.go
@@ -50,14 +50,22 @@
 			c.cutoff(now, p)
 			return
 		}
-		c.shed(now, p, tier)
+		if !c.shed(now, p, tier) {
+			return
+		}
 	}
 }
 
-func (c *core) shed(now time.Time, p *pool, tier int) {
-	r := c.requests[ID(p.queue.Victim(tier).ID)]
+// shed gives one request of the tier up; it returns false where all have begun.
+func (c *core) shed(now time.Time, p *pool, tier int) bool {
+	item := p.queue.Victim(tier)
+	if item == nil {
+		return false
+	}
+	r := c.requests[ID(item.ID)]
 	c.check(InvariantTier, p.queue.LowestTier() <= r.tier() && p.tiers.MayShed(tier, now))
 	after := c.retryAfter(p)
 	c.unqueue(r)
 	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, overloadMessage, after)
+	return true
 }
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -91,6 +91,7 @@
 		return
 	}
 	p.incarnation, p.sequence, p.at = d.GetIncarnation(), d.GetSequence(), now
+	c.heardOf[d.GetDataCenter()] = now
 	p.dataCenter, p.leaving = d.GetDataCenter(), d.GetLeaving()
 	c.takeLoads(p, d.GetLoads())
 	c.takeSuspects(now, p, d.GetSuspects())
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -91,7 +91,7 @@
 	p.capacity, p.rate, p.gap = 0, 0, 0
 	open := 0
 	for _, s := range p.servers {
-		if s.closed() || now.Before(s.ejectedUntil) {
+		if s.closed() || s.cut || now.Before(s.ejectedUntil) {
 			continue
 		}
 		open++
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -78,6 +78,11 @@
 	crashedAt time.Time
 	busyUntil time.Time
 
+	// cut is true while the server's data centre is out of reach.
+	cut bool
+	// fullUntil is how long the server counts as full after a late first token.
+	fullUntil time.Time
+
 	trial      string
 	peerTrials int
 	cache      prefixSet
@@ -90,7 +95,7 @@
 func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
 
 func (s *server) barred(now time.Time) bool {
-	if s.closed() || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) {
+	if s.closed() || s.cut || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) {
 		return true
 	}
 	return s.probing && len(s.own) > 0
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -33,6 +33,8 @@
 	Due     time.Time
 	// Late is set once Due has passed.
 	Late bool
+	// Begun answers are never given up for load: their tokens would be wasted.
+	Begun bool
 
 	index   int
 	waiting bool
@@ -273,19 +275,34 @@
 }
 
 // Victim returns the request to give up first in the tier: a late one before
-// one on time, of the team that is furthest ahead, and not its oldest.
+// one on time, of the team that is furthest ahead, and not its oldest; nil if
+// all have begun.
 func (q *Queue) Victim(tierNumber int) *Item {
-	t := &q.tiers[tierNumber]
-	late := t.late > 0
-	var from *team
+	for _, late := range [...]bool{true, false} {
+		if item := q.tiers[tierNumber].victim(late); item != nil {
+			return item
+		}
+	}
+	return nil
+}
+
+func (t *tier) victim(late bool) *Item {
+	var best *Item
+	most := 0.0
 	for _, of := range t.active {
-		if len(*of.heap(late)) > 0 && (from == nil || of.virtual > from.virtual) {
-			from = of
+		if item := of.heap(late).newest(); item != nil && (best == nil || of.virtual > most) {
+			best, most = item, of.virtual
 		}
 	}
-	if from == nil {
-		return nil
+	return best
+}
+
+// newest returns one of the last of a heap that hasn't begun, or nil.
+func (h items) newest() *Item {
+	for i := len(h) - 1; i >= 0; i-- {
+		if !h[i].Begun {
+			return h[i]
+		}
 	}
-	waiting := *from.heap(late)
-	return waiting[len(waiting)-1]
+	return nil
 }
