--- /dev/null
+++ b/daemon/entry/instance.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"strconv"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/build"
+)
+
+var instanceColumns = []string{"data_center", "state", "revision", "behind", "age", "in_flight", "version", "uptime"}
+
+// instanceRow describes this instance to operators.
+func (d *Daemon) instanceRow() ([]string, []*lilacv1.QueryRow) {
+	state := "ready"
+	if err := d.entry.Ready(); err != nil {
+		state = err.Error()
+	}
+	newest, age := d.watcher.Known()
+	revision := d.watcher.Revision()
+	return instanceColumns, []*lilacv1.QueryRow{{Values: []string{
+		d.settings.DataCenter, state, strconv.FormatUint(revision, 10),
+		strconv.FormatUint(max(newest, revision)-revision, 10), age.Round(time.Millisecond).String(),
+		strconv.Itoa(d.entry.relay.InFlight()), build.Version, time.Since(d.started).Round(time.Second).String(),
+	}}}
+}
--- /dev/null
+++ b/daemon/entry/links.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/operator"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// dialer keeps one client for each address.
+type dialer struct {
+	id      link.Identity
+	mu      sync.Mutex
+	clients map[string]*link.Client
+}
+
+func newDialer(id link.Identity) *dialer {
+	return &dialer{id: id, clients: make(map[string]*link.Client)}
+}
+
+func (d *dialer) dial(address string) link.Caller {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := d.clients[address]
+	if !ok {
+		client = link.NewClient(address, d.id)
+		d.clients[address] = client
+	}
+	return client
+}
+
+func (d *dialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, client := range d.clients {
+		client.Close()
+	}
+}
+
+// peers makes the operators' view of other processes.
+func (d *dialer) peers(list []settings.Peer) []operator.Peer {
+	peers := make([]operator.Peer, 0, len(list))
+	for _, p := range list {
+		peers = append(peers, operator.Peer{Name: p.Name, DataCenter: p.DataCenter, Caller: d.dial(p.Address.Value)})
+	}
+	return peers
+}
+
+// query answers this instance's part of an operator's SHOW.
+func (d *Daemon) query(_ context.Context, request *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) {
+	reply := &lilacv1.QueryReply{Instance: d.settings.Name, DataCenter: d.settings.DataCenter, Revision: d.watcher.Revision()}
+	switch request.GetSubject() {
+	case "requests":
+		reply.Columns, reply.Rows = d.entry.relay.Requests(int(request.GetLimit()))
+	case "servers":
+		reply.Columns, reply.Rows = d.entry.relay.Servers()
+	case "instances":
+		reply.Columns, reply.Rows = d.instanceRow()
+	default:
+		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "instances know no %q; ask for requests, servers or instances", request.GetSubject())
+	}
+	return reply, nil
+}
