Continue broken streams, prove "not run", and answer slow callers

A stream that broke was given to the policy as a crash at once, which made the request a suspect although only its connection had gone: with one engine it then waited for ever. The shell now takes the stream up at the same engine first; only an engine that refuses the next connection counts as crashed. Weighed: a separate probe; the resume itself tells as much. A header that comes too slowly gets its typed error from the connection, since the library closes without a word.

--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -61,6 +61,7 @@
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	headerCame(r.Context())
 	answer := newAnswer(w, newRequestID(), h.instance)
 	err := h.serve(w, r, answer)
 	if err == nil {
--- a/connection/upstream/failure.go
+++ b/connection/upstream/failure.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -97,3 +98,18 @@
 	}
 	return text
 }
+
+// aliveTimeout is how long a server may take to accept a connection before it
+// counts as dead.
+const aliveTimeout = 500 * time.Millisecond
+
+// Alive tells whether a server accepts connections.
+func Alive(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: aliveTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -163,6 +163,8 @@
 	return resp, string(data)
 }
 
+func (f *fixture) token() string { return secret.CallerToken(testKey, "coop") }
+
 func words(n int) string { return strings.TrimSpace(strings.Repeat("appel ", n)) }
 
 func wholeAnswer(content string) string {
--- /dev/null
+++ b/daemon/entry/fake_test.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// fake is a scripted backend server that keeps what it received.
+type fake struct {
+	*httptest.Server
+	mu   sync.Mutex
+	seen []received
+}
+
+type received struct {
+	path string
+	id   string
+	key  string
+	body string
+}
+
+type script func(w http.ResponseWriter, r *http.Request, n int)
+
+// newFake starts a server that answers its n-th call (from 1) by the script;
+// reports and cancels are answered here.
+func newFake(t *testing.T, answer script) *fake {
+	f := &fake{}
+	f.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" || r.URL.Path == "/cache/events" {
+			fmt.Fprint(w, "{}")
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.seen = append(f.seen, received{r.URL.Path, r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key"), string(body)})
+		n := 0
+		for _, one := range f.seen {
+			if one.path != "/v1/cancel" {
+				n++
+			}
+		}
+		f.mu.Unlock()
+		if r.URL.Path == "/v1/cancel" {
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		answer(w, r, n)
+	}))
+	t.Cleanup(func() { f.CloseClientConnections(); f.Close() })
+	return f
+}
+
+// calls returns what came to the path; "" means all but cancels.
+func (f *fake) calls(path string) []received {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []received
+	for _, one := range f.seen {
+		if one.path == path || path == "" && one.path != "/v1/cancel" {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+func (f *fake) engine(name string) *lilacv1.Server { return engineAt(name, f.URL) }
+
+func (f *fake) service(name string) *lilacv1.Server {
+	server := engineAt(name, f.URL)
+	server.Kind, server.Serves = lilacv1.ServerKind_SERVER_KIND_SERVICE, []string{"guichet"}
+	return server
+}
+
+func startStream(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+}
+
+func sendChunk(w http.ResponseWriter, id, content, finish string) {
+	reason := "null"
+	if finish != "" {
+		reason = `"` + finish + `"`
+	}
+	text, _ := json.Marshal(content)
+	fmt.Fprintf(w, `data: {"id":%q,"object":"chat.completion.chunk","created":7,"model":"redaction","choices":[{"index":0,"delta":{"content":%s},"finish_reason":%s}]}`+"\n\n", id, text, reason)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func sendTokens(w http.ResponseWriter, id string, tokens []string, finish string) {
+	for i, token := range tokens {
+		reason := ""
+		if i == len(tokens)-1 {
+			reason = finish
+		}
+		sendChunk(w, id, token, reason)
+	}
+}
+
+func sendDone(w http.ResponseWriter) { fmt.Fprint(w, "data: [DONE]\n\n") }
+
+func abort() { panic(http.ErrAbortHandler) }
+
+// tokens are the whole answer of scripted engines.
+var tokens = []string{"un", " deux", " trois", " quatre", " \"cinq\"", " six"}
+
+const chatBody = `{"model":"redaction","stream":true,"messages":[{"role":"user","content":"compte"}]}`
+
+// textOf joins the content of a stream's events; done tells of the regular end.
+func textOf(stream string) (text string, ids map[string]bool, done bool, failure *errorEvent) {
+	ids = make(map[string]bool)
+	for _, line := range strings.Split(stream, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var event struct {
+			ID      string      `json:"id"`
+			Error   *errorEvent `json:"error"`
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &event) != nil {
+			return "not JSON: " + data, ids, done, failure
+		}
+		if event.Error != nil {
+			failure = event.Error
+			continue
+		}
+		ids[event.ID] = true
+		for _, choice := range event.Choices {
+			text += choice.Delta.Content
+		}
+	}
+	return text, ids, done, failure
+}
+
+type errorEvent struct {
+	Type   string `json:"type"`
+	NotRun any    `json:"not_run"`
+}
+
+func errorOf(body string) errorEvent {
+	var typed struct {
+		Error errorEvent `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(body), &typed)
+	return typed.Error
+}
--- a/daemon/entry/servers.go
+++ b/daemon/entry/servers.go
@@ -11,6 +11,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/lilacbridge/lilacbridge/connection/caller"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
 )
 
@@ -26,13 +27,14 @@
 // which would redirect paths that services must see as they are.
 func (e *Entry) callerServer(listener net.Listener) *khttp.Server {
 	server := khttp.NewServer(
-		khttp.Listener(listener),
+		khttp.Listener(e.callers.Listen(listener)),
 		khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler { return e.callers }),
 	)
 	// Guards against callers that send their header byte by byte: the timeout
 	// covers the whole header, so each holds a connection for that long at most.
 	server.ReadHeaderTimeout = e.settings.Limits.ReadTimeout.Duration
+	server.ConnContext = caller.ConnContext
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = e.settings.Limits.HeaderBytes + headerRoom
 	server.ErrorLog = e.quiet()
--- a/request/relay/chat.go
+++ b/request/relay/chat.go
@@ -46,8 +46,16 @@
 	// finishSent is false where the end was concluded here, since the caller's
 	// bound was reached when the stream broke.
 	finishSent bool
+	// heldFrom is the number of tokens that the engine's own part follows on: it
+	// counts its tokens from there.
+	heldFrom int
 }
 
+// maxResumes bounds how often one attempt takes its stream up again.
+const maxResumes = 2
+
+var errLost = errors.New("engine lives but no longer holds the answer that broke off")
+
 var _ job = (*chatJob)(nil)
 
 // Chat answers a chat completions request.
@@ -82,7 +90,39 @@
 		j.forgetRefused(err, t)
 		return err
 	}
-	defer stream.Close()
+	for resumes := 0; ; resumes++ {
+		err = j.read(ctx, t, stream)
+		stream.Close()
+		if err == nil || resumes == maxResumes || ctx.Err() != nil || !upstream.Crashed(err) {
+			return err
+		}
+		if stream, err = j.resumeHere(ctx, t); err != nil {
+			return err
+		}
+	}
+}
+
+// resumeHere takes a broken stream up at the engine that made it. It also tells
+// a broken connection from a crashed engine, which refuses the next one; only
+// the latter makes the request a suspect.
+func (j *chatJob) resumeHere(ctx context.Context, t *try) (*engine.Stream, error) {
+	call := engine.Call{
+		Address: t.server.GetAddress(), RequestID: t.upstreamID, Priority: t.start.Priority, Attempt: t.attempt,
+	}
+	stream, err := j.relay.Engines.Resume(ctx, call, j.flight.held.id, j.got.tokens-j.heldFrom)
+	var status *upstream.StatusError
+	switch {
+	case err == nil:
+		j.relay.Counter.Saved(j.got.tokens)
+		return stream, nil
+	case errors.As(err, &status):
+		return nil, errLost
+	}
+	return nil, err
+}
+
+// read passes a stream on to its end.
+func (j *chatJob) read(ctx context.Context, t *try, stream *engine.Stream) error {
 	for {
 		data, err := stream.Next()
 		if err != nil && j.got.finish != "" {
@@ -137,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j.got.base = j.got.tokens
+	j.got.base, j.heldFrom = j.got.tokens, j.got.tokens
 	j.relay.Counter.Saved(j.got.tokens)
 	return j.relay.Engines.Chat(ctx, call, body)
 }
@@ -154,11 +194,10 @@
 			return nil, err
 		}
 	}
-	stream, err := j.relay.Engines.Resume(ctx, call, before.id, j.got.tokens)
+	stream, err := j.relay.Engines.Resume(ctx, call, before.id, j.got.tokens-j.heldFrom)
 	if err != nil {
 		return nil, err
 	}
-	j.got.base = 0
 	j.relay.Counter.Saved(j.got.tokens)
 	if before.server != t.start.Server {
 		j.relay.release(before)
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -53,7 +54,7 @@
 		RequestID: t.upstreamID, Attempt: t.attempt,
 	})
 	if err != nil {
-		return err
+		return j.probed(ctx, t, err)
 	}
 	defer resp.Body.Close()
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
@@ -61,7 +62,7 @@
 	}
 	head, err := io.ReadAll(io.LimitReader(resp.Body, wholeBytes))
 	if err != nil {
-		return err
+		return j.probed(ctx, t, err)
 	}
 	if status := upstream.NewStatus(resp.StatusCode, resp.Header, head); status.NotRun {
 		return status
@@ -69,6 +70,18 @@
 	return j.passOn(t, resp, head)
 }
 
+// errCutLive is the error of a connection that broke while its server lives.
+var errCutLive = errors.New("the connection broke, but the service still accepts others")
+
+// probed tells a crashed service from a broken connection, so that a request is
+// suspected of a crash only where there was one.
+func (j *serviceJob) probed(ctx context.Context, t *try, err error) error {
+	if upstream.Crashed(err) && t.attempt.Written() && upstream.Alive(ctx, t.server.GetAddress()) {
+		return errCutLive
+	}
+	return err
+}
+
 // passOn writes the head that was read and the rest.
 func (j *serviceJob) passOn(t *try, resp *http.Response, head []byte) error {
 	if j.flight.late() {
