Add membership: digests directly among few entries, by a tree among many

Entries must know which tiers the others hold back and which servers leave, within 13 KB/s a node at 1,100 entries. All to all in a data centre would take the whole cap, so above 16 entries digests are combined up a tree by rank, the relays of the data centres exchange sums, and answers bring the others' sum down. Ruled out: one message to all members through the state processes, which a cut-off data centre could not have. An echo of a node's own cutoffs was the danger met in thought; the test lets all causes end and wants the cutoffs gone. News of a leaving server is pushed at once, since interval by interval it took longer than 3 s. No figures of bytes yet.

--- /dev/null
+++ b/process/member/combine.go
@@ -0,0 +1,109 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+const (
+	// maxCutoffs, maxSpends, maxSuspects and maxEjected bound a combined digest.
+	maxCutoffs  = 64
+	maxSpends   = 16
+	maxSuspects = 16
+	maxEjected  = 32
+)
+
+// Combine makes one digest of many. Every rule gives the same whatever the
+// order and the grouping, so that a tree of combinations equals one.
+//
+// Cutoffs take the most urgent tier held back anywhere and the least urgent one
+// admitted anywhere, never an average: one instance that still admits a lower
+// tier forbids all others to shed a higher one. Spends are added up, the
+// largest are kept. Loads are left out: they are for instances that exchange
+// digests directly.
+func Combine(instance, dataCenter string, all ...*lilacv1.Digest) *lilacv1.Digest {
+	out := &lilacv1.Digest{Instance: instance, DataCenter: dataCenter}
+	cutoffs := make(map[string]*lilacv1.PoolCutoff)
+	spends := make(map[string]uint64)
+	suspects := make(map[string]*lilacv1.Suspect)
+	ejected := make(map[string]struct{})
+	for _, d := range all {
+		if d == nil {
+			continue
+		}
+		if out.Revision == 0 || d.GetRevision() != 0 && d.GetRevision() < out.Revision {
+			out.Revision = d.GetRevision()
+		}
+		for _, cutoff := range d.GetCutoffs() {
+			cutoffs[cutoff.GetPool()] = combineCutoffs(cutoffs[cutoff.GetPool()], cutoff)
+		}
+		for _, spend := range d.GetSpends() {
+			spends[spend.GetTeam()] += spend.GetTokens()
+		}
+		for _, suspect := range d.GetSuspects() {
+			suspects[suspect.GetDigest()] = combineSuspects(suspects[suspect.GetDigest()], suspect)
+		}
+		for _, server := range d.GetEjected() {
+			ejected[server] = struct{}{}
+		}
+	}
+	out.Cutoffs = first(maxCutoffs, values(cutoffs))
+	out.Spends = topSpends(spends)
+	out.Suspects = first(maxSuspects, values(suspects))
+	out.Ejected = first(maxEjected, slices.Sorted(maps.Keys(ejected)))
+	return out
+}
+
+// combineCutoffs knows that tiers are stated plus one, 0 means none, and that a
+// smaller tier is more urgent.
+func combineCutoffs(a, b *lilacv1.PoolCutoff) *lilacv1.PoolCutoff {
+	if a == nil {
+		return b
+	}
+	return &lilacv1.PoolCutoff{
+		Pool:         a.GetPool(),
+		HeldBackTier: mostUrgent(a.GetHeldBackTier(), b.GetHeldBackTier()),
+		AdmittedTier: max(a.GetAdmittedTier(), b.GetAdmittedTier()),
+		WaitingTier:  max(a.GetWaitingTier(), b.GetWaitingTier()),
+	}
+}
+
+func mostUrgent(a, b uint32) uint32 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+func combineSuspects(a, b *lilacv1.Suspect) *lilacv1.Suspect {
+	if a == nil {
+		return b
+	}
+	servers := slices.Concat(a.GetServers(), b.GetServers())
+	slices.Sort(servers)
+	return &lilacv1.Suspect{Digest: a.GetDigest(), Team: a.GetTeam(), Servers: slices.Compact(servers)}
+}
+
+func topSpends(spends map[string]uint64) []*lilacv1.TeamSpend {
+	list := make([]*lilacv1.TeamSpend, 0, len(spends))
+	for team, tokens := range spends {
+		list = append(list, &lilacv1.TeamSpend{Team: team, Tokens: tokens})
+	}
+	slices.SortFunc(list, func(a, b *lilacv1.TeamSpend) int {
+		return cmp.Or(cmp.Compare(b.GetTokens(), a.GetTokens()), cmp.Compare(a.GetTeam(), b.GetTeam()))
+	})
+	return first(maxSpends, list)
+}
+
+func values[T any](items map[string]T) []T {
+	list := make([]T, 0, len(items))
+	for _, key := range slices.Sorted(maps.Keys(items)) {
+		list = append(list, items[key])
+	}
+	return list
+}
+
+func first[T any](n int, list []T) []T { return list[:min(n, len(list))] }
--- /dev/null
+++ b/process/member/member_test.go
@@ -0,0 +1,253 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// fleet drives many cores in steps of TickInterval; an exchange is answered in
+// the same step unless the pair is cut.
+type fleet struct {
+	now   time.Time
+	cores map[string]*Core
+	names []string
+	own   map[string]*lilacv1.Digest
+	// cut tells which direction of which pair carries nothing.
+	cut func(from, to string) bool
+	// given holds the last digests, server states and goners that each was told.
+	given   map[string]map[string]*lilacv1.Digest
+	leaving map[string]map[string]bool
+	live    map[string][]Peer
+	bytes   map[string]int
+}
+
+var dataCenters = []string{"dakar-a", "thies-a", "saint-louis-a", "d", "e"}
+
+func newFleet(n, centers int) *fleet {
+	f := &fleet{
+		now: time.Unix(1_764_700_000, 0), cores: make(map[string]*Core), own: make(map[string]*lilacv1.Digest),
+		cut:   func(string, string) bool { return false },
+		given: make(map[string]map[string]*lilacv1.Digest), leaving: make(map[string]map[string]bool),
+		live: make(map[string][]Peer), bytes: make(map[string]int),
+	}
+	var peers []Peer
+	for i := range n {
+		peers = append(peers, Peer{Name: fmt.Sprintf("entry-%04d", i), Address: "a", DataCenter: dataCenters[i%centers]})
+	}
+	for _, peer := range peers {
+		f.names = append(f.names, peer.Name)
+		f.cores[peer.Name] = NewCore(peer, peers)
+		f.own[peer.Name] = &lilacv1.Digest{Instance: peer.Name, DataCenter: peer.DataCenter, Incarnation: "1"}
+		f.given[peer.Name] = make(map[string]*lilacv1.Digest)
+		f.leaving[peer.Name] = make(map[string]bool)
+	}
+	return f
+}
+
+func (f *fleet) run(d time.Duration) {
+	for range d / TickInterval {
+		f.now = f.now.Add(TickInterval)
+		for _, name := range f.names {
+			if f.cores[name] == nil {
+				continue
+			}
+			f.own[name].Sequence++
+			f.step(name, Tick{Own: proto.CloneOf(f.own[name])})
+		}
+	}
+}
+
+func (f *fleet) step(name string, event Event) {
+	for _, action := range f.cores[name].Step(f.now, event) {
+		switch a := action.(type) {
+		case Exchange:
+			f.exchange(name, a)
+		case Digest:
+			f.given[name][a.Digest.GetInstance()] = a.Digest
+		case Gone:
+			delete(f.given[name], a.Instance)
+		case Server:
+			f.leaving[name][a.Name] = a.Leaving
+		case Live:
+			f.live[name] = a.Peers
+		}
+	}
+}
+
+func (f *fleet) exchange(from string, a Exchange) {
+	to := a.Peer.Name
+	size := proto.Size(a.Digest)
+	f.bytes[from] += size
+	if f.cores[to] == nil || f.cut(from, to) {
+		f.step(from, Failed{to})
+		return
+	}
+	f.bytes[to] += size
+	f.step(to, Received{from, proto.CloneOf(a.Digest)})
+	reply := f.cores[to].Reply(f.now, from)
+	f.bytes[to] += proto.Size(reply)
+	if f.cut(to, from) {
+		f.step(from, Failed{to})
+		return
+	}
+	f.bytes[from] += proto.Size(reply)
+	f.step(from, Answered{to, proto.CloneOf(reply)})
+}
+
+func (f *fleet) cutoff(name string, held, admitted uint32) {
+	f.own[name].Cutoffs = []*lilacv1.PoolCutoff{{Pool: "redaction", HeldBackTier: held, AdmittedTier: admitted}}
+}
+
+// others gives what the entry knows of the pool from all others together.
+func (f *fleet) others(name string) *lilacv1.PoolCutoff {
+	var all []*lilacv1.Digest
+	for _, d := range f.given[name] {
+		all = append(all, d)
+	}
+	for _, cutoff := range Combine(Others, "", all...).GetCutoffs() {
+		return cutoff
+	}
+	return nil
+}
+
+var sizes = []struct{ entries, centers int }{{7, 3}, {16, 3}, {17, 3}, {64, 5}, {256, 5}}
+
+// One entry alone holds tier 0 back, another alone still admits tier 3. All
+// others must know both, whatever the number of entries, and when they stop no
+// echo may keep the cutoffs alive.
+func TestCutoffsReachAllAndEndWithTheirCause(t *testing.T) {
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.entries), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(size.entries, size.centers)
+			for i, name := range f.names {
+				f.cutoff(name, 3, 1)
+				if i == 1 {
+					f.cutoff(name, 1, 1)
+				}
+				if i == size.entries-1 {
+					f.cutoff(name, 3, 4)
+				}
+			}
+			f.run(16 * time.Second)
+			for i, name := range f.names {
+				if i != 1 {
+					is.Equal(f.others(name).GetHeldBackTier(), uint32(1))
+				}
+				if i != size.entries-1 {
+					is.Equal(f.others(name).GetAdmittedTier(), uint32(4))
+				}
+			}
+			for _, name := range f.names {
+				f.cutoff(name, 0, 2)
+			}
+			f.run(30 * time.Second)
+			for _, name := range f.names {
+				is.Equal(f.others(name).GetHeldBackTier(), uint32(0))
+				is.Equal(f.others(name).GetAdmittedTier(), uint32(2))
+			}
+		})
+	}
+}
+
+// A backend server begins to leave. The platform's list says so half a minute
+// late, or one entry alone has seen it. All entries must stop giving it new work
+// within 3 s of the first of the two, and may use it again when neither says so.
+func TestLeavingServerIsKnownEverywhereWithin3s(t *testing.T) {
+	for _, size := range sizes {
+		for source, leave := range map[string]func(f *fleet, leaving bool){
+			"own": func(f *fleet, leaving bool) {
+				f.own[f.names[2]].Ejected = nil
+				if leaving {
+					f.own[f.names[2]].Ejected = []string{"r7"}
+				}
+			},
+			"list at one entry": func(f *fleet, leaving bool) {
+				var peers []Peer
+				for _, core := range f.cores {
+					peers = append(peers, core.self)
+				}
+				f.step(f.names[3], Platform{Entries: peers, Servers: []Listed{{"r7", leaving}}})
+			},
+		} {
+			t.Run(fmt.Sprint(source, size.entries), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(size.entries, size.centers)
+				f.run(10 * time.Second)
+				leave(f, true)
+				f.run(3 * time.Second)
+				for i, name := range f.names {
+					is.True(f.leaving[name]["r7"] || source == "own" && i == 2)
+					// Each policy reports what it was told; that must not keep it alive.
+					f.own[name].Ejected = append(f.own[name].GetEjected(), "r7")
+				}
+				f.run(5 * time.Second)
+				for _, name := range f.names {
+					f.own[name].Ejected = nil
+				}
+				leave(f, false)
+				f.run(30 * time.Second)
+				for _, name := range f.names {
+					is.True(!f.leaving[name]["r7"])
+				}
+			})
+		}
+	}
+}
+
+// An entry dies while the platform's list still calls it live. The others must
+// notice by themselves, and take it back when it answers again.
+func TestDeadEntryIsNoticedWhateverTheListSays(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(7, 3)
+	f.run(5 * time.Second)
+	is.Equal(len(f.given[f.names[0]]), 6)
+	dead := f.names[3]
+	core := f.cores[dead]
+	delete(f.cores, dead)
+	f.run(5 * time.Second)
+	is.Equal(len(f.given[f.names[0]]), 5)
+	is.Equal(len(f.live[f.names[0]]), 5)
+	f.cores[dead] = core
+	f.run(15 * time.Second)
+	is.Equal(len(f.given[f.names[0]]), 6)
+	is.Equal(len(f.live[f.names[0]]), 6)
+}
+
+// A data centre is cut off, in one direction only or in both. Inside, its entries
+// go on hearing each other; when it heals all hear all again.
+func TestCutDataCentreHeals(t *testing.T) {
+	for name, oneWay := range map[string]bool{"one way": true, "both ways": false} {
+		for _, size := range sizes {
+			t.Run(fmt.Sprint(name, size.entries), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(size.entries, size.centers)
+				for _, name := range f.names {
+					f.cutoff(name, 0, 1)
+				}
+				f.cutoff(f.names[0], 2, 1)
+				f.run(16 * time.Second)
+				inside := func(name string) bool { return f.cores[name].self.DataCenter == "dakar-a" }
+				f.cut = func(from, to string) bool {
+					return inside(from) && !inside(to) || !oneWay && inside(to) && !inside(from)
+				}
+				f.run(60 * time.Second)
+				near, far := slices.IndexFunc(f.names[1:], inside)+1, slices.IndexFunc(f.names, func(n string) bool { return !inside(n) })
+				is.Equal(f.others(f.names[near]).GetHeldBackTier(), uint32(2))
+				if !oneWay {
+					is.Equal(f.others(f.names[far]).GetHeldBackTier(), uint32(0))
+				}
+				f.cut = func(string, string) bool { return false }
+				f.run(30 * time.Second)
+				is.Equal(f.others(f.names[far]).GetHeldBackTier(), uint32(2))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/process/member/partners.go
@@ -0,0 +1,243 @@
+package member
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// partners returns the peers with whom an exchange is due from this side.
+func (c *Core) partners(now time.Time) []Peer {
+	if !c.Tree() {
+		return c.meshPartners(now)
+	}
+	if parent := c.parent(now); parent != "" {
+		return []Peer{c.peers[parent]}
+	}
+	return c.relays(now)
+}
+
+// meshPartners leaves a pair's exchange to the one of better rank, and begins it
+// itself when nothing came: a cut in one direction then hides nobody.
+func (c *Core) meshPartners(now time.Time) []Peer {
+	var list []Peer
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		h, ok := c.heard[name]
+		if CompareRank(c.self.Name, name) < 0 || !ok || now.Sub(h.at) > Interval+Interval/2 {
+			list = append(list, c.peers[name])
+		}
+	}
+	return list
+}
+
+// parent returns the entry above in the own data centre's tree; "" for the relay.
+func (c *Core) parent(_ time.Time) string {
+	return Parent(c.usable(Above(c.self.Name, c.names(c.self.DataCenter))), Fanout)
+}
+
+func (c *Core) names(dataCenter string) []string {
+	var names []string
+	for name, peer := range c.peers {
+		if peer.DataCenter == dataCenter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (c *Core) usable(names []string) []string {
+	return slices.DeleteFunc(names, func(name string) bool {
+		_, avoided := c.avoided[name]
+		return avoided || c.leaving[name]
+	})
+}
+
+// relays returns the first in rank of each other data centre.
+func (c *Core) relays(time.Time) []Peer {
+	best := make(map[string]Peer)
+	for _, name := range c.usable(slices.Sorted(maps.Keys(c.peers))) {
+		peer := c.peers[name]
+		if peer.DataCenter == c.self.DataCenter {
+			continue
+		}
+		if other, ok := best[peer.DataCenter]; !ok || comparePeers(peer, other) < 0 {
+			best[peer.DataCenter] = peer
+		}
+	}
+	var list []Peer
+	for _, dataCenter := range slices.Sorted(maps.Keys(best)) {
+		list = append(list, best[dataCenter])
+	}
+	return list
+}
+
+// outgoing is what this entry says unasked: its own digest in a mesh, that of
+// all below it in a tree.
+func (c *Core) outgoing(now time.Time) *lilacv1.Digest {
+	if !c.Tree() {
+		return c.ownDigest()
+	}
+	return c.combined(append(c.below(now, ""), c.ownDigest()))
+}
+
+// Reply answers a digest that came from the peer: the own one in a mesh, that of
+// all others but the peer's part in a tree.
+//
+// It guards against an echo: if a node's own cutoffs came back to it as those of
+// others, a tier once held back would be held back for ever. It holds because
+// what came from a child is left out of its answer, a child has a worse rank
+// than its parent, and sums of other data centres are never passed on to a third.
+func (c *Core) Reply(now time.Time, peer string) *lilacv1.Digest {
+	if !c.Tree() {
+		return c.ownDigest()
+	}
+	if c.peers[peer].DataCenter != c.self.DataCenter {
+		return c.outgoing(now)
+	}
+	return c.others(now, peer, c.ownDigest())
+}
+
+// others combines what is known of all others, without the part of one peer.
+func (c *Core) others(now time.Time, without string, more ...*lilacv1.Digest) *lilacv1.Digest {
+	parts := append(c.below(now, without), c.down.digest)
+	for _, name := range c.foreign(now) {
+		parts = append(parts, c.heard[name].digest)
+	}
+	return Combine(Others, "", append(parts, more...)...)
+}
+
+// urgent tells whether a server began to leave, or a suspect was found, that the
+// neighbours can't know yet.
+//
+// It guards against new work for a leaving server while the news climbs down
+// the tree one interval a step, which would take longer than the 3 s that it
+// may: with it each step takes a tick.
+func (c *Core) urgent(now time.Time) bool {
+	news := make(map[string]bool)
+	note := func(d *lilacv1.Digest) {
+		for _, server := range d.GetEjected() {
+			news["server "+server] = true
+		}
+		for _, suspect := range d.GetSuspects() {
+			news[fmt.Sprint("suspect ", suspect.GetDigest(), len(suspect.GetServers()))] = true
+		}
+	}
+	note(c.ownDigest())
+	if c.Tree() {
+		note(c.others(now, ""))
+	}
+	fresh := false
+	for item := range news {
+		fresh = fresh || !c.news[item]
+	}
+	if fresh && now.Sub(c.pushed) < urgentPause {
+		return false
+	}
+	c.news = news
+	if fresh {
+		c.pushed = now
+	}
+	return fresh
+}
+
+// listeners returns the peers that exchange with this entry of their own accord.
+func (c *Core) listeners(now time.Time) []Peer {
+	var list []Peer
+	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
+		peer, known := c.peers[name]
+		below := CompareRank(c.self.Name, name) < 0 && peer.DataCenter == c.self.DataCenter
+		if known && c.fresh(now, name) && (c.Tree() && below || !c.Tree() && !c.partnered(now, name)) {
+			list = append(list, peer)
+		}
+	}
+	return list
+}
+
+func (c *Core) partnered(now time.Time, name string) bool {
+	return slices.ContainsFunc(c.partners(now), func(p Peer) bool { return p.Name == name })
+}
+
+// combined names the sum after this entry, with its own incarnation and number.
+func (c *Core) combined(parts []*lilacv1.Digest) *lilacv1.Digest {
+	sum := Combine(c.self.Name, c.self.DataCenter, parts...)
+	sum.Incarnation, sum.Sequence, sum.Leaving = c.own.GetIncarnation(), c.own.GetSequence(), c.own.GetLeaving()
+	return sum
+}
+
+// below returns the digests of the own data centre's entries of a worse rank
+// that were heard, without the one named.
+func (c *Core) below(now time.Time, without string) []*lilacv1.Digest {
+	var parts []*lilacv1.Digest
+	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
+		h := c.heard[name]
+		isBelow := h.digest.GetDataCenter() == c.self.DataCenter && CompareRank(c.self.Name, name) < 0
+		if isBelow && name != without && c.fresh(now, name) {
+			parts = append(parts, h.digest)
+		}
+	}
+	return parts
+}
+
+func (c *Core) foreign(now time.Time) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
+		if c.heard[name].digest.GetDataCenter() != c.self.DataCenter && c.fresh(now, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// ownDigest is the own digest with the servers that the platform's list has as
+// leaving, and without those known from peers only: their word would come back
+// to them and never end.
+func (c *Core) ownDigest() *lilacv1.Digest {
+	ejected := make(map[string]bool)
+	for _, name := range c.own.GetEjected() {
+		if !c.toldLeave[name] {
+			ejected[name] = true
+		}
+	}
+	for name := range c.listed {
+		ejected[name] = true
+	}
+	own := c.own
+	return &lilacv1.Digest{
+		Instance: c.self.Name, DataCenter: c.self.DataCenter, Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(),
+		Leaving: own.GetLeaving(), Revision: own.GetRevision(), Cutoffs: own.GetCutoffs(), Loads: own.GetLoads(),
+		Suspects: own.GetSuspects(), Spends: own.GetSpends(), Ejected: slices.Sorted(maps.Keys(ejected)),
+	}
+}
+
+// servers tells which backend servers began or ended to be leaving. Either
+// source is enough to stop new work.
+func (c *Core) servers(now time.Time) []Action {
+	leaving := maps.Clone(c.listed)
+	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
+		if !c.fresh(now, name) {
+			continue
+		}
+		for _, server := range c.heard[name].digest.GetEjected() {
+			leaving[server] = true
+		}
+	}
+	for _, server := range c.down.digest.GetEjected() {
+		leaving[server] = true
+	}
+	var actions []Action
+	for _, server := range slices.Sorted(maps.Keys(leaving)) {
+		if !c.toldLeave[server] {
+			actions = append(actions, Server{server, true})
+		}
+	}
+	for _, server := range slices.Sorted(maps.Keys(c.toldLeave)) {
+		if !leaving[server] {
+			actions = append(actions, Server{server, false})
+		}
+	}
+	c.toldLeave = leaving
+	return actions
+}
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -10,11 +10,9 @@
 package spread
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/lilacbridge/lilacbridge/process/member"
 )
 
 const (
@@ -87,12 +85,6 @@
 // Current returns whom the entry follows.
 func (c *Core) Current() Target { return c.current }
 
-func rank(name string) uint64 { return xxhash.Sum64String(name) }
-
-func compareRank(a, b string) int {
-	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
-}
-
 // Step takes one event and returns whom to follow from now on, or nil for no change.
 func (c *Core) Step(now time.Time, event Event) []Follow {
 	switch e := event.(type) {
@@ -124,16 +116,7 @@
 	return c.choose(now)
 }
 
-func (c *Core) setEntries(names []string) {
-	c.above = c.above[:0]
-	for _, name := range names {
-		if name != c.self && compareRank(name, c.self) < 0 {
-			c.above = append(c.above, name)
-		}
-	}
-	slices.SortFunc(c.above, compareRank)
-	c.above = slices.Compact(c.above)
-}
+func (c *Core) setEntries(names []string) { c.above = member.Above(c.self, names) }
 
 // avoid passes the current target over for a while.
 //
@@ -170,9 +153,5 @@
 			usable = append(usable, name)
 		}
 	}
-	position := len(usable)
-	if position == 0 {
-		return Target{}
-	}
-	return Target{Entry: usable[(position-1)/Fanout]}
+	return Target{Entry: member.Parent(usable, Fanout)}
 }
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/member"
 )
 
 var start = time.Unix(1_764_700_000, 0)
@@ -19,7 +20,7 @@
 	for i := range all {
 		all[i] = fmt.Sprint("entry-", i)
 	}
-	slices.SortFunc(all, compareRank)
+	slices.SortFunc(all, member.CompareRank)
 	return all
 }
 
