Add lilacbridge-state: the daemon over the replicated log

The state machine ran only over an in-memory log so far. OpenReplica joins it to process/replica in the settings' data folder, and the daemon serves the link, the admin address and the hand-over of leadership at SIGTERM. Tests stop the leader of three processes with real files: accepted changes, the first answer of a resent command and a granted claim survive it; a minority refuses with "not run" and still answers the audit trail and the watch. Ruled out: a contact age from the log's own messages, which it does not give; knowing a leader and having applied all that is committed stands in for it.

--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -31,9 +31,8 @@
 	Log
 	// Run drives the log until ctx ends or it fails, as on a broken disk.
 	Run(ctx context.Context) error
-	// Transfer hands leadership to another process, if this one leads.
-	Transfer(ctx context.Context) error
-	// Close syncs and closes the files.
+	// Close hands leadership to another process, if this one leads, and closes
+	// the files.
 	Close() error
 }
 
@@ -114,18 +113,15 @@
 	stop()
 	d.listener.Close()
 	d.links.Close()
-	err = errors.Join(err, group.Wait(), d.log.Close())
+	err = errors.Join(err, group.Wait())
 	d.logger.Info("stopped")
 	return err
 }
 
+// handOver lets the others take over while this process still answers.
 func (d *Daemon) handOver() error {
 	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout/2)
-	defer cancel()
-	if err := d.log.Transfer(ctx); err != nil {
-		d.logger.Warn("leadership not handed over; the others will elect", "error", err)
-	}
+	err := d.log.Close()
 	d.service.Close()
-	return nil
+	return err
 }
--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -129,7 +129,7 @@
 
 var testKey = []byte("one key for all tests")
 
-func newClient(t *testing.T, all []*process, name string) *stateclient.Client {
+func newClient(t testing.TB, all []*process, name string) *stateclient.Client {
 	dialed := dialer(t)
 	var peers []settings.Peer
 	for _, p := range all {
@@ -138,7 +138,7 @@
 	return stateclient.New(stateclient.Options{Instance: name, DataCenter: "dc-b", Peers: peers, Dial: dialed})
 }
 
-func dialer(t *testing.T) func(string) link.Caller {
+func dialer(t testing.TB) func(string) link.Caller {
 	var mu sync.Mutex
 	clients := make(map[string]*link.Client)
 	return func(address string) link.Caller {
--- /dev/null
+++ b/daemon/state/group_test.go
@@ -0,0 +1,225 @@
+package state
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// member is a state process with the real log, in a folder of its own.
+type member struct {
+	process
+	running RunningLog
+}
+
+// replicatedGroup starts three state processes with the real log over loopback.
+func replicatedGroup(t testing.TB) []*member {
+	is := is.New(t)
+	var listeners []net.Listener
+	var peers []settings.Peer
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		listeners = append(listeners, listener)
+		name := string(rune('a' + i))
+		peers = append(peers, settings.Peer{Name: name, Address: settings.Address{Value: listener.Addr().String()}, DataCenter: "dc-" + name})
+	}
+	folder := t.TempDir()
+	var all []*member
+	for i, peer := range peers {
+		s := &settings.State{
+			Common: settings.Common{Name: peer.Name, DataCenter: peer.DataCenter, Link: peer.Address},
+			Data:   filepath.Join(folder, peer.Name), Peers: slices.Delete(slices.Clone(peers), i, i+1), Bootstrap: true,
+			Heartbeat: settings.Duration{Duration: 20 * time.Millisecond}, Election: settings.Duration{Duration: 200 * time.Millisecond},
+		}
+		machine := NewMachine(0, ledger.Limits{})
+		mux := link.NewMux()
+		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
+		log, err := OpenReplica(s, machine, mux, id, hclog.NewNullLogger(), prometheus.NewRegistry())
+		is.NoErr(err)
+		service := NewService(machine, log)
+		service.Register(mux)
+		mux.Handle("test.nothing", link.Unary(func(context.Context, link.Peer, *lilacv1.StateStatusRequest) (*lilacv1.StateStatus, error) {
+			return &lilacv1.StateStatus{}, nil
+		}))
+		server := link.NewServer(id, mux)
+		go server.Serve(listeners[i])
+		ctx, stop := context.WithCancel(context.Background())
+		go log.Run(ctx)
+		m := &member{process: process{peer: peer, service: service, server: server}, running: log}
+		all = append(all, m)
+		t.Cleanup(func() {
+			stop()
+			service.Close()
+			log.Close()
+			listeners[i].Close()
+			server.Close()
+		})
+	}
+	return all
+}
+
+func processes(all []*member) []*process {
+	var list []*process
+	for _, m := range all {
+		list = append(list, &m.process)
+	}
+	return list
+}
+
+// The leader stops while operators and callers are at work. What was accepted
+// must still be there, a claim that was granted must not be granted again, and
+// the entries must find the new leader by themselves.
+func TestAcceptedSurvivesTheLeader(t *testing.T) {
+	is := is.New(t)
+	all := replicatedGroup(t)
+	c := newClient(t, processes(all), "entry-1")
+	for i := range 20 {
+		_, err := c.Propose(t.Context(), proposal(fmt.Sprint(i), fmt.Sprint("class-", i), 0))
+		is.NoErr(err)
+	}
+	first, err := c.Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	is.True(first.GetGranted())
+	leader := slices.IndexFunc(all, func(m *member) bool { return m.running.Status().Leads })
+	is.NoErr(all[leader].running.Close())
+	all[leader].server.Close()
+
+	reply, err := c.Propose(t.Context(), proposal("19", "class-19", 0))
+	is.NoErr(err)
+	is.True(reply.GetRepeatedCommand())
+	is.Equal(reply.GetRevision(), uint64(20))
+	second, err := newClient(t, processes(all), "entry-2").Claim(t.Context(), claimOf("k"))
+	is.NoErr(err)
+	is.True(!second.GetGranted())
+	is.Equal(second.GetState(), lilacv1.ClaimState_CLAIM_STATE_CLAIMED)
+	for _, w := range watchers(t, processes(all), 2) {
+		is.Equal(len(waitFor(w, 20).Classes), 20)
+	}
+}
+
+// Two of three data centres are cut off. The third must refuse claims and
+// statements with "not run", at once after the first time, and still tell the
+// audit trail and serve the configuration.
+func TestCutOffMinorityRefusesAndReads(t *testing.T) {
+	is := is.New(t)
+	all := replicatedGroup(t)
+	c := newClient(t, processes(all), "entry-1")
+	_, err := c.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	left := all[0]
+	for left.service.machine.Revision() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, m := range all[1:] {
+		m.running.Close()
+		m.server.Close()
+	}
+	for range 3 {
+		_, err = c.Claim(t.Context(), claimOf("k"))
+		is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM))
+		is.Equal(fault.NotRunOf(err), notRunTrue)
+	}
+	audit, err := c.Audit(t.Context(), &lilacv1.AuditRequest{})
+	is.NoErr(err)
+	is.Equal(len(audit.GetRevisions()), 1)
+	for _, w := range watchers(t, processes(all), 2) {
+		is.Equal(len(waitFor(w, 1).Classes), 1)
+	}
+}
+
+func TestDaemonServesAndStops(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	key := filepath.Join(folder, "key")
+	is.NoErr(os.WriteFile(key, testKey, 0o600))
+	yaml := "name: a\ndata_center: dakar-a\nlink: 127.0.0.1:0\nadmin: 127.0.0.1:0\nlink_key_file: " + key +
+		"\ndata: " + filepath.Join(folder, "data") + "\nbootstrap: true\nheartbeat: 20ms\nelection: 200ms\n"
+	s := &settings.State{}
+	is.NoErr(settings.Parse("test.yaml", []byte(yaml), s))
+	daemon, err := NewDaemon(s, hclog.NewNullLogger(), OpenReplica)
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- daemon.Run(ctx) }()
+	peer := settings.Peer{Name: "a", DataCenter: "dakar-a", Address: settings.Address{Value: daemon.listener.Addr().String()}}
+	c := newClient(t, []*process{{peer: peer}}, "entry-1")
+	_, err = c.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	stop()
+	is.NoErr(<-done)
+	_, err = NewDaemon(&settings.State{Common: settings.Common{LinkKeyFile: "none"}}, hclog.NewNullLogger(), OpenReplica)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
+}
+
+// BenchmarkClaims compares claims (synced on a quorum of three processes with
+// real files) with calls that replicate nothing, over the same links.
+func BenchmarkClaims(b *testing.B) {
+	all := replicatedGroup(b)
+	c := newClient(b, processes(all), "entry-1")
+	if _, err := c.Propose(b.Context(), proposal("one", "alerts", 0)); err != nil {
+		b.Fatal(err)
+	}
+	leader := all[slices.IndexFunc(all, func(m *member) bool { return m.running.Status().Leads })]
+	plain := dialer(b)(leader.peer.Address.Value)
+	run := 0
+	for _, workers := range []int{1, 16, 128, 512} {
+		b.Run(fmt.Sprintf("claim/workers=%d", workers), func(b *testing.B) {
+			run++
+			measure(b, workers, func(i int) error {
+				_, err := c.Claim(b.Context(), claimOf(fmt.Sprint(run, "/", i)))
+				return err
+			})
+		})
+		b.Run(fmt.Sprintf("nothing/workers=%d", workers), func(b *testing.B) {
+			measure(b, workers, func(int) error {
+				return plain.Call(b.Context(), "test.nothing", &lilacv1.StateStatusRequest{}, &lilacv1.StateStatus{})
+			})
+		})
+	}
+}
+
+// measure runs b.N calls by so many workers and reports the rate and the
+// percentiles of their time.
+func measure(b *testing.B, workers int, call func(i int) error) {
+	times := make([]time.Duration, b.N)
+	next := make(chan int, workers)
+	var wg sync.WaitGroup
+	start := time.Now()
+	for range workers {
+		wg.Go(func() {
+			for i := range next {
+				began := time.Now()
+				if err := call(i); err != nil {
+					b.Error(err)
+				}
+				times[i] = time.Since(began)
+			}
+		})
+	}
+	for i := range b.N {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	slices.Sort(times)
+	b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "calls/s")
+	b.ReportMetric(float64(times[b.N/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(times[b.N*99/100].Microseconds())/1000, "p99-ms")
+}
--- /dev/null
+++ b/daemon/state/replica.go
@@ -0,0 +1,108 @@
+package state
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/replicalink"
+	"github.com/lilacbridge/lilacbridge/process/replica"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/process/wal"
+)
+
+// replicaLog is the replicated log as the Service sees it.
+type replicaLog struct {
+	node      *replica.Node
+	transport *replicalink.Transport
+	name      string
+	dc        string
+
+	mu      sync.Mutex
+	contact time.Time
+}
+
+// OpenReplica opens the replicated log in the data folder of the settings.
+func OpenReplica(s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger, registry prometheus.Registerer) (RunningLog, error) {
+	folder, err := wal.OSFolder(s.Data)
+	if err != nil {
+		return nil, err
+	}
+	var peers []replica.Peer
+	for _, peer := range s.Peers {
+		peers = append(peers, replica.Peer{Name: peer.Name, Address: peer.Address.Value})
+	}
+	transport := replicalink.New(func(address string) link.Caller { return link.NewClient(address, id) })
+	node, err := replica.Open(replica.Options{
+		Name: s.Name, Address: s.Link.Value, DataCenter: s.DataCenter,
+		Peers: peers, Bootstrap: s.Bootstrap,
+		Heartbeat: s.Heartbeat.Duration, Election: s.Election.Duration,
+		Folder: folder, Machine: machine, Transport: transport,
+		Logger: logger, Registerer: registry,
+	})
+	if err != nil {
+		transport.Close()
+		return nil, err
+	}
+	replicalink.Handle(mux, node)
+	return &replicaLog{node: node, transport: transport, name: s.Name, dc: s.DataCenter}, nil
+}
+
+// Propose replicates a command.
+func (l *replicaLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return l.node.Propose(ctx, command)
+}
+
+// Barrier waits for a linearizable read point.
+func (l *replicaLog) Barrier(ctx context.Context) error { return l.node.Barrier(ctx) }
+
+// Status tells where this process stands. It counts as in contact while it
+// knows a leader and has applied all that it knows to be committed.
+func (l *replicaLog) Status() LogStatus {
+	s := l.node.Status()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.LeaderAddress != "" && s.AppliedIndex >= s.CommitIndex && s.AppliedIndex > 0 {
+		l.contact = time.Now()
+	}
+	return LogStatus{
+		Leads:   s.Role == replica.Leader,
+		Contact: time.Since(l.contact),
+		Status: &lilacv1.StateStatus{
+			Process: l.name, DataCenter: l.dc, Role: s.Role.String(), Term: s.Term, Leader: s.LeaderAddress,
+			CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
+			Voters: s.Voters(), Learners: s.Learners(), DiskFull: s.DiskFull,
+		},
+	}
+}
+
+// Run keeps the age of the contact exact until ctx ends or the log fails.
+func (l *replicaLog) Run(ctx context.Context) error {
+	ticker := time.NewTicker(contactTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.node.Done():
+			return l.node.Err()
+		case <-ticker.C:
+			l.Status()
+		}
+	}
+}
+
+// contactTick is how exactly the age of the contact with a leader is known.
+const contactTick = 100 * time.Millisecond
+
+// Close hands leadership over, stops the log and closes its files.
+func (l *replicaLog) Close() error {
+	err := l.node.Close()
+	l.transport.Close()
+	return err
+}
