Pass over only silent state processes, not those that answer with an error

Silence is now a timeout, a failed dial or a broken connection; an error that the process itself gave is no longer one.

--- a/connection/stateclient/health.go
+++ b/connection/stateclient/health.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -65,8 +67,10 @@
 	}
 }
 
+// noAnswer tells silence and broken connections from errors that the process
+// itself answered with.
 func noAnswer(err error) bool {
-	return fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT) || fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE)
+	return fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT) || errors.Is(err, link.ErrNotSent) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // callInTime is Call, but returns when ctx ends even while the caller still
