Call a class's share in only when its target is near

A class with a long target took its guaranteed share at once, though it had time, and delayed more urgent ones for nothing.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -22,7 +22,7 @@
 }
 
 func (c *core) startOwed(now time.Time, p *pool) bool {
-	item := p.queue.Owed()
+	item := p.queue.Owed(now)
 	if item == nil {
 		return false
 	}
--- a/request/queue/class.go
+++ b/request/queue/class.go
@@ -71,8 +71,10 @@
 }
 
 // Owed returns the oldest request of the class whose share is owed to it by
-// now, or nil. Of several, the one with the most credit over its cost.
-func (q *Queue) Owed() *Item {
+// now, or nil. Of several, the one with the most credit over its cost. A share
+// is not called in before half of the time to the latest start has passed:
+// until then the request may get its turn without it.
+func (q *Queue) Owed(now time.Time) *Item {
 	var best *Item
 	most := 0.0
 	for _, name := range q.names {
@@ -81,7 +83,7 @@
 			continue
 		}
 		item := c.oldest()
-		if item == nil {
+		if item == nil || now.Sub(item.Arrived) < item.Due.Sub(item.Arrived)/2 {
 			continue
 		}
 		if over := c.credit - item.Cost; over >= 0 && (best == nil || over > most) {
