Let late requests leave room for those that can still be on time

Late voyages of 650 tokens held all slots for half a minute after a burst, so that new requests came too late as well. Late ones now leave two more slots of each server free; more urgent ones no longer count on the next free slot.

--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -11,9 +11,9 @@
 var reserves = [model.Tiers]float64{0, 2, 2.5, 3}
 
 const (
-	// urgentOver is how many of the most urgent tier may wait at an engine that
-	// honours priorities: the next slot that falls free is theirs.
-	urgentOver = 0
+	// lateReserve is what late requests leave free besides: what can still be on
+	// time shall not have to wait for them.
+	lateReserve = 2
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
 )
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -54,8 +54,8 @@
 	}
 	r := c.requests[ID(item.ID)]
 	h := how{reserve: reserves[item.Tier], late: item.Late}
-	if urgent {
-		h.over = urgentOver
+	if item.Late {
+		h.reserve += lateReserve
 	}
 	s := c.choose(now, r, h)
 	if s == nil {
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	n := s.load()
-	return n <= s.limit(r.pool.tight, r.between())+urgentOver &&
+	return n <= s.limit(r.pool.tight, r.between()) &&
 		(r.between() == 0 || s.gapAt(n) <= r.between()) && s.firstToken(n, s.uncached(r)) <= r.firstBy(now)
 }
 
