--- a/cmd/lilacbench/main.go
+++ b/cmd/lilacbench/main.go
@@ -48,6 +48,7 @@
 		bench.WriteTable(os.Stdout, results)
 	}
 	bench.WriteSummary(os.Stdout, results)
+	bench.WriteLosses(os.Stdout, results)
 	if folder == "" {
 		return nil
 	}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/request/estimate"
 )
 
 // row is what one policy did for one class in one scenario.
@@ -51,7 +53,8 @@
 	Crashes      int
 	RemoteShare  float64
 	Violations   map[string]uint64
-	EstimateNote string
+	// Estimate sums up how far the predicted answer lengths were off.
+	Estimate estimate.Error
 }
 
 func (w *world) result(policyName string) *Result {
@@ -90,7 +93,9 @@
 		started += in.started
 		remote += in.remote
 		out.Misled += in.misled
-		for name, count := range in.core.Stats().Violations {
+		stats := in.core.Stats()
+		out.Estimate.Add(stats.Estimates)
+		for name, count := range stats.Violations {
 			out.Violations[string(name)] += count
 		}
 	}
@@ -172,7 +177,7 @@
 		}
 		fmt.Fprintf(to, "%-15s %-13s %6s %7.2f %7s %7s %9.0f  wasted %.2f%% (%d) redone prompt %d restarts %d remote %.0f%% crashes %d twice %d misled %d%s\n",
 			out.Policy, "ALL", "", out.weighted(), "", "", out.goodRate(), out.wastedShare(), out.WastedTokens, out.RedoneTokens,
-			out.Restarts, out.RemoteShare, out.Crashes, out.RanTwice, out.Misled, out.violationText())
+			out.Restarts, out.RemoteShare, out.Crashes, out.RanTwice, out.Misled, out.estimateText()+out.violationText())
 	}
 }
 
@@ -182,6 +187,13 @@
 		float64(r.good)/out.Length.Seconds(), r.broken, r.gaveUp, r.longest.Seconds(), r.longestServed.Seconds(), r.refusalText())
 }
 
+func (out *Result) estimateText() string {
+	if out.Estimate.Answers == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" length error %.0f%%", 100*out.Estimate.Relative())
+}
+
 func (out *Result) violationText() string {
 	names := make([]string, 0, len(out.Violations))
 	for name, count := range out.Violations {
@@ -210,6 +222,33 @@
 	}
 }
 
+// WriteLosses lists each class in which a baseline attained more than the
+// product in the same scenario, by more than half a point.
+func WriteLosses(to io.Writer, results []*Result) {
+	const least = 0.5
+	products := map[string]*Result{}
+	for _, out := range results {
+		if out.Policy == Product {
+			products[out.Fleet+out.Scenario] = out
+		}
+	}
+	count := 0
+	for _, out := range results {
+		product := products[out.Fleet+out.Scenario]
+		if product == nil || out.Policy == Product || out.Policy == boundName {
+			continue
+		}
+		for i, r := range out.rows {
+			ours := product.rows[i]
+			if gap := r.attainment() - ours.attainment(); gap > least {
+				count++
+				fmt.Fprintf(to, "baseline ahead: %s %s %s: %s %.2f, %s %.2f\n", out.Fleet, out.Scenario, r.class.name, out.Policy, r.attainment(), Product, ours.attainment())
+			}
+		}
+	}
+	fmt.Fprintf(to, "baseline ahead by more than %.1f points: %d rows\n", least, count)
+}
+
 // WriteCSV writes one line by class.
 func WriteCSV(to io.Writer, results []*Result) {
 	fmt.Fprintln(to, "fleet,scenario,policy,class,tier,calls,met_percent,first_percent,between_percent,good_tokens_per_s,broken,abandoned,longest_wait_s,longest_served_wait_s,wasted_percent,refusals")
--- a/request/estimate/estimate.go
+++ b/request/estimate/estimate.go
@@ -112,6 +112,13 @@
 	Absolute, Tokens float64
 }
 
+// Add takes in another table's errors.
+func (e *Error) Add(other Error) {
+	e.Answers += other.Answers
+	e.Absolute += other.Absolute
+	e.Tokens += other.Tokens
+}
+
 // Relative is the mean absolute error as a share of the mean length.
 func (e Error) Relative() float64 {
 	if e.Tokens == 0 {
