--- a/request/relay/flight.go
+++ b/request/relay/flight.go
@@ -17,6 +17,7 @@
 
 var (
 	errStopped = errors.New("stopped by the policy")
+	errCut     = errors.New("the instance had to end")
 	errStalled = errors.New("engine fell silent in the middle of an answer")
 )
 
@@ -127,13 +128,17 @@
 
 func (f *flight) stopIfStalled(before time.Time) {
 	last := f.progress.Load()
-	if last == 0 || last > before.UnixNano() {
-		return
+	if last != 0 && last <= before.UnixNano() {
+		f.abort(errStalled)
 	}
+}
+
+// abort ends the attempt that runs, if any.
+func (f *flight) abort(cause error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil {
-		f.cancel(errStalled)
+		f.cancel(cause)
 	}
 }
 
