--- a/daemon/entry/claims_test.go
+++ b/daemon/entry/claims_test.go
@@ -109,7 +109,7 @@
 			if c.down {
 				backend.Close()
 			}
-			f.ledger.down = c.ledger
+			f.ledger.setDown(c.ledger)
 			headers := []string{"X-Lilac-Deadline-Ms", "800"}
 			if c.key != "" {
 				headers = append(headers, "Idempotency-Key", c.key)
--- /dev/null
+++ b/daemon/entry/core_test.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// scripted is a core that decides as a test says.
+type scripted func(event policy.Event) []policy.Action
+
+func (s scripted) Step(_ time.Time, event policy.Event) []policy.Action { return s(event) }
+func (s scripted) Digest(time.Time) *lilacv1.Digest                     { return &lilacv1.Digest{} }
+func (s scripted) Stats() policy.Stats                                  { return policy.Stats{} }
+
+// An engine is drained in the middle of an answer. Its KV cache moves to another
+// engine, which goes on; the caller sees one whole answer, and the first engine
+// keeps the answer until it was exported.
+func TestAnswerMovesWithItsCache(t *testing.T) {
+	is := is.New(t)
+	const after = 2
+	var old, next *fake
+	old = newFake(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.URL.Path == "/v1/kv/export" {
+			_, _ = w.Write([]byte("cache"))
+			return
+		}
+		startStream(w)
+		sendTokens(w, heldID(r), tokens[:after], "")
+		<-r.Context().Done()
+	})
+	next = newFake(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.URL.Path == "/v1/kv/import" {
+			return
+		}
+		startStream(w)
+		sendTokens(w, heldID(r), tokens[after:], "stop")
+		sendDone(w)
+	})
+	got := 0
+	core := scripted(func(event policy.Event) []policy.Action {
+		switch e := event.(type) {
+		case policy.Arrival:
+			return []policy.Action{policy.Start{ID: e.ID, Server: "r1", Attempt: 1}}
+		case policy.Tokens:
+			if got += e.Count; got == after && e.Attempt == 1 {
+				return []policy.Action{
+					policy.Stop{ID: e.ID, Server: "r1", Attempt: 1},
+					policy.Start{ID: e.ID, Server: "r2", Attempt: 2, ResumeFrom: "r1", Continue: true},
+				}
+			}
+		}
+		return nil
+	})
+	f := startWith(t, testSettings(), core, old.engine("r1"), next.engine("r2"))
+	_, stream := f.post("/v1/chat/completions", chatBody)
+	text, ids, done, _ := textOf(stream)
+	is.Equal(text, strings.Join(tokens, ""))
+	is.True(done)
+	is.Equal(len(ids), 1)
+	is.Equal(next.calls("/v1/kv/import")[0].body, "cache")
+	var resume struct {
+		RequestID   string `json:"request_id"`
+		AfterTokens int    `json:"after_tokens"`
+	}
+	is.NoErr(json.Unmarshal([]byte(next.calls("/v1/resume")[0].body), &resume))
+	is.Equal(resume.RequestID, old.calls("/v1/chat/completions")[0].id)
+	is.Equal(resume.AfterTokens, after)
+	waitFor(t, func() bool { return len(old.calls("/v1/cancel")) == 1 })
+}
+
+// The policy says "not run" of a request that has been sent. The entry must not
+// repeat what it can't prove, and must count the broken invariant.
+func TestShellTrustsItsRecordMoreThanThePolicy(t *testing.T) {
+	is := is.New(t)
+	backend := newFake(t, func(http.ResponseWriter, *http.Request, int) { abort() })
+	core := scripted(func(event policy.Event) []policy.Action {
+		switch e := event.(type) {
+		case policy.Arrival:
+			return []policy.Action{policy.Start{ID: e.ID, Server: "g1", Attempt: 1}}
+		case policy.Failed:
+			return []policy.Action{policy.Refuse{ID: e.ID, Kind: lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, Message: "full", NotRun: lilacv1.NotRun_NOT_RUN_TRUE}}
+		}
+		return nil
+	})
+	f := startWith(t, testSettings(), core, backend.service("g1"))
+	_, body := f.post(bookingURL, booking)
+	is.Equal(errorOf(body), errorEvent{Type: "overloaded", NotRun: "unknown"})
+	families, err := f.registry.Gather()
+	is.NoErr(err)
+	found := false
+	for _, family := range families {
+		found = found || family.GetName() == "lilacbridge_invariants_broken_total"
+	}
+	is.True(found)
+}
+
+// An entry is frozen while a request waits, and woken after its deadline. What
+// the core decided before must not be acted on.
+func TestWokenEntryChecksTheDeadline(t *testing.T) {
+	is := is.New(t)
+	backend := newFake(t, ran)
+	core := scripted(func(event policy.Event) []policy.Action {
+		if e, ok := event.(policy.Arrival); ok {
+			// The freeze: the decision arrives late, and the timer not yet.
+			time.Sleep(time.Until(e.Deadline))
+			return []policy.Action{policy.Start{ID: e.ID, Server: "g1", Attempt: 1}}
+		}
+		return nil
+	})
+	f := startWith(t, testSettings(), core, backend.service("g1"))
+	resp, body := f.post(bookingURL, booking, "X-Lilac-Deadline-Ms", "50")
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(errorOf(body), errorEvent{Type: "timeout", NotRun: true})
+	is.Equal(len(backend.calls("")), 0)
+}
+
+// A request has crashed two engines. All instances must learn of it: the
+// conviction is proposed to the log, once, also when the first try fails.
+func TestConvictionIsProposed(t *testing.T) {
+	is := is.New(t)
+	f := startWith(t, testSettings(), scripted(func(policy.Event) []policy.Action { return nil }))
+	f.ledger.setDown(true)
+	f.convict(policy.Convict{Digest: "d1", Team: "coop", Servers: []string{"r1", "r2"}})
+	f.ledger.setDown(false)
+	waitFor(t, func() bool { return len(f.ledger.proposed()) == 1 })
+	conviction := f.ledger.proposed()[0].GetChanges()[0].GetConvict()
+	is.Equal(conviction.GetDigest(), "d1")
+	is.Equal(conviction.GetServers(), []string{"r1", "r2"})
+	is.True(conviction.GetExpiresUnixMs() > time.Now().UnixMilli())
+}
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/request/policy"
 	"github.com/lilacbridge/lilacbridge/standin"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -70,10 +71,25 @@
 func (l *memoryLedger) Propose(_ context.Context, p *lilacv1.Proposal) (*lilacv1.ProposeReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.down {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, "no quorum")
+	}
 	l.proposals = append(l.proposals, p)
 	return &lilacv1.ProposeReply{Revision: 2}, nil
 }
 
+func (l *memoryLedger) proposed() []*lilacv1.Proposal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.proposals
+}
+
+func (l *memoryLedger) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
 func (l *memoryLedger) state(key string) lilacv1.ClaimState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -83,7 +99,7 @@
 // fixture is an entry with its callers' address.
 type fixture struct {
 	*Entry
-	t      *testing.T
+	t      testing.TB
 	url    string
 	ledger *memoryLedger
 }
@@ -97,10 +113,14 @@
 	return s
 }
 
-func start(t *testing.T, s *settings.Entry, servers ...*lilacv1.Server) *fixture {
+func start(t testing.TB, s *settings.Entry, servers ...*lilacv1.Server) *fixture {
+	return startWith(t, s, nil, servers...)
+}
+
+func startWith(t testing.TB, s *settings.Entry, core policy.Core, servers ...*lilacv1.Server) *fixture {
 	is := is.New(t)
 	ledger := newLedger()
-	e := New(Options{Settings: s, CallerKey: testKey, State: ledger, Logger: hclog.NewNullLogger()})
+	e := New(Options{Settings: s, CallerKey: testKey, State: ledger, Logger: hclog.NewNullLogger(), Core: core})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	server := e.callerServer(listener)
