Part the deterministic runner from the node's goroutine

The randomised runs should prove the code that the product runs, files and order of sync and send included, and not a copy of it in a test. So the turn (step, send what promises nothing, sync, send the rest, apply) is now Runner, with clock, random bits and transport given from outside, and Node is only the goroutine, the queue and the channels around it. Weighed: driving the core alone with a second small shell in the test; ruled out, since the order of sync and send is just what goes wrong. Answers go to a function in place of a channel, and are given in the order of the log. The four tests over TCP pass with -race as before.

--- a/process/replica/loop.go
+++ b/process/replica/loop.go
@@ -17,126 +17,96 @@
 	batch   wal.Batch
 }
 
-// run is the node's only goroutine: all proposals that came while the last
-// sync ran share the next one.
-func (n *Node) run() {
-	defer close(n.done)
-	ticker := time.NewTicker(n.options.Heartbeat / ticksPerHeartbeat)
-	defer ticker.Stop()
-	for n.fatal == nil {
-		var batch []queued
-		select {
-		case <-n.stop:
-			n.end(nil)
-			return
-		case <-ticker.C:
-			batch = append(batch, queued{event: Tick{}})
-		case q := <-n.events:
-			batch = append(batch, q)
-		}
-		n.turn(n.drain(batch))
-	}
-	n.end(n.fatal)
-}
-
-func (n *Node) drain(batch []queued) []queued {
-	for len(batch) < maxBatch {
-		select {
-		case q := <-n.events:
-			batch = append(batch, q)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
-func (n *Node) now() time.Duration { return time.Since(n.start) }
-
-// turn steps the core through a batch and does what it wants done.
-func (n *Node) turn(batch []queued) {
+// Turn steps the core through a batch and does what it wants done: all
+// proposals of the batch share one sync. An error ends the process; see Close.
+func (r *Runner) Turn(batch []Ask) error {
 	var actions []Action
 	for _, q := range batch {
-		actions = append(actions, n.core.Step(n.now(), n.ticketed(q))...)
+		actions = append(actions, r.core.Step(r.options.Clock(), r.ticketed(q))...)
 	}
-	actions = append(actions, n.core.Step(n.now(), Flush{})...)
-	for len(actions) > 0 && n.fatal == nil {
-		actions = n.perform(actions)
+	actions = append(actions, r.core.Step(r.options.Clock(), Flush{})...)
+	for len(actions) > 0 && r.fatal == nil {
+		actions = r.perform(actions)
 	}
-	n.retry()
-	n.maybeSnapshot()
-	n.publish()
+	r.retry()
+	r.maybeSnapshot()
+	return r.fatal
 }
 
 // ticketed gives the event a ticket under which its outcome is found.
-func (n *Node) ticketed(q queued) Event {
-	if q.reply == nil {
-		return q.event
+func (r *Runner) ticketed(q Ask) Event {
+	if q.Reply == nil {
+		return q.Event
 	}
-	n.tickets++
-	switch e := q.event.(type) {
+	r.tickets++
+	switch e := q.Event.(type) {
 	case Propose:
-		e.Ticket = n.tickets
-		n.proposals[n.tickets] = q.reply
+		e.Ticket = r.tickets
+		r.proposals[r.tickets] = q.Reply
 		return e
 	case ChangeMembers:
-		e.Ticket = n.tickets
-		n.proposals[n.tickets] = q.reply
+		e.Ticket = r.tickets
+		r.proposals[r.tickets] = q.Reply
 		return e
 	case Read:
-		e.Ticket = n.tickets
-		n.readers[n.tickets] = q.reply
+		e.Ticket = r.tickets
+		r.readers[r.tickets] = q.Reply
 		return e
 	}
-	return q.event
+	return q.Event
 }
 
 // perform sends what promises nothing, syncs, sends the rest, and returns what
 // the core wants after the sync.
-func (n *Node) perform(actions []Action) []Action {
-	n.sendAll(actions, false)
-	saved := n.saveAll(actions)
-	if n.fatal != nil {
+func (r *Runner) perform(actions []Action) []Action {
+	r.sendAll(actions, false)
+	saved := r.saveAll(actions)
+	if r.fatal != nil {
 		return nil
 	}
-	if len(n.pending) == 0 {
-		n.sendAll(actions, true)
+	if len(r.pending) == 0 {
+		r.sendAll(actions, true)
 	}
 	for _, action := range actions {
-		n.conclude(action)
+		r.conclude(action)
 	}
 	if saved == nil {
 		return nil
 	}
-	next := append([]Action(nil), n.core.Step(n.now(), *saved)...)
-	return append(next, n.core.Step(n.now(), Flush{})...)
+	next := append([]Action(nil), r.core.Step(r.options.Clock(), *saved)...)
+	return append(next, r.core.Step(r.options.Clock(), Flush{})...)
 }
 
-func (n *Node) sendAll(actions []Action, afterSync bool) {
+func (r *Runner) sendAll(actions []Action, afterSync bool) {
 	byAddress := map[string][]*lilacv1.RaftMessage{}
+	var addresses []string
 	for _, action := range actions {
 		s, ok := action.(Send)
-		if !ok || s.AfterSync != afterSync || !n.fillChunk(s) {
+		if !ok || s.AfterSync != afterSync || !r.fillChunk(s) {
 			continue
 		}
+		if byAddress[s.Address] == nil {
+			addresses = append(addresses, s.Address)
+		}
 		byAddress[s.Address] = append(byAddress[s.Address], s.Message)
 	}
-	for address, messages := range byAddress {
-		n.metrics.sent.Add(float64(len(messages)))
-		n.options.Transport.Send(address, messages)
+	for _, address := range addresses {
+		messages := byAddress[address]
+		r.metrics.sent.Add(float64(len(messages)))
+		r.options.Transport.Send(address, messages)
 	}
 }
 
-func (n *Node) fillChunk(s Send) bool {
+func (r *Runner) fillChunk(s Send) bool {
 	if s.SnapshotBytes == 0 {
 		return true
 	}
-	if n.store.Snapshot().GetIndex() != s.Message.GetSnapshot().GetIndex() {
+	if r.store.Snapshot().GetIndex() != s.Message.GetSnapshot().GetIndex() {
 		return false
 	}
-	chunk, err := n.store.ReadSnapshot(s.Message.GetOffset(), s.SnapshotBytes)
+	chunk, err := r.store.ReadSnapshot(s.Message.GetOffset(), s.SnapshotBytes)
 	if err != nil {
-		n.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "snapshot can't be read; check the disk and restart the process")
+		r.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "snapshot can't be read; check the disk and restart the process")
 		return false
 	}
 	s.Message.Chunk = chunk
@@ -145,27 +115,27 @@
 
 // saveAll syncs what the actions want synced; nil if nothing was, or if the
 // disk is full and it waits.
-func (n *Node) saveAll(actions []Action) *Synced {
+func (r *Runner) saveAll(actions []Action) *Synced {
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Install:
-			n.restoreFrom(a)
-			n.pending = append(n.pending, saving{install: &a})
+			r.restoreFrom(a)
+			r.pending = append(r.pending, saving{install: &a})
 		case Persist:
-			n.addPersist(a)
+			r.addPersist(a)
 		}
 	}
-	if n.full {
+	if r.full {
 		return nil
 	}
-	return n.savePending()
+	return r.savePending()
 }
 
-func (n *Node) addPersist(p Persist) {
-	if k := len(n.pending); k == 0 || n.pending[k-1].install != nil {
-		n.pending = append(n.pending, saving{})
+func (r *Runner) addPersist(p Persist) {
+	if k := len(r.pending); k == 0 || r.pending[k-1].install != nil {
+		r.pending = append(r.pending, saving{})
 	}
-	batch := &n.pending[len(n.pending)-1].batch
+	batch := &r.pending[len(r.pending)-1].batch
 	if p.Hard != nil {
 		batch.Hard = p.Hard
 	}
@@ -173,138 +143,132 @@
 }
 
 // savePending syncs in order and stops at a full disk.
-func (n *Node) savePending() *Synced {
-	if len(n.pending) == 0 {
+func (r *Runner) savePending() *Synced {
+	if len(r.pending) == 0 {
 		return nil
 	}
 	synced := &Synced{}
-	for len(n.pending) > 0 {
-		if err := n.save(n.pending[0]); err != nil {
-			n.saveFailed(err)
+	for len(r.pending) > 0 {
+		if err := r.save(r.pending[0]); err != nil {
+			r.saveFailed(err)
 			return nil
 		}
-		batch := n.pending[0].batch
+		batch := r.pending[0].batch
 		if k := len(batch.Entries); k > 0 {
 			synced.Index, synced.Term = batch.Entries[k-1].GetIndex(), batch.Entries[k-1].GetTerm()
 		}
 		if batch.Hard != nil {
 			synced.HardTerm = batch.Hard.GetTerm()
 		}
-		n.pending = n.pending[1:]
+		r.pending = r.pending[1:]
 	}
-	n.pending = nil
-	n.setFull(false)
+	r.pending = nil
+	r.setFull(false)
 	return synced
 }
 
-func (n *Node) save(s saving) error {
+func (r *Runner) save(s saving) error {
 	if s.install != nil {
-		return n.store.InstallSnapshot(s.install.Meta, s.install.Data)
+		return r.store.InstallSnapshot(s.install.Meta, s.install.Data)
 	}
-	begun := time.Now()
-	err := n.store.Save(s.batch)
-	n.metrics.syncSeconds.Observe(time.Since(begun).Seconds())
+	begun := r.options.Clock()
+	err := r.store.Save(s.batch)
+	r.metrics.syncSeconds.Observe((r.options.Clock() - begun).Seconds())
 	return err
 }
 
-func (n *Node) saveFailed(err error) {
+func (r *Runner) saveFailed(err error) {
 	if fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_DISK_FULL) {
-		n.setFull(true)
+		r.setFull(true)
 		return
 	}
-	n.fatal = err
+	r.fatal = err
 }
 
-func (n *Node) setFull(full bool) {
-	if n.full == full {
+func (r *Runner) setFull(full bool) {
+	if r.full == full {
 		return
 	}
-	n.full = full
+	r.full = full
 	if full {
-		n.logger.Error("the disk is full; statements and claims are refused until there is space", "folder", n.options.Folder.Path())
+		r.logger.Error("the disk is full; statements and claims are refused until there is space", "folder", r.options.Folder.Path())
 	} else {
-		n.logger.Info("the disk has space again", "folder", n.options.Folder.Path())
+		r.logger.Info("the disk has space again", "folder", r.options.Folder.Path())
 	}
-	n.metrics.diskFull.Set(boolean(full))
+	r.metrics.diskFull.Set(boolean(full))
 }
 
 // retry tries again what a full disk did not take, and tells the core.
-func (n *Node) retry() {
-	if n.fatal != nil || n.full == n.core.diskFull && !n.full {
+func (r *Runner) retry() {
+	if r.fatal != nil || r.full == r.core.diskFull && !r.full {
 		return
 	}
 	var actions []Action
-	if n.full {
-		if saved := n.savePending(); saved != nil {
-			actions = append(actions, n.core.Step(n.now(), *saved)...)
+	if r.full {
+		if saved := r.savePending(); saved != nil {
+			actions = append(actions, r.core.Step(r.options.Clock(), *saved)...)
 		}
 	}
-	actions = append(actions, n.core.Step(n.now(), DiskFull{Full: n.full})...)
-	for len(actions) > 0 && n.fatal == nil {
-		actions = n.perform(actions)
+	actions = append(actions, r.core.Step(r.options.Clock(), DiskFull{Full: r.full})...)
+	for len(actions) > 0 && r.fatal == nil {
+		actions = r.perform(actions)
 	}
 }
 
-func (n *Node) restoreFrom(install Install) {
-	n.failPlaced(unknownOutcome())
-	n.applied, n.taken = install.Meta.GetIndex(), install.Meta.GetIndex()
+func (r *Runner) restoreFrom(install Install) {
+	r.failPlaced(unknownOutcome())
+	r.applied, r.taken = install.Meta.GetIndex(), install.Meta.GetIndex()
 	if install.Meta.GetSize() == 0 {
 		return
 	}
-	if err := n.options.Machine.Restore(install.Data); err != nil {
-		n.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "the leader's snapshot does not restore; run one version on all state processes")
+	if err := r.options.Machine.Restore(install.Data); err != nil {
+		r.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "the leader's snapshot does not restore; run one version on all state processes")
 		return
 	}
-	n.metrics.installs.Inc()
-	n.logger.Info("took the leader's snapshot", "index", install.Meta.GetIndex(), "bytes", install.Meta.GetSize())
+	r.metrics.installs.Inc()
+	r.logger.Info("took the leader's snapshot", "index", install.Meta.GetIndex(), "bytes", install.Meta.GetSize())
 }
 
 // maybeSnapshot bounds the log. It waits while the last snapshot is on its way
 // to a member, up to a point.
-func (n *Node) maybeSnapshot() {
-	every := n.options.SnapshotEvery
-	grown := n.applied - n.taken
-	if n.fatal != nil || n.full || len(n.pending) > 0 || grown < every || n.now() < n.snapshotAt || (n.core.Transferring() && grown < 4*every) {
+func (r *Runner) maybeSnapshot() {
+	every := r.options.SnapshotEvery
+	grown := r.applied - r.taken
+	if r.fatal != nil || r.full || len(r.pending) > 0 || grown < every || r.options.Clock() < r.snapshotAt || (r.core.Transferring() && grown < 4*every) {
 		return
 	}
-	data, err := n.options.Machine.Snapshot()
+	data, err := r.options.Machine.Snapshot()
 	if err != nil {
-		n.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "state can't be put into a snapshot")
+		r.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "state can't be put into a snapshot")
 		return
 	}
-	meta := &lilacv1.RaftSnapshotMeta{Index: n.applied, Term: n.core.TermAt(n.applied), Members: n.core.MembersAt(n.applied), Size: uint64(len(data))}
+	meta := &lilacv1.RaftSnapshotMeta{Index: r.applied, Term: r.core.TermAt(r.applied), Members: r.core.MembersAt(r.applied), Size: uint64(len(data))}
 	// Entries behind the snapshot stay for followers that are a little behind.
-	keep := n.applied - min(n.applied, every/2)
-	if err := n.store.SaveSnapshot(meta, data, keep); err != nil {
-		n.snapshotFailed(err)
+	keep := r.applied - min(r.applied, every/2)
+	if err := r.store.SaveSnapshot(meta, data, keep); err != nil {
+		r.snapshotFailed(err)
 		return
 	}
-	n.taken = n.applied
-	n.metrics.snapshots.Inc()
-	n.core.Step(n.now(), Compacted{Meta: meta, Keep: keep})
+	r.taken = r.applied
+	r.metrics.snapshots.Inc()
+	r.core.Step(r.options.Clock(), Compacted{Meta: meta, Keep: keep})
 }
 
 // snapshotFailed puts the snapshot off if the disk is full: the log goes on
 // without it.
-func (n *Node) snapshotFailed(err error) {
+func (r *Runner) snapshotFailed(err error) {
 	if !fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_DISK_FULL) {
-		n.fatal = err
+		r.fatal = err
 		return
 	}
-	n.snapshotAt = n.now() + snapshotRetry
-	n.logger.Error("the disk has no space for a snapshot; the log grows until there is", "folder", n.options.Folder.Path())
+	r.snapshotAt = r.options.Clock() + snapshotRetry
+	r.logger.Error("the disk has no space for a snapshot; the log grows until there is", "folder", r.options.Folder.Path())
 }
 
-// end stops the node and fails all that waits.
-func (n *Node) end(err error) {
-	n.mu.Lock()
-	n.err = err
-	n.mu.Unlock()
-	if err != nil {
-		n.logger.Error("the state process stops", "error", err)
-	}
-	n.failPlaced(unknownOutcome())
-	if closeErr := n.store.Close(); closeErr != nil {
-		n.logger.Warn("data folder was not closed cleanly", "error", closeErr)
+// Close fails all that waits and closes the files.
+func (r *Runner) Close() {
+	r.failPlaced(unknownOutcome())
+	if err := r.store.Close(); err != nil {
+		r.logger.Warn("data folder was not closed cleanly", "error", err)
 	}
 }
--- a/process/replica/node.go
+++ b/process/replica/node.go
@@ -4,16 +4,11 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/hex"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus"
-
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
-	"github.com/lilacbridge/lilacbridge/process/wal"
 )
 
 const (
@@ -23,163 +18,93 @@
 	maxBatch = 1024
 	// ticksPerHeartbeat is how often the core is told the time.
 	ticksPerHeartbeat = 2
-	// defaultSnapshotEvery is the number of entries between two snapshots.
-	defaultSnapshotEvery = 20000
-	// identityBytes is the length of random identities.
-	identityBytes = 8
 )
 
-// StateMachine is what the log is for. One goroutine calls it. Apply must give
-// the same result on every process.
-type StateMachine interface {
-	// Apply runs a committed command and returns the answer for its proposer.
-	Apply(index uint64, command []byte) []byte
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
-	// Restore replaces the whole state.
-	Restore(data []byte) error
-}
-
-// Transport carries messages to other processes. It may lose, delay, repeat
-// and reorder them, and never blocks.
-type Transport interface {
-	Send(address string, messages []*lilacv1.RaftMessage)
-}
-
-// Options of a Node.
-type Options struct {
-	// Name, Address and DataCenter are those of the settings.
-	Name, Address, DataCenter string
-	// Peers are the other processes of the settings.
-	Peers []Peer
-	// Bootstrap lets an empty process found the group with Peers.
-	Bootstrap bool
-	// Heartbeat and Election are as in the settings.
-	Heartbeat, Election time.Duration
-	// Folder holds the durable files.
-	Folder wal.Folder
-	// Machine takes the committed commands.
-	Machine StateMachine
-	// Transport reaches the other processes.
-	Transport Transport
-	// Logger gets a line for each change of state; nil means none.
-	Logger hclog.Logger
-	// Registerer gets the metrics; nil means none.
-	Registerer prometheus.Registerer
-	// SnapshotEvery is the number of entries between snapshots; 0 means 20000.
-	SnapshotEvery uint64
-	// SegmentBytes is passed to wal.Options.
-	SegmentBytes int64
-}
-
 // Node runs one process of the replicated log.
 type Node struct {
-	options Options
-	logger  hclog.Logger
-	metrics *metrics
-	store   *wal.Store
-	core    *Core
-	start   time.Time
+	runner    *Runner
+	heartbeat time.Duration
+	election  time.Duration
 
-	events chan queued
+	events chan Ask
 	stop   chan struct{}
 	done   chan struct{}
 	once   sync.Once
 
-	// The fields below belong to the loop.
-	tickets   uint64
-	proposals map[uint64]chan<- outcome
-	byIndex   map[uint64]placed
-	reads     []waitingRead
-	readers   map[uint64]chan<- outcome
-	pending   []saving
-	full      bool
-	applied   uint64
-	taken     uint64
-	// snapshotAt is when a snapshot that failed may be tried again.
-	snapshotAt time.Duration
-	fatal      error
-
 	mu     sync.Mutex
 	status Status
 	err    error
 }
 
-// queued is an event with the channel that gets its outcome, if any.
-type queued struct {
-	event Event
-	reply chan<- outcome
-}
-
-type outcome struct {
-	result []byte
-	err    error
-}
-
-// placed is a proposal that stands in the log.
-type placed struct {
-	term  uint64
-	reply chan<- outcome
-}
-
-type waitingRead struct {
-	index uint64
-	reply chan<- outcome
-}
-
-func randomID() string {
-	b := make([]byte, identityBytes)
-	_, _ = rand.Read(b) // It never fails.
-	return hex.EncodeToString(b)
-}
-
-func randomSeed() uint64 {
+func randomBits() uint64 {
 	var b [8]byte
-	_, _ = rand.Read(b[:])
+	_, _ = rand.Read(b[:]) // It never fails.
 	return binary.LittleEndian.Uint64(b[:])
 }
 
 // Open reads the data folder, restores the state machine and starts the node.
 func Open(o Options) (*Node, error) {
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.SnapshotEvery == 0 {
-		o.SnapshotEvery = defaultSnapshotEvery
-	}
-	store, state, err := wal.Open(o.Folder, wal.Options{SegmentBytes: o.SegmentBytes})
+	runner, err := NewRunner(o)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{options: o, logger: o.Logger, metrics: newMetrics(o.Registerer, o.Name), store: store, start: time.Now(),
-		events: make(chan queued, eventQueue), stop: make(chan struct{}), done: make(chan struct{}),
-		proposals: map[uint64]chan<- outcome{}, byIndex: map[uint64]placed{}, readers: map[uint64]chan<- outcome{}}
-	if err := n.restore(state); err != nil {
-		store.Close()
-		return nil, err
-	}
+	n := &Node{runner: runner, heartbeat: o.Heartbeat, election: o.Election,
+		events: make(chan Ask, eventQueue), stop: make(chan struct{}), done: make(chan struct{})}
+	n.publish()
 	go n.run()
 	return n, nil
 }
 
-func (n *Node) restore(state *wal.State) error {
-	if state.CutBytes > 0 {
-		n.metrics.cutBytes.Add(float64(state.CutBytes))
-		n.logger.Warn("a crash tore the end of the log; it was cut", "file", state.CutFile, "bytes", state.CutBytes)
+// run is the node's only goroutine: all proposals that came while the last
+// sync ran share the next one.
+func (n *Node) run() {
+	defer close(n.done)
+	ticker := time.NewTicker(n.heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		batch := make([]Ask, 0, 1)
+		select {
+		case <-n.stop:
+			n.end(nil)
+			return
+		case <-ticker.C:
+			batch = append(batch, Ask{Event: Tick{}})
+		case ask := <-n.events:
+			batch = append(batch, ask)
+		}
+		if err := n.runner.Turn(n.drain(batch)); err != nil {
+			n.end(err)
+			return
+		}
+		n.publish()
 	}
-	meta := state.Snapshot
-	if state.Hard.GetGroup() != "" && meta.GetSize() > 0 {
-		if err := n.options.Machine.Restore(state.SnapshotData); err != nil {
-			return fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "snapshot does not restore; run the version that wrote it, or move the data folder away so that this process joins again")
+}
+
+func (n *Node) drain(batch []Ask) []Ask {
+	for len(batch) < maxBatch {
+		select {
+		case ask := <-n.events:
+			batch = append(batch, ask)
+		default:
+			return batch
 		}
 	}
-	o := n.options
-	config := Config{Name: o.Name, Address: o.Address, DataCenter: o.DataCenter, ID: randomID(), FreshGroup: randomID(),
-		Peers: o.Peers, Bootstrap: o.Bootstrap, Heartbeat: o.Heartbeat, Election: o.Election, Seed: randomSeed()}
-	n.core = NewCore(config, Restored{Hard: state.Hard, Snapshot: meta, Entries: state.Entries}, 0)
-	n.applied, n.taken = n.core.applied, n.core.applied
-	n.publish()
-	return nil
+	return batch
+}
+
+// end stops the node and fails all that waits.
+func (n *Node) end(err error) {
+	n.mu.Lock()
+	n.err = err
+	n.mu.Unlock()
+	if err != nil {
+		n.runner.logger.Error("the state process stops", "error", err)
+	}
+	n.runner.Close()
+}
+
+func stopped(options ...fault.Option) error {
+	return fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "the state process has stopped; ask another one", options...)
 }
 
 // Propose replicates command and returns the state machine's answer once a
@@ -188,28 +113,28 @@
 // OUTCOME_UNKNOWN may.
 func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	o := n.ask(ctx, Propose{Command: command})
-	return o.result, o.err
+	return o.Result, o.Err
 }
 
 // Barrier returns once all that was committed before the call has been applied
 // here; only the leader can tell.
 func (n *Node) Barrier(ctx context.Context) error {
-	return n.ask(ctx, Read{}).err
+	return n.ask(ctx, Read{}).Err
 }
 
 // AddLearner takes a process in that does not count for the quorum.
 func (n *Node) AddLearner(ctx context.Context, member *lilacv1.RaftMember) error {
-	return n.ask(ctx, ChangeMembers{Kind: AddLearner, Member: member}).err
+	return n.ask(ctx, ChangeMembers{Kind: AddLearner, Member: member}).Err
 }
 
 // Promote makes a learner that has caught up a voter.
 func (n *Node) Promote(ctx context.Context, id string) error {
-	return n.ask(ctx, ChangeMembers{Kind: Promote, Member: &lilacv1.RaftMember{Id: id}}).err
+	return n.ask(ctx, ChangeMembers{Kind: Promote, Member: &lilacv1.RaftMember{Id: id}}).Err
 }
 
 // Remove takes a member out.
 func (n *Node) Remove(ctx context.Context, id string) error {
-	return n.ask(ctx, ChangeMembers{Kind: Remove, Member: &lilacv1.RaftMember{Id: id}}).err
+	return n.ask(ctx, ChangeMembers{Kind: Remove, Member: &lilacv1.RaftMember{Id: id}}).Err
 }
 
 // Receive takes messages of other processes from the transport. It drops them
@@ -217,33 +142,33 @@
 func (n *Node) Receive(messages []*lilacv1.RaftMessage) {
 	for _, m := range messages {
 		select {
-		case n.events <- queued{event: Received{Message: m}}:
+		case n.events <- Ask{Event: Received{Message: m}}:
 		default:
-			n.metrics.dropped.Inc()
+			n.runner.metrics.dropped.Inc()
 		}
 	}
 }
 
-func (n *Node) ask(ctx context.Context, event Event) outcome {
-	reply := make(chan outcome, 1)
+func (n *Node) ask(ctx context.Context, event Event) Outcome {
+	reply := make(chan Outcome, 1)
 	select {
-	case n.events <- queued{event: event, reply: reply}:
+	case n.events <- Ask{Event: event, Reply: func(o Outcome) { reply <- o }}:
 	case <-ctx.Done():
-		return outcome{err: fault.Wrap(ctx.Err(), lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, "the state process is too busy; come back later", notRun)}
+		return Outcome{Err: fault.Wrap(ctx.Err(), lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, "the state process is too busy; come back later", notRun)}
 	case <-n.done:
-		return outcome{err: n.stopped(notRun)}
+		return Outcome{Err: stopped(notRun)}
 	}
 	select {
 	case o := <-reply:
 		return o
 	case <-ctx.Done():
-		return outcome{err: fault.Wrap(ctx.Err(), lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "no quorum confirmed it in time; it may still be accepted: send it again with the same command id")}
+		return Outcome{Err: fault.Wrap(ctx.Err(), lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "no quorum confirmed it in time; it may still be accepted: send it again with the same command id")}
 	case <-n.done:
 		select {
 		case o := <-reply:
 			return o
 		default:
-			return outcome{err: n.stopped(nil)}
+			return Outcome{Err: stopped()}
 		}
 	}
 }
@@ -264,18 +189,18 @@
 		return
 	}
 	select {
-	case n.events <- queued{event: HandOver{}}:
+	case n.events <- Ask{Event: HandOver{}}:
 	case <-n.done:
 		return
 	}
-	deadline := time.After(n.options.Election)
+	deadline := time.After(n.election)
 	for n.Status().Role == Leader {
 		select {
 		case <-deadline:
 			return
 		case <-n.done:
 			return
-		case <-time.After(n.options.Heartbeat / ticksPerHeartbeat):
+		case <-time.After(n.heartbeat / ticksPerHeartbeat):
 		}
 	}
 }
--- /dev/null
+++ b/process/replica/runner.go
@@ -0,0 +1,170 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/wal"
+)
+
+// defaultSnapshotEvery is the number of entries between two snapshots.
+const defaultSnapshotEvery = 20000
+
+// StateMachine is what the log is for. One goroutine calls it. Apply must give
+// the same result on every process.
+type StateMachine interface {
+	// Apply runs a committed command and returns the answer for its proposer.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(data []byte) error
+}
+
+// Transport carries messages to other processes. It may lose, delay, repeat
+// and reorder them, and never blocks.
+type Transport interface {
+	Send(address string, messages []*lilacv1.RaftMessage)
+}
+
+// Options of a Node.
+type Options struct {
+	// Name, Address and DataCenter are those of the settings.
+	Name, Address, DataCenter string
+	// Peers are the other processes of the settings.
+	Peers []Peer
+	// Bootstrap lets an empty process found the group with Peers.
+	Bootstrap bool
+	// Heartbeat and Election are as in the settings.
+	Heartbeat, Election time.Duration
+	// Folder holds the durable files.
+	Folder wal.Folder
+	// Machine takes the committed commands.
+	Machine StateMachine
+	// Transport reaches the other processes.
+	Transport Transport
+	// Logger gets a line for each change of state; nil means none.
+	Logger hclog.Logger
+	// Registerer gets the metrics; nil means none.
+	Registerer prometheus.Registerer
+	// SnapshotEvery is the number of entries between snapshots; 0 means 20000.
+	SnapshotEvery uint64
+	// SegmentBytes is passed to wal.Options.
+	SegmentBytes int64
+	// Clock gives the time since any fixed moment; nil means the monotonic clock.
+	Clock func() time.Duration
+	// Random draws fresh bits for identities and election timeouts; nil means
+	// the operating system's.
+	Random func() uint64
+	// Observe is told each action of the core; nil means nobody.
+	Observe func(Action)
+}
+
+// Outcome is how a proposal, read or change of members ended.
+type Outcome struct {
+	Result []byte
+	Err    error
+}
+
+// Reply takes an outcome; it must not block.
+type Reply func(Outcome)
+
+// Ask is an event with who wants its outcome, if anyone.
+type Ask struct {
+	Event Event
+	Reply Reply
+}
+
+// Runner joins core, files and state machine. It has no goroutine of its own:
+// Node turns it in one, and randomised tests turn it under a simulated clock
+// and disk.
+type Runner struct {
+	options Options
+	logger  hclog.Logger
+	metrics *metrics
+	store   *wal.Store
+	core    *Core
+
+	tickets   uint64
+	proposals map[uint64]Reply
+	byIndex   map[uint64]placed
+	reads     []waitingRead
+	readers   map[uint64]Reply
+	pending   []saving
+	full      bool
+	applied   uint64
+	// taken is the index of the last snapshot.
+	taken uint64
+	// snapshotAt is when a snapshot that failed may be tried again.
+	snapshotAt time.Duration
+	fatal      error
+}
+
+// placed is a proposal that stands in the log.
+type placed struct {
+	term  uint64
+	reply Reply
+}
+
+type waitingRead struct {
+	index uint64
+	reply Reply
+}
+
+// NewRunner reads the data folder and restores the state machine.
+func NewRunner(o Options) (*Runner, error) {
+	o.fill()
+	store, state, err := wal.Open(o.Folder, wal.Options{SegmentBytes: o.SegmentBytes})
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{options: o, logger: o.Logger, metrics: newMetrics(o.Registerer, o.Name), store: store,
+		proposals: map[uint64]Reply{}, byIndex: map[uint64]placed{}, readers: map[uint64]Reply{}}
+	if err := r.restore(state); err != nil {
+		store.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (o *Options) fill() {
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	if o.Clock == nil {
+		start := time.Now()
+		o.Clock = func() time.Duration { return time.Since(start) }
+	}
+	if o.Random == nil {
+		o.Random = randomBits
+	}
+}
+
+func (r *Runner) restore(state *wal.State) error {
+	if state.CutBytes > 0 {
+		r.metrics.cutBytes.Add(float64(state.CutBytes))
+		r.logger.Warn("a crash tore the end of the log; it was cut", "file", state.CutFile, "bytes", state.CutBytes)
+	}
+	meta := state.Snapshot
+	if state.Hard.GetGroup() != "" && meta.GetSize() > 0 {
+		if err := r.options.Machine.Restore(state.SnapshotData); err != nil {
+			return fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "snapshot does not restore; run the version that wrote it, or move the data folder away so that this process joins again")
+		}
+	}
+	o := r.options
+	// An identity of fixed length sorts and prints well.
+	identity := func() string { return fmt.Sprintf("%016x", o.Random()) }
+	config := Config{Name: o.Name, Address: o.Address, DataCenter: o.DataCenter, ID: identity(), FreshGroup: identity(),
+		Peers: o.Peers, Bootstrap: o.Bootstrap, Heartbeat: o.Heartbeat, Election: o.Election, Seed: o.Random()}
+	r.core = NewCore(config, Restored{Hard: state.Hard, Snapshot: meta, Entries: state.Entries}, o.Clock())
+	r.applied, r.taken = r.core.applied, r.core.applied
+	return nil
+}
--- a/process/replica/status.go
+++ b/process/replica/status.go
@@ -46,23 +46,32 @@
 	return n.status
 }
 
-func (n *Node) publish() {
-	c := n.core
+// Status describes the process as of the last Turn.
+func (r *Runner) Status() Status {
+	c := r.core
 	members := c.Members()
 	leader := find(c.members.latest(), c.leader)
-	s := Status{ID: c.cfg.ID, Group: c.group, Role: c.role, Term: c.term, Leader: c.leader, LeaderName: leader.GetName(), LeaderAddress: c.leaderAddress,
-		CommitIndex: c.commit, AppliedIndex: n.applied, LastIndex: c.log.last(), SnapshotIndex: c.snapshot.GetIndex(),
-		Members: members, DiskFull: n.full, InvariantsChecked: c.Checked, InvariantsBroken: c.BrokenCount}
+	return Status{ID: c.cfg.ID, Group: c.group, Role: c.role, Term: c.term, Leader: c.leader, LeaderName: leader.GetName(), LeaderAddress: c.leaderAddress,
+		CommitIndex: c.commit, AppliedIndex: r.applied, LastIndex: c.log.last(), SnapshotIndex: c.snapshot.GetIndex(),
+		Members: members, DiskFull: r.full, InvariantsChecked: c.Checked, InvariantsBroken: c.BrokenCount}
+}
+
+func (n *Node) publish() {
+	s := n.runner.Status()
 	n.mu.Lock()
 	n.status = s
 	n.mu.Unlock()
-	n.metrics.term.Set(float64(s.Term))
-	n.metrics.commit.Set(float64(s.CommitIndex))
-	n.metrics.applied.Set(float64(s.AppliedIndex))
-	n.metrics.leads.Set(boolean(s.Role == Leader))
-	n.metrics.checked.Set(float64(s.InvariantsChecked))
-	n.metrics.ignored.Set(float64(c.Ignored))
-	n.metrics.syncs.Set(float64(n.store.Syncs))
+	n.runner.count(s)
+}
+
+func (r *Runner) count(s Status) {
+	r.metrics.term.Set(float64(s.Term))
+	r.metrics.commit.Set(float64(s.CommitIndex))
+	r.metrics.applied.Set(float64(s.AppliedIndex))
+	r.metrics.leads.Set(boolean(s.Role == Leader))
+	r.metrics.checked.Set(float64(s.InvariantsChecked))
+	r.metrics.ignored.Set(float64(r.core.Ignored))
+	r.metrics.syncs.Set(float64(r.store.Syncs))
 }
 
 type metrics struct {
