--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -177,6 +177,11 @@
 	RetryAfter time.Duration
 }
 
+// Announce tells the shell to send the digest to all other instances at once,
+// since it holds news that can't wait for the next interval.
+type Announce struct{}
+
+func (Announce) action()   {}
 func (Arrival) event()     {}
 func (Canceled) event()    {}
 func (Sent) event()        {}
@@ -203,4 +208,6 @@
 	Step(now time.Time, event Event) []Action
 	// Digest returns what the other instances must know, as of now.
 	Digest(now time.Time) *lilacv1.Digest
+	// Stats returns the counters and the invariants that were seen broken.
+	Stats() Stats
 }
