Find the leader by its role in the newest term

The first run of the failure script ended at once: it took the column's name for a leader's row. The query now filters and sorts by itself.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -194,9 +194,9 @@
 # fault ADDRESS JSON: sets a fault of a stand-in.
 fault() { curl -s -m 2 -o /dev/null -d "$2" "http://$1/fault"; }
 
-# leader: the state process that most state processes name as leader, or nothing.
+# leader: the state process that leads in the newest term, or nothing.
 leader() {
-  ctl -o json exec "SHOW STATE" 2> /dev/null | tr -d ' \n"' | grep -oE '\[[^][]*,leader,[^][]*\]' | head -1 | tr -d '[]' | cut -d, -f1
+  ctl exec 'SHOW STATE WHERE role = "leader" ORDER BY term DESC LIMIT 1' 2> /dev/null | awk 'NR == 2 { print $1 }'
 }
 
 # verdict NAME: prints NAME: ok, or what broke and exits 1.
