--- /dev/null
+++ b/connection/gossip/gossip.go
@@ -0,0 +1,243 @@
+// Package gossip runs the membership of an entry instance: it exchanges digests
+// with other entries over the link and reads the platform's list.
+package gossip
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// Method is the link method of an exchange.
+const Method = "entry.digest"
+
+const (
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = time.Second
+	// ownInterval is how often the own digest is taken anew.
+	ownInterval = 500 * time.Millisecond
+)
+
+// Options say who the entry is and whom to tell. The callbacks run one at a time
+// and in order; they must not call the Gossip.
+type Options struct {
+	// Self names the entry; Address is that of its link.
+	Self member.Peer
+	// Entries are those of the settings.
+	Entries []settings.Peer
+	// Dial returns the caller for an address; the same one each time.
+	Dial func(address string) link.Caller
+	// InstanceList is the URL of the platform's list; "" means none.
+	InstanceList string
+	// Own returns the digest of the own policy; instance, data centre,
+	// incarnation and sequence are filled in. May be nil.
+	Own func() *lilacv1.Digest
+	// OnDigest is given each digest of another entry, or the combined one of
+	// member.Others; OnGone its end. May be nil.
+	OnDigest func(*lilacv1.Digest)
+	OnGone   func(instance string)
+	// OnServer tells that a backend server began or ended to be leaving. May be nil.
+	OnServer func(server string, leaving bool)
+	// OnLive is given the other entries that are taken for alive. May be nil.
+	OnLive func([]settings.Peer)
+	// Logger gets a line for each entry that goes, comes or leaves; may be nil.
+	Logger hclog.Logger
+}
+
+// Gossip is the membership of one entry.
+type Gossip struct {
+	options     Options
+	incarnation string
+
+	mu       sync.Mutex
+	core     *member.Core
+	busy     map[string]bool
+	sequence uint64
+	leaving  bool
+	stats    Stats
+	// ctx is Run's; stopped is true before Run waits for its goroutines.
+	ctx     context.Context
+	stopped bool
+	wg      sync.WaitGroup
+}
+
+// Stats count the control traffic, without the link's own framing.
+type Stats struct {
+	Exchanges, Failures, Bytes uint64
+	// ListRead is when the platform's list was last read; zero before.
+	ListRead time.Time
+}
+
+// New returns a Gossip that does nothing until Run.
+func New(o Options) *Gossip {
+	if o.Own == nil {
+		o.Own = func() *lilacv1.Digest { return &lilacv1.Digest{} }
+	}
+	if o.OnDigest == nil {
+		o.OnDigest = func(*lilacv1.Digest) {}
+	}
+	if o.OnGone == nil {
+		o.OnGone = func(string) {}
+	}
+	if o.OnServer == nil {
+		o.OnServer = func(string, bool) {}
+	}
+	if o.OnLive == nil {
+		o.OnLive = func([]settings.Peer) {}
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	var seeds []member.Peer
+	for _, peer := range o.Entries {
+		seeds = append(seeds, member.Peer{Name: peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter})
+	}
+	return &Gossip{options: o, incarnation: rand.Text(), core: member.NewCore(o.Self, seeds), busy: make(map[string]bool), ctx: context.Background()}
+}
+
+// Register adds the method of an exchange to mux.
+func (g *Gossip) Register(mux *link.Mux) { mux.Handle(Method, link.Unary(g.receive)) }
+
+// Leave makes the digests say that this entry is leaving.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+// Stats returns the counts as of now.
+func (g *Gossip) Stats() Stats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stats
+}
+
+// receive answers another entry. The name is the one that the link has proved.
+func (g *Gossip) receive(_ context.Context, peer link.Peer, d *lilacv1.Digest) (*lilacv1.DigestReply, error) {
+	if d.GetInstance() != peer.Process && d.GetInstance() != member.Others {
+		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_FORBIDDEN, "%s sent a digest of %s; give each process its own name", peer.Process, d.GetInstance())
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stats.Bytes += uint64(proto.Size(d))
+	g.step(member.Received{From: peer.Process, Digest: d})
+	reply := &lilacv1.DigestReply{Digest: g.core.Reply(time.Now(), peer.Process)}
+	g.stats.Bytes += uint64(proto.Size(reply))
+	return reply, nil
+}
+
+// Run exchanges digests until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.ctx = ctx
+	g.mu.Unlock()
+	defer g.stop()
+	if g.options.InstanceList != "" {
+		g.wg.Go(func() { g.pollList(ctx) })
+	}
+	ticker := time.NewTicker(member.TickInterval)
+	defer ticker.Stop()
+	var taken time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			tick := member.Tick{}
+			if now.Sub(taken) >= ownInterval {
+				taken = now
+				tick.Own = g.own()
+			}
+			g.mu.Lock()
+			g.step(tick)
+			g.mu.Unlock()
+		}
+	}
+}
+
+func (g *Gossip) stop() {
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
+	g.wg.Wait()
+}
+
+func (g *Gossip) own() *lilacv1.Digest {
+	d := g.options.Own()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sequence++
+	d.Instance, d.DataCenter = g.options.Self.Name, g.options.Self.DataCenter
+	d.Incarnation, d.Sequence = g.incarnation, g.sequence
+	d.Leaving = d.GetLeaving() || g.leaving
+	return d
+}
+
+// step runs the core and does what it says; g.mu is held.
+func (g *Gossip) step(event member.Event) {
+	for _, action := range g.core.Step(time.Now(), event) {
+		switch a := action.(type) {
+		case member.Exchange:
+			g.exchange(a)
+		case member.Digest:
+			g.options.OnDigest(a.Digest)
+		case member.Gone:
+			g.options.Logger.Info("entry no longer heard", "entry", a.Instance)
+			g.options.OnGone(a.Instance)
+		case member.Server:
+			g.options.Logger.Info("backend server", "server", a.Name, "leaving", a.Leaving)
+			g.options.OnServer(a.Name, a.Leaving)
+		case member.Live:
+			g.options.OnLive(peersOf(a.Peers))
+		}
+	}
+}
+
+func peersOf(list []member.Peer) []settings.Peer {
+	peers := make([]settings.Peer, 0, len(list))
+	for _, p := range list {
+		peers = append(peers, settings.Peer{Name: p.Name, Address: settings.Address{Value: p.Address}, DataCenter: p.DataCenter})
+	}
+	return peers
+}
+
+// exchange runs one exchange beside the loop; one at a time with each peer.
+func (g *Gossip) exchange(a member.Exchange) {
+	name := a.Peer.Name
+	if g.busy[name] || g.stopped {
+		return
+	}
+	g.busy[name] = true
+	g.stats.Exchanges++
+	caller := g.options.Dial(a.Peer.Address)
+	parent := g.ctx
+	g.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(parent, exchangeTimeout)
+		defer cancel()
+		reply := &lilacv1.DigestReply{}
+		err := caller.Call(ctx, Method, a.Digest, reply)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.busy, name)
+		g.stats.Bytes += uint64(proto.Size(a.Digest) + proto.Size(reply))
+		if parent.Err() != nil {
+			return
+		}
+		if err != nil {
+			g.stats.Failures++
+			g.step(member.Failed{Peer: name})
+			return
+		}
+		g.step(member.Answered{Peer: name, Digest: reply.GetDigest()})
+	})
+}
--- /dev/null
+++ b/connection/gossip/list.go
@@ -0,0 +1,119 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/member"
+)
+
+const (
+	// listInterval is the shortest time between two reads of the platform's list.
+	listInterval = time.Second
+	// listRate is the most that reading the list may cost, in bytes a second: a
+	// long list is read less often, unless the platform answers "not modified".
+	listRate = 4 << 10
+	// listTimeout bounds one read.
+	listTimeout = 2 * time.Second
+	// maxList bounds the list, in bytes.
+	maxList = 8 << 20
+)
+
+// listedInstance is one item of the platform's list.
+type listedInstance struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCenter string `json:"data_center"`
+	Role       string `json:"role"`
+	State      string `json:"state"`
+}
+
+const (
+	roleEntry    = "entry"
+	roleServer   = "server"
+	stateLeaving = "leaving"
+)
+
+// pollList reads the list until ctx ends. A list that can't be read changes
+// nothing: it is a hint.
+func (g *Gossip) pollList(ctx context.Context) {
+	client := &http.Client{Timeout: listTimeout}
+	tag := ""
+	for {
+		list, newTag, size, err := g.readList(ctx, client, tag)
+		if err == nil && list != nil {
+			tag = newTag
+			g.mu.Lock()
+			g.stats.ListRead = time.Now()
+			g.step(platformEvent(list))
+			g.mu.Unlock()
+		}
+		if err != nil && ctx.Err() == nil {
+			g.options.Logger.Debug("platform's list not read", "error", err)
+		}
+		wait := max(listInterval, time.Duration(size)*time.Second/listRate)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// readList returns nil without an error where the list has not changed.
+func (g *Gossip) readList(ctx context.Context, client *http.Client, tag string) (list []listedInstance, newTag string, size int, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.options.InstanceList, nil)
+	if err != nil {
+		return nil, "", 0, err
+	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, tag, 0, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, "", 0, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "platform's list answers %s; check instance_list", resp.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return nil, "", len(data), err
+	}
+	var body struct {
+		Instances []listedInstance `json:"instances"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, "", len(data), fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "platform's list does not decode; check instance_list")
+	}
+	if body.Instances == nil {
+		body.Instances = []listedInstance{}
+	}
+	return body.Instances, resp.Header.Get("ETag"), len(data), nil
+}
+
+func platformEvent(list []listedInstance) member.Platform {
+	var event member.Platform
+	for _, item := range list {
+		leaving := item.State == stateLeaving
+		switch item.Role {
+		case roleEntry:
+			event.Entries = append(event.Entries, member.Peer{Name: item.Name, Address: item.Address, DataCenter: item.DataCenter})
+			if leaving {
+				event.Leaving = append(event.Leaving, item.Name)
+			}
+		case roleServer:
+			event.Servers = append(event.Servers, member.Listed{Name: item.Name, Leaving: leaving})
+		}
+	}
+	return event
+}
--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -11,7 +11,7 @@
 const (
 	// maxCutoffs, maxSpends, maxSuspects and maxEjected bound a combined digest.
 	maxCutoffs  = 64
-	maxSpends   = 16
+	maxSpends   = 8
 	maxSuspects = 16
 	maxEjected  = 32
 )
--- a/process/member/core.go
+++ b/process/member/core.go
@@ -31,7 +31,7 @@
 	// TreeLifetime is Lifetime where the entries form a tree.
 	TreeLifetime = 4500 * time.Millisecond
 	// MeshLimit is the number of entries up to which all exchange directly.
-	MeshLimit = 16
+	MeshLimit = 10
 	// Fanout of the tree of digests.
 	Fanout = 5
 	// avoidance is how long a failed parent or relay is passed over.
@@ -78,8 +78,8 @@
 // Failed tells that an Exchange had no answer.
 type Failed struct{ Peer string }
 
-// Tick lets time pass and brings the own digest; the shell sends one each
-// TickInterval.
+// Tick lets time pass; the shell sends one each TickInterval. Own is the own
+// digest where it is newer than the last one given, else nil.
 type Tick struct{ Own *lilacv1.Digest }
 
 // TickInterval is how often the shell sends a Tick.
@@ -150,6 +150,13 @@
 	// urgent exchange, at pushed.
 	news   map[string]bool
 	pushed time.Time
+	// above caches the own data centre's entries of a better rank.
+	above []string
+	// heardNews is true when digests or the list may have changed what is
+	// leaving, peersChanged when they may have changed who lives.
+	heardNews, peersChanged bool
+	// postponed is true while news waits for urgentPause.
+	postponed bool
 }
 
 // NewCore returns the core of the entry self; seeds are the entries of its settings.
@@ -171,9 +178,16 @@
 			c.peers[peer.Name] = peer
 		}
 	}
+	c.ranked()
 	return c
 }
 
+// ranked brings the cache of ranks up to date.
+func (c *Core) ranked() {
+	c.above = Above(c.self.Name, c.names(c.self.DataCenter))
+	c.peersChanged = true
+}
+
 // Tree tells whether the entries are so many that they form a tree.
 func (c *Core) Tree() bool { return len(c.peers)+1 > MeshLimit }
 
@@ -196,7 +210,7 @@
 	switch e := event.(type) {
 	case Platform:
 		c.platform(now, e)
-		return slices.Concat(c.servers(now), c.alive(now))
+		return slices.Concat(c.servers(now), c.alive())
 	case Received:
 		return c.take(now, e.From, e.Digest)
 	case Answered:
@@ -204,6 +218,7 @@
 	case Failed:
 		c.avoided[e.Peer] = now.Add(avoidance)
 		delete(c.asked, e.Peer)
+		c.peersChanged = true
 	case Tick:
 		return c.tick(now, e)
 	}
@@ -221,10 +236,12 @@
 		}
 	}
 	for name := range c.peers {
-		if !entries[name] && !c.fresh(now, name) {
+		if len(entries) > 0 && !entries[name] && !c.fresh(now, name) {
 			delete(c.peers, name)
 		}
 	}
+	c.ranked()
+	c.heardNews = true
 	clear(c.leaving)
 	for _, name := range e.Leaving {
 		c.leaving[name] = true
@@ -245,10 +262,11 @@
 // take tells what comes down from the parent in a tree from the digests of others.
 func (c *Core) take(now time.Time, from string, d *lilacv1.Digest) []Action {
 	if c.Tree() && d.GetInstance() == Others {
-		if from != c.parent(now) {
+		if from != c.parent() {
 			return nil
 		}
 		c.down = heard{d, now}
+		c.heardNews = true
 		return c.servers(now)
 	}
 	return c.hear(now, d)
@@ -266,18 +284,23 @@
 		return nil
 	}
 	c.heard[name] = heard{d, now}
+	if _, avoided := c.avoided[name]; avoided || old.digest.GetLeaving() != d.GetLeaving() {
+		c.peersChanged = true
+	}
 	delete(c.avoided, name)
+	c.heardNews = true
 	var actions []Action
 	if !c.Tree() {
 		c.told[name] = true
 		actions = append(actions, Digest{d})
 	}
-	return slices.Concat(actions, c.servers(now), c.alive(now))
+	return slices.Concat(actions, c.servers(now), c.alive())
 }
 
 func (c *Core) tick(now time.Time, e Tick) []Action {
 	if e.Own != nil {
 		c.own = e.Own
+		c.heardNews = true
 	}
 	actions := c.forget(now)
 	actions = append(actions, c.exchanges(now)...)
@@ -285,12 +308,14 @@
 		c.summed = now
 		actions = append(actions, Digest{c.others(now, "")})
 	}
-	return slices.Concat(actions, c.servers(now), c.alive(now))
+	actions = slices.Concat(actions, c.servers(now), c.alive())
+	c.heardNews = c.postponed
+	return actions
 }
 
 // exchanges returns those that are due, and all at once when there is news.
 func (c *Core) exchanges(now time.Time) []Action {
-	urgent := c.urgent(now)
+	urgent := c.heardNews && c.urgent(now)
 	var actions []Action
 	for _, peer := range c.partners(now) {
 		last, asked := c.asked[peer.Name]
@@ -317,6 +342,7 @@
 			continue
 		}
 		delete(c.heard, name)
+		c.heardNews = true
 		if c.told[name] {
 			delete(c.told, name)
 			actions = append(actions, Gone{name})
@@ -325,10 +351,12 @@
 	for name, until := range c.avoided {
 		if !now.Before(until) {
 			delete(c.avoided, name)
+			c.peersChanged = true
 		}
 	}
 	if c.down.digest != nil && now.Sub(c.down.at) > c.lifetime() {
 		c.down = heard{}
+		c.heardNews = true
 		actions = append(actions, Gone{Others})
 	}
 	return actions
@@ -336,7 +364,11 @@
 
 // alive tells of the entries that count as alive, when they change. Before the
 // first exchanges had time to be answered all candidates do.
-func (c *Core) alive(now time.Time) []Action {
+func (c *Core) alive() []Action {
+	if !c.peersChanged {
+		return nil
+	}
+	c.peersChanged = false
 	var list []Peer
 	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
 		_, avoided := c.avoided[name]
--- a/process/member/partners.go
+++ b/process/member/partners.go
@@ -14,28 +14,37 @@
 	if !c.Tree() {
 		return c.meshPartners(now)
 	}
-	if parent := c.parent(now); parent != "" {
+	if parent := c.parent(); parent != "" {
 		return []Peer{c.peers[parent]}
 	}
 	return c.relays(now)
 }
 
-// meshPartners leaves a pair's exchange to the one of better rank, and begins it
-// itself when nothing came: a cut in one direction then hides nobody.
+// meshPartners are all whose exchange this side begins.
 func (c *Core) meshPartners(now time.Time) []Peer {
 	var list []Peer
 	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
-		h, ok := c.heard[name]
-		if CompareRank(c.self.Name, name) < 0 || !ok || now.Sub(h.at) > Interval+Interval/2 {
+		if c.begins(now, name) {
 			list = append(list, c.peers[name])
 		}
 	}
 	return list
 }
 
+// begins tells whether this side of a pair of equals begins the exchange: the
+// one of better rank does, and the other when nothing came, so that a cut in
+// one direction hides nobody.
+func (c *Core) begins(now time.Time, name string) bool {
+	h, heard := c.heard[name]
+	return CompareRank(c.self.Name, name) < 0 || !heard || now.Sub(h.at) > c.interval()+c.interval()/2
+}
+
 // parent returns the entry above in the own data centre's tree; "" for the relay.
-func (c *Core) parent(_ time.Time) string {
-	return Parent(c.usable(Above(c.self.Name, c.names(c.self.DataCenter))), Fanout)
+func (c *Core) parent() string {
+	if len(c.avoided) == 0 && len(c.leaving) == 0 {
+		return Parent(c.above, Fanout)
+	}
+	return Parent(c.usable(slices.Clone(c.above)), Fanout)
 }
 
 func (c *Core) names(dataCenter string) []string {
@@ -56,7 +65,7 @@
 }
 
 // relays returns the first in rank of each other data centre.
-func (c *Core) relays(time.Time) []Peer {
+func (c *Core) relays(now time.Time) []Peer {
 	best := make(map[string]Peer)
 	for _, name := range c.usable(slices.Sorted(maps.Keys(c.peers))) {
 		peer := c.peers[name]
@@ -69,7 +78,9 @@
 	}
 	var list []Peer
 	for _, dataCenter := range slices.Sorted(maps.Keys(best)) {
-		list = append(list, best[dataCenter])
+		if peer := best[dataCenter]; c.begins(now, peer.Name) {
+			list = append(list, peer)
+		}
 	}
 	return list
 }
@@ -133,7 +144,8 @@
 	for item := range news {
 		fresh = fresh || !c.news[item]
 	}
-	if fresh && now.Sub(c.pushed) < urgentPause {
+	c.postponed = fresh && now.Sub(c.pushed) < urgentPause
+	if c.postponed {
 		return false
 	}
 	c.news = news
@@ -149,7 +161,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
 		peer, known := c.peers[name]
 		below := CompareRank(c.self.Name, name) < 0 && peer.DataCenter == c.self.DataCenter
-		if known && c.fresh(now, name) && (c.Tree() && below || !c.Tree() && !c.partnered(now, name)) {
+		foreign := c.parent() == "" && peer.DataCenter != c.self.DataCenter
+		if known && c.fresh(now, name) && (!c.Tree() || below || foreign) && !c.partnered(now, name) {
 			list = append(list, peer)
 		}
 	}
@@ -215,6 +228,9 @@
 // servers tells which backend servers began or ended to be leaving. Either
 // source is enough to stop new work.
 func (c *Core) servers(now time.Time) []Action {
+	if !c.heardNews {
+		return nil
+	}
 	leaving := maps.Clone(c.listed)
 	for _, name := range slices.Sorted(maps.Keys(c.heard)) {
 		if !c.fresh(now, name) {
