--- a/connection/spreadlink/serve.go
+++ b/connection/spreadlink/serve.go
@@ -25,6 +25,8 @@
 	// emptyAge is how fresh a source must be to say that there is no revision
 	// at all. A process that has just started holds none either.
 	emptyAge = time.Second
+	// firstWait is how long a watcher waits for a source that is still empty.
+	firstWait = 2 * time.Second
 )
 
 // Source is what a Server gives on: the state machine of a state process or the
@@ -73,6 +75,9 @@
 		return err
 	}
 	have := req.GetHave()
+	if err := s.waitForFirst(ctx); err != nil {
+		return err
+	}
 	for {
 		// Taken before the revisions are read, so that none slips between.
 		changed := s.source.Changed()
@@ -95,6 +100,31 @@
 	}
 }
 
+// waitForFirst gives a process that has just started a moment to get its first
+// revision itself. When a whole data centre starts, all would otherwise leave
+// the relay at once and go to the state processes.
+func (s *Server) waitForFirst(ctx context.Context) error {
+	changed := s.source.Changed()
+	if !s.empty() {
+		return nil
+	}
+	timer := time.NewTimer(firstWait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// empty tells that nothing has come here, not even that there is nothing.
+func (s *Server) empty() bool {
+	_, age := s.source.Known()
+	return s.source.Revision() == 0 && age > emptyAge
+}
+
 func (s *Server) wait(ctx context.Context, changed <-chan struct{}) error {
 	timer := time.NewTimer(spread.SignOfLife)
 	defer timer.Stop()
@@ -112,7 +142,7 @@
 func (s *Server) update(have uint64) (*lilacv1.WatchUpdate, error) {
 	newest, age := s.source.Known()
 	update := &lilacv1.WatchUpdate{Newest: newest, AgeMs: uint32(min(age.Milliseconds(), 1<<31))}
-	if s.source.Revision() == 0 && age > emptyAge {
+	if s.empty() {
 		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "no revision has come here yet; follow another process")
 	}
 	revisions, ok := s.source.Since(have, batch)
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -173,6 +173,7 @@
 	OpenClaims   int
 	Tombstones   int
 	LateOutcomes uint64
+	Broken       uint64
 }
 
 // Counts returns the sizes as of now.
@@ -186,6 +187,7 @@
 		OpenClaims:   m.ledger.OpenClaims(),
 		Tombstones:   m.ledger.Tombstones(),
 		LateOutcomes: m.ledger.LateOutcomes(),
+		Broken:       m.ledger.Broken(),
 	}
 }
 
--- a/process/ledger/entries.go
+++ b/process/ledger/entries.go
@@ -10,6 +10,14 @@
 // fullRetryAfter is when a caller that met a full ledger may come back.
 const fullRetryAfter = 30 * time.Second
 
+// invariant counts a step that must never happen; the caller then does not make it.
+func (l *Ledger) invariant(holds bool) bool {
+	if !holds {
+		l.broken++
+	}
+	return holds
+}
+
 func (l *Ledger) add(message *lilacv1.LedgerEntry) {
 	e := &entry{LedgerEntry: message}
 	e.place = l.order.PushBack(e)
@@ -25,16 +33,23 @@
 
 // reopen grants a key whose earlier attempt is proved not to have run. It
 // counts as a new claim, so that its retention begins now.
-func (l *Ledger) reopen(e *entry, r *lilacv1.ClaimRequest) {
+func (l *Ledger) reopen(e *entry, r *lilacv1.ClaimRequest) bool {
+	if !l.invariant(e.GetState() == lilacv1.ClaimState_CLAIM_STATE_NOT_RUN) {
+		return false
+	}
 	e.Instance, e.Incarnation, e.Attempt = r.GetInstance(), r.GetIncarnation(), r.GetAttempt()
 	e.State = lilacv1.ClaimState_CLAIM_STATE_CLAIMED
 	e.ClaimedUnixMs = l.nowMs
 	l.order.MoveToBack(e.place)
 	l.instances.open(e)
+	return true
 }
 
 // finish is the only step out of the state claimed.
 func (l *Ledger) finish(e *entry, state lilacv1.ClaimState, answer *lilacv1.StoredAnswer) {
+	if !l.invariant(e.GetState() == lilacv1.ClaimState_CLAIM_STATE_CLAIMED) {
+		return
+	}
 	l.instances.close(e)
 	e.State = state
 	if state != lilacv1.ClaimState_CLAIM_STATE_RAN || answer == nil {
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -90,8 +90,8 @@
 	instances   *incarnations
 	// untimed counts the entries whose key carries no time; each has a place
 	// among the tombstones reserved.
-	untimed int
-	late    uint64
+	untimed      int
+	late, broken uint64
 }
 
 // New returns an empty Ledger.
@@ -116,6 +116,10 @@
 // otherwise, as when its instance was taken for dead; the state stayed.
 func (l *Ledger) LateOutcomes() uint64 { return l.late }
 
+// Broken counts broken invariants: steps that would have moved a state backwards
+// or granted a key twice. They were refused; the count must stay 0.
+func (l *Ledger) Broken() uint64 { return l.broken }
+
 // advance moves the ledger's time; a command with an older time changes nothing.
 func (l *Ledger) advance(nowUnixMs int64) {
 	l.nowMs = max(l.nowMs, nowUnixMs)
@@ -145,6 +149,9 @@
 	if err := l.makeRoom(r.GetKey()); err != nil {
 		return nil, err
 	}
+	if !l.invariant(!l.tombstones.has(key)) {
+		return &lilacv1.ClaimReply{Expired: true}, nil
+	}
 	l.add(&lilacv1.LedgerEntry{
 		Team: r.GetTeam(), Key: r.GetKey(), Digest: r.GetDigest(),
 		Instance: r.GetInstance(), Incarnation: r.GetIncarnation(), Attempt: r.GetAttempt(),
@@ -190,8 +197,7 @@
 		if sameAttempt {
 			return &lilacv1.ClaimReply{State: old.GetState()}
 		}
-		l.reopen(old, r)
-		return &lilacv1.ClaimReply{Granted: true, State: old.GetState()}
+		return &lilacv1.ClaimReply{Granted: l.reopen(old, r), State: old.GetState()}
 	}
 	return &lilacv1.ClaimReply{State: old.GetState(), Answer: old.GetAnswer()}
 }
--- /dev/null
+++ b/process/ledger/random_test.go
@@ -0,0 +1,149 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// caller is one attempt at a non-idempotent request, as an entry would drive it.
+type caller struct {
+	request  *lilacv1.ClaimRequest
+	sent     bool
+	finished bool
+}
+
+// history drives one ledger with delayed, repeated and lost calls, entries that
+// die, retention that passes and restarts from snapshots.
+type history struct {
+	random  *rand.Rand
+	ledger  *Ledger
+	limits  Limits
+	now     int64
+	callers []*caller
+	// runs counts how often each key reached the backend server.
+	runs   map[string]int
+	grants int
+	lives  []int
+}
+
+func (h *history) incarnation(instance int) string {
+	return fmt.Sprint(instance, "/", h.lives[instance])
+}
+
+func (h *history) step() {
+	h.now += h.random.Int64N(int64(time.Minute / time.Millisecond))
+	switch h.random.IntN(12) {
+	case 0, 1, 2:
+		h.arrive()
+	case 3, 4, 5, 6:
+		h.claim()
+	case 7, 8:
+		h.finish()
+	case 9:
+		instance := h.random.IntN(len(h.lives))
+		if h.random.IntN(3) == 0 {
+			h.ledger.Gone(&lilacv1.IncarnationsGone{Incarnations: []string{h.incarnation(instance)}, NowUnixMs: h.now})
+		}
+		h.lives[instance]++
+	case 10:
+		h.now += h.random.Int64N(hour)
+	case 11:
+		restored := New(h.limits)
+		restored.Restore(h.ledger.Snapshot())
+		h.ledger = restored
+	}
+}
+
+func (h *history) arrive() {
+	key := fmt.Sprint("key-", h.random.IntN(60))
+	if h.random.IntN(2) == 0 {
+		key = timedKey(start+h.random.Int64N(8)*hour/2, h.random.IntN(8))
+	}
+	instance := h.random.IntN(len(h.lives))
+	r := claim(key, fmt.Sprint("attempt-", len(h.callers)), 0)
+	r.Instance, r.Incarnation = fmt.Sprint(instance), h.incarnation(instance)
+	h.callers = append(h.callers, &caller{request: r})
+}
+
+// pick prefers recent callers, but delayed calls of old ones come too.
+func (h *history) pick() *caller {
+	if len(h.callers) == 0 {
+		return nil
+	}
+	back := min(h.random.IntN(12), h.random.IntN(len(h.callers)))
+	return h.callers[len(h.callers)-1-min(back, len(h.callers)-1)]
+}
+
+// claim sends or resends the call. A caller that has sent its request on, or has
+// finished, no longer listens: its resent call is a copy delayed on the way.
+func (h *history) claim() {
+	c := h.pick()
+	if c == nil {
+		return
+	}
+	c.request.NowUnixMs = h.now - h.random.Int64N(hour/10)
+	reply, err := h.ledger.Claim(c.request)
+	lost := h.random.IntN(5) == 0
+	if err != nil || !reply.GetGranted() || lost || c.sent || c.finished {
+		return
+	}
+	h.grants++
+	c.sent = true
+	h.runs[c.request.GetKey()]++
+}
+
+func (h *history) finish() {
+	c := h.pick()
+	if c == nil || c.finished {
+		return
+	}
+	o := &lilacv1.OutcomeRequest{Team: c.request.GetTeam(), Key: c.request.GetKey(), Attempt: c.request.GetAttempt(), NowUnixMs: h.now}
+	switch {
+	case !c.sent:
+		// It gave up before its first byte; it will not send any more.
+		o.State = notRun
+	case h.random.IntN(2) == 0:
+		o.State = unknown
+	default:
+		o.State, o.Answer = ran, &lilacv1.StoredAnswer{Status: 200, Body: []byte("filed")}
+	}
+	c.finished = true
+	if h.random.IntN(4) > 0 {
+		_, _ = h.ledger.Outcome(o)
+	}
+}
+
+// Callers resend a registration through any entry while calls are delayed,
+// repeated and lost, entries die and come back, keys pass their retention and
+// the state process restarts. However it falls, the backend server must see each
+// key at most once.
+func TestNoKeyRunsTwiceInAnyHistory(t *testing.T) {
+	is := is.New(t)
+	total := 0
+	for seed := range uint64(60) {
+		limits := Limits{Retention: time.Hour, Entries: 12, Tombstones: 40, TotalAnswerBytes: 20}
+		h := &history{
+			random: rand.New(rand.NewPCG(seed, 1)), ledger: New(limits), limits: limits,
+			now: start, runs: make(map[string]int), lives: make([]int, 4),
+		}
+		for range 600 {
+			h.step()
+			for key, runs := range h.runs {
+				if runs > 1 {
+					t.Fatalf("seed %d: %s ran %d times", seed, key, runs)
+				}
+			}
+		}
+		is.Equal(h.ledger.Broken(), uint64(0))
+		is.True(h.ledger.Len() <= limits.Entries)
+		is.True(h.ledger.tombstones.untimedSize()+h.ledger.untimed <= limits.Tombstones)
+		total += h.grants
+	}
+	is.True(total > 1000)
+}
--- a/version/config/holder.go
+++ b/version/config/holder.go
@@ -128,6 +128,9 @@
 	detachIf(classes, &t.classes)
 	detachIf(teams, &t.teams)
 	detachIf(servers, &t.servers)
+	if servers {
+		t.pools = nil
+	}
 	detachIf(instances, &t.instances)
 }
 
@@ -147,12 +150,17 @@
 		Instances:   t.instances,
 		Convictions: t.convictions,
 		Orders:      sortedOrders(t.orders),
-		Pools:       make(map[string][]*lilacv1.Server),
+		Pools:       t.pools,
+	}
+	if view.Pools != nil {
+		return view
 	}
+	view.Pools = make(map[string][]*lilacv1.Server)
 	for _, server := range sorted(t.servers) {
 		for _, name := range server.GetServes() {
 			view.Pools[name] = append(view.Pools[name], server)
 		}
 	}
+	t.pools = view.Pools
 	return view
 }
--- a/version/config/tables.go
+++ b/version/config/tables.go
@@ -29,6 +29,8 @@
 	orders      map[orderKey]*lilacv1.ModelOrder
 	// shares is the sum of the classes' shares, in permille.
 	shares uint32
+	// pools is the view's index of the servers, kept by a Holder until they change.
+	pools map[string][]*lilacv1.Server
 }
 
 func newTables() tables {
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -140,3 +140,30 @@
 	_, err = a.Add(&lilacv1.SnapshotPart{Parts: 1, Data: []byte("torn")})
 	is.True(err != nil)
 }
+
+// BenchmarkSnapshot gives the bytes and the processor time of a whole snapshot
+// at the start of an entry.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, teams := range []int{10, 1000, 10000, 45000} {
+		b.Run(fmt.Sprint("teams=", teams), func(b *testing.B) {
+			s := large(1, teams)
+			bytes := 0
+			for b.Loop() {
+				parts, err := Split(s)
+				if err != nil {
+					b.Fatal(err)
+				}
+				a := &Assembly{}
+				bytes = 0
+				for _, part := range parts {
+					bytes += proto.Size(part)
+					if _, err := a.Add(part); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(proto.Size(s)), "plain-B")
+			b.ReportMetric(float64(bytes), "sent-B")
+		})
+	}
+}
