Add leases with fencing numbers and the giving of orders to engines

One instance gives orders, under a lease in the log whose fencing number grows with each holder. The log holds no time: the leader times the last renewal by its monotonic clock, and names that very renewal when it lets another take over. The first form named the fencing number; read again, it let a takeover pass right after a renewal that stood before it in the log, so two would have held at once. The holder counts from before it asked, less a tenth, and checks when the body of an order is written, since a process may freeze after it decided. Loads draw on a token bucket that is empty when a holding begins. Not measured: orders on real processes under kills; the fakes show each fault once.

--- /dev/null
+++ b/connection/orders/orders.go
@@ -0,0 +1,215 @@
+// Package orders gives orders to load and unload models to engines, on the one
+// instance that holds the lease for it.
+package orders
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/lease"
+	"github.com/lilacbridge/lilacbridge/process/orders"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// LeaseName is the name of the lease for giving orders.
+const LeaseName = "orders"
+
+const (
+	// leaseTime is how long a lease lasts unless it is renewed.
+	leaseTime = 10 * time.Second
+	// renewInterval lies between two renewals.
+	renewInterval = leaseTime / 4
+	// tick is how often the core is told the time.
+	tick = 500 * time.Millisecond
+	// defaultLoads is the number of loads a minute where none is stated.
+	defaultLoads = 30
+)
+
+// Options say what to order and on whose word.
+type Options struct {
+	// View returns the newest revision, or nil.
+	View func() *model.View
+	// Lease asks the state processes, as stateclient.Client does.
+	Lease func(context.Context, *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error)
+	// LoadsPerMinute bounds the loads from the weight store. Default 30.
+	LoadsPerMinute int
+	// Logger gets a line for each holding and order; may be nil.
+	Logger hclog.Logger
+}
+
+// Giver gives orders while it holds the lease.
+type Giver struct {
+	options Options
+	engines engines
+	events  chan orders.Event
+
+	mu      sync.Mutex
+	holding lease.Holding
+}
+
+// New returns a Giver that does nothing until Run.
+func New(o Options) *Giver {
+	if o.LoadsPerMinute <= 0 {
+		o.LoadsPerMinute = defaultLoads
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	g := &Giver{options: o, events: make(chan orders.Event, 16)}
+	g.engines = newEngines(g.valid)
+	return g
+}
+
+// valid tells whether this instance may still act under the number.
+func (g *Giver) valid(fencing uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holding.Valid(time.Now()) && g.holding.Fencing() == fencing
+}
+
+// Holds tells whether this instance holds the lease, and under which number.
+func (g *Giver) Holds() (fencing uint64, holds bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holding.Fencing(), g.holding.Valid(time.Now())
+}
+
+// Run asks for the lease and gives orders while it holds it, until ctx ends. It
+// then gives the lease back, unless an order is still in flight.
+func (g *Giver) Run(ctx context.Context) error {
+	core := orders.NewCore(g.options.LoadsPerMinute)
+	var work sync.WaitGroup
+	defer work.Wait()
+	work.Go(func() { g.keepLease(ctx) })
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var seen *model.View
+	step := func(event orders.Event) {
+		for _, action := range core.Step(time.Now(), event) {
+			g.act(ctx, &work, action)
+		}
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-g.events:
+			step(event)
+		case <-ticker.C:
+			if view := g.options.View(); view != nil && view != seen {
+				seen = view
+				step(orders.Configured{Engines: wishes(view)})
+			}
+			step(g.standing())
+		}
+	}
+}
+
+// standing tells the core whether the lease holds at this moment.
+func (g *Giver) standing() orders.Event {
+	if fencing, holds := g.Holds(); holds {
+		return orders.Leased{Fencing: fencing}
+	}
+	return orders.Lost{}
+}
+
+func (g *Giver) act(ctx context.Context, work *sync.WaitGroup, action orders.Action) {
+	switch a := action.(type) {
+	case orders.Read:
+		work.Go(func() { g.send(ctx, g.engines.read(ctx, a.Engine)) })
+	case orders.Order:
+		g.options.Logger.Info("order", "engine", a.Engine.Name, "model", a.Model.Name, "adapter", a.Model.Adapter, "load", a.Load, "fencing", a.Fencing)
+		work.Go(func() { g.send(ctx, g.engines.order(ctx, a)) })
+	case orders.GiveUp:
+		g.mu.Lock()
+		g.holding = lease.Holding{}
+		g.mu.Unlock()
+	}
+}
+
+func (g *Giver) send(ctx context.Context, event orders.Event) {
+	select {
+	case g.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// keepLease asks for the lease, often while it is held and seldom while another
+// holds it, with a random part so that not all ask at once.
+func (g *Giver) keepLease(ctx context.Context) {
+	for {
+		_, held := g.Holds()
+		g.ask(ctx)
+		_, holds := g.Holds()
+		if held != holds {
+			g.options.Logger.Info("lease for orders", "held", holds)
+		}
+		wait := renewInterval
+		if !holds {
+			wait = renewInterval + rand.N(leaseTime)
+		}
+		select {
+		case <-ctx.Done():
+			g.giveBack()
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (g *Giver) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	defer cancel()
+	sent := time.Now()
+	reply, err := g.options.Lease(ctx, &lilacv1.LeaseRequest{Name: LeaseName, DurationMs: uint32(leaseTime.Milliseconds())})
+	if err != nil {
+		// Without an answer the lease ends by its own time.
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holding.Granted(sent, reply)
+}
+
+// giveBack lets another begin at once, unless an order may still be in flight:
+// then the lease has to run out.
+func (g *Giver) giveBack() {
+	if _, holds := g.Holds(); !holds || g.engines.inFlight() {
+		return
+	}
+	g.mu.Lock()
+	g.holding = lease.Holding{}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), renewInterval)
+	defer cancel()
+	_, _ = g.options.Lease(ctx, &lilacv1.LeaseRequest{Name: LeaseName})
+}
+
+// wishes lists the engines that any order names.
+func wishes(view *model.View) []orders.Engine {
+	byName := make(map[string]*orders.Engine)
+	var names []string
+	for _, o := range view.Orders {
+		server := view.Servers[o.GetServer()]
+		if server == nil {
+			continue
+		}
+		e := byName[o.GetServer()]
+		if e == nil {
+			e = &orders.Engine{Name: server.GetName(), Address: server.GetAddress(), ChecksFencing: server.GetChecksFencing(), Wishes: make(map[orders.Model]bool)}
+			byName[o.GetServer()] = e
+			names = append(names, o.GetServer())
+		}
+		e.Wishes[orders.Model{Name: o.GetModel(), Adapter: o.GetAdapter()}] = o.GetLoaded()
+	}
+	list := make([]orders.Engine, 0, len(names))
+	for _, name := range names {
+		list = append(list, *byName[name])
+	}
+	return list
+}
--- a/daemon/state/leasetimer.go
+++ b/daemon/state/leasetimer.go
@@ -36,27 +36,25 @@
 	t.last[e.GetName()] = timedRenewal{e.GetRenewal(), t.now()}
 }
 
-// expired returns the fencing number of the named lease if it has run out, else 0.
+// expired returns the number of the lease's last renewal if it has run out, else 0.
 //
 // It guards against a lease taken over too early by a process that has just
 // started or just taken a snapshot, and so never saw the renewal applied: the
 // lease then counts from when it was first looked at.
-func (t *leaseTimer) expired(name string, leases []*lilacv1.LeaseEntry) uint64 {
+func (t *leaseTimer) expired(e *lilacv1.LeaseEntry) uint64 {
+	if e.GetHolder() == "" {
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range leases {
-		if e.GetName() != name || e.GetHolder() == "" {
-			continue
-		}
-		seen, ok := t.last[name]
-		if !ok || seen.renewal != e.GetRenewal() {
-			t.last[name] = timedRenewal{e.GetRenewal(), t.now()}
-			return 0
-		}
-		length := time.Duration(e.GetDurationMs()) * time.Millisecond
-		if t.now().Sub(seen.at) > length+length/driftAllowance {
-			return e.GetFencing()
-		}
+	seen, ok := t.last[e.GetName()]
+	if !ok || seen.renewal != e.GetRenewal() {
+		t.last[e.GetName()] = timedRenewal{e.GetRenewal(), t.now()}
+		return 0
+	}
+	length := time.Duration(e.GetDurationMs()) * time.Millisecond
+	if t.now().Sub(seen.at) > length+length/driftAllowance {
+		return e.GetRenewal()
 	}
 	return 0
 }
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -198,6 +198,13 @@
 	return m.ledger.Incarnations()
 }
 
+// Lease returns the named lease, nil if it was never held.
+func (m *Machine) Lease(name string) *lilacv1.LeaseEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leases.Get(name)
+}
+
 // Leases returns the leases in order of name.
 func (m *Machine) Leases() []*lilacv1.LeaseEntry {
 	m.mu.Lock()
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -161,7 +161,13 @@
 }
 
 func (s *Service) lease(ctx context.Context, _ link.Peer, r *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error) {
-	r.ExpiredFencing = s.timer.expired(r.GetName(), s.machine.Leases())
+	held := s.machine.Lease(r.GetName())
+	r.ExpiredRenewal = s.timer.expired(held)
+	other := held.GetHolder() != "" && held.GetIncarnation() != r.GetIncarnation()
+	if other && r.GetExpiredRenewal() == 0 && s.log.Status().Leads {
+		// Many ask, one holds: those that get nothing need no place in the log.
+		return &lilacv1.LeaseReply{Holder: held.GetHolder(), Incarnation: held.GetIncarnation(), Fencing: held.GetFencing(), DurationMs: held.GetDurationMs()}, nil
+	}
 	result, err := s.run(ctx, &lilacv1.Command{Op: &lilacv1.Command_Lease{Lease: r}})
 	if err != nil {
 		return nil, err
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -28,8 +28,8 @@
 // Apply takes, renews or gives back a lease.
 //
 // It guards against two holders that both give orders: the second is granted
-// only with the fencing number of the one that has run out, and each new
-// holding gets a number greater than all before, so that an engine can tell.
+// only if the very renewal that has run out is still the last one, and each new
+// holding gets a fencing number greater than all before, so that an engine can tell.
 func (t *Table) Apply(r *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error) {
 	if r.GetName() == "" || r.GetHolder() == "" || r.GetIncarnation() == "" || r.GetDurationMs() > maxDurationMs {
 		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "a lease names what it is for, its holder and incarnation, and lasts at most %d ms", maxDurationMs)
@@ -39,7 +39,7 @@
 		old = &lilacv1.LeaseEntry{Name: r.GetName()}
 	}
 	own := old.GetHolder() == r.GetHolder() && old.GetIncarnation() == r.GetIncarnation()
-	free := old.GetHolder() == "" || old.GetFencing() == r.GetExpiredFencing()
+	free := old.GetHolder() == "" || r.GetExpiredRenewal() != 0 && old.GetRenewal() == r.GetExpiredRenewal()
 	if r.GetDurationMs() == 0 {
 		return t.giveBack(old, own), nil
 	}
@@ -72,6 +72,9 @@
 	}
 }
 
+// Get returns the named lease, nil if it was never held.
+func (t *Table) Get(name string) *lilacv1.LeaseEntry { return t.leases[name] }
+
 // All returns the leases in order of name.
 func (t *Table) All() []*lilacv1.LeaseEntry {
 	list := make([]*lilacv1.LeaseEntry, 0, len(t.leases))
--- /dev/null
+++ b/process/lease/lease_test.go
@@ -0,0 +1,86 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+func ask(holder string, ms uint32, expired uint64) *lilacv1.LeaseRequest {
+	return &lilacv1.LeaseRequest{Name: "orders", Holder: holder, Incarnation: holder + "/1", DurationMs: ms, ExpiredRenewal: expired}
+}
+
+func TestOneHolderAndGrowingNumbers(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for _, c := range []struct {
+		name    string
+		request *lilacv1.LeaseRequest
+		granted bool
+		holder  string
+		fencing uint64
+	}{
+		{"first", ask("a", 1000, 0), true, "a", 1},
+		{"renewal keeps the number", ask("a", 1000, 0), true, "a", 1},
+		{"held by another", ask("b", 1000, 0), false, "a", 1},
+		{"the renewal before has run out", ask("b", 1000, 1), false, "a", 1},
+		{"the last renewal has run out", ask("b", 1000, 2), true, "b", 2},
+		{"the old holder renews", ask("a", 1000, 0), false, "b", 2},
+		{"the old holder gives back", ask("a", 0, 0), false, "b", 2},
+		{"given back", ask("b", 0, 0), false, "", 2},
+		{"free", ask("a", 1000, 0), true, "a", 3},
+	} {
+		reply, err := table.Apply(c.request)
+		t.Log(c.name)
+		is.NoErr(err)
+		is.Equal(reply.GetGranted(), c.granted)
+		is.Equal(reply.GetHolder(), c.holder)
+		is.Equal(reply.GetFencing(), c.fencing)
+	}
+}
+
+// A holder restarts under the same name. Its new start is another holder: orders
+// of the old one may still be on the way, so the number must grow.
+func TestRestartedHolderIsAnother(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	_, err := table.Apply(ask("a", 1000, 0))
+	is.NoErr(err)
+	again := ask("a", 1000, 0)
+	again.Incarnation = "a/2"
+	reply, err := table.Apply(again)
+	is.NoErr(err)
+	is.True(!reply.GetGranted())
+	again.ExpiredRenewal = 1
+	reply, err = table.Apply(again)
+	is.NoErr(err)
+	is.True(reply.GetGranted())
+	is.Equal(reply.GetFencing(), uint64(2))
+	restored := NewTable()
+	restored.Restore(table.Snapshot())
+	is.True(proto.Equal(restored.Snapshot(), table.Snapshot()))
+	_, err = table.Apply(ask("a", maxDurationMs+1, 0))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
+}
+
+// A holder is frozen while it renews, or the answer is long on the way. It must
+// not count the lease from when the answer came, or it would still act when
+// another already holds it.
+func TestHoldingCountsFromBeforeTheRequest(t *testing.T) {
+	is := is.New(t)
+	sent := time.Unix(1_764_700_000, 0)
+	h := &Holding{}
+	is.True(!h.Valid(sent))
+	h.Granted(sent, &lilacv1.LeaseReply{Granted: true, Fencing: 4, DurationMs: 1000})
+	is.True(h.Valid(sent.Add(899 * time.Millisecond)))
+	is.True(!h.Valid(sent.Add(900 * time.Millisecond)))
+	h.Granted(sent.Add(-time.Second), &lilacv1.LeaseReply{Granted: true, Fencing: 4, DurationMs: 1000})
+	is.True(h.Valid(sent.Add(899 * time.Millisecond)))
+	h.Granted(sent.Add(time.Second), &lilacv1.LeaseReply{Holder: "b", Fencing: 5})
+	is.True(!h.Valid(sent))
+}
--- /dev/null
+++ b/process/orders/orders_test.go
@@ -0,0 +1,180 @@
+package orders
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_764_700_000, 0)
+
+// engines plays a few engines; orders land at once unless they are held back.
+type engines struct {
+	core *Core
+	now  time.Time
+	has  map[string]map[Model]bool
+	// late holds orders that are on the way.
+	late   []Order
+	delay  bool
+	orders []Order
+	reads  int
+	lost   bool
+}
+
+func newEngines(core *Core) *engines {
+	return &engines{core: core, now: start, has: make(map[string]map[Model]bool)}
+}
+
+func (x *engines) step(event Event) {
+	for _, action := range x.core.Step(x.now, event) {
+		switch a := action.(type) {
+		case Read:
+			x.reads++
+			var has []Model
+			for m, loaded := range x.has[a.Engine.Name] {
+				if loaded {
+					has = append(has, m)
+				}
+			}
+			x.step(ReadDone{Engine: a.Engine.Name, Has: has})
+		case Order:
+			x.orders = append(x.orders, a)
+			if x.delay {
+				x.late = append(x.late, a)
+				continue
+			}
+			x.carryOut(a)
+			x.step(OrderDone{Engine: a.Engine.Name})
+		case GiveUp:
+			x.lost = true
+		}
+	}
+}
+
+func (x *engines) carryOut(o Order) {
+	if x.has[o.Engine.Name] == nil {
+		x.has[o.Engine.Name] = make(map[Model]bool)
+	}
+	x.has[o.Engine.Name][o.Model] = o.Load
+}
+
+func (x *engines) run(d time.Duration) {
+	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(time.Second) {
+		x.step(Tick{})
+	}
+}
+
+var large = Model{Name: "large"}
+
+func engineOf(name string, checks bool, load bool) Engine {
+	return Engine{Name: name, Address: "10.0.0.1:80", ChecksFencing: checks, Wishes: map[Model]bool{large: load}}
+}
+
+// The holder orders an engine, which ignores numbers, to unload; the order is
+// still on the way when the lease passes to another, and the wish changes to
+// load. The new holder must not read and order before the old order can have
+// landed, or the engine would end without the model.
+func TestNewHolderWaitsOutTheOldOrder(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		t.Run(fmt.Sprint("checks ", checks), func(t *testing.T) {
+			is := is.New(t)
+			old := newEngines(NewCore(600))
+			old.has["r1"] = map[Model]bool{large: true}
+			old.delay = true
+			old.step(Configured{[]Engine{engineOf("r1", checks, false)}})
+			old.step(Leased{1})
+			old.run(OrderTimeout + time.Second)
+			is.Equal(len(old.late), 1)
+
+			next := newEngines(NewCore(600))
+			next.has, next.now = old.has, old.now
+			next.step(Configured{[]Engine{engineOf("r1", checks, true)}})
+			next.step(Leased{2})
+			next.run(OrderTimeout - time.Second)
+			if checks {
+				// The engine has seen number 2 and refuses the late order itself.
+				is.True(next.reads > 0)
+				return
+			}
+			is.Equal(next.reads, 0)
+			next.carryOut(old.late[0])
+			next.run(5 * time.Second)
+			is.True(next.has["r1"][large])
+		})
+	}
+}
+
+// A process that was frozen between its check and its write sends an order after
+// any wait. The next reading must find it, and the wish be ordered again.
+func TestLateOrderIsFoundAndMended(t *testing.T) {
+	is := is.New(t)
+	x := newEngines(NewCore(600))
+	x.step(Configured{[]Engine{engineOf("r1", true, true)}})
+	x.step(Leased{2})
+	x.run(5 * time.Second)
+	is.True(x.has["r1"][large])
+	x.carryOut(Order{Engine: engineOf("r1", true, true), Model: large, Load: false, Fencing: 1})
+	x.run(readInterval + 2*time.Second)
+	is.True(x.has["r1"][large])
+}
+
+func TestRefusedNumberEndsTheHolding(t *testing.T) {
+	is := is.New(t)
+	x := newEngines(NewCore(600))
+	x.delay = true
+	x.step(Configured{[]Engine{engineOf("r1", true, true), engineOf("r2", true, true)}})
+	x.step(Leased{2})
+	x.run(5 * time.Second)
+	given := len(x.orders)
+	x.step(OrderDone{Engine: "r1", Refused: true})
+	is.True(x.lost)
+	x.run(time.Minute)
+	is.Equal(len(x.orders), given)
+}
+
+// An order's answer is lost. It may have been carried out; it must not be given
+// again blindly, but after the engine was read.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	x := newEngines(NewCore(600))
+	x.delay = true
+	x.step(Configured{[]Engine{engineOf("r1", true, true)}})
+	x.step(Leased{1})
+	x.run(5 * time.Second)
+	is.Equal(len(x.orders), 1)
+	x.carryOut(x.late[0])
+	x.step(OrderDone{Engine: "r1", Err: errors.New("answer lost")})
+	x.run(time.Minute)
+	is.Equal(len(x.orders), 1)
+}
+
+// Forty engines wish for a model at once and the weight store allows six loads a
+// minute. The loads must keep to that, over a change of the holder too, and the
+// model that is worst off comes first.
+func TestLoadsKeepToTheRate(t *testing.T) {
+	is := is.New(t)
+	x := newEngines(NewCore(6))
+	small := Model{Name: "small"}
+	var list []Engine
+	for i := range 40 {
+		e := engineOf(fmt.Sprint("r", i), true, true)
+		if i >= 20 {
+			e.Wishes = map[Model]bool{small: true}
+			x.has[e.Name] = map[Model]bool{small: i >= 30}
+		}
+		list = append(list, e)
+	}
+	x.step(Configured{list})
+	for holding := range 5 {
+		x.step(Leased{uint64(holding + 1)})
+		x.run(time.Minute)
+		is.True(len(x.orders) <= 6*(holding+1))
+	}
+	is.True(len(x.orders) > 20)
+	for _, o := range x.orders[:10] {
+		is.Equal(o.Model, large)
+	}
+}
