Join the membership, and use fresh connections for what can't be repeated

The entry took no part in digests and ran no orders; both are wired now, with the platform's list, server states, the live entries for the spread of revisions, and the policy's counters at /metrics. A booking on a kept connection could meet the server's own close and end as "unknown" although nothing was wrong; calls that can't be repeated now open a connection of their own, and idle ones are dropped before the 5 s of common servers. Weighed: a shorter idle time alone, which leaves the race. An engine's connection that breaks before its answer is also taken up by resume before it counts as a crash. The story of the repeated POST is now tested at the client too: 3 calls seen without the guard, 2 with it. A decision older than the deadline is dropped; the test fails without the check. Known: one run of the entry's tests in eight failed while other builds ran, which test is not known yet; it is being looked for.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -17,10 +17,12 @@
 	dialTimeout = 2 * time.Second
 	// A server behind a silent cut is noticed after keepAliveIdle plus
 	// keepAliveCount times keepAliveGap.
-	keepAliveIdle   = 5 * time.Second
-	keepAliveGap    = 2 * time.Second
-	keepAliveCount  = 3
-	idleTimeout     = 30 * time.Second
+	keepAliveIdle  = 5 * time.Second
+	keepAliveGap   = 2 * time.Second
+	keepAliveCount = 3
+	// idleTimeout is below the 5 s after which common servers close a kept
+	// connection, so that no request meets one that is being closed.
+	idleTimeout     = 4 * time.Second
 	idlePerServer   = 64
 	maxHeaderBytes  = 64 << 10
 	readBufferBytes = 4 << 10
@@ -82,15 +84,28 @@
 	return c.Conn.Write(b)
 }
 
-// Client sends requests to all backend servers, over kept connections.
-type Client struct{ http *http.Client }
+// Client sends requests to all backend servers.
+type Client struct {
+	kept  *http.Client
+	fresh *http.Client
+}
 
 // NewClient returns a Client of its own pool of connections.
 func NewClient() *Client {
+	kept := newTransport()
+	fresh := newTransport()
+	fresh.DisableKeepAlives = true
+	return &Client{
+		kept:  &http.Client{Transport: kept, CheckRedirect: noRedirect},
+		fresh: &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
+}
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveGap, Count: keepAliveCount,
 	}}
-	transport := &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -99,19 +114,17 @@
 			return &trackedConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    idlePerServer,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         readBufferBytes,
 	}
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.kept.CloseIdleConnections() }
 
 // onceBody hides the body's kind from net/http.
 //
@@ -126,9 +139,23 @@
 func (onceBody) Close() error { return nil }
 
 // Do sends the request as the attempt, which may be nil for calls that no
-// caller waits for. The answer must carry the request's X-Request-Id, see
-// ErrNotBound; the check is left out where the request has none.
+// caller waits for, over a kept connection where there is one. An answer that
+// carries another X-Request-Id than the request is discarded, see ErrNotBound.
 func (c *Client) Do(req *http.Request, attempt *Attempt) (*http.Response, error) {
+	return do(c.kept, req, attempt)
+}
+
+// DoFresh is Do over a connection of its own.
+//
+// It guards against a request that must not be repeated and meets a kept
+// connection at the moment at which the server closes it: nobody can tell then
+// whether it ran. It shows as an unknown outcome while the server is well. It
+// holds because a connection that was just opened is not idle.
+func (c *Client) DoFresh(req *http.Request, attempt *Attempt) (*http.Response, error) {
+	return do(c.fresh, req, attempt)
+}
+
+func do(client *http.Client, req *http.Request, attempt *Attempt) (*http.Response, error) {
 	if req.Body != nil {
 		req.Body = onceBody{req.Body}
 		req.GetBody = nil
@@ -140,7 +167,7 @@
 			conn.attempt.Store(attempt)
 		}
 	}}
-	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -67,3 +68,37 @@
 		}
 	})
 }
+
+// A service closes a kept connection while a booking is on its way. net/http
+// would send it again by itself, since it carries an Idempotency-Key; the
+// service must see it once, also when its body is empty.
+func TestLibraryDoesNotRepeatPosts(t *testing.T) {
+	for _, body := range []string{"book", ""} {
+		t.Run("body "+body, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+				if calls.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			client := NewClient()
+			defer client.Close()
+			for i := range 2 {
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader(body))
+				is.NoErr(err)
+				req.Header.Set("Idempotency-Key", "k")
+				req.Header.Set(RequestIDHeader, strconv.Itoa(i))
+				resp, err := client.Do(req, &Attempt{})
+				is.Equal(err == nil, i == 0)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+			}
+			is.Equal(calls.Load(), int32(2))
+		})
+	}
+}
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -14,8 +14,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/gossip"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/connection/operator"
+	"github.com/lilacbridge/lilacbridge/connection/orders"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
 	"github.com/lilacbridge/lilacbridge/connection/stateclient"
 	"github.com/lilacbridge/lilacbridge/process/build"
@@ -35,6 +37,8 @@
 	state     *stateclient.Client
 	watcher   *spreadlink.Watcher
 	spread    *spreadlink.Server
+	gossip    *gossip.Gossip
+	orders    *orders.Giver
 	links     *link.Server
 	operators *secret.Operators
 	listeners listeners
@@ -75,6 +79,9 @@
 	}))
 	d.spread = spreadlink.NewServer(d.watcher)
 	d.spread.Register(mux, "entry")
+	d.gossip = d.newGossip()
+	d.gossip.Register(mux)
+	d.orders = orders.New(orders.Options{View: d.watcher.Current, Lease: d.state.Lease, Logger: logger})
 	d.links = link.NewServer(id, mux)
 	return d, d.listen()
 }
@@ -97,6 +104,8 @@
 	group.Go(func() { d.entry.Work(working) })
 	group.Go(func() { _ = d.watcher.Run(working) })
 	group.Go(func() { _ = d.state.Run(working) })
+	group.Go(func() { _ = d.gossip.Run(working) })
+	group.Go(func() { _ = d.orders.Run(working) })
 	group.Go(func() { _ = d.links.Serve(d.listeners.link) })
 	app := kratos.New(
 		kratos.Name("lilacbridge-entry"),
@@ -111,7 +120,10 @@
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(stopTimeout),
 		// The drain comes before the library closes anything.
-		kratos.BeforeStop(func(context.Context) error { return d.entry.Drain(context.Background()) }),
+		kratos.BeforeStop(func(context.Context) error {
+			d.gossip.Leave()
+			return d.entry.Drain(context.Background())
+		}),
 	)
 	d.logger.Info("started", "callers", d.listeners.callers.Addr().String(), "version", build.Version)
 	err := app.Run()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -76,6 +76,7 @@
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
 		Counter: e.counters, OnConvict: e.convict,
 	})
+	e.registry.MustRegister(newCoreStats(e.relay))
 	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
 	e.poller = engine.NewPoller(engines, reports{e.relay})
 	return e
--- /dev/null
+++ b/daemon/entry/gossip.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/gossip"
+	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// digestTimeout bounds the wait for the core's own digest.
+const digestTimeout = 200 * time.Millisecond
+
+// newGossip joins the policy core with the membership.
+func (d *Daemon) newGossip() *gossip.Gossip {
+	relay := d.entry.relay
+	return gossip.New(gossip.Options{
+		Self:         member.Peer{Name: d.settings.Name, Address: d.settings.Link.Value, DataCenter: d.settings.DataCenter},
+		Entries:      d.settings.Entries,
+		Dial:         d.dialer.dial,
+		InstanceList: d.settings.InstanceList,
+		Own:          d.ownDigest,
+		OnDigest:     func(digest *lilacv1.Digest) { relay.Post(policy.PeerDigest{Digest: digest}) },
+		OnGone:       func(instance string) { relay.Post(policy.PeerGone{Instance: instance}) },
+		OnServer: func(server string, leaving bool) {
+			relay.Post(policy.ServerState{Server: server, Leaving: leaving})
+		},
+		OnLive: d.setLive,
+		Logger: d.logger,
+	})
+}
+
+func (d *Daemon) ownDigest() *lilacv1.Digest {
+	ctx, cancel := context.WithTimeout(context.Background(), digestTimeout)
+	defer cancel()
+	digest, err := d.entry.Digest(ctx)
+	if err != nil {
+		digest = &lilacv1.Digest{Leaving: d.entry.leaving.Load()}
+	}
+	digest.Revision = d.watcher.Revision()
+	return digest
+}
+
+func (d *Daemon) setLive(peers []settings.Peer) {
+	d.mu.Lock()
+	d.live = peers
+	d.mu.Unlock()
+	d.watcher.SetEntries(peers)
+}
--- a/request/relay/chat.go
+++ b/request/relay/chat.go
@@ -86,6 +86,9 @@
 		return j.finish(t)
 	}
 	stream, err := j.open(ctx, t)
+	if err != nil && t.attempt.Written() && upstream.Crashed(err) && ctx.Err() == nil {
+		stream, err = j.resumeHere(ctx, t)
+	}
 	if err != nil {
 		j.forgetRefused(err, t)
 		return err
--- a/request/relay/flight.go
+++ b/request/relay/flight.go
@@ -15,6 +15,9 @@
 // actionSlots is more than the core ever owes one request at once.
 const actionSlots = 8
 
+// claimedLimit is how long a claimed request may run without its caller.
+const claimedLimit = 10 * time.Minute
+
 var (
 	errStopped = errors.New("stopped by the policy")
 	errCut     = errors.New("the instance had to end")
@@ -84,11 +87,11 @@
 
 // lifeOf returns the context of an attempt: the caller's, or for a claimed
 // request one that goes on without the caller.
-func (f *flight) lifeOf(ctx context.Context) context.Context {
+func (f *flight) lifeOf(ctx context.Context) (context.Context, context.CancelFunc) {
 	if f.claimed {
-		return context.WithoutCancel(ctx)
+		return context.WithTimeout(context.WithoutCancel(ctx), claimedLimit)
 	}
-	return ctx
+	return ctx, func() {}
 }
 
 // begin notes that an attempt runs; false where the core stopped it already.
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -172,12 +172,22 @@
 
 // Digest asks the core what other instances must know.
 func (r *Relay) Digest(ctx context.Context) (*lilacv1.Digest, error) {
-	reply := make(chan *lilacv1.Digest, 1)
-	r.box.ask(func(core policy.Core, now time.Time) { reply <- core.Digest(now) })
+	return askCore(ctx, r.box, func(core policy.Core, now time.Time) *lilacv1.Digest { return core.Digest(now) })
+}
+
+// Stats asks the core for its counters.
+func (r *Relay) Stats(ctx context.Context) (policy.Stats, error) {
+	return askCore(ctx, r.box, func(core policy.Core, _ time.Time) policy.Stats { return core.Stats() })
+}
+
+func askCore[T any](ctx context.Context, box *mailbox, ask func(policy.Core, time.Time) T) (T, error) {
+	reply := make(chan T, 1)
+	box.ask(func(core policy.Core, now time.Time) { reply <- ask(core, now) })
 	select {
-	case digest := <-reply:
-		return digest, nil
+	case value := <-reply:
+		return value, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		var none T
+		return none, ctx.Err()
 	}
 }
--- /dev/null
+++ b/request/relay/relay_test.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/caller"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// An entry is frozen with a decision in hand and woken after the deadline; the
+// timer of the request's context has not fired yet. The decision must not be
+// acted on, and the request is proved not to have run.
+func TestDecisionOlderThanTheDeadlineIsDropped(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{})
+	f := newFlight(&caller.Meta{Deadline: time.Now().Add(-time.Second)})
+	f.actions <- policy.Start{Attempt: 1}
+	_, err := r.wait(context.Background(), f)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT))
+	is.Equal(fault.NotRunOf(err), lilacv1.NotRun_NOT_RUN_TRUE)
+}
+
+func TestSpliceReplacesOnlyTopLevelValues(t *testing.T) {
+	cases := map[string]string{
+		`{"id":"a","created":5,"x":{"id":"keep","created":6}}`: `{"id":"new","created":9,"x":{"id":"keep","created":6}}`,
+		`{"x":"\"id\":\"a\"","id" : "b\"c"}`:                   `{"x":"\"id\":\"a\"","id" : "new"}`,
+		`{"choices":[{"id":"keep"}],"id":null}`:                `{"choices":[{"id":"keep"}],"id":null}`,
+		`{"value":"id","created":12}`:                          `{"value":"id","created":9}`,
+		`{"id`:                                                 `{"id`,
+		`{"id":`:                                               `{"id":`,
+	}
+	for from, want := range cases {
+		is.New(t).Equal(string(splice(nil, []byte(from), "new", 9)), want)
+	}
+}
+
+func TestEngineBodyCarriesThePartThatCame(t *testing.T) {
+	is := is.New(t)
+	q := &caller.Chat{ChatFields: caller.ChatFields{
+		Stream: true, MaxTokens: 10, ContinueFinal: true,
+		Messages: []caller.Message{{Role: "user", Content: "a"}, {Role: "assistant", Content: "b "}},
+	}}
+	q.Body = []byte(`{"model":"m","max_tokens":10,"temperature":0.5,"stream":true,"messages":[{"role":"user","content":"a"},{"role":"assistant","content":"b "}]}`)
+	body, err := engineBody(q, "c d", 2)
+	is.NoErr(err)
+	is.Equal(string(body), `{"add_generation_prompt":false,"continue_final_message":true,"max_tokens":8,"messages":[{"role":"user","content":"a"},{"role":"assistant","content":"b c d"}],"model":"m","stream":true,"temperature":0.5}`)
+	same, err := engineBody(q, "", 0)
+	is.NoErr(err)
+	is.Equal(string(same), string(q.Body))
+}
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -108,7 +108,9 @@
 		r.Post(policy.Failed{ID: f.id, Attempt: start.Attempt})
 		return false, nil
 	}
-	attemptCtx, cancel := context.WithCancelCause(f.lifeOf(ctx))
+	life, endLife := f.lifeOf(ctx)
+	defer endLife()
+	attemptCtx, cancel := context.WithCancelCause(life)
 	defer cancel(nil)
 	if !f.begin(start, cancel) {
 		return false, nil
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -37,7 +37,7 @@
 	arrival := policy.Arrival{
 		Class: q.Class, Team: q.Team, Target: q.Target, Digest: Digest(q.Team, q.Path, q.Body),
 		PromptTokens: 1, Deadline: q.Deadline,
-		Idempotent: q.Key == "" && (q.Method == http.MethodGet || q.Method == http.MethodHead),
+		Idempotent: j.idempotent(),
 	}
 	return r.claimed(ctx, f, &q.Meta, answer, func(keep *copied) error {
 		j.copied = keep
@@ -45,13 +45,17 @@
 	})
 }
 
+func (j *serviceJob) idempotent() bool {
+	return j.q.Key == "" && (j.q.Method == http.MethodGet || j.q.Method == http.MethodHead)
+}
+
 func (j *serviceJob) begun() bool       { return j.answer.Begun() }
 func (j *serviceJob) continuable() bool { return false }
 
 func (j *serviceJob) try(ctx context.Context, t *try) error {
 	resp, err := j.relay.Services.Do(ctx, service.Call{
 		Address: t.server.GetAddress(), Method: j.q.Method, URI: j.q.URI, Header: j.q.Header, Body: j.q.Body,
-		RequestID: t.upstreamID, Attempt: t.attempt,
+		RequestID: t.upstreamID, Attempt: t.attempt, Once: !j.idempotent(),
 	})
 	if err != nil {
 		return j.probed(ctx, t, err)
