--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -111,7 +111,7 @@
 func (w *Watcher) Known() (newest uint64, age time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.known.newest, time.Since(w.known.at)
+	return max(w.known.newest, w.holder.Revision()), time.Since(w.known.at)
 }
 
 // SetEntries replaces the entries of all data centres that are taken for alive.
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// FinalClaim answers a claim that needs no place in the log, as ledger.Final does.
+func (m *Machine) FinalClaim(r *lilacv1.ClaimRequest) (*lilacv1.ClaimReply, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Final(r)
+}
+
 // Incarnations returns those that have claimed and are not known to be gone.
 func (m *Machine) Incarnations() []string {
 	m.mu.Lock()
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -107,6 +107,9 @@
 // claim is stamped with the leader's clock: a caller instance whose clock is
 // wrong must not end the retention of others' keys.
 func (s *Service) claim(ctx context.Context, _ link.Peer, r *lilacv1.ClaimRequest) (*lilacv1.ClaimReply, error) {
+	if reply, final := s.machine.FinalClaim(r); final {
+		return reply, nil
+	}
 	r.NowUnixMs = s.now().UnixMilli()
 	s.lives.heard(r.GetIncarnation())
 	result, err := s.run(ctx, &lilacv1.Command{Op: &lilacv1.Command_Claim{Claim: r}})
--- /dev/null
+++ b/daemon/state/size_bench_test.go
@@ -0,0 +1,62 @@
+package state
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+)
+
+// filled returns a machine with so many teams, revisions of the audit trail and
+// ended keys, in equal parts of all that it holds.
+func filled(b *testing.B, teams, keys int) *Machine {
+	m := NewMachine(0, ledger.Limits{Entries: max(1, keys/2), Tombstones: max(1, keys)})
+	index := uint64(0)
+	apply := func(c *lilacv1.Command) {
+		data, err := proto.Marshal(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		index++
+		m.Apply(index, data)
+	}
+	for i := range teams {
+		change := &lilacv1.Change{Op: &lilacv1.Change_SetTeam{SetTeam: &lilacv1.Team{Name: fmt.Sprint("cooperative-", i), Weight: 1, TokensPerSecond: 5000}}}
+		apply(&lilacv1.Command{Op: &lilacv1.Command_Propose{Propose: &lilacv1.Proposal{CommandId: fmt.Sprint("command-", i), Who: "awa", Statement: fmt.Sprint("SET TEAM cooperative-", i), Changes: []*lilacv1.Change{change}, ProposedUnixMs: 1}}})
+	}
+	for i := range keys {
+		key, attempt := fmt.Sprint("key-", i), fmt.Sprint("attempt-", i)
+		apply(&lilacv1.Command{Op: &lilacv1.Command_Claim{Claim: &lilacv1.ClaimRequest{Team: "coop", Key: key, Digest: digest(1), Instance: "e", Incarnation: "e/1", Attempt: attempt, NowUnixMs: 1}}})
+		apply(&lilacv1.Command{Op: &lilacv1.Command_Outcome{Outcome: &lilacv1.OutcomeRequest{Team: "coop", Key: key, Attempt: attempt, State: lilacv1.ClaimState_CLAIM_STATE_RAN, NowUnixMs: 1, Answer: &lilacv1.StoredAnswer{Status: 200, Body: make([]byte, 200)}}}})
+	}
+	return m
+}
+
+// BenchmarkSize gives what a state process's machine weighs: memory, the bytes
+// of a snapshot, and how long Snapshot holds up the log.
+func BenchmarkSize(b *testing.B) {
+	for _, c := range []struct{ teams, keys int }{{10, 1000}, {1000, 10000}, {10000, 50000}, {45000, 200000}} {
+		b.Run(fmt.Sprintf("teams=%d/keys=%d", c.teams, c.keys), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			m := filled(b, c.teams, c.keys)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			size := 0
+			for b.Loop() {
+				data, err := m.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "heap-MB")
+			b.ReportMetric(float64(size)/(1<<20), "snapshot-MB")
+		})
+	}
+}
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -160,6 +160,22 @@
 	return &lilacv1.ClaimReply{Granted: true, State: lilacv1.ClaimState_CLAIM_STATE_CLAIMED}, nil
 }
 
+// Final answers a claim whose answer can't change any more, without changing
+// anything: the key has ended as ran or unknown. It is right on every process,
+// however far behind, since those states are final; so a data centre that is cut
+// off still answers what it has seen end.
+func (l *Ledger) Final(r *lilacv1.ClaimRequest) (*lilacv1.ClaimReply, bool) {
+	old, ok := l.entries[id{r.GetTeam(), r.GetKey()}]
+	if !ok || checkClaim(r) != nil {
+		return nil, false
+	}
+	switch old.GetState() {
+	case lilacv1.ClaimState_CLAIM_STATE_RAN, lilacv1.ClaimState_CLAIM_STATE_UNKNOWN:
+		return l.again(old, r), true
+	}
+	return nil, false
+}
+
 func checkClaim(r *lilacv1.ClaimRequest) error {
 	problem := ""
 	switch {
--- a/process/ledger/ledger_test.go
+++ b/process/ledger/ledger_test.go
@@ -71,6 +71,9 @@
 				_, err := l.Outcome(outcome("k", "a1", c.end, "filed"))
 				is.NoErr(err)
 			}
+			final, isFinal := l.Final(claim("k", "a2", start))
+			is.Equal(isFinal, c.end == ran || c.end == unknown)
+			is.True(!final.GetGranted())
 			other := claim("k", "a2", start)
 			other.Digest = digest(2)
 			reply, err := l.Claim(other)
