Measure what each role costs at full size: make capacity

Cause: docs/CAPACITY.md must rest on slopes that a committed command prints again. Ruled out: reading single sizes, since one size hides whether a cost grows.

--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,14 @@
 proof:
 	@go test -c -o bin/proof.test ./internal/proof
 	@./bin/proof.test -seed $(SEED) -runs $(RUNS) $(if $(TRACE),-trace)
+
+# What each role costs at the size to design for, from slopes measured here.
+.PHONY: capacity
+capacity:
+	@mkdir -p out
+	go test -run '^$$' -bench 'ViewHeap|CoreHeap|TeamChange|CoreRequest|CoreDigest' -benchtime 200ms ./internal/capacity > out/capacity.txt
+	go test -run '^$$' -bench Traffic -benchtime 1x ./process/member >> out/capacity.txt
+	go test -run '^$$' -bench 'Spread/tree' -benchtime 1x ./daemon/state >> out/capacity.txt
+	go test -run '^$$' -bench Size -benchtime 1x ./daemon/state >> out/capacity.txt
+	go test -run '^$$' -bench Snapshot -benchtime 3x ./version/spread >> out/capacity.txt
+	go run ./cmd/lilaccapacity < out/capacity.txt
--- a/daemon/state/size_bench_test.go
+++ b/daemon/state/size_bench_test.go
@@ -39,7 +39,7 @@
 // BenchmarkSize gives what a state process's machine weighs: memory, the bytes
 // of a snapshot, and how long Snapshot holds up the log.
 func BenchmarkSize(b *testing.B) {
-	for _, c := range []struct{ teams, keys int }{{10, 1000}, {1000, 10000}, {10000, 50000}, {45000, 200000}} {
+	for _, c := range []struct{ teams, keys int }{{45000, 10000}, {45000, 50000}, {45000, 100000}, {45000, 200000}} {
 		b.Run(fmt.Sprintf("teams=%d/keys=%d", c.teams, c.keys), func(b *testing.B) {
 			var before, after runtime.MemStats
 			runtime.GC()
--- /dev/null
+++ b/internal/capacity/plan.go
@@ -0,0 +1,93 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// The size to design for, and what a node may spend on control.
+const (
+	Nodes              = 1100
+	Replicas           = 5900
+	Teams              = 45000
+	RequestsPerSecond  = 40000
+	ChangesPerDay      = 24000
+	CapCorePercent     = 1.7
+	CapMemoryMB        = 128
+	CapBytesPerSecond  = 13000
+	CapInForceSeconds  = 13
+	megabyte           = 1 << 20
+	secondsPerDay      = 86400
+	changesPerSecond   = float64(ChangesPerDay) / secondsPerDay
+	nanosecondsPerCore = 1e9
+	percent            = 100
+	requestsPerNode    = float64(RequestsPerSecond) / Nodes
+	claimShare         = 0.1
+	claimsPerSecond    = RequestsPerSecond * claimShare
+	digestsPerSecond   = 6
+)
+
+// Line is one line of the capacity table: a metric of a benchmark, scaled to
+// what one process of the role spends.
+type Line struct {
+	Role  string
+	What  string
+	Bench string
+	Unit  string
+	// At is the size that the line is read at.
+	At float64
+	// Times turns the value at that size into the unit of the cap.
+	Times float64
+	// Cap is what a node may spend, or 0 for none; CapUnit names its unit.
+	Cap     float64
+	CapUnit string
+	// Mechanism carries the load.
+	Mechanism string
+}
+
+// Plan holds every line of docs/CAPACITY.md that is worked out from a slope.
+var Plan = []Line{
+	{"entry", "digests, mean", "Traffic", "mean-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "mesh up to 10 entries, then a tree of fanout 5"},
+	{"relay entry", "digests, busiest", "Traffic", "max-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "the same tree, relays exchange sums"},
+	{"relay entry", "membership core", "Traffic", "core-%", Nodes, 1, CapCorePercent, "% of a core", "one exchange a second with each neighbour"},
+	{"entry", "revisions, inside", "Spread/tree", "near-B/rev", Nodes, changesPerSecond / Nodes, CapBytesPerSecond, "B/s", "tree of fanout 8 by rank"},
+	{"relay entry", "revisions, between data centres", "Spread/tree", "far-B/rev", Nodes, changesPerSecond, CapBytesPerSecond, "B/s", "one flow into each data centre"},
+	{"state", "revisions, out", "Spread/tree", "state-B/rev", Nodes, changesPerSecond, CapBytesPerSecond, "B/s", "only relays follow a state process"},
+	{"entry", "change in force at the last", "Spread/tree", "worst-ms", Nodes, 1e-3, CapInForceSeconds, "s", "pushed down the tree"},
+	{"entry", "snapshot at start, whole", "Snapshot", "sent-B", Teams, 1.0 / CapBytesPerSecond, CapInForceSeconds, "s at 13 KB/s", "parts, compressed, resumed"},
+	{"entry", "teams and classes in memory", "ViewHeap/teams", "heap-B", Teams, 1.0 / megabyte, CapMemoryMB, "MB", "one shared view"},
+	{"entry", "backend servers in memory", "ViewHeap/servers", "heap-B", Replicas, 1.0 / megabyte, CapMemoryMB, "MB", "one shared view"},
+	{"entry", "policy core in memory", "CoreHeap", "heap-B", Replicas, 1.0 / megabyte, CapMemoryMB, "MB", "a subset of the pool for each instance"},
+	{"entry", "change of a team applied", "TeamChange", "ns/op", Teams, changesPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "only the changed map is cloned"},
+	{"entry", "choice of a server", "CoreRequest", "ns/op", Replicas, requestsPerNode * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "two choices out of a subset"},
+	{"entry", "digests received", "CoreDigest", "ns/op", Nodes, digestsPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "combined in the tree: at most six a second"},
+	{"state", "machine in memory, by keys", "Size/teams=45000", "heap-MB", 200000, 1, CapMemoryMB, "MB", "answers bounded, tombstones of 16 bytes"},
+	{"state", "snapshot holds the log up, by keys", "Size/teams=45000", "ns/op", 200000, 1e-9, 1, "s", "copied under the lock"},
+}
+
+// Report fits each line of the plan to the samples and prints the table. It
+// returns how many lines break their cap, and how many had too few samples.
+func Report(w io.Writer, samples []Sample) (over, missing int) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "role\twhat\tsizes\tslope\tspread\tat full size\tcap\tmechanism")
+	for _, line := range Plan {
+		fit, ok := FitLine(samples, line.Bench, line.Unit)
+		if !ok {
+			missing++
+			fmt.Fprintf(tw, "%s\t%s\tnot measured\t\t\t\t\t%s\n", line.Role, line.What, line.Mechanism)
+			continue
+		}
+		value := fit.At(line.At) * line.Times
+		mark := ""
+		if line.Cap > 0 && value > line.Cap {
+			over++
+			mark = " OVER"
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%v\t%.3g %s\t%.0f%%\t%.3g %s%s\t%g\t%s\n", line.Role, line.What, fit.Sizes, fit.Slope, line.Unit,
+			percent*fit.Spread, value, line.CapUnit, mark, line.Cap, line.Mechanism)
+	}
+	tw.Flush()
+	fmt.Fprintf(w, "capacity: %d lines, %d over their cap, %d not measured\n", len(Plan), over, missing)
+	return over, missing
+}
