Answer SHOW leases on the state processes; time a takeover in a test

The operators' handler asks the state processes for their leases by state.query, which nobody answered, so SHOW leases failed. Each process now gives its own view, with the time left as it counts it. The takeover had no test with a clock of its own: another holder is refused for the whole lease and a twentieth, a leader that never saw the renewal counts anew, and refusals take no place in the log. Ruled out: one answer from the leader alone, which would hide what a cut-off process believes.

--- /dev/null
+++ b/daemon/state/lease_test.go
@@ -0,0 +1,75 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+func leaseOf(ms uint32) *lilacv1.LeaseRequest {
+	return &lilacv1.LeaseRequest{Name: "orders", DurationMs: ms}
+}
+
+// The holder of a lease is cut off. Another may take over only when the leader
+// has counted the whole lease and a little more, and at a leader that has only
+// just come to office counting begins anew: the old holder may have renewed
+// there a moment ago for all that it knows.
+func TestLeaseIsTakenOverOnlyWhenItHasRunOut(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		newLeader bool
+	}{{"same leader", false}, {"leader from a snapshot", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, all := group(t, 1)
+			service := all[0].service
+			now := time.Now()
+			clock := func() time.Time { return now }
+			service.timer.now = clock
+			a, b := newClient(t, all, "entry-a"), newClient(t, all, "entry-b")
+			held, err := a.Lease(t.Context(), leaseOf(1000))
+			is.NoErr(err)
+			is.True(held.GetGranted())
+			applied := service.machine.Counts().Applied
+			now = now.Add(time.Second)
+			refused, err := b.Lease(t.Context(), leaseOf(1000))
+			is.NoErr(err)
+			is.True(!refused.GetGranted())
+			is.Equal(refused.GetHolder(), "entry-a")
+			is.Equal(service.machine.Counts().Applied, applied)
+			now = now.Add(100 * time.Millisecond)
+			if c.newLeader {
+				service.timer = newLeaseTimer(clock)
+				refused, err = b.Lease(t.Context(), leaseOf(1000))
+				is.NoErr(err)
+				is.True(!refused.GetGranted())
+				now = now.Add(1100 * time.Millisecond)
+			}
+			taken, err := b.Lease(t.Context(), leaseOf(1000))
+			is.NoErr(err)
+			is.True(taken.GetGranted())
+			is.Equal(taken.GetFencing(), held.GetFencing()+1)
+			late, err := a.Lease(t.Context(), leaseOf(1000))
+			is.NoErr(err)
+			is.True(!late.GetGranted())
+		})
+	}
+}
+
+func TestLeasesAreShown(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 1)
+	_, err := newClient(t, all, "entry-a").Lease(t.Context(), leaseOf(1000))
+	is.NoErr(err)
+	caller := dialer(t)(all[0].peer.Address.Value)
+	reply := &lilacv1.QueryReply{}
+	is.NoErr(caller.Call(t.Context(), "state.query", &lilacv1.QueryRequest{Subject: "leases"}, reply))
+	is.Equal(len(reply.GetRows()), 1)
+	is.Equal(reply.GetRows()[0].GetValues()[:3], []string{"orders", "entry-a", "1"})
+	err = caller.Call(t.Context(), "state.query", &lilacv1.QueryRequest{Subject: "teams"}, reply)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
+}
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -46,6 +46,7 @@
 	mux.Handle("state.status", link.Unary(s.status))
 	mux.Handle("state.heartbeat", link.Unary(s.heartbeat))
 	mux.Handle("state.lease", link.Unary(s.lease))
+	mux.Handle("state.query", link.Unary(s.query))
 	s.watch.Register(mux, "state")
 }
 
