Go to a state process when the own configuration grows old

A random run over the core of the spread (60 entries, the best in rank failing most) showed an entry that worked itself lagging by 14 s, more than the 13 s allowed: it walked down the ranks while each next sender hung on the same failed relay. An entry whose knowledge is more than 5 s old now follows a state process for 10 s.

--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -75,6 +75,10 @@
 	// following is false until the first Follow.
 	following bool
 	heard     time.Time
+	// sure is when the own revision was surely the newest.
+	sure time.Time
+	// direct is until when a state process is followed whatever the rank.
+	direct time.Time
 }
 
 // NewCore returns the core of the entry named self, which follows nobody yet.
@@ -87,6 +91,9 @@
 
 // Step takes one event and returns whom to follow from now on, or nil for no change.
 func (c *Core) Step(now time.Time, event Event) []Follow {
+	if c.sure.IsZero() {
+		c.sure = now
+	}
 	switch e := event.(type) {
 	case Entries:
 		c.setEntries(e.Names)
@@ -95,6 +102,9 @@
 			return nil
 		}
 		c.heard = now
+		if sure := now.Add(-e.Age); sure.After(c.sure) {
+			c.sure = sure
+		}
 		if e.Age > behindLimit {
 			c.avoid(now)
 		}
@@ -105,17 +115,31 @@
 		c.avoid(now)
 		if c.current.State() {
 			// Another state process, or the same again: the shell goes round.
-			c.following = false
+			c.following, c.direct = false, time.Time{}
 		}
 	case Tick:
-		if c.following && now.Sub(c.heard) > silence {
-			c.avoid(now)
-			c.following = c.following && !c.current.State()
-		}
+		c.tick(now)
 	}
 	return c.choose(now)
 }
 
+// tick looks for silence and for a configuration that has grown old.
+//
+// It guards against a walk down the ranks in which each sender is behind as
+// well, since it follows the same failed one: every step would cost seconds, and
+// together more than a change may take. It holds because an entry that is
+// behind itself goes to a state process at once, whoever is to blame.
+func (c *Core) tick(now time.Time) {
+	if c.following && now.Sub(c.heard) > silence {
+		c.avoid(now)
+		c.following = !c.current.State()
+	}
+	if !c.current.State() && now.Sub(c.sure) > behindLimit && !now.Before(c.direct) {
+		c.avoid(now)
+		c.direct = now.Add(avoidance)
+	}
+}
+
 func (c *Core) setEntries(names []string) { c.above = member.Above(c.self, names) }
 
 // avoid passes the current target over for a while.
@@ -137,6 +161,9 @@
 		}
 	}
 	target := c.parent()
+	if now.Before(c.direct) {
+		target = Target{}
+	}
 	if c.following && target == c.current {
 		return nil
 	}
@@ -147,6 +174,9 @@
 // parent is the place above the own one in a tree of Fanout by rank, over the
 // entries that are not avoided.
 func (c *Core) parent() Target {
+	if len(c.avoided) == 0 {
+		return Target{Entry: member.Parent(c.above, Fanout)}
+	}
 	usable := make([]string, 0, len(c.above))
 	for _, name := range c.above {
 		if _, avoided := c.avoided[name]; !avoided {
