--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -13,6 +13,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
@@ -34,6 +35,7 @@
 	limits    settings.EntryLimits
 	router    Router
 	counter   Counter
+	leaving   atomic.Bool
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -49,8 +51,16 @@
 	return hex.EncodeToString(id[:])
 }
 
+// Leave asks callers and balancers, from now on, to close their connections
+// after each answer. No connection is closed from this side, so that no request
+// already on its way meets a closed one.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	answer := newAnswer(w, newRequestID(), h.instance)
 	err := h.serve(w, r, answer)
 	if err == nil {
