--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -173,6 +173,7 @@
 	OpenClaims   int
 	Tombstones   int
 	LateOutcomes uint64
+	Broken       uint64
 }
 
 // Counts returns the sizes as of now.
@@ -186,6 +187,7 @@
 		OpenClaims:   m.ledger.OpenClaims(),
 		Tombstones:   m.ledger.Tombstones(),
 		LateOutcomes: m.ledger.LateOutcomes(),
+		Broken:       m.ledger.Broken(),
 	}
 }
 
@@ -196,6 +198,13 @@
 	return m.ledger.Incarnations()
 }
 
+// Lease returns the named lease, nil if it was never held.
+func (m *Machine) Lease(name string) *lilacv1.LeaseEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leases.Get(name)
+}
+
 // Leases returns the leases in order of name.
 func (m *Machine) Leases() []*lilacv1.LeaseEntry {
 	m.mu.Lock()
