Drive entries, membership, spread and leases in the seeded runs

Each seed gives a fourth run, with seven entries in three data centres beside the state processes: the membership core, the core that chooses whom to follow, the holder of revisions and the lease for orders, with data centres cut off, entries frozen up to 20 s or restarted, and clocks that run up to 2 in 100 fast or slow. Checked: a configuration never goes back and is the one of the audit trail, all entries hold the newest within 13 s once healed, and no holder gives an order after a newer one did. The stream of updates is stood for by asking again each 200 ms.

--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -166,6 +166,11 @@
 	s.healed = true
 	s.cut = map[string]bool{}
 	s.loss, s.dup = 0, 0
+	if s.entries != nil {
+		for _, e := range s.entries.all {
+			e.frozenUntil = min(e.frozenUntil, s.now)
+		}
+	}
 	for _, n := range s.nodes {
 		n.disk.space, n.disk.failSync, n.disk.crashIn = -1, false, 0
 		if n.runner == nil {
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -17,7 +17,7 @@
 	showTrace = flag.Bool("trace", false, "print what happens")
 )
 
-var profiles = []profile{heavy, busy, churn}
+var profiles = []profile{heavy, busy, churn, fleet}
 
 // healTime is how long a run may take to settle once healed.
 const healTime = 90 * time.Second
@@ -34,6 +34,9 @@
 func runSeed(p profile, seed uint64, log io.Writer) report {
 	s := newSim(p, seed, log)
 	s.operators = newOperators(s)
+	if p.entries {
+		s.entries = newEntries(s, seed)
+	}
 	never := func() bool { return false }
 	s.after(2*time.Second, s.faults)
 	s.run(p.faultTime, never)
@@ -44,9 +47,21 @@
 	if v.failure == "" {
 		v.check(done(), "all settles once healed", "%d calls open, settled %t, accepted since %d", s.operators.open, s.settled(), s.operators.afterHealed)
 	}
+	if v.failure == "" && s.entries != nil {
+		last := s.now
+		s.run(s.now+inForce, s.entries.upToDate)
+		v.check(s.entries.upToDate(), "in force everywhere in time", "not %s after the last change", inForce)
+		s.note("in force everywhere %s after all had settled", s.now-last)
+		// Requests for leases may still be on their way.
+		s.run(s.now+3*time.Second, never)
+		s.run(s.now+healTime, s.settled)
+	}
 	if v.failure == "" {
 		s.operators.verify()
 	}
+	if v.failure == "" && s.entries != nil {
+		s.entries.verify()
+	}
 	for _, n := range s.nodes {
 		if n.runner != nil {
 			v.addChecked(n.runner.Status().InvariantsChecked)
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -59,6 +59,8 @@
 	waiting     []replica.Ask
 	// bootstrap is as in the settings; it stays set when the disk is lost.
 	bootstrap bool
+	// leases judges the leases of machine by the node's clock.
+	leases *state.LeaseClock
 	// id is the identity that the process had when it last ran.
 	id  string
 	rng *rand.Rand
@@ -85,6 +87,8 @@
 	reads int
 	// anyLeader lets reads go to any process that takes itself for the leader.
 	anyLeader bool
+	// entries adds entry instances that follow the revisions.
+	entries bool
 }
 
 var (
@@ -94,6 +98,8 @@
 	busy = profile{name: "busy", faultTime: 60 * time.Second, faultGap: 8 * time.Second, pause: 150 * time.Millisecond, kinds: 14, spikes: 5, appendBytes: 600, slow: 60 * time.Millisecond, reads: 2, anyLeader: true}
 	// churn runs change the leader all the time, with one entry a message.
 	churn = profile{name: "churn", faultTime: 60 * time.Second, faultGap: 3 * time.Second, pause: 150 * time.Millisecond, kinds: 9, spikes: 3, nodes: 5, appendBytes: 1, slow: 400 * time.Millisecond, reads: 2, anyLeader: true}
+	// fleet runs have entries in three data centres that are cut off in turn.
+	fleet = profile{name: "fleet", faultTime: 60 * time.Second, faultGap: 15 * time.Second, pause: 400 * time.Millisecond, kinds: 14, spikes: 1, appendBytes: 600, slow: 60 * time.Millisecond, reads: 1, entries: true}
 )
 
 // sim is one run.
@@ -116,6 +122,7 @@
 	log        io.Writer
 	invariants *invariants
 	operators  *operators
+	entries    *entries
 	every      uint64
 	segment    int64
 }
@@ -179,6 +186,7 @@
 		}
 	}
 	n.machine = state.NewMachine(0, ledger.Limits{})
+	n.leases = state.NewLeaseClock(n.machine, func() time.Time { return time.Unix(0, 0).Add(s.now) })
 	n.frozenUntil, n.waiting = 0, nil
 	n.guard(func() {
 		runner, err := replica.NewRunner(replica.Options{Name: n.name, Address: n.name, Peers: peers, Bootstrap: n.bootstrap,
