--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -107,6 +107,9 @@
 // claim is stamped with the leader's clock: a caller instance whose clock is
 // wrong must not end the retention of others' keys.
 func (s *Service) claim(ctx context.Context, _ link.Peer, r *lilacv1.ClaimRequest) (*lilacv1.ClaimReply, error) {
+	if reply, final := s.machine.FinalClaim(r); final {
+		return reply, nil
+	}
 	r.NowUnixMs = s.now().UnixMilli()
 	s.lives.heard(r.GetIncarnation())
 	result, err := s.run(ctx, &lilacv1.Command{Op: &lilacv1.Command_Claim{Claim: r}})
@@ -161,7 +164,13 @@
 }
 
 func (s *Service) lease(ctx context.Context, _ link.Peer, r *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error) {
-	r.ExpiredFencing = s.timer.expired(r.GetName(), s.machine.Leases())
+	held := s.machine.Lease(r.GetName())
+	r.ExpiredRenewal = s.timer.expired(held)
+	other := held.GetHolder() != "" && held.GetIncarnation() != r.GetIncarnation()
+	if other && r.GetExpiredRenewal() == 0 && s.log.Status().Leads {
+		// Many ask, one holds: those that get nothing need no place in the log.
+		return &lilacv1.LeaseReply{Holder: held.GetHolder(), Incarnation: held.GetIncarnation(), Fencing: held.GetFencing(), DurationMs: held.GetDurationMs()}, nil
+	}
 	result, err := s.run(ctx, &lilacv1.Command{Op: &lilacv1.Command_Lease{Lease: r}})
 	if err != nil {
 		return nil, err
