--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -68,7 +68,7 @@
 	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: linkKey}
 	d := &Daemon{settings: s, logger: logger, dialer: newDialer(id), operators: operators, live: s.Entries, started: time.Now()}
 	d.state = stateclient.New(stateclient.Options{Instance: s.Name, DataCenter: s.DataCenter, Peers: s.State, Dial: d.dialer.dial})
-	d.entry = New(Options{Settings: s, CallerKey: callerKey, State: d.state, Logger: logger})
+	d.entry = New(Options{Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, State: s.State, Entries: s.Entries,
 		Dial: d.dialer.dial, OnView: d.entry.Configure, Logger: logger,
@@ -111,7 +111,6 @@
 		kratos.Name("lilacbridge-entry"),
 		kratos.ID(d.settings.Name),
 		kratos.Version(build.Version),
-		kratos.Context(ctx),
 		kratos.Server(
 			d.entry.callerServer(d.listeners.callers),
 			d.operatorServer(d.listeners.operators),
@@ -125,6 +124,8 @@
 			return d.entry.Drain(context.Background())
 		}),
 	)
+	// The library drains on a signal, but not where its own context ends.
+	defer context.AfterFunc(ctx, func() { _ = app.Stop() })()
 	d.logger.Info("started", "callers", d.listeners.callers.Addr().String(), "version", build.Version)
 	err := app.Run()
 	d.spread.Close()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -36,6 +36,8 @@
 	CallerKey []byte
 	State     State
 	Logger    hclog.Logger
+	// OnAnnounce is told that the digest should go out at once; may be nil.
+	OnAnnounce func()
 	// Core decides; nil means the product's own policy.
 	Core policy.Core
 }
@@ -74,7 +76,7 @@
 	engines := engine.NewClient(e.clients)
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
-		Counter: e.counters, OnConvict: e.convict,
+		Counter: e.counters, OnConvict: e.convict, OnAnnounce: options.OnAnnounce,
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
 	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -126,6 +126,8 @@
 		}
 	case policy.Convict:
 		r.OnConvict(a)
+	case policy.Announce:
+		r.OnAnnounce()
 	}
 }
 
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -47,6 +47,8 @@
 	Counter  Counter
 	// OnConvict is told of a request that crashes servers; it must not block.
 	OnConvict func(policy.Convict)
+	// OnAnnounce is told that the digest should go out at once; it must not block.
+	OnAnnounce func()
 	// StallAfter is how long a stream that began may stay silent. Default 30s.
 	StallAfter time.Duration
 }
@@ -82,6 +84,9 @@
 	if options.OnConvict == nil {
 		options.OnConvict = func(policy.Convict) {}
 	}
+	if options.OnAnnounce == nil {
+		options.OnAnnounce = func() {}
+	}
 	return &Relay{Options: options, box: newMailbox(), flights: make(map[policy.ID]*flight), idle: make(chan struct{}), cut: make(chan struct{})}
 }
 
