Weigh free slots by the fleet's weights; bound what digests and limits hold

The weights of the settings did nothing yet.

A digest listed every limited team ever seen, and each digest walked over all teams: at 45,000 teams too much. It tells the last 10 s now, idle buckets go. An operator's drain of this instance refuses new requests, and a conviction past its expiry no longer bars.

--- a/request/limits/limits.go
+++ b/request/limits/limits.go
@@ -9,7 +9,10 @@
 // together stay within the limit.
 package limits
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // burstSeconds is the bucket's size in seconds of the rate, if the team states none.
 const burstSeconds = 2
@@ -30,9 +33,10 @@
 }
 
 type bucket struct {
-	level float64
-	at    time.Time
-	spent uint64
+	level   float64
+	at      time.Time
+	spent   uint64
+	spentAt time.Time
 }
 
 type peerTeam struct{ peer, team string }
@@ -96,6 +100,7 @@
 	b.level -= tokens
 	if tokens > 0 {
 		b.spent += uint64(tokens)
+		b.spentAt = now
 	}
 }
 
@@ -114,6 +119,41 @@
 	t.refill(team, limit, now).level -= float64(total - before)
 }
 
+const (
+	// recent is how long a team's spending is told to the others: many digests,
+	// since a lost one is made good by the next cumulative number.
+	recent = 10 * time.Second
+	// idle is after what time without spending a bucket is dropped; by then it
+	// is full again at any rate worth a limit.
+	idle = 10 * time.Minute
+)
+
+// Recent returns the teams that spent here lately, in order of name.
+func (t *Table) Recent(now time.Time) []string {
+	var names []string
+	for name, b := range t.buckets {
+		if b.spent > 0 && now.Sub(b.spentAt) < recent {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Expire drops what is idle; call it now and then.
+func (t *Table) Expire(now time.Time) {
+	for name, b := range t.buckets {
+		if now.Sub(b.at) > idle {
+			delete(t.buckets, name)
+		}
+	}
+	for key := range t.told {
+		if t.buckets[key.team] == nil {
+			delete(t.told, key)
+		}
+	}
+}
+
 // Spent returns the team's spending at this instance since its start.
 func (t *Table) Spent(team string) uint64 {
 	if b := t.buckets[team]; b != nil {
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -42,7 +42,7 @@
 
 // admit checks what the configuration says of the request.
 func (c *core) admit(now time.Time, r *request) (Refuse, bool) {
-	if c.draining {
+	if c.draining || c.view.Instances[c.options.Instance].GetDraining() {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_DRAINING, "this instance is shutting down; send the request again, another instance takes it", c.spread(time.Second))
 	}
 	if r.Class == "" {
@@ -56,7 +56,7 @@
 	if team == nil {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_TEAM, fmt.Sprintf("team %q is not configured; ask the operators to SET TEAM", r.Team), 0)
 	}
-	if c.view.Convictions[r.Digest] != nil || c.suspects.Get(r.Digest).Convicted() {
+	if c.barred(now, r.Digest) || c.suspects.Get(r.Digest).Convicted() {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 	}
 	r.pool = c.pools[r.Target]
@@ -73,6 +73,16 @@
 	return Refuse{}, true
 }
 
+// barred tells whether a conviction of the digest is in force.
+func (c *core) barred(now time.Time, digest string) bool {
+	conviction := c.view.Convictions[digest]
+	if conviction == nil {
+		return false
+	}
+	expires := conviction.GetExpiresUnixMs()
+	return expires == 0 || now.UnixMilli() < expires
+}
+
 func refuseKind(kind fault.Kind, message string, after time.Duration) (Refuse, bool) {
 	return Refuse{Kind: kind, Message: message, RetryAfter: after}, false
 }
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -3,33 +3,51 @@
 import (
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/choose"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
-// reserves are the slots of each server that a tier leaves free for more urgent ones.
-var reserves = [model.Tiers]float64{0, 2, 2.5, 3}
-
 const (
 	// lateReserve is what late requests leave free besides: what can still be on
 	// time shall not have to wait for them.
 	lateReserve = 2
+	// firstReserve and stepReserve are the slots of each server that tier 1
+	// leaves free for tier 0, and what each further tier leaves besides.
+	firstReserve = 1
+	stepReserve  = 0.5
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
 )
 
+// reservesOf returns what each tier leaves free of each server. Free slots
+// keep urgent first tokens on time and cost throughput, so a fleet that weighs
+// attainment higher against wasted and lost work keeps up to one more.
+func reservesOf(weights settings.Policy) (reserves [model.Tiers]float64) {
+	attainment := 0.5
+	if sum := weights.AttainmentWeight + weights.WasteWeight; sum > 0 {
+		attainment = weights.AttainmentWeight / sum
+	}
+	for tier := 1; tier < len(reserves); tier++ {
+		reserves[tier] = firstReserve + attainment + stepReserve*float64(tier-1)
+	}
+	return reserves
+}
+
 // chooser holds the ways of choosing and the memory that they share.
 type chooser struct {
 	onTime     choose.Chooser
 	late       choose.Chooser
 	candidates []choose.Candidate
+	reserves   [model.Tiers]float64
 }
 
-func newChooser(remotePrice time.Duration) chooser {
-	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: remotePrice}, choose.Crowd{Weight: crowdWeight}}
+func newChooser(weights settings.Policy) chooser {
+	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}}
 	return chooser{
-		onTime: choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: choose.Least{}},
-		late:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}, Scorers: scorers, Picker: choose.Least{}},
+		reserves: reservesOf(weights),
+		onTime:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: choose.Least{}},
+		late:     choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}, Scorers: scorers, Picker: choose.Least{}},
 	}
 }
 
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -66,7 +66,7 @@
 		budget:    retry.New(options.Weights.RetryShare),
 		suspects:  suspect.NewTable(),
 		limits:    limits.NewTable(),
-		choice:    newChooser(options.Weights.RemoteCost.Duration),
+		choice:    newChooser(options.Weights),
 		stats:     Stats{Violations: make(map[Invariant]uint64)},
 	}
 }
@@ -161,5 +161,6 @@
 	if now.After(c.expireAt) {
 		c.expireAt = now.Add(expireEvery)
 		c.suspects.Expire(now)
+		c.limits.Expire(now)
 	}
 }
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	r := c.requests[ID(item.ID)]
-	h := how{reserve: reserves[item.Tier], late: item.Late}
+	h := how{reserve: c.choice.reserves[item.Tier], late: item.Late}
 	if item.Late {
 		h.reserve += lateReserve
 	}
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -45,7 +45,7 @@
 		Leaving:     c.draining,
 		Revision:    c.view.Revision,
 		Suspects:    c.suspects.Share(now),
-		Spends:      c.spends(),
+		Spends:      c.spends(now),
 	}
 	for _, p := range c.poolOrder {
 		d.Cutoffs = append(d.Cutoffs, p.tiers.Tell(p.demand(), p.queue.LowestTier()))
@@ -64,20 +64,12 @@
 	return d
 }
 
-// spends lists what limited teams spent here. Without limits it is empty.
-func (c *core) spends() []*lilacv1.TeamSpend {
+// spends lists what limited teams spent here lately.
+func (c *core) spends(now time.Time) []*lilacv1.TeamSpend {
 	var all []*lilacv1.TeamSpend
-	for name, team := range c.view.Teams {
-		if spent := c.limits.Spent(name); team.GetTokensPerSecond() > 0 && spent > 0 {
-			all = append(all, &lilacv1.TeamSpend{Team: name, Tokens: spent})
-		}
+	for _, name := range c.limits.Recent(now) {
+		all = append(all, &lilacv1.TeamSpend{Team: name, Tokens: c.limits.Spent(name)})
 	}
-	slices.SortFunc(all, func(a, b *lilacv1.TeamSpend) int {
-		if a.GetTeam() < b.GetTeam() {
-			return -1
-		}
-		return 1
-	})
 	return all
 }
 
