--- /dev/null
+++ b/connection/engine/engine_test.go
@@ -0,0 +1,143 @@
+package engine
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
+)
+
+const oneChunk = `data: {"id":"q-1","choices":[{"index":0,"delta":{"content":"un"},"finish_reason":"stop"}]}` + "\n\n"
+
+func serve(t *testing.T, answer http.HandlerFunc) (*Client, string) {
+	server := httptest.NewServer(answer)
+	up := upstream.NewClient()
+	t.Cleanup(func() { up.Close(); server.Close() })
+	return NewClient(up), strings.TrimPrefix(server.URL, "http://")
+}
+
+func streamOf(t *testing.T, body string) *Stream {
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		is.New(t).Equal(r.Header.Get("X-Priority"), "2")
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, body)
+	})
+	stream, err := client.Chat(t.Context(), Call{Address: address, RequestID: "q-1", Priority: 2, Attempt: &upstream.Attempt{}}, []byte("{}"))
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { stream.Close() })
+	return stream
+}
+
+// What an engine's stream may look like, and what the entry makes of it: only
+// the closing event ends it regularly.
+func TestStreams(t *testing.T) {
+	long := strings.Repeat("x", 3*streamBuffer)
+	cases := []struct {
+		name, body string
+		events     int
+		end        error
+	}{
+		{"whole", oneChunk + "data: [DONE]\n\n", 1, io.EOF},
+		{"without blanks and with comments", ": ping\r\ndata:{}\r\n\r\nevent: x\nretry: 5\ndata: [DONE]\n", 1, io.EOF},
+		{"larger than the buffer", `data: {"id":"` + long + "\"}\n\ndata: [DONE]\n\n", 1, io.EOF},
+		{"cut between events", oneChunk, 1, io.ErrUnexpectedEOF},
+		{"cut in an event", oneChunk + `data: {"id":`, 1, io.ErrUnexpectedEOF},
+		{"empty", "", 0, io.ErrUnexpectedEOF},
+		{"without end", "data: " + strings.Repeat("x", maxEvent+2*streamBuffer), 0, errTooLong},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			stream := streamOf(t, c.body)
+			for range c.events {
+				_, err := stream.Next()
+				is.NoErr(err)
+			}
+			_, err := stream.Next()
+			is.True(errors.Is(err, c.end))
+		})
+	}
+}
+
+// What an engine may answer in place of a stream.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer http.HandlerFunc
+		status int
+		after  time.Duration
+		notRun bool
+	}{
+		{"overloaded", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, 429, 3 * time.Second, false},
+		{"states that it did not run", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":{"not_run":true}}`)
+		}, 503, 0, true},
+		{"can't tell whether it ran", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":{"not_run":"unknown"}}`)
+		}, 503, 0, false},
+		{"says not run of a failure", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, `{"error":{"not_run":true}}`)
+		}, 500, 0, false},
+		{"Retry-After that is no number", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "-5")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}, 429, 0, false},
+		{"redirects", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		}, 307, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client, address := serve(t, c.answer)
+			_, err := client.Chat(t.Context(), Call{Address: address, RequestID: "q-1", Attempt: &upstream.Attempt{}}, []byte("{}"))
+			var status *upstream.StatusError
+			is.True(errors.As(err, &status))
+			is.Equal(status.Status, c.status)
+			is.Equal(status.RetryAfter, c.after)
+			is.Equal(status.NotRun, c.notRun)
+		})
+	}
+	t.Run("no stream", func(t *testing.T) {
+		client, address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") })
+		_, err := client.Chat(t.Context(), Call{Address: address, RequestID: "q-1", Attempt: &upstream.Attempt{}}, []byte("{}"))
+		is.New(t).True(err != nil)
+	})
+}
+
+func TestReports(t *testing.T) {
+	is := is.New(t)
+	client, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.String() {
+		case "/load":
+			_, _ = io.WriteString(w, `{"running":3,"waiting":1,"slots":8,"kv_used":0.5,"measured_unix_ms":1700}`)
+		case "/cache/events?after=7":
+			_, _ = io.WriteString(w, `{"events":[{"seq":9,"stored":["ff","none","10"],"dropped":[],"cleared":true}]}`)
+		default:
+			_, _ = io.WriteString(w, "no JSON")
+		}
+	})
+	load, err := client.Load(t.Context(), address)
+	is.NoErr(err)
+	is.Equal(*load, Load{Running: 3, Waiting: 1, Slots: 8, KVUsed: 0.5, MeasuredUnixMs: 1700})
+	events, err := client.CacheEvents(t.Context(), address, 7)
+	is.NoErr(err)
+	is.Equal(Blocks(events[0].Stored), []uint64{255, 16})
+	is.True(events[0].Cleared)
+	_, err = client.CacheEvents(t.Context(), address, 8)
+	is.True(err != nil)
+}
--- a/connection/engine/stream.go
+++ b/connection/engine/stream.go
@@ -27,6 +27,8 @@
 // ErrCut is the error of a stream that ended without its closing event.
 var ErrCut = fmt.Errorf("engine's stream ended in the middle: %w", io.ErrUnexpectedEOF)
 
+var errTooLong = fmt.Errorf("engine sent an event of more than %d bytes", maxEvent)
+
 // Stream reads the events of one answer. It is used by one goroutine.
 type Stream struct {
 	body   io.ReadCloser
@@ -84,7 +86,7 @@
 	s.long = append(s.long[:0], line...)
 	for errors.Is(err, bufio.ErrBufferFull) {
 		if len(s.long) > maxEvent {
-			return nil, fmt.Errorf("engine sent an event of more than %d bytes", maxEvent)
+			return nil, errTooLong
 		}
 		line, err = s.reader.ReadSlice('\n')
 		s.long = append(s.long, line...)
