Split the chat job into its attempt, its opening and its writing

The file of chat requests had grown to 327 lines with three jobs in it: running an attempt, opening or taking up a stream at an engine, and writing to the caller. Weighed: a type for each job, which would pass the same five fields about.

--- a/request/relay/chat.go
+++ b/request/relay/chat.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/connection/caller"
@@ -105,25 +104,6 @@
 	}
 }
 
-// resumeHere takes a broken stream up at the engine that made it. It also tells
-// a broken connection from a crashed engine, which refuses the next one; only
-// the latter makes the request a suspect.
-func (j *chatJob) resumeHere(ctx context.Context, t *try) (*engine.Stream, error) {
-	call := engine.Call{
-		Address: t.server.GetAddress(), RequestID: t.upstreamID, Priority: t.start.Priority, Attempt: t.attempt,
-	}
-	stream, err := j.relay.Engines.Resume(ctx, call, j.flight.held.id, j.got.tokens-j.heldFrom)
-	var status *upstream.StatusError
-	switch {
-	case err == nil:
-		j.relay.Counter.Saved(j.got.tokens)
-		return stream, nil
-	case errors.As(err, &status):
-		return nil, errLost
-	}
-	return nil, err
-}
-
 // read passes a stream on to its end.
 func (j *chatJob) read(ctx context.Context, t *try, stream *engine.Stream) error {
 	for {
@@ -152,71 +132,6 @@
 	return j.got.finish != ""
 }
 
-// open starts or carries on the answer at the attempt's engine.
-func (j *chatJob) open(ctx context.Context, t *try) (*engine.Stream, error) {
-	call := engine.Call{
-		Address: t.server.GetAddress(), RequestID: t.upstreamID, Priority: t.start.Priority, Attempt: t.attempt,
-	}
-	if !j.begun() && !j.got.plain {
-		// The caller has nothing yet, and a prefix can't carry it on: from the start.
-		j.got = newCompletion(j.q.RequestID, j.got.promptTokens)
-	}
-	before := j.flight.held
-	if before.id != "" && before.server == t.start.ResumeFrom && j.got.tokens > 0 {
-		stream, err := j.resume(ctx, call, t, before)
-		if err == nil || t.attempt.Written() && upstream.Crashed(err) {
-			return stream, err
-		}
-		if ctx.Err() != nil {
-			return nil, err
-		}
-	}
-	if !j.got.plain {
-		return nil, fmt.Errorf("the engine no longer holds an answer with tool calls: %w", errFinal)
-	}
-	j.relay.release(before)
-	j.flight.held = held{server: t.start.Server, address: call.Address, id: t.upstreamID}
-	body, err := engineBody(j.q, j.got.text.String(), j.got.tokens)
-	if err != nil {
-		return nil, err
-	}
-	j.got.base, j.heldFrom = j.got.tokens, j.got.tokens
-	j.relay.Counter.Saved(j.got.tokens)
-	return j.relay.Engines.Chat(ctx, call, body)
-}
-
-// resume takes the answer up at the engine that holds it, or moves its KV cache
-// to the attempt's engine first.
-func (j *chatJob) resume(ctx context.Context, call engine.Call, t *try, before held) (*engine.Stream, error) {
-	if before.server != t.start.Server {
-		cache, err := j.relay.Engines.ExportKV(ctx, before.address, before.id)
-		if err != nil {
-			return nil, err
-		}
-		if err := j.relay.Engines.ImportKV(ctx, call.Address, cache); err != nil {
-			return nil, err
-		}
-	}
-	stream, err := j.relay.Engines.Resume(ctx, call, before.id, j.got.tokens-j.heldFrom)
-	if err != nil {
-		return nil, err
-	}
-	j.relay.Counter.Saved(j.got.tokens)
-	if before.server != t.start.Server {
-		j.relay.release(before)
-	}
-	j.flight.held = held{server: t.start.Server, address: call.Address, id: before.id}
-	return stream, nil
-}
-
-// forgetRefused drops the note of an answer that the engine does not hold.
-func (j *chatJob) forgetRefused(err error, t *try) {
-	var status *upstream.StatusError
-	if errors.As(err, &status) || !t.attempt.Written() {
-		j.flight.held = held{}
-	}
-}
-
 // take passes one event on.
 func (j *chatJob) take(ctx context.Context, t *try, stream *engine.Stream, data []byte) error {
 	chunk, err := engine.ParseChunk(data)
@@ -253,75 +168,3 @@
 		j.relay.Counter.FirstToken(j.q.Class, time.Since(j.flight.arrived))
 	}
 }
-
-// pass writes an event to a streaming caller.
-func (j *chatJob) pass(t *try, chunk *engine.Chunk, data []byte) error {
-	j.finishSent = j.finishSent || chunk.FinishReason() != ""
-	continued := j.answer.Begun() && t.start.Attempt > 1 && j.got.tokens > 0
-	switch {
-	case chunk.Usage != nil && len(chunk.Choices) == 0:
-		// Written at the end, corrected over all attempts.
-		return nil
-	case continued && chunk.Empty():
-		return nil
-	case continued && len(chunk.Choices) > 0 && chunk.Choices[0].Delta.Role != "" && chunk.Plain():
-		data = j.got.textChunk(chunk.Choices[0].Delta.Content, chunk.FinishReason())
-		return j.event(t, data, false)
-	}
-	return j.event(t, data, true)
-}
-
-// event writes one event in one piece; foreign data gets the request's own id.
-func (j *chatJob) event(t *try, data []byte, foreign bool) error {
-	j.frame = append(j.frame[:0], dataField...)
-	if foreign {
-		j.frame = splice(j.frame, data, j.got.id, j.got.created)
-	} else {
-		j.frame = append(j.frame, data...)
-	}
-	j.frame = append(j.frame, endEvent...)
-	return j.send(t, j.frame)
-}
-
-func (j *chatJob) send(t *try, frame []byte) error {
-	j.answer.BeginStream(t.start.Server)
-	j.copied.write(frame)
-	if err := j.answer.Event(frame); err != nil && !j.flight.claimed {
-		return fmt.Errorf("%w: %w", errCallerGone, err)
-	}
-	return nil
-}
-
-// finish ends a whole answer.
-func (j *chatJob) finish(t *try) error {
-	if !j.q.Stream {
-		return j.finishWhole(t)
-	}
-	if !j.finishSent {
-		if err := j.event(t, j.got.textChunk("", j.got.finish), false); err != nil {
-			return err
-		}
-	}
-	if j.q.StreamOptions.IncludeUsage {
-		if err := j.event(t, j.got.usageChunk(), false); err != nil {
-			return err
-		}
-	}
-	return j.send(t, []byte(doneEvent))
-}
-
-func (j *chatJob) finishWhole(t *try) error {
-	body, err := j.got.whole()
-	if err != nil {
-		return err
-	}
-	j.copied.begin(http.StatusOK, contentJSON)
-	j.copied.write(body)
-	j.answer.Begin(http.StatusOK, contentJSON, t.start.Server)
-	if _, err := j.answer.Write(body); err != nil && !j.flight.claimed {
-		return fmt.Errorf("%w: %w", errCallerGone, err)
-	}
-	return nil
-}
-
-const contentJSON = "application/json"
