--- a/scripts/fail.sh
+++ b/scripts/fail.sh
@@ -132,8 +132,13 @@
 row "all restarted at once after $RESTART_CHANGES changes" 14 restart_all
 verify "$WORK/changes-many.json" || broken "changes given before the restart are lost"
 
+# Every keyed request is sent again at another time and entry, after the kill.
+sed -E 's/, resend_after: [0-9a-z]+//; s/rate: ([0-9]+), keyed_share: 1, resend_share: [0-9.]+/rate: \10, keyed_share: 1, resend_share: 1, resend_after: 2500ms/' \
+  "$WORK/conf/load.yaml" > "$WORK/conf/load-resend.yaml"
 slow_services 40
+LOAD_FLAGS=(--plan "$WORK/conf/load-resend.yaml")
 row "kill -9 of an entry with claims in progress" 12 kill_entry
+grep -qE 'outcome_unknown:[1-9]' "$WORK/log/load-$ROW.log" || broken "no claim was in progress when the entry was killed: the row shows nothing"
 slow_services 1
 
 printf '\n%-46s %-7s %8s %8s %8s %12s\n' fault verdict accepted lost double "no leader ms"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -149,12 +149,14 @@
   while read -r name address serves; do start_service "$name" "$address"; done < <(servers_of service)
 }
 
-# start_fleet starts everything and waits until every entry takes requests.
+# start_fleet starts everything and waits until every entry takes requests. The
+# entries start first: without a configuration they must not call themselves ready.
 start_fleet() {
   local name
   start_backends
-  for name in "${STATES[@]}"; do start_state "$name"; done
   for name in "${ENTRIES[@]}"; do start_entry "$name"; done
+  not_ready "${ENTRIES[0]}" || broken "${ENTRIES[0]} without a configuration does not answer /readyz with 503"
+  for name in "${STATES[@]}"; do start_state "$name"; done
   for name in "${ENTRIES[@]}"; do
     if ! wait_ready "$name" 15; then
       broken "$name is not ready after 15 s: $(curl -s -m 2 "http://$(field "$name" admin)/readyz" || true)"
@@ -164,6 +166,18 @@
   done
 }
 
+# not_ready NAME: true once /readyz answers 503; false on any other answer or none in 5 s.
+not_ready() {
+  local tries=50 code
+  while ((tries-- > 0)); do
+    code="$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://$(field "$1" admin)/readyz")"
+    [[ "$code" == 503 ]] && return 0
+    [[ "$code" == 000 ]] || return 1
+    sleep 0.1
+  done
+  return 1
+}
+
 # wait_ready NAME SECONDS
 wait_ready() {
   local tries=$(($2 * 10))
