--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -1,28 +1,21 @@
 package ledger
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
-// Snapshot returns all that Restore needs. It shares no message that the
-// ledger changes later.
+// Snapshot returns all that Restore needs. It shares its messages with the
+// ledger: encode it before the next call.
 func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot {
 	s := &lilacv1.LedgerSnapshot{
 		NowUnixMs:  l.nowMs,
 		Tombstones: l.tombstones.all(),
 		Current:    l.instances.all(),
 		Gone:       append([]string(nil), l.instances.order...),
+		Entries:    make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
 	}
 	for place := l.order.Front(); place != nil; place = place.Next() {
-		e := place.Value.(*entry).LedgerEntry
-		copied := proto.CloneOf(&lilacv1.LedgerEntry{
-			Team: e.GetTeam(), Key: e.GetKey(), Digest: e.GetDigest(), Instance: e.GetInstance(),
-			Incarnation: e.GetIncarnation(), Attempt: e.GetAttempt(), State: e.GetState(), ClaimedUnixMs: e.GetClaimedUnixMs(),
-		})
-		copied.Answer = e.GetAnswer()
-		s.Entries = append(s.Entries, copied)
+		s.Entries = append(s.Entries, place.Value.(*entry).LedgerEntry)
 	}
 	return s
 }
