--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -33,14 +33,14 @@
 	return fmt.Appendf(nil, "%d", len(j.commands))
 }
 
-func (j *journal) Snapshot() ([]byte, error) {
+func (j *journal) Capture() func() ([]byte, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	b := []byte{1}
 	for _, command := range j.commands {
 		b = append(append(b, command...), 0)
 	}
-	return b, nil
+	return func() ([]byte, error) { return b, nil }
 }
 
 func (j *journal) Restore(data []byte) error {
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -96,14 +96,18 @@
 }
 
 // Snapshot returns the whole state.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
+
+// Capture notes the whole state as it is now, and returns a function that
+// encodes it while further commands are applied.
+func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&lilacv1.MachineSnapshot{
-		Config: m.config.Snapshot(),
-		Ledger: m.ledger.Snapshot(),
-		Leases: m.leases.Snapshot(),
-	})
+	configured, claimed, leased := m.config.Capture(), m.ledger.Capture(), m.leases.Snapshot()
+	return func() ([]byte, error) {
+		s := &lilacv1.MachineSnapshot{Config: configured(), Ledger: claimed(), Leases: leased}
+		return proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	}
 }
 
 // Restore replaces the whole state.
--- a/daemon/state/size_bench_test.go
+++ b/daemon/state/size_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -37,7 +38,7 @@
 }
 
 // BenchmarkSize gives what a state process's machine weighs: memory, the bytes
-// of a snapshot, and how long Snapshot holds up the log.
+// of a snapshot, how long Capture holds up the log, and the encoding beside it.
 func BenchmarkSize(b *testing.B) {
 	for _, c := range []struct{ teams, keys int }{{45000, 10000}, {45000, 50000}, {45000, 100000}, {45000, 200000}} {
 		b.Run(fmt.Sprintf("teams=%d/keys=%d", c.teams, c.keys), func(b *testing.B) {
@@ -47,15 +48,19 @@
 			m := filled(b, c.teams, c.keys)
 			runtime.GC()
 			runtime.ReadMemStats(&after)
-			size := 0
+			size, longest := 0, time.Duration(0)
 			for b.Loop() {
-				data, err := m.Snapshot()
+				begun := time.Now()
+				encode := m.Capture()
+				longest = max(longest, time.Since(begun))
+				data, err := encode()
 				if err != nil {
 					b.Fatal(err)
 				}
 				size = len(data)
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "heap-MB")
+			b.ReportMetric(float64(longest.Microseconds())/1000, "longest-capture-ms")
 			b.ReportMetric(float64(size)/(1<<20), "snapshot-MB")
 		})
 	}
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -24,6 +24,8 @@
 	heartbeat = 100 * time.Millisecond
 	election  = time.Second
 	tick      = heartbeat / 2
+	// maxBackground is the longest delay of work beside the turns.
+	maxBackground = 2 * time.Second
 )
 
 type event struct {
@@ -64,6 +66,8 @@
 	// id is the identity that the process had when it last ran.
 	id  string
 	rng *rand.Rand
+	// later draws the delays of work beside the turns.
+	later *rand.Rand
 }
 
 // profile is a kind of run.
@@ -142,7 +146,7 @@
 	}
 	for i := range count {
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
-		s.nodes = append(s.nodes, &node{sim: s, name: fmt.Sprint("state-", i), disk: newDisk(own), bootstrap: true, rng: own})
+		s.nodes = append(s.nodes, &node{sim: s, name: fmt.Sprint("state-", i), disk: newDisk(own), bootstrap: true, rng: own, later: rand.New(rand.NewPCG(seed, uint64(200+i)))})
 	}
 	for _, n := range s.nodes {
 		s.after(time.Duration(s.rng.IntN(2000))*time.Millisecond, n.start)
@@ -192,7 +196,7 @@
 		runner, err := replica.NewRunner(replica.Options{Name: n.name, Address: n.name, Peers: peers, Bootstrap: n.bootstrap,
 			Heartbeat: heartbeat, Election: election, Folder: n.disk, Machine: n.machine, Transport: n, SnapshotEvery: s.every,
 			SegmentBytes: s.segment, ChunkBytes: 400, AppendBytes: s.profile.appendBytes, Clock: func() time.Duration { return s.now },
-			Random: n.rng.Uint64, Observe: func(a replica.Action) { s.invariants.observe(n, a) }})
+			Random: n.rng.Uint64, Background: n.background, Observe: func(a replica.Action) { s.invariants.observe(n, a) }})
 		if !s.invariants.check(err == nil, "starts after any crash", "%s: %v", n.name, err) {
 			return
 		}
@@ -202,6 +206,25 @@
 	})
 }
 
+// background runs work a while after the turn that wanted it, as a goroutine
+// would: other turns, a kill or a crash in the middle of it come between.
+func (n *node) background(work func()) {
+	runner := n.runner
+	n.sim.after(time.Duration(n.later.Int64N(int64(maxBackground))), func() { n.resume(runner, work) })
+}
+
+// resume runs the work unless the process has ended; a frozen one does it later.
+func (n *node) resume(runner *replica.Runner, work func()) {
+	switch {
+	case n.runner == nil || n.runner != runner:
+	case n.sim.now < n.frozenUntil:
+		n.sim.after(n.frozenUntil-n.sim.now, func() { n.resume(runner, work) })
+	default:
+		n.sim.note("%s ends work beside its turns", n.name)
+		n.guard(work)
+	}
+}
+
 func (n *node) tick(runner *replica.Runner) {
 	if n.runner != runner {
 		return
--- a/process/ledger/entries.go
+++ b/process/ledger/entries.go
@@ -37,6 +37,7 @@
 	if !l.invariant(e.GetState() == lilacv1.ClaimState_CLAIM_STATE_NOT_RUN) {
 		return false
 	}
+	e.fresh()
 	e.Instance, e.Incarnation, e.Attempt = r.GetInstance(), r.GetIncarnation(), r.GetAttempt()
 	e.State = lilacv1.ClaimState_CLAIM_STATE_CLAIMED
 	e.ClaimedUnixMs = l.nowMs
@@ -51,6 +52,7 @@
 		return
 	}
 	l.instances.close(e)
+	e.fresh()
 	e.State = state
 	if state != lilacv1.ClaimState_CLAIM_STATE_RAN || answer == nil {
 		return
@@ -62,9 +64,26 @@
 	l.keepAnswer(e)
 }
 
+// fresh replaces the entry's message by a copy, which may then be changed: a
+// capture that is being encoded shares the old one.
+//
+// It guards against a snapshot that holds the effect of a command after its
+// index: a process that starts from it would apply that command twice and
+// differ from the others. It holds because a message is never changed once its
+// command has returned, only replaced.
+func (e *entry) fresh() {
+	old := e.LedgerEntry
+	e.LedgerEntry = &lilacv1.LedgerEntry{
+		Team: old.GetTeam(), Key: old.GetKey(), Digest: old.GetDigest(),
+		Instance: old.GetInstance(), Incarnation: old.GetIncarnation(), Attempt: old.GetAttempt(),
+		State: old.GetState(), ClaimedUnixMs: old.GetClaimedUnixMs(), Answer: old.GetAnswer(),
+	}
+}
+
 // dropBody keeps the status of the answer without its body. The message is
 // replaced, not changed, since a reply that is being sent may share it.
 func dropBody(e *entry) {
+	e.fresh()
 	e.Answer = &lilacv1.StoredAnswer{Status: e.GetAnswer().GetStatus(), ContentType: e.GetAnswer().GetContentType(), TooLarge: true}
 }
 
@@ -95,6 +114,7 @@
 // endOpenClaims marks claims of a gone incarnation: whether they ran is not known.
 func (l *Ledger) endOpenClaims(open []*entry) {
 	for _, e := range open {
+		e.fresh()
 		e.State = lilacv1.ClaimState_CLAIM_STATE_UNKNOWN
 	}
 }
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -69,7 +69,7 @@
 
 type id struct{ team, key string }
 
-// entry is a remembered request; the fields of the message are only changed here.
+// entry is a remembered request; its message is only changed after fresh.
 type entry struct {
 	*lilacv1.LedgerEntry
 	place       *list.Element
@@ -197,6 +197,7 @@
 func (l *Ledger) again(old *entry, r *lilacv1.ClaimRequest) *lilacv1.ClaimReply {
 	if len(old.GetDigest()) == 0 {
 		// Released before the claim itself arrived; the first body to come counts.
+		old.fresh()
 		old.Digest = r.GetDigest()
 	}
 	if string(old.GetDigest()) != string(r.GetDigest()) {
--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -4,20 +4,27 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
-// Snapshot returns all that Restore needs. It shares its messages with the
-// ledger: encode it before the next call.
-func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot {
+// Snapshot returns all that Restore needs.
+func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot { return l.Capture()() }
+
+// Capture notes the state as it is now and returns a function that makes the
+// snapshot of it. That one is the slow part; any goroutine may call it, once,
+// while the ledger goes on.
+func (l *Ledger) Capture() func() *lilacv1.LedgerSnapshot {
+	shards := l.tombstones.capture()
 	s := &lilacv1.LedgerSnapshot{
-		NowUnixMs:  l.nowMs,
-		Tombstones: l.tombstones.all(),
-		Current:    l.instances.all(),
-		Gone:       append([]string(nil), l.instances.order...),
-		Entries:    make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
+		NowUnixMs: l.nowMs,
+		Current:   l.instances.all(),
+		Gone:      append([]string(nil), l.instances.order...),
+		Entries:   make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
 	}
 	for place := l.order.Front(); place != nil; place = place.Next() {
 		s.Entries = append(s.Entries, place.Value.(*entry).LedgerEntry)
 	}
-	return s
+	return func() *lilacv1.LedgerSnapshot {
+		s.Tombstones = listed(shards)
+		return s
+	}
 }
 
 // Restore replaces the whole state; the limits stay.
--- a/process/ledger/tombstones.go
+++ b/process/ledger/tombstones.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"container/heap"
 	"crypto/sha256"
 	"maps"
@@ -20,11 +21,24 @@
 	return keyHash(sum[:hashBytes])
 }
 
+// shardCount divides the tombstones, so that a capture copies no more than one
+// pointer for each shard, and the first change of a shard after it copies a
+// small map. It is a power of two of at most 16 bits.
+const shardCount = 4096
+
+// shard holds when each key is refused by its own time; 0 means never.
+type shard struct {
+	until map[keyHash]int64
+	// shared shards belong to a capture as well and are copied before a change.
+	shared bool
+}
+
 // tombstones remember keys past their retention. Those of keys that carry a
 // time are dropped when that time alone refuses the key; the others stay.
 type tombstones struct {
-	until map[keyHash]int64
-	timed expiryHeap
+	shards []*shard
+	count  int
+	timed  expiryHeap
 }
 
 type expiry struct {
@@ -44,23 +58,55 @@
 	return last
 }
 
-func newTombstones() *tombstones { return &tombstones{until: make(map[keyHash]int64)} }
+func newTombstones() *tombstones {
+	t := &tombstones{shards: make([]*shard, shardCount)}
+	for i := range t.shards {
+		t.shards[i] = &shard{}
+	}
+	return t
+}
 
-func (t *tombstones) size() int { return len(t.until) }
+func shardOf(hash keyHash) int { return (int(hash[0])<<8 | int(hash[1])) % shardCount }
+
+// owned returns the hash's shard, which may be changed.
+func (t *tombstones) owned(hash keyHash) map[keyHash]int64 {
+	i := shardOf(hash)
+	if t.shards[i].shared || t.shards[i].until == nil {
+		copied := make(map[keyHash]int64, len(t.shards[i].until)+1)
+		maps.Copy(copied, t.shards[i].until)
+		t.shards[i] = &shard{until: copied}
+	}
+	return t.shards[i].until
+}
+
+// capture returns all shards as they are now.
+func (t *tombstones) capture() []*shard {
+	for _, s := range t.shards {
+		s.shared = true
+	}
+	return slices.Clone(t.shards)
+}
+
+func (t *tombstones) size() int { return t.count }
 
 func (t *tombstones) timedSize() int { return len(t.timed) }
 
-func (t *tombstones) untimedSize() int { return len(t.until) - len(t.timed) }
+func (t *tombstones) untimedSize() int { return t.count - len(t.timed) }
 
 func (t *tombstones) has(key id) bool {
-	_, ok := t.until[hashOf(key)]
+	hash := hashOf(key)
+	_, ok := t.shards[shardOf(hash)].until[hash]
 	return ok
 }
 
 func (t *tombstones) add(key id, untilMs int64) { t.addHash(hashOf(key), untilMs) }
 
 func (t *tombstones) addHash(hash keyHash, untilMs int64) {
-	t.until[hash] = untilMs
+	shard := t.owned(hash)
+	if _, known := shard[hash]; !known {
+		t.count++
+	}
+	shard[hash] = untilMs
 	if untilMs != 0 {
 		heap.Push(&t.timed, expiry{untilMs, hash})
 	}
@@ -71,15 +117,24 @@
 		if len(t.timed) == 0 || t.timed[0].untilMs > nowMs {
 			return
 		}
-		delete(t.until, heap.Pop(&t.timed).(expiry).hash)
+		hash := heap.Pop(&t.timed).(expiry).hash
+		shard := t.owned(hash)
+		if _, known := shard[hash]; known {
+			t.count--
+		}
+		delete(shard, hash)
 	}
 }
 
-func (t *tombstones) all() []*lilacv1.LedgerTombstone {
-	hashes := slices.SortedFunc(maps.Keys(t.until), func(a, b keyHash) int { return slices.Compare(a[:], b[:]) })
-	list := make([]*lilacv1.LedgerTombstone, 0, len(hashes))
-	for _, hash := range hashes {
-		list = append(list, &lilacv1.LedgerTombstone{Hash: hash[:], UntilUnixMs: t.until[hash]})
+// listed returns the tombstones of captured shards in order of their hashes, so
+// that equal ledgers give equal snapshots, byte for byte.
+func listed(shards []*shard) []*lilacv1.LedgerTombstone {
+	var list []*lilacv1.LedgerTombstone
+	for _, s := range shards {
+		for hash, until := range s.until {
+			list = append(list, &lilacv1.LedgerTombstone{Hash: hash[:], UntilUnixMs: until})
+		}
 	}
+	slices.SortFunc(list, func(a, b *lilacv1.LedgerTombstone) int { return bytes.Compare(a.GetHash(), b.GetHash()) })
 	return list
 }
--- a/process/replica/loop.go
+++ b/process/replica/loop.go
@@ -1,16 +1,11 @@
 package replica
 
 import (
-	"time"
-
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/wal"
 )
 
-// snapshotRetry is how long a snapshot is put off for want of space.
-const snapshotRetry = 10 * time.Second
-
 // saving is something that must be synced; in order.
 type saving struct {
 	install *Install
@@ -29,6 +24,7 @@
 		actions = r.perform(actions)
 	}
 	r.retry()
+	r.placeSnapshot()
 	r.maybeSnapshot()
 	return r.fatal
 }
@@ -229,44 +225,10 @@
 	r.logger.Info("took the leader's snapshot", "index", install.Meta.GetIndex(), "bytes", install.Meta.GetSize())
 }
 
-// maybeSnapshot bounds the log. It waits while the last snapshot is on its way
-// to a member, up to a point.
-func (r *Runner) maybeSnapshot() {
-	every := r.options.SnapshotEvery
-	grown := r.applied - r.taken
-	if r.fatal != nil || r.full || len(r.pending) > 0 || grown < every || r.options.Clock() < r.snapshotAt || (r.core.Transferring() && grown < 4*every) {
-		return
-	}
-	data, err := r.options.Machine.Snapshot()
-	if err != nil {
-		r.fatal = fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "state can't be put into a snapshot")
-		return
-	}
-	meta := &lilacv1.RaftSnapshotMeta{Index: r.applied, Term: r.core.TermAt(r.applied), Members: r.core.MembersAt(r.applied), Size: uint64(len(data))}
-	// Entries behind the snapshot stay for followers that are a little behind.
-	keep := r.applied - min(r.applied, every/2)
-	if err := r.store.SaveSnapshot(meta, data, keep); err != nil {
-		r.snapshotFailed(err)
-		return
-	}
-	r.taken = r.applied
-	r.metrics.snapshots.Inc()
-	r.core.Step(r.options.Clock(), Compacted{Meta: meta, Keep: keep})
-}
-
-// snapshotFailed puts the snapshot off if the disk is full: the log goes on
-// without it.
-func (r *Runner) snapshotFailed(err error) {
-	if !fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_DISK_FULL) {
-		r.fatal = err
-		return
-	}
-	r.snapshotAt = r.options.Clock() + snapshotRetry
-	r.logger.Error("the disk has no space for a snapshot; the log grows until there is", "folder", r.options.Folder.Path())
-}
-
-// Close fails all that waits and closes the files.
+// Close fails all that waits and closes the files. It waits for a snapshot that
+// is being written, since the folder's next owner may write under its name.
 func (r *Runner) Close() {
+	r.abandonSnapshot()
 	r.failPlaced(unknownOutcome())
 	if err := r.store.Close(); err != nil {
 		r.logger.Warn("data folder was not closed cleanly", "error", err)
--- a/process/replica/node.go
+++ b/process/replica/node.go
@@ -44,6 +44,9 @@
 
 // Open reads the data folder, restores the state machine and starts the node.
 func Open(o Options) (*Node, error) {
+	if o.Background == nil {
+		o.Background = func(work func()) { go work() }
+	}
 	runner, err := NewRunner(o)
 	if err != nil {
 		return nil, err
@@ -55,7 +58,7 @@
 	return n, nil
 }
 
-// run is the node's only goroutine: all proposals that came while the last
+// run is the goroutine that turns the node; only snapshots are written beside it. All proposals that came while the last
 // sync ran share the next one.
 func (n *Node) run() {
 	defer close(n.done)
--- a/process/replica/runner.go
+++ b/process/replica/runner.go
@@ -20,8 +20,9 @@
 type StateMachine interface {
 	// Apply runs a committed command and returns the answer for its proposer.
 	Apply(index uint64, command []byte) []byte
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
+	// Capture notes the whole state as it is now and returns a function that
+	// encodes it; another goroutine calls that one once, while Apply goes on.
+	Capture() (encode func() ([]byte, error))
 	// Restore replaces the whole state.
 	Restore(data []byte) error
 }
@@ -65,6 +66,9 @@
 	// Random draws fresh bits for identities and election timeouts; nil means
 	// the operating system's.
 	Random func() uint64
+	// Background runs work that may take long, such as writing a snapshot, beside
+	// the turns; nil means at once, within the turn.
+	Background func(work func())
 	// Observe is told each action of the core; nil means nobody.
 	Observe func(Action)
 }
@@ -102,8 +106,10 @@
 	pending   []saving
 	full      bool
 	applied   uint64
-	// taken is the index of the last snapshot.
+	// taken is the index of the last snapshot that was placed or installed.
 	taken uint64
+	// writing is the snapshot that is being written; nil if none is.
+	writing *writing
 	// snapshotAt is when a snapshot that failed may be tried again.
 	snapshotAt time.Duration
 	fatal      error
@@ -150,6 +156,9 @@
 		start := time.Now()
 		o.Clock = func() time.Duration { return time.Since(start) }
 	}
+	if o.Background == nil {
+		o.Background = func(work func()) { work() }
+	}
 	if o.Random == nil {
 		o.Random = randomBits
 	}
--- a/process/wal/snapshot.go
+++ b/process/wal/snapshot.go
@@ -19,19 +19,16 @@
 	return fmt.Sprintf("%s%016x-%016x", snapshotPrefix, meta.GetIndex(), meta.GetTerm())
 }
 
-// SaveSnapshot writes a snapshot of the own state machine and removes what it
-// makes superfluous, except segments that hold an entry after keep.
-func (s *Store) SaveSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte, keep uint64) error {
-	if err := s.writeSnapshot(meta, data); err != nil {
-		return err
-	}
-	return s.compact(min(keep, meta.GetIndex()))
-}
-
 // InstallSnapshot writes a snapshot that came from the leader and gives up the
 // log before it.
 func (s *Store) InstallSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
-	if err := s.writeSnapshot(meta, data); err != nil {
+	if s.broken != nil {
+		return s.broken
+	}
+	if err := s.WriteSnapshot(meta, data); err != nil {
+		return err
+	}
+	if err := s.place(meta); err != nil {
 		return err
 	}
 	if err := s.append(&lilacv1.WalRecord{Base: meta}); err != nil {
@@ -40,12 +37,12 @@
 	return s.compact(meta.GetIndex())
 }
 
-// writeSnapshot makes the file whole under a temporary name first: a crash
-// leaves either the old snapshot or the new one, never a torn one.
-func (s *Store) writeSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
-	if s.broken != nil {
-		return s.broken
-	}
+// WriteSnapshot makes the file whole under a temporary name, where a start
+// removes it: a crash leaves either the old snapshot or the new one, never a
+// torn one. It touches nothing else of the Store, so that another goroutine may
+// call it while the log goes on. PlaceSnapshot or DropSnapshot follows; after an
+// error there is no file.
+func (s *Store) WriteSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
 	name := snapshotName(meta)
 	file, err := s.folder.Create(name + tempSuffix)
 	if err != nil {
@@ -61,8 +58,31 @@
 	err = file.Sync()
 	file.Close()
 	if err != nil {
-		return s.syncFailed(err)
+		return fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_INTERNAL, "sync of a snapshot failed; check the disk and restart the process")
 	}
+	return nil
+}
+
+// DropSnapshot removes a written snapshot that is not wanted any more.
+func (s *Store) DropSnapshot(meta *lilacv1.RaftSnapshotMeta) error {
+	return s.folder.Remove(snapshotName(meta) + tempSuffix)
+}
+
+// PlaceSnapshot makes a written snapshot of the own state machine the newest
+// one and removes what it makes superfluous, except segments that hold an entry
+// after keep.
+func (s *Store) PlaceSnapshot(meta *lilacv1.RaftSnapshotMeta, keep uint64) error {
+	if err := s.place(meta); err != nil {
+		return err
+	}
+	return s.compact(min(keep, meta.GetIndex()))
+}
+
+func (s *Store) place(meta *lilacv1.RaftSnapshotMeta) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	name := snapshotName(meta)
 	if err := s.folder.Rename(name+tempSuffix, name); err != nil {
 		return s.failed(err)
 	}
--- a/process/wal/wal_test.go
+++ b/process/wal/wal_test.go
@@ -65,7 +65,7 @@
 	is.Equal(state.Hard.GetVote(), "b")
 
 	meta := &lilacv1.RaftSnapshotMeta{Index: 40, Term: 1, Size: 5}
-	is.NoErr(store.SaveSnapshot(meta, []byte("state"), 30))
+	is.NoErr(saveSnapshot(store, meta, []byte("state"), 30))
 	chunk, err := store.ReadSnapshot(2, 100)
 	is.NoErr(err)
 	is.Equal(string(chunk), "ate")
@@ -138,7 +138,7 @@
 			if strings.HasPrefix(c.file, "snapshot") {
 				store, _, err := open(t, path)
 				is.NoErr(err)
-				is.NoErr(store.SaveSnapshot(&lilacv1.RaftSnapshotMeta{Index: 40, Term: 1, Size: 20}, make([]byte, 20), 40))
+				is.NoErr(saveSnapshot(store, &lilacv1.RaftSnapshotMeta{Index: 40, Term: 1, Size: 20}, make([]byte, 20), 40))
 				is.NoErr(store.Close())
 			}
 			c.damage(t, filepath.Join(path, c.file))
@@ -275,3 +275,11 @@
 		}
 	})
 }
+
+// saveSnapshot writes and places a snapshot of the own state machine.
+func saveSnapshot(s *Store, meta *lilacv1.RaftSnapshotMeta, data []byte, keep uint64) error {
+	if err := s.WriteSnapshot(meta, data); err != nil {
+		return err
+	}
+	return s.PlaceSnapshot(meta, keep)
+}
--- a/version/config/holder.go
+++ b/version/config/holder.go
@@ -149,14 +149,14 @@
 		Servers:     t.servers,
 		Instances:   t.instances,
 		Convictions: t.convictions,
-		Orders:      sortedOrders(t.orders),
+		Orders:      sortOrders(listed(t.orders)),
 		Pools:       t.pools,
 	}
 	if view.Pools != nil {
 		return view
 	}
 	view.Pools = make(map[string][]*lilacv1.Server)
-	for _, server := range sorted(t.servers) {
+	for _, server := range byName(listed(t.servers)) {
 		for _, name := range server.GetServes() {
 			view.Pools[name] = append(view.Pools[name], server)
 		}
--- a/version/config/machine.go
+++ b/version/config/machine.go
@@ -169,8 +169,17 @@
 
 // Snapshot returns all that Restore needs: the configuration, the audit trail
 // and the remembered command ids.
-func (m *Machine) Snapshot() *lilacv1.ConfigSnapshot {
-	return &lilacv1.ConfigSnapshot{Config: m.tables.snapshot(), Audit: m.audit.all(), Refused: m.refused.all()}
+func (m *Machine) Snapshot() *lilacv1.ConfigSnapshot { return m.Capture()() }
+
+// Capture notes the state as it is now and returns a function that makes the
+// snapshot of it. That one is the slow part; any goroutine may call it, once,
+// while the machine goes on: items, revisions and results never change.
+func (m *Machine) Capture() func() *lilacv1.ConfigSnapshot {
+	s := &lilacv1.ConfigSnapshot{Config: m.tables.capture(), Audit: m.audit.all(), Refused: m.refused.all()}
+	return func() *lilacv1.ConfigSnapshot {
+		inOrder(s.GetConfig())
+		return s
+	}
 }
 
 // Restore replaces the whole state.
--- a/version/config/tables.go
+++ b/version/config/tables.go
@@ -72,30 +72,44 @@
 	}
 }
 
-// snapshot lists all items in order of name, so that equal tables give equal
-// snapshots, byte for byte.
-func (t *tables) snapshot() *lilacv1.Snapshot {
+// snapshot lists all items in order of name.
+func (t *tables) snapshot() *lilacv1.Snapshot { return inOrder(t.capture()) }
+
+// capture lists all items in any order, which is quick.
+func (t *tables) capture() *lilacv1.Snapshot {
 	return &lilacv1.Snapshot{
 		Revision:    t.revision,
-		Classes:     sorted(t.classes),
-		Teams:       sorted(t.teams),
-		Servers:     sorted(t.servers),
-		Instances:   sorted(t.instances),
-		Convictions: sorted(t.convictions),
-		Orders:      sortedOrders(t.orders),
+		Classes:     listed(t.classes),
+		Teams:       listed(t.teams),
+		Servers:     listed(t.servers),
+		Instances:   listed(t.instances),
+		Convictions: listed(t.convictions),
+		Orders:      listed(t.orders),
 	}
 }
 
-func sorted[T any](items map[string]T) []T {
-	list := make([]T, 0, len(items))
-	for _, name := range slices.Sorted(maps.Keys(items)) {
-		list = append(list, items[name])
-	}
+func listed[K comparable, T any](items map[K]T) []T {
+	return slices.AppendSeq(make([]T, 0, len(items)), maps.Values(items))
+}
+
+// inOrder sorts a captured snapshot by name, so that equal tables give equal
+// snapshots, byte for byte.
+func inOrder(s *lilacv1.Snapshot) *lilacv1.Snapshot {
+	byName(s.GetClasses())
+	byName(s.GetTeams())
+	byName(s.GetServers())
+	byName(s.GetInstances())
+	slices.SortFunc(s.GetConvictions(), func(a, b *lilacv1.Conviction) int { return cmp.Compare(a.GetDigest(), b.GetDigest()) })
+	sortOrders(s.GetOrders())
+	return s
+}
+
+func byName[T interface{ GetName() string }](list []T) []T {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(a.GetName(), b.GetName()) })
 	return list
 }
 
-func sortedOrders(orders map[orderKey]*lilacv1.ModelOrder) []*lilacv1.ModelOrder {
-	list := slices.Collect(maps.Values(orders))
+func sortOrders(list []*lilacv1.ModelOrder) []*lilacv1.ModelOrder {
 	slices.SortFunc(list, func(a, b *lilacv1.ModelOrder) int {
 		return cmp.Or(
 			cmp.Compare(a.GetServer(), b.GetServer()),
