Dial links in the background; callers wait by their own time

Cause: Client.connect held its mutex over dial and handshake. The handshake has a fixed limit of 3 s and no context, so that a peer that was frozen (the kernel accepts, nobody answers) held up every caller for 3 s, one after another, however little time each of them had left. A caller with a short deadline also left its own timeout behind as the failure of the next 200 ms.

Change: one dial runs in a goroutine with limits of its own and ends with Close; no lock is held meanwhile; callers wait for it or for their context. The unread field peerSeen goes. Weighed: a handshake under the caller's context; ruled out, since the first caller's short deadline would end the dial for all others.

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -29,20 +29,26 @@
 type Client struct {
 	address string
 	id      Identity
-
-	mu       sync.Mutex
-	session  *yamux.Session
-	failed   time.Time
-	failure  error
-	closed   bool
-	peerSeen Peer
+	dialer  func(ctx context.Context, address string) (net.Conn, error)
+	// life ends with Close.
+	life context.Context
+	end  context.CancelFunc
+
+	mu      sync.Mutex
+	session *yamux.Session
+	// dialing is nil if no dial runs.
+	dialing *dialing
+	failed  time.Time
+	failure error
+	closed  bool
 }
 
 var _ Caller = (*Client)(nil)
 
 // NewClient returns a Client for host:port; it dials nothing yet.
 func NewClient(address string, id Identity) *Client {
-	return &Client{address: address, id: id}
+	life, end := context.WithCancel(context.Background())
+	return &Client{address: address, id: id, dialer: dialTCP, life: life, end: end}
 }
 
 // Address returns the host:port that the client calls.
@@ -55,44 +61,87 @@
 	return fault.Wrap(errors.Join(err, sent), lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "no answer from "+address+"; check that the process runs and the network between")
 }
 
-// connect returns the live session. It holds c.mu while it dials, so that one
-// dial serves all calls that wait.
+// dialing is a dial that runs; session and err are set before done is closed.
+type dialing struct {
+	done    chan struct{}
+	session *yamux.Session
+	err     error
+}
+
+// connect returns the live session, or waits for the one dial that serves all
+// calls.
+//
+// It guards against a frozen peer, whose kernel accepts the connection while
+// nobody answers the handshake: every caller would wait for the whole handshake
+// timeout, one after another, and long past its own deadline. It holds because
+// the dial runs in the background with a time limit of its own, no lock is held
+// meanwhile, and each caller waits no longer than its context.
 func (c *Client) connect(ctx context.Context) (*yamux.Session, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closed {
+		c.mu.Unlock()
 		return nil, net.ErrClosed
 	}
 	if c.session != nil && !c.session.IsClosed() {
+		defer c.mu.Unlock()
 		return c.session, nil
 	}
-	if c.failure != nil && time.Since(c.failed) < redialPause {
+	if c.dialing == nil && c.failure != nil && time.Since(c.failed) < redialPause {
+		defer c.mu.Unlock()
 		return nil, c.failure
 	}
-	session, err := c.dial(ctx)
+	if c.dialing == nil {
+		c.dialing = &dialing{done: make(chan struct{})}
+		go c.dial(c.dialing)
+	}
+	d := c.dialing
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.session, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial ends within the limits of dial and handshake, or when the client closes.
+func (c *Client) dial(d *dialing) {
+	session, err := c.establish()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(d.done)
+	c.dialing = nil
+	if err == nil && c.closed {
+		session.Close()
+		err = net.ErrClosed
+	}
 	if err != nil {
-		c.failed, c.failure = time.Now(), err
-		return nil, err
+		c.failed, c.failure, d.err = time.Now(), err, err
+		return
 	}
-	c.session, c.failure = session, nil
-	return session, nil
+	c.session, c.failure, d.session = session, nil, session
 }
 
-func (c *Client) dial(ctx context.Context) (*yamux.Session, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+func (c *Client) establish() (*yamux.Session, error) {
+	conn, err := c.dialer(c.life, c.address)
 	if err != nil {
 		return nil, err
 	}
-	peer, err := handshake(conn, c.id, dialerRole, acceptorRole)
-	if err != nil {
+	// Close ends a handshake that is under way.
+	stop := context.AfterFunc(c.life, func() { conn.Close() })
+	defer stop()
+	if _, err := handshake(conn, c.id, dialerRole, acceptorRole); err != nil {
 		conn.Close()
 		return nil, err
 	}
-	c.peerSeen = peer
 	return yamux.Client(conn, sessionConfig())
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
@@ -156,6 +205,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	c.end()
 	if c.session == nil {
 		return nil
 	}
--- /dev/null
+++ b/connection/link/frozen_test.go
@@ -0,0 +1,96 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// A process is stopped by the operating system: the kernel still accepts its
+// connections, but nobody answers the handshake. A caller that has no time left
+// must be told so although another one, with much time, waits for the handshake.
+func TestCallerWithoutTimePassesOneThatWaits(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	client := NewClient(listener.Addr().String(), Identity{})
+	patient := make(chan error, 1)
+	go func() {
+		_, err := client.Open(context.Background(), "echo", &lilacv1.QueryRequest{})
+		patient <- err
+	}()
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = client.Open(ctx, "echo", &lilacv1.QueryRequest{})
+	is.True(errors.Is(err, context.Canceled))
+	is.True(errors.Is(err, ErrNotSent))
+	is.Equal(len(patient), 0)
+
+	is.NoErr(client.Close())
+	is.True(errors.Is(<-patient, ErrNotSent))
+}
+
+// The same with simulated time: each caller gets its answer at the very end of
+// its own time, all share one dial, and once that has failed the next call after
+// the pause dials again.
+func TestFrozenPeerHoldsNobodyBeyondItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var dials atomic.Int32
+		client := NewClient("frozen:1", Identity{})
+		client.dialer = func(context.Context, string) (net.Conn, error) {
+			dials.Add(1)
+			near, _ := net.Pipe() // Nobody reads the far end.
+			return near, nil
+		}
+		begun := time.Now()
+		waits := make(chan time.Duration)
+		for i := range 10 {
+			limit := time.Duration(i+1) * 100 * time.Millisecond
+			go func() {
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				err := client.Call(ctx, "echo", &lilacv1.QueryRequest{}, &lilacv1.QueryReply{})
+				is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT))
+				waits <- time.Since(begun) - limit
+			}()
+		}
+		for range 10 {
+			is.Equal(<-waits, time.Duration(0))
+		}
+		is.Equal(dials.Load(), int32(1))
+
+		err := client.Call(t.Context(), "echo", &lilacv1.QueryRequest{}, &lilacv1.QueryReply{})
+		is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE))
+		is.Equal(time.Since(begun), handshakeTimeout)
+		// Within the pause the failure is told again without a dial.
+		is.True(client.Call(t.Context(), "echo", &lilacv1.QueryRequest{}, &lilacv1.QueryReply{}) != nil)
+		is.Equal(dials.Load(), int32(1))
+
+		time.Sleep(redialPause)
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := client.Open(t.Context(), "echo", &lilacv1.QueryRequest{})
+			waiting <- err
+		}()
+		synctest.Wait()
+		is.Equal(dials.Load(), int32(2))
+		is.NoErr(client.Close())
+		is.True(errors.Is(<-waiting, ErrNotSent))
+		is.Equal(time.Since(begun), handshakeTimeout+redialPause)
+	})
+}
