Keep cleared suspects cleared, and hold copies of a suspect at once

Causes: two copies at two instances crashed two engines in one moment and each instance tried its own at once; a suspect that ran through its trial was made one again by the peers' old words, and a second neighbour's crash convicted it. Now a trial waits 0.6 s for the others' news after an own crash; copies of a newly told suspect are taken off their servers; a trial on another instance's server is announced 1.1 s before; a cleared request's crashes are forgiven and the clearing is shared.

--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -225,7 +225,7 @@
 		return
 	}
 	k := &call{
-		id: crashingFirst + uint64(n), class: &w.fleet.classes[1], at: w.clock.now, team: 2, instance: n % instanceCount,
+		id: crashingFirst + uint64(len(w.crashing)), class: &w.fleet.classes[1], at: w.clock.now, team: 2, instance: n % instanceCount,
 		prompt: 200, output: 200, digest: "crashing", idempotent: true, crashes: true,
 		prefix: prefixOf(77, 2, 0, 12, 200, 1),
 	}
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -66,6 +66,7 @@
 
 func (c *core) unqueue(r *request) {
 	r.pool.queue.Remove(&r.item)
+	c.release(r)
 	if i := slices.Index(r.pool.quarantine, r); i >= 0 {
 		r.pool.quarantine = slices.Delete(r.pool.quarantine, i, i+1)
 	}
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -39,6 +39,9 @@
 	// trial is true while it runs as a suspect; held is since when it waits as one.
 	trial bool
 	held  time.Time
+	// reserved is the server that was announced for its trial.
+	reserved   *server
+	reservedAt time.Time
 	// ownAt and poolAt are its places in its server's and its pool's lists.
 	ownAt, poolAt int
 }
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -16,6 +16,12 @@
 	// two instances don't begin together.
 	askPause  = 700 * time.Millisecond
 	rankPause = 100 * time.Millisecond
+	// ownPause is the same after a crash of one's own: another copy may have
+	// taken another server down in the same moment, and its news is on the way.
+	ownPause = 600 * time.Millisecond
+	// reserveFor is how long a trial on another instance's server is announced
+	// before it starts: two digests, so that a lost one does no harm.
+	reserveFor = 1100 * time.Millisecond
 	// elsewhereFor is how long a peer's word of a trial counts.
 	elsewhereFor = 1500 * time.Millisecond
 	// ownServersFor is how long a suspect waits for one of the servers that
@@ -52,9 +58,44 @@
 			p.trials = append(p.trials, server)
 		}
 	}
-	if len(suspects) > 0 && c.suspects.Merge(suspects, now) {
+	if len(suspects) == 0 {
+		return
+	}
+	news := c.unknown(suspects)
+	if c.suspects.Merge(suspects, now) {
 		c.stopConvicted(now)
 	}
+	if len(news) > 0 {
+		c.holdCopies(now, news)
+	}
+}
+
+// unknown returns the digests that are no suspects here yet.
+func (c *core) unknown(suspects []*lilacv1.Suspect) map[string]bool {
+	news := make(map[string]bool)
+	for _, s := range suspects {
+		if len(s.GetServers()) > 0 && c.suspects.Get(s.GetDigest()) == nil {
+			news[s.GetDigest()] = true
+		}
+	}
+	return news
+}
+
+// holdCopies takes copies of new suspects off their servers, before they
+// crash those too; they wait for the trial.
+func (c *core) holdCopies(now time.Time, digests map[string]bool) {
+	var ids []ID
+	for id, r := range c.requests {
+		if digests[r.Digest] && c.suspects.Get(r.Digest) != nil && (r.Idempotent || !r.sentEver) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r := c.requests[id]
+		c.stop(now, r)
+		c.enqueue(now, r)
+	}
 }
 
 func (c *core) dropTrials(p *peer) {
@@ -110,54 +151,81 @@
 	if c.mustWait(now, r, e) {
 		return false
 	}
-	s := c.trialServer(now, r, e)
+	s, mine := c.trialServer(now, r, e)
 	if s == nil {
 		return false
 	}
-	e.Trial = s.name
-	s.trial = r.Digest
+	if r.reserved == nil {
+		r.reserved, r.reservedAt = s, now
+		e.Trial = s.name
+		s.trial = r.Digest
+		c.announce()
+	}
+	if !mine && now.Sub(r.reservedAt) < reserveFor {
+		return false
+	}
+	r.reserved = nil
 	r.trial = true
-	c.announce()
 	c.start(now, r, s)
 	return true
 }
 
-// mustWait tells whether another copy of the suspect runs, or may soon. A
-// crash of one's own leaves the first trial to oneself; a suspect that a peer
+// release gives a reserved server back.
+func (c *core) release(r *request) {
+	if r.reserved == nil {
+		return
+	}
+	r.reserved.trial = ""
+	r.reserved = nil
+	if e := c.suspects.Get(r.Digest); e != nil {
+		e.Trial = ""
+	}
+}
+
+// mustWait tells whether another copy of the suspect runs, or may soon. After
+// a crash of one's own the first trial is one's own; a suspect that a peer
 // told of is tried only when no peer tries it.
 func (c *core) mustWait(now time.Time, r *request, e *suspect.Entry) bool {
-	if e.Trial != "" || now.Sub(e.Elsewhere) < elsewhereFor {
+	if e.Trial != "" && r.reserved == nil || now.Sub(e.Elsewhere) < elsewhereFor {
 		return true
 	}
 	if r.failedOn != "" && slices.Contains(e.Servers, r.failedOn) {
-		return false
+		return now.Sub(r.held) < ownPause
 	}
 	rank, _ := c.rank()
 	return now.Sub(r.held) < askPause+time.Duration(rank)*rankPause
 }
 
 // trialServer finds the server for a suspect. Each reachable instance has
-// servers of its own for trials, so that two instances don't put their
-// suspects together before either has told of it.
-func (c *core) trialServer(now time.Time, r *request, e *suspect.Entry) *server {
+// servers of its own for trials, where it may begin at once; on others it
+// must announce itself first. So no two instances put their suspects together
+// before either has told of it.
+func (c *core) trialServer(now time.Time, r *request, e *suspect.Entry) (best *server, mine bool) {
 	rank, of := c.rank()
-	var best *server
-	for i, s := range r.pool.servers {
-		if s.barred(now) || s.trial != "" || s.peerTrials > 0 || slices.Contains(e.Servers, s.name) {
-			continue
+	if s := r.reserved; s != nil {
+		if c.mayTry(now, s, e, r.Digest) {
+			return s, slices.Index(r.pool.servers, s)%of == rank
 		}
-		mine := i%of == rank
-		if !mine && now.Sub(r.held) < ownServersFor+time.Duration(rank)*rankPause {
+		c.release(r)
+	}
+	for i, s := range r.pool.servers {
+		if !c.mayTry(now, s, e, "") || s.load() >= float64(s.slots) {
 			continue
 		}
-		if s.load() >= float64(s.slots) {
+		own := i%of == rank
+		if !own && (mine || now.Sub(r.held) < ownServersFor+time.Duration(rank)*rankPause) {
 			continue
 		}
-		if best == nil || s.load() < best.load() {
-			best = s
+		if best == nil || own && !mine || s.load() < best.load() {
+			best, mine = s, own
 		}
 	}
-	return best
+	return best, mine
+}
+
+// mayTry tells whether no other suspect holds the server, and whether it is up.
+func (c *core) mayTry(now time.Time, s *server, e *suspect.Entry, holder string) bool {
+	return !s.barred(now) && s.trial == holder && s.peerTrials == 0 && !slices.Contains(e.Servers, s.name)
 }
 
 func (c *core) endTrial(now time.Time, r *request, s *server) {
@@ -175,5 +243,5 @@
 // clearSuspect ends the trial of a request that ran past the place of the crash.
 func (c *core) clearSuspect(now time.Time, r *request) {
 	c.endTrial(now, r, r.server)
-	c.suspects.Cleared(r.Digest)
+	c.suspects.Cleared(r.Digest, now)
 }
--- a/request/suspect/table.go
+++ b/request/suspect/table.go
@@ -38,6 +38,9 @@
 	Elsewhere time.Time
 	// Told is true once this instance asked for the conviction.
 	Told bool
+	// forgiven are crashes that a later run cleared the request of. Peers go on
+	// telling of them for a while; they must not count again.
+	forgiven []string
 }
 
 // Convicted tells whether the request must not run again.
@@ -52,8 +55,14 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: make(map[string]*Entry)} }
 
-// Get returns the entry of a digest, or nil.
-func (t *Table) Get(digest string) *Entry { return t.entries[digest] }
+// Get returns the entry of a digest that is suspected now, or nil.
+func (t *Table) Get(digest string) *Entry {
+	e := t.entries[digest]
+	if e == nil || len(e.Servers) == 0 {
+		return nil
+	}
+	return e
+}
 
 // Len returns the number of suspects.
 func (t *Table) Len() int { return len(t.entries) }
@@ -77,7 +86,7 @@
 func (t *Table) Crashed(digest, team, server string, now time.Time) bool {
 	e := t.entry(digest, team)
 	at, known := slices.BinarySearch(e.Servers, server)
-	if known {
+	if known || slices.Contains(e.forgiven, server) {
 		return false
 	}
 	e.Servers = slices.Insert(e.Servers, at, server)
@@ -85,26 +94,31 @@
 	return true
 }
 
-// Cleared drops the suspicion: the request ran past the place of the crash.
-func (t *Table) Cleared(digest string) {
-	if t.entries[digest] == nil {
+// Cleared ends the suspicion: the request ran past the place of the crash, or
+// the operators lifted its conviction. The crashes so far are forgiven.
+func (t *Table) Cleared(digest string, now time.Time) {
+	e := t.Get(digest)
+	if e == nil {
 		return
 	}
-	delete(t.entries, digest)
-	if at := slices.Index(t.order, digest); at >= 0 {
-		t.order = slices.Delete(t.order, at, at+1)
-	}
+	e.forgiven = append(e.forgiven, e.Servers...)
+	e.Servers, e.Trial, e.Told = nil, "", false
+	e.Learned = now
 }
 
 // Merge takes in a peer's suspects; it returns true where one is convicted by it.
 func (t *Table) Merge(suspects []*lilacv1.Suspect, now time.Time) bool {
 	convicted := false
 	for _, s := range suspects {
+		if len(s.GetServers()) == 0 {
+			t.Cleared(s.GetDigest(), now)
+			continue
+		}
 		before := t.entries[s.GetDigest()].Convicted()
 		for _, server := range s.GetServers() {
 			t.Crashed(s.GetDigest(), s.GetTeam(), server, now)
 		}
-		e := t.entries[s.GetDigest()]
+		e := t.Get(s.GetDigest())
 		if e != nil && s.GetTrial() != "" {
 			e.Elsewhere = now
 		}
@@ -126,7 +140,8 @@
 	t.order = kept
 }
 
-// Share returns what the other instances should know: recent suspicions.
+// Share returns what the other instances should know: recent suspicions, and
+// without servers those that were cleared.
 func (t *Table) Share(now time.Time) []*lilacv1.Suspect {
 	var all []*lilacv1.Suspect
 	for _, digest := range t.order {
--- a/request/suspect/table_test.go
+++ b/request/suspect/table_test.go
@@ -23,6 +23,23 @@
 	is.True(!a.Merge(b.Share(epoch), epoch)) // no news
 }
 
+// An innocent request ran through its trial, but the others still tell of the
+// crash that it was in. The old word must not make it a suspect again, or a
+// second chance neighbour's crash would convict it.
+func TestClearedStaysCleared(t *testing.T) {
+	is := is.New(t)
+	a, b := NewTable(), NewTable()
+	a.Crashed("d", "t", "r1", epoch)
+	b.Merge(a.Share(epoch), epoch)
+	a.Cleared("d", epoch)
+	a.Merge(b.Share(epoch), epoch)
+	is.True(a.Get("d") == nil)
+	b.Merge(a.Share(epoch), epoch)
+	is.True(b.Get("d") == nil)
+	is.True(a.Crashed("d", "t", "r2", epoch)) // a new crash counts
+	is.True(!a.Get("d").Convicted())
+}
+
 func TestTrialsElsewhereAndExpiry(t *testing.T) {
 	is := is.New(t)
 	a := NewTable()
