Take a running copy of a new suspect as its trial

A copy that runs is the trial now: it ends with a clearing or with the second crash. Weighed: to remember stopped attempts for some seconds, ruled out, since an instance without requests on the server does not hear of its crash.

--- a/internal/bench/proof_test.go
+++ b/internal/bench/proof_test.go
@@ -161,7 +161,7 @@
 // Without a shared suspicion each send takes another engine down.
 func TestCrashingRequestCostsTwoServersAtMost(t *testing.T) {
 	t.Parallel()
-	for _, seed := range append(seeds, 5, 6, 7, 8) {
+	for _, seed := range append(seeds, 5, 6, 7, 8, 16, 24, 34) {
 		f := proofFleet("alerts", 60*time.Second)
 		s := &scenario{name: "proof-crashing", length: 25 * time.Second, load: 0.6, reportLag: steadyLag, digestLoss: 0.1}
 		s.faults = func(w *world) {
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -81,20 +81,29 @@
 	return news
 }
 
-// holdCopies takes copies of new suspects off their servers, before they
-// crash those too; they wait for the trial.
+// holdCopies looks after copies of new suspects: what waits goes to the
+// quarantine; what runs is its trial from now on. It isn't stopped: if it took
+// its server down while the order was on its way, nobody would know whose
+// doing that was, and the next trial would cost one more.
 func (c *core) holdCopies(now time.Time, digests map[string]bool) {
 	var ids []ID
 	for id, r := range c.requests {
-		if digests[r.Digest] && c.suspects.Get(r.Digest) != nil && (r.Idempotent || !r.sentEver) {
+		if digests[r.Digest] && c.suspects.Get(r.Digest) != nil {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
 		r := c.requests[id]
-		c.stop(now, r)
-		c.enqueue(now, r)
+		if r.server == nil {
+			c.unqueue(r)
+			c.enqueue(now, r)
+			continue
+		}
+		r.trial = true
+		r.server.trial = r.Digest
+		c.suspects.Get(r.Digest).Trial = r.server.name
+		c.announce()
 	}
 }
 
@@ -234,7 +243,7 @@
 	}
 	r.trial = false
 	s.trial = ""
-	if e := c.suspects.Get(r.Digest); e != nil {
+	if e := c.suspects.Get(r.Digest); e != nil && e.Trial == s.name {
 		e.Trial = ""
 	}
 	r.pool.dirty = true
