--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -36,10 +36,6 @@
 
 // run carries the request until its answer, its refusal or its caller's end.
 func (r *Relay) run(ctx context.Context, f *flight, arrival policy.Arrival, j job) error {
-	if err := r.enter(f); err != nil {
-		return err
-	}
-	defer r.leave(f)
 	defer func() { r.release(f.held) }()
 	arrival.ID = f.id
 	r.Post(arrival)
@@ -108,7 +104,9 @@
 		r.Post(policy.Failed{ID: f.id, Attempt: start.Attempt})
 		return false, nil
 	}
-	attemptCtx, cancel := context.WithCancelCause(f.lifeOf(ctx))
+	life, endLife := f.lifeOf(ctx)
+	defer endLife()
+	attemptCtx, cancel := context.WithCancelCause(life)
 	defer cancel(nil)
 	if !f.begin(start, cancel) {
 		return false, nil
