Keep what a class's share serves in time out of shedding

Digests of the Agence that missed their target in the burst had been shed as the lowest tier for the officers' queue, though their share would have served them in time. A request is kept from shedding now where its class's share serves it and all of its class before it by the target; before, one of each class was, and only of a tier that was cut off.

--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -114,6 +114,7 @@
 		Weight: weight, Cost: cost, Arrived: now,
 	}
 	r.item.Due = now.Add(r.first() - r.pool.expectFirst(r))
+	r.item.Kept = r.pool.withinShare(r)
 }
 
 // expectFirst is the time to the first token that is kept free of waiting.
--- a/request/policy/overload.go
+++ b/request/policy/overload.go
@@ -41,16 +41,13 @@
 }
 
 // cutOff refuses an arrival of a tier that is cut off, so that all instances
-// may shed more urgent ones. One request of each class is kept all the same:
-// it runs by the class's guaranteed share, which delays others but takes the
-// place of none, since the queue's bound does not count that share.
+// may shed more urgent ones, unless it is within its class's share.
 func (c *core) cutOff(now time.Time, r *request) bool {
 	p, tier := r.pool, r.tier()
 	if p.tiers.Admits(tier) {
 		return false
 	}
-	if p.queue.ClassLen(r.Class) == 0 {
-		r.item.Kept = true
+	if r.item.Kept {
 		return false
 	}
 	if p.queue.LowestTier() > tier || !p.tiers.MayShed(tier, now) {
@@ -61,6 +58,16 @@
 	return true
 }
 
+// withinShare tells whether the class's guaranteed share serves the request
+// by its target, with all of the class that waits here before it; one request
+// is within in any case. Such a request is not shed for load: it delays others
+// but takes the place of none.
+func (p *pool) withinShare(r *request) bool {
+	waiting := float64(p.queue.ClassLen(r.Class))
+	served := shareOf(r.class) * p.rate * r.first().Seconds()
+	return waiting < 1 || (waiting+1)*r.item.Cost <= served
+}
+
 // relieve sheds while the queue takes longer than maxWait: the lowest tier
 // that waits, and only as far as all instances have cut the lower ones off.
 func (c *core) relieve(now time.Time, p *pool) {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -35,8 +35,8 @@
 	Late bool
 	// Begun answers are never given up for load: their tokens would be wasted.
 	Begun bool
-	// Kept requests of a tier that is cut off stand for its class's guaranteed
-	// share and are not given up for more urgent tiers.
+	// Kept requests are within their class's guaranteed share and are not
+	// given up for more urgent tiers.
 	Kept bool
 
 	index   int
