Check the invariant on suspects at each start

The invariant named suspects stood in the list but nothing evaluated it. Each start now counts a violation where the request is convicted, or is a trial on a server that is held or announced for another suspect.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -81,6 +81,7 @@
 		return
 	}
 	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
+	c.check(InvariantSuspects, !c.suspects.Get(r.Digest).Convicted() && (!r.trial || s.trial == r.Digest && s.peerTrials == 0))
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
 	r.attempt++
 	r.server = s
