Weigh real idle processes; wake an idle entry ten times a second, not a hundred

Ruled out: the tick's own work (policy.Step is 20 of 180 ms in the profile). Now the tick is 100 ms while no request is here, and 10 ms from the first event on.

--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -69,10 +69,15 @@
 	return taken
 }
 
+// idleInterval is the time between two ticks while no request is here. It
+// spares an idle instance nine of ten wake-ups.
+const idleInterval = 100 * time.Millisecond
+
 // Run owns the core until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	ticker := time.NewTicker(policy.TickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(policy.TickInterval)
+	defer timer.Stop()
+	idle := false
 	var events []policy.Event
 	var questions []question
 	var grown []*flight
@@ -90,7 +95,11 @@
 				q(r.Core, time.Now())
 				questions[i] = nil
 			}
-		case now := <-ticker.C:
+			if idle && !r.empty() {
+				idle = false
+				timer.Reset(policy.TickInterval)
+			}
+		case now := <-timer.C:
 			grown = r.box.takeGrown(grown)
 			for i, f := range grown {
 				if event, ok := f.takeTokens(); ok {
@@ -100,10 +109,26 @@
 			}
 			r.step(policy.Tick{})
 			r.stopStalled(now)
+			idle = r.empty()
+			timer.Reset(tickAfter(idle))
 		}
 	}
 }
 
+func tickAfter(idle bool) time.Duration {
+	if idle {
+		return idleInterval
+	}
+	return policy.TickInterval
+}
+
+// empty tells whether no request is here.
+func (r *Relay) empty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.flights) == 0
+}
+
 func (r *Relay) step(event policy.Event) {
 	actions := r.Core.Step(time.Now(), event)
 	for i, action := range actions {
