Test the tree of digests over real links through the loss of a relay

Cause: the tree of member.Core was proved in simulation only; over connection/link there were tests of three entries, below the limit from which a tree forms.

Test: 24 entries in three data centres on loopback connections with the shared key. Each entry must hold the exact combination of all others (cutoffs held back at one leaf and admitted at another data centre's, each spend once); the relay of one data centre is killed, and all 23 must come to the exact combination without it; then only an entry that is no relay reads in the list that a server leaves, and all must know. No assert on time; a broken rule shows as a wait without end.

gossip.Options.Now is new, nil means time.Now: the test's clocks run four times as fast.

Tests changed: start of gossip_test is now startIn with one data centre and the real clock; nothing is asked less.

--- a/connection/gossip/gossip.go
+++ b/connection/gossip/gossip.go
@@ -50,6 +50,8 @@
 	OnServer func(server string, leaving bool)
 	// OnLive is given the other entries that are taken for alive. May be nil.
 	OnLive func([]settings.Peer)
+	// Now is the clock by which digests are exchanged and grow old; nil means time.Now.
+	Now func() time.Time
 	// Logger gets a line for each entry that goes, comes or leaves; may be nil.
 	Logger hclog.Logger
 }
@@ -97,6 +99,9 @@
 	if o.OnLive == nil {
 		o.OnLive = func([]settings.Peer) {}
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
@@ -142,7 +147,7 @@
 	defer g.mu.Unlock()
 	g.stats.Bytes += uint64(proto.Size(d))
 	g.step(member.Received{From: peer.Process, Digest: d})
-	reply := &lilacv1.DigestReply{Digest: g.core.Reply(time.Now(), peer.Process)}
+	reply := &lilacv1.DigestReply{Digest: g.core.Reply(g.options.Now(), peer.Process)}
 	g.stats.Bytes += uint64(proto.Size(reply))
 	return reply, nil
 }
@@ -202,7 +207,7 @@
 
 // step runs the core and does what it says; g.mu is held.
 func (g *Gossip) step(event member.Event) {
-	for _, action := range g.core.Step(time.Now(), event) {
+	for _, action := range g.core.Step(g.options.Now(), event) {
 		switch a := action.(type) {
 		case member.Exchange:
 			g.exchange(a)
--- a/connection/gossip/gossip_test.go
+++ b/connection/gossip/gossip_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -25,13 +27,21 @@
 	peer   settings.Peer
 	gossip *Gossip
 	// news gets a line for each callback.
-	news   chan string
+	news chan string
+	// others is the last combined digest of all others.
+	others atomic.Pointer[lilacv1.Digest]
 	server *link.Server
 	stop   context.CancelFunc
 }
 
-// start starts n entries that know each other, of which the first reads the list.
+// start starts n entries of one data centre that know each other, of which the
+// first reads the list.
 func start(t *testing.T, n int, list string, own func(i int) *lilacv1.Digest) []*node {
+	return startIn(t, []string{"dakar-a"}, time.Now, n, list, own)
+}
+
+// startIn spreads the entries over the data centres in turn; now is their clock.
+func startIn(t *testing.T, dataCenters []string, now func() time.Time, n int, list string, own func(i int) *lilacv1.Digest) []*node {
 	var all []*node
 	var peers []settings.Peer
 	var listeners []net.Listener
@@ -39,15 +49,20 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.New(t).NoErr(err)
 		listeners = append(listeners, listener)
-		peers = append(peers, settings.Peer{Name: fmt.Sprint("entry-", i), Address: settings.Address{Value: listener.Addr().String()}, DataCenter: "dakar-a"})
+		peers = append(peers, settings.Peer{Name: fmt.Sprint("entry-", i), Address: settings.Address{Value: listener.Addr().String()}, DataCenter: dataCenters[i%len(dataCenters)]})
 	}
 	for i, peer := range peers {
 		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
 		x := &node{peer: peer, news: make(chan string, 1000)}
 		o := Options{
 			Self:    member.Peer{Name: peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter},
-			Entries: peers, Dial: dialer(t, id), Own: func() *lilacv1.Digest { return own(i) },
-			OnDigest: func(d *lilacv1.Digest) { x.tell("digest %s", d.GetInstance()) },
+			Entries: peers, Dial: dialer(t, id), Own: func() *lilacv1.Digest { return own(i) }, Now: now,
+			OnDigest: func(d *lilacv1.Digest) {
+				if d.GetInstance() == member.Others {
+					x.others.Store(d)
+				}
+				x.tell("digest %s", d.GetInstance())
+			},
 			OnGone:   func(name string) { x.tell("gone %s", name) },
 			OnServer: func(name string, leaving bool) { x.tell("server %s %v", name, leaving) },
 			OnLive:   func(live []settings.Peer) { x.tell("live %d", len(live)) },
