--- /dev/null
+++ b/internal/proof/takeover_test.go
@@ -0,0 +1,103 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/process/replica"
+)
+
+// quiet runs have no faults but those that a test makes.
+var quiet = profile{name: "quiet", slow: 30 * time.Millisecond, appendBytes: 1 << 20}
+
+// newQuiet returns a run that has settled under a leader.
+func newQuiet(seed uint64, nodes int) *sim {
+	p := quiet
+	p.nodes = nodes
+	s := newSim(p, seed, nil)
+	s.loss, s.dup, s.every = 0, 0, 1000
+	s.run(time.Minute, s.settled)
+	return s
+}
+
+// accepted lets time pass until a proposal is accepted, tried each 10 ms.
+func (s *sim) accepted() time.Duration {
+	begun, done := s.now, false
+	var try func()
+	try = func() {
+		if leader := s.leader(); leader != nil && !done {
+			leader.turn(replica.Ask{Event: replica.Propose{Command: []byte{}}, Reply: func(o replica.Outcome) { done = done || o.Err == nil }})
+		}
+		s.after(10*time.Millisecond, try)
+	}
+	try()
+	s.run(s.now+time.Minute, func() bool { return done })
+	return s.now - begun
+}
+
+// A voter that was cut off for ten seconds comes back. The leader that all
+// others hear must stay, in its term, and accept statements without a pause.
+func TestHealedVoterLeavesTheLeaderAlone(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(1); seed <= 10; seed++ {
+		s := newQuiet(seed, 3)
+		leader := s.leader()
+		term := leader.runner.Status().Term
+		for _, n := range s.nodes {
+			if n != leader {
+				s.cutLinks([]string{n.name + ">" + leader.name, leader.name + ">" + n.name, n.name + ">" + s.other(n, leader).name, s.other(n, leader).name + ">" + n.name})
+				break
+			}
+		}
+		s.run(s.now+10*time.Second, func() bool { return false })
+		clear(s.cut)
+		s.run(s.now+10*time.Second, func() bool { return false })
+		is.Equal(s.leader(), leader)
+		is.Equal(leader.runner.Status().Term, term)
+		is.True(s.accepted() < 200*time.Millisecond)
+	}
+}
+
+func (s *sim) other(a, b *node) *node {
+	for _, n := range s.nodes {
+		if n != a && n != b {
+			return n
+		}
+	}
+	return nil
+}
+
+// BenchmarkTimeWithoutLeader gives the simulated time from the end of a leader
+// to the next accepted proposal, with the settings' default timeouts and up to
+// 36 ms from process to process.
+func BenchmarkTimeWithoutLeader(b *testing.B) {
+	ends := map[string]func(s *sim, n *node){
+		"killed": func(_ *sim, n *node) { n.kill() },
+		"frozen": func(_ *sim, n *node) { n.freeze(20 * time.Second) },
+		"cutoff": func(s *sim, n *node) { s.cutOff(n, true, true) },
+		"handed": func(s *sim, n *node) {
+			n.turn(replica.Ask{Event: replica.HandOver{}})
+			s.after(election, n.kill)
+		},
+	}
+	for _, nodes := range []int{3, 5, 7} {
+		for _, how := range []string{"killed", "frozen", "cutoff", "handed"} {
+			b.Run(fmt.Sprintf("voters=%d/%s", nodes, how), func(b *testing.B) {
+				var times []time.Duration
+				for seed := range b.N {
+					s := newQuiet(uint64(seed+1), nodes)
+					ends[how](s, s.leader())
+					times = append(times, s.accepted())
+				}
+				slices.Sort(times)
+				b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "p50-ms")
+				b.ReportMetric(float64(times[len(times)*99/100].Milliseconds()), "p99-ms")
+				b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
+			})
+		}
+	}
+}
--- a/process/replica/conclude.go
+++ b/process/replica/conclude.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -48,6 +49,7 @@
 			result = r.options.Machine.Apply(entry.GetIndex(), entry.GetData())
 		}
 		r.applied = entry.GetIndex()
+		r.grownBytes += len(entry.GetData())
 		p, ok := r.byIndex[entry.GetIndex()]
 		if !ok {
 			continue
@@ -97,6 +99,8 @@
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_DISK_FULL, "the state process's disk is full; free space in its data folder", notRun, election)
 	case HandingOver:
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "the leader is handing over; come back shortly", notRun, soon)
+	case TooLarge:
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, fmt.Sprintf("the change has more than %d bytes; split it", maxCommand), notRun)
 	case Busy:
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, "too many changes wait for the quorum; come back later", notRun, election)
 	default:
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -20,6 +20,8 @@
 const (
 	// defaultAppendBytes bounds the entries of one message, in bytes.
 	defaultAppendBytes = 1 << 20
+	// maxCommand is the largest command, in bytes: its entry must fit a message.
+	maxCommand = 2 << 20
 	// maxInFlight bounds the messages with entries that wait for one follower.
 	maxInFlight = 32
 	// maxUncommitted bounds the entries that wait for the quorum.
--- a/process/replica/event.go
+++ b/process/replica/event.go
@@ -125,6 +125,8 @@
 	Busy
 	// InvalidChange means that the step can't be made now.
 	InvalidChange
+	// TooLarge means that the command is above maxCommand.
+	TooLarge
 	// HandingOver means that the leader is giving its office away.
 	HandingOver
 )
--- a/process/replica/lead.go
+++ b/process/replica/lead.go
@@ -148,6 +148,9 @@
 	switch {
 	case c.role != Leader:
 		c.refuse(e.Ticket)
+	case len(e.Command) > maxCommand:
+		// Its entry would fit no message, and all after it would wait for ever.
+		c.emit(Refused{Ticket: e.Ticket, Reason: TooLarge})
 	case c.lead.handTo != "":
 		c.emit(Refused{Ticket: e.Ticket, Reason: HandingOver})
 	case c.diskFull:
--- a/process/replica/loop.go
+++ b/process/replica/loop.go
@@ -217,7 +217,7 @@
 
 func (r *Runner) restoreFrom(install Install) {
 	r.failPlaced(unknownOutcome())
-	r.applied, r.taken = install.Meta.GetIndex(), install.Meta.GetIndex()
+	r.applied, r.taken, r.grownBytes = install.Meta.GetIndex(), install.Meta.GetIndex(), 0
 	if install.Meta.GetSize() == 0 {
 		return
 	}
@@ -229,12 +229,19 @@
 	r.logger.Info("took the leader's snapshot", "index", install.Meta.GetIndex(), "bytes", install.Meta.GetSize())
 }
 
-// maybeSnapshot bounds the log. It waits while the last snapshot is on its way
-// to a member, up to a point.
+// grown tells whether so much was applied since the last snapshot that the next
+// is due. It is put off while one is on its way to a member, up to a point.
+func (r *Runner) grown() bool {
+	entries, bytes := r.applied-r.taken, r.grownBytes
+	if r.core.Transferring() {
+		entries, bytes = entries/4, bytes/4
+	}
+	return entries >= r.options.SnapshotEvery || bytes >= snapshotBytes
+}
+
+// maybeSnapshot bounds the log.
 func (r *Runner) maybeSnapshot() {
-	every := r.options.SnapshotEvery
-	grown := r.applied - r.taken
-	if r.fatal != nil || r.full || len(r.pending) > 0 || grown < every || r.options.Clock() < r.snapshotAt || (r.core.Transferring() && grown < 4*every) {
+	if r.fatal != nil || r.full || len(r.pending) > 0 || r.options.Clock() < r.snapshotAt || !r.grown() {
 		return
 	}
 	data, err := r.options.Machine.Snapshot()
@@ -244,12 +251,12 @@
 	}
 	meta := &lilacv1.RaftSnapshotMeta{Index: r.applied, Term: r.core.TermAt(r.applied), Members: r.core.MembersAt(r.applied), Size: uint64(len(data))}
 	// Entries behind the snapshot stay for followers that are a little behind.
-	keep := r.applied - min(r.applied, every/2)
+	keep := r.applied - (r.applied-r.taken)/2
 	if err := r.store.SaveSnapshot(meta, data, keep); err != nil {
 		r.snapshotFailed(err)
 		return
 	}
-	r.taken = r.applied
+	r.taken, r.grownBytes = r.applied, 0
 	r.metrics.snapshots.Inc()
 	r.core.Step(r.options.Clock(), Compacted{Meta: meta, Keep: keep})
 }
--- a/process/replica/runner.go
+++ b/process/replica/runner.go
@@ -12,8 +12,13 @@
 	"github.com/lilacbridge/lilacbridge/process/wal"
 )
 
-// defaultSnapshotEvery is the number of entries between two snapshots.
-const defaultSnapshotEvery = 20000
+const (
+	// defaultSnapshotEvery is the number of entries between two snapshots.
+	defaultSnapshotEvery = 20000
+	// snapshotBytes is the data of entries after which a snapshot is made in
+	// any case: they are held in memory until then.
+	snapshotBytes = 16 << 20
+)
 
 // StateMachine is what the log is for. One goroutine calls it. Apply must give
 // the same result on every process.
@@ -102,8 +107,9 @@
 	pending   []saving
 	full      bool
 	applied   uint64
-	// taken is the index of the last snapshot.
-	taken uint64
+	// taken is the index of the last snapshot, grownBytes the data applied since.
+	taken      uint64
+	grownBytes int
 	// snapshotAt is when a snapshot that failed may be tried again.
 	snapshotAt time.Duration
 	fatal      error
--- a/process/wal/snapshot.go
+++ b/process/wal/snapshot.go
@@ -13,6 +13,8 @@
 const (
 	snapshotPrefix = "snapshot-"
 	tempSuffix     = ".tmp"
+	// snapshotPart is the state machine's data in one record, in bytes.
+	snapshotPart = 4 << 20
 )
 
 func snapshotName(meta *lilacv1.RaftSnapshotMeta) string {
@@ -51,9 +53,7 @@
 	if err != nil {
 		return s.failed(err)
 	}
-	head := appendRecord(nil, 0, marshal(meta))
-	b := append(head, appendRecord(nil, int64(len(head)), append([]byte{0}, data...))...)
-	if _, err := file.Write(b); err != nil {
+	if err := writeParts(file, meta, data); err != nil {
 		file.Close()
 		_ = s.folder.Remove(name + tempSuffix)
 		return s.failed(err)
@@ -77,6 +77,24 @@
 	return nil
 }
 
+// writeParts writes the description and then the data in records of bounded size.
+func writeParts(file File, meta *lilacv1.RaftSnapshotMeta, data []byte) error {
+	record := appendRecord(nil, 0, marshal(meta))
+	offset := int64(0)
+	for {
+		if _, err := file.Write(record); err != nil {
+			return err
+		}
+		if len(data) == 0 {
+			return nil
+		}
+		offset += int64(len(record))
+		n := min(len(data), snapshotPart)
+		record = appendRecord(record[:0], offset, data[:n])
+		data = data[n:]
+	}
+}
+
 // compact removes the oldest segments whose entries all lie at or before index.
 func (s *Store) compact(index uint64) error {
 	for len(s.segments) > 1 && s.segments[0].last <= index {
@@ -93,9 +111,11 @@
 
 // ReadSnapshot returns up to n bytes of the newest snapshot's data from offset.
 func (s *Store) ReadSnapshot(offset uint64, n int) ([]byte, error) {
-	start := headerSize + len(marshal(s.snapshot)) + headerSize + 1
-	n = min(n, int(s.snapshot.GetSize()-offset))
-	return s.folder.ReadAt(snapshotName(s.snapshot), int64(start)+int64(offset), n)
+	within := offset % snapshotPart
+	n = min(n, int(s.snapshot.GetSize()-offset), int(snapshotPart-within))
+	start := headerSize + uint64(len(marshal(s.snapshot)))
+	start += offset / snapshotPart * (headerSize + snapshotPart)
+	return s.folder.ReadAt(snapshotName(s.snapshot), int64(start+headerSize+within), n)
 }
 
 func readSnapshot(folder Folder, name string) (*lilacv1.RaftSnapshotMeta, []byte, error) {
@@ -113,11 +133,16 @@
 		return nil, nil, damaged(folder, name, 0, "the snapshot's description is damaged")
 	}
 	offset := headerSize + len(head)
-	data := recordAt(b, offset)
-	if data == nil || uint64(len(data)) != meta.GetSize()+1 {
-		return nil, nil, damaged(folder, name, int64(offset), "the snapshot's data is damaged")
+	data := make([]byte, 0, meta.GetSize())
+	for uint64(len(data)) < meta.GetSize() {
+		part := recordAt(b, offset)
+		if part == nil {
+			return nil, nil, damaged(folder, name, int64(offset), "the snapshot's data is damaged")
+		}
+		data = append(data, part...)
+		offset += headerSize + len(part)
 	}
-	return meta, data[1:], nil
+	return meta, data, nil
 }
 
 // Report describes a data folder to operators.
--- a/process/wal/store.go
+++ b/process/wal/store.go
@@ -11,8 +11,13 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 )
 
-// defaultSegmentBytes is when a new segment is begun.
-const defaultSegmentBytes = 8 << 20
+const (
+	// defaultSegmentBytes is when a new segment is begun.
+	defaultSegmentBytes = 8 << 20
+	// recordBytes is the data of entries above which a batch is split; far
+	// below maxRecord, which no reader accepts.
+	recordBytes = 8 << 20
+)
 
 // Options bound the files.
 type Options struct {
@@ -36,7 +41,7 @@
 	CutFile string
 }
 
-// Batch is what one Save writes and syncs as a whole.
+// Batch is what one Save writes and syncs.
 type Batch struct {
 	// Hard is nil if it did not change.
 	Hard *lilacv1.RaftHardState
@@ -130,13 +135,24 @@
 	return s.append(&lilacv1.WalRecord{Base: r.state.Snapshot})
 }
 
-// Save writes and syncs the batch. After DISK_FULL the files are as before and
-// the same batch may be saved again; after any other error the process must end.
+// Save writes and syncs the batch, as one record unless it is very large. After
+// DISK_FULL the same batch may be saved again; after any other error the
+// process must end.
 func (s *Store) Save(b Batch) error {
 	if b.Hard == nil && len(b.Entries) == 0 {
 		return nil
 	}
-	record := &lilacv1.WalRecord{Hard: b.Hard, Entries: b.Entries}
+	record := &lilacv1.WalRecord{Hard: b.Hard}
+	bytes := 0
+	for _, entry := range b.Entries {
+		if bytes += len(entry.GetData()); bytes > recordBytes && len(record.Entries) > 0 {
+			if err := s.append(record); err != nil {
+				return err
+			}
+			record, bytes = &lilacv1.WalRecord{}, len(entry.GetData())
+		}
+		record.Entries = append(record.Entries, entry)
+	}
 	return s.append(record)
 }
 
