--- a/process/replica/compaction.go
+++ b/process/replica/compaction.go
@@ -15,13 +15,24 @@
 	meta *lilacv1.RaftSnapshotMeta
 	// keep is the index after which entries stay for slow followers.
 	keep uint64
+	// bytes is the data applied before it since the snapshot before.
+	bytes int
 	// done gets the error, or nil, once the file stands whole under its
 	// temporary name. It has room for it, so that the writer never waits.
 	done chan error
 }
 
-// maybeSnapshot bounds the log. It waits while the last snapshot is on its way
-// to a member, up to a point.
+// grown tells whether so much was applied since the last snapshot that the next
+// is due. It is put off while one is on its way to a member, up to a point.
+func (r *Runner) grown() bool {
+	entries, bytes := r.applied-r.taken, r.grownBytes
+	if r.core.Transferring() {
+		entries, bytes = entries/4, bytes/4
+	}
+	return entries >= r.options.SnapshotEvery || bytes >= snapshotBytes
+}
+
+// maybeSnapshot bounds the log.
 //
 // It guards against a large state that stops heartbeats and the group commit
 // while it is encoded and written: followers would call an election of a leader
@@ -29,13 +40,11 @@
 // writing and the sync of the file run in the background, and the log is cut in
 // a later turn, once the file is whole.
 func (r *Runner) maybeSnapshot() {
-	every := r.options.SnapshotEvery
-	grown := r.applied - r.taken
-	if r.writing != nil || r.fatal != nil || r.full || len(r.pending) > 0 || grown < every || r.options.Clock() < r.snapshotAt || (r.core.Transferring() && grown < 4*every) {
+	if r.writing != nil || r.fatal != nil || r.full || len(r.pending) > 0 || r.options.Clock() < r.snapshotAt || !r.grown() {
 		return
 	}
 	// Entries behind the snapshot stay for followers that are a little behind.
-	w := &writing{keep: r.applied - min(r.applied, every/2), done: make(chan error, 1),
+	w := &writing{keep: r.applied - (r.applied-r.taken)/2, bytes: r.grownBytes, done: make(chan error, 1),
 		meta: &lilacv1.RaftSnapshotMeta{Index: r.applied, Term: r.core.TermAt(r.applied), Members: r.core.MembersAt(r.applied)}}
 	encode := r.options.Machine.Capture()
 	r.writing = w
@@ -89,6 +98,7 @@
 		return err
 	}
 	r.taken = w.meta.GetIndex()
+	r.grownBytes -= w.bytes
 	r.metrics.snapshots.Inc()
 	r.core.Step(r.options.Clock(), Compacted{Meta: w.meta, Keep: w.keep})
 	return nil
