--- a/process/replica/loop.go
+++ b/process/replica/loop.go
@@ -213,7 +213,7 @@
 
 func (r *Runner) restoreFrom(install Install) {
 	r.failPlaced(unknownOutcome())
-	r.applied, r.taken = install.Meta.GetIndex(), install.Meta.GetIndex()
+	r.applied, r.taken, r.grownBytes = install.Meta.GetIndex(), install.Meta.GetIndex(), 0
 	if install.Meta.GetSize() == 0 {
 		return
 	}
