Print how busy the machine is; hold the killed entry's row to a cut claim

Runs print load and free memory at both ends now. The last row asked for an unknown outcome, but a claim of a killed entry may still be in progress 2.5 s later; it asks for a cut keyed request now, which is what the row needs to show anything.

--- a/scripts/fail.sh
+++ b/scripts/fail.sh
@@ -138,7 +138,8 @@
 slow_services 40
 LOAD_FLAGS=(--plan "$WORK/conf/load-resend.yaml")
 row "kill -9 of an entry with claims in progress" 12 kill_entry
-grep -qE 'outcome_unknown:[1-9]' "$WORK/log/load-$ROW.log" || broken "no claim was in progress when the entry was killed: the row shows nothing"
+keyed="$(sed -nE 's/.*class: ([a-z-]+),.*keyed_share: 1,.*/\1/p' "$WORK/conf/load.yaml" | paste -sd '|')"
+grep -qE "^ *($keyed) .*cut:[1-9]" "$WORK/log/load-$ROW.log" || broken "no claim was in progress when the entry was killed: the row shows nothing"
 slow_services 1
 
 printf '\n%-46s %-7s %8s %8s %8s %12s\n' fault verdict accepted lost double "no leader ms"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -11,6 +11,12 @@
 
 say() { printf '%s\n' "$*"; }
 
+# machine: how busy the machine is besides; a starved one stalls every process.
+machine() {
+  [[ -r /proc/loadavg && -r /proc/meminfo ]] || return 0
+  say "machine: $(nproc) cores, load $(cut -d' ' -f1-2 /proc/loadavg), $(awk '/^MemAvailable/ { print int($2 / 1024) }' /proc/meminfo) MB of memory free"
+}
+
 broken() {
   say "broken: $*" >&2
   BROKEN+=("$*")
@@ -19,6 +25,7 @@
 
 # prepare FLEET: maps every port of the fleet's files to a free one and makes keys.
 prepare() {
+  machine
   local fleet="$1" from to map=""
   WORK="$(mktemp -d "${TMPDIR:-/tmp}/lilacbridge.XXXXXX")"
   trap 'finish_trap' EXIT
@@ -215,6 +222,7 @@
 
 # verdict NAME: prints NAME: ok, or what broke and exits 1.
 verdict() {
+  machine
   if ((${#BROKEN[@]} == 0)); then
     say "$1: ok"
     return 0
