--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	r := c.requests[ID(item.ID)]
-	h := how{reserve: reserves[item.Tier], late: item.Late}
+	h := how{reserve: c.choice.reserves[item.Tier], late: item.Late}
 	if item.Late {
 		h.reserve += lateReserve
 	}
@@ -81,6 +81,7 @@
 		return
 	}
 	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
+	c.check(InvariantSuspects, !c.suspects.Get(r.Digest).Convicted() && (!r.trial || s.trial == r.Digest && s.peerTrials == 0))
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
 	r.attempt++
 	r.server = s
