--- a/process/replica/core_test.go
+++ b/process/replica/core_test.go
@@ -239,3 +239,33 @@
 	s.step(Tick{})
 	s.is.Equal(len(take[Repaired](s)), 1)
 }
+
+// A candidate lacks an entry that this voter has synced. A vote for it could
+// make a leader of one that never saw a committed entry.
+func TestNoVoteForALogThatIsBehind(t *testing.T) {
+	s := newScript(t, 1, 1)
+	s.get(&message{Kind: kindVote, From: "b", Term: 2, Index: 2, LogTerm: 1})
+	s.is.True(take[Send](s)[0].Message.GetReject())
+	s.get(&message{Kind: kindVote, From: "c", Term: 2, Index: 3, LogTerm: 1})
+	s.is.True(!take[Send](s)[0].Message.GetReject())
+}
+
+// Two changes of members at once, or one before the new leader knows all that
+// its forerunners committed, could leave two quorums without a common voter.
+func TestOneChangeOfMembersAtATime(t *testing.T) {
+	s := newScript(t)
+	s.lead()
+	learner := func(id string) ChangeMembers {
+		return ChangeMembers{Ticket: 1, Kind: AddLearner, Member: &lilacv1.RaftMember{Id: id, Name: id, Address: id}}
+	}
+	s.step(learner("d")) // Nothing of the own term is committed yet.
+	s.is.Equal(take[Refused](s)[0].Reason, InvalidChange)
+	s.ack("b", 2)
+	s.step(learner("d"))
+	s.is.Equal(len(take[Refused](s)), 0)
+	s.step(learner("e")) // The first one is not committed yet.
+	s.is.Equal(take[Refused](s)[0].Reason, InvalidChange)
+	s.ack("b", 3)
+	s.step(learner("e"))
+	s.is.Equal(len(take[Refused](s)), 0)
+}
