--- a/process/replica/runner.go
+++ b/process/replica/runner.go
@@ -25,8 +25,9 @@
 type StateMachine interface {
 	// Apply runs a committed command and returns the answer for its proposer.
 	Apply(index uint64, command []byte) []byte
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
+	// Capture notes the whole state as it is now and returns a function that
+	// encodes it; another goroutine calls that one once, while Apply goes on.
+	Capture() (encode func() ([]byte, error))
 	// Restore replaces the whole state.
 	Restore(data []byte) error
 }
@@ -70,6 +71,9 @@
 	// Random draws fresh bits for identities and election timeouts; nil means
 	// the operating system's.
 	Random func() uint64
+	// Background runs work that may take long, such as writing a snapshot, beside
+	// the turns; nil means at once, within the turn.
+	Background func(work func())
 	// Observe is told each action of the core; nil means nobody.
 	Observe func(Action)
 }
@@ -107,9 +111,12 @@
 	pending   []saving
 	full      bool
 	applied   uint64
-	// taken is the index of the last snapshot, grownBytes the data applied since.
+	// taken is the index of the last snapshot that was placed or installed,
+	// grownBytes the data applied since.
 	taken      uint64
 	grownBytes int
+	// writing is the snapshot that is being written; nil if none is.
+	writing *writing
 	// snapshotAt is when a snapshot that failed may be tried again.
 	snapshotAt time.Duration
 	fatal      error
@@ -156,6 +163,9 @@
 		start := time.Now()
 		o.Clock = func() time.Duration { return time.Since(start) }
 	}
+	if o.Background == nil {
+		o.Background = func(work func()) { work() }
+	}
 	if o.Random == nil {
 		o.Random = randomBits
 	}
