Reload keys on SIGHUP, tell the age of each part of a query, count what a dry run concerns

Cause: operators' tokens and the callers' key could be changed by a restart only; a query said which instance did not answer but not how old each part is; a dry run showed nothing of what is running; and an entry without configuration answered operators in plain text, which the client could not read. Ruled out: watching the files, since a half-written one would be read; reloading the link key, since both ends would need two keys for a while (stated in OPERATING.md). A wrong file keeps the tokens before, tested.

--- a/cmd/lilacctl/print.go
+++ b/cmd/lilacctl/print.go
@@ -65,6 +65,9 @@
 	for _, line := range change.Diff {
 		fmt.Fprintln(w, line)
 	}
+	for _, line := range change.Effect {
+		fmt.Fprintln(w, "concerns", line)
+	}
 	state := "accepted as"
 	switch {
 	case change.DryRun:
--- a/connection/caller/check.go
+++ b/connection/caller/check.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "no caller token; send Authorization: Bearer <token>")
 	}
-	if meta.Team, ok = secret.TeamOf(h.callerKey, strings.TrimSpace(token)); !ok {
+	if meta.Team, ok = secret.TeamOf(h.callerKey.Get(), strings.TrimSpace(token)); !ok {
 		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "caller token is not valid here; ask the operators for one")
 	}
 	if view.Teams[meta.Team] == nil {
--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -17,6 +17,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -31,7 +32,7 @@
 // Handler answers callers.
 type Handler struct {
 	instance  string
-	callerKey []byte
+	callerKey *secret.Reloadable[[]byte]
 	limits    settings.EntryLimits
 	router    Router
 	counter   Counter
@@ -41,7 +42,7 @@
 var _ http.Handler = (*Handler)(nil)
 
 // NewHandler returns a Handler that hands checked requests to router.
-func NewHandler(s *settings.Entry, callerKey []byte, router Router, counter Counter) *Handler {
+func NewHandler(s *settings.Entry, callerKey *secret.Reloadable[[]byte], router Router, counter Counter) *Handler {
 	return &Handler{instance: s.Name, callerKey: callerKey, limits: s.Limits, router: router, counter: counter}
 }
 
--- a/connection/operator/change.go
+++ b/connection/operator/change.go
@@ -81,9 +81,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reply{Change: &Change{
+	change := &Change{
 		Revision: reply.GetRevision(), Repeated: reply.GetRepeatedCommand(), DryRun: proposal.GetDryRun(), CommandID: proposal.GetCommandId(),
-	}}, nil
+	}
+	if proposal.GetDryRun() {
+		change.Effect, err = h.effect(ctx, proposal.GetChanges())
+	}
+	return &Reply{Change: change}, err
 }
 
 func lostAnswer(err error) bool {
--- a/connection/operator/operator.go
+++ b/connection/operator/operator.go
@@ -54,8 +54,9 @@
 	Peers func() []Peer
 	// StatePeers returns the state processes.
 	StatePeers func() []Peer
-	Operators  *secret.Operators
-	Now        func() time.Time
+	// Operators returns who may give statements.
+	Operators func() *secret.Operators
+	Now       func() time.Time
 	// OnRefused counts requests that showed no right token; may be nil.
 	OnRefused func()
 }
@@ -77,7 +78,7 @@
 func (h *handler) authorized(do operation) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		who, ok := h.Operators.Who(token)
+		who, ok := h.Operators().Who(token)
 		if !ok {
 			if h.OnRefused != nil {
 				h.OnRefused()
@@ -85,6 +86,10 @@
 			writeError(w, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "no right operator's token; name a token file with --token-file"))
 			return
 		}
+		if h.View() == nil {
+			writeError(w, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no configuration yet; check that the state processes run, or ask another instance"))
+			return
+		}
 		body, err := readBody(w, r)
 		if err != nil {
 			writeError(w, err)
--- a/connection/operator/operator_test.go
+++ b/connection/operator/operator_test.go
@@ -60,7 +60,7 @@
 	is.NoErr(err)
 	view := model.NewView(&lilacv1.Snapshot{Revision: 41, Classes: []*lilacv1.Class{{Name: "alerts", FirstTokenMs: 420, SharePermille: 75}}})
 	server := httptest.NewServer(NewHandler(Options{
-		Instance: "e1", DataCenter: "dakar-a", View: func() *model.View { return view }, State: state, Operators: operators, Now: time.Now,
+		Instance: "e1", DataCenter: "dakar-a", Newest: func() (uint64, time.Duration) { return 41, time.Second }, View: func() *model.View { return view }, State: state, Operators: func() *secret.Operators { return operators }, Now: time.Now,
 		Local: func(context.Context, *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) { return rows("e1"), nil },
 		Peers: func() []Peer {
 			return []Peer{
@@ -120,6 +120,13 @@
 	is.True(strings.Contains(err.Error(), "c2"))
 }
 
+func TestDryRunTellsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	reply, err := serve(t, &fakeState{}).Statement(t.Context(), &StatementRequest{Statement: "DRAIN INSTANCE e2", CommandID: "c1", DryRun: true})
+	is.NoErr(err)
+	is.Equal(reply.Change.Effect, []string{"instance e2: 2 running requests at 1 instances", "e3 did not answer; its requests are not counted"})
+}
+
 func TestFaultsOfRequests(t *testing.T) {
 	conflict := fault.New(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "revision 42 by op-2 won")
 	for name, c := range map[string]struct {
--- a/connection/operator/query.go
+++ b/connection/operator/query.go
@@ -36,7 +36,8 @@
 	case "state", "leases":
 		return h.stateRows(ctx, subject)
 	}
-	own := []Part{{Instance: h.Instance, DataCenter: h.DataCenter, Revision: h.View().Revision}}
+	newest, age := h.Newest()
+	own := []Part{{Instance: h.Instance, DataCenter: h.DataCenter, Revision: h.View().Revision, Newest: newest, AgeMs: age.Milliseconds()}}
 	return &Reply{Table: configured(h.View(), subject), Parts: own}, nil
 }
 
@@ -85,7 +86,10 @@
 			reply.Missing = append(reply.Missing, Missing{Instance: a.peer.Name, DataCenter: a.peer.DataCenter, Reason: a.err.Error()})
 			continue
 		}
-		reply.Parts = append(reply.Parts, Part{Instance: a.peer.Name, DataCenter: a.peer.DataCenter, Revision: a.reply.GetRevision()})
+		reply.Parts = append(reply.Parts, Part{
+			Instance: a.peer.Name, DataCenter: a.peer.DataCenter, Revision: a.reply.GetRevision(),
+			Newest: a.reply.GetNewest(), AgeMs: int64(a.reply.GetAgeMs()),
+		})
 		for _, row := range a.reply.GetRows() {
 			if len(row.GetValues()) == len(columns) {
 				reply.Table.Rows = append(reply.Table.Rows, append([]string{a.peer.Name}, row.GetValues()...))
--- a/connection/operator/reply.go
+++ b/connection/operator/reply.go
@@ -48,6 +48,8 @@
 	DryRun    bool     `json:"dry_run,omitempty"`
 	CommandID string   `json:"command_id"`
 	Diff      []string `json:"diff,omitempty"`
+	// Effect says, for a dry run, which running requests the change concerns.
+	Effect []string `json:"effect,omitempty"`
 }
 
 // Part is one instance's share of a query.
@@ -55,6 +57,10 @@
 	Instance   string `json:"instance"`
 	DataCenter string `json:"data_center"`
 	Revision   uint64 `json:"revision"`
+	// Newest is the newest revision that the instance has heard of, AgeMs how
+	// long ago that was sure.
+	Newest uint64 `json:"newest"`
+	AgeMs  int64  `json:"age_ms"`
 }
 
 // Missing is an instance that did not answer a query.
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -40,7 +42,8 @@
 	gossip    *gossip.Gossip
 	orders    *orders.Giver
 	links     *link.Server
-	operators *secret.Operators
+	operators *secret.Reloadable[*secret.Operators]
+	callerKey *secret.Reloadable[[]byte]
 	listeners listeners
 	started   time.Time
 
@@ -57,16 +60,16 @@
 	if err != nil {
 		return nil, err
 	}
-	callerKey, err := secret.ReadKey(s.CallerKeyFile)
+	callerKey, err := secret.Open(s.CallerKeyFile, secret.ReadKey)
 	if err != nil {
 		return nil, err
 	}
-	operators, err := secret.ReadOperators(s.OperatorTokensFile)
+	operators, err := secret.Open(s.OperatorTokensFile, secret.ReadOperators)
 	if err != nil {
 		return nil, err
 	}
 	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: linkKey}
-	d := &Daemon{settings: s, logger: logger, dialer: newDialer(id), operators: operators, live: s.Entries, started: time.Now()}
+	d := &Daemon{settings: s, logger: logger, dialer: newDialer(id), operators: operators, callerKey: callerKey, live: s.Entries, started: time.Now()}
 	d.state = stateclient.New(stateclient.Options{Instance: s.Name, DataCenter: s.DataCenter, Peers: s.State, Dial: d.dialer.dial})
 	d.entry = New(Options{Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
@@ -107,6 +110,7 @@
 	group.Go(func() { _ = d.gossip.Run(working) })
 	group.Go(func() { _ = d.orders.Run(working) })
 	group.Go(func() { _ = d.links.Serve(d.listeners.link) })
+	group.Go(func() { d.reloadKeys(working) })
 	app := kratos.New(
 		kratos.Name("lilacbridge-entry"),
 		kratos.ID(d.settings.Name),
@@ -139,6 +143,26 @@
 	return err
 }
 
+// reloadKeys reads the callers' key and the operators' tokens again at each
+// SIGHUP. A file that is wrong changes nothing.
+func (d *Daemon) reloadKeys(ctx context.Context) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUp:
+			if err := errors.Join(d.callerKey.Reload(), d.operators.Reload()); err != nil {
+				d.logger.Error("keys not reloaded, the old ones stay in force", "error", err)
+				continue
+			}
+			d.logger.Info("keys reloaded")
+		}
+	}
+}
+
 // operatorServer serves operators' statements.
 func (d *Daemon) operatorServer(listener net.Listener) *khttp.Server {
 	handler := operator.NewHandler(operator.Options{
@@ -146,30 +170,19 @@
 		View: d.watcher.Current, Newest: d.watcher.Known, State: d.state, Local: d.query,
 		Peers:      func() []operator.Peer { return d.dialer.peers(d.liveEntries()) },
 		StatePeers: func() []operator.Peer { return d.dialer.peers(d.settings.State) },
-		Operators:  d.operators, Now: time.Now,
+		Operators:  d.operators.Get, Now: time.Now,
 		OnRefused: func() { d.entry.counters.Refused("operator_unauthenticated") },
 	})
 	server := khttp.NewServer(
 		khttp.Listener(listener),
 		khttp.Timeout(0),
-		khttp.Filter(func(http.Handler) http.Handler { return d.whenConfigured(handler) }),
+		khttp.Filter(func(http.Handler) http.Handler { return handler }),
 	)
 	server.ReadHeaderTimeout = d.settings.Limits.ReadTimeout.Duration
 	server.ErrorLog = d.entry.quiet()
 	return server
 }
 
-// whenConfigured refuses statements while no configuration is known here.
-func (d *Daemon) whenConfigured(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.watcher.Current() == nil {
-			http.Error(w, errNoConfiguration.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (d *Daemon) liveEntries() []settings.Peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/service"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
@@ -33,7 +34,7 @@
 // Options are the parts that an Entry is made of.
 type Options struct {
 	Settings  *settings.Entry
-	CallerKey []byte
+	CallerKey *secret.Reloadable[[]byte]
 	State     State
 	Logger    hclog.Logger
 	// OnAnnounce is told that the digest should go out at once; may be nil.
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -120,7 +120,7 @@
 func startWith(t testing.TB, s *settings.Entry, core policy.Core, servers ...*lilacv1.Server) *fixture {
 	is := is.New(t)
 	ledger := newLedger()
-	e := New(Options{Settings: s, CallerKey: testKey, State: ledger, Logger: hclog.NewNullLogger(), Core: core})
+	e := New(Options{Settings: s, CallerKey: secret.Fixed(testKey), State: ledger, Logger: hclog.NewNullLogger(), Core: core})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	server := e.callerServer(listener)
--- /dev/null
+++ b/process/secret/reload.go
@@ -0,0 +1,37 @@
+package secret
+
+import "sync/atomic"
+
+// Reloadable is what a file of keys or tokens holds. Any goroutine may read it
+// while it is reloaded.
+type Reloadable[T any] struct {
+	file  string
+	read  func(file string) (T, error)
+	value atomic.Pointer[T]
+}
+
+// Open reads the file with read, which is called again by Reload.
+func Open[T any](file string, read func(file string) (T, error)) (*Reloadable[T], error) {
+	r := &Reloadable[T]{file: file, read: read}
+	return r, r.Reload()
+}
+
+// Fixed returns a Reloadable that never changes.
+func Fixed[T any](value T) *Reloadable[T] {
+	r := &Reloadable[T]{read: func(string) (T, error) { return value, nil }}
+	r.value.Store(&value)
+	return r
+}
+
+// Get returns the value as of the last Reload that went well.
+func (r *Reloadable[T]) Get() T { return *r.value.Load() }
+
+// Reload reads the file again. On an error the value before stays in force.
+func (r *Reloadable[T]) Reload() error {
+	value, err := r.read(r.file)
+	if err != nil {
+		return err
+	}
+	r.value.Store(&value)
+	return nil
+}
--- a/process/secret/secret_test.go
+++ b/process/secret/secret_test.go
@@ -52,3 +52,21 @@
 	_, err = ReadOperators(write(t, "op-1\n", 0o600))
 	is.True(err != nil)
 }
+
+// An operator replaces the tokens' file by one with a slip and tells the entry
+// to read it again. The old tokens must stay in force; once the file is right,
+// the new ones are.
+func TestWrongFileKeepsTheTokensBefore(t *testing.T) {
+	is := is.New(t)
+	file := write(t, "op-1 0123456789abcdef\n", 0o600)
+	operators, err := Open(file, ReadOperators)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(file, []byte("op-1\n"), 0o600))
+	is.True(operators.Reload() != nil)
+	_, ok := operators.Get().Who("0123456789abcdef")
+	is.True(ok)
+	is.NoErr(os.WriteFile(file, []byte("op-1 fedcba9876543210\n"), 0o600))
+	is.NoErr(operators.Reload())
+	_, ok = operators.Get().Who("0123456789abcdef")
+	is.True(!ok)
+}
