Let few entries ask for the lease for orders

Every entry without the lease asked for it each 2.5 s plus up to 10 s, 7.5 s on average, whoever held it; the leader answers all in vain. Now the turn depends on the place among the live entries of the own data centre by the hash of the name, the rank that the spread tree uses (member.Above): the first three keep the old pace, the next three ask half as often, and so on. Weighed: silence of all but three until the membership drops them; ruled out, since candidates that are taken for alive but can't reach the leader would leave the lease unheld for good.

A place that changes wakes the sleeper.

Lease time and order timeout are now options of the giver with the old values as defaults, for tests over real links that follow; NewCore takes the timeout, so its callers in tests name it. No check was changed.

--- a/connection/orders/engines.go
+++ b/connection/orders/engines.go
@@ -46,10 +46,12 @@
 	client *http.Client
 	valid  func(fencing uint64) bool
 	flying *atomic.Int64
+	// timeout bounds one order.
+	timeout time.Duration
 }
 
-func newEngines(valid func(uint64) bool) engines {
-	return engines{client: &http.Client{}, valid: valid, flying: new(atomic.Int64)}
+func newEngines(valid func(uint64) bool, timeout time.Duration) engines {
+	return engines{client: &http.Client{}, valid: valid, flying: new(atomic.Int64), timeout: timeout}
 }
 
 func (e engines) inFlight() bool { return e.flying.Load() > 0 }
@@ -104,7 +106,7 @@
 }
 
 func (e engines) post(ctx context.Context, o orders.Order) (refused bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, orders.OrderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	body := orderBody{Kind: kindUnload, Model: o.Model.Name, Adapter: o.Model.Adapter, Fencing: o.Fencing}
 	if o.Load {
--- a/connection/orders/orders.go
+++ b/connection/orders/orders.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,10 +21,8 @@
 const LeaseName = "orders"
 
 const (
-	// leaseTime is how long a lease lasts unless it is renewed.
-	leaseTime = 10 * time.Second
-	// renewInterval lies between two renewals.
-	renewInterval = leaseTime / 4
+	// defaultLease is how long a lease lasts unless it is renewed.
+	defaultLease = 10 * time.Second
 	// tick is how often the core is told the time.
 	tick = 500 * time.Millisecond
 	// defaultLoads is the number of loads a minute where none is stated.
@@ -38,6 +37,12 @@
 	Lease func(context.Context, *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error)
 	// LoadsPerMinute bounds the loads from the weight store. Default 30.
 	LoadsPerMinute int
+	// LeaseTime is how long a lease lasts unless it is renewed. Default 10 s;
+	// tests shorten it.
+	LeaseTime time.Duration
+	// OrderTimeout is the longest that an order may be in flight, the same in all
+	// instances. Default 30 s; tests shorten it.
+	OrderTimeout time.Duration
 	// Logger gets a line for each holding and order; may be nil.
 	Logger hclog.Logger
 }
@@ -48,6 +53,10 @@
 	engines engines
 	events  chan orders.Event
 
+	// position among those who ask for the lease, and that it changed.
+	position atomic.Int64
+	moved    chan struct{}
+
 	mu      sync.Mutex
 	holding lease.Holding
 }
@@ -57,11 +66,17 @@
 	if o.LoadsPerMinute <= 0 {
 		o.LoadsPerMinute = defaultLoads
 	}
+	if o.LeaseTime <= 0 {
+		o.LeaseTime = defaultLease
+	}
+	if o.OrderTimeout <= 0 {
+		o.OrderTimeout = orders.OrderTimeout
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
-	g := &Giver{options: o, events: make(chan orders.Event, 16)}
-	g.engines = newEngines(g.valid)
+	g := &Giver{options: o, events: make(chan orders.Event, 16), moved: make(chan struct{}, 1)}
+	g.engines = newEngines(g.valid, o.OrderTimeout)
 	return g
 }
 
@@ -82,7 +97,7 @@
 // Run asks for the lease and gives orders while it holds it, until ctx ends. It
 // then gives the lease back, unless an order is still in flight.
 func (g *Giver) Run(ctx context.Context) error {
-	core := orders.NewCore(g.options.LoadsPerMinute)
+	core := orders.NewCore(g.options.LoadsPerMinute, g.options.OrderTimeout)
 	var work sync.WaitGroup
 	defer work.Wait()
 	work.Go(func() { g.keepLease(ctx) })
@@ -139,34 +154,63 @@
 	}
 }
 
+// SetPosition tells how many live entries of the data centre rank above this
+// one; the first few ask for the lease often. It is 0 at first.
+func (g *Giver) SetPosition(position int) {
+	if g.position.Swap(int64(position)) == int64(position) {
+		return
+	}
+	select {
+	case g.moved <- struct{}{}:
+	default:
+	}
+}
+
 // keepLease asks for the lease, often while it is held and seldom while another
-// holds it, with a random part so that not all ask at once.
+// holds it.
 func (g *Giver) keepLease(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		_, held := g.Holds()
 		g.ask(ctx)
 		_, holds := g.Holds()
 		if held != holds {
 			g.options.Logger.Info("lease for orders", "held", holds)
 		}
-		wait := renewInterval
+		g.pause(ctx, holds)
+	}
+	g.giveBack()
+}
+
+// pause waits for the next request's turn.
+//
+// It guards against a takeover that comes late because the next in rank still
+// sleeps as long as its old place told it to: the turn is counted anew, from
+// the same start, when the place changes.
+func (g *Giver) pause(ctx context.Context, holds bool) {
+	began, part := time.Now(), rand.Float64()
+	for {
+		wait := lease.RenewInterval(g.options.LeaseTime)
 		if !holds {
-			wait = renewInterval + rand.N(leaseTime)
+			wait = lease.AskInterval(g.options.LeaseTime, int(g.position.Load()), part)
 		}
+		timer := time.NewTimer(time.Until(began.Add(wait)))
 		select {
 		case <-ctx.Done():
-			g.giveBack()
+			timer.Stop()
+			return
+		case <-timer.C:
 			return
-		case <-time.After(wait):
+		case <-g.moved:
+			timer.Stop()
 		}
 	}
 }
 
 func (g *Giver) ask(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, renewInterval)
+	ctx, cancel := context.WithTimeout(ctx, lease.RenewInterval(g.options.LeaseTime))
 	defer cancel()
 	sent := time.Now()
-	reply, err := g.options.Lease(ctx, &lilacv1.LeaseRequest{Name: LeaseName, DurationMs: uint32(leaseTime.Milliseconds())})
+	reply, err := g.options.Lease(ctx, &lilacv1.LeaseRequest{Name: LeaseName, DurationMs: uint32(g.options.LeaseTime.Milliseconds())})
 	if err != nil {
 		// Without an answer the lease ends by its own time.
 		return
@@ -185,7 +229,7 @@
 	g.mu.Lock()
 	g.holding = lease.Holding{}
 	g.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), renewInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), lease.RenewInterval(g.options.LeaseTime))
 	defer cancel()
 	_, _ = g.options.Lease(ctx, &lilacv1.LeaseRequest{Name: LeaseName})
 }
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -49,4 +49,16 @@
 	d.live = peers
 	d.mu.Unlock()
 	d.watcher.SetEntries(peers)
+	d.orders.SetPosition(d.position(peers))
+}
+
+// position counts the entries of the own data centre that rank above this one.
+func (d *Daemon) position(peers []settings.Peer) int {
+	var names []string
+	for _, p := range peers {
+		if p.DataCenter == d.settings.DataCenter {
+			names = append(names, p.Name)
+		}
+	}
+	return member.Position(d.settings.Name, names)
 }
--- a/process/member/tree.go
+++ b/process/member/tree.go
@@ -27,6 +27,9 @@
 	return slices.Compact(above)
 }
 
+// Position returns how many of the names rank above self.
+func Position(self string, names []string) int { return len(Above(self, names)) }
+
 // Parent returns the place above one's own in a tree of the given fanout, where
 // above holds the usable names of a better rank, best first; "" at the root.
 //
--- a/process/orders/core.go
+++ b/process/orders/core.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// OrderTimeout is the longest that an order may be in flight; the shell ends
-	// it then. A new holder waits as long before it orders anything of an engine
+	// OrderTimeout is the default of the longest that an order may be in flight;
+	// the shell ends it then. A new holder waits as long before it orders anything of an engine
 	// that ignores fencing numbers.
 	OrderTimeout = 30 * time.Second
 	// readInterval lies between two readings of the same engine.
@@ -115,12 +115,14 @@
 	// since is when the holding began.
 	since  time.Time
 	bucket bucket
+	// orderTimeout is the longest that an order may be in flight.
+	orderTimeout time.Duration
 }
 
 // NewCore returns a Core whose loads draw on the weight store at most so many
-// times a minute.
-func NewCore(loadsPerMinute int) *Core {
-	return &Core{engines: make(map[string]*engine), bucket: bucket{perMinute: loadsPerMinute}}
+// times a minute, and whose orders are in flight for orderTimeout at most.
+func NewCore(loadsPerMinute int, orderTimeout time.Duration) *Core {
+	return &Core{engines: make(map[string]*engine), bucket: bucket{perMinute: loadsPerMinute}, orderTimeout: orderTimeout}
 }
 
 // Step takes one event and returns what to do, in order.
@@ -190,7 +192,7 @@
 	if e.ChecksFencing {
 		return c.since
 	}
-	return c.since.Add(OrderTimeout)
+	return c.since.Add(c.orderTimeout)
 }
 
 func (c *Core) reads(now time.Time) []Action {
--- a/process/orders/orders_test.go
+++ b/process/orders/orders_test.go
@@ -81,7 +81,7 @@
 	for _, checks := range []bool{false, true} {
 		t.Run(fmt.Sprint("checks ", checks), func(t *testing.T) {
 			is := is.New(t)
-			old := newEngines(NewCore(600))
+			old := newEngines(NewCore(600, OrderTimeout))
 			old.has["r1"] = map[Model]bool{large: true}
 			old.delay = true
 			old.step(Configured{[]Engine{engineOf("r1", checks, false)}})
@@ -89,7 +89,7 @@
 			old.run(OrderTimeout + time.Second)
 			is.Equal(len(old.late), 1)
 
-			next := newEngines(NewCore(600))
+			next := newEngines(NewCore(600, OrderTimeout))
 			next.has, next.now = old.has, old.now
 			next.step(Configured{[]Engine{engineOf("r1", checks, true)}})
 			next.step(Leased{2})
@@ -111,7 +111,7 @@
 // any wait. The next reading must find it, and the wish be ordered again.
 func TestLateOrderIsFoundAndMended(t *testing.T) {
 	is := is.New(t)
-	x := newEngines(NewCore(600))
+	x := newEngines(NewCore(600, OrderTimeout))
 	x.step(Configured{[]Engine{engineOf("r1", true, true)}})
 	x.step(Leased{2})
 	x.run(5 * time.Second)
@@ -123,7 +123,7 @@
 
 func TestRefusedNumberEndsTheHolding(t *testing.T) {
 	is := is.New(t)
-	x := newEngines(NewCore(600))
+	x := newEngines(NewCore(600, OrderTimeout))
 	x.delay = true
 	x.step(Configured{[]Engine{engineOf("r1", true, true), engineOf("r2", true, true)}})
 	x.step(Leased{2})
@@ -139,7 +139,7 @@
 // again blindly, but after the engine was read.
 func TestLostAnswerIsReadBack(t *testing.T) {
 	is := is.New(t)
-	x := newEngines(NewCore(600))
+	x := newEngines(NewCore(600, OrderTimeout))
 	x.delay = true
 	x.step(Configured{[]Engine{engineOf("r1", true, true)}})
 	x.step(Leased{1})
@@ -156,7 +156,7 @@
 // model that is worst off comes first.
 func TestLoadsKeepToTheRate(t *testing.T) {
 	is := is.New(t)
-	x := newEngines(NewCore(6))
+	x := newEngines(NewCore(6, OrderTimeout))
 	small := Model{Name: "small"}
 	var list []Engine
 	for i := range 40 {
--- a/process/orders/random_test.go
+++ b/process/orders/random_test.go
@@ -60,7 +60,7 @@
 	w := &world{random: rand.New(rand.NewPCG(seed, 3)), now: start, engines: make(map[string]*target),
 		table: lease.NewTable(), faults: true, holds: make(map[uint64]bool)}
 	for i := range 3 {
-		w.holders = append(w.holders, &holder{name: fmt.Sprint("entry-", i), core: NewCore(600)})
+		w.holders = append(w.holders, &holder{name: fmt.Sprint("entry-", i), core: NewCore(600, OrderTimeout)})
 	}
 	for i := range 4 {
 		name := fmt.Sprint("r", i)
