--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -80,5 +80,7 @@
 		p.Legend.Add(name, bars)
 	}
 	p.NominalX(scenarios...)
+	// The last place stays free for the legend.
+	p.X.Max = float64(len(scenarios)) + 0.3
 	return p
 }
