--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -1,30 +1,30 @@
 package ledger
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
-// Snapshot returns all that Restore needs. It shares no message that the
-// ledger changes later.
-func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot {
+// Snapshot returns all that Restore needs.
+func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot { return l.Capture()() }
+
+// Capture notes the state as it is now and returns a function that makes the
+// snapshot of it. That one is the slow part; any goroutine may call it, once,
+// while the ledger goes on.
+func (l *Ledger) Capture() func() *lilacv1.LedgerSnapshot {
+	shards := l.tombstones.capture()
 	s := &lilacv1.LedgerSnapshot{
-		NowUnixMs:  l.nowMs,
-		Tombstones: l.tombstones.all(),
-		Current:    l.instances.all(),
-		Gone:       append([]string(nil), l.instances.order...),
+		NowUnixMs: l.nowMs,
+		Current:   l.instances.all(),
+		Gone:      append([]string(nil), l.instances.order...),
+		Entries:   make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
 	}
 	for place := l.order.Front(); place != nil; place = place.Next() {
-		e := place.Value.(*entry).LedgerEntry
-		copied := proto.CloneOf(&lilacv1.LedgerEntry{
-			Team: e.GetTeam(), Key: e.GetKey(), Digest: e.GetDigest(), Instance: e.GetInstance(),
-			Incarnation: e.GetIncarnation(), Attempt: e.GetAttempt(), State: e.GetState(), ClaimedUnixMs: e.GetClaimedUnixMs(),
-		})
-		copied.Answer = e.GetAnswer()
-		s.Entries = append(s.Entries, copied)
+		s.Entries = append(s.Entries, place.Value.(*entry).LedgerEntry)
+	}
+	return func() *lilacv1.LedgerSnapshot {
+		s.Tombstones = listed(shards)
+		return s
 	}
-	return s
 }
 
 // Restore replaces the whole state; the limits stay.
