Put crashes down to an outage before convicting a suspect

Cause: two crashes convicted at once.

Two crashes now bar the request and its copies wait; the verdict comes 3 s later. If two or more servers that it never ran on crashed within 5 s of its own crashes, an outage explains them all better: one crash stays, and the request is tried alone 3 s after the last crash. Only once, so a crashing request in an outage costs three servers at most by this.

Weighed: excluding servers that ran another suspect from the evidence (in an outage nearly every victim runs some trial, so the evidence vanished on paper; not built); one other crash as enough (any chance crash would pardon a crashing request). Ruled out: an immediate verdict, since the crashes that tell of an outage may come after the second one.

TestCrashingRequestCostsTwoServersAtMost is unchanged and passes.

Callers of a convicted request learn it 3 s later. Outages of up to three servers can still convict an innocent.

--- a/internal/bench/proof_test.go
+++ b/internal/bench/proof_test.go
@@ -209,3 +209,33 @@
 		}
 	}
 }
+
+// Half of the engines die one after the other within seconds; no request is
+// to blame. Those that ran on the first are suspects and tried on others, and
+// some of those die too. Two crashes looked like proof, so that innocent
+// requests were refused everywhere for a day.
+func TestOutageConvictsNobody(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 12; seed++ {
+		f := proofFleet("alerts", 60*time.Second)
+		s := &scenario{name: "proof-outage", length: 20 * time.Second, load: 0.8, reportLag: steadyLag, digestLoss: 0.1}
+		s.faults = func(w *world) {
+			order := w.random.Perm(engineCount)
+			for n, i := range order[:engineCount/2] {
+				at := 8*time.Second + time.Duration(n)*(400+time.Duration(seed%3)*300)*time.Millisecond
+				w.clock.after(at, func() { w.engines[i].crash(20 * time.Second) })
+			}
+		}
+		w := newWorld(f, s, seed, policy.New)
+		w.run(generate(f, s, seed))
+		sound(t, seed, w)
+		if len(w.convicted) > 0 {
+			t.Errorf("seed %d: %d innocent requests convicted", seed, len(w.convicted))
+		}
+		for _, k := range w.calls {
+			if k.refusal == "convicted" {
+				t.Errorf("seed %d: innocent call %d of %s refused as convicted", seed, k.id, k.class.name)
+			}
+		}
+	}
+}
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -48,6 +48,9 @@
 	stats     Stats
 	actions   []Action
 	announced bool
+	// accused are digests whose verdict is due; lastFall is the last new crash.
+	accused  []string
+	lastFall time.Time
 }
 
 // New returns a core that refuses everything until its first Configured event.
@@ -151,6 +154,7 @@
 		s.sample(now)
 	}
 	c.noticeCuts(now)
+	c.judge(now)
 	for _, p := range c.poolOrder {
 		p.measure(now)
 		c.cutoff(now, p)
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -48,6 +48,7 @@
 		s.busyUntil = now.Add(max(e.RetryAfter, minBusy))
 	case e.Final:
 	case e.Crashed:
+		c.noteCrash(now, s)
 		if !now.Before(s.ejectedUntil) {
 			c.stats.Crashes++
 			s.eject(now)
@@ -65,7 +66,7 @@
 // verdict says whether a failed request is given up, and as what. A retry is
 // taken from the budget unless the server did not run the request at all.
 func (c *core) verdict(now time.Time, r *request, e Failed) (fault.Kind, string, bool) {
-	if c.suspects.Get(r.Digest).Convicted() {
+	if c.guilty(r.Digest) {
 		return lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, true
 	}
 	if e.Final {
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -56,6 +56,8 @@
 	Moved     uint64
 	Crashes   uint64
 	Convicted uint64
+	// Pardoned counts suspects whose crashes were put down to an outage.
+	Pardoned uint64
 	// Waiting and Running are as of now.
 	Waiting int
 	Running int
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -149,6 +149,9 @@
 // broke before ours noticed.
 func (c *core) takeEjected(now time.Time, name string) {
 	s := c.servers[name]
+	if s != nil {
+		c.noteCrash(now, s)
+	}
 	if s == nil || s.ejectedUntil.After(now.Add(peerEject)) {
 		return
 	}
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -77,7 +77,9 @@
 	// probing allows one request at a time until the server has proved itself.
 	probing   bool
 	crashedAt time.Time
-	busyUntil time.Time
+	// fellAt is the first word of the last crash, fellHeard the latest, from anyone.
+	fellAt, fellHeard time.Time
+	busyUntil         time.Time
 
 	// leavingUntil is how long a peer's word that the server leaves holds.
 	leavingUntil time.Time
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -34,19 +34,10 @@
 	if c.suspects.Crashed(r.Digest, r.Team, s.name, now) {
 		c.announce()
 	}
-	c.convict(now, r.Digest)
-}
-
-// convict asks once for the conviction of a digest with two crashes.
-func (c *core) convict(now time.Time, digest string) {
-	e := c.suspects.Get(digest)
-	if !e.Convicted() || e.Told {
-		return
+	if e := c.suspects.Get(r.Digest); e != nil {
+		e.Own = true
 	}
-	e.Told = true
-	c.stats.Convicted++
-	c.emit(Convict{Digest: digest, Team: e.Team, Servers: slices.Clone(e.Servers)})
-	c.announce()
+	c.accuse(r.Digest)
 }
 
 // takeSuspects takes in a peer's suspects and the servers that it tries them on.
@@ -63,7 +54,10 @@
 	}
 	news := c.unknown(suspects)
 	if c.suspects.Merge(suspects, now) {
-		c.stopConvicted(now)
+		for _, s := range suspects {
+			c.accuse(s.GetDigest())
+		}
+		c.holdAccused(now)
 	}
 	if len(news) > 0 {
 		c.holdCopies(now, news)
@@ -114,22 +108,6 @@
 	p.trials = p.trials[:0]
 }
 
-// stopConvicted ends the copies of convicted requests that run or wait here.
-func (c *core) stopConvicted(now time.Time) {
-	var ids []ID
-	for id, r := range c.requests {
-		if c.suspects.Get(r.Digest).Convicted() {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r := c.requests[id]
-		c.stop(now, r)
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
-	}
-}
-
 // tryTrials starts suspects, each alone of its kind on its server.
 func (c *core) tryTrials(now time.Time, p *pool) {
 	for i := 0; i < len(p.quarantine); {
@@ -152,12 +130,12 @@
 		r.pool.queue.Push(&r.item)
 		return true
 	}
-	if e.Convicted() {
+	if c.guilty(r.Digest) {
 		c.unqueue(r)
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 		return true
 	}
-	if c.mustWait(now, r, e) {
+	if e.Convicted() || e.Pardoned && !c.calm(now) || c.mustWait(now, r, e) {
 		return false
 	}
 	s, mine := c.trialServer(now, r, e)
--- /dev/null
+++ b/request/policy/verdict.go
@@ -0,0 +1,142 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/suspect"
+)
+
+// When many backend servers go down within seconds, a suspect's second server
+// may be one of them, and an innocent request would be refused everywhere for a
+// day. So two crashes bar a request at once, but the verdict waits for what
+// else crashes: a request explains the crashes of servers that it ran on and no
+// others. If others crashed besides, an outage explains them all better.
+const (
+	// verdictPause is how long two crashes wait for their verdict.
+	verdictPause = 3 * time.Second
+	// outageWindow is how far from a suspect's crash others tell of an outage.
+	outageWindow = 5 * time.Second
+	// outageOthers is the number of such servers. One is left to a second
+	// crashing request or chance.
+	outageOthers = 2
+	// calmAfter is how long after the last crash a pardoned request is tried.
+	calmAfter = 3 * time.Second
+	// fallFor is how long without word of a crash the next one is a new one.
+	fallFor = 10 * time.Second
+)
+
+// noteCrash takes in any word of a server's crash, its own or a peer's.
+func (c *core) noteCrash(now time.Time, s *server) {
+	if s.fellAt.IsZero() || now.Sub(s.fellHeard) > fallFor {
+		s.fellAt = now
+		c.lastFall = now
+	}
+	s.fellHeard = now
+}
+
+// calm tells whether no server has newly crashed for a while.
+func (c *core) calm(now time.Time) bool { return now.Sub(c.lastFall) >= calmAfter }
+
+// guilty tells whether the verdict on a suspect is known here.
+func (c *core) guilty(digest string) bool {
+	e := c.suspects.Get(digest)
+	return e.Convicted() && e.Guilty
+}
+
+// accuse has a request with two crashes wait for its verdict.
+func (c *core) accuse(digest string) {
+	if e := c.suspects.Get(digest); e.Convicted() && !e.Guilty && !slices.Contains(c.accused, digest) {
+		c.accused = append(c.accused, digest)
+	}
+}
+
+// judge gives the verdicts that are due.
+func (c *core) judge(now time.Time) {
+	kept := c.accused[:0]
+	changed := false
+	for _, digest := range c.accused {
+		e := c.suspects.Get(digest)
+		if !e.Convicted() || e.Guilty {
+			continue
+		}
+		if now.Sub(e.Learned) < verdictPause {
+			kept = append(kept, digest)
+			continue
+		}
+		changed = true
+		c.decide(now, e)
+	}
+	c.accused = kept
+	if changed {
+		c.announce()
+		c.endGuilty(now)
+	}
+}
+
+func (c *core) decide(now time.Time, e *suspect.Entry) {
+	if !e.Pardoned && c.outage(e) {
+		c.stats.Pardoned++
+		c.suspects.Pardon(e.Digest, now)
+		return
+	}
+	e.Guilty = true
+	if e.Own {
+		c.stats.Convicted++
+		c.emit(Convict{Digest: e.Digest, Team: e.Team, Servers: slices.Clone(e.Servers)})
+	}
+}
+
+// outage tells whether servers that the request did not run on crashed in the
+// same window as those that it did.
+func (c *core) outage(e *suspect.Entry) bool {
+	others := 0
+	for _, s := range c.ordered {
+		if s.fellAt.IsZero() || e.Blamed(s.name) {
+			continue
+		}
+		if slices.ContainsFunc(e.CrashedAt, func(at time.Time) bool { return s.fellAt.Sub(at).Abs() <= outageWindow }) {
+			others++
+		}
+	}
+	return others >= outageOthers
+}
+
+// holdAccused takes the copies of barred requests off their servers. They
+// wait for the verdict; what may not start again ends now.
+func (c *core) holdAccused(now time.Time) {
+	for _, r := range c.copies(func(r *request) bool { return c.suspects.Get(r.Digest).Convicted() }) {
+		c.stop(now, r)
+		if !r.Idempotent && r.sentEver {
+			c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
+			continue
+		}
+		c.enqueue(now, r)
+	}
+}
+
+// endGuilty ends the copies of convicted requests that wait here.
+func (c *core) endGuilty(now time.Time) {
+	for _, r := range c.copies(func(r *request) bool { return c.guilty(r.Digest) }) {
+		c.stop(now, r)
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
+	}
+}
+
+// copies returns the requests that match, in order of ID.
+func (c *core) copies(match func(r *request) bool) []*request {
+	var found []*request
+	for _, r := range c.requests {
+		if match(r) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b *request) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return found
+}
--- a/request/suspect/table.go
+++ b/request/suspect/table.go
@@ -36,8 +36,14 @@
 	Learned time.Time
 	// Elsewhere is when a peer last told that it tries the request.
 	Elsewhere time.Time
-	// Told is true once this instance asked for the conviction.
-	Told bool
+	// CrashedAt is when this instance learned of each crash that counts.
+	CrashedAt []time.Time
+	// Own is true where a crash broke a run of this instance's own.
+	Own bool
+	// Guilty is the verdict on two crashes; until then they only bar the request.
+	Guilty bool
+	// Pardoned is true once crashes were put down to an outage; only once.
+	Pardoned bool
 	// forgiven are crashes that a later run cleared the request of. Peers go on
 	// telling of them for a while; they must not count again.
 	forgiven []string
@@ -90,10 +96,31 @@
 		return false
 	}
 	e.Servers = slices.Insert(e.Servers, at, server)
+	e.CrashedAt = append(e.CrashedAt, now)
 	e.Learned = now
 	return true
 }
 
+// Blamed tells whether the server's crash was ever put down to the request.
+func (e *Entry) Blamed(server string) bool {
+	return slices.Contains(e.Servers, server) || slices.Contains(e.forgiven, server)
+}
+
+// Pardon puts all crashes but one down to an outage: the request remains a
+// suspect. Each instance keeps the same crash, the first by name, so that
+// what they tell each other doesn't add up to two again.
+func (t *Table) Pardon(digest string, now time.Time) {
+	e := t.Get(digest)
+	if e == nil {
+		return
+	}
+	e.forgiven = append(e.forgiven, e.Servers[1:]...)
+	e.Servers = e.Servers[:1]
+	e.CrashedAt = nil
+	e.Pardoned = true
+	e.Learned = now
+}
+
 // Cleared ends the suspicion: the request ran past the place of the crash, or
 // the operators lifted its conviction. The crashes so far are forgiven.
 func (t *Table) Cleared(digest string, now time.Time) {
@@ -102,7 +129,8 @@
 		return
 	}
 	e.forgiven = append(e.forgiven, e.Servers...)
-	e.Servers, e.Trial, e.Told = nil, "", false
+	e.Servers, e.Trial, e.CrashedAt = nil, "", nil
+	e.Own, e.Guilty, e.Pardoned = false, false, false
 	e.Learned = now
 }
 
--- a/request/suspect/table_test.go
+++ b/request/suspect/table_test.go
@@ -48,3 +48,25 @@
 	a.Expire(epoch.Add(keep + time.Second))
 	is.Equal(a.Len(), 0)
 }
+
+// Half of the engines died and a suspect's two servers were among them. Each
+// instance pardons it by itself, and what they tell each other afterwards must
+// not add up to two crashes again.
+func TestPardonHoldsOverInstances(t *testing.T) {
+	is := is.New(t)
+	a, b := NewTable(), NewTable()
+	for _, server := range []string{"r1", "r2"} {
+		a.Crashed("d", "t", server, epoch)
+		b.Crashed("d", "t", server, epoch)
+	}
+	a.Pardon("d", epoch)
+	a.Merge(b.Share(epoch), epoch)
+	is.True(!a.Get("d").Convicted())
+	is.True(a.Get("d") != nil) // still a suspect
+	b.Pardon("d", epoch)
+	b.Merge(a.Share(epoch), epoch)
+	is.True(!b.Get("d").Convicted())
+	is.True(a.Get("d").Blamed("r2"))
+	a.Crashed("d", "t", "r3", epoch)
+	is.True(a.Get("d").Convicted())
+}
