Stop the other copies of a request after its first crash

Cause: copies of one crashing request that ran when the suspicion came all went on, as a trial each at other instances and unmarked at the one that saw the crash, so each took its engine along. At one instance the copies that waited in the queue even started as ordinary requests.

One copy now goes on: at one instance the first by ID, between instances that of the first by name, once each heard of the other's. The others stop and wait as suspects.

--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -38,6 +38,9 @@
 	} else {
 		c.enqueue(now, r)
 	}
+	if e.Crashed && e.Sent {
+		c.holdCopies(now, r.Digest, s)
+	}
 	c.dispatch(now, r.pool)
 }
 
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -95,7 +95,7 @@
 	c.heardOf[d.GetDataCenter()] = now
 	p.dataCenter, p.leaving = d.GetDataCenter(), d.GetLeaving()
 	c.takeLoads(now, p, d.GetLoads())
-	c.takeSuspects(now, p, d.GetSuspects())
+	c.takeSuspects(now, name, p, d.GetSuspects())
 	for _, spend := range d.GetSpends() {
 		if team := c.view.Teams[spend.GetTeam()]; team != nil {
 			c.limits.Told(name, spend.GetTeam(), limitOf(team), spend.GetTokens(), now)
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -39,6 +39,8 @@
 	// trial is true while it runs as a suspect; held is since when it waits as one.
 	trial bool
 	held  time.Time
+	// caught is true for a trial that ran already when the suspicion came.
+	caught bool
 	// reserved is the server that was announced for its trial.
 	reserved   *server
 	reservedAt time.Time
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -41,7 +41,7 @@
 }
 
 // takeSuspects takes in a peer's suspects and the servers that it tries them on.
-func (c *core) takeSuspects(now time.Time, p *peer, suspects []*lilacv1.Suspect) {
+func (c *core) takeSuspects(now time.Time, name string, p *peer, suspects []*lilacv1.Suspect) {
 	c.dropTrials(p)
 	for _, s := range suspects {
 		if server := c.servers[s.GetTrial()]; server != nil {
@@ -59,8 +59,13 @@
 		}
 		c.holdAccused(now)
 	}
-	if len(news) > 0 {
-		c.holdCopies(now, news)
+	for _, s := range suspects {
+		if news[s.GetDigest()] {
+			c.holdCopies(now, s.GetDigest(), nil)
+		}
+		if s.GetTrial() != "" && name < c.options.Instance {
+			c.yield(now, s.GetDigest())
+		}
 	}
 }
 
@@ -75,32 +80,6 @@
 	return news
 }
 
-// holdCopies looks after copies of new suspects: what waits goes to the
-// quarantine; what runs is its trial from now on. It isn't stopped: if it took
-// its server down while the order was on its way, nobody would know whose
-// doing that was, and the next trial would cost one more.
-func (c *core) holdCopies(now time.Time, digests map[string]bool) {
-	var ids []ID
-	for id, r := range c.requests {
-		if digests[r.Digest] && c.suspects.Get(r.Digest) != nil {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r := c.requests[id]
-		if r.server == nil {
-			c.unqueue(r)
-			c.enqueue(now, r)
-			continue
-		}
-		r.trial = true
-		r.server.trial = r.Digest
-		c.suspects.Get(r.Digest).Trial = r.server.name
-		c.announce()
-	}
-}
-
 func (c *core) dropTrials(p *peer) {
 	for _, server := range p.trials {
 		server.peerTrials--
@@ -219,7 +198,7 @@
 	if !r.trial {
 		return
 	}
-	r.trial = false
+	r.trial, r.caught = false, false
 	s.trial = ""
 	if e := c.suspects.Get(r.Digest); e != nil && e.Trial == s.name {
 		e.Trial = ""
--- a/request/policy/verdict.go
+++ b/request/policy/verdict.go
@@ -123,20 +123,3 @@
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 	}
 }
-
-// copies returns the requests that match, in order of ID.
-func (c *core) copies(match func(r *request) bool) []*request {
-	var found []*request
-	for _, r := range c.requests {
-		if match(r) {
-			found = append(found, r)
-		}
-	}
-	slices.SortFunc(found, func(a, b *request) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return found
-}
