Give up requests that wait where no server takes them

Cause: a request without a deadline waited without end where its engine answers 429 to everything or all servers of its pool are leaving; the caller's connection stayed open without a word.

It now ends as unavailable with Retry-After: 3 s after the pool's last server closed or was cut off; after 20 s if attempts fail and nothing of the pool gets on here, or after 10 attempts that no server took; a suspect after 30 s without a trial. Weighed: a bound on every wait, ruled out, since what waits behind others that get on would be shed out of tier order; the class's targets as the bound, ruled out, since late classes ask to run late.

The new tests found two more faults. A late or less urgent request never started on an idle server with no more slots than the reserve it leaves (two slots); an idle server takes anything now. And a refusal after a 429 said not_run "unknown", since the sent byte counted for good; a server's word that it did not run the attempt now takes that back, which also lets requests that aren't idempotent start again after a 429, as docs/notes/retries.md says.

The four tests of giveup_test.go failed before (two minutes without an end, nothing started on two slots), and NOT_RUN_UNKNOWN without the last change.

--- a/request/choose/filter.go
+++ b/request/choose/filter.go
@@ -18,7 +18,9 @@
 
 // Allow implements Filter.
 func (Room) Allow(r *Request, c *Candidate) bool {
-	return c.Load+1 <= c.Limit-r.Reserve+r.Over
+	// An idle server takes anything: where it has fewer slots than the reserve,
+	// late and less urgent requests would never start at all.
+	return c.Load+1 <= max(c.Limit-r.Reserve+r.Over, 1)
 }
 
 // Quarantine keeps two suspects off the same server: if it crashed, nobody
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -17,7 +17,7 @@
 	if !c.check(InvariantOneFinal, c.requests[a.ID] == nil) {
 		return
 	}
-	r := &request{Arrival: a, held: now}
+	r := &request{Arrival: a, held: now, idleSince: now}
 	if refusal, ok := c.admit(now, r); !ok {
 		refusal.ID = a.ID
 		refusal.NotRun = lilacv1.NotRun_NOT_RUN_TRUE
@@ -136,8 +136,9 @@
 // enqueue lets the request wait: as a suspect, or in its tier.
 func (c *core) enqueue(now time.Time, r *request) {
 	r.pool.dirty = true
+	r.suspect = false
 	if c.suspects.Len() > 0 && c.suspects.Get(r.Digest) != nil {
-		r.held = now
+		r.held, r.suspect = now, true
 		r.pool.quarantine = append(r.pool.quarantine, r)
 		return
 	}
--- a/request/policy/copies.go
+++ b/request/policy/copies.go
@@ -41,7 +41,7 @@
 // hold stops a running copy, which then waits as a suspect. One that may not
 // start again goes on: it ran already.
 func (c *core) hold(now time.Time, r *request) {
-	if !r.Idempotent && r.sentEver {
+	if !r.Idempotent && (r.sentEver || r.sentNow) {
 		return
 	}
 	c.stop(now, r)
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -45,6 +45,7 @@
 	sequence  uint64
 	slowAt    time.Time
 	expireAt  time.Time
+	giveUpAt  time.Time
 	stats     Stats
 	actions   []Action
 	announced bool
@@ -155,6 +156,7 @@
 	}
 	c.noticeCuts(now)
 	c.judge(now)
+	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.measure(now)
 		c.cutoff(now, p)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -113,6 +113,7 @@
 	if s == nil {
 		return
 	}
+	r.sentEver = r.sentEver || r.sentNow
 	if r.gotNow == 0 {
 		s.ahead = max(0, s.ahead-r.uncached)
 	} else {
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -25,7 +25,15 @@
 	if e.Crashed && e.Sent {
 		c.suspectCrash(now, r, s)
 	}
+	if e.Refused {
+		// The server says that it did not run what it was sent.
+		r.sentNow = false
+	}
 	c.leave(now, r)
+	r.pool.rejectedAt = now
+	if e.Refused || !e.Sent {
+		r.rejections++
+	}
 	r.failedOn = s.name
 	r.sentEver = r.sentEver || e.Sent && !e.Refused
 	c.blame(now, s, e)
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -31,6 +31,9 @@
 	// instance's part of it, rate its tokens a second, gap its mean gap.
 	capacity, quota, rate float64
 	gap                   time.Duration
+	// openAt is when a server was last open, progressAt when one last sent
+	// anything to this instance, rejectedAt when an attempt last failed.
+	openAt, progressAt, rejectedAt time.Time
 	// dirty is true while waiting requests may have found room.
 	dirty bool
 }
@@ -41,7 +44,7 @@
 }
 
 func newPool(name string, now time.Time) *pool {
-	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), used: make(map[string]*classUse), quota: 1, rate: 1}
+	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), used: make(map[string]*classUse), quota: 1, rate: 1, openAt: now, progressAt: now}
 }
 
 // use notes that a class's requests come to the pool.
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -14,7 +14,7 @@
 
 func (c *core) sent(e Sent) {
 	if r := c.current(e.ID, e.Attempt); r != nil {
-		r.sentNow, r.sentEver = true, true
+		r.sentNow = true
 	}
 }
 
@@ -39,6 +39,7 @@
 	r.got += e.Count
 	r.gotNow += e.Count
 	r.lastAt, s.lastToken = now, now
+	r.idleSince, r.pool.progressAt, r.rejections = now, now, 0
 	if r.trial && r.gotNow >= trialTokens {
 		c.clearSuspect(now, r)
 	}
@@ -54,6 +55,7 @@
 		s.answered(r, now.Sub(r.started))
 	}
 	s.proved()
+	r.pool.progressAt = now
 	if r.trial {
 		c.clearSuspect(now, r)
 	}
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -20,7 +20,8 @@
 	// server is nil while the request waits.
 	server  *server
 	attempt int
-	// sentNow: the present attempt may have written a byte; sentEver: any did.
+	// sentNow: the present attempt may have written a byte; sentEver: any did
+	// that ended without the server's word that it did not run.
 	sentNow  bool
 	sentEver bool
 	// got counts the tokens that the caller holds, gotNow those of this attempt.
@@ -44,6 +45,11 @@
 	// reserved is the server that was announced for its trial.
 	reserved   *server
 	reservedAt time.Time
+	// idleSince is the arrival or the last token; rejections counts attempts that
+	// no server took. suspect is true while it waits for a trial.
+	idleSince  time.Time
+	rejections int
+	suspect    bool
 	// ownAt and poolAt are its places in its server's and its pool's lists.
 	ownAt, poolAt int
 }
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -105,6 +105,7 @@
 func (c *core) tryTrial(now time.Time, r *request) bool {
 	e := c.suspects.Get(r.Digest)
 	if e == nil {
+		r.suspect = false
 		r.item.Late = false
 		r.pool.queue.Push(&r.item)
 		return true
