--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -45,9 +45,13 @@
 	sequence  uint64
 	slowAt    time.Time
 	expireAt  time.Time
+	giveUpAt  time.Time
 	stats     Stats
 	actions   []Action
 	announced bool
+	// accused are digests whose verdict is due; lastFall is the last new crash.
+	accused  []string
+	lastFall time.Time
 }
 
 // New returns a core that refuses everything until its first Configured event.
@@ -151,6 +155,8 @@
 		s.sample(now)
 	}
 	c.noticeCuts(now)
+	c.judge(now)
+	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.measure(now)
 		c.cutoff(now, p)
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -25,7 +25,15 @@
 	if e.Crashed && e.Sent {
 		c.suspectCrash(now, r, s)
 	}
+	if e.Refused {
+		// The server says that it did not run what it was sent.
+		r.sentNow = false
+	}
 	c.leave(now, r)
+	r.pool.rejectedAt = now
+	if e.Refused || !e.Sent {
+		r.rejections++
+	}
 	r.failedOn = s.name
 	r.sentEver = r.sentEver || e.Sent && !e.Refused
 	c.blame(now, s, e)
@@ -38,6 +46,9 @@
 	} else {
 		c.enqueue(now, r)
 	}
+	if e.Crashed && e.Sent {
+		c.holdCopies(now, r.Digest, s)
+	}
 	c.dispatch(now, r.pool)
 }
 
@@ -48,6 +59,7 @@
 		s.busyUntil = now.Add(max(e.RetryAfter, minBusy))
 	case e.Final:
 	case e.Crashed:
+		c.noteCrash(now, s)
 		if !now.Before(s.ejectedUntil) {
 			c.stats.Crashes++
 			s.eject(now)
@@ -65,7 +77,7 @@
 // verdict says whether a failed request is given up, and as what. A retry is
 // taken from the budget unless the server did not run the request at all.
 func (c *core) verdict(now time.Time, r *request, e Failed) (fault.Kind, string, bool) {
-	if c.suspects.Get(r.Digest).Convicted() {
+	if c.guilty(r.Digest) {
 		return lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, true
 	}
 	if e.Final {
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -95,7 +95,7 @@
 	c.heardOf[d.GetDataCenter()] = now
 	p.dataCenter, p.leaving = d.GetDataCenter(), d.GetLeaving()
 	c.takeLoads(now, p, d.GetLoads())
-	c.takeSuspects(now, p, d.GetSuspects())
+	c.takeSuspects(now, name, p, d.GetSuspects())
 	for _, spend := range d.GetSpends() {
 		if team := c.view.Teams[spend.GetTeam()]; team != nil {
 			c.limits.Told(name, spend.GetTeam(), limitOf(team), spend.GetTokens(), now)
@@ -149,6 +149,9 @@
 // broke before ours noticed.
 func (c *core) takeEjected(now time.Time, name string) {
 	s := c.servers[name]
+	if s != nil {
+		c.noteCrash(now, s)
+	}
 	if s == nil || s.ejectedUntil.After(now.Add(peerEject)) {
 		return
 	}
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -34,23 +34,14 @@
 	if c.suspects.Crashed(r.Digest, r.Team, s.name, now) {
 		c.announce()
 	}
-	c.convict(now, r.Digest)
-}
-
-// convict asks once for the conviction of a digest with two crashes.
-func (c *core) convict(now time.Time, digest string) {
-	e := c.suspects.Get(digest)
-	if !e.Convicted() || e.Told {
-		return
+	if e := c.suspects.Get(r.Digest); e != nil {
+		e.Own = true
 	}
-	e.Told = true
-	c.stats.Convicted++
-	c.emit(Convict{Digest: digest, Team: e.Team, Servers: slices.Clone(e.Servers)})
-	c.announce()
+	c.accuse(r.Digest)
 }
 
 // takeSuspects takes in a peer's suspects and the servers that it tries them on.
-func (c *core) takeSuspects(now time.Time, p *peer, suspects []*lilacv1.Suspect) {
+func (c *core) takeSuspects(now time.Time, name string, p *peer, suspects []*lilacv1.Suspect) {
 	c.dropTrials(p)
 	for _, s := range suspects {
 		if server := c.servers[s.GetTrial()]; server != nil {
@@ -63,10 +54,18 @@
 	}
 	news := c.unknown(suspects)
 	if c.suspects.Merge(suspects, now) {
-		c.stopConvicted(now)
+		for _, s := range suspects {
+			c.accuse(s.GetDigest())
+		}
+		c.holdAccused(now)
 	}
-	if len(news) > 0 {
-		c.holdCopies(now, news)
+	for _, s := range suspects {
+		if news[s.GetDigest()] {
+			c.holdCopies(now, s.GetDigest(), nil)
+		}
+		if s.GetTrial() != "" && name < c.options.Instance {
+			c.yield(now, s.GetDigest())
+		}
 	}
 }
 
@@ -81,32 +80,6 @@
 	return news
 }
 
-// holdCopies looks after copies of new suspects: what waits goes to the
-// quarantine; what runs is its trial from now on. It isn't stopped: if it took
-// its server down while the order was on its way, nobody would know whose
-// doing that was, and the next trial would cost one more.
-func (c *core) holdCopies(now time.Time, digests map[string]bool) {
-	var ids []ID
-	for id, r := range c.requests {
-		if digests[r.Digest] && c.suspects.Get(r.Digest) != nil {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r := c.requests[id]
-		if r.server == nil {
-			c.unqueue(r)
-			c.enqueue(now, r)
-			continue
-		}
-		r.trial = true
-		r.server.trial = r.Digest
-		c.suspects.Get(r.Digest).Trial = r.server.name
-		c.announce()
-	}
-}
-
 func (c *core) dropTrials(p *peer) {
 	for _, server := range p.trials {
 		server.peerTrials--
@@ -114,22 +87,6 @@
 	p.trials = p.trials[:0]
 }
 
-// stopConvicted ends the copies of convicted requests that run or wait here.
-func (c *core) stopConvicted(now time.Time) {
-	var ids []ID
-	for id, r := range c.requests {
-		if c.suspects.Get(r.Digest).Convicted() {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r := c.requests[id]
-		c.stop(now, r)
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
-	}
-}
-
 // tryTrials starts suspects, each alone of its kind on its server.
 func (c *core) tryTrials(now time.Time, p *pool) {
 	for i := 0; i < len(p.quarantine); {
@@ -148,16 +105,17 @@
 func (c *core) tryTrial(now time.Time, r *request) bool {
 	e := c.suspects.Get(r.Digest)
 	if e == nil {
+		r.suspect = false
 		r.item.Late = false
 		r.pool.queue.Push(&r.item)
 		return true
 	}
-	if e.Convicted() {
+	if c.guilty(r.Digest) {
 		c.unqueue(r)
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 		return true
 	}
-	if c.mustWait(now, r, e) {
+	if e.Convicted() || e.Pardoned && !c.calm(now) || c.mustWait(now, r, e) {
 		return false
 	}
 	s, mine := c.trialServer(now, r, e)
@@ -241,7 +199,7 @@
 	if !r.trial {
 		return
 	}
-	r.trial = false
+	r.trial, r.caught = false, false
 	s.trial = ""
 	if e := c.suspects.Get(r.Digest); e != nil && e.Trial == s.name {
 		e.Trial = ""
