--- /dev/null
+++ b/daemon/program/program.go
@@ -0,0 +1,72 @@
+// Package program is what the mains of the daemons share: the command line, the
+// reading of settings, the logger and the exit status.
+package program
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"github.com/lilacbridge/lilacbridge/process/build"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// exitFailed is the status of a daemon that could not start or go on;
+// settings.ExitCode that of one whose settings are wrong.
+const exitFailed = 1
+
+// Settings are those of one kind of daemon.
+type Settings interface {
+	settings.Validator
+	// Shared returns the part that all kinds have.
+	Shared() *settings.Common
+}
+
+// Daemon runs until it is told to stop.
+type Daemon interface {
+	Run(ctx context.Context) error
+}
+
+// Main reads the settings that the command line names, opens the daemon and
+// runs it. It does not return if anything failed.
+func Main[S Settings](name, short string, s S, open func(S, hclog.Logger) (Daemon, error)) {
+	var file string
+	code := settings.ExitCode
+	root := &cobra.Command{
+		Use:           name,
+		Short:         short,
+		Version:       build.Version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.Flags().StringVar(&file, "settings", "", "YAML file with the settings of this process")
+	root.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := settings.Load(file, s); err != nil {
+			return err
+		}
+		code = exitFailed
+		return run(cmd.Context(), s, open)
+	}
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(code)
+	}
+}
+
+func run[S Settings](ctx context.Context, s S, open func(S, hclog.Logger) (Daemon, error)) error {
+	// The framework's own lines are no changes of state.
+	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
+	common := s.Shared()
+	logger := hclog.New(&hclog.LoggerOptions{Name: common.Name, Level: hclog.LevelFromString(common.LogLevel)})
+	daemon, err := open(s, logger)
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -82,8 +80,6 @@
 // Run serves until SIGTERM, SIGINT or the end of ctx. It then hands leadership
 // over, so that statements and claims wait for no election, and stops.
 func (d *Daemon) Run(ctx context.Context) error {
-	// The framework's own lines are no changes of state.
-	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group errgroup.Group
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -176,6 +176,9 @@
 	LogLevel string `yaml:"log_level"`
 }
 
+// Shared returns the part of the settings that all kinds of daemons have.
+func (c *Common) Shared() *Common { return c }
+
 func (c *Common) problems() []error {
 	var all []error
 	required := func(value, field string) {
