--- a/process/replica/compaction.go
+++ b/process/replica/compaction.go
@@ -15,7 +15,7 @@
 	meta *lilacv1.RaftSnapshotMeta
 	// keep is the index after which entries stay for slow followers.
 	keep uint64
-	// bytes is the data applied before it since the snapshot before.
+	// bytes is the data of entries that it covers since the last one.
 	bytes int
 	// done gets the error, or nil, once the file stands whole under its
 	// temporary name. It has room for it, so that the writer never waits.
