Let an operator see the own change at once; mend what a first start showed

The handler now waits up to 2 s for its own view (accepted either way); only a sender that had answered is logged as lost. Ruled out: answering from the state process, since SHOW tells what is in force at the asked instance.

--- a/connection/operator/change.go
+++ b/connection/operator/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -11,6 +12,11 @@
 	"github.com/lilacbridge/lilacbridge/version/statement"
 )
 
+const (
+	ownViewTimeout = 2 * time.Second
+	ownViewPoll    = 5 * time.Millisecond
+)
+
 func (h *handler) statement(ctx context.Context, who string, body []byte) (*Reply, error) {
 	request := &StatementRequest{}
 	if err := decode(body, request); err != nil {
@@ -84,12 +90,32 @@
 	change := &Change{
 		Revision: reply.GetRevision(), Repeated: reply.GetRepeatedCommand(), DryRun: proposal.GetDryRun(), CommandID: proposal.GetCommandId(),
 	}
+	if !proposal.GetDryRun() {
+		h.awaitOwnView(ctx, reply.GetRevision())
+	}
 	if proposal.GetDryRun() {
 		change.Effect, err = h.effect(ctx, proposal.GetChanges())
 	}
 	return &Reply{Change: change}, err
 }
 
+// awaitOwnView waits a little until the revision is in force here, so that an
+// operator who asks this instance next sees the own change. It is accepted
+// whether or not it has come by then.
+func (h *handler) awaitOwnView(ctx context.Context, revision uint64) {
+	ctx, cancel := context.WithTimeout(ctx, ownViewTimeout)
+	defer cancel()
+	ticker := time.NewTicker(ownViewPoll)
+	defer ticker.Stop()
+	for h.View().Revision < revision {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func lostAnswer(err error) bool {
 	switch fault.KindOf(err) {
 	case lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE,
--- a/connection/operator/operator_test.go
+++ b/connection/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 type fakeState struct {
 	errors    []error
 	proposals []*lilacv1.Proposal
+	accepted  atomic.Bool
 }
 
 func (s *fakeState) Propose(_ context.Context, p *lilacv1.Proposal) (*lilacv1.ProposeReply, error) {
@@ -33,6 +35,7 @@
 		s.errors = s.errors[1:]
 		return nil, err
 	}
+	s.accepted.Store(true)
 	return &lilacv1.ProposeReply{Revision: 42}, nil
 }
 
@@ -52,6 +55,24 @@
 	return Peer{Name: name, DataCenter: "thies-a", Caller: &link.Local{Mux: mux}}
 }
 
+// viewOf shows the accepted change only some looks after it was accepted, as
+// an entry that follows the log does.
+func viewOf(state State, before *model.View) func() *model.View {
+	after := *before
+	after.Revision = 42
+	looks := 0
+	return func() *model.View {
+		fake := state.(*fakeState)
+		if !fake.accepted.Load() {
+			return before
+		}
+		if looks++; looks < 3 {
+			return before
+		}
+		return &after
+	}
+}
+
 func serve(t *testing.T, state State) *Client {
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "tokens")
@@ -60,7 +81,7 @@
 	is.NoErr(err)
 	view := model.NewView(&lilacv1.Snapshot{Revision: 41, Classes: []*lilacv1.Class{{Name: "alerts", FirstTokenMs: 420, SharePermille: 75}}})
 	server := httptest.NewServer(NewHandler(Options{
-		Instance: "e1", DataCenter: "dakar-a", Newest: func() (uint64, time.Duration) { return 41, time.Second }, View: func() *model.View { return view }, State: state, Operators: func() *secret.Operators { return operators }, Now: time.Now,
+		Instance: "e1", DataCenter: "dakar-a", Newest: func() (uint64, time.Duration) { return 41, time.Second }, View: viewOf(state, view), State: state, Operators: func() *secret.Operators { return operators }, Now: time.Now,
 		Local: func(context.Context, *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) { return rows("e1"), nil },
 		Peers: func() []Peer {
 			return []Peer{
@@ -100,6 +121,18 @@
 	is.Equal(state.proposals[0].GetCommandId(), "c1")
 }
 
+// An operator changes a class and asks the same instance at once. The answer
+// must hold the change, though the instance learns of it a little later.
+func TestChangeIsInForceHereOnceAnswered(t *testing.T) {
+	is := is.New(t)
+	client := serve(t, &fakeState{})
+	_, err := client.Statement(t.Context(), &StatementRequest{Statement: "DROP TEAM x", CommandID: "c1"})
+	is.NoErr(err)
+	reply, err := client.Statement(t.Context(), &StatementRequest{Statement: "SHOW classes"})
+	is.NoErr(err)
+	is.Equal(reply.Parts[0].Revision, uint64(42))
+}
+
 // The leader dies after it accepted a change and before it answered. The
 // client must send the same command id again and, when no answer comes at all,
 // must say "unknown" and never "not made".
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -184,6 +184,7 @@
 	w.receiving.Lock()
 	defer w.receiving.Unlock()
 	w.options.Logger.Debug("following revisions", "from", name)
+	begun := time.Now()
 	err := w.receive(ctx, caller, prefix, target)
 	if fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND) {
 		err = w.fetch(ctx, caller, prefix, target)
@@ -194,10 +195,22 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.options.Logger.Info("lost the sender of revisions", "from", name, "error", err)
+	// A sender that never answered was not lost: trying all in turn while none is
+	// there is no change of state.
+	level := hclog.Debug
+	if w.heardSince(begun) {
+		level = hclog.Info
+	}
+	w.options.Logger.Log(level, "lost the sender of revisions", "from", name, "error", err)
 	w.broken(ctx, target)
 }
 
+func (w *Watcher) heardSince(begun time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.known.at.After(begun)
+}
+
 func (w *Watcher) broken(ctx context.Context, target spread.Target) {
 	if target.State() {
 		w.mu.Lock()
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -60,7 +60,7 @@
 	{"entry", "backend servers in memory", "ViewHeap/servers", "heap-B", Replicas, 1.0 / megabyte, CapMemoryMB, "MB", "one shared view"},
 	{"entry", "policy core in memory", "CoreHeap", "heap-B", Replicas, 1.0 / megabyte, CapMemoryMB, "MB", "a subset of the pool for each instance"},
 	{"entry", "change of a team applied", "TeamChange", "ns/op", Teams, changesPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "only the changed map is cloned"},
-	{"entry", "choice of a server", "CoreRequest", "ns/op", Replicas, requestsPerNode * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "two choices out of a subset"},
+	{"entry", "choice of a server", "CoreRequest", "ns/op", Replicas, requestsPerNode * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "the best of a sample out of a subset"},
 	{"entry", "digests received", "CoreDigest", "ns/op", Nodes, digestsPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "combined in the tree: at most six a second"},
 	{"entry", "whole process, resident", "Weigh/entry", "rss-MB", Teams, 1, CapMemoryMB, "MB", "all of the above"},
 	{"entry", "whole process, idle", "Weigh/entry", "core-%", Teams, 1, CapCorePercent, "% of a core", "few wake-ups while idle"},
--- a/request/choose/pick.go
+++ b/request/choose/pick.go
@@ -24,25 +24,3 @@
 	}
 	return best
 }
-
-// TwoChoices takes the lesser of two random candidates: stale costs that all
-// instances share then do not draw all of them to one server.
-type TwoChoices struct{}
-
-var _ Picker = TwoChoices{}
-
-// Pick implements Picker.
-func (TwoChoices) Pick(scores []float64, random *rand.Rand) int {
-	if len(scores) < 2 {
-		return len(scores) - 1
-	}
-	a := random.IntN(len(scores))
-	b := random.IntN(len(scores) - 1)
-	if b >= a {
-		b++
-	}
-	if scores[b] < scores[a] {
-		return b
-	}
-	return a
-}
