--- a/daemon/entry/stream_test.go
+++ b/daemon/entry/stream_test.go
@@ -22,7 +22,7 @@
 // The caller must get the rest, byte for byte and under one id, whether the
 // engine still holds the answer, has lost it, or has died.
 func TestBrokenStreamIsContinued(t *testing.T) {
-	for _, after := range []int{0, 3, 6} {
+	for _, after := range []int{0, 1, 3, 5, 6} {
 		for _, end := range []string{"holds", "lost", "died"} {
 			t.Run(end+strconv.Itoa(after), func(t *testing.T) { continued(t, after, end) })
 		}
