--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # lilacbridge: build, test, prove and show. See README.md.
 SHELL := /bin/bash
 GOBIN := $(shell go env GOPATH)/bin
-STATICCHECK_VERSION := 2026.2.2
+STATICCHECK_VERSION := v0.8.2
 BUF_VERSION := v1.57.2
 PROTOC_GEN_GO_VERSION := v1.36.12
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
