Wait until the killed entry was heard by both others

Cause: a run of connection/gossip under load (12 cores at load 13) did not end in 600 s. TestKilledEntryIsGone kills an entry once the first one has heard it, and then waits for the second one's word that it is gone; an entry that the second had never heard is never told as gone. A second way to wait for ever: a line that finds the channel of news full is lost. Conclusion: stricter than before, and nothing in the product changed.

--- a/connection/gossip/gossip_test.go
+++ b/connection/gossip/gossip_test.go
@@ -22,6 +22,10 @@
 
 var testKey = []byte("one key for all tests")
 
+// newsKept is more than an entry tells in a test: a line that finds no room is
+// lost, and who waits for it waits for ever.
+const newsKept = 1 << 16
+
 // node is an entry with only its membership.
 type node struct {
 	peer   settings.Peer
@@ -53,7 +57,7 @@
 	}
 	for i, peer := range peers {
 		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
-		x := &node{peer: peer, news: make(chan string, 1000)}
+		x := &node{peer: peer, news: make(chan string, newsKept)}
 		o := Options{
 			Self:    member.Peer{Name: peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter},
 			Entries: peers, Dial: dialer(t, id), Own: func() *lilacv1.Digest { return own(i) }, Now: now,
@@ -131,6 +135,8 @@
 	all := start(t, 3, "", nothing)
 	all[0].waitFor("digest entry-1")
 	all[0].waitFor("digest entry-2")
+	// An entry that was never heard is not told as gone.
+	all[1].waitFor("digest entry-2")
 	all[2].stop()
 	all[2].server.Close()
 	all[0].waitFor("gone entry-2")
