Keep connections only to servers that echo request ids

Ruled out: the relay's order of export, import and resume; the policy's stop. Change: a pool remembers by address whether answers carry the id. Kept connections are for servers that echo, all others get one for each call; on a reused connection an answer without the id is discarded. Control calls have ids and connections of their own. The stand-in echoes on every answer; before, a resume under another attempt's id carried the held one's id, which the entry discards as another request's. Conclusion: what must not be reused has to be known before the call.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -110,35 +110,55 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.exchange(ctx, http.MethodPost, address, "/v1/cancel", body, maxReport)
+	_, err = c.control(ctx, http.MethodPost, address, "/v1/cancel", body)
 	return err
 }
 
-// ExportKV takes the KV cache of a request out of the engine that ran it.
-func (c *Client) ExportKV(ctx context.Context, address, id string) ([]byte, error) {
+// ExportKV takes the KV cache of the request id out of the engine that ran it.
+// The call is attempt callID.
+func (c *Client) ExportKV(ctx context.Context, address, id, callID string) ([]byte, error) {
 	body, err := json.Marshal(map[string]string{"request_id": id})
 	if err != nil {
 		return nil, err
 	}
-	return c.exchange(ctx, http.MethodPost, address, "/v1/kv/export", body, maxKVBytes)
+	return c.move(ctx, address, "/v1/kv/export", callID, body)
 }
 
 // ImportKV gives a KV cache to an engine, which can then resume the request.
-func (c *Client) ImportKV(ctx context.Context, address string, cache []byte) error {
-	_, err := c.exchange(ctx, http.MethodPost, address, "/v1/kv/import", cache, maxReport)
+// The call is attempt callID.
+func (c *Client) ImportKV(ctx context.Context, address, callID string, cache []byte) error {
+	_, err := c.move(ctx, address, "/v1/kv/import", callID, cache)
 	return err
 }
 
-// exchange makes one short call and reads the whole answer.
-func (c *Client) exchange(ctx context.Context, method, address, path string, body []byte, limit int64) ([]byte, error) {
-	req, err := newRequest(ctx, method, address, path, body)
+// move makes one call of a caller's request that carries or brings its KV cache.
+func (c *Client) move(ctx context.Context, address, path, callID string, body []byte) ([]byte, error) {
+	req, err := newRequest(ctx, http.MethodPost, address, path, body)
 	if err != nil {
 		return nil, err
 	}
+	req.Header.Set(upstream.RequestIDHeader, callID)
 	resp, err := c.up.Do(req, nil)
 	if err != nil {
 		return nil, err
 	}
+	return readAll(resp, maxKVBytes)
+}
+
+// control makes one short call of lilacbridge's own and reads the whole answer.
+func (c *Client) control(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
+	req, err := newRequest(ctx, method, address, path, body)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.up.Control(req)
+	if err != nil {
+		return nil, err
+	}
+	return readAll(resp, maxReport)
+}
+
+func readAll(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.StatusCode/100 != 2 {
 		return nil, upstream.ReadStatus(resp)
 	}
@@ -148,7 +168,7 @@
 		return nil, err
 	}
 	if int64(len(data)) > limit {
-		return nil, fmt.Errorf("engine answered more than %d bytes to %s", limit, path)
+		return nil, fmt.Errorf("engine answered more than %d bytes to %s", limit, resp.Request.URL.Path)
 	}
 	return data, nil
 }
--- a/connection/engine/report.go
+++ b/connection/engine/report.go
@@ -43,7 +43,7 @@
 }
 
 func (c *Client) get(ctx context.Context, address, path string, into any) error {
-	data, err := c.exchange(ctx, http.MethodGet, address, path, nil, maxReport)
+	data, err := c.control(ctx, http.MethodGet, address, path, nil)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/connection/upstream/pool.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// A server behind a silent cut is noticed after keepAliveIdle plus
+	// keepAliveCount times keepAliveGap.
+	keepAliveIdle  = 5 * time.Second
+	keepAliveGap   = 2 * time.Second
+	keepAliveCount = 3
+	// idleTimeout is below the 5 s after which common servers close a kept
+	// connection, so that no request meets one that is being closed.
+	idleTimeout     = 4 * time.Second
+	idlePerServer   = 64
+	maxHeaderBytes  = 64 << 10
+	readBufferBytes = 4 << 10
+	// maxAddresses bounds what a pool remembers; beyond, it learns anew.
+	maxAddresses = 16384
+)
+
+// pool holds the connections of one kind of calls. Those to servers that are
+// known to echo request ids are kept, all others serve one call.
+type pool struct {
+	kept  *http.Client
+	fresh *http.Client
+	// sent and received count the bytes of all connections.
+	sent, received atomic.Uint64
+
+	mu sync.Mutex
+	// echoes tells by host:port whether the server echoes. One answer without
+	// the echo is believed for good.
+	echoes map[string]bool
+}
+
+func newPool() *pool {
+	p := &pool{echoes: make(map[string]bool)}
+	once := p.transport()
+	once.DisableKeepAlives = true
+	p.kept = &http.Client{Transport: p.transport(), CheckRedirect: noRedirect}
+	p.fresh = &http.Client{Transport: once, CheckRedirect: noRedirect}
+	return p
+}
+
+func (p *pool) transport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveGap, Count: keepAliveCount,
+	}}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn, pool: p}, nil
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerServer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         readBufferBytes,
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// clientFor returns the client whose connections fit what is known of the server.
+func (p *pool) clientFor(address string) *http.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.echoes[address] {
+		return p.kept
+	}
+	return p.fresh
+}
+
+// learn notes whether an answer of the server carried its request's id.
+func (p *pool) learn(address string, echoed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, seen := p.echoes[address]
+	if seen && (known == echoed || !known) {
+		return
+	}
+	if len(p.echoes) >= maxAddresses {
+		clear(p.echoes)
+	}
+	p.echoes[address] = echoed
+}
+
+// trackedConn reports its writes to the attempt that uses it, and counts bytes.
+type trackedConn struct {
+	net.Conn
+	pool    *pool
+	attempt atomic.Pointer[Attempt]
+}
+
+func (c *trackedConn) Write(b []byte) (int, error) {
+	if a := c.attempt.Load(); a != nil && !a.mayWrite() {
+		return 0, ErrSealed
+	}
+	n, err := c.Conn.Write(b)
+	c.pool.sent.Add(uint64(n))
+	return n, err
+}
+
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.pool.received.Add(uint64(n))
+	return n, err
+}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -3,128 +3,38 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
-	"time"
 )
 
-const (
-	dialTimeout = 2 * time.Second
-	// A server behind a silent cut is noticed after keepAliveIdle plus
-	// keepAliveCount times keepAliveGap.
-	keepAliveIdle  = 5 * time.Second
-	keepAliveGap   = 2 * time.Second
-	keepAliveCount = 3
-	// idleTimeout is below the 5 s after which common servers close a kept
-	// connection, so that no request meets one that is being closed.
-	idleTimeout     = 4 * time.Second
-	idlePerServer   = 64
-	maxHeaderBytes  = 64 << 10
-	readBufferBytes = 4 << 10
-	// RequestIDHeader carries the attempt's id there and back.
-	RequestIDHeader = "X-Request-Id"
-)
-
-// ErrSealed is the error of a write that came after its attempt was sealed.
-var ErrSealed = errors.New("attempt was given up before its first byte")
-
-const (
-	fresh int32 = iota
-	written
-	sealed
-)
-
-// Attempt is one try at one backend server. It moves from fresh to written or
-// to sealed, and never back.
-type Attempt struct {
-	// OnWrite is called once, just before the first byte may go out; may be nil.
-	OnWrite func()
-	state   atomic.Int32
-}
-
-// Seal gives the attempt up and reports whether none of its bytes was written.
-//
-// It guards against a refusal that says "not run" while the HTTP library's own
-// goroutine is still about to write: the library reports an ended context
-// before its writer has looked. It shows as a request that ran although its
-// caller was told otherwise. It holds because the writer must first move the
-// same word from fresh to written, and a sealed attempt fails that.
-func (a *Attempt) Seal() bool {
-	return a.state.CompareAndSwap(fresh, sealed) || a.state.Load() == sealed
-}
-
-// Written reports whether a byte may have been written.
-func (a *Attempt) Written() bool { return a.state.Load() == written }
-
-func (a *Attempt) mayWrite() bool {
-	if a.state.CompareAndSwap(fresh, written) {
-		if a.OnWrite != nil {
-			a.OnWrite()
-		}
-		return true
-	}
-	return a.state.Load() == written
-}
-
-// trackedConn reports its writes to the attempt that uses it.
-type trackedConn struct {
-	net.Conn
-	attempt atomic.Pointer[Attempt]
-}
-
-func (c *trackedConn) Write(b []byte) (int, error) {
-	if a := c.attempt.Load(); a != nil && !a.mayWrite() {
-		return 0, ErrSealed
-	}
-	return c.Conn.Write(b)
-}
+// RequestIDHeader carries the id of an attempt or control call there and back.
+const RequestIDHeader = "X-Request-Id"
 
 // Client sends requests to all backend servers.
 type Client struct {
-	kept  *http.Client
-	fresh *http.Client
+	requests *pool
+	control  *pool
+	// calls numbers the control calls.
+	calls atomic.Uint64
 }
 
-// NewClient returns a Client of its own pool of connections.
-func NewClient() *Client {
-	kept := newTransport()
-	fresh := newTransport()
-	fresh.DisableKeepAlives = true
-	return &Client{
-		kept:  &http.Client{Transport: kept, CheckRedirect: noRedirect},
-		fresh: &http.Client{Transport: fresh, CheckRedirect: noRedirect},
-	}
-}
+// NewClient returns a Client of its own connections.
+func NewClient() *Client { return &Client{requests: newPool(), control: newPool()} }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveGap, Count: keepAliveCount,
-	}}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &trackedConn{Conn: conn}, nil
-		},
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idlePerServer,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         readBufferBytes,
-	}
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.requests.kept.CloseIdleConnections()
+	c.control.kept.CloseIdleConnections()
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-// Close closes the idle connections.
-func (c *Client) Close() { c.kept.CloseIdleConnections() }
+// ControlBytes returns what Control's connections sent and received so far.
+func (c *Client) ControlBytes() (sent, received uint64) {
+	return c.control.sent.Load(), c.control.received.Load()
+}
 
 // onceBody hides the body's kind from net/http.
 //
@@ -139,10 +49,11 @@
 func (onceBody) Close() error { return nil }
 
 // Do sends the request as the attempt, which may be nil for calls that no
-// caller waits for, over a kept connection where there is one. An answer that
-// carries another X-Request-Id than the request is discarded, see ErrNotBound.
+// caller waits for, over a kept connection where the server is known to echo
+// request ids. See ErrNotBound and ErrUnnamed for answers that are discarded.
 func (c *Client) Do(req *http.Request, attempt *Attempt) (*http.Response, error) {
-	return do(c.kept, req, attempt)
+	address := req.URL.Host
+	return c.requests.do(c.requests.clientFor(address), req, attempt)
 }
 
 // DoFresh is Do over a connection of its own.
@@ -152,18 +63,26 @@
 // whether it ran. It shows as an unknown outcome while the server is well. It
 // holds because a connection that was just opened is not idle.
 func (c *Client) DoFresh(req *http.Request, attempt *Attempt) (*http.Response, error) {
-	return do(c.fresh, req, attempt)
+	return c.requests.do(c.requests.fresh, req, attempt)
+}
+
+// Control sends a call of lilacbridge's own, such as a poll, over connections
+// that no caller's request uses. It gives the call an id of its own.
+func (c *Client) Control(req *http.Request) (*http.Response, error) {
+	req.Header.Set(RequestIDHeader, "control-"+strconv.FormatUint(c.calls.Add(1), 10))
+	address := req.URL.Host
+	return c.control.do(c.control.clientFor(address), req, nil)
 }
 
-func do(client *http.Client, req *http.Request, attempt *Attempt) (*http.Response, error) {
+func (p *pool) do(client *http.Client, req *http.Request, attempt *Attempt) (*http.Response, error) {
 	if req.Body != nil {
 		req.Body = onceBody{req.Body}
 		req.GetBody = nil
 	}
-	var conn *trackedConn
+	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, _ = info.Conn.(*trackedConn)
-		if conn != nil {
+		reused = info.Reused
+		if conn, ok := info.Conn.(*trackedConn); ok {
 			conn.attempt.Store(attempt)
 		}
 	}}
@@ -171,45 +90,42 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := bound(req, resp); err != nil {
-		if conn != nil {
-			conn.Close()
-		}
+	if err := p.bind(req, resp, reused); err != nil {
+		// A body that was not read to its end takes its connection along.
 		resp.Body.Close()
 		return nil, err
 	}
-	if resp.Header.Get(RequestIDHeader) == "" && conn != nil {
-		resp.Body = &lastBody{ReadCloser: resp.Body, conn: conn}
-	}
 	return resp, nil
 }
 
 // ErrNotBound is the error of an answer that belongs to another request.
 var ErrNotBound = errors.New("answer carries another request's X-Request-Id; it was discarded")
 
-// bound checks that an answer belongs to its request.
+// ErrUnnamed is the error of an answer on a kept connection that names no
+// request, from a server that named them before. The next call to that server
+// has a connection of its own.
+var ErrUnnamed = errors.New("answer on a kept connection carries no X-Request-Id and may be another's; it was discarded")
+
+// bind checks that an answer belongs to its request.
 //
 // It guards against a late answer of a replaced attempt on a reused
 // connection: a server that writes a second answer where it owed one makes the
 // next request on that connection read it. It would show as one caller's
-// answer at another. It holds because each attempt has an id of its own, which
-// the server echoes, and connections of servers that echo none are not reused.
-func bound(req *http.Request, resp *http.Response) error {
+// answer at another. It holds because each call has an id of its own, and an
+// answer on a reused connection must carry it. Servers that have not echoed
+// an id yet, or once did not, get a new connection for each call. Closing a
+// connection after its answer instead is too late: the library may have handed
+// it to the next call already, which then fails.
+func (p *pool) bind(req *http.Request, resp *http.Response, reused bool) error {
 	want := req.Header.Get(RequestIDHeader)
 	got := resp.Header.Get(RequestIDHeader)
-	if want != "" && got != "" && got != want {
+	if got != "" && want != "" && got != want {
 		return ErrNotBound
 	}
+	echoed := want != "" && got == want
+	p.learn(req.URL.Host, echoed)
+	if reused && !echoed {
+		return ErrUnnamed
+	}
 	return nil
 }
-
-// lastBody closes the connection of a server that echoes no id with the body.
-type lastBody struct {
-	io.ReadCloser
-	conn *trackedConn
-}
-
-func (b *lastBody) Close() error {
-	b.conn.Close()
-	return b.ReadCloser.Close()
-}
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -13,6 +16,7 @@
 	"testing/synctest"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // A caller leaves at the moment at which its request is about to be written. The
@@ -86,6 +90,7 @@
 			defer server.Close()
 			client := NewClient()
 			defer client.Close()
+			client.requests.learn(server.Listener.Addr().String(), true)
 			for i := range 2 {
 				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader(body))
 				is.NoErr(err)
@@ -102,3 +107,99 @@
 		})
 	}
 }
+
+// get calls the server as attempt id and reads the whole answer.
+func get(t *testing.T, client *Client, url, id string) error {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	is.New(t).NoErr(err)
+	req.Header.Set(RequestIDHeader, id)
+	resp, err := client.Do(req, &Attempt{})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Calls to an engine that echoes no id fail now and then with "use of closed
+// network connection". Its connection was closed after the answer, when the
+// library had handed it to the next call already.
+func TestServerWithoutEchoGetsEachCallOnAConnectionOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := NewClient()
+	defer client.Close()
+	const callers, calls = 16, 100
+	var group errgroup.Group
+	for caller := range callers {
+		group.Go(func() error {
+			for i := range calls {
+				if err := get(t, client, server.URL, fmt.Sprint(caller, "-", i)); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	is.NoErr(group.Wait())
+	is.Equal(conns.Load(), int32(callers*calls))
+}
+
+// What answers do to the connections: kept where each carries its call's id,
+// and what may be another's answer is discarded.
+func TestAnswersBindConnections(t *testing.T) {
+	const other = "other"
+	cases := []struct {
+		name string
+		// echoes are the ids that the server gives back, call by call; "" is none
+		// and "=" the call's own.
+		echoes []string
+		errs   []error
+		conns  int32
+	}{
+		{"echoes", []string{"=", "=", "=", "="}, []error{nil, nil, nil, nil}, 2},
+		{"never echoes", []string{"", "", ""}, []error{nil, nil, nil}, 3},
+		{"echoes later", []string{"", "=", "="}, []error{nil, nil, nil}, 3},
+		{"ends to echo", []string{"=", "=", "", "", ""}, []error{nil, nil, ErrUnnamed, nil, nil}, 4},
+		{"another's answer at first", []string{other, "="}, []error{ErrNotBound, nil}, 2},
+		{"another's answer later", []string{"=", "=", other, "="}, []error{nil, nil, ErrNotBound, nil}, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var calls, conns atomic.Int32
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				echo := c.echoes[calls.Add(1)-1]
+				if echo == "=" {
+					echo = r.Header.Get(RequestIDHeader)
+				}
+				if echo != "" {
+					w.Header().Set(RequestIDHeader, echo)
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+			}))
+			server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					conns.Add(1)
+				}
+			}
+			server.Start()
+			defer server.Close()
+			client := NewClient()
+			defer client.Close()
+			for i, want := range c.errs {
+				is.True(errors.Is(get(t, client, server.URL, strconv.Itoa(i)), want))
+			}
+			is.Equal(conns.Load(), c.conns)
+		})
+	}
+}
--- a/request/relay/chat_open.go
+++ b/request/relay/chat_open.go
@@ -46,11 +46,11 @@
 // to the attempt's engine first.
 func (j *chatJob) resume(ctx context.Context, call engine.Call, t *try, before held) (*engine.Stream, error) {
 	if before.server != t.start.Server {
-		cache, err := j.relay.Engines.ExportKV(ctx, before.address, before.id)
+		cache, err := j.relay.Engines.ExportKV(ctx, before.address, before.id, t.upstreamID)
 		if err != nil {
 			return nil, err
 		}
-		if err := j.relay.Engines.ImportKV(ctx, call.Address, cache); err != nil {
+		if err := j.relay.Engines.ImportKV(ctx, call.Address, t.upstreamID, cache); err != nil {
 			return nil, err
 		}
 	}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -18,17 +18,27 @@
 
 // Routes adds the engine's protocol to an HTTP server.
 func (e *Engine) Routes(server *khttp.Server) {
-	server.HandleFunc("/v1/chat/completions", e.serveChat)
-	server.HandleFunc("/v1/models", e.serveModels)
-	server.HandleFunc("/v1/resume", e.serveResume)
-	server.HandleFunc("/v1/cancel", e.serveCancel)
-	server.HandleFunc("/v1/kv/export", e.serveExport)
-	server.HandleFunc("/v1/kv/import", e.serveImport)
-	server.HandleFunc("/load", e.serveLoad)
-	server.HandleFunc("/cache/events", e.serveEvents)
-	server.HandleFunc("/orders", e.serveOrders)
-	server.HandleFunc("/fault", e.serveFault)
-	server.HandleFunc("/stats", e.serveStats)
+	server.HandleFunc("/v1/chat/completions", echoing(e.serveChat))
+	server.HandleFunc("/v1/models", echoing(e.serveModels))
+	server.HandleFunc("/v1/resume", echoing(e.serveResume))
+	server.HandleFunc("/v1/cancel", echoing(e.serveCancel))
+	server.HandleFunc("/v1/kv/export", echoing(e.serveExport))
+	server.HandleFunc("/v1/kv/import", echoing(e.serveImport))
+	server.HandleFunc("/load", echoing(e.serveLoad))
+	server.HandleFunc("/cache/events", echoing(e.serveEvents))
+	server.HandleFunc("/orders", echoing(e.serveOrders))
+	server.HandleFunc("/fault", echoing(e.serveFault))
+	server.HandleFunc("/stats", echoing(e.serveStats))
+}
+
+// echoing has every answer carry the id of its call, errors included.
+func echoing(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(requestIDHeader); id != "" {
+			w.Header().Set(requestIDHeader, id)
+		}
+		serve(w, r)
+	}
 }
 
 type chatRequest struct {
--- a/standin/engine_stream.go
+++ b/standin/engine_stream.go
@@ -51,7 +51,6 @@
 // stream writes one event for each token from the given one on; the last one
 // carries the reason of the end.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, sent int, withUsage bool) {
-	w.Header().Set(requestIDHeader, s.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush(w)
@@ -135,7 +134,6 @@
 			return
 		}
 	}
-	w.Header().Set(requestIDHeader, s.id)
 	text := strings.Join(s.tokens, "")
 	answer := choice{Message: &delta{Role: "assistant", Content: text}, FinishReason: s.finishReason()}
 	writeJSON(w, completion{ID: s.id, Object: "chat.completion", Created: created, Model: s.model, Choices: []choice{answer}, Usage: s.usage()})
--- a/standin/service.go
+++ b/standin/service.go
@@ -64,10 +64,10 @@
 
 // Routes adds the service's calls to an HTTP server.
 func (s *Service) Routes(server *khttp.Server) {
-	server.HandleFunc("/stats", s.serveStats)
-	server.HandleFunc("/load", s.serveLoad)
-	server.HandleFunc("/fault", s.serveFault)
-	server.HandlePrefix("/", http.HandlerFunc(s.serveCall))
+	server.HandleFunc("/stats", echoing(s.serveStats))
+	server.HandleFunc("/load", echoing(s.serveLoad))
+	server.HandleFunc("/fault", echoing(s.serveFault))
+	server.HandlePrefix("/", echoing(s.serveCall))
 }
 
 func (s *Service) serveStats(w http.ResponseWriter, _ *http.Request) {
@@ -114,7 +114,6 @@
 		latency = time.Duration(float64(latency) * fault.Straggle)
 	}
 	sleep(r.Context(), latency)
-	w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(AnswerOf(r.Method, r.URL.Path, body))
 }
