Measure what the polls of backend servers cost

Ruled out: weighing them inside make demo (13 servers only, and other calls share the connections). Before: no figure. New metric lilacbridge_control_upstream_bytes_total.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -80,6 +80,7 @@
 		Counter: e.counters, OnConvict: e.convict, OnAnnounce: options.OnAnnounce,
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
+	registerControlBytes(e.registry, e.clients)
 	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
 	e.poller = engine.NewPoller(engines, reports{e.relay})
 	return e
--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 	"github.com/lilacbridge/lilacbridge/request/relay"
 )
@@ -70,3 +71,22 @@
 		"preempted": s.Preempted, "moved": s.Moved, "crashed": s.Crashes, "convicted": s.Convicted,
 	}
 }
+
+// registerControlBytes counts the bytes of polls and cancels by direction.
+func registerControlBytes(registry prometheus.Registerer, clients *upstream.Client) {
+	add := func(direction string, bytes func() float64) {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name:        "lilacbridge_control_upstream_bytes_total",
+			Help:        "Bytes of control calls to backend servers, without packet headers.",
+			ConstLabels: prometheus.Labels{"direction": direction},
+		}, bytes))
+	}
+	add("sent", func() float64 {
+		sent, _ := clients.ControlBytes()
+		return float64(sent)
+	})
+	add("received", func() float64 {
+		_, received := clients.ControlBytes()
+		return float64(received)
+	})
+}
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -26,6 +26,9 @@
 	tokensPerRequest   = 8.5e6 / RequestsPerSecond
 	requestsPerNode    = float64(RequestsPerSecond) / Nodes
 	digestsPerSecond   = 6
+	// subsetSize is how many servers of a pool an instance uses at most.
+	subsetSize     = 100
+	pollsPerSecond = 8
 )
 
 // Line is one line of the capacity table: a metric of a benchmark, scaled to
@@ -62,6 +65,8 @@
 	{"entry", "change of a team applied", "TeamChange", "ns/op", Teams, changesPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "only the changed map is cloned"},
 	{"entry", "choice of a server", "CoreRequest", "ns/op", Replicas, requestsPerNode * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "the best of a sample out of a subset"},
 	{"entry", "digests received", "CoreDigest", "ns/op", Nodes, digestsPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "combined in the tree: at most six a second"},
+	{"entry", "polls of backend servers, bytes", "Polls/fresh", "poll-B/s", subsetSize, 1, CapBytesPerSecond, "B/s", "a budget of eight calls a second, in turn"},
+	{"entry", "polls, processor time of both sides", "Polls/fresh", "ns/op", subsetSize, pollsPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "the same"},
 	{"entry", "whole process, resident", "Weigh/entry", "rss-MB", Teams, 1, CapMemoryMB, "MB", "all of the above"},
 	{"entry", "whole process, idle", "Weigh/entry", "core-%", Teams, 1, CapCorePercent, "% of a core", "few wake-ups while idle"},
 	{"state", "whole leader, resident", "Weigh/leader", "rss-MB", Teams, 1, CapMemoryMB, "MB", "one copy of the configuration"},
