--- a/connection/gossip/gossip_test.go
+++ b/connection/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
@@ -56,7 +57,7 @@
 		peers = append(peers, settings.Peer{Name: fmt.Sprint("entry-", i), Address: settings.Address{Value: listener.Addr().String()}, DataCenter: dataCenters[i%len(dataCenters)]})
 	}
 	for i, peer := range peers {
-		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
+		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Keys: secret.Always(testKey)}
 		x := &node{peer: peer, news: make(chan string, newsKept)}
 		o := Options{
 			Self:    member.Peer{Name: peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter},
--- a/connection/gossip/wire_test.go
+++ b/connection/gossip/wire_test.go
@@ -10,6 +10,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
 // countingListener counts what passes over its connections.
@@ -55,7 +56,7 @@
 		b.Fatal(err)
 	}
 	counting := &countingListener{Listener: listener}
-	id := link.Identity{Peer: link.Peer{Process: "entry-1"}, Key: testKey}
+	id := link.Identity{Peer: link.Peer{Process: "entry-1"}, Keys: secret.Always(testKey)}
 	mux := link.NewMux()
 	g := New(Options{Self: member.Peer{Name: "entry-0"}})
 	g.Register(mux)
--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -130,7 +130,7 @@
 	// Close ends a handshake that is under way.
 	stop := context.AfterFunc(c.life, func() { conn.Close() })
 	defer stop()
-	if _, err := handshake(conn, c.id, dialerRole, acceptorRole); err != nil {
+	if _, _, err := handshake(conn, c.id, dialerRole, acceptorRole); err != nil {
 		conn.Close()
 		return nil, err
 	}
--- a/connection/link/frozen_test.go
+++ b/connection/link/frozen_test.go
@@ -13,6 +13,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
 // A process is stopped by the operating system: the kernel still accepts its
@@ -23,7 +24,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	client := NewClient(listener.Addr().String(), Identity{})
+	client := NewClient(listener.Addr().String(), Identity{Keys: secret.Always([]byte("one key of all"))})
 	patient := make(chan error, 1)
 	go func() {
 		_, err := client.Open(context.Background(), "echo", &lilacv1.QueryRequest{})
@@ -51,7 +52,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var dials atomic.Int32
-		client := NewClient("frozen:1", Identity{})
+		client := NewClient("frozen:1", Identity{Keys: secret.Always([]byte("one key of all"))})
 		client.dialer = func(context.Context, string) (net.Conn, error) {
 			dials.Add(1)
 			near, _ := net.Pipe() // Nobody reads the far end.
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -14,6 +14,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
 const (
@@ -24,11 +25,22 @@
 	acceptorRole = "acceptor"
 )
 
-// Identity is what a process shows of itself, with the key that it shares with
+// Identity is what a process shows of itself, with the keys that it shares with
 // all others.
 type Identity struct {
 	Peer Peer
-	Key  []byte
+	// Keys returns the keys in force; it is asked at each handshake.
+	Keys func() secret.Keys
+}
+
+// proving returns the key of which the proof of peer is made, and nil if there is none.
+func proving(keys secret.Keys, signature []byte, role string, peer, own *lilacv1.LinkHello) []byte {
+	for _, key := range keys {
+		if hmac.Equal(signature, sign(key, role, peer, own)) {
+			return key
+		}
+	}
+	return nil
 }
 
 // unbufferedReader reads byte by byte, so that no byte of the yamux session is
@@ -62,37 +74,40 @@
 	return mac.Sum(nil)
 }
 
-// handshake proves the shared key to the other end and checks its proof.
+// handshake proves a shared key to the other end and checks its proof. It
+// returns the peer and the key that the peer proved.
 //
 // It guards against a stranger on the network who speaks as one of our
 // processes: it shows as ErrorKind_ERROR_KIND_UNAUTHENTICATED on both sides.
 // It holds because each side signs the other's fresh nonce with its own role,
 // so an old or reflected proof does not pass.
-func handshake(conn net.Conn, id Identity, role, otherRole string) (Peer, error) {
+func handshake(conn net.Conn, id Identity, role, otherRole string) (Peer, []byte, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return Peer{}, err
+		return Peer{}, nil, err
 	}
+	keys := id.Keys()
 	own := &lilacv1.LinkHello{Process: id.Peer.Process, DataCenter: id.Peer.DataCenter, Nonce: make([]byte, nonceSize)}
 	if _, err := rand.Read(own.Nonce); err != nil {
-		return Peer{}, err
+		return Peer{}, nil, err
 	}
 	if err := writeFrame(conn, own); err != nil {
-		return Peer{}, err
+		return Peer{}, nil, err
 	}
 	r := unbufferedReader{conn}
 	other := &lilacv1.LinkHello{}
 	if err := readFrame(r, other); err != nil {
-		return Peer{}, err
+		return Peer{}, nil, err
 	}
-	if err := writeFrame(conn, &lilacv1.LinkProof{Signature: sign(id.Key, role, own, other)}); err != nil {
-		return Peer{}, err
+	if err := writeFrame(conn, &lilacv1.LinkProof{Signature: sign(keys[0], role, own, other)}); err != nil {
+		return Peer{}, nil, err
 	}
 	proof := &lilacv1.LinkProof{}
 	if err := readFrame(r, proof); err != nil {
-		return Peer{}, err
+		return Peer{}, nil, err
 	}
-	if len(other.GetNonce()) != nonceSize || !hmac.Equal(proof.GetSignature(), sign(id.Key, otherRole, other, own)) {
-		return Peer{}, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "the other process holds a different key; give all processes the same key file")
+	key := proving(keys, proof.GetSignature(), otherRole, other, own)
+	if len(other.GetNonce()) != nonceSize || key == nil {
+		return Peer{}, nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED, "the other process proves none of the keys known here; give all processes the same key file, and reload it by SIGHUP")
 	}
-	return Peer{Process: other.GetProcess(), DataCenter: other.GetDataCenter()}, conn.SetDeadline(time.Time{})
+	return Peer{Process: other.GetProcess(), DataCenter: other.GetDataCenter()}, key, conn.SetDeadline(time.Time{})
 }
--- a/connection/link/handshake_test.go
+++ b/connection/link/handshake_test.go
@@ -11,6 +11,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
 // A stranger without the key connects and sends every byte that it receives
@@ -26,10 +27,10 @@
 		time.Sleep(handshakeTimeout + time.Second)
 		theirs.Close()
 	}()
-	id := Identity{Peer: Peer{Process: "s"}, Key: []byte("one key of all")}
+	id := Identity{Peer: Peer{Process: "s"}, Keys: secret.Always([]byte("one key of all"))}
 	buffered := &queuedConn{Conn: ours, out: make(chan []byte, 8)}
 	go buffered.drain()
-	_, err := handshake(buffered, id, acceptorRole, dialerRole)
+	_, _, err := handshake(buffered, id, acceptorRole, dialerRole)
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAUTHENTICATED))
 }
 
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
 func testMux() *Mux {
@@ -36,7 +38,7 @@
 func serve(t *testing.T, key string) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	server := NewServer(Identity{Peer: Peer{Process: "s", DataCenter: "dc"}, Key: []byte(key)}, testMux())
+	server := NewServer(Identity{Peer: Peer{Process: "s", DataCenter: "dc"}, Keys: secret.Always([]byte(key))}, testMux())
 	go server.Serve(listener)
 	t.Cleanup(func() { listener.Close(); server.Close() })
 	return listener.Addr().String()
@@ -44,7 +46,7 @@
 
 func callers(t *testing.T) map[string]Caller {
 	peer := Peer{Process: "c", DataCenter: "dakar-a"}
-	client := NewClient(serve(t, "one key of all"), Identity{Peer: peer, Key: []byte("one key of all")})
+	client := NewClient(serve(t, "one key of all"), Identity{Peer: peer, Keys: secret.Always([]byte("one key of all"))})
 	t.Cleanup(func() { client.Close() })
 	return map[string]Caller{"network": client, "local": &Local{Mux: testMux(), Self: peer}}
 }
@@ -81,9 +83,60 @@
 // connection must end before any handler runs, and the caller must be told why.
 func TestOtherKeyIsRefused(t *testing.T) {
 	is := is.New(t)
-	client := NewClient(serve(t, "one key of all"), Identity{Key: []byte("another key")})
+	client := NewClient(serve(t, "one key of all"), Identity{Keys: secret.Always([]byte("another key"))})
 	defer client.Close()
 	err := client.Call(t.Context(), "echo", &lilacv1.QueryRequest{}, &lilacv1.QueryReply{})
 	is.True(err != nil)
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE))
 }
+
+// keyring is a file of keys that an operator replaces while the process runs.
+type keyring struct{ keys atomic.Pointer[secret.Keys] }
+
+func (k *keyring) set(keys ...string) {
+	var all secret.Keys
+	for _, key := range keys {
+		all = append(all, []byte(key))
+	}
+	k.keys.Store(&all)
+}
+
+func (k *keyring) get() secret.Keys { return *k.keys.Load() }
+
+// The key between the processes has leaked. The operator adds a new one, puts it
+// first and takes the old one away, in each step first at one process and then
+// at the other. No call may fail meanwhile, and once the old key is away nobody
+// may go on over a connection that was opened with it.
+func TestKeyIsReplacedWithoutARestart(t *testing.T) {
+	const before, after = "the key of before", "the key of after"
+	is := is.New(t)
+	var serverKeys, clientKeys keyring
+	serverKeys.set(before)
+	clientKeys.set(before)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer(Identity{Peer: Peer{Process: "s"}, Keys: serverKeys.get}, testMux())
+	go server.Serve(listener)
+	defer func() { listener.Close(); server.Close() }()
+	dial := func(keys func() secret.Keys) *Client {
+		client := NewClient(listener.Addr().String(), Identity{Peer: Peer{Process: "c"}, Keys: keys})
+		t.Cleanup(func() { client.Close() })
+		return client
+	}
+	call := func(client *Client) error {
+		return client.Call(t.Context(), "echo", &lilacv1.QueryRequest{}, &lilacv1.QueryReply{})
+	}
+	thief := dial(secret.Always([]byte(before)))
+	is.NoErr(call(thief))
+	for _, keys := range [][]string{{before, after}, {after, before}, {after}} {
+		for _, ring := range []*keyring{&serverKeys, &clientKeys} {
+			is.NoErr(call(dial(clientKeys.get)))
+			ring.set(keys...)
+			is.NoErr(call(dial(clientKeys.get)))
+		}
+	}
+	server.DropOldKeys()
+	is.True(call(thief) != nil)
+	is.True(call(dial(secret.Always([]byte(before)))) != nil)
+	is.NoErr(call(dial(clientKeys.get)))
+}
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -22,15 +22,16 @@
 	// OnRefused is told of each connection that failed the handshake; may be nil.
 	OnRefused func(remote string, err error)
 
-	mu     sync.Mutex
-	conns  map[net.Conn]struct{}
+	mu sync.Mutex
+	// conns holds the key that the other end proved; nil before it has.
+	conns  map[net.Conn][]byte
 	closed bool
 	wg     sync.WaitGroup
 }
 
 // NewServer returns a Server that answers from mux.
 func NewServer(id Identity, mux *Mux) *Server {
-	return &Server{id: id, mux: mux, conns: make(map[net.Conn]struct{})}
+	return &Server{id: id, mux: mux, conns: make(map[net.Conn][]byte)}
 }
 
 // Serve accepts until the listener or the server is closed, which gives nil.
@@ -57,7 +58,7 @@
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = nil
 	s.wg.Add(1)
 	return true
 }
@@ -72,13 +73,14 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.untrack(conn)
-	peer, err := handshake(conn, s.id, acceptorRole, dialerRole)
+	peer, key, err := handshake(conn, s.id, acceptorRole, dialerRole)
 	if err != nil {
 		if s.OnRefused != nil {
 			s.OnRefused(conn.RemoteAddr().String(), err)
 		}
 		return
 	}
+	s.proved(conn, key)
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		return
@@ -134,6 +136,31 @@
 	_ = writeFrame(stream, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Status{Status: fault.ToStatus(err)}})
 }
 
+func (s *Server) proved(conn net.Conn, key []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.conns[conn]; open {
+		s.conns[conn] = key
+	}
+}
+
+// DropOldKeys ends the connections whose key is no longer in force.
+//
+// It guards against a key that was replaced because it leaked: whoever holds it
+// could go on over a connection of before. It holds because each connection
+// remembers the key that it was opened with; one whose handshake is under way
+// is ended as well, and its process dials again.
+func (s *Server) DropOldKeys() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := s.id.Keys()
+	for conn, key := range s.conns {
+		if !keys.Has(key) {
+			conn.Close()
+		}
+	}
+}
+
 // Close ends all connections and waits for their handlers.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/replica"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/wal"
 )
 
@@ -131,7 +132,7 @@
 func (f *fleet) start(name string, bootstrap bool) *process {
 	listener, err := net.Listen("tcp", f.addresses[name])
 	f.is.NoErr(err)
-	identity := link.Identity{Peer: link.Peer{Process: name}, Key: key}
+	identity := link.Identity{Peer: link.Peer{Process: name}, Keys: secret.Always(key)}
 	p := &process{name: name, listener: listener, machine: &journal{}}
 	p.out = New(func(address string) link.Caller { return link.NewClient(address, identity) })
 	folder, err := wal.OSFolder(filepath.Join(f.folder, name))
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -5,8 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -44,6 +42,7 @@
 	links     *link.Server
 	operators *secret.Reloadable[*secret.Operators]
 	callerKey *secret.Reloadable[[]byte]
+	linkKeys  *secret.Reloadable[secret.Keys]
 	listeners listeners
 	started   time.Time
 
@@ -56,7 +55,7 @@
 
 // NewDaemon reads the keys and opens the listeners; Run serves.
 func NewDaemon(s *settings.Entry, logger hclog.Logger) (*Daemon, error) {
-	linkKey, err := secret.ReadKey(s.LinkKeyFile)
+	linkKeys, err := secret.Open(s.LinkKeyFile, secret.ReadKeys)
 	if err != nil {
 		return nil, err
 	}
@@ -68,8 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: linkKey}
-	d := &Daemon{settings: s, logger: logger, dialer: newDialer(id), operators: operators, callerKey: callerKey, live: s.Entries, started: time.Now()}
+	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Keys: linkKeys.Get}
+	d := &Daemon{
+		settings: s, logger: logger, dialer: newDialer(id), live: s.Entries, started: time.Now(),
+		operators: operators, callerKey: callerKey, linkKeys: linkKeys,
+	}
 	d.state = stateclient.New(stateclient.Options{Instance: s.Name, DataCenter: s.DataCenter, Peers: s.State, Dial: d.dialer.dial})
 	d.entry = New(Options{Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
@@ -111,7 +113,9 @@
 	group.Go(func() { _ = d.gossip.Run(working) })
 	group.Go(func() { _ = d.orders.Run(working) })
 	group.Go(func() { _ = d.links.Serve(d.listeners.link) })
-	group.Go(func() { d.reloadKeys(working) })
+	group.Go(func() {
+		secret.ReloadOnHangUp(working, d.logger, d.links.DropOldKeys, d.linkKeys, d.callerKey, d.operators)
+	})
 	app := kratos.New(
 		kratos.Name("lilacbridge-entry"),
 		kratos.ID(d.settings.Name),
@@ -144,26 +148,6 @@
 	return err
 }
 
-// reloadKeys reads the callers' key and the operators' tokens again at each
-// SIGHUP. A file that is wrong changes nothing.
-func (d *Daemon) reloadKeys(ctx context.Context) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangUp:
-			if err := errors.Join(d.callerKey.Reload(), d.operators.Reload()); err != nil {
-				d.logger.Error("keys not reloaded, the old ones stay in force", "error", err)
-				continue
-			}
-			d.logger.Info("keys reloaded")
-		}
-	}
-}
-
 // operatorServer serves operators' statements.
 func (d *Daemon) operatorServer(listener net.Listener) *khttp.Server {
 	handler := operator.NewHandler(operator.Options{
--- a/daemon/entry/daemon_test.go
+++ b/daemon/entry/daemon_test.go
@@ -20,6 +20,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/daemon/state"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
@@ -57,7 +58,7 @@
 	p := &stateProcess{listener: listener, service: state.NewService(machine, &loneLog{machine: machine})}
 	mux := link.NewMux()
 	p.service.Register(mux)
-	p.links = link.NewServer(link.Identity{Peer: link.Peer{Process: "state-1", DataCenter: "dakar-a"}, Key: []byte(key)}, mux)
+	p.links = link.NewServer(link.Identity{Peer: link.Peer{Process: "state-1", DataCenter: "dakar-a"}, Keys: secret.Always([]byte(key))}, mux)
 	t.Cleanup(func() { p.service.Close(); listener.Close(); p.links.Close() })
 	return p
 }
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -47,17 +47,18 @@
 	registry *prometheus.Registry
 	listener net.Listener
 	links    *link.Server
+	keys     *secret.Reloadable[secret.Keys]
 	stopping atomic.Bool
 }
 
 // NewDaemon opens the log and the link's listener; Run serves.
 func NewDaemon(s *settings.State, logger hclog.Logger, open OpenLog) (*Daemon, error) {
-	key, err := secret.ReadKey(s.LinkKeyFile)
+	keys, err := secret.Open(s.LinkKeyFile, secret.ReadKeys)
 	if err != nil {
 		return nil, err
 	}
 	machine := NewMachine(s.AuditRetention, ledger.Limits{Retention: s.ClaimRetention.Duration})
-	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: key}
+	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Keys: keys.Get}
 	mux := link.NewMux()
 	registry := metrics.NewRegistry()
 	log, err := open(s, machine, mux, id, logger, registry)
@@ -73,7 +74,7 @@
 	}
 	return &Daemon{
 		settings: s, logger: logger, log: log, service: service, registry: registry,
-		listener: listener, links: link.NewServer(id, mux),
+		listener: listener, links: link.NewServer(id, mux), keys: keys,
 	}, nil
 }
 
@@ -104,6 +105,10 @@
 	group.Go(func() error { return stopApp(d.log.Run(running)) })
 	group.Go(func() error { return stopApp(d.links.Serve(d.listener)) })
 	group.Go(func() error { return d.service.Run(running) })
+	group.Go(func() error {
+		secret.ReloadOnHangUp(running, d.logger, d.links.DropOldKeys, d.keys)
+		return nil
+	})
 	d.logger.Info("started", "link", d.listener.Addr().String(), "version", build.Version)
 	err := app.Run()
 	stop()
--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/stateclient"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
@@ -115,7 +116,7 @@
 		service := NewService(machine, log)
 		mux := link.NewMux()
 		service.Register(mux)
-		server := link.NewServer(link.Identity{Key: testKey}, mux)
+		server := link.NewServer(link.Identity{Keys: secret.Always(testKey)}, mux)
 		go server.Serve(listener)
 		name := string(rune('a' + i))
 		p := &process{peer: settings.Peer{Name: name, Address: settings.Address{Value: address}, DataCenter: "dc-" + name}, log: log, service: service, server: server}
@@ -148,7 +149,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if clients[address] == nil {
-			client := link.NewClient(address, link.Identity{Peer: link.Peer{Process: "entry"}, Key: testKey})
+			client := link.NewClient(address, link.Identity{Peer: link.Peer{Process: "entry"}, Keys: secret.Always(testKey)})
 			clients[address] = client
 			t.Cleanup(func() { client.Close() })
 		}
@@ -169,7 +170,7 @@
 	mux := link.NewMux()
 	served := spreadlink.NewServer(w)
 	served.Register(mux, "entry")
-	server := link.NewServer(link.Identity{Key: testKey}, mux)
+	server := link.NewServer(link.Identity{Keys: secret.Always(testKey)}, mux)
 	go server.Serve(listener)
 	kill = func() {
 		served.Close()
--- a/daemon/state/group_test.go
+++ b/daemon/state/group_test.go
@@ -19,6 +19,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
@@ -50,7 +51,7 @@
 		}
 		machine := NewMachine(0, ledger.Limits{})
 		mux := link.NewMux()
-		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
+		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Keys: secret.Always(testKey)}
 		log, err := OpenReplica(s, machine, mux, id, hclog.NewNullLogger(), prometheus.NewRegistry())
 		is.NoErr(err)
 		service := NewService(machine, log)
--- a/process/secret/reload.go
+++ b/process/secret/reload.go
@@ -1,6 +1,15 @@
 package secret
 
-import "sync/atomic"
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+)
 
 // Reloadable is what a file of keys or tokens holds. Any goroutine may read it
 // while it is reloaded.
@@ -35,3 +44,35 @@
 	r.value.Store(&value)
 	return nil
 }
+
+// Reloader is a file that can be read again.
+type Reloader interface{ Reload() error }
+
+// ReloadOnHangUp reads the files again at each SIGHUP until ctx ends, and calls
+// then once all are right. A file that is wrong changes nothing of its own.
+func ReloadOnHangUp(ctx context.Context, logger hclog.Logger, then func(), files ...Reloader) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUp:
+			reload(logger, then, files)
+		}
+	}
+}
+
+func reload(logger hclog.Logger, then func(), files []Reloader) {
+	var errs []error
+	for _, file := range files {
+		errs = append(errs, file.Reload())
+	}
+	if err := errors.Join(errs...); err != nil {
+		logger.Error("keys not reloaded, the old ones stay in force", "error", err)
+		return
+	}
+	then()
+	logger.Info("keys reloaded")
+}
--- a/process/secret/secret_test.go
+++ b/process/secret/secret_test.go
@@ -40,6 +40,20 @@
 	is.Equal(len(key), 16)
 }
 
+func TestKeysStandOneALine(t *testing.T) {
+	is := is.New(t)
+	keys, err := ReadKeys(write(t, "# the new one first\nfedcba9876543210\n\n0123456789abcdef\r\n", 0o600))
+	is.NoErr(err)
+	is.Equal(keys, Keys{[]byte("fedcba9876543210"), []byte("0123456789abcdef")})
+	is.True(keys.Has([]byte("0123456789abcdef")))
+	is.True(!keys.Has([]byte("0123456789abcdeg")))
+	is.True(!keys.Has(nil))
+	for _, wrong := range []string{"", "# none\n", "fedcba9876543210\nshort\n"} {
+		_, err := ReadKeys(write(t, wrong, 0o600))
+		is.True(err != nil)
+	}
+}
+
 func TestOperators(t *testing.T) {
 	is := is.New(t)
 	operators, err := ReadOperators(write(t, "# name token\nop-1 0123456789abcdef\nop-2 fedcba9876543210\n", 0o600))
