--- a/Makefile
+++ b/Makefile
@@ -87,3 +87,12 @@
 	go test -run '^$$' -bench Entry -benchtime 200x ./daemon/entry >> out/capacity.txt
 	bash scripts/weigh.sh >> out/capacity.txt
 	go run ./cmd/lilaccapacity < out/capacity.txt
+
+# Fuzzing of what reads bytes from outside; make test runs the corpora kept in
+# testdata/fuzz. Inputs that fail are written there by the tool itself. Counts in
+# place of times: a time that ends within a slow input is reported as a failure.
+FUZZED := FuzzParse:./version/statement:200000x FuzzParse:./process/settings:100000x FuzzFrame:./connection/link:500000x FuzzRead:./process/wal:15000x
+.PHONY: fuzz
+fuzz:
+	@for f in $(FUZZED); do IFS=: read -r name package count <<< "$$f"; \
+	go test -run '^$$' -fuzz "^$$name$$" -fuzztime "$$count" -parallel 4 "$$package" || exit 1; done
