Give the state client a deterministic core

Ruled out: the whole client under a fake clock: its goroutines would make the order of events differ from run to run. Before and after: the behaviour is meant to be the same; the tests of daemon/state, which hold the client's tests, pass with the race detector (22 s). Conclusion: Core decides, Client makes the calls. An event of a call has exactly one next action, so Step returns that one.

--- a/connection/stateclient/calls.go
+++ b/connection/stateclient/calls.go
@@ -187,9 +187,9 @@
 // it answers, else from the nearest state process that does.
 func (c *Client) Audit(ctx context.Context, r *lilacv1.AuditRequest) (*lilacv1.AuditReply, error) {
 	s := &search{}
-	for _, t := range c.order() {
+	for _, address := range c.order() {
 		reply := &lilacv1.AuditReply{}
-		err := c.attempt(ctx, t.address, "state.audit", r, reply)
+		err := c.attempt(ctx, address, "state.audit", r, reply)
 		if err == nil {
 			return reply, nil
 		}
@@ -228,8 +228,8 @@
 // An entry uses spreadlink.Watcher instead, which keeps order and place.
 func (c *Client) Watch(ctx context.Context, r *lilacv1.WatchRequest) (link.Stream, error) {
 	s := &search{}
-	for _, t := range c.order() {
-		stream, err := c.options.Dial(t.address).Open(ctx, "state.watch", r)
+	for _, address := range c.order() {
+		stream, err := c.options.Dial(address).Open(ctx, "state.watch", r)
 		if err == nil {
 			return stream, nil
 		}
