Count a state process as fresh only once it has applied what the leader named

Its contact counted the word of the leader (and in the daemon what it knew to be committed, which is no more than it holds), so it told those who follow it that its old revision was surely the newest.

Conclusion: the moment is kept by the core, and the daemon's poll of its own status goes.

--- a/daemon/state/log.go
+++ b/daemon/state/log.go
@@ -23,8 +23,7 @@
 type LogStatus struct {
 	// Leads is true on the leader, as far as it knows.
 	Leads bool
-	// Contact is the age of the last proof of a leader with a quorum: on the
-	// leader the last round of heartbeats, elsewhere the last word from it.
+	// Contact is how long ago all that was committed was surely applied here.
 	Contact time.Duration
 	// Status is what operators see; Revision and Claims are filled in by the Service.
 	Status *lilacv1.StateStatus
--- a/daemon/state/replica.go
+++ b/daemon/state/replica.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,9 +20,6 @@
 	transport *replicalink.Transport
 	name      string
 	dc        string
-
-	mu      sync.Mutex
-	contact time.Time
 }
 
 // OpenReplica opens the replicated log in the data folder of the settings.
@@ -61,18 +56,12 @@
 // Barrier waits for a linearizable read point.
 func (l *replicaLog) Barrier(ctx context.Context) error { return l.node.Barrier(ctx) }
 
-// Status tells where this process stands. It counts as in contact while it
-// knows a leader and has applied all that it knows to be committed.
+// Status tells where this process stands.
 func (l *replicaLog) Status() LogStatus {
 	s := l.node.Status()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s.LeaderAddress != "" && s.AppliedIndex >= s.CommitIndex && s.AppliedIndex > 0 {
-		l.contact = time.Now()
-	}
 	return LogStatus{
 		Leads:   s.Role == replica.Leader,
-		Contact: time.Since(l.contact),
+		Contact: s.Contact,
 		Status: &lilacv1.StateStatus{
 			Process: l.name, DataCenter: l.dc, Role: s.Role.String(), Term: s.Term, Leader: s.LeaderAddress,
 			CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
@@ -81,25 +70,16 @@
 	}
 }
 
-// Run keeps the age of the contact exact until ctx ends or the log fails.
+// Run waits until ctx ends or the log fails.
 func (l *replicaLog) Run(ctx context.Context) error {
-	ticker := time.NewTicker(contactTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-l.node.Done():
-			return l.node.Err()
-		case <-ticker.C:
-			l.Status()
-		}
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-l.node.Done():
+		return l.node.Err()
 	}
 }
 
-// contactTick is how exactly the age of the contact with a leader is known.
-const contactTick = 100 * time.Millisecond
-
 // Close hands leadership over, stops the log and closes its files.
 func (l *replicaLog) Close() error {
 	err := l.node.Close()
--- /dev/null
+++ b/process/replica/contact.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"slices"
+	"time"
+)
+
+// contact times the last moment at which this process surely had applied all
+// that was committed.
+//
+// It guards against a process that was cut off and gets the log or a snapshot
+// anew: it hears the leader, so those who follow it would take its old state for
+// the newest and stay with it. It shows as an entry that holds an old revision
+// and calls it fresh. It holds because a word from the leader counts only once
+// all that it calls committed is applied here.
+type contact struct {
+	// at is that moment.
+	at time.Duration
+	// told is the commit index that the leader named at toldAt, while open.
+	told   uint64
+	toldAt time.Duration
+	open   bool
+}
+
+// hear notes the leader's commit index, unless an earlier one is still waited for.
+func (c *contact) hear(now time.Duration, commit uint64) {
+	if !c.open {
+		c.told, c.toldAt, c.open = commit, now, true
+	}
+}
+
+// reached notes what is applied here.
+func (c *contact) reached(applied uint64) {
+	if c.open && applied >= c.told {
+		c.at, c.open = c.toldAt, false
+	}
+}
+
+// contactAt is the last moment at which all that was committed was surely
+// applied here: on the leader the last answers of a quorum, once an entry of the
+// own term is applied, elsewhere the last word from the leader.
+func (c *Core) contactAt() time.Duration {
+	if c.role != Leader || c.applied < c.lead.firstIndex {
+		return c.contact.at
+	}
+	times := []time.Duration{}
+	for _, member := range c.members.latest().GetMembers() {
+		if p := c.lead.progress[member.GetId()]; p != nil && member.GetVoter() {
+			times = append(times, p.heard)
+		}
+	}
+	if len(times) == 0 {
+		return c.now
+	}
+	slices.Sort(times)
+	// The leader itself is one of the quorum.
+	return times[len(times)-(len(times)+1)/2]
+}
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -33,6 +33,8 @@
 	entryOverhead = 24
 	// promoteLag is how many entries a learner may be behind to be promoted.
 	promoteLag = 64
+	// neverHeard is the age of the contact before the first one.
+	neverHeard = time.Hour
 )
 
 // Peer is another process of the settings, asked at a start without a group.
@@ -110,6 +112,7 @@
 
 	leader, leaderAddress string
 	heardLeader           time.Duration
+	contact               contact
 	// boundAt is when the process was bound to its group, or started.
 	boundAt    time.Duration
 	electionAt time.Duration
@@ -130,6 +133,7 @@
 func NewCore(cfg Config, restored Restored, now time.Duration) *Core {
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15)), now: now}
 	c.heardLeader, c.boundAt = now-2*cfg.Election, now
+	c.contact.at = now - neverHeard
 	c.cfg.AppendBytes = cmp.Or(cfg.AppendBytes, defaultAppendBytes)
 	c.cfg.ChunkBytes = cmp.Or(cfg.ChunkBytes, defaultChunkBytes)
 	if hard := restored.Hard; hard != nil {
@@ -191,6 +195,7 @@
 	}
 	c.persist()
 	c.apply()
+	c.contact.reached(c.applied)
 	return c.out
 }
 
--- a/process/replica/lead.go
+++ b/process/replica/lead.go
@@ -107,25 +107,6 @@
 	}
 }
 
-// contactAt is when a leader with a quorum was last known.
-func (c *Core) contactAt() time.Duration {
-	if c.role != Leader {
-		return c.heardLeader
-	}
-	times := []time.Duration{}
-	for _, member := range c.members.latest().GetMembers() {
-		if p := c.lead.progress[member.GetId()]; p != nil && member.GetVoter() {
-			times = append(times, p.heard)
-		}
-	}
-	if len(times) == 0 {
-		return c.now
-	}
-	slices.Sort(times)
-	// The leader itself is one of the quorum.
-	return times[len(times)-(len(times)+1)/2]
-}
-
 func (c *Core) stepDown() {
 	for _, ticket := range c.lead.newReads {
 		c.refuse(ticket)
--- a/process/replica/status.go
+++ b/process/replica/status.go
@@ -23,10 +23,9 @@
 	DiskFull                          bool
 	// InvariantsChecked and InvariantsBroken count since the start.
 	InvariantsChecked, InvariantsBroken uint64
-	// Contact is the age of the last proof of a leader with a quorum: on the
-	// leader the last answers of a quorum, elsewhere the last word from it.
+	// Contact is how long ago all that was committed was surely applied here.
 	Contact time.Duration
-	// contactAt is when that proof came.
+	// contactAt is when that was.
 	contactAt time.Duration
 }
 
