Leave a state process that is behind

Cause: an entry that follows a state process left it only when the stream broke, so a data centre whose state process took long to catch up after a cut waited for it, with another process within reach that had the newest revision. Conclusion: the turn among the state processes belongs to the core, which also takes the next one after silence; a frozen one was dialled again before.

--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -52,8 +52,6 @@
 	entries []settings.Peer
 	changed chan struct{}
 	known   knowledge
-	// stateTurn counts the state processes that failed, to go round them.
-	stateTurn int
 
 	// receiving is held by the one goroutine that receives; it guards assembly.
 	receiving sync.Mutex
@@ -212,11 +210,6 @@
 }
 
 func (w *Watcher) broken(ctx context.Context, target spread.Target) {
-	if target.State() {
-		w.mu.Lock()
-		w.stateTurn++
-		w.mu.Unlock()
-	}
 	select {
 	case <-time.After(retryPause):
 	case <-ctx.Done():
@@ -248,7 +241,7 @@
 	slices.SortStableFunc(near, func(a, b settings.Peer) int {
 		return w.distance(a) - w.distance(b)
 	})
-	peer := near[w.stateTurn%len(near)]
+	peer := near[target.Turn%len(near)]
 	return w.options.Dial(peer.Address.Value), "state", peer.Name
 }
 
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -31,7 +31,12 @@
 const SignOfLife = time.Second
 
 // Target is whom to follow: an entry by name, or a state process where Entry is empty.
-type Target struct{ Entry string }
+type Target struct {
+	Entry string
+	// Turn tells which state process: the nearest one for 0, then the others in
+	// order of distance, and round again.
+	Turn int
+}
 
 // State tells whether the target is a state process.
 func (t Target) State() bool { return t.Entry == "" }
@@ -77,6 +82,10 @@
 	heard     time.Time
 	// sure is when the own revision was surely the newest.
 	sure time.Time
+	// turn counts the state processes that were left, turned is when one was left
+	// for being behind.
+	turn   int
+	turned time.Time
 	// direct is until when a state process is followed whatever the rank.
 	direct time.Time
 }
@@ -107,6 +116,7 @@
 		}
 		if e.Age > behindLimit {
 			c.avoid(now)
+			c.leaveBehind(now)
 		}
 	case Broken:
 		if e.Target != c.current {
@@ -114,8 +124,8 @@
 		}
 		c.avoid(now)
 		if c.current.State() {
-			// Another state process, or the same again: the shell goes round.
-			c.following, c.direct = false, time.Time{}
+			c.turn++
+			c.direct = time.Time{}
 		}
 	case Tick:
 		c.tick(now)
@@ -132,7 +142,9 @@
 func (c *Core) tick(now time.Time) {
 	if c.following && now.Sub(c.heard) > silence {
 		c.avoid(now)
-		c.following = !c.current.State()
+		if c.current.State() {
+			c.turn++
+		}
 	}
 	if !c.current.State() && now.Sub(c.sure) > behindLimit && !now.Before(c.direct) {
 		c.avoid(now)
@@ -140,6 +152,20 @@
 	}
 }
 
+// leaveBehind goes from a state process that is behind to the next one.
+//
+// It guards against a data centre that was cut off and whose state process takes
+// long to catch up: all entries there would wait for it, while another state
+// process has the newest revision. It shows as a change that isn't in force after
+// the cut has healed. It holds because the processes are followed in turn; each
+// gets some time, since while the cut lasts none is better than the nearest.
+func (c *Core) leaveBehind(now time.Time) {
+	if c.current.State() && now.Sub(c.turned) >= behindLimit {
+		c.turn++
+		c.turned = now
+	}
+}
+
 func (c *Core) setEntries(names []string) { c.above = member.Above(c.self, names) }
 
 // avoid passes the current target over for a while.
@@ -164,6 +190,9 @@
 	if now.Before(c.direct) {
 		target = Target{}
 	}
+	if target.State() {
+		target.Turn = c.turn
+	}
 	if c.following && target == c.current {
 		return nil
 	}
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -68,12 +68,12 @@
 			for i, self := range all[1:] {
 				c := NewCore(self)
 				relay := follows(t, c.Step(start, Entries{all}))
-				is.Equal(relay, Target{all[0]})
+				is.Equal(relay, Target{Entry: all[0]})
 				next := follows(t, fail(c, relay))
 				if i == 0 {
 					is.True(next.State())
 				} else {
-					is.Equal(next, Target{all[1]})
+					is.Equal(next, Target{Entry: all[1]})
 				}
 				if name != "removed" {
 					// The next sender is in order; the relay is tried again all the same.
@@ -93,7 +93,7 @@
 	c := NewCore("only")
 	is.True(follows(t, c.Step(start, Entries{})).State())
 	is.True(follows(t, c.Step(start, Broken{Target{}})).State())
-	is.Equal(len(c.Step(start, Broken{Target{"unknown"}})), 0)
+	is.Equal(len(c.Step(start, Broken{Target{Entry: "unknown"}})), 0)
 	is.True(follows(t, c.Step(start.Add(silence+1), Tick{})).State())
 }
 
@@ -172,3 +172,20 @@
 		})
 	}
 }
+
+// A data centre was cut off, and its state process takes long to catch up. The
+// entries that follow it must go to the next one after a while, and not in turn
+// without end while all of them are behind.
+func TestStateProcessThatIsBehindIsLeft(t *testing.T) {
+	is := is.New(t)
+	c := NewCore("only")
+	now := start.Add(time.Minute)
+	first := follows(t, c.Step(now, Entries{}))
+	second := follows(t, c.Step(now, Heard{Target: first, Age: behindLimit + 1}))
+	is.True(second.State())
+	is.Equal(second.Turn, first.Turn+1)
+	is.Equal(len(c.Step(now.Add(behindLimit-1), Heard{Target: second, Age: behindLimit + 1})), 0)
+	third := follows(t, c.Step(now.Add(behindLimit), Heard{Target: second, Age: behindLimit + 1}))
+	is.Equal(third.Turn, second.Turn+1)
+	is.Equal(len(c.Step(now.Add(behindLimit), Heard{Target: third})), 0)
+}
