Keep the memory of a lost leader over answers that any process gives

Cause: a key that has ended is answered by the state process of a cut-off data centre. The client took that for a sign of a leader: it forgot the failed search, and the next claims hung for a whole search again. Ruled out: a bound of one round for all claims: an election takes longer. Conclusion: only an answer that needs a quorum ends the memory.

--- a/connection/stateclient/client.go
+++ b/connection/stateclient/client.go
@@ -92,7 +92,7 @@
 		switch a := action.(type) {
 		case Try:
 			err := c.send(ctx, a, method, req, resp)
-			action = c.step(Tried{Call: call, Err: err, Over: ctx.Err() != nil})
+			action = c.step(Tried{Call: call, Err: err, Over: ctx.Err() != nil, FromAny: FromAny(resp)})
 		case Pause:
 			time.Sleep(a.For)
 			action = c.step(Paused{Call: call})
@@ -102,6 +102,16 @@
 	}
 }
 
+// FromAny tells whether any state process may have given the answer: that a
+// claimed key has ended.
+func FromAny(answer proto.Message) bool {
+	claim, ok := answer.(*lilacv1.ClaimReply)
+	if !ok {
+		return false
+	}
+	return claim.GetState() == lilacv1.ClaimState_CLAIM_STATE_RAN || claim.GetState() == lilacv1.ClaimState_CLAIM_STATE_UNKNOWN
+}
+
 // attempt makes the call on one state process, unless it is passed over.
 func (c *Client) attempt(ctx context.Context, address, method string, req, resp proto.Message) error {
 	try, admitted := c.admit(address)
--- a/connection/stateclient/core.go
+++ b/connection/stateclient/core.go
@@ -43,11 +43,14 @@
 	End  time.Time
 }
 
-// Tried tells how a Try ended. Over is true if the caller's own time has ended.
+// Tried tells how a Try ended.
 type Tried struct {
 	Call uint64
 	Err  error
+	// Over is true if the caller's own time has ended.
 	Over bool
+	// FromAny is true for an answer that processes without a quorum give as well.
+	FromAny bool
 }
 
 // Paused tells that a Pause has passed.
@@ -168,7 +171,7 @@
 func (c *Core) ended(now time.Time, s *search, e Tried) Action {
 	c.health.settle(now, s.address, e.Err, e.Over)
 	if e.Err == nil {
-		c.leader, c.lost = s.address, time.Time{}
+		c.found(s.address, e)
 		return End{}
 	}
 	if final(e.Err) {
@@ -185,6 +188,18 @@
 	return c.next(now, s)
 }
 
+// found notes who leads.
+//
+// It guards against a cut-off data centre in which a key that has ended is
+// answered from its own state, and the next claims hang for a whole search again,
+// at a process taken for the leader. It holds because only an answer that needs a
+// quorum ends the memory of the failed search.
+func (c *Core) found(address string, e Tried) {
+	if !e.FromAny {
+		c.leader, c.lost = address, time.Time{}
+	}
+}
+
 func (c *Core) recentlyLost(now time.Time) bool {
 	return !c.lost.IsZero() && now.Sub(c.lost) < lostMemory
 }
