Let a folder become the first voter of a new group in one step

Cause: when a majority of the disks is lost for good, the rest can never elect a leader; nothing could make it the beginning of a new group. Ruled out: rewriting members and hard state as two records (a crash between them leaves one voter under the old group's number, which leads alone); a mark that forbids the start until the command has been run again (safe, but the operator must know of it). A group carries the list of those it replaced; processes of a replaced group give up for good, and two groups recovered from one refuse changes while they hear each other.

--- a/process/replica/conclude.go
+++ b/process/replica/conclude.go
@@ -36,6 +36,10 @@
 	case Repaired:
 		r.metrics.repairs.Inc()
 		r.logger.Info("repair done: the replacement counts for the quorum", "process", a.Member.GetName(), "id", a.Member.GetId())
+	case Replaced:
+		r.fatal = replacedError(r.options.Folder.Path(), r.core.group, a.By)
+	case RivalHeard:
+		r.logger.Error("another group was recovered from the same one; changes are refused until one of the two is stopped and its data folders are moved away", "group", a.Group, "process", a.Name)
 	case Broken:
 		r.metrics.broken.WithLabelValues(a.Invariant).Inc()
 		r.logger.Error("invariant broken; the step was refused", "invariant", a.Invariant, "detail", a.Detail)
@@ -101,6 +105,8 @@
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "the leader is handing over; come back shortly", notRun, soon)
 	case TooLarge:
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, fmt.Sprintf("the change has more than %d bytes; split it", maxCommand), notRun)
+	case RivalGroup:
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, fmt.Sprintf("group %s was recovered from the same one as this group %s; stop the processes of one of them and move their data folders away", r.core.rival(), r.core.group), notRun, election)
 	case Busy:
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, "too many changes wait for the quorum; come back later", notRun, election)
 	default:
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -102,6 +102,7 @@
 	group, vote string
 	term        uint64
 	hardDirty   bool
+	lineage     lineage
 
 	log             memoryLog
 	snapshot        *lilacv1.RaftSnapshotMeta
@@ -134,6 +135,7 @@
 	c.cfg.ChunkBytes = cmp.Or(cfg.ChunkBytes, defaultChunkBytes)
 	if hard := restored.Hard; hard != nil {
 		c.cfg.ID, c.group, c.term, c.vote = hard.GetId(), hard.GetGroup(), hard.GetTerm(), hard.GetVote()
+		c.lineage.former, c.lineage.replacedBy = hard.GetFormer(), hard.GetReplacedBy()
 	} else {
 		c.hardDirty = true
 	}
@@ -165,6 +167,9 @@
 	c.out = c.out[:0]
 	c.check(now >= c.now, "time_monotonic", "time went back")
 	c.now = max(now, c.now)
+	if c.lineage.replacedBy != "" {
+		return c.out
+	}
 	// Before the event: a leader that was frozen must not act on it.
 	c.checkQuorum()
 	switch e := e.(type) {
@@ -207,6 +212,7 @@
 }
 
 func (c *Core) tick() {
+	c.announce()
 	switch c.role {
 	case Waiting:
 		c.seekGroup()
@@ -224,7 +230,7 @@
 func (c *Core) persist() {
 	p := Persist{}
 	if c.hardDirty {
-		p.Hard = &lilacv1.RaftHardState{Id: c.cfg.ID, Group: c.group, Term: c.term, Vote: c.vote}
+		p.Hard = &lilacv1.RaftHardState{Id: c.cfg.ID, Group: c.group, Term: c.term, Vote: c.vote, Former: c.lineage.former, ReplacedBy: c.lineage.replacedBy}
 		c.hardDirty = false
 	}
 	if c.log.saved < c.log.last() {
--- a/process/replica/event.go
+++ b/process/replica/event.go
@@ -129,6 +129,8 @@
 	TooLarge
 	// HandingOver means that the leader is giving its office away.
 	HandingOver
+	// RivalGroup means that two groups were recovered from the same one.
+	RivalGroup
 )
 
 // Refused tells that a proposal or read was not taken.
@@ -154,6 +156,12 @@
 // Repaired tells that the change that replaced a lost voter has been committed.
 type Repaired struct{ Member *lilacv1.RaftMember }
 
+// Replaced tells that a recovered group has replaced the own one for good.
+type Replaced struct{ By string }
+
+// RivalHeard tells of another group that was recovered from the same one.
+type RivalHeard struct{ Group, Name string }
+
 // Broken tells that an invariant did not hold; the step was not made.
 type Broken struct{ Invariant, Detail string }
 
@@ -167,4 +175,6 @@
 func (RoleChanged) action()    {}
 func (MembersChanged) action() {}
 func (Repaired) action()       {}
+func (Replaced) action()       {}
+func (RivalHeard) action()     {}
 func (Broken) action()         {}
--- a/process/replica/join.go
+++ b/process/replica/join.go
@@ -124,6 +124,7 @@
 func (c *Core) renounce() {
 	c.cfg.ID, c.cfg.SpareID = c.cfg.SpareID, ""
 	c.group, c.term, c.vote, c.hardDirty = "", 0, "", true
+	c.lineage = lineage{}
 	c.join = joining{}
 	c.setRole(Waiting, "", "")
 }
--- a/process/replica/lead.go
+++ b/process/replica/lead.go
@@ -155,6 +155,8 @@
 		c.emit(Refused{Ticket: e.Ticket, Reason: HandingOver})
 	case c.diskFull:
 		c.emit(Refused{Ticket: e.Ticket, Reason: NoSpace})
+	case c.rival() != "":
+		c.emit(Refused{Ticket: e.Ticket, Reason: RivalGroup})
 	case c.log.last()-c.commit >= maxUncommitted:
 		c.emit(Refused{Ticket: e.Ticket, Reason: Busy})
 	default:
--- /dev/null
+++ b/process/replica/lineage.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+)
+
+// rivalElections is the silence, in election timeouts, after which a rival
+// group counts as gone.
+const rivalElections = 4
+
+// lineage is what a process knows of groups related to its own by a recovery
+// from a lost majority.
+type lineage struct {
+	// former are the groups that the own one replaced, oldest first.
+	former []string
+	// replacedBy is the recovered group that replaced the own one; set once.
+	replacedBy string
+	announceAt time.Duration
+	rival      string
+	rivalHeard time.Duration
+}
+
+// announce tells all processes of the settings which groups are replaced.
+//
+// It guards against voters taken for lost that come back with their old disks,
+// find a quorum of the old group among themselves, and accept changes and claims
+// beside the recovered group. It holds, as far as messages pass, because they
+// come twice in the shortest wait before a first candidacy, and whoever
+// belongs to a replaced group gives up for good.
+func (c *Core) announce() {
+	if len(c.lineage.former) == 0 || c.now < c.lineage.announceAt {
+		return
+	}
+	c.lineage.announceAt = c.now + c.cfg.Election/2
+	for _, peer := range c.cfg.Peers {
+		c.askGroup(peer.Address)
+	}
+}
+
+// otherGroup handles what a message tells of groups beside the own one; true if
+// nothing else is to be done with it.
+func (c *Core) otherGroup(m *message) bool {
+	if m.GetGroup() == "" || c.group == "" || m.GetGroup() == c.group {
+		return false
+	}
+	if slices.Contains(m.GetFormer(), c.group) {
+		c.replaced(m.GetGroup())
+		return true
+	}
+	if slices.Contains(c.lineage.former, m.GetGroup()) {
+		c.Ignored++
+		if m.GetKind() != kindHelloReply {
+			c.askGroup(m.GetFromAddress())
+		}
+		return true
+	}
+	c.noteRival(m)
+	return false
+}
+
+// replaced ends this process's part in its group; the shell syncs that first.
+func (c *Core) replaced(by string) {
+	c.lineage.replacedBy, c.hardDirty = by, true
+	c.follow(c.term, "", "")
+	c.emit(Replaced{By: by})
+}
+
+// noteRival remembers a group that was recovered from a group that the own one
+// was recovered from as well.
+//
+// It guards against two survivors of one group that are recovered separately:
+// both would grant claims and give numbers to revisions without knowing of each
+// other. It holds, as far as messages pass, because both announce themselves to
+// all processes of their settings, and neither takes a change while it hears the other.
+func (c *Core) noteRival(m *message) {
+	shared := slices.ContainsFunc(m.GetFormer(), func(group string) bool { return slices.Contains(c.lineage.former, group) })
+	if !shared {
+		return
+	}
+	if c.rival() != m.GetGroup() {
+		c.emit(RivalHeard{Group: m.GetGroup(), Name: m.GetMember().GetName()})
+	}
+	c.lineage.rival, c.lineage.rivalHeard = m.GetGroup(), c.now
+}
+
+// rival returns the rival group that was heard lately, if any.
+func (c *Core) rival() string {
+	if c.lineage.rival == "" || c.now-c.lineage.rivalHeard > rivalElections*c.cfg.Election {
+		return ""
+	}
+	return c.lineage.rival
+}
+
+func replacedError(path, group, by string) error {
+	return fault.New(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, fmt.Sprintf(
+		"data folder %s belongs to group %s, which was recovered as group %s after its majority was lost; move the folder away and start with an empty one, so that this process joins that group", path, group, by))
+}
--- /dev/null
+++ b/process/replica/lineage_test.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/wal"
+)
+
+// recoveredScript is the only voter of group h, which was recovered from g.
+func recoveredScript(t *testing.T) *script {
+	restored := Restored{
+		Hard:     &lilacv1.RaftHardState{Id: "a2", Group: "h", Term: 2, Former: []string{"g"}},
+		Snapshot: &lilacv1.RaftSnapshotMeta{Index: 9, Term: 2, Members: testMembers("a2")},
+	}
+	config := Config{Name: "name-a", Address: "a", Peers: []Peer{{Name: "name-b", Address: "b"}}, Heartbeat: testHeartbeat, Election: testElection, Seed: 1}
+	s := &script{is: is.New(t), core: NewCore(config, restored, 0)}
+	s.wait(3 * testElection)
+	s.is.Equal(s.core.role, Leader)
+	s.out = nil
+	return s
+}
+
+func sent(s *script, kind kind) []*message {
+	var found []*message
+	for _, send := range take[Send](s) {
+		if send.Message.GetKind() == kind {
+			found = append(found, send.Message)
+		}
+	}
+	return found
+}
+
+// A data centre taken for lost comes back with the old disks of two voters,
+// which are a quorum of the old group. Operators would see two leaders, and a
+// key could be claimed on both sides. The recovered process must reach them
+// before their first candidacy, and they must give up for good.
+func TestReturningVoterGivesUpItsOldDisk(t *testing.T) {
+	recovered := recoveredScript(t)
+	recovered.wait(testElection)
+	hellos := sent(recovered, kindHello)
+	recovered.is.True(len(hellos) >= 2) // Each wait before a candidacy lasts an election timeout or more.
+
+	old := newScript(t)
+	old.wait(testElection - testHeartbeat)
+	old.is.Equal(old.core.role, Follower)
+	old.step(Received{Message: hellos[0]})
+	persisted := false
+	replaced := false
+	for _, action := range old.out {
+		switch a := action.(type) {
+		case Persist:
+			persisted = a.Hard.GetReplacedBy() == "h" && a.Hard.GetGroup() == "g"
+		case Replaced:
+			replaced = a.By == "h"
+		}
+	}
+	old.is.True(persisted && replaced)
+	old.out = nil
+	old.wait(5 * testElection)
+	old.get(&message{Kind: kindVote, From: "b", Term: 7, Index: 100, LogTerm: 6})
+	old.is.Equal(len(old.out), 0)
+}
+
+// The returning voter is not among the settings of the recovered process. What
+// it sends to its old group must tell it all the same.
+func TestMessageOfAFormerGroupIsAnswered(t *testing.T) {
+	s := recoveredScript(t)
+	s.step(Received{Message: &message{Kind: kindPreVote, From: "z", FromAddress: "z", To: "a", Group: "g", Term: 9}})
+	answers := sent(s, kindHello)
+	s.is.Equal(len(answers), 1)
+	s.is.Equal(answers[0].GetFormer(), []string{"g"})
+	s.is.Equal(s.core.role, Leader)
+	// A stranger's group is nothing to it.
+	s.step(Received{Message: &message{Kind: kindPreVote, From: "z", FromAddress: "z", To: "a2", Group: "x", Term: 9}})
+	s.is.Equal(len(sent(s, kindHello)), 0)
+}
+
+// Two survivors of five voters are recovered separately. Each would give the
+// same revision numbers to other changes. While they hear each other, neither
+// may take a change; when one of them is gone, the other goes on.
+func TestRivalGroupsRefuseChanges(t *testing.T) {
+	s := recoveredScript(t)
+	hello := func(group string, former ...string) {
+		s.step(Received{Message: &message{Kind: kindHello, From: "r", FromAddress: "r", Group: group, Former: former, Member: &lilacv1.RaftMember{Name: "name-b"}}})
+	}
+	propose := func() []Refused {
+		s.out = nil
+		s.step(Propose{Ticket: 1, Command: []byte("x")})
+		return take[Refused](s)
+	}
+	hello("k", "f")
+	s.is.Equal(len(propose()), 0)
+	hello("i", "g")
+	s.is.Equal(take[RivalHeard](s), []RivalHeard{{Group: "i", Name: "name-b"}})
+	s.is.Equal(propose()[0].Reason, RivalGroup)
+	hello("i", "g")
+	s.is.Equal(len(take[RivalHeard](s)), 0)
+	s.wait((rivalElections + 1) * testElection)
+	s.is.Equal(len(propose()), 0)
+}
+
+// A process that joins a recovered group must tell the old voters too, after
+// the first one is gone.
+func TestJoiningProcessLearnsTheFormerGroups(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(Config{Name: "name-b", Address: "b", ID: "b2", Heartbeat: testHeartbeat, Election: testElection, Seed: 1}, Restored{}, 0)
+	actions := c.Step(0, Received{Message: &message{Kind: kindAppend, From: "a2", FromAddress: "a", To: "b2", Group: "h", Former: []string{"g"}, Term: 2, Index: 9, LogTerm: 2}})
+	for _, action := range actions {
+		if p, ok := action.(Persist); ok {
+			is.Equal(p.Hard.GetFormer(), []string{"g"})
+			return
+		}
+	}
+	t.Fatal("nothing was synced")
+}
+
+// A replaced folder is started once more, with the network cut. It must not
+// serve, and say what to do.
+func TestReplacedFolderDoesNotStart(t *testing.T) {
+	is := is.New(t)
+	folder, err := wal.OSFolder(t.TempDir())
+	is.NoErr(err)
+	store, _, err := wal.Open(folder, wal.Options{})
+	is.NoErr(err)
+	is.NoErr(store.Save(wal.Batch{Hard: &lilacv1.RaftHardState{Id: "b", Group: "g", Term: 1, ReplacedBy: "h"}}))
+	is.NoErr(store.Close())
+	_, err = NewRunner(Options{Name: "b", Heartbeat: testHeartbeat, Election: testElection, Folder: folder, Machine: &counter{}, Transport: nowhere{}})
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+}
--- a/process/replica/members.go
+++ b/process/replica/members.go
@@ -83,7 +83,7 @@
 // voter: both could elect a leader. It holds because a change moves one voter,
 // and begins only after the last one and an entry of the own term are committed.
 func (c *Core) mayChange() bool {
-	return c.role == Leader && !c.diskFull && c.lead.handTo == "" && c.commit >= c.lead.firstIndex && c.members.latestIndex() <= c.commit
+	return c.role == Leader && !c.diskFull && c.rival() == "" && c.lead.handTo == "" && c.commit >= c.lead.firstIndex && c.members.latestIndex() <= c.commit
 }
 
 func voters(members *lilacv1.RaftMembers) []string {
--- a/process/replica/message.go
+++ b/process/replica/message.go
@@ -27,6 +27,7 @@
 // send fills in who sends and hands the message over.
 func (c *Core) send(address string, m *message, afterSync bool) {
 	m.From, m.FromAddress, m.Group = c.cfg.ID, c.cfg.Address, c.group
+	m.Former = c.lineage.former
 	c.emit(Send{Address: address, Message: m, AfterSync: afterSync})
 }
 
@@ -43,6 +44,9 @@
 // elected that lacks committed entries. It holds because an identity is random,
 // lives on that disk alone, and messages for another one are dropped.
 func (c *Core) receive(m *message) {
+	if c.otherGroup(m) {
+		return
+	}
 	switch m.GetKind() {
 	case kindHello:
 		c.hello(m)
@@ -92,7 +96,7 @@
 	if c.group == "" && m.GetGroup() != "" {
 		switch m.GetKind() {
 		case kindPreVote, kindVote, kindAppend, kindSnapshot:
-			c.group, c.hardDirty = m.GetGroup(), true
+			c.group, c.lineage.former, c.hardDirty = m.GetGroup(), m.GetFormer(), true
 			c.boundAt, c.join = c.now, joining{}
 			c.setRole(Follower, "", "")
 			c.resetElection()
--- a/process/replica/runner.go
+++ b/process/replica/runner.go
@@ -176,6 +176,9 @@
 		r.metrics.cutBytes.Add(float64(state.CutBytes))
 		r.logger.Warn("a crash tore the end of the log; it was cut", "file", state.CutFile, "bytes", state.CutBytes)
 	}
+	if by := state.Hard.GetReplacedBy(); by != "" {
+		return replacedError(r.options.Folder.Path(), state.Hard.GetGroup(), by)
+	}
 	meta := state.Snapshot
 	if state.Hard.GetGroup() != "" && meta.GetSize() > 0 {
 		if err := r.options.Machine.Restore(state.SnapshotData); err != nil {
--- a/process/wal/read.go
+++ b/process/wal/read.go
@@ -24,6 +24,8 @@
 	// rebase is true if the log ends before the snapshot: the next entry would
 	// not follow the last one in the files.
 	rebase bool
+	// recovered is true if the snapshot of a recovery brings the hard state.
+	recovered bool
 }
 
 func read(folder Folder) (*reader, error) {
@@ -185,6 +187,9 @@
 	if s.Hard == nil {
 		return damaged(r.folder, "log-*", 0, "there is a snapshot but no log file")
 	}
+	if r.recover() {
+		return nil
+	}
 	index := s.Snapshot.GetIndex()
 	if len(s.Entries) == 0 {
 		r.rebase = r.base != index
--- a/process/wal/snapshot.go
+++ b/process/wal/snapshot.go
@@ -24,6 +24,12 @@
 // InstallSnapshot writes a snapshot that came from the leader and gives up the
 // log before it.
 func (s *Store) InstallSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
+	return s.install(&lilacv1.WalRecord{Base: meta}, data)
+}
+
+// install places the snapshot that the record begins the log anew with.
+func (s *Store) install(record *lilacv1.WalRecord, data []byte) error {
+	meta := record.GetBase()
 	if s.broken != nil {
 		return s.broken
 	}
@@ -33,7 +39,7 @@
 	if err := s.place(meta); err != nil {
 		return err
 	}
-	if err := s.append(&lilacv1.WalRecord{Base: meta}); err != nil {
+	if err := s.append(record); err != nil {
 		return err
 	}
 	return s.compact(meta.GetIndex())
--- a/process/wal/store.go
+++ b/process/wal/store.go
@@ -121,7 +121,11 @@
 	if err := s.syncFolder(); err != nil {
 		return nil, err
 	}
-	return r.state, s.rebase(r)
+	if err := s.rebase(r); err != nil {
+		return nil, err
+	}
+	r.state.Snapshot = plain(r.state.Snapshot)
+	return r.state, nil
 }
 
 // rebase guards against a crash between a snapshot that was installed and the
@@ -132,7 +136,11 @@
 	if !r.rebase {
 		return nil
 	}
-	return s.append(&lilacv1.WalRecord{Base: r.state.Snapshot})
+	record := &lilacv1.WalRecord{Base: r.state.Snapshot}
+	if r.recovered {
+		record.Hard = r.state.Hard
+	}
+	return s.append(record)
 }
 
 // Save writes and syncs the batch, as one record unless it is very large. After
