Bring ledger, leases and revisions past what a lost majority knew

Cause: a new group that goes on from a survivor's state would grant keys, give fencing numbers and number revisions that the lost voters have given out. Ruled out: forgetting (runs twice); refusing all keys for good (stops the service); a gap for revisions only where no entry answers (an entry that is cut off would be stuck). Entries say in each call how many recoveries they know of. Conclusion: a replaced group refuses entries that know better; nothing that the lost voters gave out is given again.

--- a/connection/operator/query.go
+++ b/connection/operator/query.go
@@ -141,7 +141,7 @@
 			return askState(ctx, peer, method, &lilacv1.QueryRequest{Subject: "leases"})
 		}
 	}
-	return "state.status", []string{"role", "term", "leader", "commit", "applied", "revision", "voters", "learners", "claims", "disk_full"}, askStatus
+	return "state.status", []string{"role", "term", "leader", "commit", "applied", "revision", "voters", "learners", "claims", "disk_full", "recoveries", "rival"}, askStatus
 }
 
 func askState(ctx context.Context, peer Peer, method string, request proto.Message) (*lilacv1.QueryReply, error) {
@@ -158,5 +158,6 @@
 	return &lilacv1.QueryReply{Revision: s.GetRevision(), Rows: []*lilacv1.QueryRow{{Values: []string{
 		s.GetRole(), u(s.GetTerm()), s.GetLeader(), u(s.GetCommitIndex()), u(s.GetAppliedIndex()), u(s.GetRevision()),
 		strings.Join(s.GetVoters(), ","), strings.Join(s.GetLearners(), ","), u(s.GetClaims()), strconv.FormatBool(s.GetDiskFull()),
+		u(uint64(s.GetRecoveries())), s.GetRival(),
 	}}}}, nil
 }
--- /dev/null
+++ b/connection/spreadlink/fetch.go
@@ -0,0 +1,52 @@
+package spreadlink
+
+import (
+	"context"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/version/spread"
+)
+
+// FetchConfig returns the whole configuration that an entry holds.
+func FetchConfig(ctx context.Context, entry link.Caller) (*lilacv1.Snapshot, error) {
+	stream, err := entry.Open(ctx, "entry.snapshot", &lilacv1.SnapshotRequest{})
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	assembly := spread.Assembly{}
+	for {
+		part := &lilacv1.SnapshotPart{}
+		if err := stream.Recv(part); err != nil {
+			return nil, err
+		}
+		whole, err := assembly.Add(part)
+		if err != nil || whole != nil {
+			return whole, err
+		}
+	}
+}
+
+// FetchRevisions returns the revisions after have up to the number until that
+// an entry still holds one by one. It fails as NOT_FOUND where the first is gone.
+func FetchRevisions(ctx context.Context, entry link.Caller, have, until uint64) ([]*lilacv1.Revision, error) {
+	stream, err := entry.Open(ctx, "entry.watch", &lilacv1.WatchRequest{Have: have})
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	var all []*lilacv1.Revision
+	for have < until {
+		update := &lilacv1.WatchUpdate{}
+		if err := stream.Recv(update); err != nil {
+			return nil, err
+		}
+		for _, revision := range update.GetRevisions() {
+			if have = revision.GetNumber(); have <= until {
+				all = append(all, revision)
+			}
+		}
+	}
+	return all, nil
+}
--- a/connection/stateclient/calls.go
+++ b/connection/stateclient/calls.go
@@ -34,6 +34,7 @@
 	if p.GetCommandId() == "" {
 		p.CommandId = NewCommandID()
 	}
+	p.Recoveries = c.options.Recoveries()
 	reply := &lilacv1.ProposeReply{}
 	if err := c.onLeader(ctx, "state.propose", p, reply); err != nil {
 		return nil, err
@@ -56,7 +57,7 @@
 	if r.GetAttempt() == "" {
 		r.Attempt = rand.Text()
 	}
-	r.Instance = c.options.Instance
+	r.Instance, r.Recoveries = c.options.Instance, c.options.Recoveries()
 	generation := c.startClaim(r)
 	reply, err := c.claim(ctx, r)
 	if fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT) {
@@ -131,7 +132,7 @@
 
 // Lease takes, renews or gives back a lease.
 func (c *Client) Lease(ctx context.Context, r *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error) {
-	r.Holder, r.Incarnation = c.options.Instance, c.Incarnation()
+	r.Holder, r.Incarnation, r.Recoveries = c.options.Instance, c.Incarnation(), c.options.Recoveries()
 	reply := &lilacv1.LeaseReply{}
 	if err := c.onLeader(ctx, "state.lease", r, reply); err != nil {
 		return nil, err
--- a/connection/stateclient/client.go
+++ b/connection/stateclient/client.go
@@ -49,6 +49,9 @@
 	Peers []settings.Peer
 	// Dial returns the caller for an address; the same one each time.
 	Dial func(address string) link.Caller
+	// Recoveries tells how many recoveries of the state processes the instance
+	// knows of; a group that knows fewer refuses its calls. May be nil.
+	Recoveries func() uint32
 }
 
 // Client calls the state processes. All its methods may be called at once from
@@ -71,6 +74,9 @@
 
 // New returns a Client; it dials nothing yet.
 func New(options Options) *Client {
+	if options.Recoveries == nil {
+		options.Recoveries = func() uint32 { return 0 }
+	}
 	return &Client{
 		options:     options,
 		health:      newHealth(),
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -70,7 +70,7 @@
 	}
 	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Key: linkKey}
 	d := &Daemon{settings: s, logger: logger, dialer: newDialer(id), operators: operators, callerKey: callerKey, live: s.Entries, started: time.Now()}
-	d.state = stateclient.New(stateclient.Options{Instance: s.Name, DataCenter: s.DataCenter, Peers: s.State, Dial: d.dialer.dial})
+	d.state = stateclient.New(stateclient.Options{Instance: s.Name, DataCenter: s.DataCenter, Peers: s.State, Dial: d.dialer.dial, Recoveries: d.recoveries})
 	d.entry = New(Options{Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, State: s.State, Entries: s.Entries,
@@ -90,6 +90,14 @@
 	return d, d.listen()
 }
 
+// recoveries tells how many recoveries of the state processes this entry knows of.
+func (d *Daemon) recoveries() uint32 {
+	if view := d.watcher.Current(); view != nil {
+		return view.Recoveries
+	}
+	return 0
+}
+
 func (d *Daemon) listen() error {
 	open := func(address settings.Address) (net.Listener, error) { return net.Listen("tcp", address.Value) }
 	var errs [4]error
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -20,6 +20,8 @@
 // Table holds all leases. Calls must not overlap.
 type Table struct {
 	leases map[string]*lilacv1.LeaseEntry
+	// floor is where a recovery put the fencing numbers; 0 without one.
+	floor uint64
 }
 
 // NewTable returns a Table without leases.
@@ -35,6 +37,11 @@
 		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "a lease names what it is for, its holder and incarnation, and lasts at most %d ms", maxDurationMs)
 	}
 	old := t.leases[r.GetName()]
+	if old == nil && t.floor > 0 {
+		// The lost majority may have granted it: it must run out there first.
+		old = t.recovered(r.GetName(), 0)
+		t.leases[r.GetName()] = old
+	}
 	if old == nil {
 		old = &lilacv1.LeaseEntry{Name: r.GetName()}
 	}
@@ -85,10 +92,13 @@
 }
 
 // Snapshot returns all that Restore needs.
-func (t *Table) Snapshot() *lilacv1.LeaseSnapshot { return &lilacv1.LeaseSnapshot{Leases: t.All()} }
+func (t *Table) Snapshot() *lilacv1.LeaseSnapshot {
+	return &lilacv1.LeaseSnapshot{Leases: t.All(), FencingFloor: t.floor}
+}
 
 // Restore replaces the whole state.
 func (t *Table) Restore(s *lilacv1.LeaseSnapshot) {
+	t.floor = s.GetFencingFloor()
 	t.leases = make(map[string]*lilacv1.LeaseEntry)
 	for _, e := range s.GetLeases() {
 		t.leases[e.GetName()] = e
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -90,7 +90,9 @@
 	instances   *incarnations
 	// untimed counts the entries whose key carries no time; each has a place
 	// among the tombstones reserved.
-	untimed      int
+	untimed int
+	// recovery is the last one from a lost majority; nil if there was none.
+	recovery     *lilacv1.LedgerRecovery
 	late, broken uint64
 }
 
@@ -143,6 +145,9 @@
 	if old, ok := l.entries[key]; ok {
 		return l.again(old, r), nil
 	}
+	if l.inDoubt(r.GetKey()) {
+		return l.doubtful(r.GetKey()), nil
+	}
 	if err := l.checkTimed(r.GetKey()); err != nil {
 		return nil, err
 	}
@@ -254,7 +259,8 @@
 	if l.expired(key) || r.GetState() != lilacv1.ClaimState_CLAIM_STATE_NOT_RUN {
 		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "no such claim is remembered; its retention has passed, or it never was")
 	}
-	if l.checkTimed(r.GetKey()) != nil || l.makeRoom(r.GetKey()) != nil {
+	// Of a key in doubt another attempt may have run: it must not become free.
+	if l.inDoubt(r.GetKey()) || l.checkTimed(r.GetKey()) != nil || l.makeRoom(r.GetKey()) != nil {
 		return &lilacv1.OutcomeReply{State: r.GetState()}, nil
 	}
 	l.add(&lilacv1.LedgerEntry{Team: r.GetTeam(), Key: r.GetKey(), Attempt: r.GetAttempt(), State: r.GetState(), ClaimedUnixMs: l.nowMs})
--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -14,6 +14,7 @@
 	shards := l.tombstones.capture()
 	s := &lilacv1.LedgerSnapshot{
 		NowUnixMs: l.nowMs,
+		Recovery:  l.recovery,
 		Current:   l.instances.all(),
 		Gone:      append([]string(nil), l.instances.order...),
 		Entries:   make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
@@ -30,7 +31,7 @@
 // Restore replaces the whole state; the limits stay.
 func (l *Ledger) Restore(s *lilacv1.LedgerSnapshot) {
 	*l = *New(l.limits)
-	l.nowMs = s.GetNowUnixMs()
+	l.nowMs, l.recovery = s.GetNowUnixMs(), s.GetRecovery()
 	for _, e := range s.GetEntries() {
 		l.add(e)
 	}
--- a/request/outcome/claims.go
+++ b/request/outcome/claims.go
@@ -102,6 +102,11 @@
 	switch {
 	case reply.GetBodyDiffers():
 		return refuse(lilacv1.ErrorKind_ERROR_KIND_KEY_REUSED, lilacv1.NotRun_NOT_RUN_UNKNOWN, "Idempotency-Key was used for another request; make a new key")
+	case reply.GetInDoubt() && reply.GetTakenAgainUnixMs() == 0:
+		return refuse(lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, lilacv1.NotRun_NOT_RUN_UNKNOWN, "the ledger lost what it knew of keys of this age, so an earlier send may have run; check at the service before you use a new key")
+	case reply.GetInDoubt():
+		again := time.UnixMilli(reply.GetTakenAgainUnixMs()).UTC().Format(time.RFC3339)
+		return refuse(lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, lilacv1.NotRun_NOT_RUN_UNKNOWN, "the ledger lost what it knew of keys without a time, so an earlier send may have run; check at the service, then send a new UUID of version 7 as Idempotency-Key (keys without a time are taken again from "+again+")")
 	case reply.GetExpired():
 		return refuse(lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, lilacv1.NotRun_NOT_RUN_UNKNOWN, "Idempotency-Key was used before and its answer is no longer kept; check at the service")
 	}
--- a/version/config/holder.go
+++ b/version/config/holder.go
@@ -49,6 +49,9 @@
 	if current := h.view.Load(); current != nil && s.GetRevision() <= current.Revision {
 		return fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "snapshot of revision %d is not newer than %d; ask a sender that is up to date", s.GetRevision(), current.Revision)
 	}
+	if s.GetRecoveries() < h.tables.recoveries {
+		return fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "snapshot of revision %d comes from a group of state processes that was replaced by a recovered one; stop the sender and move its data folder away", s.GetRevision())
+	}
 	h.tables = newTables()
 	h.tables.load(s)
 	h.tail = newTrail(holderTail)
@@ -144,6 +147,7 @@
 func (t *tables) view() *model.View {
 	view := &model.View{
 		Revision:    t.revision,
+		Recoveries:  t.recoveries,
 		Classes:     t.classes,
 		Teams:       t.teams,
 		Servers:     t.servers,
--- a/version/config/tables.go
+++ b/version/config/tables.go
@@ -21,6 +21,7 @@
 // in place, so that readers may keep them.
 type tables struct {
 	revision    uint64
+	recoveries  uint32
 	classes     map[string]*lilacv1.Class
 	teams       map[string]*lilacv1.Team
 	servers     map[string]*lilacv1.Server
@@ -50,7 +51,7 @@
 
 // load adds the items of a snapshot.
 func (t *tables) load(s *lilacv1.Snapshot) {
-	t.revision = s.GetRevision()
+	t.revision, t.recoveries = s.GetRevision(), s.GetRecoveries()
 	for _, item := range s.GetClasses() {
 		t.classes[item.GetName()] = item
 		t.shares += item.GetSharePermille()
@@ -79,6 +80,7 @@
 func (t *tables) capture() *lilacv1.Snapshot {
 	return &lilacv1.Snapshot{
 		Revision:    t.revision,
+		Recoveries:  t.recoveries,
 		Classes:     listed(t.classes),
 		Teams:       listed(t.teams),
 		Servers:     listed(t.servers),
--- a/version/config/trail.go
+++ b/version/config/trail.go
@@ -1,12 +1,16 @@
 package config
 
 import (
+	"cmp"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
-// trail keeps the last retention revisions, which have consecutive numbers.
+// trail keeps the last retention revisions. Their numbers are consecutive but
+// for the gap that a recovery leaves.
 type trail struct {
 	retention int
 	revisions []*lilacv1.Revision
@@ -40,40 +44,46 @@
 }
 
 func (t *trail) get(number uint64) (*lilacv1.Revision, bool) {
-	if len(t.revisions) == 0 {
-		return nil, false
-	}
-	first := t.revisions[0].GetNumber()
-	if number < first || number-first >= uint64(len(t.revisions)) {
+	place, found := t.find(number)
+	if !found {
 		return nil, false
 	}
-	return t.revisions[number-first], true
+	return t.revisions[place], true
+}
+
+// find returns the place of the first revision that is not older than number,
+// and whether it has that number.
+func (t *trail) find(number uint64) (place int, found bool) {
+	return slices.BinarySearchFunc(t.revisions, number, func(r *lilacv1.Revision, number uint64) int {
+		return cmp.Compare(r.GetNumber(), number)
+	})
 }
 
 func (t *trail) since(have uint64, limit int) ([]*lilacv1.Revision, bool) {
 	if t.newest().GetNumber() <= have {
 		return nil, true
 	}
-	if _, ok := t.get(have + 1); !ok {
+	place, ok := t.find(have + 1)
+	if !ok {
 		return nil, false
 	}
-	rest := t.revisions[have+1-t.revisions[0].GetNumber():]
-	rest = rest[:min(limit, len(rest))]
-	return append([]*lilacv1.Revision(nil), rest...), true
+	var next []*lilacv1.Revision
+	for _, revision := range t.revisions[place:] {
+		if len(next) == limit || revision.GetNumber() != have+1+uint64(len(next)) {
+			break
+		}
+		next = append(next, revision)
+	}
+	return next, true
 }
 
 func (t *trail) list(from uint64, limit int) []*lilacv1.Revision {
-	if newest := t.newest().GetNumber(); from == 0 || from > newest {
-		from = newest
-	}
-	var found []*lilacv1.Revision
-	for number := from; number > 0 && len(found) < limit; number-- {
-		revision, ok := t.get(number)
-		if !ok {
-			break
-		}
-		found = append(found, revision)
+	end := len(t.revisions)
+	if from != 0 && from < t.newest().GetNumber() {
+		end, _ = t.find(from + 1)
 	}
+	found := slices.Clone(t.revisions[max(0, end-limit):end])
+	slices.Reverse(found)
 	return found
 }
 
--- a/version/model/view.go
+++ b/version/model/view.go
@@ -12,7 +12,9 @@
 // View is a revision as the request path reads it. It is never changed once
 // made, so any goroutine may read it without a lock.
 type View struct {
-	Revision    uint64
+	Revision uint64
+	// Recoveries counts those of the state processes from a lost majority.
+	Recoveries  uint32
 	Classes     map[string]*lilacv1.Class
 	Teams       map[string]*lilacv1.Team
 	Servers     map[string]*lilacv1.Server
@@ -27,6 +29,7 @@
 func NewView(s *lilacv1.Snapshot) *View {
 	v := &View{
 		Revision:    s.GetRevision(),
+		Recoveries:  s.GetRecoveries(),
 		Classes:     make(map[string]*lilacv1.Class, len(s.GetClasses())),
 		Teams:       make(map[string]*lilacv1.Team, len(s.GetTeams())),
 		Servers:     make(map[string]*lilacv1.Server, len(s.GetServers())),
--- a/version/spread/parts.go
+++ b/version/spread/parts.go
@@ -38,7 +38,7 @@
 }
 
 func pieces(s *lilacv1.Snapshot) []*lilacv1.Snapshot {
-	all := []*lilacv1.Snapshot{{Revision: s.GetRevision(), Classes: s.GetClasses(), Instances: s.GetInstances(), Orders: s.GetOrders()}}
+	all := []*lilacv1.Snapshot{{Revision: s.GetRevision(), Recoveries: s.GetRecoveries(), Classes: s.GetClasses(), Instances: s.GetInstances(), Orders: s.GetOrders()}}
 	for servers := s.GetServers(); len(servers) > 0; {
 		n := min(partItems, len(servers))
 		all = append(all, &lilacv1.Snapshot{Revision: s.GetRevision(), Servers: servers[:n]})
@@ -105,6 +105,7 @@
 	if err := proto.Unmarshal(raw, piece); err != nil {
 		return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, "part of a snapshot does not decode; begin the transfer anew")
 	}
+	a.whole.Recoveries = max(a.whole.GetRecoveries(), piece.GetRecoveries())
 	a.whole.Classes = append(a.whole.Classes, piece.GetClasses()...)
 	a.whole.Teams = append(a.whole.Teams, piece.GetTeams()...)
 	a.whole.Servers = append(a.whole.Servers, piece.GetServers()...)
