Add lilacctl recover: a new group from one survivor of a lost majority

Cause: the only remedy was a new group in empty folders, which forgets the ledger and what was accepted. Ruled out: an automatic recovery (a cut-off data centre can't be told from a lost one); adopting a configuration after the group serves (a change could be accepted before). Conclusion: TestRecoveryFromALostMajority loses no accepted change, grants no key and gives no number twice, and refuses the old disk. The set of real processes in the package's tests stands in one place now; no test changed what it asserts.

--- /dev/null
+++ b/cmd/lilacctl/recover.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/daemon/state"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/process/wal"
+)
+
+type recoverFlags struct {
+	state.RecoverOptions
+	noEntries bool
+}
+
+func newRecover() *cobra.Command {
+	f := &recoverFlags{}
+	cmd := &cobra.Command{
+		Use:   "recover SETTINGS",
+		Short: "Make a new group from one surviving state process after a majority of disks was lost for good",
+		Long: `Read the data folder that a state process's settings name and tell what a
+recovery from it would do; with --confirm, do it. The process must not run.
+The old group can't be used any more afterwards; see docs/OPERATING.md first.`,
+		Args: usageArgs(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error { return runRecover(cmd, f, args[0]) },
+	}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&f.Entries, "entry", nil, "link address (host:port) of each entry; they may hold changes that the folder lacks")
+	flags.BoolVar(&f.noEntries, "no-entries", false, "go on without any entry: changes that only they hold are lost")
+	flags.DurationVar(&f.KeyMargin, "key-margin", state.DefaultKeyMargin, "how far ahead the clocks of callers that send keys with a time may be; such keys are in doubt that long")
+	flags.StringVar(&f.Who, "who", "", "who orders this, for the audit trail")
+	flags.BoolVar(&f.Confirm, "confirm", false, "change the folder; without it nothing is written")
+	_ = cmd.MarkFlagRequired("who")
+	return cmd
+}
+
+func runRecover(cmd *cobra.Command, f *recoverFlags, file string) error {
+	if len(f.Entries) == 0 && !f.noEntries {
+		return usageError{errors.New("name every entry that can be reached with --entry, or write --no-entries")}
+	}
+	s := &settings.State{}
+	if err := settings.Load(file, s); err != nil {
+		return usageError{err}
+	}
+	key, err := secret.ReadKey(s.LinkKeyFile)
+	if err != nil {
+		return usageError{err}
+	}
+	id := link.Identity{Peer: link.Peer{Process: "lilacctl", DataCenter: s.DataCenter}, Key: key}
+	o := f.RecoverOptions
+	o.Folder = wal.ReadOnlyFolder(s.Data)
+	o.AuditRetention, o.Limits = s.AuditRetention, ledger.Limits{Retention: s.ClaimRetention.Duration}
+	o.Dial = func(address string) link.Caller { return link.NewClient(address, id) }
+	o.Random, o.Now = randomBits, time.Now
+	done, err := state.Recover(cmd.Context(), o)
+	if err != nil {
+		return err
+	}
+	printRecovery(os.Stdout, done)
+	return nil
+}
+
+func randomBits() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // It never fails.
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func printRecovery(w io.Writer, r *state.Recovery) {
+	fmt.Fprintf(w, "identity %s in group %s, last index %d of term %d, revision %d, %d keys of which %d open\n",
+		r.Identity, r.Group, r.LastIndex, r.LastTerm, r.Revision, r.Keys, r.OpenClaims)
+	fmt.Fprintf(w, "lost voters: %v\n", r.Lost)
+	printConfig(w, r)
+	fmt.Fprintf(w, "open keys, and keys that had not run, become unknown: they are never run again\n")
+	fmt.Fprintf(w, "keys with a time before %s that the folder lacks are refused as outcome_unknown\n", r.TimedKeysFrom.Format(time.RFC3339))
+	fmt.Fprintf(w, "keys without a time that the folder lacks are refused until %s\n", r.UntimedKeysFrom.Format(time.RFC3339))
+	fmt.Fprintf(w, "leases are granted again about a minute after they are first asked for, under higher numbers\n")
+	if !r.Done {
+		fmt.Fprintln(w, "nothing was changed; run it again with --confirm to found the new group")
+		return
+	}
+	fmt.Fprintf(w, "group %s founded at revision %d; start this process, then the others with empty folders\n", r.NewGroup, r.NewRevision)
+}
+
+func printConfig(w io.Writer, r *state.Recovery) {
+	switch {
+	case r.Diverged:
+		fmt.Fprintf(w, "the folder's newest revisions were never accepted; revision %d of the entries takes their place\n", r.EntryRevision)
+	case r.Adopted:
+		fmt.Fprintf(w, "revisions %d to %d, which the folder lacks, are taken from the entries\n", r.Revision+1, r.EntryRevision)
+	case r.EntryRevision == 0:
+		fmt.Fprintf(w, "no entry was asked: revisions after %d that the lost voters accepted are missing\n", r.Revision)
+	default:
+		fmt.Fprintf(w, "no entry that answered holds a revision after %d; what none of them holds is missing\n", r.Revision)
+	}
+	fmt.Fprintf(w, "revisions go on from %d\n", r.NewRevision)
+}
--- /dev/null
+++ b/daemon/state/cluster_test.go
@@ -0,0 +1,130 @@
+package state
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// cluster is a set of state processes with real logs and folders, which tests
+// stop, empty, recover and start again on the same addresses.
+type cluster struct {
+	t       testing.TB
+	is      *is.I
+	folder  string
+	peers   []settings.Peer
+	running map[string]*stateProcess
+	// random gives the bits of recoveries; the same in each run.
+	random atomic.Uint64
+}
+
+// stateProcess is a state process with the real log, in a folder of its own.
+type stateProcess struct {
+	process
+	running  RunningLog
+	listener net.Listener
+	// done gets the log's error when it ends.
+	done chan error
+}
+
+func newCluster(t testing.TB, n int) *cluster {
+	c := &cluster{t: t, is: is.New(t), folder: t.TempDir(), running: map[string]*stateProcess{}}
+	var listeners []net.Listener
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.is.NoErr(err)
+		listeners = append(listeners, listener)
+		name := string(rune('a' + i))
+		c.peers = append(c.peers, settings.Peer{Name: name, Address: settings.Address{Value: listener.Addr().String()}, DataCenter: "dc-" + name})
+	}
+	for i, listener := range listeners {
+		c.is.NoErr(c.serve(c.peers[i].Name, listener))
+	}
+	t.Cleanup(func() {
+		for name := range c.running {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) data(name string) string { return filepath.Join(c.folder, name) }
+
+func (c *cluster) place(name string) int {
+	return slices.IndexFunc(c.peers, func(p settings.Peer) bool { return p.Name == name })
+}
+
+// start starts the process on the folder as it is; an error is of the start itself.
+func (c *cluster) start(name string) error {
+	listener, err := net.Listen("tcp", c.peers[c.place(name)].Address.Value)
+	c.is.NoErr(err)
+	return c.serve(name, listener)
+}
+
+func (c *cluster) serve(name string, listener net.Listener) error {
+	i := c.place(name)
+	peer := c.peers[i]
+	s := &settings.State{
+		Common: settings.Common{Name: peer.Name, DataCenter: peer.DataCenter, Link: peer.Address},
+		Data:   c.data(name), Peers: slices.Delete(slices.Clone(c.peers), i, i+1), Bootstrap: true,
+		Heartbeat: settings.Duration{Duration: 20 * time.Millisecond}, Election: settings.Duration{Duration: 200 * time.Millisecond},
+	}
+	machine := NewMachine(0, ledger.Limits{})
+	mux := link.NewMux()
+	id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
+	log, err := OpenReplica(s, machine, mux, id, hclog.NewNullLogger(), prometheus.NewRegistry())
+	if err != nil {
+		listener.Close()
+		return err
+	}
+	service := NewService(machine, log)
+	service.Register(mux)
+	mux.Handle("test.nothing", link.Unary(func(context.Context, link.Peer, *lilacv1.StateStatusRequest) (*lilacv1.StateStatus, error) {
+		return &lilacv1.StateStatus{}, nil
+	}))
+	server := link.NewServer(id, mux)
+	go server.Serve(listener)
+	m := &stateProcess{process: process{peer: peer, service: service, server: server}, running: log, listener: listener, done: make(chan error, 1)}
+	ctx, stop := context.WithCancel(context.Background())
+	c.t.Cleanup(stop)
+	go func() { m.done <- log.Run(ctx) }()
+	c.running[name] = m
+	return nil
+}
+
+func (c *cluster) stop(name string) {
+	m := c.running[name]
+	delete(c.running, name)
+	m.service.Close()
+	m.running.Close()
+	m.listener.Close()
+	m.server.Close()
+}
+
+func (c *cluster) processes() []*process {
+	var all []*process
+	for _, peer := range c.peers {
+		all = append(all, &process{peer: peer})
+	}
+	return all
+}
+
+// await polls until it holds; the test's own deadline ends one that never does.
+func await(holds func() bool) {
+	for !holds() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -133,12 +133,17 @@
 var testKey = []byte("one key for all tests")
 
 func newClient(t testing.TB, all []*process, name string) *stateclient.Client {
+	return newClientKnowing(t, all, name, nil)
+}
+
+// newClientKnowing is newClient of an instance that knows of so many recoveries.
+func newClientKnowing(t testing.TB, all []*process, name string, recoveries func() uint32) *stateclient.Client {
 	dialed := dialer(t)
 	var peers []settings.Peer
 	for _, p := range all {
 		peers = append(peers, p.peer)
 	}
-	return stateclient.New(stateclient.Options{Instance: name, DataCenter: "dc-b", Peers: peers, Dial: dialed})
+	return stateclient.New(stateclient.Options{Instance: name, DataCenter: "dc-b", Peers: peers, Dial: dialed, Recoveries: recoveries})
 }
 
 func dialer(t testing.TB) func(string) link.Caller {
--- a/daemon/state/group_test.go
+++ b/daemon/state/group_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -13,69 +12,23 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
-	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/fault"
-	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
-// replicated is a state process with the real log, in a folder of its own.
-type replicated struct {
-	process
-	running RunningLog
-}
-
 // replicatedGroup starts three state processes with the real log over loopback.
-func replicatedGroup(t testing.TB) []*replicated {
-	is := is.New(t)
-	var listeners []net.Listener
-	var peers []settings.Peer
-	for i := range 3 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.NoErr(err)
-		listeners = append(listeners, listener)
-		name := string(rune('a' + i))
-		peers = append(peers, settings.Peer{Name: name, Address: settings.Address{Value: listener.Addr().String()}, DataCenter: "dc-" + name})
-	}
-	folder := t.TempDir()
-	var all []*replicated
-	for i, peer := range peers {
-		s := &settings.State{
-			Common: settings.Common{Name: peer.Name, DataCenter: peer.DataCenter, Link: peer.Address},
-			Data:   filepath.Join(folder, peer.Name), Peers: slices.Delete(slices.Clone(peers), i, i+1), Bootstrap: true,
-			Heartbeat: settings.Duration{Duration: 20 * time.Millisecond}, Election: settings.Duration{Duration: 200 * time.Millisecond},
-		}
-		machine := NewMachine(0, ledger.Limits{})
-		mux := link.NewMux()
-		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Key: testKey}
-		log, err := OpenReplica(s, machine, mux, id, hclog.NewNullLogger(), prometheus.NewRegistry())
-		is.NoErr(err)
-		service := NewService(machine, log)
-		service.Register(mux)
-		mux.Handle("test.nothing", link.Unary(func(context.Context, link.Peer, *lilacv1.StateStatusRequest) (*lilacv1.StateStatus, error) {
-			return &lilacv1.StateStatus{}, nil
-		}))
-		server := link.NewServer(id, mux)
-		go server.Serve(listeners[i])
-		ctx, stop := context.WithCancel(context.Background())
-		go log.Run(ctx)
-		m := &replicated{process: process{peer: peer, service: service, server: server}, running: log}
-		all = append(all, m)
-		t.Cleanup(func() {
-			stop()
-			service.Close()
-			log.Close()
-			listeners[i].Close()
-			server.Close()
-		})
+func replicatedGroup(t testing.TB) []*stateProcess {
+	c := newCluster(t, 3)
+	var all []*stateProcess
+	for _, peer := range c.peers {
+		all = append(all, c.running[peer.Name])
 	}
 	return all
 }
 
-func processes(all []*replicated) []*process {
+func processes(all []*stateProcess) []*process {
 	var list []*process
 	for _, m := range all {
 		list = append(list, &m.process)
@@ -97,7 +50,7 @@
 	first, err := c.Claim(t.Context(), claimOf("k"))
 	is.NoErr(err)
 	is.True(first.GetGranted())
-	leader := slices.IndexFunc(all, func(m *replicated) bool { return m.running.Status().Leads })
+	leader := slices.IndexFunc(all, func(m *stateProcess) bool { return m.running.Status().Leads })
 	is.NoErr(all[leader].running.Close())
 	all[leader].server.Close()
 
@@ -190,7 +143,7 @@
 	if _, err := c.Propose(b.Context(), proposal("one", "alerts", 0)); err != nil {
 		b.Fatal(err)
 	}
-	leader := all[slices.IndexFunc(all, func(m *replicated) bool { return m.running.Status().Leads })]
+	leader := all[slices.IndexFunc(all, func(m *stateProcess) bool { return m.running.Status().Leads })]
 	plain := dialer(b)(leader.peer.Address.Value)
 	run := 0
 	for _, workers := range []int{1, 16, 128, 512} {
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -54,6 +54,9 @@
 }
 
 func (m *Machine) apply(c *lilacv1.Command) *lilacv1.CommandResult {
+	if err := m.checkRecoveries(c); err != nil {
+		return failed(err)
+	}
 	switch op := c.GetOp().(type) {
 	case *lilacv1.Command_Propose:
 		return m.propose(op.Propose)
--- /dev/null
+++ b/daemon/state/recover_test.go
@@ -0,0 +1,190 @@
+package state
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/wal"
+)
+
+func (c *cluster) options(name string, entries ...string) RecoverOptions {
+	return RecoverOptions{
+		Folder: wal.ReadOnlyFolder(c.data(name)), Limits: ledger.Limits{}, KeyMargin: time.Hour, Entries: entries, Dial: dialer(c.t),
+		Who: "awa", Confirm: true, Random: func() uint64 { return c.random.Add(1) }, Now: time.Now,
+	}
+}
+
+// majority returns the names of a leader and one more voter, and the third voter.
+func (c *cluster) majority() (two []string, third string) {
+	var leader string
+	await(func() bool {
+		for name, m := range c.running {
+			if m.running.Status().Leads {
+				leader = name
+			}
+		}
+		return leader != ""
+	})
+	for _, peer := range c.peers {
+		if peer.Name != leader && third == "" {
+			third = peer.Name
+			continue
+		}
+		two = append(two, peer.Name)
+	}
+	return two, third
+}
+
+func encodeCommand(is *is.I, c *lilacv1.Command) []byte {
+	data, err := proto.Marshal(c)
+	is.NoErr(err)
+	return data
+}
+
+func keyMadeAt(at time.Time, n int) string {
+	ms := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
+
+// Two of three data centres lose their disks for good. Just before, an operator's
+// change, a claim and a lease were accepted by these two alone; only an entry
+// still holds the change. The third one's folder is recovered. Nothing accepted
+// may be lost, no key run twice, no fencing number come twice; and a lost voter
+// whose old disk turns up must be refused.
+func TestRecoveryFromALostMajority(t *testing.T) {
+	c := newCluster(t, 3)
+	is := c.is
+	client := newClient(t, c.processes(), "entry-1")
+	_, err := client.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	lost, survivor := c.majority()
+	await(func() bool { return c.running[survivor].service.machine.Revision() == 1 })
+	c.stop(survivor)
+	_, err = client.Propose(t.Context(), proposal("two", "dossiers", 0))
+	is.NoErr(err)
+	made := time.Now()
+	for _, key := range []string{"plain", keyMadeAt(made, 1)} {
+		reply, err := client.Claim(t.Context(), claimOf(key))
+		is.NoErr(err)
+		is.True(reply.GetGranted())
+	}
+	leased, err := client.Lease(t.Context(), &lilacv1.LeaseRequest{Name: "orders", DurationMs: 1000})
+	is.NoErr(err)
+	is.True(leased.GetGranted())
+	entries := watchers(t, c.processes(), 1)
+	waitFor(entries[0], 2)
+	entryAddress, _ := serveEntry(t, entries[0].Watcher)
+
+	// While they run, there is nothing to recover.
+	_, err = Recover(t.Context(), c.options(survivor, entryAddress))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	for _, name := range lost {
+		c.stop(name)
+		is.NoErr(os.Rename(c.data(name), c.data(name)+"-old"))
+	}
+	dry := c.options(survivor, entryAddress)
+	dry.Confirm = false
+	plan, err := Recover(t.Context(), dry)
+	is.NoErr(err)
+	is.True(!plan.Done && plan.Adopted && plan.Revision == 1 && plan.EntryRevision == 2)
+	done, err := Recover(t.Context(), c.options(survivor, entryAddress))
+	is.NoErr(err)
+	is.True(done.Done)
+	is.Equal(done.Group, plan.Group) // The dry run changed nothing.
+	_, err = Recover(t.Context(), c.options(survivor, entryAddress))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+
+	is.NoErr(c.start(survivor))
+	reply, err := client.Propose(t.Context(), proposal("three", "berths", 0))
+	is.NoErr(err)
+	is.Equal(reply.GetRevision(), done.NewRevision+1)
+	is.Equal(len(waitFor(entries[0], reply.GetRevision()).Classes), 3)
+	again, err := client.Propose(t.Context(), proposal("two", "dossiers", 0))
+	is.NoErr(err)
+	is.True(again.GetRepeatedCommand())
+	for _, key := range []string{"plain", keyMadeAt(made, 1)} {
+		reply, err := newClient(t, c.processes(), "entry-2").Claim(t.Context(), claimOf(key))
+		is.NoErr(err)
+		is.True(!reply.GetGranted() && reply.GetInDoubt())
+	}
+	leased, err = client.Lease(t.Context(), &lilacv1.LeaseRequest{Name: "orders", DurationMs: 1000})
+	is.NoErr(err)
+	is.True(!leased.GetGranted() && leased.GetFencing() > 1000)
+
+	for _, name := range lost {
+		is.NoErr(c.start(name))
+	}
+	await(func() bool { return len(c.running[survivor].service.Status().GetVoters()) == 3 })
+	status := c.running[lost[0]].service.Status()
+	await(func() bool {
+		status = c.running[lost[0]].service.Status()
+		return status.GetGroup() == done.NewGroup
+	})
+	is.Equal(status.GetRecoveries(), uint32(1))
+
+	// The old disk comes back.
+	c.stop(lost[0])
+	is.NoErr(os.RemoveAll(c.data(lost[0])))
+	is.NoErr(os.Rename(c.data(lost[0])+"-old", c.data(lost[0])))
+	is.NoErr(c.start(lost[0]))
+	err = <-c.running[lost[0]].done
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	c.stop(lost[0])
+	is.True(fault.Is(c.start(lost[0]), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+}
+
+// Both lost voters come back with their old disks where the recovered group does
+// not reach them. They lead the old group; an entry that has heard of the new
+// one reaches both sides. It must get no claim, lease or change from the old one.
+func TestEntryThatKnowsTheRecoveredGroupRefusesTheOldOne(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 1)
+	client := newClient(t, all, "entry-1")
+	_, err := client.Propose(t.Context(), proposal("one", "alerts", 0))
+	is.NoErr(err)
+	var known uint32
+	client = newClientKnowing(t, all, "entry-1", func() uint32 { return known })
+	reply, err := client.Claim(t.Context(), claimOf("before"))
+	is.NoErr(err)
+	is.True(reply.GetGranted())
+	known = 1
+	_, err = client.Claim(t.Context(), claimOf("after"))
+	is.True(err != nil)
+	is.Equal(fault.NotRunOf(err), notRunTrue)
+	_, err = client.Lease(t.Context(), &lilacv1.LeaseRequest{Name: "orders", DurationMs: 1000})
+	is.True(err != nil)
+	_, err = client.Propose(t.Context(), proposal("two", "dossiers", 0))
+	is.True(err != nil)
+}
+
+// The survivor led once, lost its quorum and wrote a change that was never
+// accepted, under the number that the others then gave to another one. Both the
+// survivor's folder and an entry hold that number: the entry's is the truth.
+func TestEntriesOverruleWhatWasNeverAccepted(t *testing.T) {
+	is := is.New(t)
+	accepted, own := NewMachine(0, ledger.Limits{}), NewMachine(0, ledger.Limits{})
+	apply := func(m *Machine, index uint64, id, class string) []byte {
+		command := encodeCommand(is, &lilacv1.Command{Op: &lilacv1.Command_Propose{Propose: proposal(id, class, 0)}})
+		m.Apply(index, command)
+		return command
+	}
+	first := apply(accepted, 2, "one", "alerts")
+	apply(accepted, 3, "two", "dossiers")
+	state := &wal.State{Hard: &lilacv1.RaftHardState{Id: "a", Group: "g", Term: 2}, Snapshot: &lilacv1.RaftSnapshotMeta{Index: 1, Term: 1}}
+	for i, command := range [][]byte{first, apply(NewMachine(0, ledger.Limits{}), 3, "two'", "never")} {
+		state.Entries = append(state.Entries, &lilacv1.RaftEntry{Index: uint64(i + 2), Term: 2, Kind: lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_COMMAND, Data: command})
+	}
+	found, err := own.replay(state, accepted.Config())
+	is.NoErr(err)
+	is.True(found.differs)
+	is.Equal(found.revision, uint64(2))
+	is.Equal(found.committed, uint64(0))
+}
--- a/daemon/state/replica.go
+++ b/daemon/state/replica.go
@@ -77,6 +77,7 @@
 			Process: l.name, DataCenter: l.dc, Role: s.Role.String(), Term: s.Term, Leader: s.LeaderAddress,
 			CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
 			Voters: s.Voters(), Learners: s.Learners(), DiskFull: s.DiskFull,
+			Group: s.Group, Recoveries: uint32(s.Recoveries), Rival: s.Rival,
 		},
 	}
 }
