--- a/cmd/lilacctl/diag.go
+++ b/cmd/lilacctl/diag.go
@@ -32,6 +32,12 @@
 		return
 	}
 	fmt.Fprintf(w, "identity %s in group %s, term %d, vote %q\n", r.ID, r.Group, r.Term, r.Vote)
+	if len(r.Former) > 0 {
+		fmt.Fprintf(w, "recovered from a lost majority; groups replaced, oldest first: %v\n", r.Former)
+	}
+	if r.ReplacedBy != "" {
+		fmt.Fprintf(w, "replaced by the recovered group %s: move this folder away and start with an empty one\n", r.ReplacedBy)
+	}
 	fmt.Fprintf(w, "snapshot at index %d, %d bytes\n", r.SnapshotIndex, r.SnapshotBytes)
 	fmt.Fprintf(w, "entries %d to %d, last of term %d, in %d records and %d segments\n", r.FirstIndex, r.LastIndex, r.LastTerm, r.Records, r.Segments)
 	if r.TornBytes > 0 {
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -180,6 +180,7 @@
 	OpenClaims   int
 	Tombstones   int
 	LateOutcomes uint64
+	Doubted      uint64
 	Broken       uint64
 }
 
@@ -194,6 +195,7 @@
 		OpenClaims:   m.ledger.OpenClaims(),
 		Tombstones:   m.ledger.Tombstones(),
 		LateOutcomes: m.ledger.LateOutcomes(),
+		Doubted:      m.ledger.Doubted(),
 		Broken:       m.ledger.Broken(),
 	}
 }
--- a/daemon/state/metrics.go
+++ b/daemon/state/metrics.go
@@ -15,6 +15,7 @@
 	gauge("open_claims", "Non-idempotent requests claimed and not ended.", func() float64 { return float64(s.machine.Counts().OpenClaims) })
 	gauge("tombstones", "Remembered keys past their retention.", func() float64 { return float64(s.machine.Counts().Tombstones) })
 	gauge("late_outcomes", "Outcomes that came after their claim had ended otherwise.", func() float64 { return float64(s.machine.Counts().LateOutcomes) })
+	gauge("keys_in_doubt", "Claims refused since a lost majority may have known the key.", func() float64 { return float64(s.machine.Counts().Doubted) })
 	gauge("ledger_invariants_broken", "Broken invariants of the request ledger; must stay 0.", func() float64 { return float64(s.machine.Counts().Broken) })
 	gauge("leads", "1 on the leader.", func() float64 {
 		if s.log.Status().Leads {
--- a/daemon/state/recover_test.go
+++ b/daemon/state/recover_test.go
@@ -57,8 +57,8 @@
 // Two of three data centres lose their disks for good. Just before, an operator's
 // change, a claim and a lease were accepted by these two alone; only an entry
 // still holds the change. The third one's folder is recovered. Nothing accepted
-// may be lost, no key run twice, no fencing number come twice; and a lost voter
-// whose old disk turns up must be refused.
+// may be lost, no key run twice, no fencing number come twice; and lost voters
+// whose old disks turn up must be refused, although they are a quorum of the old group.
 func TestRecoveryFromALostMajority(t *testing.T) {
 	c := newCluster(t, 3)
 	is := c.is
@@ -130,15 +130,21 @@
 	})
 	is.Equal(status.GetRecoveries(), uint32(1))
 
-	// The old disk comes back.
-	c.stop(lost[0])
-	is.NoErr(os.RemoveAll(c.data(lost[0])))
-	is.NoErr(os.Rename(c.data(lost[0])+"-old", c.data(lost[0])))
-	is.NoErr(c.start(lost[0]))
-	err = <-c.running[lost[0]].done
-	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
-	c.stop(lost[0])
-	is.True(fault.Is(c.start(lost[0]), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	// Both old disks come back, a quorum of the old group.
+	for _, name := range lost {
+		c.stop(name)
+		is.NoErr(os.RemoveAll(c.data(name)))
+		is.NoErr(os.Rename(c.data(name)+"-old", c.data(name)))
+	}
+	for _, name := range lost {
+		is.NoErr(c.start(name))
+	}
+	for _, name := range lost {
+		err = <-c.running[name].done
+		is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+		c.stop(name)
+		is.True(fault.Is(c.start(name), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	}
 }
 
 // Both lost voters come back with their old disks where the recovered group does
--- a/daemon/state/replay.go
+++ b/daemon/state/replay.go
@@ -112,6 +112,9 @@
 // tail returns the revisions after have, for the audit trail; none where the
 // entry has them in its configuration only.
 func (h *heldConfig) tail(ctx context.Context, have uint64) []*lilacv1.Revision {
+	if h.entry == nil {
+		return nil
+	}
 	tail, err := spreadlink.FetchRevisions(ctx, h.entry, have, h.snapshot.GetRevision())
 	if err != nil {
 		return nil
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -94,6 +94,8 @@
 	// recovery is the last one from a lost majority; nil if there was none.
 	recovery     *lilacv1.LedgerRecovery
 	late, broken uint64
+	// doubted counts the claims refused because the key is in doubt.
+	doubted uint64
 }
 
 // New returns an empty Ledger.
@@ -118,6 +120,9 @@
 // otherwise, as when its instance was taken for dead; the state stayed.
 func (l *Ledger) LateOutcomes() uint64 { return l.late }
 
+// Doubted counts claims refused since a lost majority may have known the key.
+func (l *Ledger) Doubted() uint64 { return l.doubted }
+
 // Broken counts broken invariants: steps that would have moved a state backwards
 // or granted a key twice. They were refused; the count must stay 0.
 func (l *Ledger) Broken() uint64 { return l.broken }
--- a/process/ledger/recover.go
+++ b/process/ledger/recover.go
@@ -50,8 +50,9 @@
 	return l.nowMs < l.recovery.GetUntimedUntilUnixMs()
 }
 
-// doubtful answers a claim of a key that is in doubt.
+// doubtful refuses a claim of a key that is in doubt.
 func (l *Ledger) doubtful(key string) *lilacv1.ClaimReply {
+	l.doubted++
 	reply := &lilacv1.ClaimReply{State: lilacv1.ClaimState_CLAIM_STATE_UNKNOWN, InDoubt: true}
 	if !isTimed(key) {
 		reply.TakenAgainUnixMs = l.recovery.GetUntimedUntilUnixMs()
--- a/process/wal/snapshot.go
+++ b/process/wal/snapshot.go
@@ -179,6 +179,10 @@
 	ID, Group string
 	Term      uint64
 	Vote      string
+	// Former are the groups that this one replaced by a recovery, oldest first.
+	Former []string
+	// ReplacedBy is the recovered group that replaced this one; the folder is of no use then.
+	ReplacedBy string
 	// SnapshotIndex is 0 if there is no snapshot.
 	SnapshotIndex uint64
 	SnapshotBytes uint64
@@ -206,6 +210,7 @@
 	}
 	s := r.state
 	report := &Report{Empty: s.Hard == nil, ID: s.Hard.GetId(), Group: s.Hard.GetGroup(), Term: s.Hard.GetTerm(), Vote: s.Hard.GetVote(),
+		Former: s.Hard.GetFormer(), ReplacedBy: s.Hard.GetReplacedBy(),
 		SnapshotIndex: s.Snapshot.GetIndex(), SnapshotBytes: s.Snapshot.GetSize(), Segments: len(r.segments), Records: r.records,
 		TornBytes: s.CutBytes, Members: s.Snapshot.GetMembers().GetMembers()}
 	for _, name := range r.garbage {
