--- /dev/null
+++ b/loadgen/keys.go
@@ -0,0 +1,32 @@
+package loadgen
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// stampKeys replaces the requests' keys by UUIDs of version 7 that carry the
+// time at which each request is made.
+func stampKeys(requests []*Request, start time.Time) {
+	for _, r := range requests {
+		if r.Key != "" {
+			r.Key = timedKey(start.Add(r.At), r.Ref)
+		}
+	}
+}
+
+func timedKey(at time.Time, ref string) string {
+	hash := fnv.New128a()
+	hash.Write([]byte(ref))
+	var id uuid.UUID
+	copy(id[:], hash.Sum(nil))
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return id.String()
+}
--- a/loadgen/plan.go
+++ b/loadgen/plan.go
@@ -15,6 +15,8 @@
 	Duration settings.Duration `yaml:"duration"`
 	// Grace is how long after the last arrival an answer may still come. Default 30s.
 	Grace settings.Duration `yaml:"grace"`
+	// TimedKeys makes the keys UUIDs of version 7. Default false: keys without a time.
+	TimedKeys bool `yaml:"timed_keys"`
 	// Teams that call, with their shares of the load.
 	Teams []TeamShare `yaml:"teams"`
 	// Flows are the kinds of requests.
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -14,6 +14,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	start := time.Now()
+	if plan.TimedKeys {
+		stampKeys(requests, start)
+	}
 	var outcomes []*Outcome
 	var mu sync.Mutex
 	var calls sync.WaitGroup
--- a/scripts/fail.sh
+++ b/scripts/fail.sh
@@ -92,6 +92,75 @@
   kill_leader
 }
 
+# lose_majority kills the leader and another voter and takes both folders away,
+# founds a new group from the third, lets both old disks come back, and then
+# starts both processes empty.
+lose_majority() {
+  local name survivor="" lost=() begun now
+  now="$(leader)"
+  [[ -n "$now" ]] || return 1
+  for name in "${STATES[@]}"; do
+    if [[ -z "$survivor" && "$name" != "$now" ]]; then survivor="$name"; else lost+=("$name"); fi
+  done
+  for name in "${lost[@]}"; do signal "$name" KILL; done
+  for name in "${lost[@]}"; do kill_hard "$name"; done
+  for name in "${lost[@]}"; do mv "$WORK/$(field "$name" data)" "$WORK/old-$name"; done
+  sleep 2
+  stop_one "$survivor" || return 1
+  begun="$(date +%s%3N)"
+  recover_group "$survivor" || return 1
+  start_state "$survivor"
+  accepted_again || return 1
+  say "accepted again $(($(date +%s%3N) - begun)) ms after lilacctl recover was begun"
+  old_disks_refused "${lost[@]}" || return 1
+  for name in "${lost[@]}"; do start_state "$name"; done
+  voters_are "${#STATES[@]}" || { say "the two that came back empty are no voters after 20 s" >&2; return 1; }
+}
+
+# stop_one NAME: SIGTERM, and wait.
+stop_one() {
+  signal "$1" TERM
+  wait_end "$1" 15
+}
+
+# recover_group NAME: founds a new group from the folder of a stopped state process.
+recover_group() {
+  (cd "$WORK" && "$BIN/lilacctl" recover "conf/$1.yaml" --entry "$(addresses link "${ENTRIES[@]}")" --who "make fail" --key-margin 2s --confirm) \
+    > "$WORK/log/recover.log" 2>&1 || { cat "$WORK/log/recover.log" >&2; return 1; }
+}
+
+# accepted_again: true once a change is accepted.
+accepted_again() {
+  local tries=100
+  until ctl exec "SET TEAM accepted-again WEIGHT 1" > /dev/null 2>&1; do
+    ((tries-- > 0)) || return 1
+    sleep 0.05
+  done
+}
+
+# old_disks_refused NAME...: lost voters that come back with their old folders, a
+# quorum of the old group, must end by themselves and say why; the folders are
+# then deleted.
+old_disks_refused() {
+  local name
+  for name in "$@"; do mv "$WORK/old-$name" "$WORK/$(field "$name" data)"; done
+  for name in "$@"; do start_state "$name"; done
+  for name in "$@"; do
+    wait_end "$name" 15 || { say "$name runs on its old disk" >&2; return 1; }
+    ((STATUS != 0)) && grep -q "move the folder away" "$WORK/log/$name.log" || { say "$name does not say why it ended" >&2; return 1; }
+    rm -rf "${WORK:?}/$(field "$name" data)"
+  done
+}
+
+# voters_are COUNT: waits until the group has so many voters.
+voters_are() {
+  local tries=100
+  until (($(ctl exec 'SHOW STATE WHERE role = "leader" ORDER BY term DESC LIMIT 1' 2> /dev/null | awk 'NR == 2 { print $8 }' | tr ',' '\n' | wc -l) >= $1)); do
+    ((tries-- > 0)) || return 1
+    sleep 0.2
+  done
+}
+
 restart_all() {
   local name
   for name in "${STATES[@]}" "${ENTRIES[@]}"; do signal "$name" KILL; done
@@ -141,6 +210,11 @@
 grep -qE "^ *($keyed) .*cut:[1-9]" "$WORK/log/load-$ROW.log" || broken "no claim was in progress when the entry was killed: the row shows nothing"
 slow_services 1
 
+# Keys carry their time, so that those made after the recovery are taken.
+sed 's/^seed:/timed_keys: true\nseed:/' "$WORK/conf/load.yaml" > "$WORK/conf/load-timed.yaml"
+LOAD_FLAGS=(--plan "$WORK/conf/load-timed.yaml")
+row "two of three disks lost for good, recovered" 30 lose_majority
+
 printf '\n%-46s %-7s %8s %8s %8s %12s\n' fault verdict accepted lost double "no leader ms"
 printf '%s\n' "${ROWS[@]}"
 stop_all
