Hold ended keys in compact records

Cause: a key in the ledger weighed 426 bytes with its answer, more than half of it a message of the wire, two list elements, and the instance and incarnation of a claim that had ended.

--- a/process/ledger/entries.go
+++ b/process/ledger/entries.go
@@ -19,13 +19,13 @@
 }
 
 func (l *Ledger) add(message *lilacv1.LedgerEntry) {
-	e := &entry{LedgerEntry: message}
-	e.place = l.order.PushBack(e)
-	l.entries[id{e.GetTeam(), e.GetKey()}] = e
-	if !isTimed(e.GetKey()) {
+	e := &entry{record: recordOf(message)}
+	l.order.add(e)
+	l.entries[id{e.team, e.key}] = e
+	if !isTimed(e.key) {
 		l.untimed++
 	}
-	if e.GetState() == lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
+	if e.state == lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
 		l.instances.open(e)
 	}
 	l.keepAnswer(e)
@@ -34,62 +34,46 @@
 // reopen grants a key whose earlier attempt is proved not to have run. It
 // counts as a new claim, so that its retention begins now.
 func (l *Ledger) reopen(e *entry, r *lilacv1.ClaimRequest) bool {
-	if !l.invariant(e.GetState() == lilacv1.ClaimState_CLAIM_STATE_NOT_RUN) {
+	if !l.invariant(e.state == lilacv1.ClaimState_CLAIM_STATE_NOT_RUN) {
 		return false
 	}
 	e.fresh()
-	e.Instance, e.Incarnation, e.Attempt = r.GetInstance(), r.GetIncarnation(), r.GetAttempt()
-	e.State = lilacv1.ClaimState_CLAIM_STATE_CLAIMED
-	e.ClaimedUnixMs = l.nowMs
-	l.order.MoveToBack(e.place)
+	e.holder, e.attempt = &holder{r.GetInstance(), r.GetIncarnation()}, r.GetAttempt()
+	e.state = lilacv1.ClaimState_CLAIM_STATE_CLAIMED
+	e.claimedUnixMs = l.nowMs
+	l.order.remove(e)
+	l.order.add(e)
 	l.instances.open(e)
 	return true
 }
 
 // finish is the only step out of the state claimed.
-func (l *Ledger) finish(e *entry, state lilacv1.ClaimState, answer *lilacv1.StoredAnswer) {
-	if !l.invariant(e.GetState() == lilacv1.ClaimState_CLAIM_STATE_CLAIMED) {
+func (l *Ledger) finish(e *entry, state lilacv1.ClaimState, stored *lilacv1.StoredAnswer) {
+	if !l.invariant(e.state == lilacv1.ClaimState_CLAIM_STATE_CLAIMED) {
 		return
 	}
 	l.instances.close(e)
-	e.fresh()
-	e.State = state
-	if state != lilacv1.ClaimState_CLAIM_STATE_RAN || answer == nil {
+	e.end(state)
+	if state != lilacv1.ClaimState_CLAIM_STATE_RAN || stored == nil {
 		return
 	}
-	e.Answer = answer
-	if len(answer.GetBody()) > l.limits.AnswerBytes {
+	e.answer = answerOf(stored)
+	if e.answer.size() > l.limits.AnswerBytes {
 		dropBody(e)
 	}
 	l.keepAnswer(e)
 }
 
-// fresh replaces the entry's message by a copy, which may then be changed: a
-// capture that is being encoded shares the old one.
-//
-// It guards against a snapshot that holds the effect of a command after its
-// index: a process that starts from it would apply that command twice and
-// differ from the others. It holds because a message is never changed once its
-// command has returned, only replaced.
-func (e *entry) fresh() {
-	old := e.LedgerEntry
-	e.LedgerEntry = &lilacv1.LedgerEntry{
-		Team: old.GetTeam(), Key: old.GetKey(), Digest: old.GetDigest(),
-		Instance: old.GetInstance(), Incarnation: old.GetIncarnation(), Attempt: old.GetAttempt(),
-		State: old.GetState(), ClaimedUnixMs: old.GetClaimedUnixMs(), Answer: old.GetAnswer(),
-	}
-}
-
-// dropBody keeps the status of the answer without its body. The message is
+// dropBody keeps the status of the answer without its body. The answer is
 // replaced, not changed, since a reply that is being sent may share it.
 func dropBody(e *entry) {
 	e.fresh()
-	e.Answer = &lilacv1.StoredAnswer{Status: e.GetAnswer().GetStatus(), ContentType: e.GetAnswer().GetContentType(), TooLarge: true}
+	e.answer = &answer{status: e.answer.status, contentType: e.answer.contentType, tooLarge: true}
 }
 
 // keepAnswer counts the entry's body and drops the oldest bodies past the bound.
 func (l *Ledger) keepAnswer(e *entry) {
-	size := len(e.GetAnswer().GetBody())
+	size := e.answer.size()
 	if size == 0 {
 		return
 	}
@@ -108,14 +92,13 @@
 	}
 	l.answers.Remove(e.answerPlace)
 	e.answerPlace = nil
-	l.answerBytes -= len(e.GetAnswer().GetBody())
+	l.answerBytes -= e.answer.size()
 }
 
 // endOpenClaims marks claims of a gone incarnation: whether they ran is not known.
 func (l *Ledger) endOpenClaims(open []*entry) {
 	for _, e := range open {
-		e.fresh()
-		e.State = lilacv1.ClaimState_CLAIM_STATE_UNKNOWN
+		e.end(lilacv1.ClaimState_CLAIM_STATE_UNKNOWN)
 	}
 }
 
@@ -146,11 +129,11 @@
 // sweep turns the oldest entries whose retention has passed into tombstones.
 func (l *Ledger) sweep() {
 	for range sweepStep {
-		front := l.order.Front()
-		if front == nil || l.nowMs < front.Value.(*entry).GetClaimedUnixMs()+l.retentionMs() {
+		front := l.order.oldest
+		if front == nil || l.nowMs < front.claimedUnixMs+l.retentionMs() {
 			break
 		}
-		if !l.retire(front.Value.(*entry)) {
+		if !l.retire(front) {
 			break
 		}
 	}
@@ -160,13 +143,13 @@
 // retire replaces an entry by a tombstone. It tells false where there is no
 // room for one: the entry then stays, so that the key is not forgotten.
 func (l *Ledger) retire(e *entry) bool {
-	key := id{e.GetTeam(), e.GetKey()}
+	key := id{e.team, e.key}
 	until := int64(0)
-	if made, timed := keyTime(e.GetKey()); timed {
+	if made, timed := keyTime(e.key); timed {
 		until = made + l.retentionMs()
 	}
 	// The key's own time refuses it already, or it is proved not to have run.
-	forget := until != 0 && until <= l.nowMs || e.GetState() == lilacv1.ClaimState_CLAIM_STATE_NOT_RUN
+	forget := until != 0 && until <= l.nowMs || e.state == lilacv1.ClaimState_CLAIM_STATE_NOT_RUN
 	if until == 0 {
 		l.untimed--
 	} else if !forget && l.tombstones.timedSize() >= l.limits.Tombstones {
@@ -174,7 +157,7 @@
 	}
 	l.instances.close(e)
 	l.forgetAnswer(e)
-	l.order.Remove(e.place)
+	l.order.remove(e)
 	delete(l.entries, key)
 	if !forget {
 		l.tombstones.add(key, until)
@@ -200,16 +183,15 @@
 // retireOldest makes room for a new claim before the oldest entry's retention
 // is over. An open claim is not retired: its outcome is still to come.
 func (l *Ledger) retireOldest() bool {
-	front := l.order.Front()
+	front := l.order.oldest
 	for range sweepStep {
 		if front == nil {
 			return false
 		}
-		e := front.Value.(*entry)
-		if e.GetState() != lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
-			return l.retire(e)
+		if front.state != lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
+			return l.retire(front)
 		}
-		front = front.Next()
+		front = front.after
 	}
 	return false
 }
@@ -224,7 +206,7 @@
 		return true
 	}
 	e, ok := l.entries[key]
-	return ok && e.GetState() != lilacv1.ClaimState_CLAIM_STATE_NOT_RUN && e.GetClaimedUnixMs()+l.retentionMs() <= l.nowMs
+	return ok && e.state != lilacv1.ClaimState_CLAIM_STATE_NOT_RUN && e.claimedUnixMs+l.retentionMs() <= l.nowMs
 }
 
 // Limits returns the bounds in force, defaults filled in.
--- a/process/ledger/incarnations.go
+++ b/process/ledger/incarnations.go
@@ -80,19 +80,22 @@
 }
 
 func (n *incarnations) open(e *entry) {
-	of := n.claims[e.GetIncarnation()]
+	of := n.claims[e.holder.incarnation]
 	if of == nil {
 		of = make(map[*entry]struct{})
-		n.claims[e.GetIncarnation()] = of
+		n.claims[e.holder.incarnation] = of
 	}
 	of[e] = struct{}{}
 }
 
 func (n *incarnations) close(e *entry) {
-	of := n.claims[e.GetIncarnation()]
+	if e.holder == nil {
+		return
+	}
+	of := n.claims[e.holder.incarnation]
 	delete(of, e)
 	if len(of) == 0 {
-		delete(n.claims, e.GetIncarnation())
+		delete(n.claims, e.holder.incarnation)
 	}
 }
 
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -69,13 +69,6 @@
 
 type id struct{ team, key string }
 
-// entry is a remembered request; its message is only changed after fresh.
-type entry struct {
-	*lilacv1.LedgerEntry
-	place       *list.Element
-	answerPlace *list.Element
-}
-
 // Ledger is the state machine. Calls must not overlap.
 type Ledger struct {
 	limits  Limits
@@ -83,7 +76,7 @@
 	entries map[id]*entry
 	// order holds the entries from the oldest claim on; answers those with a
 	// kept body, from the oldest answer on.
-	order       *list.List
+	order       claimOrder
 	answers     *list.List
 	answerBytes int
 	tombstones  *tombstones
@@ -103,7 +96,6 @@
 	return &Ledger{
 		limits:     limits.withDefaults(),
 		entries:    make(map[id]*entry),
-		order:      list.New(),
 		answers:    list.New(),
 		tombstones: newTombstones(),
 		instances:  newIncarnations(),
@@ -179,7 +171,7 @@
 	if !ok || checkClaim(r) != nil {
 		return nil, false
 	}
-	switch old.GetState() {
+	switch old.state {
 	case lilacv1.ClaimState_CLAIM_STATE_RAN, lilacv1.ClaimState_CLAIM_STATE_UNKNOWN:
 		return l.again(old, r), true
 	}
@@ -205,28 +197,28 @@
 
 // again answers a claim of a key that is known.
 func (l *Ledger) again(old *entry, r *lilacv1.ClaimRequest) *lilacv1.ClaimReply {
-	if len(old.GetDigest()) == 0 {
+	if !old.hasDigest() {
 		// Released before the claim itself arrived; the first body to come counts.
 		old.fresh()
-		old.Digest = r.GetDigest()
+		copy(old.digest[:], r.GetDigest())
 	}
-	if string(old.GetDigest()) != string(r.GetDigest()) {
-		return &lilacv1.ClaimReply{State: old.GetState(), BodyDiffers: true}
+	if string(old.digest[:]) != string(r.GetDigest()) {
+		return &lilacv1.ClaimReply{State: old.state, BodyDiffers: true}
 	}
-	sameAttempt := old.GetAttempt() == r.GetAttempt()
-	switch old.GetState() {
+	sameAttempt := old.attempt == r.GetAttempt()
+	switch old.state {
 	case lilacv1.ClaimState_CLAIM_STATE_CLAIMED:
 		// The same attempt again means that its answer was lost on the way.
-		return &lilacv1.ClaimReply{Granted: sameAttempt, State: old.GetState()}
+		return &lilacv1.ClaimReply{Granted: sameAttempt, State: old.state}
 	case lilacv1.ClaimState_CLAIM_STATE_NOT_RUN:
 		// A delayed copy of a claim that was given up must not open it again:
 		// nobody waits for its grant any more.
 		if sameAttempt {
-			return &lilacv1.ClaimReply{State: old.GetState()}
+			return &lilacv1.ClaimReply{State: old.state}
 		}
-		return &lilacv1.ClaimReply{Granted: l.reopen(old, r), State: old.GetState()}
+		return &lilacv1.ClaimReply{Granted: l.reopen(old, r), State: old.state}
 	}
-	return &lilacv1.ClaimReply{State: old.GetState(), Answer: old.GetAnswer()}
+	return &lilacv1.ClaimReply{State: old.state, Answer: old.answer.message()}
 }
 
 // Outcome records how a claimed request ended. The same outcome again is
@@ -241,17 +233,17 @@
 	if !ok {
 		return l.outcomeWithoutClaim(key, r)
 	}
-	if old.GetAttempt() != r.GetAttempt() {
-		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "another attempt holds this key, in state %s; the outcome is not recorded", StateName(old.GetState()))
+	if old.attempt != r.GetAttempt() {
+		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "another attempt holds this key, in state %s; the outcome is not recorded", StateName(old.state))
 	}
-	if old.GetState() != lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
-		if old.GetState() != r.GetState() {
+	if old.state != lilacv1.ClaimState_CLAIM_STATE_CLAIMED {
+		if old.state != r.GetState() {
 			l.late++
 		}
-		return &lilacv1.OutcomeReply{State: old.GetState()}, nil
+		return &lilacv1.OutcomeReply{State: old.state}, nil
 	}
 	l.finish(old, r.GetState(), r.GetAnswer())
-	return &lilacv1.OutcomeReply{State: old.GetState()}, nil
+	return &lilacv1.OutcomeReply{State: old.state}, nil
 }
 
 // outcomeWithoutClaim remembers that an attempt was given up before its claim arrived.
--- a/process/ledger/recover.go
+++ b/process/ledger/recover.go
@@ -17,14 +17,12 @@
 // are in doubt.
 func (l *Ledger) Recover(nowUnixMs int64, margin time.Duration) (timed, untimed int64) {
 	l.nowMs = max(l.nowMs, nowUnixMs)
-	for place := l.order.Front(); place != nil; place = place.Next() {
-		e := place.Value.(*entry)
-		switch e.GetState() {
+	for e := l.order.oldest; e != nil; e = e.after {
+		switch e.state {
 		case lilacv1.ClaimState_CLAIM_STATE_CLAIMED:
 			l.finish(e, lilacv1.ClaimState_CLAIM_STATE_UNKNOWN, nil)
 		case lilacv1.ClaimState_CLAIM_STATE_NOT_RUN:
-			e.fresh()
-			e.State = lilacv1.ClaimState_CLAIM_STATE_UNKNOWN
+			e.end(lilacv1.ClaimState_CLAIM_STATE_UNKNOWN)
 		}
 	}
 	for _, incarnation := range l.Incarnations() {
--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -17,12 +17,16 @@
 		Recovery:  l.recovery,
 		Current:   l.instances.all(),
 		Gone:      append([]string(nil), l.instances.order...),
-		Entries:   make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
 	}
-	for place := l.order.Front(); place != nil; place = place.Next() {
-		s.Entries = append(s.Entries, place.Value.(*entry).LedgerEntry)
+	records := make([]*record, 0, l.order.count)
+	for e := l.order.oldest; e != nil; e = e.after {
+		records = append(records, e.record)
 	}
 	return func() *lilacv1.LedgerSnapshot {
+		s.Entries = make([]*lilacv1.LedgerEntry, len(records))
+		for i, r := range records {
+			s.Entries[i] = r.message()
+		}
 		s.Tombstones = listed(shards)
 		return s
 	}
