--- a/cmd/lilacctl/recover.go
+++ b/cmd/lilacctl/recover.go
@@ -100,7 +100,7 @@
 	case r.Adopted:
 		fmt.Fprintf(w, "revisions %d to %d, which the folder lacks, are taken from the entries\n", r.Revision+1, r.EntryRevision)
 	case r.EntryRevision == 0:
-		fmt.Fprintf(w, "no entry was asked: revisions after %d that the lost voters accepted are missing\n", r.Revision)
+		fmt.Fprintf(w, "no entry that was asked holds a revision: those after %d that the lost voters accepted are missing\n", r.Revision)
 	default:
 		fmt.Fprintf(w, "no entry that answered holds a revision after %d; what none of them holds is missing\n", r.Revision)
 	}
--- a/connection/spreadlink/fetch.go
+++ b/connection/spreadlink/fetch.go
@@ -5,11 +5,44 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/version/config"
 	"github.com/lilacbridge/lilacbridge/version/spread"
 )
 
 // FetchConfig returns the whole configuration that an entry holds.
+//
+// It guards against a snapshot that the entry has kept since an earlier
+// transfer: revisions accepted after it would be missing. It holds because the
+// revisions after it are taken as well, until the entry has no more.
 func FetchConfig(ctx context.Context, entry link.Caller) (*lilacv1.Snapshot, error) {
+	snapshot, err := fetchSnapshot(ctx, entry)
+	if err != nil || snapshot.GetRevision() == 0 {
+		return snapshot, err
+	}
+	holder := config.NewHolder()
+	if err := holder.Load(snapshot); err != nil {
+		return nil, err
+	}
+	stream, err := entry.Open(ctx, "entry.watch", &lilacv1.WatchRequest{Have: holder.Revision()})
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	for {
+		update := &lilacv1.WatchUpdate{}
+		if err := stream.Recv(update); err != nil {
+			return nil, err
+		}
+		if err := holder.Apply(update.GetRevisions()); err != nil {
+			return nil, err
+		}
+		if len(update.GetRevisions()) == 0 || holder.Revision() >= update.GetNewest() {
+			return holder.Config(), nil
+		}
+	}
+}
+
+func fetchSnapshot(ctx context.Context, entry link.Caller) (*lilacv1.Snapshot, error) {
 	stream, err := entry.Open(ctx, "entry.snapshot", &lilacv1.SnapshotRequest{})
 	if err != nil {
 		return nil, err
--- a/daemon/state/recover_test.go
+++ b/daemon/state/recover_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/wal"
@@ -65,6 +66,13 @@
 	client := newClient(t, c.processes(), "entry-1")
 	_, err := client.Propose(t.Context(), proposal("one", "alerts", 0))
 	is.NoErr(err)
+	entries := watchers(t, c.processes(), 1)
+	waitFor(entries[0], 1)
+	entryAddress, _ := serveEntry(t, entries[0].Watcher)
+	// The entry keeps what it sent here, as it does when another entry starts.
+	early, err := spreadlink.FetchConfig(t.Context(), dialer(t)(entryAddress))
+	is.NoErr(err)
+	is.Equal(early.GetRevision(), uint64(1))
 	lost, survivor := c.majority()
 	await(func() bool { return c.running[survivor].service.machine.Revision() == 1 })
 	c.stop(survivor)
@@ -79,9 +87,7 @@
 	leased, err := client.Lease(t.Context(), &lilacv1.LeaseRequest{Name: "orders", DurationMs: 1000})
 	is.NoErr(err)
 	is.True(leased.GetGranted())
-	entries := watchers(t, c.processes(), 1)
 	waitFor(entries[0], 2)
-	entryAddress, _ := serveEntry(t, entries[0].Watcher)
 
 	// While they run, there is nothing to recover.
 	_, err = Recover(t.Context(), c.options(survivor, entryAddress))
--- a/daemon/state/replay.go
+++ b/daemon/state/replay.go
@@ -115,6 +115,8 @@
 	if h.entry == nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
 	tail, err := spreadlink.FetchRevisions(ctx, h.entry, have, h.snapshot.GetRevision())
 	if err != nil {
 		return nil
