--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -54,6 +54,9 @@
 }
 
 func (m *Machine) apply(c *lilacv1.Command) *lilacv1.CommandResult {
+	if err := m.checkRecoveries(c); err != nil {
+		return failed(err)
+	}
 	switch op := c.GetOp().(type) {
 	case *lilacv1.Command_Propose:
 		return m.propose(op.Propose)
@@ -177,6 +180,7 @@
 	OpenClaims   int
 	Tombstones   int
 	LateOutcomes uint64
+	Doubted      uint64
 	Broken       uint64
 }
 
@@ -191,6 +195,7 @@
 		OpenClaims:   m.ledger.OpenClaims(),
 		Tombstones:   m.ledger.Tombstones(),
 		LateOutcomes: m.ledger.LateOutcomes(),
+		Doubted:      m.ledger.Doubted(),
 		Broken:       m.ledger.Broken(),
 	}
 }
--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -14,14 +14,19 @@
 	shards := l.tombstones.capture()
 	s := &lilacv1.LedgerSnapshot{
 		NowUnixMs: l.nowMs,
+		Recovery:  l.recovery,
 		Current:   l.instances.all(),
 		Gone:      append([]string(nil), l.instances.order...),
-		Entries:   make([]*lilacv1.LedgerEntry, 0, l.order.Len()),
 	}
-	for place := l.order.Front(); place != nil; place = place.Next() {
-		s.Entries = append(s.Entries, place.Value.(*entry).LedgerEntry)
+	records := make([]*record, 0, l.order.count)
+	for e := l.order.oldest; e != nil; e = e.after {
+		records = append(records, e.record)
 	}
 	return func() *lilacv1.LedgerSnapshot {
+		s.Entries = make([]*lilacv1.LedgerEntry, len(records))
+		for i, r := range records {
+			s.Entries[i] = r.message()
+		}
 		s.Tombstones = listed(shards)
 		return s
 	}
@@ -30,7 +35,7 @@
 // Restore replaces the whole state; the limits stay.
 func (l *Ledger) Restore(s *lilacv1.LedgerSnapshot) {
 	*l = *New(l.limits)
-	l.nowMs = s.GetNowUnixMs()
+	l.nowMs, l.recovery = s.GetNowUnixMs(), s.GetRecovery()
 	for _, e := range s.GetEntries() {
 		l.add(e)
 	}
--- a/process/wal/snapshot.go
+++ b/process/wal/snapshot.go
@@ -24,6 +24,12 @@
 // InstallSnapshot writes a snapshot that came from the leader and gives up the
 // log before it.
 func (s *Store) InstallSnapshot(meta *lilacv1.RaftSnapshotMeta, data []byte) error {
+	return s.install(&lilacv1.WalRecord{Base: meta}, data)
+}
+
+// install places the snapshot that the record begins the log anew with.
+func (s *Store) install(record *lilacv1.WalRecord, data []byte) error {
+	meta := record.GetBase()
 	if s.broken != nil {
 		return s.broken
 	}
@@ -33,7 +39,7 @@
 	if err := s.place(meta); err != nil {
 		return err
 	}
-	if err := s.append(&lilacv1.WalRecord{Base: meta}); err != nil {
+	if err := s.append(record); err != nil {
 		return err
 	}
 	return s.compact(meta.GetIndex())
@@ -173,6 +179,10 @@
 	ID, Group string
 	Term      uint64
 	Vote      string
+	// Former are the groups that this one replaced by a recovery, oldest first.
+	Former []string
+	// ReplacedBy is the recovered group that replaced this one; the folder is of no use then.
+	ReplacedBy string
 	// SnapshotIndex is 0 if there is no snapshot.
 	SnapshotIndex uint64
 	SnapshotBytes uint64
@@ -200,6 +210,7 @@
 	}
 	s := r.state
 	report := &Report{Empty: s.Hard == nil, ID: s.Hard.GetId(), Group: s.Hard.GetGroup(), Term: s.Hard.GetTerm(), Vote: s.Hard.GetVote(),
+		Former: s.Hard.GetFormer(), ReplacedBy: s.Hard.GetReplacedBy(),
 		SnapshotIndex: s.Snapshot.GetIndex(), SnapshotBytes: s.Snapshot.GetSize(), Segments: len(r.segments), Records: r.records,
 		TornBytes: s.CutBytes, Members: s.Snapshot.GetMembers().GetMembers()}
 	for _, name := range r.garbage {
