Move answers off servers that vanish, by KV cache where that costs less

Cause: the policy never set Start.ResumeFrom. When the platform takes a server back, all that its answers hold was computed again elsewhere.

It learns how long servers stay and what moves take.

--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -22,7 +22,8 @@
 type picker func(b *baseline, servers []string) string
 
 // baseline is a policy as plain routers have it: it sends at once to a picked
-// server, tries up to three times, and avoids a crashed server for two seconds.
+// server, tries up to three times, avoids a crashed server for two seconds and
+// one that the platform lists as leaving.
 type baseline struct {
 	pick     picker
 	queued   bool
@@ -31,6 +32,7 @@
 	requests map[policy.ID]*tracked
 	inFlight map[string]int
 	ejected  map[string]time.Time
+	leaving  map[string]bool
 	next     int
 	waiting  [model.Tiers][]*tracked
 	running  map[string]int
@@ -50,7 +52,7 @@
 	return func(options policy.Options) policy.Core {
 		return &baseline{
 			pick: pick, queued: queued, view: model.NewView(nil), random: rand.New(rand.NewPCG(options.Seed, 7)),
-			requests: map[policy.ID]*tracked{}, inFlight: map[string]int{}, ejected: map[string]time.Time{}, running: map[string]int{},
+			requests: map[policy.ID]*tracked{}, inFlight: map[string]int{}, ejected: map[string]time.Time{}, leaving: map[string]bool{}, running: map[string]int{},
 		}
 	}
 }
@@ -81,6 +83,8 @@
 		b.view = e.View
 	case policy.Arrival:
 		b.arrive(now, e)
+	case policy.ServerState:
+		b.leaving[e.Server] = e.Leaving
 	case policy.Canceled:
 		b.cancel(now, e.ID)
 	case policy.Sent:
@@ -178,7 +182,7 @@
 	var open []string
 	for _, s := range b.view.Pools[t.Target] {
 		name := s.GetName()
-		if now.After(b.ejected[name]) && name != t.server {
+		if now.After(b.ejected[name]) && !b.leaving[name] && name != t.server {
 			open = append(open, name)
 		}
 	}
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -41,6 +41,10 @@
 	made    int
 	stopped bool
 	at      backend
+	// imported jobs come with their KV cache; carried counts the tokens in it
+	// that their caller has not got yet.
+	imported bool
+	carried  int
 }
 
 // engine batches continuously: each step gives every running request a token,
@@ -83,6 +87,7 @@
 		return int(a.seq) - int(b.seq)
 	})
 	e.waiting = slices.Insert(e.waiting, at, j)
+	e.replay(j)
 	e.wake()
 	return true
 }
@@ -105,12 +110,16 @@
 		if j.stopped {
 			continue
 		}
+		e.running = append(e.running, j)
+		j.call.ran()
+		if j.imported {
+			continue
+		}
 		cached := e.cache.hit(j.call.prefix) * blockTokens
 		j.prefill = max(j.call.prompt+j.made-cached, 1)
 		if j.attempt > 1 {
 			e.world.tally.redone += j.prefill
 		}
-		e.running = append(e.running, j)
 	}
 }
 
--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -20,8 +20,10 @@
 	live       map[policy.ID]*call
 	jobs       map[policy.ID]*job
 	heard      map[string]time.Duration
-	remote     int
-	started    int
+	// kept is the stopped attempt that the next action moves elsewhere.
+	kept    *job
+	remote  int
+	started int
 	// misled counts refusals that said "not run" of calls that ran.
 	misled int
 	dead   bool
@@ -38,8 +40,9 @@
 	if in.dead {
 		return
 	}
-	for _, action := range in.core.Step(in.world.clock.time(), event) {
-		in.perform(action)
+	actions := in.core.Step(in.world.clock.time(), event)
+	for i, action := range actions {
+		in.perform(action, actions[i+1:])
 	}
 }
 
@@ -75,12 +78,12 @@
 }
 
 // perform must not call step: actions are gathered in the core's own slice.
-func (in *instance) perform(action policy.Action) {
+func (in *instance) perform(action policy.Action, rest []policy.Action) {
 	switch a := action.(type) {
 	case policy.Start:
 		in.start(a)
 	case policy.Stop:
-		in.stop(a)
+		in.stop(a, movesOn(a, rest))
 	case policy.Refuse:
 		in.refuse(a)
 	case policy.Broken:
@@ -134,6 +137,15 @@
 		in.world.clock.after(connectLimit, func() { in.fail(j, policy.Failed{}) })
 		return
 	}
+	if old := in.kept; a.ResumeFrom != "" && old != nil && old.call == k {
+		in.kept = nil
+		in.carry(old, j, b.(*engine))
+		return
+	}
+	in.send(j, b)
+}
+
+func (in *instance) send(j *job, b backend) {
 	delay := latency(in.dataCenter, b.place())
 	in.world.clock.after(delay, func() { in.reach(j, b, delay) })
 }
@@ -155,12 +167,16 @@
 	}
 }
 
-func (in *instance) stop(a policy.Stop) {
+func (in *instance) stop(a policy.Stop, keep bool) {
 	j := in.jobs[a.ID]
 	if j == nil || j.attempt != a.Attempt {
 		return
 	}
 	delete(in.jobs, a.ID)
+	if keep {
+		in.kept = j
+		return
+	}
 	in.halt(j)
 }
 
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -46,13 +46,15 @@
 	MadeTokens, WastedTokens int
 	// RedoneTokens are prompt tokens computed again in later attempts.
 	RedoneTokens int
-	Length       time.Duration
-	Restarts     int
-	RanTwice     int
-	Misled       int
-	Crashes      int
-	RemoteShare  float64
-	Violations   map[string]uint64
+	// MovedTokens, prompts included, went to another engine by their KV cache.
+	MovedTokens int
+	Length      time.Duration
+	Restarts    int
+	RanTwice    int
+	Misled      int
+	Crashes     int
+	RemoteShare float64
+	Violations  map[string]uint64
 	// Estimate sums up how far the predicted answer lengths were off.
 	Estimate estimate.Error
 }
@@ -83,6 +85,7 @@
 	out.MadeTokens = w.tally.made
 	out.WastedTokens = w.tally.made - answeredTokens
 	out.RedoneTokens = w.tally.redone
+	out.MovedTokens = w.tally.moved
 	w.addInstances(out)
 	return out
 }
@@ -175,8 +178,8 @@
 		for _, r := range out.rows {
 			writeRow(to, out, r)
 		}
-		fmt.Fprintf(to, "%-15s %-13s %6s %7.2f %7s %7s %9.0f  wasted %.2f%% (%d) redone prompt %d restarts %d remote %.0f%% crashes %d twice %d misled %d%s\n",
-			out.Policy, "ALL", "", out.weighted(), "", "", out.goodRate(), out.wastedShare(), out.WastedTokens, out.RedoneTokens,
+		fmt.Fprintf(to, "%-15s %-13s %6s %7.2f %7s %7s %9.0f  wasted %.2f%% (%d) redone prompt %d moved %d restarts %d remote %.0f%% crashes %d twice %d misled %d%s\n",
+			out.Policy, "ALL", "", out.weighted(), "", "", out.goodRate(), out.wastedShare(), out.WastedTokens, out.RedoneTokens, out.MovedTokens,
 			out.Restarts, out.RemoteShare, out.Crashes, out.RanTwice, out.Misled, out.estimateText()+out.violationText())
 	}
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -62,6 +62,7 @@
 	{name: "cut", length: runLength, load: 0.9, reportLag: steadyLag, faults: cut},
 	{name: "crashing-request", length: runLength, load: 0.9, reportLag: steadyLag, faults: crashingRequest},
 	{name: "long-answers", length: runLength, load: 0.9, reportLag: steadyLag, longAt: faultAt, longUntil: 70 * time.Second, longFactor: 2.5},
+	{name: "drain", length: runLength, load: 1, reportLag: steadyLag, faults: drain},
 	{name: "late-reports", length: runLength, load: 1.05, reportLag: staleLag},
 }
 
@@ -83,6 +84,22 @@
 	}
 }
 
+const (
+	drainNotice = 5 * time.Second
+	drainAway   = 15 * time.Second
+	drainEvery  = 10 * time.Second
+	drained     = 8
+)
+
+// drain takes eight engines out in turn, as a platform does that wants its
+// instances back: little notice, then each is gone, and later replaced.
+func drain(w *world) {
+	for n := range drained {
+		e := w.engines[n]
+		w.clock.after(faultAt+time.Duration(n)*drainEvery, func() { w.leave(e, drainNotice, drainAway) })
+	}
+}
+
 // cut separates the last data centre from the others, silently, for 30 s.
 func cut(w *world) {
 	dc := w.fleet.dataCenters[2]
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -45,10 +45,7 @@
 
 func (s *service) run(j *job) {
 	s.running++
-	j.call.runs++
-	if !j.call.idempotent && j.call.runs > 1 {
-		j.call.ranTwice = true
-	}
+	j.call.ran()
 	length := time.Duration(float64(serviceTime) * math.Exp(serviceSigma*s.world.random.NormFloat64()))
 	s.world.clock.after(length, func() {
 		s.running--
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -68,6 +68,12 @@
 	return (k.last-k.first)/time.Duration(k.output-1) <= k.class.between
 }
 
+// ran counts one run at a server.
+func (k *call) ran() {
+	k.runs++
+	k.ranTwice = k.ranTwice || !k.idempotent && k.runs > 1
+}
+
 // wait is how long the caller waited for the first token, or for the refusal.
 func (k *call) wait() time.Duration {
 	if k.got > 0 || k.outcome == answered {
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -61,6 +61,13 @@
 	Count   int
 }
 
+// Recomputed tells that an attempt that was to go on with its KV cache could not
+// have it, and computes its prefix again.
+type Recomputed struct {
+	ID      ID
+	Attempt int
+}
+
 // Finished tells that the whole answer came.
 type Finished struct {
 	ID      ID
@@ -186,6 +193,7 @@
 func (Canceled) event()    {}
 func (Sent) event()        {}
 func (Tokens) event()      {}
+func (Recomputed) event()  {}
 func (Finished) event()    {}
 func (Failed) event()      {}
 func (LoadReport) event()  {}
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -128,6 +128,12 @@
 	if s == nil {
 		return
 	}
+	if e.Leaving {
+		s.noteLeaving(now)
+	}
+	if e.Gone {
+		c.noteGone(now, s)
+	}
 	s.close(now, &s.leaving, e.Leaving)
 	s.close(now, &s.gone, e.Gone)
 	for _, p := range c.poolOrder {
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -37,6 +37,9 @@
 	timers    timers
 	estimates *estimate.Table
 	budget    *retry.Budget
+	kv        kvCost
+	// notice is how long servers stay after the word that they leave.
+	notice    time.Duration
 	suspects  *suspect.Table
 	limits    *limits.Table
 	choice    chooser
@@ -68,6 +71,8 @@
 		heardOf:   make(map[string]time.Time),
 		estimates: estimate.NewTable(),
 		budget:    retry.New(options.Weights.RetryShare),
+		kv:        newKVCost(),
+		notice:    firstNotice,
 		suspects:  suspect.NewTable(),
 		limits:    limits.NewTable(),
 		choice:    newChooser(options.Weights),
@@ -90,6 +95,8 @@
 		c.sent(e)
 	case Tokens:
 		c.tokens(now, e)
+	case Recomputed:
+		c.recomputed(now, e)
 	case Finished:
 		c.finished(now, e)
 	case Failed:
@@ -161,6 +168,7 @@
 		p.measure(now)
 		c.cutoff(now, p)
 		c.relieve(now, p)
+		c.moveLeaving(now, p)
 		c.moveStragglers(now, p)
 		c.dispatch(now, p)
 	}
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -75,7 +75,11 @@
 	c.start(now, r, s)
 }
 
-func (c *core) start(now time.Time, r *request, s *server) {
+func (c *core) start(now time.Time, r *request, s *server) { c.startWith(now, r, s, nil) }
+
+// startWith starts an attempt; the KV cache comes along from the server that
+// held the answer, unless that is nil.
+func (c *core) startWith(now time.Time, r *request, s, from *server) {
 	if !c.check(InvariantIdempotent, r.Idempotent || !r.sentEver) {
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 		return
@@ -90,6 +94,7 @@
 	r.started, r.lastAt = now, now
 	r.uncached, r.ahead = s.uncached(r), s.ahead
 	r.expected = s.firstToken(s.load()+1, r.uncached)
+	c.carry(now, r, s, from)
 	s.attach(r)
 	s.ahead += r.uncached
 	r.pool.attach(r)
@@ -104,7 +109,11 @@
 	if r.got > 0 {
 		c.stats.Continued++
 	}
-	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), Continue: r.got > 0})
+	resume := ""
+	if from != nil {
+		resume = from.name
+	}
+	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), ResumeFrom: resume, Continue: r.got > 0})
 }
 
 // leave takes the request off its server.
@@ -116,6 +125,9 @@
 	r.sentEver = r.sentEver || r.sentNow
 	if r.gotNow == 0 {
 		s.ahead = max(0, s.ahead-r.uncached)
+		if r.carriedAt != nil {
+			c.gaveUpCarried(now, r)
+		}
 	} else {
 		s.decoding--
 	}
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -60,6 +60,7 @@
 	case e.Final:
 	case e.Crashed:
 		c.noteCrash(now, s)
+		c.noteGone(now, s)
 		if !now.Before(s.ejectedUntil) {
 			c.stats.Crashes++
 			s.eject(now)
--- /dev/null
+++ b/request/policy/leaving.go
@@ -0,0 +1,99 @@
+package policy
+
+import "time"
+
+const (
+	// firstNotice is the time from the word that a server leaves until it is
+	// gone, before any was seen to go.
+	firstNotice = 4 * time.Second
+	// leastNotice bounds what is learned from servers that went at once.
+	leastNotice = time.Second
+	// noticeLearn is the weight of a notice longer than was known; a shorter one
+	// counts at once.
+	noticeLearn = 0.3
+	// moveWindow is how long before a server goes its answers are moved, besides
+	// the time that the move itself takes: until then they get on where they are
+	// and leave other servers' slots to what waits.
+	moveWindow = 400 * time.Millisecond
+)
+
+// A server that the platform takes back vanishes with all that runs on it. What
+// its answers hold is then computed again elsewhere, unless their KV cache went
+// there before. On a server that operators drain all answers stay: it waits for
+// them.
+
+// leaves tells whether the platform says that the server is leaving.
+func (s *server) leaves(now time.Time) bool {
+	return s.leaving || s.gone || now.Before(s.leavingUntil)
+}
+
+// noteLeaving remembers the first word that the server leaves. Called before
+// the word itself is noted.
+func (s *server) noteLeaving(now time.Time) {
+	if !s.leaves(now) {
+		s.leavesAt = now
+	}
+}
+
+// noteGone learns how long servers stay after the word that they leave.
+func (c *core) noteGone(now time.Time, s *server) {
+	if !s.leaves(now) || s.wentAt.After(s.leavesAt) {
+		return
+	}
+	s.wentAt = now
+	stayed := max(now.Sub(s.leavesAt), leastNotice)
+	if stayed > c.notice {
+		stayed = c.notice + time.Duration(noticeLearn*float64(stayed-c.notice))
+	}
+	c.notice = stayed
+}
+
+// moveLeaving takes answers off servers that vanish before the answer's end.
+func (c *core) moveLeaving(now time.Time, p *pool) {
+	if p.service {
+		return
+	}
+	moves := 0
+	for i := 0; i < len(p.running) && moves < maxMoves; i++ {
+		if c.moveOff(now, p.running[i]) {
+			moves++
+			i--
+		}
+	}
+}
+
+// moveOff lets an answer on a leaving server go on elsewhere with its KV cache,
+// where nothing as urgent waits for the slot. What would have to be computed
+// again stays until it is cut off: going earlier would save nothing.
+func (c *core) moveOff(now time.Time, r *request) bool {
+	if !r.server.leaves(now) || !r.Idempotent || r.trial || r.attempt >= maxAttempts || r.pool.urgentWaits(r) {
+		return false
+	}
+	s := c.choose(now, r, how{late: true})
+	if s == nil || !c.cutShort(now, r, s) || !c.carries(now, r, s) || !c.budget.Take() {
+		return false
+	}
+	c.check(InvariantBudget, c.budget.Holds())
+	c.stats.Moved++
+	c.transfer(now, r, s)
+	return true
+}
+
+// urgentWaits tells whether a request as urgent as this one or more waits for a slot.
+func (p *pool) urgentWaits(r *request) bool {
+	for tier := range r.tier() + 1 {
+		if p.queue.TierLen(tier) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// cutShort tells whether the answer is about to be cut off with its server.
+func (c *core) cutShort(now time.Time, r *request, to *server) bool {
+	s := r.server
+	goes := s.leavesAt.Add(c.notice)
+	move := c.kv.rate(s, to).expect(now, r.tokensHeld())
+	rest := time.Duration(r.left(c) * float64(s.gapAt(s.load())))
+	return now.Add(moveWindow+move).After(goes) && now.Add(rest).After(goes)
+}
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -54,6 +54,10 @@
 	Continued uint64
 	Preempted uint64
 	Moved     uint64
+	// MovedByKV counts those of the moved that went with their KV cache.
+	MovedByKV uint64
+	// Spared are the tokens that engines did not have to make.
+	Spared    Spared
 	Crashes   uint64
 	Convicted uint64
 	// Pardoned counts suspects whose crashes were put down to an outage.
@@ -71,6 +75,17 @@
 	Violations map[Invariant]uint64
 }
 
+// Spared counts tokens that engines did not have to make. The rest of an answer
+// that was stopped is the estimate's, since nobody knows it.
+type Spared struct {
+	// Canceled is the rest of answers whose caller left, Expired of those whose
+	// deadline passed while they ran.
+	Canceled, Expired uint64
+	// Moved is the length of answers, prompts included, that went on elsewhere
+	// with their KV cache, of which nothing was computed again.
+	Moved uint64
+}
+
 func (c *core) check(name Invariant, holds bool) bool {
 	c.stats.Checked++
 	if !holds {
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -106,6 +106,7 @@
 	}
 	for _, leaving := range d.GetLeavingServers() {
 		if s := c.servers[leaving]; s != nil {
+			s.noteLeaving(now)
 			s.leavingUntil = now.Add(peerLeaving)
 		}
 	}
@@ -151,6 +152,7 @@
 	s := c.servers[name]
 	if s != nil {
 		c.noteCrash(now, s)
+		c.noteGone(now, s)
 	}
 	if s == nil || s.ejectedUntil.After(now.Add(peerEject)) {
 		return
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -28,7 +28,11 @@
 	if r.gotNow == 0 {
 		s.ahead = max(0, s.ahead-r.uncached)
 		s.decoding++
-		s.answered(r, now.Sub(r.started))
+		if r.carried > 0 {
+			c.carriedOver(now, r)
+		} else {
+			s.answered(r, now.Sub(r.started))
+		}
 		s.proved()
 	} else {
 		s.measured(now.Sub(r.lastAt) / time.Duration(e.Count))
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -35,6 +35,10 @@
 	// uncached is the prompt work of this attempt, ahead what stood before it.
 	uncached, ahead float64
 	expected        time.Duration
+	// carried is the length of the KV cache that this attempt came with, at the
+	// rate carriedAt; 0 and nil if it came without.
+	carried   float64
+	carriedAt *kvRate
 	// failedOn names the server of the last failed attempt.
 	failedOn string
 	// trial is true while it runs as a suspect; held is since when it waits as one.
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -83,6 +83,9 @@
 
 	// leavingUntil is how long a peer's word that the server leaves holds.
 	leavingUntil time.Time
+	// leavesAt is the first word of the platform that it leaves, wentAt when it
+	// was seen to have gone.
+	leavesAt, wentAt time.Time
 	// cut is true while the server's data centre is out of reach.
 	cut bool
 	// fullUntil is how long the server counts as full after a late first token.
--- a/request/relay/chat_open.go
+++ b/request/relay/chat_open.go
@@ -7,6 +7,7 @@
 
 	"github.com/lilacbridge/lilacbridge/connection/engine"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
+	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
 // open starts or carries on the answer at the attempt's engine.
@@ -27,6 +28,7 @@
 		if ctx.Err() != nil {
 			return nil, err
 		}
+		j.relay.Post(policy.Recomputed{ID: j.flight.id, Attempt: t.start.Attempt})
 	}
 	if !j.got.plain {
 		return nil, fmt.Errorf("the engine no longer holds an answer with tool calls: %w", errFinal)
