Count the tokens that engines did not have to make

The policy counts the estimated rest of an answer whose caller left (canceled) or whose deadline passed while it ran (expired), and what went on elsewhere with its KV cache (moved): in Stats, as lilacbridge_policy_tokens_spared_total{cause} and as a column of SHOW instances. What waits spares nothing.

Ruled out: counting in the relay, which has no estimate of the rest.

go test -race -count=10 -run 'Spares|MoveWithout' ./daemon/entry: ok.

--- a/daemon/entry/daemon_test.go
+++ b/daemon/entry/daemon_test.go
@@ -149,6 +149,7 @@
 	status, body = get(t, d.listeners.admin.Addr(), "/metrics")
 	is.Equal(status, http.StatusOK)
 	is.True(strings.Contains(body, `lilacbridge_policy_decisions_total{decision="finished"} 1`))
+	is.True(strings.Contains(body, `lilacbridge_policy_tokens_spared_total{cause="canceled"} 0`))
 	is.True(!strings.Contains(body, "coop")) // no team in a label
 
 	stop()
--- a/daemon/entry/instance.go
+++ b/daemon/entry/instance.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -8,7 +9,7 @@
 	"github.com/lilacbridge/lilacbridge/process/build"
 )
 
-var instanceColumns = []string{"data_center", "state", "revision", "behind", "age", "in_flight", "version", "uptime"}
+var instanceColumns = []string{"data_center", "state", "revision", "behind", "age", "in_flight", "version", "uptime", "tokens_spared"}
 
 // instanceRow describes this instance to operators.
 func (d *Daemon) instanceRow() ([]string, []*lilacv1.QueryRow) {
@@ -21,6 +22,17 @@
 	return instanceColumns, []*lilacv1.QueryRow{{Values: []string{
 		d.settings.DataCenter, state, strconv.FormatUint(revision, 10),
 		strconv.FormatUint(max(newest, revision)-revision, 10), age.Round(time.Millisecond).String(),
-		strconv.Itoa(d.entry.relay.InFlight()), build.Version, time.Since(d.started).Round(time.Second).String(),
+		strconv.Itoa(d.entry.relay.InFlight()), build.Version, time.Since(d.started).Round(time.Second).String(), d.tokensSpared(),
 	}}}
 }
+
+// tokensSpared is empty where the core does not answer in time.
+func (d *Daemon) tokensSpared() string {
+	ctx, cancel := context.WithTimeout(context.Background(), statsTimeout)
+	defer cancel()
+	stats, err := d.entry.relay.Stats(ctx)
+	if err != nil {
+		return ""
+	}
+	return strconv.FormatUint(stats.Spared.Canceled+stats.Spared.Expired+stats.Spared.Moved, 10)
+}
--- /dev/null
+++ b/daemon/entry/moves_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// An answer moves to another engine, but the old one has dropped it meanwhile.
+// The caller must get the whole answer all the same, and the policy must hear
+// that the prompt was computed again.
+func TestMoveWithoutCacheGoesOnFromTheText(t *testing.T) {
+	is := is.New(t)
+	const after = 2
+	old := newFake(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.URL.Path == "/v1/kv/export" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		startStream(w)
+		sendTokens(w, heldID(r), tokens[:after], "")
+		<-r.Context().Done()
+	})
+	next := newFake(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		startStream(w)
+		sendTokens(w, heldID(r), tokens[after:], "stop")
+		sendDone(w)
+	})
+	got := 0
+	var recomputed atomic.Int32
+	core := scripted(func(event policy.Event) []policy.Action {
+		switch e := event.(type) {
+		case policy.Arrival:
+			return []policy.Action{policy.Start{ID: e.ID, Server: "r1", Attempt: 1}}
+		case policy.Recomputed:
+			recomputed.Add(1)
+		case policy.Tokens:
+			if got += e.Count; got == after && e.Attempt == 1 {
+				return []policy.Action{
+					policy.Stop{ID: e.ID, Server: "r1", Attempt: 1},
+					policy.Start{ID: e.ID, Server: "r2", Attempt: 2, ResumeFrom: "r1", Continue: true},
+				}
+			}
+		}
+		return nil
+	})
+	f := startWith(t, testSettings(), core, old.engine("r1"), next.engine("r2"))
+	_, stream := f.post("/v1/chat/completions", chatBody)
+	text, ids, done, _ := textOf(stream)
+	is.Equal(text, strings.Join(tokens, ""))
+	is.True(done)
+	is.Equal(len(ids), 1)
+	is.Equal(recomputed.Load(), int32(1))
+}
+
+// A caller leaves in the middle of an answer. Operators must see what the engine
+// was spared, in tokens.
+func TestLeavingCallerSparesTokens(t *testing.T) {
+	is := is.New(t)
+	backend := newFake(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		startStream(w)
+		sendChunk(w, heldID(r), "un", "")
+		<-r.Context().Done()
+	})
+	f := start(t, testSettings(), backend.engine("r1"))
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/v1/chat/completions", strings.NewReader(chatBody))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+secret.CallerToken(testKey, "coop"))
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	cancel()
+	resp.Body.Close()
+	waitFor(t, func() bool { return f.relay.InFlight() == 0 })
+	stats, err := f.relay.Stats(t.Context())
+	is.NoErr(err)
+	is.Equal(stats.Canceled, uint64(1))
+	is.True(stats.Spared.Canceled > 0)
+}
--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -20,6 +20,7 @@
 	now     *prometheus.Desc
 	checked *prometheus.Desc
 	broken  *prometheus.Desc
+	spared  *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*coreStats)(nil)
@@ -31,12 +32,13 @@
 		now:     prometheus.NewDesc("lilacbridge_policy_requests", "Requests in the policy's hands.", []string{"state"}, nil),
 		checked: prometheus.NewDesc("lilacbridge_policy_invariants_checked_total", "Evaluations of invariants.", nil, nil),
 		broken:  prometheus.NewDesc("lilacbridge_policy_invariants_broken_total", "Invariants of the policy seen broken; must stay 0.", []string{"invariant"}, nil),
+		spared:  prometheus.NewDesc("lilacbridge_policy_tokens_spared_total", "Tokens that engines did not have to make: the estimated rest of answers whose caller left or whose deadline passed, and what moved by its KV cache.", []string{"cause"}, nil),
 	}
 }
 
 // Describe names the metrics.
 func (c *coreStats) Describe(descs chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.events, c.now, c.checked, c.broken} {
+	for _, desc := range []*prometheus.Desc{c.events, c.now, c.checked, c.broken, c.spared} {
 		descs <- desc
 	}
 }
@@ -59,6 +61,9 @@
 	for invariant, value := range stats.Violations {
 		counter(c.broken, value, string(invariant))
 	}
+	counter(c.spared, stats.Spared.Canceled, "canceled")
+	counter(c.spared, stats.Spared.Expired, "expired")
+	counter(c.spared, stats.Spared.Moved, "moved")
 	metrics <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Waiting), "waiting")
 	metrics <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Running), "running")
 }
@@ -67,6 +72,6 @@
 	return map[string]uint64{
 		"arrived": s.Arrivals, "started": s.Starts, "finished": s.Finished, "canceled": s.Canceled,
 		"refused": s.Refused, "broken": s.Broken, "retried": s.Retries, "continued": s.Continued,
-		"preempted": s.Preempted, "moved": s.Moved, "crashed": s.Crashes, "convicted": s.Convicted,
+		"preempted": s.Preempted, "moved": s.Moved, "moved_by_kv": s.MovedByKV, "crashed": s.Crashes, "convicted": s.Convicted,
 	}
 }
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -77,13 +77,23 @@
 	if r == nil {
 		return
 	}
+	c.stats.Spared.Canceled += c.unmade(r)
 	c.stop(now, r)
 	c.forget(now, r)
 	c.stats.Canceled++
 	c.dispatch(now, r.pool)
 }
 
+// unmade is the expected rest of an answer that an engine makes now.
+func (c *core) unmade(r *request) uint64 {
+	if r.server == nil || !r.sentNow {
+		return 0
+	}
+	return uint64(r.left(c))
+}
+
 func (c *core) expire(now time.Time, r *request) {
+	c.stats.Spared.Expired += c.unmade(r)
 	c.stop(now, r)
 	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline passed; allow more time, or use a more urgent class", 0)
 }
