Show what the retry budget holds down

Where engines crash, the pause of a failed server and its trial by one request hold retries down by themselves.

Starts after an attempt that may have run are counted at the servers.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -37,6 +37,8 @@
 	priority int
 	seq      uint64
 	prefill  int
+	// began is the number of tokens that the attempt started from.
+	began int
 	// made counts the answer's tokens, those of earlier attempts included.
 	made    int
 	stopped bool
@@ -58,6 +60,7 @@
 	running    []*job
 	waiting    []*job
 	stepping   bool
+	ill        illness
 	down       bool
 	epoch      int
 	seq        uint64
@@ -75,7 +78,7 @@
 
 // accept takes a job in, or refuses it for load.
 func (e *engine) accept(j *job) bool {
-	if len(e.waiting) >= engineQueue {
+	if len(e.waiting) >= engineQueue || e.ill == refusing {
 		return false
 	}
 	e.seq++
@@ -167,6 +170,9 @@
 			e.crash(restartTime)
 			return
 		}
+		if e.ill == timingOut && e.cutOff(j) {
+			continue
+		}
 		done := j.made >= j.call.output
 		e.world.deliver(e.dataCenter, j, done)
 		if !done {
--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -24,6 +24,8 @@
 	kept    *job
 	remote  int
 	started int
+	// firsts counts first starts, retries starts after an attempt that may have run.
+	firsts, retries int
 	// misled counts refusals that said "not run" of calls that ran.
 	misled int
 	dead   bool
@@ -121,11 +123,9 @@
 	if in.world.onStart != nil {
 		in.world.onStart(in, k, a)
 	}
-	j := &job{call: k, instance: in, attempt: a.Attempt, priority: a.Priority, made: k.got}
+	j := &job{call: k, instance: in, attempt: a.Attempt, priority: a.Priority, made: k.got, began: k.got}
 	in.jobs[a.ID] = j
-	if a.Attempt > 1 {
-		k.restarts++
-	}
+	in.countStart(k, a.Attempt)
 	k.lastStart, k.server = in.world.clock.now, a.Server
 	b := in.world.backends[a.Server]
 	j.at = b
@@ -145,6 +145,18 @@
 	in.send(j, b)
 }
 
+// countStart counts what the servers see, whatever the core says of itself.
+func (in *instance) countStart(k *call, attempt int) {
+	if attempt == 1 {
+		in.firsts++
+		return
+	}
+	k.restarts++
+	if k.mayHaveRun {
+		in.retries++
+	}
+}
+
 func (in *instance) send(j *job, b backend) {
 	delay := latency(in.dataCenter, b.place())
 	in.world.clock.after(delay, func() { in.reach(j, b, delay) })
@@ -196,6 +208,7 @@
 	}
 	delete(in.jobs, id)
 	f.ID, f.Attempt = id, j.attempt
+	j.call.mayHaveRun = f.Sent && !f.Refused
 	in.step(f)
 }
 
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -35,6 +35,8 @@
 	restarts int
 	ranTwice bool
 	runs     int
+	// mayHaveRun is true where the last attempt failed after it was sent.
+	mayHaveRun bool
 	// lastStart and server are those of the latest attempt.
 	lastStart time.Duration
 	server    string
