--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -37,10 +37,16 @@
 	priority int
 	seq      uint64
 	prefill  int
+	// began is the number of tokens that the attempt started from.
+	began int
 	// made counts the answer's tokens, those of earlier attempts included.
 	made    int
 	stopped bool
 	at      backend
+	// imported jobs come with their KV cache; carried counts the tokens in it
+	// that their caller has not got yet.
+	imported bool
+	carried  int
 }
 
 // engine batches continuously: each step gives every running request a token,
@@ -54,6 +60,7 @@
 	running    []*job
 	waiting    []*job
 	stepping   bool
+	ill        illness
 	down       bool
 	epoch      int
 	seq        uint64
@@ -71,7 +78,7 @@
 
 // accept takes a job in, or refuses it for load.
 func (e *engine) accept(j *job) bool {
-	if len(e.waiting) >= engineQueue {
+	if len(e.waiting) >= engineQueue || e.ill == refusing {
 		return false
 	}
 	e.seq++
@@ -83,6 +90,7 @@
 		return int(a.seq) - int(b.seq)
 	})
 	e.waiting = slices.Insert(e.waiting, at, j)
+	e.replay(j)
 	e.wake()
 	return true
 }
@@ -105,12 +113,16 @@
 		if j.stopped {
 			continue
 		}
+		e.running = append(e.running, j)
+		j.call.ran()
+		if j.imported {
+			continue
+		}
 		cached := e.cache.hit(j.call.prefix) * blockTokens
 		j.prefill = max(j.call.prompt+j.made-cached, 1)
 		if j.attempt > 1 {
 			e.world.tally.redone += j.prefill
 		}
-		e.running = append(e.running, j)
 	}
 }
 
@@ -158,6 +170,9 @@
 			e.crash(restartTime)
 			return
 		}
+		if e.ill == timingOut && e.cutOff(j) {
+			continue
+		}
 		done := j.made >= j.call.output
 		e.world.deliver(e.dataCenter, j, done)
 		if !done {
--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -20,8 +20,12 @@
 	live       map[policy.ID]*call
 	jobs       map[policy.ID]*job
 	heard      map[string]time.Duration
-	remote     int
-	started    int
+	// kept is the stopped attempt that the next action moves elsewhere.
+	kept    *job
+	remote  int
+	started int
+	// firsts counts first starts, retries starts after an attempt that may have run.
+	firsts, retries int
 	// misled counts refusals that said "not run" of calls that ran.
 	misled int
 	dead   bool
@@ -38,8 +42,9 @@
 	if in.dead {
 		return
 	}
-	for _, action := range in.core.Step(in.world.clock.time(), event) {
-		in.perform(action)
+	actions := in.core.Step(in.world.clock.time(), event)
+	for i, action := range actions {
+		in.perform(action, actions[i+1:])
 	}
 }
 
@@ -75,12 +80,12 @@
 }
 
 // perform must not call step: actions are gathered in the core's own slice.
-func (in *instance) perform(action policy.Action) {
+func (in *instance) perform(action policy.Action, rest []policy.Action) {
 	switch a := action.(type) {
 	case policy.Start:
 		in.start(a)
 	case policy.Stop:
-		in.stop(a)
+		in.stop(a, movesOn(a, rest))
 	case policy.Refuse:
 		in.refuse(a)
 	case policy.Broken:
@@ -118,11 +123,9 @@
 	if in.world.onStart != nil {
 		in.world.onStart(in, k, a)
 	}
-	j := &job{call: k, instance: in, attempt: a.Attempt, priority: a.Priority, made: k.got}
+	j := &job{call: k, instance: in, attempt: a.Attempt, priority: a.Priority, made: k.got, began: k.got}
 	in.jobs[a.ID] = j
-	if a.Attempt > 1 {
-		k.restarts++
-	}
+	in.countStart(k, a.Attempt)
 	k.lastStart, k.server = in.world.clock.now, a.Server
 	b := in.world.backends[a.Server]
 	j.at = b
@@ -134,6 +137,27 @@
 		in.world.clock.after(connectLimit, func() { in.fail(j, policy.Failed{}) })
 		return
 	}
+	if old := in.kept; a.ResumeFrom != "" && old != nil && old.call == k {
+		in.kept = nil
+		in.carry(old, j, b.(*engine))
+		return
+	}
+	in.send(j, b)
+}
+
+// countStart counts what the servers see, whatever the core says of itself.
+func (in *instance) countStart(k *call, attempt int) {
+	if attempt == 1 {
+		in.firsts++
+		return
+	}
+	k.restarts++
+	if k.mayHaveRun {
+		in.retries++
+	}
+}
+
+func (in *instance) send(j *job, b backend) {
 	delay := latency(in.dataCenter, b.place())
 	in.world.clock.after(delay, func() { in.reach(j, b, delay) })
 }
@@ -155,12 +179,16 @@
 	}
 }
 
-func (in *instance) stop(a policy.Stop) {
+func (in *instance) stop(a policy.Stop, keep bool) {
 	j := in.jobs[a.ID]
 	if j == nil || j.attempt != a.Attempt {
 		return
 	}
 	delete(in.jobs, a.ID)
+	if keep {
+		in.kept = j
+		return
+	}
 	in.halt(j)
 }
 
@@ -180,6 +208,7 @@
 	}
 	delete(in.jobs, id)
 	f.ID, f.Attempt = id, j.attempt
+	j.call.mayHaveRun = f.Sent && !f.Refused
 	in.step(f)
 }
 
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -35,6 +35,8 @@
 	restarts int
 	ranTwice bool
 	runs     int
+	// mayHaveRun is true where the last attempt failed after it was sent.
+	mayHaveRun bool
 	// lastStart and server are those of the latest attempt.
 	lastStart time.Duration
 	server    string
@@ -68,6 +70,12 @@
 	return (k.last-k.first)/time.Duration(k.output-1) <= k.class.between
 }
 
+// ran counts one run at a server.
+func (k *call) ran() {
+	k.runs++
+	k.ranTwice = k.ranTwice || !k.idempotent && k.runs > 1
+}
+
 // wait is how long the caller waited for the first token, or for the refusal.
 func (k *call) wait() time.Duration {
 	if k.got > 0 || k.outcome == answered {
