Take IF REVISION 0 as a condition, not as none

The condition travelled as a number without presence, where 0 meant unconditional; so two operators who set an empty fleet up could not tell who came first. Ruled out: refusing the number 0 in the grammar, since "only if nothing is there yet" is the one use that a first start has for it. Change: the field has presence (same number on the wire; a record of before without it reads as unconditional); apply --if-revision 0 the same. After: conflict that names the winner; TestConditionOnAnEmptyConfigurationHasOneWinner fails on the code before. Conclusion: absence and zero are different conditions.

--- a/cmd/lilacctl/apply.go
+++ b/cmd/lilacctl/apply.go
@@ -9,20 +9,26 @@
 	"github.com/lilacbridge/lilacbridge/connection/operator"
 )
 
+const ifRevisionFlag = "if-revision"
+
 func newApply(g *globalFlags) *cobra.Command {
 	request := &operator.ApplyRequest{}
 	var file string
+	var ifRevision uint64
 	cmd := &cobra.Command{
 		Use:   "apply -f FILE",
 		Short: "Bring classes, teams and servers to those of a file, as one revision",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if cmd.Flags().Changed(ifRevisionFlag) {
+				request.IfRevision = &ifRevision
+			}
 			return runApply(cmd, g, file, request)
 		},
 	}
 	cmd.Flags().StringVarP(&file, "file", "f", "", "the fleet file")
 	cmd.Flags().StringVar(&request.CommandID, "command-id", "", "id of an earlier try, to learn what became of it")
-	cmd.Flags().Uint64Var(&request.IfRevision, "if-revision", 0, "refuse unless this is the current revision")
+	cmd.Flags().Uint64Var(&ifRevision, ifRevisionFlag, 0, "refuse unless this is the current revision; 0 is an empty configuration")
 	cmd.Flags().BoolVar(&request.DryRun, "dry-run", false, "show the difference without making it")
 	cmd.Flags().BoolVar(&request.Prune, "prune", false, "drop what the file lacks")
 	_ = cmd.MarkFlagRequired("file")
--- a/connection/operator/change.go
+++ b/connection/operator/change.go
@@ -34,9 +34,7 @@
 		return nil, err
 	}
 	proposal := h.proposal(who, request.CommandID, request.Statement, changes, request.DryRun)
-	if parsed.IfRevision != nil {
-		proposal.IfRevision = *parsed.IfRevision
-	}
+	proposal.IfRevision = parsed.IfRevision
 	return h.propose(ctx, proposal)
 }
 
--- a/connection/operator/reply.go
+++ b/connection/operator/reply.go
@@ -22,10 +22,12 @@
 // ApplyRequest is the body of POST /v1/apply.
 type ApplyRequest struct {
 	// Document is the YAML text of a fleet file.
-	Document   string `json:"document"`
-	CommandID  string `json:"command_id,omitempty"`
-	IfRevision uint64 `json:"if_revision,omitempty"`
-	DryRun     bool   `json:"dry_run,omitempty"`
+	Document  string `json:"document"`
+	CommandID string `json:"command_id,omitempty"`
+	// IfRevision is the revision that must be the current one, 0 for an empty
+	// configuration; absent means any.
+	IfRevision *uint64 `json:"if_revision,omitempty"`
+	DryRun     bool    `json:"dry_run,omitempty"`
 	// Prune drops objects that the document lacks.
 	Prune bool `json:"prune,omitempty"`
 }
--- a/daemon/state/service_test.go
+++ b/daemon/state/service_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
@@ -46,7 +47,7 @@
 	is.True(again.GetRepeatedCommand())
 
 	stale := proposal("two", "alerts", 2)
-	stale.IfRevision = 7
+	stale.IfRevision = proto.Uint64(7)
 	lost, err := c.Propose(t.Context(), stale)
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
 	is.Equal(lost.GetWinner().GetNumber(), uint64(1))
--- a/internal/proof/operators_test.go
+++ b/internal/proof/operators_test.go
@@ -212,8 +212,12 @@
 }
 
 func proposalOf(in statement, who string, serial int) *lilacv1.Proposal {
-	return &lilacv1.Proposal{CommandId: in.command, IfRevision: in.ifRevision, Who: who, Statement: in.command,
+	proposal := &lilacv1.Proposal{CommandId: in.command, Who: who, Statement: in.command,
 		Changes: []*lilacv1.Change{{Op: &lilacv1.Change_SetTeam{SetTeam: &lilacv1.Team{Name: fmt.Sprint("team-", serial%7), Weight: uint32(serial)}}}}}
+	if in.ifRevision > 0 {
+		proposal.IfRevision = proto.Uint64(in.ifRevision)
+	}
+	return proposal
 }
 
 func (o *operators) stated(operator int, in statement, begun int64, result *lilacv1.CommandResult, known *uint64) {
--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -77,7 +77,7 @@
 	m := NewMachine(0)
 	m.Apply(proposal("1", class("a", 0, 0)))
 	first, second := proposal("2", class("a", 1, 0)), proposal("3", class("a", 2, 0))
-	first.IfRevision, second.IfRevision = 1, 1
+	first.IfRevision, second.IfRevision = proto.Uint64(1), proto.Uint64(1)
 	first.Who = "moussa"
 	is.Equal(m.Apply(first).GetPropose().GetRevision(), uint64(2))
 	m.Apply(proposal("4", team("t")))
@@ -90,6 +90,18 @@
 	is.True(again.GetPropose().GetRepeatedCommand())
 }
 
+// Two operators both set an empty fleet up, each on condition that nobody did
+// before: IF REVISION 0. The second must not change what the first has made.
+func TestConditionOnAnEmptyConfigurationHasOneWinner(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(0)
+	first, second := proposal("1", class("a", 1, 0)), proposal("2", class("a", 2, 0))
+	first.IfRevision, second.IfRevision = proto.Uint64(0), proto.Uint64(0)
+	is.Equal(kindOf(m.Apply(first)), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
+	is.Equal(kindOf(m.Apply(second)), lilacv1.ErrorKind_ERROR_KIND_CONFLICT)
+	is.Equal(m.Config().GetClasses()[0].GetTier(), uint32(1))
+}
+
 // An operator's answer is lost and the client sends the command again, in the
 // meantime another operator changed the same class. The resend must get its
 // first answer and must not undo the other's change, also after the process
--- a/version/config/machine.go
+++ b/version/config/machine.go
@@ -75,7 +75,7 @@
 	if p.GetCommandId() == "" && !p.GetDryRun() {
 		return refusal(invalid("the proposal has no command id; make a fresh one for each statement"), nil)
 	}
-	if p.GetIfRevision() != 0 && p.GetIfRevision() != m.tables.revision {
+	if p.IfRevision != nil && p.GetIfRevision() != m.tables.revision {
 		return m.conflict(p)
 	}
 	if count := len(p.GetChanges()); count == 0 || count > maxChanges {
