Narrow operators' queries at each instance, and bound what one gathers

Cause: an instance that was asked gathered every row of every instance and applied WHERE and LIMIT afterwards. At the size to design for SHOW servers is 1,100 x 5,900 = 6.5 million rows, SHOW requests with 200 at each 16.4 MB of messages, at the one entry that a hurried operator asked. Ruled out: pages with a cursor (rows change between two pages, and each page asks all instances again); a bound without a word (a cut list looks whole). Change: the statement travels, each instance filters, sorts and cuts its own rows, to an even share of 50,000; the answer counts what was left out. A dry run asks for counts in place of rows. Before (reckoned from 74 bytes a row): 16.4 MB for each query at 1,100 instances of 200 requests. Conclusion: exact where the limit is at most the share, and said where not.

--- a/cmd/lilacctl/print.go
+++ b/cmd/lilacctl/print.go
@@ -55,6 +55,9 @@
 			return err
 		}
 	}
+	if reply.LeftOut > 0 {
+		fmt.Fprintf(w, "%d more rows match; narrow the query by WHERE, or by a smaller LIMIT\n", reply.LeftOut)
+	}
 	for _, missing := range reply.Missing {
 		fmt.Fprintf(w, "no answer from %s (%s): %s\n", missing.Instance, missing.DataCenter, missing.Reason)
 	}
--- a/connection/operator/change.go
+++ b/connection/operator/change.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	if parsed.Show != nil {
-		return h.query(ctx, parsed.Show)
+		return h.query(ctx, parsed.Show, request.Statement)
 	}
 	changes, err := parsed.Changes()
 	if err != nil {
--- a/connection/operator/effect.go
+++ b/connection/operator/effect.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/version/table"
@@ -40,30 +41,52 @@
 // effect tells, for a dry run, how many running requests each change concerns
 // and at how many instances. Instances that do not answer are named.
 func (h *handler) effect(ctx context.Context, changes []*lilacv1.Change) ([]string, error) {
-	running, err := h.gather(ctx, "requests")
+	var concerned []touched
+	var columns []string
+	for _, change := range changes {
+		t := touchedBy(change)
+		if t.column == "" {
+			continue
+		}
+		concerned = append(concerned, t)
+		if !slices.Contains(columns, t.column) {
+			columns = append(columns, t.column)
+		}
+	}
+	if len(concerned) == 0 {
+		return nil, nil
+	}
+	counts, err := h.gather(ctx, &lilacv1.QueryRequest{Subject: "requests", CountBy: columns})
 	if err != nil {
 		return nil, err
 	}
+	running := runningBy(counts.Table)
 	var lines []string
-	for _, change := range changes {
-		if t := touchedBy(change); t.column != "" {
-			lines = append(lines, t.count(running.Table))
-		}
+	for _, t := range concerned {
+		now := running[t]
+		lines = append(lines, fmt.Sprintf("%s %s: %d running requests at %d instances", t.column, t.value, now.requests, now.instances))
 	}
-	for _, missing := range running.Missing {
+	for _, missing := range counts.Missing {
 		lines = append(lines, fmt.Sprintf("%s did not answer; its requests are not counted", missing.Instance))
 	}
 	return lines, nil
 }
 
-func (t touched) count(running *table.Table) string {
-	column := slices.Index(running.Columns, t.column)
-	requests, instances := 0, make(map[string]bool)
-	for _, row := range running.Rows {
-		if column >= 0 && row[column] == t.value {
-			requests++
-			instances[row[0]] = true
+// running is how many requests run, and at how many instances.
+type running struct{ requests, instances int }
+
+// runningBy adds the instances' counts up, whose columns are countColumns after
+// the instance.
+func runningBy(counts *table.Table) map[touched]running {
+	sums := make(map[touched]running)
+	for _, row := range counts.Rows {
+		count, err := strconv.Atoi(row[3])
+		if err != nil {
+			continue
 		}
+		key := touched{column: row[1], value: row[2]}
+		sum := sums[key]
+		sums[key] = running{requests: sum.requests + count, instances: sum.instances + 1}
 	}
-	return fmt.Sprintf("%s %s: %d running requests at %d instances", t.column, t.value, requests, len(instances))
+	return sums
 }
--- a/connection/operator/query.go
+++ b/connection/operator/query.go
@@ -18,19 +18,19 @@
 // auditLimit bounds the revisions fetched for a query without LIMIT.
 const auditLimit = 1000
 
-func (h *handler) query(ctx context.Context, show *statement.Show) (*Reply, error) {
-	subject := strings.ToLower(show.Subject)
-	reply, err := h.rows(ctx, subject)
+func (h *handler) query(ctx context.Context, show *statement.Show, text string) (*Reply, error) {
+	reply, err := h.rows(ctx, show, text)
 	if err != nil {
 		return nil, err
 	}
 	return reply, reply.Table.Select(show)
 }
 
-func (h *handler) rows(ctx context.Context, subject string) (*Reply, error) {
+func (h *handler) rows(ctx context.Context, show *statement.Show, text string) (*Reply, error) {
+	subject := strings.ToLower(show.Subject)
 	switch subject {
 	case "requests", "servers", "instances":
-		return h.gather(ctx, subject)
+		return h.gatherRows(ctx, show, text)
 	case "revisions", "audit":
 		return h.audit(ctx)
 	case "state", "leases":
@@ -47,17 +47,34 @@
 	err   error
 }
 
+// gatherRows asks every instance for its rows that match, up to its share.
+func (h *handler) gatherRows(ctx context.Context, show *statement.Show, text string) (*Reply, error) {
+	limit := shareOf(len(h.Peers()) + 1)
+	whole := show.Limit != nil && *show.Limit <= limit
+	if whole {
+		// The first of all are among the first of each; 0 would mean all.
+		limit = max(1, *show.Limit)
+	}
+	reply, err := h.gather(ctx, &lilacv1.QueryRequest{Subject: strings.ToLower(show.Subject), Statement: text, Limit: uint32(limit)})
+	if err != nil || whole {
+		return reply, err
+	}
+	for _, part := range reply.Parts {
+		reply.LeftOut += part.Matched - part.Rows
+	}
+	return reply, nil
+}
+
 // gather asks every instance at once and waits for none longer than gatherTimeout.
-func (h *handler) gather(ctx context.Context, subject string) (*Reply, error) {
-	request := &lilacv1.QueryRequest{Subject: subject}
-	answers := askAll(ctx, h.Peers(), func(ctx context.Context, peer Peer) (*lilacv1.QueryReply, error) {
-		reply := &lilacv1.QueryReply{}
-		return reply, peer.Caller.Call(ctx, "entry.query", request, reply)
-	})
+func (h *handler) gather(ctx context.Context, request *lilacv1.QueryRequest) (*Reply, error) {
 	local, err := h.Local(ctx, request)
 	if err != nil {
 		return nil, err
 	}
+	answers := askAll(ctx, h.Peers(), func(ctx context.Context, peer Peer) (*lilacv1.QueryReply, error) {
+		reply := &lilacv1.QueryReply{}
+		return reply, peer.Caller.Call(ctx, "entry.query", request, reply)
+	})
 	answers = append(answers, answer{peer: Peer{Name: h.Instance, DataCenter: h.DataCenter}, reply: local})
 	return merge(local.GetColumns(), answers), nil
 }
@@ -89,6 +106,7 @@
 		reply.Parts = append(reply.Parts, Part{
 			Instance: a.peer.Name, DataCenter: a.peer.DataCenter, Revision: a.reply.GetRevision(),
 			Newest: a.reply.GetNewest(), AgeMs: int64(a.reply.GetAgeMs()),
+			Rows: len(a.reply.GetRows()), Matched: max(len(a.reply.GetRows()), int(a.reply.GetMatched())),
 		})
 		for _, row := range a.reply.GetRows() {
 			if len(row.GetValues()) == len(columns) {
--- a/connection/operator/reply.go
+++ b/connection/operator/reply.go
@@ -40,6 +40,9 @@
 	Parts []Part `json:"parts,omitempty"`
 	// Missing names the instances that did not answer, and why.
 	Missing []Missing `json:"missing,omitempty"`
+	// LeftOut counts rows that matched and were not gathered, since there are too
+	// many; with a LIMIT, the rows shown may then not be the first ones.
+	LeftOut int `json:"left_out,omitempty"`
 }
 
 // Change tells what became of a change.
@@ -63,6 +66,9 @@
 	// long ago that was sure.
 	Newest uint64 `json:"newest"`
 	AgeMs  int64  `json:"age_ms"`
+	// Rows were sent, of those that Matched.
+	Rows    int `json:"rows"`
+	Matched int `json:"matched"`
 }
 
 // Missing is an instance that did not answer a query.
--- a/daemon/entry/links.go
+++ b/daemon/entry/links.go
@@ -59,7 +59,7 @@
 	}
 	switch request.GetSubject() {
 	case "requests":
-		reply.Columns, reply.Rows = d.entry.relay.Requests(int(request.GetLimit()))
+		reply.Columns, reply.Rows = d.entry.relay.Requests()
 	case "servers":
 		reply.Columns, reply.Rows = d.entry.relay.Servers()
 	case "instances":
@@ -67,5 +67,5 @@
 	default:
 		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "instances know no %q; ask for requests, servers or instances", request.GetSubject())
 	}
-	return reply, nil
+	return reply, operator.Narrow(request, d.settings.Name, reply)
 }
--- a/request/relay/rows.go
+++ b/request/relay/rows.go
@@ -14,7 +14,7 @@
 )
 
 // Requests returns the columns and rows of the requests in progress here.
-func (r *Relay) Requests(limit int) ([]string, []*lilacv1.QueryRow) {
+func (r *Relay) Requests() ([]string, []*lilacv1.QueryRow) {
 	r.mu.Lock()
 	flights := make([]*flight, 0, len(r.flights))
 	for _, f := range r.flights {
@@ -22,9 +22,6 @@
 	}
 	r.mu.Unlock()
 	sort.Slice(flights, func(i, j int) bool { return flights[i].id < flights[j].id })
-	if limit > 0 && len(flights) > limit {
-		flights = flights[:limit]
-	}
 	rows := make([]*lilacv1.QueryRow, 0, len(flights))
 	for _, f := range flights {
 		now := f.row()
