--- a/connection/operator/narrow_test.go
+++ b/connection/operator/narrow_test.go
@@ -40,7 +40,9 @@
 	}
 	return &handler{Options: Options{
 		Instance: "e0", Peers: func() []Peer { return peers },
-		Local: func(_ context.Context, request *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) { return answer("e0", request) },
+		Local: func(_ context.Context, request *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) {
+			return answer("e0", request)
+		},
 	}}
 }
 
