--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -10,6 +10,10 @@
 	"github.com/lilacbridge/lilacbridge/process/replica"
 )
 
+// nearlyAll is how many entries a process may be behind when it begins to count,
+// and a few that come meanwhile.
+const nearlyAll = 64 + 16
+
 // slot is what stands committed at one index.
 type slot struct {
 	term, digest uint64
@@ -25,6 +29,8 @@
 	votes   map[string]string
 	dead    map[string]bool
 	slots   map[uint64]slot
+	// voters are the identities that were ever seen to count.
+	voters map[string]bool
 	// committed holds, in order, entries with a term in which they were committed at last.
 	committed []commit
 }
@@ -33,7 +39,7 @@
 type commit struct{ term, index uint64 }
 
 func newInvariants(s *sim) *invariants {
-	return &invariants{sim: s, leaders: map[string]string{}, votes: map[string]string{}, dead: map[string]bool{}, slots: map[uint64]slot{}}
+	return &invariants{sim: s, leaders: map[string]string{}, votes: map[string]string{}, dead: map[string]bool{}, slots: map[uint64]slot{}, voters: map[string]bool{}}
 }
 
 func (v *invariants) addChecked(n uint64) { v.checked += n }
@@ -76,11 +82,30 @@
 		}
 	case replica.MembersChanged:
 		v.sim.note("%s has %d members", n.name, len(a.Members))
+		v.counted(n, a.Members)
 	case replica.Repaired:
 		v.sim.repaired(a.Member.GetName())
 	}
 }
 
+// counted checks that a process has nearly all of the leader's log when it begins
+// to count for the quorum.
+func (v *invariants) counted(leader *node, members []*lilacv1.RaftMember) {
+	last := leader.runner.Status().LastIndex
+	for _, member := range members {
+		if !member.GetVoter() || v.voters[member.GetId()] {
+			continue
+		}
+		v.voters[member.GetId()] = true
+		n := v.sim.byName(member.GetName())
+		if n.runner == nil || n.identity() != member.GetId() || leader.runner.Status().Role != replica.Leader {
+			continue
+		}
+		has := n.runner.Status().LastIndex
+		v.check(has+nearlyAll >= last, "a voter counts once it has the log", "%s counts with %d entries of %d", n.name, has, last)
+	}
+}
+
 // applied checks that all processes apply the same at an index, now and later.
 func (v *invariants) applied(n *node, entry *lilacv1.RaftEntry) {
 	now := slot{term: entry.GetTerm(), digest: xxhash.Sum64(entry.GetData())}
@@ -100,6 +125,9 @@
 	before, seen := v.leaders[key]
 	v.check(!seen || before == id, "election safety", "%s and %s lead group %s", before, id, key)
 	v.leaders[key] = id
+	if v.sim.scripts != nil && v.sim.scripts.elected != nil {
+		v.sim.scripts.elected(n)
+	}
 	for _, c := range slices.Backward(v.committed) {
 		if c.term >= term {
 			continue // It may have been committed by a later leader.
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -164,7 +164,7 @@
 func (s *sim) heal() {
 	s.note("healed")
 	s.healed = true
-	s.cut = map[string]bool{}
+	s.cut, s.lag = map[string]bool{}, map[string]time.Duration{}
 	s.loss, s.dup = 0, 0
 	if s.entries != nil {
 		for _, e := range s.entries.all {
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -19,7 +19,7 @@
 	showTrace = flag.Bool("trace", false, "print what happens")
 )
 
-var profiles = []profile{heavy, busy, churn, fleet, cutoff}
+var profiles = []profile{heavy, busy, churn, fleet, cutoff, scripted}
 
 // healTime is how long a run may take to settle once healed.
 const healTime = 90 * time.Second
@@ -40,10 +40,14 @@
 		s.entries = newEntries(s, seed)
 	}
 	never := func() bool { return false }
-	if p.cutoffs {
+	switch {
+	case p.cutoffs:
 		s.cutoffs = newCutoffs(s, s.entries, seed)
 		s.run(p.faultTime, func() bool { return s.cutoffs.over })
-	} else {
+	case p.scripts:
+		s.scripts = newScripts(s, seed)
+		s.run(p.faultTime, never)
+	default:
 		s.after(2*time.Second, s.faults)
 		s.run(p.faultTime, never)
 	}
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -96,6 +96,8 @@
 	anyLeader bool
 	// entries adds entry instances that follow the revisions.
 	entries bool
+	// scripts plays schedules against single guards; no other faults happen.
+	scripts bool
 	// cutoffs cuts data centres off by a plan, with callers at the entries; no
 	// other faults happen.
 	cutoffs bool
@@ -110,6 +112,8 @@
 	churn = profile{name: "churn", faultTime: 60 * time.Second, faultGap: 3 * time.Second, pause: 150 * time.Millisecond, kinds: 9, spikes: 3, nodes: 5, appendBytes: 1, slow: 400 * time.Millisecond, reads: 2, anyLeader: true}
 	// fleet runs have entries in three data centres that are cut off in turn.
 	fleet = profile{name: "fleet", faultTime: 60 * time.Second, faultGap: 15 * time.Second, pause: 400 * time.Millisecond, kinds: 14, spikes: 1, appendBytes: 600, slow: 60 * time.Millisecond, reads: 1, entries: true}
+	// scripted runs play schedules that chance does not find; a snapshot is one message.
+	scripted = profile{name: "scripted", faultTime: 80 * time.Second, pause: 400 * time.Millisecond, spikes: 3, nodes: 5, appendBytes: 1, chunkBytes: 1 << 20, slow: 60 * time.Millisecond, reads: 2, anyLeader: true, scripts: true}
 	// cutoff runs have each data centre cut off in turn, and callers on both sides.
 	cutoff = profile{name: "cutoff", faultTime: 3 * time.Minute, pause: 4 * time.Second, nodes: 3, appendBytes: 600, chunkBytes: 100, slow: 60 * time.Millisecond, reads: 1, entries: true, cutoffs: true}
 )
@@ -136,12 +140,15 @@
 	operators  *operators
 	entries    *entries
 	cutoffs    *cutoffs
-	every      uint64
-	segment    int64
+	scripts    *scripts
+	// lag delays all messages to a process, by its name.
+	lag     map[string]time.Duration
+	every   uint64
+	segment int64
 }
 
 func newSim(p profile, seed uint64, log io.Writer) *sim {
-	s := &sim{profile: p, rng: rand.New(rand.NewPCG(seed, 1)), faultRNG: rand.New(rand.NewPCG(seed, 2)), callRNG: rand.New(rand.NewPCG(seed, 3)), cut: map[string]bool{}, trace: xxhash.New(), log: log}
+	s := &sim{profile: p, rng: rand.New(rand.NewPCG(seed, 1)), faultRNG: rand.New(rand.NewPCG(seed, 2)), callRNG: rand.New(rand.NewPCG(seed, 3)), cut: map[string]bool{}, lag: map[string]time.Duration{}, trace: xxhash.New(), log: log}
 	s.invariants = newInvariants(s)
 	s.loss, s.dup = s.rng.Float64()*0.1, s.rng.Float64()*0.05
 	s.slow = time.Duration(s.rng.IntN(int(p.slow/time.Millisecond))) * time.Millisecond
@@ -333,7 +340,7 @@
 
 func (s *sim) deliver(from *node, address string, m *lilacv1.RaftMessage) {
 	copied := proto.CloneOf(m)
-	s.after(s.delay(), func() {
+	s.after(s.delay()+s.lag[address], func() {
 		if s.cut[from.name+">"+address] {
 			return
 		}
