Reach the refusal of votes for a log that is behind

Cause: the script of the late hand-over let the old leader hear of the candidacy at once, so that nothing was accepted in between.

--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -77,8 +77,11 @@
 		}
 	case replica.RoleChanged:
 		v.sim.note("%s is %s in term %d, leader %s", n.name, a.Role, a.Term, a.Leader)
-		if a.Role == replica.Leader {
+		switch {
+		case a.Role == replica.Leader:
 			v.elected(n, a.Term)
+		case a.Role == replica.Candidate && v.sim.scripts != nil:
+			v.sim.scripts.campaigns(n)
 		}
 	case replica.MembersChanged:
 		v.sim.note("%s has %d members", n.name, len(a.Members))
--- a/internal/proof/scripts_test.go
+++ b/internal/proof/scripts_test.go
@@ -28,6 +28,8 @@
 	rng *rand.Rand
 	// elected is told of the next leader; it may be nil.
 	elected func(n *node)
+	// unheard is a leader that does not hear of the next candidacy; nil for none.
+	unheard *node
 	// stage tells a stage from those that have ended.
 	stage int
 }
@@ -93,7 +95,7 @@
 // end heals all and goes on.
 func (c *scripts) end() {
 	c.stage++
-	c.elected = nil
+	c.elected, c.unheard = nil, nil
 	clear(c.sim.cut)
 	clear(c.sim.lag)
 	c.next()
@@ -210,6 +212,7 @@
 func (c *scripts) lateHandOver(all []*node) {
 	c.sim.note("script: late hand-over")
 	s, leader := c.sim, all[0]
+	c.unheard = leader
 	for _, n := range all[1:] {
 		s.lag[n.name] = lagStep
 	}
@@ -221,3 +224,11 @@
 		s.after(scriptWait, c.end)
 	})
 }
+
+// campaigns is told of each candidacy.
+func (c *scripts) campaigns(n *node) {
+	if c.unheard != nil {
+		c.sim.cut[n.name+">"+c.unheard.name] = true
+		c.unheard = nil
+	}
+}
