--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 	go test -run '^$$' -bench Decision -benchmem ./request/policy
 
 # Randomised runs of log, files and state machine on a simulated clock, network
-# and disk, four kinds of runs for each seed: make proof SEED=1 RUNS=200; TRACE=1 shows what happens.
+# and disk, six kinds of runs for each seed: make proof SEED=1 RUNS=200; TRACE=1 shows what happens.
 RUNS ?= 200
 .PHONY: proof
 proof:
--- a/daemon/state/metrics.go
+++ b/daemon/state/metrics.go
@@ -22,5 +22,5 @@
 		}
 		return 0
 	})
-	gauge("leader_contact_seconds", "Age of the last proof of a leader with a quorum.", func() float64 { return s.log.Status().Contact.Seconds() })
+	gauge("leader_contact_seconds", "How long ago all that was committed was surely applied here.", func() float64 { return s.log.Status().Contact.Seconds() })
 }
