Show that a returning quorum of the old group never leads

Cause: that old voters hear of the recovered group before their first candidacy was argued only. The leader's heartbeats tell members, whose names the recovery keeps; only others are told beside them. Conclusion: as far as messages pass, the old group gets no leader. The line about a rival group names its address, since a heartbeat carries no name.

--- a/process/replica/conclude.go
+++ b/process/replica/conclude.go
@@ -39,7 +39,7 @@
 	case Replaced:
 		r.fatal = replacedError(r.options.Folder.Path(), r.core.group, a.By)
 	case RivalHeard:
-		r.logger.Error("another group was recovered from the same one; changes are refused until one of the two is stopped and its data folders are moved away", "group", a.Group, "process", a.Name)
+		r.logger.Error("another group was recovered from the same one; changes are refused until one of the two is stopped and its data folders are moved away", "group", a.Group, "address", a.Address)
 	case Broken:
 		r.metrics.broken.WithLabelValues(a.Invariant).Inc()
 		r.logger.Error("invariant broken; the step was refused", "invariant", a.Invariant, "detail", a.Detail)
--- a/process/replica/event.go
+++ b/process/replica/event.go
@@ -160,7 +160,7 @@
 type Replaced struct{ By string }
 
 // RivalHeard tells of another group that was recovered from the same one.
-type RivalHeard struct{ Group, Name string }
+type RivalHeard struct{ Group, Address string }
 
 // Broken tells that an invariant did not hold; the step was not made.
 type Broken struct{ Invariant, Detail string }
--- a/process/replica/lineage.go
+++ b/process/replica/lineage.go
@@ -13,6 +13,10 @@
 // group counts as gone.
 const rivalElections = 4
 
+// announcements is how often a recovered group is announced in the shortest
+// wait before a candidacy.
+const announcements = 4
+
 // lineage is what a process knows of groups related to its own by a recovery
 // from a lost majority.
 type lineage struct {
@@ -25,23 +29,32 @@
 	rivalHeard time.Duration
 }
 
-// announce tells all processes of the settings which groups are replaced.
+// announce tells the processes of the settings which groups are replaced, but
+// for those that the leader's heartbeats tell.
 //
 // It guards against voters taken for lost that come back with their old disks,
 // find a quorum of the old group among themselves, and accept changes and claims
 // beside the recovered group. It holds, as far as messages pass, because they
-// come twice in the shortest wait before a first candidacy, and whoever
+// come four times in the shortest wait before a first candidacy, and whoever
 // belongs to a replaced group gives up for good.
 func (c *Core) announce() {
-	if len(c.lineage.former) == 0 || c.now < c.lineage.announceAt {
+	follows := c.role != Leader && c.hearsLeader()
+	if len(c.lineage.former) == 0 || follows || c.now < c.lineage.announceAt {
 		return
 	}
-	c.lineage.announceAt = c.now + c.cfg.Election/2
+	c.lineage.announceAt = c.now + c.cfg.Election/announcements
 	for _, peer := range c.cfg.Peers {
+		if c.role == Leader && c.memberAt(peer.Address) {
+			continue
+		}
 		c.askGroup(peer.Address)
 	}
 }
 
+func (c *Core) memberAt(address string) bool {
+	return slices.ContainsFunc(c.Members(), func(m *lilacv1.RaftMember) bool { return m.GetAddress() == address })
+}
+
 // otherGroup handles what a message tells of groups beside the own one; true if
 // nothing else is to be done with it.
 func (c *Core) otherGroup(m *message) bool {
@@ -83,7 +96,7 @@
 		return
 	}
 	if c.rival() != m.GetGroup() {
-		c.emit(RivalHeard{Group: m.GetGroup(), Name: m.GetMember().GetName()})
+		c.emit(RivalHeard{Group: m.GetGroup(), Address: m.GetFromAddress()})
 	}
 	c.lineage.rival, c.lineage.rivalHeard = m.GetGroup(), c.now
 }
