Let late requests ask for no slots of the pool

Locally late requests come after all that is on time; the quota now follows the same order: what waits late asks for nothing and starts in what others leave.

Ruled out: lag of digests (quotas followed within a second), lost capacity of servers (95 to 115 of 143 slots ran tier 1 throughout).

--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -80,10 +80,14 @@
 	}
 }
 
+// demand is what this instance asks slots for. What waits and is late asks for
+// none: it can't meet its target any more, and starts in what others leave. It
+// would otherwise hold slots back from requests of lower tiers, and of other
+// instances, that still can.
 func (p *pool) demand() tiers.Demand {
 	demand := p.byTier
 	for tier := range demand {
-		demand[tier] += float64(p.queue.TierLen(tier))
+		demand[tier] += float64(p.queue.OnTimeLen(tier))
 	}
 	return demand
 }
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -141,6 +141,10 @@
 // TierLen returns the number of requests of the tier that wait.
 func (q *Queue) TierLen(tier int) int { return q.tiers[tier].count }
 
+// OnTimeLen returns the number of requests of the tier that wait and can still
+// meet their target.
+func (q *Queue) OnTimeLen(tier int) int { return q.tiers[tier].count - q.tiers[tier].late }
+
 // Push adds the item.
 func (q *Queue) Push(item *Item) {
 	t := &q.tiers[item.Tier]
