--- a/connection/gossip/gossip.go
+++ b/connection/gossip/gossip.go
@@ -43,8 +43,8 @@
 	// incarnation and sequence are filled in. May be nil.
 	Own func() *lilacv1.Digest
 	// OnDigest is given each digest of another entry, or the combined one of
-	// member.Others; OnGone its end. May be nil.
-	OnDigest func(*lilacv1.Digest)
+	// member.Others, whose promises count from at; OnGone its end. May be nil.
+	OnDigest func(d *lilacv1.Digest, at time.Time)
 	OnGone   func(instance string)
 	// OnServer tells that a backend server began or ended to be leaving. May be nil.
 	OnServer func(server string, leaving bool)
@@ -88,7 +88,7 @@
 		o.Own = func() *lilacv1.Digest { return &lilacv1.Digest{} }
 	}
 	if o.OnDigest == nil {
-		o.OnDigest = func(*lilacv1.Digest) {}
+		o.OnDigest = func(*lilacv1.Digest, time.Time) {}
 	}
 	if o.OnGone == nil {
 		o.OnGone = func(string) {}
@@ -172,14 +172,14 @@
 			tick := member.Tick{}
 			if now.Sub(taken) >= ownInterval {
 				taken = now
-				tick.Own = g.own()
+				tick = g.own()
 			}
 			g.mu.Lock()
 			g.step(tick)
 			g.mu.Unlock()
 		case <-g.announce:
 			taken = time.Now()
-			tick := member.Tick{Own: g.own()}
+			tick := g.own()
 			g.mu.Lock()
 			g.step(tick)
 			g.mu.Unlock()
@@ -194,7 +194,10 @@
 	g.wg.Wait()
 }
 
-func (g *Gossip) own() *lilacv1.Digest {
+// own asks for the own digest. Its promises count from before it was asked for,
+// so that a slow answer shortens and never lengthens them.
+func (g *Gossip) own() member.Tick {
+	asked := g.options.Now()
 	d := g.options.Own()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -202,7 +205,7 @@
 	d.Instance, d.DataCenter = g.options.Self.Name, g.options.Self.DataCenter
 	d.Incarnation, d.Sequence = g.incarnation, g.sequence
 	d.Leaving = d.GetLeaving() || g.leaving
-	return d
+	return member.Tick{Own: d, Asked: asked}
 }
 
 // step runs the core and does what it says; g.mu is held.
@@ -212,7 +215,7 @@
 		case member.Exchange:
 			g.exchange(a)
 		case member.Digest:
-			g.options.OnDigest(a.Digest)
+			g.options.OnDigest(a.Digest, a.At)
 		case member.Gone:
 			g.options.Logger.Info("entry no longer heard", "entry", a.Instance)
 			g.options.OnGone(a.Instance)
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -23,8 +23,10 @@
 		Dial:         d.dialer.dial,
 		InstanceList: d.settings.InstanceList,
 		Own:          d.ownDigest,
-		OnDigest:     func(digest *lilacv1.Digest) { relay.Post(policy.PeerDigest{Digest: digest}) },
-		OnGone:       func(instance string) { relay.Post(policy.PeerGone{Instance: instance}) },
+		OnDigest: func(digest *lilacv1.Digest, at time.Time) {
+			relay.Post(policy.PeerDigest{Digest: digest, At: at})
+		},
+		OnGone: func(instance string) { relay.Post(policy.PeerGone{Instance: instance}) },
 		OnServer: func(server string, leaving bool) {
 			relay.Post(policy.ServerState{Server: server, Leaving: leaving})
 		},
@@ -38,7 +40,7 @@
 	defer cancel()
 	digest, err := d.entry.Digest(ctx)
 	if err != nil {
-		digest = &lilacv1.Digest{Leaving: d.entry.leaving.Load()}
+		digest = &lilacv1.Digest{Leaving: d.entry.leaving.Load(), Incomplete: true}
 	}
 	digest.Revision = d.watcher.Revision()
 	return digest
--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -23,7 +23,8 @@
 // admitted anywhere, never an average: one instance that still admits a lower
 // tier forbids all others to shed a higher one. Spends are added up, the
 // largest are kept. Loads are left out: they are for instances that exchange
-// digests directly.
+// digests directly. The sum binds as long as all parts do, and is incomplete if
+// one is.
 func Combine(instance, dataCenter string, all ...*lilacv1.Digest) *lilacv1.Digest {
 	out := &lilacv1.Digest{Instance: instance, DataCenter: dataCenter}
 	cutoffs := make(map[string]*lilacv1.PoolCutoff)
@@ -37,6 +38,8 @@
 		if out.Revision == 0 || d.GetRevision() != 0 && d.GetRevision() < out.Revision {
 			out.Revision = d.GetRevision()
 		}
+		out.BindsMs = leastBinding(out.GetBindsMs(), d.GetBindsMs())
+		out.Incomplete = out.GetIncomplete() || d.GetIncomplete()
 		for _, cutoff := range d.GetCutoffs() {
 			cutoffs[cutoff.GetPool()] = combineCutoffs(cutoffs[cutoff.GetPool()], cutoff)
 		}
@@ -71,6 +74,7 @@
 	}
 }
 
+// mostUrgent and leastBinding take the smaller one, where 0 means none.
 func mostUrgent(a, b uint32) uint32 {
 	if a == 0 || b == 0 {
 		return max(a, b)
@@ -78,6 +82,8 @@
 	return min(a, b)
 }
 
+func leastBinding(a, b uint32) uint32 { return mostUrgent(a, b) }
+
 func combineSuspects(a, b *lilacv1.Suspect) *lilacv1.Suspect {
 	if a == nil {
 		return b
--- a/process/member/core.go
+++ b/process/member/core.go
@@ -52,80 +52,13 @@
 	Leaving bool
 }
 
-// Event is something that happened; see the types below.
-type Event interface{ event() }
-
-// Platform brings a fresh copy of the platform's list.
-type Platform struct {
-	Entries []Peer
-	// Leaving names entries that the platform is about to take away.
-	Leaving []string
-	Servers []Listed
-}
-
-// Received is a digest that the peer From sent; the shell answers with Reply.
-type Received struct {
-	From   string
-	Digest *lilacv1.Digest
-}
-
-// Answered is the answer to an Exchange.
-type Answered struct {
-	Peer   string
-	Digest *lilacv1.Digest
-}
-
-// Failed tells that an Exchange had no answer.
-type Failed struct{ Peer string }
-
-// Tick lets time pass; the shell sends one each TickInterval. Own is the own
-// digest where it is newer than the last one given, else nil.
-type Tick struct{ Own *lilacv1.Digest }
-
-// TickInterval is how often the shell sends a Tick.
-const TickInterval = 100 * time.Millisecond
-
-func (Platform) event() {}
-func (Received) event() {}
-func (Answered) event() {}
-func (Failed) event()   {}
-func (Tick) event()     {}
-
-// Action is something the shell must do; see the types below.
-type Action interface{ action() }
-
-// Exchange tells the shell to send the digest to the peer.
-type Exchange struct {
-	Peer   Peer
-	Digest *lilacv1.Digest
-}
-
-// Digest is to be given to the policy: a peer's, or a combined one of Others.
-type Digest struct{ Digest *lilacv1.Digest }
-
-// Gone tells that a peer whose digest was given is no longer heard.
-type Gone struct{ Instance string }
-
-// Server tells that a backend server began or ended to be leaving, by the list
-// or by a peer's word.
-type Server struct {
-	Name    string
-	Leaving bool
-}
-
-// Live names the entries of all data centres to be taken for alive.
-type Live struct{ Peers []Peer }
-
-func (Exchange) action() {}
-func (Digest) action()   {}
-func (Gone) action()     {}
-func (Server) action()   {}
-func (Live) action()     {}
-
 // heard is the last digest of a peer.
 type heard struct {
 	digest *lilacv1.Digest
 	at     time.Time
+	// since is a time, by the own clock, after which it was composed; zero
+	// means that none is known.
+	since time.Time
 }
 
 // Core is the membership of one entry. Calls must not overlap.
@@ -140,6 +73,7 @@
 	avoided   map[string]time.Time
 	told      map[string]bool
 	own       *lilacv1.Digest
+	ownAt     time.Time
 	down      heard
 	live      []Peer
 	toldLeave map[string]bool
@@ -157,6 +91,8 @@
 	heardNews, peersChanged bool
 	// postponed is true while news waits for urgentPause.
 	postponed bool
+	promises
+	pushes
 }
 
 // NewCore returns the core of the entry self; seeds are the entries of its settings.
@@ -172,6 +108,8 @@
 		told:      make(map[string]bool),
 		toldLeave: make(map[string]bool),
 		own:       &lilacv1.Digest{Instance: self.Name, DataCenter: self.DataCenter},
+		promises:  promises{stamps: make(map[string]uint64), missing: make(map[string]absence)},
+		pushes:    pushes{said: make(map[string]*lilacv1.Digest), pushedTo: make(map[string]time.Time)},
 	}
 	for _, peer := range seeds {
 		if peer.Name != self.Name {
@@ -207,6 +145,9 @@
 
 // Step takes one event and returns what to do, in order.
 func (c *Core) Step(now time.Time, event Event) []Action {
+	if c.born.IsZero() {
+		c.born = now
+	}
 	switch e := event.(type) {
 	case Platform:
 		c.platform(now, e)
@@ -261,11 +202,13 @@
 
 // take tells what comes down from the parent in a tree from the digests of others.
 func (c *Core) take(now time.Time, from string, d *lilacv1.Digest) []Action {
+	c.noteStamp(from, d)
 	if c.Tree() && d.GetInstance() == Others {
 		if from != c.parent() {
 			return nil
 		}
-		c.down = heard{d, now}
+		c.noteTighter(c.down.digest, d)
+		c.down = heard{d, now, c.composedAfter(now, d)}
 		c.heardNews = true
 		return c.servers(now)
 	}
@@ -283,7 +226,9 @@
 		// An older digest that was overtaken on the way.
 		return nil
 	}
-	c.heard[name] = heard{d, now}
+	c.noteTighter(old.digest, d)
+	c.heard[name] = heard{d, now, c.composedAfter(now, d)}
+	delete(c.missing, name)
 	if _, avoided := c.avoided[name]; avoided || old.digest.GetLeaving() != d.GetLeaving() {
 		c.peersChanged = true
 	}
@@ -292,44 +237,75 @@
 	var actions []Action
 	if !c.Tree() {
 		c.told[name] = true
-		actions = append(actions, Digest{d})
+		actions = append(actions, Digest{c.given(now, d, c.heard[name]), now})
 	}
 	return slices.Concat(actions, c.servers(now), c.alive())
 }
 
 func (c *Core) tick(now time.Time, e Tick) []Action {
 	if e.Own != nil {
-		c.own = e.Own
+		c.noteTighter(c.own, e.Own)
+		c.own, c.ownAt = e.Own, e.Asked
+		if e.Asked.IsZero() {
+			c.ownAt = now
+		}
 		c.heardNews = true
 	}
-	actions := c.forget(now)
-	actions = append(actions, c.exchanges(now)...)
-	if c.Tree() && now.Sub(c.summed) >= c.interval() {
-		c.summed = now
-		actions = append(actions, Digest{c.others(now, "")})
-	}
-	actions = slices.Concat(actions, c.servers(now), c.alive())
+	actions := slices.Concat(c.forget(now), c.regroup(), c.exchanges(now), c.summary(now), c.servers(now), c.alive())
 	c.heardNews = c.postponed
+	c.tightened = c.held
 	return actions
 }
 
-// exchanges returns those that are due, and all at once when there is news.
+// regroup ends what the policy was told while the entries exchanged otherwise.
+func (c *Core) regroup() []Action {
+	var actions []Action
+	for _, name := range slices.Sorted(maps.Keys(c.told)) {
+		if c.Tree() != (name == Others) {
+			delete(c.told, name)
+			actions = append(actions, Gone{name})
+		}
+	}
+	return actions
+}
+
+// summary gives the policy the digest of all others in a tree, each interval
+// and as soon as it forbids more.
+func (c *Core) summary(now time.Time) []Action {
+	due := now.Sub(c.summed) >= c.interval()
+	if !c.Tree() || !due && !c.tightened {
+		return nil
+	}
+	sum := c.others(now, "")
+	if !due && !tighter(c.said[Others], sum) {
+		return nil
+	}
+	c.summed, c.said[Others] = now, sum
+	c.told[Others] = true
+	return []Action{Digest{c.given(now, sum, heard{}), now}}
+}
+
+// exchanges returns those that are due, all at once when there is news, and
+// those with whom a cutoff is news to.
 func (c *Core) exchanges(now time.Time) []Action {
 	urgent := c.heardNews && c.urgent(now)
+	c.held = false
 	var actions []Action
 	for _, peer := range c.partners(now) {
 		last, asked := c.asked[peer.Name]
-		if asked && !urgent && now.Sub(last) < c.interval() {
+		if asked && !urgent && now.Sub(last) < c.interval() && !c.pushDue(now, peer.Name) {
 			continue
 		}
 		c.asked[peer.Name] = now
-		actions = append(actions, Exchange{Peer: peer, Digest: c.outgoing(now)})
+		actions = append(actions, Exchange{Peer: peer, Digest: c.Reply(now, peer.Name)})
 	}
-	if !urgent {
+	if !urgent && !c.tightened {
 		return actions
 	}
 	for _, peer := range c.listeners(now) {
-		actions = append(actions, Exchange{Peer: peer, Digest: c.Reply(now, peer.Name)})
+		if urgent || c.pushDue(now, peer.Name) {
+			actions = append(actions, Exchange{Peer: peer, Digest: c.Reply(now, peer.Name)})
+		}
 	}
 	return actions
 }
@@ -341,7 +317,9 @@
 		if c.fresh(now, name) {
 			continue
 		}
+		c.miss(now, name)
 		delete(c.heard, name)
+		delete(c.said, name)
 		c.heardNews = true
 		if c.told[name] {
 			delete(c.told, name)
@@ -357,8 +335,8 @@
 	if c.down.digest != nil && now.Sub(c.down.at) > c.lifetime() {
 		c.down = heard{}
 		c.heardNews = true
-		actions = append(actions, Gone{Others})
 	}
+	c.giveUp(now)
 	return actions
 }
 
--- a/process/member/partners.go
+++ b/process/member/partners.go
@@ -85,39 +85,56 @@
 	return list
 }
 
-// outgoing is what this entry says unasked: its own digest in a mesh, that of
-// all below it in a tree.
-func (c *Core) outgoing(now time.Time) *lilacv1.Digest {
-	if !c.Tree() {
-		return c.ownDigest()
-	}
-	return c.combined(append(c.below(now, ""), c.ownDigest()))
+// outgoing is what this entry tells its parent and other data centres: the
+// digest of all below it and its own.
+//
+// It guards against a sum that lacks most of its data centre: one who is no
+// relay may be asked as if it were, by those who gave the relay up.
+func (c *Core) outgoing(now time.Time, foreign bool) *lilacv1.Digest {
+	sum := c.combined(append(c.below(now, ""), c.ownDigest(now)))
+	sum.Incomplete = sum.GetIncomplete() || c.lacks(now, c.self.DataCenter) || foreign && c.parent() != ""
+	return sum
+}
+
+// Reply is the digest for the peer, asked or unasked.
+func (c *Core) Reply(now time.Time, peer string) *lilacv1.Digest {
+	d := c.word(now, peer)
+	c.said[peer] = d
+	d.Stamp, d.Echo = c.stamp(now), c.stamps[peer]
+	return d
 }
 
-// Reply answers a digest that came from the peer: the own one in a mesh, that of
-// all others but the peer's part in a tree.
+// word is what the peer is to know: the own digest in a mesh; in a tree that of
+// all below to the parent, and of all others but the peer's part to a child.
 //
 // It guards against an echo: if a node's own cutoffs came back to it as those of
 // others, a tier once held back would be held back for ever. It holds because
 // what came from a child is left out of its answer, a child has a worse rank
 // than its parent, and sums of other data centres are never passed on to a third.
-func (c *Core) Reply(now time.Time, peer string) *lilacv1.Digest {
+func (c *Core) word(now time.Time, peer string) *lilacv1.Digest {
 	if !c.Tree() {
-		return c.ownDigest()
+		return c.ownDigest(now)
 	}
-	if c.peers[peer].DataCenter != c.self.DataCenter {
-		return c.outgoing(now)
+	foreign := c.peers[peer].DataCenter != c.self.DataCenter
+	if foreign || peer == c.parent() {
+		return c.outgoing(now, foreign)
 	}
-	return c.others(now, peer, c.ownDigest())
+	return c.others(now, peer, c.ownDigest(now))
 }
 
 // others combines what is known of all others, without the part of one peer.
 func (c *Core) others(now time.Time, without string, more ...*lilacv1.Digest) *lilacv1.Digest {
-	parts := append(c.below(now, without), c.down.digest)
+	parts := append(c.below(now, without), more...)
+	if c.down.digest != nil {
+		parts = append(parts, c.down.aged(now))
+	}
 	for _, name := range c.foreign(now) {
-		parts = append(parts, c.heard[name].digest)
+		parts = append(parts, c.heard[name].aged(now))
 	}
-	return Combine(Others, "", append(parts, more...)...)
+	sum := Combine(Others, "", parts...)
+	deaf := c.parent() != "" && c.down.digest == nil
+	sum.Incomplete = sum.GetIncomplete() || deaf || c.lacks(now, "")
+	return sum
 }
 
 // urgent tells whether a server began to leave, or a suspect was found, that the
@@ -136,7 +153,7 @@
 			news[fmt.Sprint("suspect ", suspect.GetDigest(), len(suspect.GetServers()))] = true
 		}
 	}
-	note(c.ownDigest())
+	note(c.ownDigest(now))
 	if c.Tree() {
 		note(c.others(now, ""))
 	}
@@ -188,7 +205,7 @@
 		h := c.heard[name]
 		isBelow := h.digest.GetDataCenter() == c.self.DataCenter && CompareRank(c.self.Name, name) < 0
 		if isBelow && name != without && c.fresh(now, name) {
-			parts = append(parts, h.digest)
+			parts = append(parts, h.aged(now))
 		}
 	}
 	return parts
@@ -207,7 +224,7 @@
 // ownDigest is the own digest with the servers that the platform's list has as
 // leaving, and without those known from peers only: their word would come back
 // to them and never end.
-func (c *Core) ownDigest() *lilacv1.Digest {
+func (c *Core) ownDigest(now time.Time) *lilacv1.Digest {
 	ejected := make(map[string]bool)
 	for _, name := range c.own.GetEjected() {
 		if !c.toldLeave[name] {
@@ -218,7 +235,9 @@
 		ejected[name] = true
 	}
 	own := c.own
+	binds := remaining(own.GetPromiseMs(), now, c.ownAt)
 	return &lilacv1.Digest{
+		BindsMs: binds, Incomplete: own.GetIncomplete() || binds == 0,
 		Instance: c.self.Name, DataCenter: c.self.DataCenter, Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(),
 		Leaving: own.GetLeaving(), Revision: own.GetRevision(), Cutoffs: own.GetCutoffs(), Loads: own.GetLoads(),
 		Suspects: own.GetSuspects(), Spends: own.GetSpends(), Ejected: slices.Sorted(maps.Keys(ejected)),
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -115,8 +115,11 @@
 // Configured brings a newer revision into force.
 type Configured struct{ View *model.View }
 
-// PeerDigest is another instance's digest.
-type PeerDigest struct{ Digest *lilacv1.Digest }
+// PeerDigest is another instance's digest; its promises are counted from At.
+type PeerDigest struct {
+	Digest *lilacv1.Digest
+	At     time.Time
+}
 
 // PeerGone tells that another instance is no longer reached.
 type PeerGone struct{ Instance string }
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -103,7 +103,7 @@
 	case Configured:
 		c.configure(now, e.View)
 	case PeerDigest:
-		c.peerDigest(now, e.Digest)
+		c.peerDigest(now, e)
 	case PeerGone:
 		c.peerGone(now, e.Instance)
 	case Draining:
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -6,6 +6,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/request/limits"
+	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
 
 const (
@@ -49,6 +50,7 @@
 	}
 	for _, p := range c.poolOrder {
 		d.Cutoffs = append(d.Cutoffs, p.tiers.Tell(p.demand(), p.queue.LowestTier()))
+		d.PromiseMs = shorterPromise(d.PromiseMs, p.tiers.Promise())
 	}
 	for _, s := range c.ordered {
 		if len(s.own) > 0 {
@@ -77,7 +79,16 @@
 	return limits.Limit{Rate: float64(team.GetTokensPerSecond()), Burst: float64(team.GetBurstTokens())}
 }
 
-func (c *core) peerDigest(now time.Time, d *lilacv1.Digest) {
+// shorterPromise is the promise of all pools together: the shortest.
+func shorterPromise(ms uint32, promise time.Duration) uint32 {
+	if ms == 0 {
+		return uint32(promise.Milliseconds())
+	}
+	return min(ms, uint32(promise.Milliseconds()))
+}
+
+func (c *core) peerDigest(now time.Time, e PeerDigest) {
+	d := e.Digest
 	name := d.GetInstance()
 	if name == c.options.Instance {
 		return
@@ -109,16 +120,31 @@
 			s.leavingUntil = now.Add(peerLeaving)
 		}
 	}
-	c.takeCutoffs(now, name, d.GetCutoffs())
+	c.takeCutoffs(now, e)
 }
 
-func (c *core) takeCutoffs(now time.Time, name string, cutoffs []*lilacv1.PoolCutoff) {
-	byPool := make(map[string]*lilacv1.PoolCutoff, len(cutoffs))
-	for _, cutoff := range cutoffs {
+// bindsUntil is when the digest's cutoffs bind no longer; zero if they never did.
+func (e PeerDigest) bindsUntil(now time.Time) time.Time {
+	switch d := e.Digest; {
+	case d.GetIncomplete():
+		return time.Time{}
+	case d.GetBindsMs() == 0:
+		return now.Add(tiers.Fresh)
+	default:
+		return e.At.Add(time.Duration(d.GetBindsMs()) * time.Millisecond)
+	}
+}
+
+func (c *core) takeCutoffs(now time.Time, e PeerDigest) {
+	byPool := make(map[string]*lilacv1.PoolCutoff, len(e.Digest.GetCutoffs()))
+	for _, cutoff := range e.Digest.GetCutoffs() {
 		byPool[cutoff.GetPool()] = cutoff
 	}
 	for _, p := range c.poolOrder {
-		p.tiers.Observe(name, byPool[p.name], now)
+		p.tiers.ObserveUntil(e.Digest.GetInstance(), byPool[p.name], e.bindsUntil(now))
+		if ms := e.Digest.GetPromiseMs(); ms > 0 {
+			p.tiers.SetPromise(time.Duration(ms) * time.Millisecond)
+		}
 		p.quota = p.tiers.Quota(p.capacity, p.demand())
 		c.cutoff(now, p)
 		c.dispatch(now, p)
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -6,12 +6,15 @@
 // digests, and says what it still admits. Tier t is shed only while every
 // reachable instance says that it admits nothing less urgent than t.
 //
-// While an instance's digests are lost, its last word is not counted for
-// longer than Fresh: nothing but the least urgent tier is shed until it is
-// heard again or is given up as unreachable. A cut-off tier is admitted again
-// only LiftDelay after the others were told, so that nobody sheds on a word
-// that holds no longer; that holds for digests that travel less than
-// LiftDelay - Fresh.
+// What an instance says it admits is a promise for a stated time, and a cut-off
+// tier is admitted again only when all promises that forbid it have ended. So
+// nobody sheds on a word that holds no longer, whatever time the word took:
+// the membership takes its age off, and a late or lost one only makes sheds wait.
+// When no word of an instance binds any more, nothing but the least urgent tier
+// is shed until it is heard again or is given up as unreachable.
+//
+// A digest that comes without a stated time (none passed through a membership)
+// counts for Fresh; that holds if it travels less than LiftDelay - Fresh.
 package tiers
 
 import (
@@ -22,9 +25,9 @@
 )
 
 const (
-	// Fresh is how old a peer's word may be to shed on it.
+	// Fresh is how long a peer's word without a stated time counts after it was heard.
 	Fresh = 1200 * time.Millisecond
-	// LiftDelay is the time from saying that a tier is admitted again to admitting it.
+	// LiftDelay is how long an own word binds until SetPromise says otherwise.
 	LiftDelay = 2 * time.Second
 	// settle is how long a new instance sheds nothing but the least urgent tier:
 	// it has not heard all others yet.
@@ -41,7 +44,8 @@
 type Demand [model.Tiers]float64
 
 type peer struct {
-	at       time.Time
+	// until is when the peer's word binds no longer.
+	until    time.Time
 	admitted int
 	heldBack int
 	demand   Demand
@@ -55,6 +59,7 @@
 	// admitted is what it does admit.
 	said, admitted int
 	saidAt         time.Time
+	promise        time.Duration
 	need           int
 	needAt         time.Time
 	born           time.Time
@@ -62,17 +67,34 @@
 
 // NewTable returns a table that admits all tiers.
 func NewTable(pool string, now time.Time) *Table {
-	return &Table{pool: pool, born: now, peers: make(map[string]*peer), said: lowest, admitted: lowest, need: none}
+	return &Table{pool: pool, born: now, peers: make(map[string]*peer), said: lowest, admitted: lowest, promise: LiftDelay, need: none}
+}
+
+// SetPromise sets how long own words are to bind. A shorter time counts when no
+// word of a longer one binds any more.
+func (t *Table) SetPromise(promise time.Duration) {
+	if promise > t.promise || t.said == lowest && t.admitted == lowest {
+		t.promise = promise
+	}
 }
 
-// Observe takes in what a peer said of the pool; nil means it said nothing.
+// Promise returns how long own words bind from when they are told.
+func (t *Table) Promise() time.Duration { return t.promise }
+
+// Observe takes in what a peer said of the pool without a stated time; nil
+// means it said nothing.
 func (t *Table) Observe(name string, cutoff *lilacv1.PoolCutoff, now time.Time) {
+	t.ObserveUntil(name, cutoff, now.Add(Fresh))
+}
+
+// ObserveUntil takes in what a peer said of the pool, which binds until then.
+func (t *Table) ObserveUntil(name string, cutoff *lilacv1.PoolCutoff, until time.Time) {
 	p := t.peers[name]
 	if p == nil {
 		p = &peer{}
 		t.peers[name] = p
 	}
-	*p = peer{at: now, admitted: lowest, heldBack: none}
+	*p = peer{until: until, admitted: lowest, heldBack: none}
 	if cutoff == nil {
 		return
 	}
@@ -96,7 +118,8 @@
 	t.needAt = now
 }
 
-// Update moves the own cutoff by at most one tier down, or up after LiftDelay.
+// Update moves the own cutoff by at most one tier down, or up when no promise
+// that was told forbids it any more.
 // It returns true where the others must hear of it at once.
 func (t *Table) Update(now time.Time) bool {
 	if t.need != none && now.Sub(t.needAt) > holdFor {
@@ -121,14 +144,14 @@
 		t.said = want
 		t.saidAt = now
 		return true
-	case t.admitted < t.said && now.Sub(t.saidAt) >= LiftDelay:
+	case t.admitted < t.said && now.Sub(t.saidAt) >= t.promise:
 		t.admitted = t.said
 	}
 	return false
 }
 
 // cutElsewhere tells whether every reachable peer has cut off all tiers less
-// urgent than tier, by a word that is fresh.
+// urgent than tier, by a word that still binds.
 func (t *Table) cutElsewhere(tier int, now time.Time) bool {
 	if tier >= lowest {
 		return true
@@ -137,7 +160,7 @@
 		return false
 	}
 	for _, p := range t.peers {
-		if p.admitted > tier || now.Sub(p.at) > Fresh {
+		if p.admitted > tier || now.After(p.until) {
 			return false
 		}
 	}
