Hold polls to a budget of bytes, half for loads and half for cache events

Cause: polls were bounded by number only. At full size an instance asks each of its 100 engines for cache events about once a minute; an engine that stores blocks for seven requests a second then has some 19 KB to tell (reckoned from 75 bytes an event), which makes 40 KB a second of a cap of 13. And a relay entry's digests and polls together came to 14.8 KB/s with packet headers. Ruled out: fewer calls (an engine asked half as often tells twice as much); one budget for both kinds (one large answer keeps loads from being read for 10 s). Change: what an answer cost is taken off its half of 4 KB/s up to ten entries, of 2 KB/s above; a large answer is paid for by a longer wait.

--- a/connection/engine/bench_test.go
+++ b/connection/engine/bench_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
@@ -57,8 +58,11 @@
 		})
 	}
 	poller.Watch(watched)
+	now := time.Unix(1, 0)
 	for b.Loop() {
-		if poll, ok := poller.next(); ok {
+		// A time that leaves room for each call; what they cost is measured.
+		now = now.Add(time.Minute)
+		if poll, ok := poller.next(now); ok {
 			poller.read(b.Context(), poll)
 			poller.done(poll)
 		}
--- a/connection/engine/engine_test.go
+++ b/connection/engine/engine_test.go
@@ -131,13 +131,13 @@
 			_, _ = io.WriteString(w, "no JSON")
 		}
 	})
-	load, err := client.Load(t.Context(), address)
+	load, _, err := client.Load(t.Context(), address)
 	is.NoErr(err)
 	is.Equal(*load, Load{Running: 3, Waiting: 1, Slots: 8, KVUsed: 0.5, MeasuredUnixMs: 1700})
-	events, err := client.CacheEvents(t.Context(), address, 7)
+	events, _, err := client.CacheEvents(t.Context(), address, 7)
 	is.NoErr(err)
 	is.Equal(Blocks(events[0].Stored), []uint64{255, 16})
 	is.True(events[0].Cleared)
-	_, err = client.CacheEvents(t.Context(), address, 8)
+	_, _, err = client.CacheEvents(t.Context(), address, 8)
 	is.True(err != nil)
 }
--- a/connection/engine/poller.go
+++ b/connection/engine/poller.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// callsPerSecond is the budget of an instance for all its polls, whatever the
-	// number of servers: 1,100 instances before 5,900 replicas must stay within
-	// their bytes and processor time for control. Own measurements come first;
-	// a report that is old counts little.
+	// callsPerSecond bounds the calls of an instance, and so their processor time,
+	// whatever the number of servers; budget bounds their bytes: 1,100 instances
+	// before 5,900 replicas must stay within what they may spend on control. Own
+	// measurements come first; a report that is old counts little.
 	callsPerSecond = 8
 	// cacheEvery is which call of so many reads cache events instead of a load.
 	cacheEvery  = 4
@@ -40,6 +40,9 @@
 	// turn and engineTurn are the places of the last ones asked.
 	turn, engineTurn int
 	calls            uint64
+	// loads and caches have half of the budget each, so that engines with much to
+	// tell of their caches keep no load from being read.
+	loads, caches budget
 	// asked are the servers that have not answered their last poll.
 	asked map[string]bool
 	// after is the newest cache event read of each server.
@@ -48,7 +51,17 @@
 
 // NewPoller returns a Poller that tells reports.
 func NewPoller(client *Client, reports Reports) *Poller {
-	return &Poller{client: client, reports: reports, after: make(map[string]uint64), asked: make(map[string]bool)}
+	p := &Poller{client: client, reports: reports, after: make(map[string]uint64), asked: make(map[string]bool)}
+	p.SetBudget(SmallFleetBytes)
+	return p
+}
+
+// SetBudget bounds what all polls may cost, in bytes a second.
+func (p *Poller) SetBudget(bytesPerSecond int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads.perSecond = float64(bytesPerSecond) / 2
+	p.caches.perSecond = float64(bytesPerSecond) / 2
 }
 
 // Watch replaces the set of servers.
@@ -76,13 +89,14 @@
 	workers := make(chan struct{}, pollWorkers)
 	var running sync.WaitGroup
 	defer running.Wait()
+	var now time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now = <-ticker.C:
 		}
-		poll, ok := p.next()
+		poll, ok := p.next(now)
 		if !ok {
 			continue
 		}
@@ -107,17 +121,17 @@
 }
 
 // next returns the poll whose turn it is and marks its server as asked. It
-// tells false where there is none, or its server has not answered the last one:
-// two readers of the same events would look like a gap.
-func (p *Poller) next() (poll, bool) {
+// tells false where there is none, its budget is spent, or its server has not
+// answered the last one: two readers of the same events would look like a gap.
+func (p *Poller) next(now time.Time) (poll, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
 	list, turn, cache := p.servers, &p.turn, false
-	if p.calls%cacheEvery == 0 && len(p.engines) > 0 {
+	if p.calls%cacheEvery == 0 && len(p.engines) > 0 && p.caches.allows(now) {
 		list, turn, cache = p.engines, &p.engineTurn, true
 	}
-	if len(list) == 0 {
+	if len(list) == 0 || !cache && !p.loads.allows(now) {
 		return poll{}, false
 	}
 	*turn = (*turn + 1) % len(list)
@@ -146,13 +160,16 @@
 }
 
 func (p *Poller) readLoad(ctx context.Context, server *lilacv1.Server) {
-	if load, err := p.client.Load(ctx, server.GetAddress()); err == nil {
+	load, bytes, err := p.client.Load(ctx, server.GetAddress())
+	p.spend(&p.loads, bytes)
+	if err == nil {
 		p.reports.OnLoad(server.GetName(), load)
 	}
 }
 
 func (p *Poller) readCache(ctx context.Context, server *lilacv1.Server) {
-	events, err := p.client.CacheEvents(ctx, server.GetAddress(), p.newest(server.GetName()))
+	events, bytes, err := p.client.CacheEvents(ctx, server.GetAddress(), p.newest(server.GetName()))
+	p.spend(&p.caches, bytes)
 	if err != nil || len(events) == 0 {
 		return
 	}
@@ -160,6 +177,12 @@
 	p.reports.OnCacheEvents(server.GetName(), events)
 }
 
+func (p *Poller) spend(b *budget, body int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.spend(headerBytes + body)
+}
+
 func (p *Poller) newest(server string) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/connection/engine/report.go
+++ b/connection/engine/report.go
@@ -27,30 +27,32 @@
 	Cleared  bool     `json:"cleared"`
 }
 
-// Load asks an engine or service for its load.
-func (c *Client) Load(ctx context.Context, address string) (*Load, error) {
-	load := &Load{}
-	return load, c.get(ctx, address, "/load", load)
+// Load asks an engine or service for its load. Besides the answer it returns how
+// many bytes the body had, also where that does not decode.
+func (c *Client) Load(ctx context.Context, address string) (load *Load, bytes int, err error) {
+	load = &Load{}
+	bytes, err = c.get(ctx, address, "/load", load)
+	return load, bytes, err
 }
 
-// CacheEvents asks for the events after the sequence number.
-func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+// CacheEvents asks for the events after the sequence number; bytes is as in Load.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) (events []CacheEvent, bytes int, err error) {
 	var reply struct {
 		Events []CacheEvent `json:"events"`
 	}
-	err := c.get(ctx, address, "/cache/events?after="+strconv.FormatUint(after, 10), &reply)
-	return reply.Events, err
+	bytes, err = c.get(ctx, address, "/cache/events?after="+strconv.FormatUint(after, 10), &reply)
+	return reply.Events, bytes, err
 }
 
-func (c *Client) get(ctx context.Context, address, path string, into any) error {
+func (c *Client) get(ctx context.Context, address, path string, into any) (bytes int, err error) {
 	data, err := c.control(ctx, http.MethodGet, address, path, nil)
 	if err != nil {
-		return err
+		return len(data), err
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("report of %s%s does not decode: %w", address, path, err)
+		return len(data), fmt.Errorf("report of %s%s does not decode: %w", address, path, err)
 	}
-	return nil
+	return len(data), nil
 }
 
 // Blocks decodes hexadecimal block hashes; it skips those that are none.
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/engine"
 	"github.com/lilacbridge/lilacbridge/connection/gossip"
 	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -52,6 +53,15 @@
 	d.mu.Unlock()
 	d.watcher.SetEntries(peers)
 	d.orders.SetPosition(d.position(peers))
+	d.entry.poller.SetBudget(pollBudget(len(peers) + 1))
+}
+
+// pollBudget returns what polls may cost among so many entries, in bytes a second.
+func pollBudget(entries int) int {
+	if entries > member.MeshLimit {
+		return engine.LargeFleetBytes
+	}
+	return engine.SmallFleetBytes
 }
 
 // position counts the entries of the own data centre that rank above this one.
