Count what an instance spends on control, and run real fleets in trees

Cause: an entry showed neither its revision nor its membership at /metrics, and no run of real processes had more than seven entries, so that trees (above ten) and the caps for control were known from cores in one process only. Ruled out: reading bytes from the kernel's counters (they mix callers' traffic in). Change: links count their bytes in both daemons; entries show live entries, revision, how far behind and how sure, exchanges of digests. make wide starts as many entries as asked for, lets them settle, measures, changes a class, kills the busiest relay and changes it again.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,12 @@
 soak: build
 	FLEET=$(FLEET) MINUTES=$(MINUTES) bash scripts/soak.sh
 
+# Many real entries in trees: make wide ENTRIES_WANTED=45.
+ENTRIES_WANTED ?= 45
+.PHONY: wide
+wide: build
+	ENTRIES_WANTED=$(ENTRIES_WANTED) bash scripts/wide.sh
+
 # Lines of code by kind.
 .PHONY: lines
 lines:
--- a/connection/engine/budget.go
+++ b/connection/engine/budget.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// SmallFleetBytes and LargeFleetBytes are what polls may cost an instance, in
-	// bytes a second of both directions. Up to member.MeshLimit instances digests
-	// leave more room under the cap for control than they do in a tree.
+	// SmallFleetBytes is what polls may cost an instance among member.MeshLimit
+	// instances at most, in bytes a second of both directions.
 	SmallFleetBytes = 4000
+	// LargeFleetBytes is the same among more of them, where digests leave less room
+	// under the cap for control.
 	LargeFleetBytes = 2000
 	// headerBytes is what a poll costs besides the body of its answer.
 	headerBytes = 300
--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -127,6 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = c.id.Traffic.counted(conn)
 	// Close ends a handshake that is under way.
 	stop := context.AfterFunc(c.life, func() { conn.Close() })
 	defer stop()
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -31,6 +31,8 @@
 	Peer Peer
 	// Keys returns the keys in force; it is asked at each handshake.
 	Keys func() secret.Keys
+	// Traffic counts the bytes of all links of the process; may be nil.
+	Traffic *Traffic
 }
 
 // proving returns the key of which the proof of peer is made, and nil if there is none.
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -44,6 +44,7 @@
 		if err != nil {
 			return err
 		}
+		conn = s.id.Traffic.counted(conn)
 		if !s.track(conn) {
 			conn.Close()
 			return nil
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -43,6 +43,7 @@
 	operators *secret.Reloadable[*secret.Operators]
 	callerKey *secret.Reloadable[[]byte]
 	linkKeys  *secret.Reloadable[secret.Keys]
+	traffic   *link.Traffic
 	listeners listeners
 	started   time.Time
 
@@ -67,10 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
-	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Keys: linkKeys.Get}
+	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Keys: linkKeys.Get, Traffic: &link.Traffic{}}
 	d := &Daemon{
 		settings: s, logger: logger, dialer: newDialer(id), live: s.Entries, started: time.Now(),
-		operators: operators, callerKey: callerKey, linkKeys: linkKeys,
+		operators: operators, callerKey: callerKey, linkKeys: linkKeys, traffic: id.Traffic,
 	}
 	d.state = stateclient.New(stateclient.Options{Instance: s.Name, DataCenter: s.DataCenter, Peers: s.State, Dial: d.dialer.dial, Recoveries: d.recoveries})
 	d.entry = New(Options{Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
@@ -89,6 +90,7 @@
 	d.orders = orders.New(orders.Options{View: d.watcher.Current, Lease: d.state.Lease, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
 	d.links = link.NewServer(id, mux)
+	d.registerMembership()
 	return d, d.listen()
 }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -80,7 +80,8 @@
 		Counter: e.counters, OnConvict: e.convict, OnAnnounce: options.OnAnnounce,
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
-	registerControlBytes(e.registry, e.clients)
+	metrics.RegisterBytes(e.registry, "lilacbridge_control_upstream_bytes_total",
+		"Bytes of control calls to backend servers, without packet headers.", e.clients.ControlBytes)
 	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
 	e.poller = engine.NewPoller(engines, reports{e.relay})
 	return e
--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -6,7 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/lilacbridge/lilacbridge/connection/upstream"
+	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 	"github.com/lilacbridge/lilacbridge/request/relay"
 )
@@ -45,7 +45,7 @@
 }
 
 // Collect asks the core; a core that does not answer in time shows nothing.
-func (c *coreStats) Collect(metrics chan<- prometheus.Metric) {
+func (c *coreStats) Collect(out chan<- prometheus.Metric) {
 	ctx, cancel := context.WithTimeout(context.Background(), statsTimeout)
 	defer cancel()
 	stats, err := c.relay.Stats(ctx)
@@ -53,7 +53,7 @@
 		return
 	}
 	counter := func(desc *prometheus.Desc, value uint64, labels ...string) {
-		metrics <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), labels...)
+		out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), labels...)
 	}
 	for decision, value := range decisions(&stats) {
 		counter(c.events, value, decision)
@@ -65,8 +65,8 @@
 	counter(c.spared, stats.Spared.Canceled, "canceled")
 	counter(c.spared, stats.Spared.Expired, "expired")
 	counter(c.spared, stats.Spared.Moved, "moved")
-	metrics <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Waiting), "waiting")
-	metrics <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Running), "running")
+	out <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Waiting), "waiting")
+	out <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Running), "running")
 }
 
 func decisions(s *policy.Stats) map[string]uint64 {
@@ -77,21 +77,28 @@
 	}
 }
 
-// registerControlBytes counts the bytes of polls and cancels by direction.
-func registerControlBytes(registry prometheus.Registerer, clients *upstream.Client) {
-	add := func(direction string, bytes func() float64) {
-		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name:        "lilacbridge_control_upstream_bytes_total",
-			Help:        "Bytes of control calls to backend servers, without packet headers.",
-			ConstLabels: prometheus.Labels{"direction": direction},
-		}, bytes))
+// registerMembership adds what this entry knows of the others and of the
+// configuration, and what that costs.
+func (d *Daemon) registerMembership() {
+	registry := d.entry.registry
+	metrics.RegisterBytes(registry, metrics.LinkBytes, metrics.LinkBytesHelp, d.traffic.Bytes)
+	gauge := func(name, help string, value func() float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
-	add("sent", func() float64 {
-		sent, _ := clients.ControlBytes()
-		return float64(sent)
+	counter := func(name, help string, value func() float64) {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+	}
+	gauge("lilacbridge_entries_live", "Other entries that are taken for alive.", func() float64 { return float64(len(d.liveEntries())) })
+	gauge("lilacbridge_revision", "Newest revision in force here.", func() float64 { return float64(d.watcher.Revision()) })
+	gauge("lilacbridge_revisions_behind", "Revisions known to exist and not in force here.", func() float64 {
+		newest, _ := d.watcher.Known()
+		return float64(max(newest, d.watcher.Revision()) - d.watcher.Revision())
 	})
-	add("received", func() float64 {
-		_, received := clients.ControlBytes()
-		return float64(received)
+	gauge("lilacbridge_revision_age_seconds", "How long ago the newest revision was known for sure.", func() float64 {
+		_, age := d.watcher.Known()
+		return age.Seconds()
 	})
+	counter("lilacbridge_digest_exchanges_total", "Exchanges of digests begun here.", func() float64 { return float64(d.gossip.Stats().Exchanges) })
+	counter("lilacbridge_digest_failures_total", "Exchanges of digests that failed.", func() float64 { return float64(d.gossip.Stats().Failures) })
+	counter("lilacbridge_digest_bytes_total", "Bytes of digests, both directions, without framing.", func() float64 { return float64(d.gossip.Stats().Bytes) })
 }
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	machine := NewMachine(s.AuditRetention, ledger.Limits{Retention: s.ClaimRetention.Duration})
-	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Keys: keys.Get}
+	id := link.Identity{Peer: link.Peer{Process: s.Name, DataCenter: s.DataCenter}, Keys: keys.Get, Traffic: &link.Traffic{}}
 	mux := link.NewMux()
 	registry := metrics.NewRegistry()
 	log, err := open(s, machine, mux, id, logger, registry)
@@ -68,6 +68,7 @@
 	service := NewService(machine, log)
 	service.Register(mux)
 	register(registry, service)
+	metrics.RegisterBytes(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
 	listener, err := net.Listen("tcp", s.Link.Value)
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
