--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -159,6 +159,8 @@
 	for _, seed := range []uint64{5036, 5068} {
 		is.New(t).Equal(runSeed(fleet, seed, nil).failure, "")
 	}
+	// Each new snapshot made a slow transfer begin again: a voter never caught up.
+	is.New(t).Equal(runSeed(cutoff, 360, nil).failure, "")
 }
 
 // A run that fails must fail again from its number alone, or nobody can find
--- a/process/replica/compaction.go
+++ b/process/replica/compaction.go
@@ -25,10 +25,8 @@
 // grown tells whether so much was applied since the last snapshot that the next
 // is due. It is put off while one is on its way to a member, up to a point.
 func (r *Runner) grown() bool {
-	entries, bytes := r.applied-r.taken, r.grownBytes
-	if r.core.Transferring() {
-		entries, bytes = entries/4, bytes/4
-	}
+	patience := r.core.Patience()
+	entries, bytes := (r.applied-r.taken)/uint64(patience), r.grownBytes/patience
 	return entries >= r.options.SnapshotEvery || bytes >= snapshotBytes
 }
 
--- a/process/replica/transfer.go
+++ b/process/replica/transfer.go
@@ -11,23 +11,39 @@
 	meta   *lilacv1.RaftSnapshotMeta
 	offset uint64
 	sentAt time.Duration
+	// restarts counts how often a newer snapshot made it begin again.
+	restarts int
 }
 
+const (
+	// transferPatience is how many times as long as usual the next snapshot is put
+	// off while one is on its way; each restart doubles it, up to maxRestarts times.
+	transferPatience = 4
+	maxRestarts      = 4
+)
+
 // incoming is a snapshot that arrives from the leader.
 type incoming struct {
 	meta *lilacv1.RaftSnapshotMeta
 	data []byte
 }
 
-// Transferring tells whether a snapshot is on its way to a member; a new one
-// would make it start again.
-func (c *Core) Transferring() bool {
+// Patience is how many times as long as usual the next snapshot is to be put off:
+// 1 unless a snapshot is on its way to a member that answers.
+//
+// It guards against a member that never catches up: each new snapshot makes its
+// transfer begin again, and over a slow link under load the next one always comes
+// first. It shows as a voter that stays behind after a cut, for ever. It holds
+// because the pause doubles with each restart, until a transfer fits in; the bound
+// keeps a member that is too slow from filling the others' memory with log.
+func (c *Core) Patience() int {
+	patience := 1
 	for _, p := range c.lead.progress {
 		if p.transfer != nil && c.now-p.heard <= c.cfg.Election {
-			return true
+			patience = max(patience, transferPatience<<min(p.transfer.restarts, maxRestarts))
 		}
 	}
-	return false
+	return patience
 }
 
 func (c *Core) startTransfer(p *progress) {
@@ -40,6 +56,7 @@
 	t := p.transfer
 	if t.meta.GetIndex() != c.snapshot.GetIndex() {
 		t.meta, t.offset = c.snapshot, 0
+		t.restarts++
 	}
 	t.sentAt = c.now
 	m := &message{Kind: kindSnapshot, To: p.member.GetId(), Term: c.term, Snapshot: t.meta, Offset: t.offset, Round: c.lead.round}
