--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -166,6 +166,7 @@
 // A run that fails must fail again from its number alone, or nobody can find
 // out why. The same seed twice gives the same events in the same order.
 func TestSameSeedGivesTheSameTrace(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	first, second, other := runSeed(busy, 7, nil), runSeed(busy, 7, nil), runSeed(busy, 8, nil)
 	is.Equal(first, second)
