Keep the doubt of an earlier recovery after a second one

Cause: a second recovery with a shorter margin would have taken keys that the first lost majority may have known. Ruled out: adding the margins up; the later of the two bounds is enough. Conclusion: the doubt only grows. Two comments say what they mean.

--- a/daemon/state/recover.go
+++ b/daemon/state/recover.go
@@ -69,7 +69,7 @@
 	// NewGroup and NewRevision come into force.
 	NewGroup    string
 	NewRevision uint64
-	// TimedKeysFrom is the time from which keys must carry to be taken, and
+	// TimedKeysFrom is the earliest time that a key may carry to be taken,
 	// UntimedKeysFrom when keys without a time are taken again.
 	TimedKeysFrom, UntimedKeysFrom time.Time
 	// Done is true once the folder has been changed.
--- a/process/ledger/recover.go
+++ b/process/ledger/recover.go
@@ -29,8 +29,9 @@
 		l.instances.gone(incarnation, l.endOpenClaims)
 	}
 	l.recovery = &lilacv1.LedgerRecovery{
-		AtUnixMs:           l.nowMs,
-		TimedUntilUnixMs:   l.nowMs + margin.Milliseconds(),
+		AtUnixMs: l.nowMs,
+		// A second recovery with a shorter margin must not end the doubt of the first.
+		TimedUntilUnixMs:   max(l.recovery.GetTimedUntilUnixMs(), l.nowMs+margin.Milliseconds()),
 		UntimedUntilUnixMs: l.nowMs + l.retentionMs(),
 	}
 	return l.recovery.GetTimedUntilUnixMs(), l.recovery.GetUntimedUntilUnixMs()
--- a/process/ledger/recover_test.go
+++ b/process/ledger/recover_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// A second majority is lost shortly after the first, and the operator states a
+// shorter margin. Keys that the first one may have known stay in doubt.
+func TestSecondRecoveryKeepsTheDoubtOfTheFirst(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{})
+	l.Recover(start, time.Hour)
+	l.Recover(start+hour/6, time.Minute)
+	reply, err := l.Claim(claim(timedKey(start+hour-1, 1), "a", start+hour))
+	is.NoErr(err)
+	is.True(!reply.GetGranted() && reply.GetInDoubt())
+	grant(t, l, claim(timedKey(start+hour, 2), "b", start+hour))
+}
+
 // The survivor holds a claim as open, or as given up unsent, while the lost
 // majority saw it end or granted it again. The resend must not run.
 func TestUnfinishedClaimsBecomeUnknownAtARecovery(t *testing.T) {
