--- a/internal/bench/kv.go
+++ b/internal/bench/kv.go
@@ -73,6 +73,9 @@
 	j.carried = 0
 }
 
+// listLag is how late the platform's list tells that a server leaves, at most.
+const listLag = 1500 * time.Millisecond
+
 // leave tells the instances, each by its own look at the platform's list, that
 // the engine is leaving; it vanishes after the notice, and a new one takes its
 // place later.
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -44,17 +44,16 @@
 	GoodTokens int
 	// MadeTokens were generated, WastedTokens of these reached no whole answer.
 	MadeTokens, WastedTokens int
-	// RedoneTokens are prompt tokens computed again in later attempts.
-	RedoneTokens int
-	// MovedTokens, prompts included, went to another engine by their KV cache.
-	MovedTokens int
-	Length      time.Duration
-	Restarts    int
-	RanTwice    int
-	Misled      int
-	Crashes     int
-	RemoteShare float64
-	Violations  map[string]uint64
+	// RedoneTokens are prompt tokens computed again in later attempts, MovedTokens
+	// those, answers included, whose KV cache went to another engine.
+	RedoneTokens, MovedTokens int
+	Length                    time.Duration
+	Restarts                  int
+	RanTwice                  int
+	Misled                    int
+	Crashes                   int
+	RemoteShare               float64
+	Violations                map[string]uint64
 	// Estimate sums up how far the predicted answer lengths were off.
 	Estimate estimate.Error
 }
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -11,21 +11,19 @@
 )
 
 const (
-	nearLatency  = 500 * time.Microsecond
-	farLatency   = 25 * time.Millisecond
-	reportEvery  = 200 * time.Millisecond
-	digestEvery  = 500 * time.Millisecond
-	digestLoss   = 0.02
-	peerTimeout  = 3 * time.Second
-	connectLimit = time.Second
-	silenceLimit = 3 * time.Second
-	convictTime  = 150 * time.Millisecond
-	cacheEvery   = 500 * time.Millisecond
-	cacheLoss    = 0.05
-	resendPause  = 20 * time.Millisecond
-	resends      = 16
-	// listLag is how late the platform's list tells that a server leaves, at most.
-	listLag       = 1500 * time.Millisecond
+	nearLatency   = 500 * time.Microsecond
+	farLatency    = 25 * time.Millisecond
+	reportEvery   = 200 * time.Millisecond
+	digestEvery   = 500 * time.Millisecond
+	digestLoss    = 0.02
+	peerTimeout   = 3 * time.Second
+	connectLimit  = time.Second
+	silenceLimit  = 3 * time.Second
+	convictTime   = 150 * time.Millisecond
+	cacheEvery    = 500 * time.Millisecond
+	cacheLoss     = 0.05
+	resendPause   = 20 * time.Millisecond
+	resends       = 16
 	drainLimit    = 150 * time.Second
 	crashingFirst = 1 << 40
 )
