Keep copies that nobody suspects yet to two servers

Cause: copies of a crashing request that are in flight before the first crash is known each took a server.

Now a copy joins the first at its instance (or is parked, at most 3 s, so that others of its tier go on); servers within 40 % of the least cost are taken by rendezvous hash of digest and server; all copies stop at the first crash and are blamed for a crash of their server within 0.6 s; an instance claims the trial at its crash, and of several claims the first by name stays. Told without a new field: a trial on a server that it crashed already.

Ruled out: a message for each request, digests of all that runs, a retry header or a cancelled attempt as the sign of risk.

Tests changed: TestOneCopyGoesOnAfterACrash began by asserting that three copies start on three servers, TestTheFirstInstanceKeepsItsCopy that a copy goes on; both are the faults mended here. In their place: one crash, one trial, barred until the verdict; stopping and blame; one claim by name.

--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -11,21 +11,22 @@
 )
 
 const (
-	nearLatency   = 500 * time.Microsecond
-	farLatency    = 25 * time.Millisecond
-	reportEvery   = 200 * time.Millisecond
-	digestEvery   = 500 * time.Millisecond
-	digestLoss    = 0.02
-	peerTimeout   = 3 * time.Second
-	connectLimit  = time.Second
-	silenceLimit  = 3 * time.Second
-	convictTime   = 150 * time.Millisecond
-	cacheEvery    = 500 * time.Millisecond
-	cacheLoss     = 0.05
-	resendPause   = 20 * time.Millisecond
-	resends       = 16
-	drainLimit    = 150 * time.Second
-	crashingFirst = 1 << 40
+	nearLatency    = 500 * time.Microsecond
+	farLatency     = 25 * time.Millisecond
+	reportEvery    = 200 * time.Millisecond
+	digestEvery    = 500 * time.Millisecond
+	digestLoss     = 0.02
+	peerTimeout    = 3 * time.Second
+	connectLimit   = time.Second
+	silenceLimit   = 3 * time.Second
+	convictTime    = 150 * time.Millisecond
+	cacheEvery     = 500 * time.Millisecond
+	cacheLoss      = 0.05
+	resendPause    = 20 * time.Millisecond
+	resends        = 16
+	drainLimit     = 150 * time.Second
+	crashingFirst  = 1 << 40
+	crashingDigest = "crashing"
 )
 
 // tally counts what the engines did, over the whole run.
@@ -226,7 +227,7 @@
 	}
 	k := &call{
 		id: crashingFirst + uint64(len(w.crashing)), class: &w.fleet.classes[1], at: w.clock.now, team: 2, instance: n % instanceCount,
-		prompt: 200, output: 200, digest: "crashing", idempotent: true, crashes: true,
+		prompt: 200, output: 200, digest: crashingDigest, idempotent: true, crashes: true,
 		prefix: prefixOf(77, 2, 0, 12, 200, 1),
 	}
 	w.crashing = append(w.crashing, k)
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -36,6 +36,8 @@
 	Name string
 	// Index is the caller's own.
 	Index int
+	// Rank is the rendezvous hash of the request and the server.
+	Rank uint64
 	// Remote is true for servers of another data centre.
 	Remote bool
 	// Barred servers are leaving, gone, ejected, busy or unreachable.
@@ -61,9 +63,10 @@
 	Score(r *Request, c *Candidate) float64
 }
 
-// Picker takes one of the scored candidates, by its place; -1 for none.
+// Picker takes one of the scored candidates, by its place; -1 for none. Ranks
+// are the candidates' own.
 type Picker interface {
-	Pick(scores []float64, random *rand.Rand) int
+	Pick(scores []float64, ranks []uint64, random *rand.Rand) int
 }
 
 // Chooser puts filters, scorers and a picker together.
@@ -73,11 +76,12 @@
 	Picker  Picker
 	allowed []int
 	scores  []float64
+	ranks   []uint64
 }
 
 // Choose returns the place of the chosen candidate, or -1.
 func (c *Chooser) Choose(r *Request, candidates []Candidate, random *rand.Rand) int {
-	c.allowed, c.scores = c.allowed[:0], c.scores[:0]
+	c.allowed, c.scores, c.ranks = c.allowed[:0], c.scores[:0], c.ranks[:0]
 	for i := range candidates {
 		if !c.allow(r, &candidates[i]) {
 			continue
@@ -88,8 +92,9 @@
 		}
 		c.allowed = append(c.allowed, i)
 		c.scores = append(c.scores, score)
+		c.ranks = append(c.ranks, candidates[i].Rank)
 	}
-	at := c.Picker.Pick(c.scores, random)
+	at := c.Picker.Pick(c.scores, c.ranks, random)
 	if at < 0 {
 		return -1
 	}
--- a/request/choose/choose_test.go
+++ b/request/choose/choose_test.go
@@ -74,3 +74,14 @@
 	}
 	is.True(common >= 49)
 }
+
+// Copies of one request come to instances that see the loads a little
+// differently: they shall still take the same server where costs are close.
+func TestNearTakesTheHighestRankAmongCloseCosts(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	near := Near{Share: 0.4}
+	is.Equal(near.Pick([]float64{10, 12, 15}, []uint64{1, 2, 3}, random), 1)
+	is.Equal(near.Pick([]float64{12, 10, 15}, []uint64{2, 1, 3}, random), 0)
+	is.Equal(near.Pick(nil, nil, random), -1)
+}
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"slices"
+
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -18,6 +20,9 @@
 	stepReserve  = 0.5
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
+	// nearShare is how much more than the least a server may cost to be taken
+	// for the sake of copies elsewhere; see docs/notes/crashing-requests.md.
+	nearShare = 0.4
 )
 
 // reservesOf returns what each tier leaves free of each server. Free slots
@@ -44,10 +49,11 @@
 
 func newChooser(weights settings.Policy) chooser {
 	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}}
+	picker := choose.Near{Share: nearShare}
 	return chooser{
 		reserves: reservesOf(weights),
-		onTime:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: choose.Least{}},
-		late:     choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}, Scorers: scorers, Picker: choose.Least{}},
+		onTime:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: picker},
+		late:     choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}, Scorers: scorers, Picker: picker},
 	}
 }
 
@@ -55,6 +61,10 @@
 func (c *core) describe(now time.Time, r *request) {
 	servers := r.pool.servers
 	c.choice.candidates = c.choice.candidates[:0]
+	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at))
+		return
+	}
 	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
 			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i))
--- a/request/policy/copies.go
+++ b/request/policy/copies.go
@@ -3,17 +3,18 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/request/suspect"
 )
 
 // A crashing request whose copies run on several servers when it takes its
-// first one down would take them all down. So one copy goes on, over all
-// instances, and the others stop and wait. It goes on since stopping it too
-// would hide its crash, if that came while the order was on its way: the next
-// trial would then cost one server more.
+// first one down would take them all down. So all of them stop and wait, and
+// one is tried alone. A copy that crashes its server while the order to stop is
+// on its way is suspected for that all the same.
 
-// holdCopies looks after the copies of a suspect here. What waits goes to the
-// quarantine; of what runs, one is its trial from now on and the others stop.
-// Copies on the crashed server itself end by their own news.
+// holdCopies looks after the copies of a suspect here: what runs stops, and all
+// wait in the quarantine. Copies on the crashed server itself end by their own
+// news.
 func (c *core) holdCopies(now time.Time, digest string, crashed *server) {
 	e := c.suspects.Get(digest)
 	if e == nil {
@@ -27,35 +28,58 @@
 				c.enqueue(now, r)
 			}
 		case r.server == crashed || r.trial:
-		case e.Trial == "" && r.server.trial == "" && !e.Convicted():
-			r.trial, r.caught = true, true
-			r.server.trial = digest
-			e.Trial = r.server.name
-			c.announce()
+		case !r.Idempotent && (r.sentEver || r.sentNow):
+			c.adopt(e, r)
 		default:
 			c.hold(now, r)
 		}
 	}
+	if crashed != nil {
+		c.claim(digest, crashed)
+	}
 }
 
-// hold stops a running copy, which then waits as a suspect. One that may not
-// start again goes on: it ran already.
-func (c *core) hold(now time.Time, r *request) {
-	if !r.Idempotent && (r.sentEver || r.sentNow) {
+// adopt takes a copy that runs already for the trial: it may not start again,
+// so stopping it would lose its answer.
+func (c *core) adopt(e *suspect.Entry, r *request) {
+	if e.Trial != "" || r.server.trial != "" || e.Convicted() {
 		return
 	}
+	r.trial = true
+	r.server.trial = r.Digest
+	e.Trial = r.server.name
+	c.announce()
+}
+
+// hold stops a running copy, which then waits as a suspect.
+func (c *core) hold(now time.Time, r *request) {
+	c.stopped = slices.DeleteFunc(c.stopped, func(copy stoppedCopy) bool { return now.Sub(copy.at) > stoppedFor })
+	c.stopped = append(c.stopped, stoppedCopy{digest: r.Digest, team: r.Team, server: r.server, at: now})
 	c.stop(now, r)
 	c.enqueue(now, r)
 }
 
-// yield stops a copy that ran here when the suspicion came, since an instance
-// before this one in order of name runs one too.
-func (c *core) yield(now time.Time, digest string) {
-	if e := c.suspects.Get(digest); e == nil || e.Trial == "" {
-		return
-	}
-	for _, r := range c.copies(func(r *request) bool { return r.Digest == digest && r.caught }) {
-		c.hold(now, r)
+// stoppedFor is how long after the order a stopped copy may have crashed its
+// server: the order's way, and that of the news, one lost digest included.
+const stoppedFor = 600 * time.Millisecond
+
+// stoppedCopy is a copy that may have crashed its server before the order to
+// stop came there. Its own broken connection is no news any more.
+type stoppedCopy struct {
+	digest, team string
+	server       *server
+	at           time.Time
+}
+
+// blameStopped suspects the copies that were stopped on a server just before
+// the word of its crash. Without it such a crash would be nobody's, and the
+// request would get one trial too many.
+func (c *core) blameStopped(now time.Time, s *server) {
+	for _, copy := range c.stopped {
+		if copy.server == s && now.Sub(copy.at) <= stoppedFor && c.suspects.Crashed(copy.digest, copy.team, s.name, now) {
+			c.accuse(copy.digest)
+			c.announce()
+		}
 	}
 }
 
--- a/request/policy/copies_test.go
+++ b/request/policy/copies_test.go
@@ -9,62 +9,173 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
-// startCopies sends the same request several times and returns its servers.
-func startCopies(t *testing.T, c *core, copies int) []string {
-	t.Helper()
-	var servers []string
-	for i := range copies {
-		a := arrival(ID(i+1), "alerts")
-		a.Digest = "same"
-		start := only[Start](t, c.Step(epoch, a))
-		c.Step(epoch, Sent{ID: a.ID, Attempt: 1})
-		servers = append(servers, start.Server)
+// sendCopy sends a copy of the same request and returns its start, if any.
+func sendCopy(c *core, id ID) []Start {
+	a := arrival(id, "alerts")
+	a.Digest = "same"
+	starts := all[Start](c.Step(epoch, a))
+	if len(starts) > 0 {
+		c.Step(epoch, Sent{ID: id, Attempt: 1})
 	}
-	return servers
+	return starts
 }
 
-// A caller sends a crashing request three times at one instance. The first
-// copy takes its engine down. The second goes on as the trial; the third used
-// to go on as well and took a third engine.
-func TestOneCopyGoesOnAfterACrash(t *testing.T) {
+func all[T Action](actions []Action) []T {
+	var found []T
+	for _, action := range actions {
+		if a, ok := action.(T); ok {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// tellSuspect is a peer's digest that tells of the request.
+func tellSuspect(peer string, sequence uint64, trial string, servers ...string) PeerDigest {
+	told := &lilacv1.Suspect{Digest: "same", Team: "a", Servers: servers, Trial: trial}
+	return PeerDigest{Digest: &lilacv1.Digest{Instance: peer, Sequence: sequence, Suspects: []*lilacv1.Suspect{told}}}
+}
+
+// A caller sends a crashing request three times at one instance before anyone
+// suspects it. Each copy took an engine of its own down: three were lost.
+func TestCopiesAtOneInstanceShareAServer(t *testing.T) {
 	is := is.New(t)
 	c := poolOf(4)
-	servers := startCopies(t, c, 3)
-	is.True(servers[0] != servers[1] && servers[1] != servers[2] && servers[0] != servers[2])
-	actions := c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})
-	is.Equal(only[Stop](t, actions).ID, ID(3))
-	is.Equal(c.suspects.Get("same").Trial, servers[1])
-	is.Equal(len(c.requests[1].pool.quarantine), 2)
-	c.Step(epoch, Failed{ID: 2, Attempt: 1, Sent: true, Crashed: true})
-	for at := epoch; at.Before(epoch.Add(verdictPause)); at = at.Add(slowTick) {
-		for _, action := range c.Step(at, Tick{}) {
-			_, started := action.(Start)
-			is.True(!started) // barred until the verdict
-		}
+	first := sendCopy(c, 1)[0].Server
+	is.Equal(sendCopy(c, 2)[0].Server, first)
+	is.Equal(sendCopy(c, 3)[0].Server, first)
+	for id := range ID(3) {
+		c.Step(epoch, Failed{ID: id + 1, Attempt: 1, Sent: true, Crashed: true})
+	}
+	is.Equal(c.suspects.Get("same").Servers, []string{first})
+	is.Equal(len(c.requests[1].pool.quarantine), 3)
+	now := epoch
+	for ; now.Before(epoch.Add(2 * time.Second)); now = now.Add(slowTick) {
+		c.Step(now, Tick{})
+	}
+	is.Equal(c.running, 1) // one trial
+	trial := c.suspects.Get("same").Trial
+	is.True(trial != first)
+	for _, r := range c.copies(func(r *request) bool { return r.server != nil }) {
+		c.Step(now, Sent{ID: r.ID, Attempt: r.attempt})
+		c.Step(now, Failed{ID: r.ID, Attempt: r.attempt, Sent: true, Crashed: true})
+	}
+	for end := now.Add(verdictPause + slowTick); !now.After(end); now = now.Add(slowTick) {
+		is.Equal(len(all[Start](c.Step(now, Tick{}))), 0) // barred until the verdict
 	}
-	c.Step(epoch.Add(verdictPause+slowTick), Tick{})
 	is.Equal(len(c.requests), 0) // convicted and refused
 	is.Equal(len(c.stats.Violations), 0)
 }
 
-// Copies run at two instances when a third tells of the crash. Both took
-// theirs for the one trial, and two more engines went down.
-func TestTheFirstInstanceKeepsItsCopy(t *testing.T) {
+// A popular request comes again and again. If all its copies had to share one
+// server, most would wait there while others stood idle.
+func TestCopiesRunFreelyOnceOnePassed(t *testing.T) {
 	is := is.New(t)
+	c := poolOf(4)
+	first := sendCopy(c, 1)[0].Server
+	room := 1
+	for ; len(sendCopy(c, ID(room+1))) > 0; room++ {
+		is.Equal(c.requests[ID(room+1)].server.name, first)
+	}
+	p := c.requests[1].pool
+	is.Equal(len(p.parked), 1)
+	other := arrival(99, "alerts")
+	other.Digest = "other"
+	is.Equal(len(all[Start](c.Step(epoch, other))), 1) // it is not held up
+	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: trialTokens})
+	c.Step(epoch.Add(slowTick), Tick{})
+	waited := c.requests[ID(room+1)]
+	is.True(waited.server != nil)
+	is.True(waited.server.name != first)
+	for _, r := range c.copies(func(*request) bool { return true }) {
+		c.Step(epoch.Add(slowTick), Canceled{ID: r.ID})
+	}
+	is.Equal(len(c.identical.first), 0)
+}
+
+// A first copy hangs; its caller sends again after seconds. The second copy
+// must not be bound to the server that hangs.
+func TestCopyIsFreeOnceTheFirstHangs(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	sendCopy(c, 1)
+	a := arrival(2, "alerts")
+	a.Digest = "same"
+	r := &request{Arrival: a}
+	is.True(c.identical.joins(epoch.Add(joinFor), r) != nil)
+	is.True(c.identical.joins(epoch.Add(joinFor+1), r) == nil)
+}
+
+// Copies run at two instances when a third tells of the crash. The one that
+// went on as the trial took another engine down while the other copy's crash
+// was on its way, and a third engine was lost.
+func TestCopiesStopAndAreBlamedForCrashesOnTheWay(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	server := sendCopy(c, 1)[0].Server
+	stop := only[Stop](t, c.Step(epoch, tellSuspect("e9", 1, "", "r9")))
+	is.Equal(stop.Server, server)
+	is.Equal(len(c.requests[1].pool.quarantine), 1)
+	ejected := &lilacv1.Digest{Instance: "e9", Sequence: 2, Ejected: []string{server}}
+	actions := c.Step(epoch.Add(100*time.Millisecond), PeerDigest{Digest: ejected})
+	is.Equal(len(all[Announce](actions)), 1)
+	is.True(c.suspects.Get("same").Convicted())
+}
+
+// A server crashes long after a copy was stopped on it: that copy is not to blame.
+func TestStoppedCopyIsNotBlamedForLaterCrashes(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	server := sendCopy(c, 1)[0].Server
+	c.Step(epoch, tellSuspect("e9", 1, "", "r9"))
+	ejected := &lilacv1.Digest{Instance: "e9", Sequence: 2, Ejected: []string{server}}
+	c.Step(epoch.Add(stoppedFor+time.Millisecond), PeerDigest{Digest: ejected})
+	is.Equal(c.suspects.Get("same").Servers, []string{"r9"})
+}
+
+// Copies at two instances die with the same engine. Each instance waited the
+// same time and tried its own copy in the same moment: two more were lost.
+func TestOfTwoClaimsTheFirstByNameStays(t *testing.T) {
 	for _, other := range []string{"e0", "e2"} {
-		c := poolOf(4)
-		startCopies(t, c, 1)
-		told := &lilacv1.Suspect{Digest: "same", Team: "a", Servers: []string{"r9"}}
-		actions := c.Step(epoch, PeerDigest{Digest: &lilacv1.Digest{Instance: "e9", Sequence: 1, Suspects: []*lilacv1.Suspect{told}}})
-		only[Announce](t, actions)
-		is.True(c.requests[1].trial)
-		trial := &lilacv1.Suspect{Digest: "same", Team: "a", Servers: []string{"r9"}, Trial: "r8"}
-		actions = c.Step(epoch.Add(time.Millisecond), PeerDigest{Digest: &lilacv1.Digest{Instance: other, Sequence: 1, Suspects: []*lilacv1.Suspect{trial}}})
-		if other < "e1" {
-			is.Equal(only[Stop](t, actions).ID, ID(1))
-		} else {
-			is.Equal(c.requests[1].attempt, 1)
-			is.True(c.requests[1].server != nil)
-		}
+		t.Run(other, func(t *testing.T) {
+			is := is.New(t)
+			c := poolOf(4)
+			server := sendCopy(c, 1)[0].Server
+			c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})
+			is.Equal(c.suspects.Get("same").Trial, server) // told as a claim
+			c.Step(epoch, tellSuspect(other, 1, server, server))
+			starts := 0
+			for now := epoch; now.Before(epoch.Add(elsewhereFor)); now = now.Add(slowTick) {
+				starts += len(all[Start](c.Step(now, Tick{})))
+			}
+			is.Equal(starts == 1, other > "e1")
+			is.Equal(c.requests[1].claims, false)
+		})
 	}
 }
+
+// A claim waits while a peer's copy runs already, whatever their names.
+func TestClaimYieldsToATrial(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	server := sendCopy(c, 1)[0].Server
+	c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})
+	c.Step(epoch, tellSuspect("e9", 1, "r8", server))
+	for now := epoch; now.Before(epoch.Add(elsewhereFor)); now = now.Add(slowTick) {
+		is.Equal(len(all[Start](c.Step(now, Tick{}))), 0)
+	}
+}
+
+// A peer's copy clears the request while a claim waits here. The claim must not
+// outlive the suspicion: it would end a later trial of another copy.
+func TestClaimEndsWithTheSuspicion(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	sendCopy(c, 1)
+	c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})
+	is.True(c.requests[1].claims)
+	c.Step(epoch, tellSuspect("e9", 1, ""))
+	c.Step(epoch.Add(slowTick), Tick{})
+	is.Equal(c.requests[1].claims, false)
+	is.True(c.requests[1].server != nil)
+}
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -40,6 +40,8 @@
 	suspects  *suspect.Table
 	limits    *limits.Table
 	choice    chooser
+	// identical are the running requests that a copy must join.
+	identical identical
 	draining  bool
 	running   int
 	sequence  uint64
@@ -52,6 +54,8 @@
 	// accused are digests whose verdict is due; lastFall is the last new crash.
 	accused  []string
 	lastFall time.Time
+	// stopped are copies that were ordered to stop just now.
+	stopped []stoppedCopy
 }
 
 // New returns a core that refuses everything until its first Configured event.
@@ -71,6 +75,7 @@
 		suspects:  suspect.NewTable(),
 		limits:    limits.NewTable(),
 		choice:    newChooser(options.Weights),
+		identical: newIdentical(),
 		stats:     Stats{Violations: make(map[Invariant]uint64)},
 	}
 }
@@ -159,6 +164,7 @@
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.measure(now)
+		c.unpark(now, p)
 		c.cutoff(now, p)
 		c.relieve(now, p)
 		c.moveStragglers(now, p)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -58,6 +58,10 @@
 		h.reserve += lateReserve
 	}
 	s := c.choose(now, r, h)
+	if s == nil && c.identical.joins(now, r) != nil {
+		c.park(r)
+		return true
+	}
 	if s == nil {
 		s = c.preempt(now, r)
 	}
@@ -91,6 +95,7 @@
 	r.uncached, r.ahead = s.uncached(r), s.ahead
 	r.expected = s.firstToken(s.load()+1, r.uncached)
 	s.attach(r)
+	c.identical.started(r)
 	s.ahead += r.uncached
 	r.pool.attach(r)
 	for _, hash := range r.Prefix {
@@ -121,6 +126,7 @@
 	}
 	s.detach(r)
 	r.pool.detach(r)
+	c.identical.left(r)
 	r.server = nil
 	c.running--
 	c.endTrial(now, r, s)
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -67,6 +67,9 @@
 func (c *core) unqueue(r *request) {
 	r.pool.queue.Remove(&r.item)
 	c.release(r)
+	if i := slices.Index(r.pool.parked, r); i >= 0 {
+		r.pool.parked = slices.Delete(r.pool.parked, i, i+1)
+	}
 	if i := slices.Index(r.pool.quarantine, r); i >= 0 {
 		r.pool.quarantine = slices.Delete(r.pool.quarantine, i, i+1)
 	}
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -23,6 +23,8 @@
 	byTier  tiers.Demand
 	// quarantine holds suspects that wait for their trial.
 	quarantine []*request
+	// parked holds copies that may only join the first; see identical.
+	parked []*request
 	// tight is the tightest target between tokens of the classes in use.
 	tight time.Duration
 	used  map[string]*classUse
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -40,8 +40,8 @@
 	r.gotNow += e.Count
 	r.lastAt, s.lastToken = now, now
 	r.idleSince, r.pool.progressAt, r.rejections = now, now, 0
-	if r.trial && r.gotNow >= trialTokens {
-		c.clearSuspect(now, r)
+	if r.gotNow >= trialTokens {
+		c.passed(now, r)
 	}
 }
 
@@ -56,9 +56,7 @@
 	}
 	s.proved()
 	r.pool.progressAt = now
-	if r.trial {
-		c.clearSuspect(now, r)
-	}
+	c.passed(now, r)
 	c.leave(now, r)
 	if !r.pool.service {
 		c.estimates.Observe(r.key(), r.got, r.estimated)
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -40,11 +40,14 @@
 	// trial is true while it runs as a suspect; held is since when it waits as one.
 	trial bool
 	held  time.Time
-	// caught is true for a trial that ran already when the suspicion came.
-	caught bool
 	// reserved is the server that was announced for its trial.
 	reserved   *server
 	reservedAt time.Time
+	// nextCopy is the next copy that runs here; see identical.
+	nextCopy *request
+	// claims is true while it waits and this instance tells that it will be
+	// the one to try it.
+	claims bool
 	// idleSince is the arrival or the last token; rejections counts attempts that
 	// no server took. suspect is true while it waits for a trial.
 	idleSince  time.Time
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lilacbridge/lilacbridge/request/choose"
 )
 
@@ -306,7 +308,7 @@
 func (s *server) candidate(r *request, now time.Time, index int) choose.Candidate {
 	n := s.load() + 1
 	c := choose.Candidate{
-		Name: s.name, Index: index, Remote: s.remote, Barred: s.barred(now),
+		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now),
 		Trial: s.trial != "" || s.peerTrials > 0,
 		Load:  n - 1, Limit: s.limit(r.pool.tight, r.between()),
 	}
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -37,6 +37,7 @@
 	if e := c.suspects.Get(r.Digest); e != nil {
 		e.Own = true
 	}
+	delete(c.identical.passed, r.Digest)
 	c.accuse(r.Digest)
 }
 
@@ -44,7 +45,7 @@
 func (c *core) takeSuspects(now time.Time, name string, p *peer, suspects []*lilacv1.Suspect) {
 	c.dropTrials(p)
 	for _, s := range suspects {
-		if server := c.servers[s.GetTrial()]; server != nil {
+		if server := c.servers[s.GetTrial()]; server != nil && !isClaim(s) {
 			server.peerTrials++
 			p.trials = append(p.trials, server)
 		}
@@ -63,8 +64,8 @@
 		if news[s.GetDigest()] {
 			c.holdCopies(now, s.GetDigest(), nil)
 		}
-		if s.GetTrial() != "" && name < c.options.Instance {
-			c.yield(now, s.GetDigest())
+		if s.GetTrial() != "" {
+			c.yield(name, s)
 		}
 	}
 }
@@ -105,6 +106,7 @@
 func (c *core) tryTrial(now time.Time, r *request) bool {
 	e := c.suspects.Get(r.Digest)
 	if e == nil {
+		c.release(r)
 		r.suspect = false
 		r.item.Late = false
 		r.pool.queue.Push(&r.item)
@@ -123,7 +125,7 @@
 		return false
 	}
 	if r.reserved == nil {
-		r.reserved, r.reservedAt = s, now
+		r.reserved, r.reservedAt, r.claims = s, now, false
 		e.Trial = s.name
 		s.trial = r.Digest
 		c.announce()
@@ -137,13 +139,15 @@
 	return true
 }
 
-// release gives a reserved server back.
+// release gives up a claim and gives a reserved server back.
 func (c *core) release(r *request) {
-	if r.reserved == nil {
+	if r.reserved == nil && !r.claims {
 		return
 	}
-	r.reserved.trial = ""
-	r.reserved = nil
+	if r.reserved != nil {
+		r.reserved.trial = ""
+	}
+	r.reserved, r.claims = nil, false
 	if e := c.suspects.Get(r.Digest); e != nil {
 		e.Trial = ""
 	}
@@ -153,7 +157,8 @@
 // a crash of one's own the first trial is one's own; a suspect that a peer
 // told of is tried only when no peer tries it.
 func (c *core) mustWait(now time.Time, r *request, e *suspect.Entry) bool {
-	if e.Trial != "" && r.reserved == nil || now.Sub(e.Elsewhere) < elsewhereFor {
+	holds := r.claims || r.reserved != nil
+	if !holds && (e.Trial != "" || now.Sub(e.Elsewhere) < elsewhereFor) {
 		return true
 	}
 	if r.failedOn != "" && slices.Contains(e.Servers, r.failedOn) {
@@ -199,7 +204,7 @@
 	if !r.trial {
 		return
 	}
-	r.trial, r.caught = false, false
+	r.trial = false
 	s.trial = ""
 	if e := c.suspects.Get(r.Digest); e != nil && e.Trial == s.name {
 		e.Trial = ""
@@ -207,6 +212,14 @@
 	r.pool.dirty = true
 }
 
+// passed notes that a request ran past the place of the crash, if there is one.
+func (c *core) passed(now time.Time, r *request) {
+	c.identical.proved(now, r, slices.ContainsFunc(r.pool.parked, func(p *request) bool { return p.Digest == r.Digest }))
+	if r.trial {
+		c.clearSuspect(now, r)
+	}
+}
+
 // clearSuspect ends the trial of a request that ran past the place of the crash.
 func (c *core) clearSuspect(now time.Time, r *request) {
 	c.endTrial(now, r, r.server)
--- a/request/policy/verdict.go
+++ b/request/policy/verdict.go
@@ -34,6 +34,7 @@
 		c.lastFall = now
 	}
 	s.fellHeard = now
+	c.blameStopped(now, s)
 }
 
 // calm tells whether no server has newly crashed for a while.
