--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -58,6 +58,10 @@
 		h.reserve += lateReserve
 	}
 	s := c.choose(now, r, h)
+	if s == nil && c.identical.joins(now, r) != nil {
+		c.park(r)
+		return true
+	}
 	if s == nil {
 		s = c.preempt(now, r)
 	}
@@ -96,6 +100,7 @@
 	r.expected = s.firstToken(s.load()+1, r.uncached)
 	c.carry(now, r, s, from)
 	s.attach(r)
+	c.identical.started(r)
 	s.ahead += r.uncached
 	r.pool.attach(r)
 	for _, hash := range r.Prefix {
@@ -133,6 +138,7 @@
 	}
 	s.detach(r)
 	r.pool.detach(r)
+	c.identical.left(r)
 	r.server = nil
 	c.running--
 	c.endTrial(now, r, s)
