--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -39,10 +39,10 @@
 	budget    *retry.Budget
 	kv        kvCost
 	// notice is how long servers stay after the word that they leave.
-	notice    time.Duration
-	suspects  *suspect.Table
-	limits    *limits.Table
-	choice    chooser
+	notice   time.Duration
+	suspects *suspect.Table
+	limits   *limits.Table
+	choice   chooser
 	// identical are the running requests that a copy must join.
 	identical identical
 	draining  bool
