Test a move by KV cache through policy and shell

Cause: the policy's decision and the shell's part were tested apart only.

An engine is listed as leaving in the middle of a long answer to a long prompt; the policy moves it by export and import, and the caller gets each word once, under one id.

Ruled out: a leaving server named before its first token, since a slow machine may start the answer elsewhere first.

--- /dev/null
+++ b/daemon/entry/leaving_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// longWords is far more than an engine makes before it is gone.
+const longWords = 600
+
+// word is a part of the long answer.
+func word(n int) string { return fmt.Sprintf("w%d ", n) }
+
+// longAnswer streams words until its reader leaves; begun is called after two.
+func longAnswer(w http.ResponseWriter, r *http.Request, begun func()) {
+	startStream(w)
+	for n := range longWords {
+		sendChunk(w, heldID(r), word(n), "")
+		if n == 1 {
+			begun()
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// The platform takes an engine back in the middle of a long answer to a long
+// prompt, and the engine would be gone seconds later. The policy itself must move
+// the answer in time, with its KV cache, and the caller must get each word once.
+func TestPolicyMovesAnAnswerOffALeavingEngine(t *testing.T) {
+	is := is.New(t)
+	const rest = 5
+	var first, second *fake
+	resumedAt := func() int {
+		var asked struct {
+			AfterTokens int `json:"after_tokens"`
+		}
+		for _, call := range append(first.calls("/v1/resume"), second.calls("/v1/resume")...) {
+			_ = json.Unmarshal([]byte(call.body), &asked)
+		}
+		return asked.AfterTokens
+	}
+	var f *fixture
+	scriptOf := func(name string) script {
+		leaving := func() { f.relay.Post(policy.ServerState{Server: name, Leaving: true}) }
+		return func(w http.ResponseWriter, r *http.Request, _ int) {
+			switch r.URL.Path {
+			case "/v1/kv/export":
+				_, _ = w.Write([]byte("cache"))
+			case "/v1/kv/import":
+			case "/v1/resume":
+				from := resumedAt()
+				startStream(w)
+				for n := range rest {
+					sendChunk(w, heldID(r), word(from+n), "")
+				}
+				sendChunk(w, heldID(r), "", "stop")
+				sendDone(w)
+			default:
+				longAnswer(w, r, leaving)
+			}
+		}
+	}
+	first, second = newFake(t, scriptOf("r1")), newFake(t, scriptOf("r2"))
+	f = start(t, testSettings(), first.engine("r1"), second.engine("r2"))
+	_, stream := f.post("/v1/chat/completions", strings.Replace(chatBody, "compte", strings.Repeat("compte ", 3000), 1))
+	text, ids, done, _ := textOf(stream)
+	var want strings.Builder
+	for n := range resumedAt() + rest {
+		want.WriteString(word(n))
+	}
+	is.True(resumedAt() > 0)
+	is.Equal(text, want.String())
+	is.True(done)
+	is.Equal(len(ids), 1)
+	is.Equal(len(first.calls("/v1/kv/import"))+len(second.calls("/v1/kv/import")), 1)
+	stats, err := f.relay.Stats(t.Context())
+	is.NoErr(err)
+	is.Equal(stats.MovedByKV, uint64(1))
+}
