--- a/process/member/core.go
+++ b/process/member/core.go
@@ -65,12 +65,14 @@
 type Core struct {
 	self Peer
 	// peers are the entries that may be tried, without the own one.
-	peers     map[string]Peer
-	listed    map[string]bool
-	leaving   map[string]bool
-	heard     map[string]heard
-	asked     map[string]time.Time
-	avoided   map[string]time.Time
+	peers   map[string]Peer
+	listed  map[string]bool
+	leaving map[string]bool
+	heard   map[string]heard
+	asked   map[string]time.Time
+	avoided map[string]time.Time
+	// failures counts the exchanges with each peer that failed in a row.
+	failures  map[string]int
 	told      map[string]bool
 	own       *lilacv1.Digest
 	ownAt     time.Time
@@ -105,6 +107,7 @@
 		heard:     make(map[string]heard),
 		asked:     make(map[string]time.Time),
 		avoided:   make(map[string]time.Time),
+		failures:  make(map[string]int),
 		told:      make(map[string]bool),
 		toldLeave: make(map[string]bool),
 		own:       &lilacv1.Digest{Instance: self.Name, DataCenter: self.DataCenter},
@@ -157,15 +160,26 @@
 	case Answered:
 		return c.take(now, e.Peer, e.Digest)
 	case Failed:
-		c.avoided[e.Peer] = now.Add(avoidance)
-		delete(c.asked, e.Peer)
-		c.peersChanged = true
+		c.failed(now, e.Peer)
 	case Tick:
 		return c.tick(now, e)
 	}
 	return nil
 }
 
+// failed has the exchange made again, and passes the peer over from the second
+// failure in a row on in a tree: who changes its parent for one lost message
+// makes the sums incomplete at all entries.
+func (c *Core) failed(now time.Time, peer string) {
+	delete(c.asked, peer)
+	c.failures[peer]++
+	if c.Tree() && c.failures[peer] < 2 {
+		return
+	}
+	c.avoided[peer] = now.Add(avoidance)
+	c.peersChanged = true
+}
+
 // platform takes the list as a hint: it adds entries to try, and drops those
 // that it no longer names and that are silent too.
 func (c *Core) platform(now time.Time, e Platform) {
@@ -203,6 +217,7 @@
 // take tells what comes down from the parent in a tree from the digests of others.
 func (c *Core) take(now time.Time, from string, d *lilacv1.Digest) []Action {
 	c.noteStamp(from, d)
+	delete(c.failures, from)
 	if c.Tree() && d.GetInstance() == Others {
 		if from != c.parent() {
 			return nil
--- /dev/null
+++ b/process/member/promise_test.go
@@ -0,0 +1,59 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// An entry hears that another admits nothing less urgent than tier 0 for 4 s. The
+// word was 3 s on its way, or answers a stamp of an entry that was killed since
+// and whose clock began anew: were it taken for fresh, urgent requests would be
+// shed while the other admits all again.
+func TestAWordBindsOnlyAsLongAsItsAgeIsKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	a, b := Peer{Name: "a"}, Peer{Name: "b"}
+	core := NewCore(a, []Peer{a, b})
+	core.Step(now, Tick{Own: &lilacv1.Digest{Incarnation: "second life"}})
+	stamp := core.Reply(now, "b").GetStamp()
+	earlier := NewCore(a, []Peer{a, b})
+	earlier.Step(now, Tick{Own: &lilacv1.Digest{Incarnation: "first life"}})
+
+	heard := func(sequence, echo uint64) *lilacv1.Digest {
+		word := &lilacv1.Digest{Instance: "b", Incarnation: "1", Sequence: sequence, Echo: echo, BindsMs: 4000}
+		for _, action := range core.Step(now.Add(3*time.Second), Received{From: "b", Digest: word}) {
+			if given, ok := action.(Digest); ok {
+				return given.Digest
+			}
+		}
+		return nil
+	}
+	is.Equal(heard(1, stamp).GetBindsMs(), uint32(1000))
+	is.True(!heard(2, stamp).GetIncomplete())
+	is.True(heard(3, earlier.Reply(now.Add(2*time.Second), "b").GetStamp()).GetIncomplete())
+	is.True(heard(4, 0).GetIncomplete())
+}
+
+// Above ten entries nothing but the lowest tier was ever shed: the sums of all
+// others had no number, so the policy took each but the first for an old one.
+func TestEachSumForThePolicyIsNewerThanTheLast(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(11, 3)
+	f.run(5 * time.Second)
+	before := f.given[f.names[4]][Others].GetSequence()
+	f.run(5 * time.Second)
+	is.True(before > 0 && f.given[f.names[4]][Others].GetSequence() > before)
+}
+
+// The promise must outlive the way through the tree of the largest fleet.
+func TestPromiseFollowsTheDepthOfTheTree(t *testing.T) {
+	is := is.New(t)
+	for entries, promise := range map[int]time.Duration{10: meshPromise, 55: 16500 * time.Millisecond, 1100: 25500 * time.Millisecond} {
+		f := newFleet(entries, 5)
+		is.Equal(f.cores[f.names[0]].promise(), promise)
+	}
+}
