Bound the log that a slow transfer may keep at 256 MiB

Conclusion: the pause doubles twice, from 4 to 16 times; beyond that a member is too slow for the group.

--- a/process/replica/transfer.go
+++ b/process/replica/transfer.go
@@ -17,9 +17,10 @@
 
 const (
 	// transferPatience is how many times as long as usual the next snapshot is put
-	// off while one is on its way; each restart doubles it, up to maxRestarts times.
+	// off while one is on its way; each restart doubles it, up to maxRestarts times:
+	// the log then holds up to 16 times snapshotBytes, 256 MiB.
 	transferPatience = 4
-	maxRestarts      = 4
+	maxRestarts      = 2
 )
 
 // incoming is a snapshot that arrives from the leader.
