Start no trial of a suspect while servers go on crashing

Cause: when three engines fail within seconds, the suspects of the first two are tried while the third is about to fail; a trial that meets it is a second crash, and with one other crash only the verdict is not put down to an outage.

Where two servers crashed within 5 s, no trial starts until 1.5 s after the last crash. A request with two crashes is barred anyway, so a crashing one costs no server more by this.

--- a/internal/bench/suspects_test.go
+++ b/internal/bench/suspects_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// Three engines fail within five seconds; no request is to blame. Suspects of
+// the first two were tried while the third was about to fail, and a trial that
+// met it convicted its request. Each seed did so without the pause.
+func TestSmallOutageConvictsNobody(t *testing.T) {
+	t.Parallel()
+	o := outages{engines: 3, span: 5 * time.Second, load: 0.8}
+	for _, seed := range []uint64{1011, 1013, 1018, 1043} {
+		w := o.run(seed)
+		sound(t, seed, w)
+		if n := w.convictedInnocents(); n > 0 {
+			t.Errorf("seed %d: %d innocent requests convicted", seed, n)
+		}
+	}
+}
+
 // convictedInnocents counts convictions of requests that crash nothing.
 func (w *world) convictedInnocents() int {
 	innocent := 0
--- a/request/policy/copies_test.go
+++ b/request/policy/copies_test.go
@@ -166,6 +166,27 @@
 	}
 }
 
+// Two servers crash within a second, then a third. The suspects of the first
+// two were tried before the third went down, and it convicted some of them.
+func TestNoTrialWhileServersGoOnCrashing(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	sendCopy(c, 1)
+	c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true})
+	at := epoch.Add(ownPause - slowTick)
+	server := c.suspects.Get("same").Servers[0]
+	for _, s := range c.ordered {
+		if s.name != server {
+			c.Step(at, PeerDigest{Digest: &lilacv1.Digest{Instance: "e9", Sequence: 1, Ejected: []string{s.name}}})
+			break
+		}
+	}
+	for now := at; now.Before(at.Add(unsettledFor)); now = now.Add(slowTick) {
+		is.Equal(len(all[Start](c.Step(now, Tick{}))), 0)
+	}
+	is.Equal(len(all[Start](c.Step(at.Add(unsettledFor+slowTick), Tick{}))), 1)
+}
+
 // A peer's copy clears the request while a claim waits here. The claim must not
 // outlive the suspicion: it would end a later trial of another copy.
 func TestClaimEndsWithTheSuspicion(t *testing.T) {
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -117,7 +117,7 @@
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 		return true
 	}
-	if e.Convicted() || e.Pardoned && !c.calm(now) || c.mustWait(now, r, e) {
+	if e.Convicted() || e.Pardoned && !c.calm(now) || c.unsettled(now) || c.mustWait(now, r, e) {
 		return false
 	}
 	s, mine := c.trialServer(now, r, e)
--- a/request/policy/verdict.go
+++ b/request/policy/verdict.go
@@ -23,6 +23,11 @@
 	outageOthers = 2
 	// calmAfter is how long after the last crash a pardoned request is tried.
 	calmAfter = 3 * time.Second
+	// unsettledFor is how long after the last crash no suspect is tried, where
+	// unsettledServers crashed within outageWindow: an outage may go on, and take
+	// an innocent's second server with it.
+	unsettledFor     = 1500 * time.Millisecond
+	unsettledServers = 2
 	// fallFor is how long without word of a crash the next one is a new one.
 	fallFor = 10 * time.Second
 )
@@ -40,6 +45,20 @@
 // calm tells whether no server has newly crashed for a while.
 func (c *core) calm(now time.Time) bool { return now.Sub(c.lastFall) >= calmAfter }
 
+// unsettled tells whether several servers crashed just now.
+func (c *core) unsettled(now time.Time) bool {
+	if now.Sub(c.lastFall) >= unsettledFor {
+		return false
+	}
+	fell := 0
+	for _, s := range c.ordered {
+		if !s.fellAt.IsZero() && now.Sub(s.fellAt) < outageWindow {
+			fell++
+		}
+	}
+	return fell >= unsettledServers
+}
+
 // guilty tells whether the verdict on a suspect is known here.
 func (c *core) guilty(digest string) bool {
 	e := c.suspects.Get(digest)
