Tell a commit at once, not with the next heartbeat

Change: the leader's batch ends with an empty message to the members that get no entries, if the commit has moved. TestCommitIsToldWithoutWaitingForAHeartbeat fails with the guard out. Conclusion: followers apply what is committed a round trip after the leader.

--- a/process/replica/core_test.go
+++ b/process/replica/core_test.go
@@ -269,3 +269,23 @@
 	s.step(learner("e"))
 	s.is.Equal(len(take[Refused](s)), 0)
 }
+
+// An operator's change is accepted, and its own entry, which takes revisions from
+// a follower, shows the old ones for a heartbeat longer: 600 changes one after
+// the other took over 90 s. The leader must tell a commit at once.
+func TestCommitIsToldWithoutWaitingForAHeartbeat(t *testing.T) {
+	s := newScript(t)
+	s.lead()
+	s.ack("b", s.core.log.last())
+	s.ack("c", s.core.log.last())
+	s.step(Propose{Ticket: 1, Command: []byte("change")})
+	s.step(Flush{})
+	s.out = nil
+	s.ack("b", s.core.log.last())
+	s.is.Equal(s.core.commit, s.core.log.last())
+	told := make(map[string]uint64)
+	for _, sent := range take[Send](s) {
+		told[sent.Message.GetTo()] = sent.Message.GetCommit()
+	}
+	s.is.Equal(told, map[string]uint64{"b": s.core.commit, "c": s.core.commit})
+}
--- a/process/replica/lead.go
+++ b/process/replica/lead.go
@@ -33,9 +33,11 @@
 	// firstIndex is the empty entry that began the term.
 	firstIndex  uint64
 	heartbeatAt time.Duration
-	round       uint64
-	newReads    []uint64
-	reads       []pendingRead
+	// toldCommit is the commit index of the last message to all.
+	toldCommit uint64
+	round      uint64
+	newReads   []uint64
+	reads      []pendingRead
 	// handTo is the voter that takes over, until handUntil.
 	handTo    string
 	handUntil time.Duration
@@ -161,13 +163,18 @@
 	c.repair()
 }
 
-// flush sends what the events of a batch left to send.
+// flush sends what the events of a batch left to send. A commit is told at once,
+// by an empty message where no entry is to be sent: else the followers, and the
+// entries that take their revisions from one, would learn of an accepted change
+// only with the next heartbeat.
 func (c *Core) flush() {
 	if c.role != Leader {
 		return
 	}
 	started := c.startReads()
-	c.broadcast(started)
+	committed := c.commit > c.lead.toldCommit
+	c.lead.toldCommit = c.commit
+	c.broadcast(started || committed)
 	c.finishReads()
 }
 
