--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -82,14 +82,20 @@
 	}
 }
 
+// lateSlots is how many slots the late requests of one tier ask for together.
+const lateSlots = 4
+
 // demand is what this instance asks slots for. What waits and is late asks for
-// none: it can't meet its target any more, and starts in what others leave. It
-// would otherwise hold slots back from requests of lower tiers, and of other
-// instances, that still can.
+// few: it can't meet its target any more, and starts in what others leave. A
+// burst's late requests would otherwise hold slots back from requests of lower
+// tiers, and of other instances, that still can. The few keep an instance
+// without the burst from losing its place to it.
 func (p *pool) demand() tiers.Demand {
 	demand := p.byTier
 	for tier := range demand {
-		demand[tier] += float64(p.queue.OnTimeLen(tier))
+		onTime := p.queue.OnTimeLen(tier)
+		late := p.queue.TierLen(tier) - onTime
+		demand[tier] += float64(onTime + min(late, lateSlots))
 	}
 	return demand
 }
