Keep ports that stopped processes come back to

Cause: TestWithoutQuorumIsRefused failed once with 'address already in use' (one run of the packages side by side). Tests that stop a member and start it again free its port for that time, and the kernel may give a port that nobody listens at to an outgoing connection. The ports that the scripts ask for have the same gap between printing and listening.

Ruled out: a server that does not close its listener (the failing start was the first one, right after newFleetOf had closed the listener that found the port).

Conclusion: tests listen at an address of their process, scripts at ports below the range of outgoing connections.

--- a/cmd/lilacload/main.go
+++ b/cmd/lilacload/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/lilacbridge/lilacbridge/internal/loopback"
 	"github.com/lilacbridge/lilacbridge/process/build"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -58,7 +59,7 @@
 // printPorts holds all listeners until the last is open, so that no port comes twice.
 func printPorts(command *cobra.Command, n int) error {
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := loopback.ListenBelowClients()
 		if err != nil {
 			return err
 		}
--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -15,6 +15,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/internal/loopback"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/replica"
 	"github.com/lilacbridge/lilacbridge/process/secret"
@@ -113,7 +114,7 @@
 func newFleetOf(t testing.TB, batch int, names ...string) *fleet {
 	f := &fleet{t: t, is: is.New(t), batch: batch, folder: t.TempDir(), addresses: map[string]string{}, running: map[string]*process{}}
 	for _, name := range names {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := loopback.Listen()
 		f.is.NoErr(err)
 		f.addresses[name] = listener.Addr().String()
 		f.is.NoErr(listener.Close())
--- a/daemon/state/cluster_test.go
+++ b/daemon/state/cluster_test.go
@@ -15,6 +15,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/internal/loopback"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -45,7 +46,7 @@
 	c := &cluster{t: t, is: is.New(t), folder: t.TempDir(), running: map[string]*stateProcess{}}
 	var listeners []net.Listener
 	for i := range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := loopback.Listen()
 		c.is.NoErr(err)
 		listeners = append(listeners, listener)
 		name := string(rune('a' + i))
