Send a request's header and body in one write

Cause: hiding the kind of every request body from net/http, so that it never sends one twice, also made it write the header by itself first: it does so for bodies that it doesn't know to stand in memory. Found with the trace of a reset connection in a test.

Ruled out: a loss of the guard. Only a body that can be had again through GetBody, or an empty one, is sent twice; GetBody is still taken away and an empty body still hidden. TestLibraryDoesNotRepeatPosts passes on both.

--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -36,13 +36,22 @@
 	return c.control.sent.Load(), c.control.received.Load()
 }
 
-// onceBody hides the body's kind from net/http.
+// sendOnce keeps net/http from sending the request twice.
 //
 // It guards against a second run of a non-idempotent call: net/http sends a
 // POST again by itself after a broken connection when it carries an
 // Idempotency-Key and a body that can be had again (also an empty one). It
-// shows as two runs under one key. It holds because a body of unknown kind
-// without GetBody is never sent twice.
+// shows as two runs under one key. It holds because a body without GetBody is
+// never sent twice, once the kind of an empty one is hidden. A full one keeps
+// its kind, so that net/http writes it together with its header.
+func sendOnce(req *http.Request) {
+	req.GetBody = nil
+	if req.Body == http.NoBody {
+		req.Body = onceBody{req.Body}
+	}
+}
+
+// onceBody hides that a body is empty.
 type onceBody struct{ io.Reader }
 
 // Close has nothing to free: the body stands in memory.
@@ -75,10 +84,7 @@
 }
 
 func (p *pool) do(client *http.Client, req *http.Request, attempt *Attempt) (*http.Response, error) {
-	if req.Body != nil {
-		req.Body = onceBody{req.Body}
-		req.GetBody = nil
-	}
+	sendOnce(req)
 	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		reused = info.Reused
