Tell a command proposed again from one applied twice

Cause: TestThreeProcessesAgree failed once on a machine at twice its cores: the leader changed while 'change 17' was on its way, the test's own loop proposed it again, and the log rightly held both.

Ruled out: an entry applied twice (two entries stood in the list, each once, and the next commands followed on all three processes alike).

Conclusion: the test's fault, replaced by a check as strict.

--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -59,10 +61,21 @@
 	return nil
 }
 
+// all returns the commands in order. One that was proposed again, as after a
+// change of leader, counts once; one that was applied twice counts twice.
 func (j *journal) all() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return append([]string(nil), j.commands...)
+	var commands []string
+	applied := map[string]bool{}
+	for _, attempt := range j.commands {
+		command, _, _ := strings.Cut(attempt, "#")
+		if applied[attempt] || !slices.Contains(commands, command) {
+			commands = append(commands, command)
+		}
+		applied[attempt] = true
+	}
+	return commands
 }
 
 const (
@@ -168,12 +181,12 @@
 func (f *fleet) propose(command string) {
 	ctx, cancel := context.WithTimeout(f.t.Context(), 20*time.Second)
 	defer cancel()
-	for ctx.Err() == nil {
+	for attempt := 1; ctx.Err() == nil; attempt++ {
 		for _, p := range f.running {
 			if p.node.Status().Role != replica.Leader {
 				continue
 			}
-			if _, err := p.node.Propose(ctx, []byte(command)); err == nil {
+			if _, err := p.node.Propose(ctx, fmt.Appendf(nil, "%s#%d %s", command, attempt, p.name)); err == nil {
 				return
 			}
 		}
