Give a call's last round over the state processes an end

A process that is taken for the leader is given 1 s, others 0.4 s; while a call was in its last round, other calls heard of new leaders, and each process in turn was given the time of a leader: up to 6.1 s with three processes, more with five.

Ruled out: a call that ends late by its pauses (they are 0.1 s), and the passing over of silent processes (it held: each was tried once in the round).

Conclusion: a try never outlasts the call's last round.

--- a/connection/stateclient/core.go
+++ b/connection/stateclient/core.go
@@ -21,6 +21,9 @@
 	probeTimeout = 400 * time.Millisecond
 	// searchTime is how long a call looks for a leader. It covers an election.
 	searchTime = 3 * time.Second
+	// roundTime bounds the last round: a leader that gives no answer, and two
+	// others.
+	roundTime = attemptTimeout + 2*probeTimeout
 	// roundPause lies between two rounds over all state processes.
 	roundPause = 100 * time.Millisecond
 	// reserve is the time left to a call below which no further round is tried:
@@ -97,11 +100,12 @@
 
 // search is one call's way to the leader.
 type search struct {
-	// until is when the search for a leader ends, end when the call's time does.
-	until, end time.Time
-	oneRound   bool
-	queue      []string
-	tried      map[string]bool
+	// until is when the search for a leader ends, over when its last round does,
+	// end when the call's time does.
+	until, over, end time.Time
+	oneRound         bool
+	queue            []string
+	tried            map[string]bool
 	// address is the process that is being tried.
 	address string
 	// maySent is true once any process may have received the call without
@@ -115,7 +119,7 @@
 	var action Action
 	switch e := event.(type) {
 	case Begin:
-		s := &search{until: now.Add(searchTime), end: e.End, oneRound: c.recentlyLost(now)}
+		s := c.newSearch(now, e.End)
 		c.calls[e.Call] = s
 		action = c.beginRound(now, s)
 	case Tried:
@@ -129,6 +133,20 @@
 	return action
 }
 
+// newSearch begins a search, which also gives its last round an end.
+//
+// It guards against a last round in which other calls hear of one leader after
+// the other: each would be given the time of a leader. It shows as a claim that
+// hangs for 6 s and more. It holds because no try outlasts over.
+func (c *Core) newSearch(now, end time.Time) *search {
+	s := &search{until: now.Add(searchTime), end: end, oneRound: c.recentlyLost(now)}
+	s.over = s.until.Add(roundPause + roundTime)
+	if s.oneRound {
+		s.over = now.Add(roundTime)
+	}
+	return s
+}
+
 // beginRound tries each process once, and the leader that one of them names.
 func (c *Core) beginRound(now time.Time, s *search) Action {
 	s.queue, s.tried = c.order(), make(map[string]bool)
@@ -138,7 +156,7 @@
 // next tries the first process of the queue that was not tried in this round
 // and is not passed over.
 func (c *Core) next(now time.Time, s *search) Action {
-	for len(s.queue) > 0 {
+	for len(s.queue) > 0 && now.Before(s.over) {
 		address := s.queue[0]
 		s.queue = s.queue[1:]
 		if s.tried[address] {
@@ -150,7 +168,7 @@
 			continue
 		}
 		s.address = address
-		return Try{Address: address, Timeout: c.timeout(address)}
+		return Try{Address: address, Timeout: min(c.timeout(address), s.over.Sub(now))}
 	}
 	return c.endRound(now, s)
 }
--- /dev/null
+++ b/connection/stateclient/core_test.go
@@ -0,0 +1,45 @@
+package stateclient
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+)
+
+// A claim waits for 6 s at an entry that is cut off: no state process answers
+// its tries, while other calls, on their way before the cut, still bring word of
+// one leader after the other, and each of these is waited for as a leader.
+func TestACallEndsInTimeWhateverOthersHear(t *testing.T) {
+	var peers []settings.Peer
+	for i := range 5 {
+		peers = append(peers, settings.Peer{Name: fmt.Sprint(i), Address: settings.Address{Value: fmt.Sprint(i)}})
+	}
+	for seed := range uint64(200) {
+		is, rng, now := is.New(t), rand.New(rand.NewPCG(seed, 1)), time.Unix(0, 0)
+		core := NewCore("dc", peers)
+		action := core.Step(now, Begin{Call: 1})
+		for range 100 {
+			switch a := action.(type) {
+			case Try:
+				now = now.Add(a.Timeout)
+				core.Step(now, Begin{Call: 2})
+				core.calls[2].address = peers[rng.IntN(len(peers))].Name
+				core.Step(now, Tried{Call: 2})
+				action = core.Step(now, Tried{Call: 1, Err: fault.New(lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "no answer in time")})
+			case Pause:
+				now = now.Add(a.For)
+				action = core.Step(now, Paused{Call: 1})
+			}
+		}
+		_, over := action.(End)
+		is.True(over)
+		is.True(now.Sub(time.Unix(0, 0)) <= 5*time.Second)
+	}
+}
--- a/process/replica/core_test.go
+++ b/process/replica/core_test.go
@@ -103,6 +103,25 @@
 	return found
 }
 
+// A voter comes back after a cut, over a slow link and under load. Each time its
+// snapshot is half over, the leader has a newer one and begins again with that:
+// the voter never catches up. Each restart must put the next snapshot off longer.
+func TestRestartsPutTheNextSnapshotOff(t *testing.T) {
+	s := newScript(t, 1)
+	s.is.Equal(s.core.Patience(), 1)
+	s.lead()
+	behind := s.core.lead.progress["c"]
+	behind.heard = s.now
+	s.core.startTransfer(behind)
+	for restarts := range maxRestarts + 2 {
+		s.is.Equal(s.core.Patience(), transferPatience<<min(restarts, maxRestarts))
+		s.core.snapshot = &lilacv1.RaftSnapshotMeta{Index: s.core.snapshot.GetIndex() + 1, Term: 1, Members: s.core.snapshot.GetMembers()}
+		s.core.sendChunk(behind)
+	}
+	behind.heard = s.now - testElection - 1
+	s.is.Equal(s.core.Patience(), 1)
+}
+
 // An entry of term 2 stands on a quorum, but its leader died before it was
 // committed. If the leader of term 3 committed it by count and died too, one
 // with an entry of a later term could still be elected and replace it: a
