Strike processes during a cut in the proof runs

Cause: nothing was ever killed, frozen or started again while a data centre was cut off, though a cut of minutes meets other failures.

Runs of the new kind 'struck' do so once in each cut.

--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -101,6 +101,8 @@
 	// cutoffs cuts data centres off by a plan, with callers at the entries; no
 	// other faults happen.
 	cutoffs bool
+	// strikes adds to each cut a process that ends, hangs or starts again.
+	strikes bool
 }
 
 var (
@@ -116,6 +118,8 @@
 	scripted = profile{name: "scripted", faultTime: 80 * time.Second, pause: 400 * time.Millisecond, spikes: 3, nodes: 5, appendBytes: 1, chunkBytes: 1 << 20, slow: 60 * time.Millisecond, reads: 2, anyLeader: true, scripts: true}
 	// cutoff runs have each data centre cut off in turn, and callers on both sides.
 	cutoff = profile{name: "cutoff", faultTime: 3 * time.Minute, pause: 4 * time.Second, nodes: 3, appendBytes: 600, chunkBytes: 100, slow: 60 * time.Millisecond, reads: 1, entries: true, cutoffs: true}
+	// struck runs are those of cutoff with a second fault in each cut.
+	struck = profile{name: "struck", faultTime: 4 * time.Minute, pause: 4 * time.Second, nodes: 3, appendBytes: 600, chunkBytes: 100, slow: 60 * time.Millisecond, reads: 1, entries: true, cutoffs: true, strikes: true}
 )
 
 // sim is one run.
