Let no lower tier hold an urgent request back

Cause: a burst of tier 3 at one entry leaves the other entries a quota of 1.5 to 6 slots, which the split gives them for their urgent requests. The entries' own tier 3 answers that ran from before counted against it, so a tier 1 call waited for their ends. Of 17 missed calls in a trace 15 had waited 0.6 to 4.2 s so; two had a slow first token. Ruled out: full engines (they had free slots), limits lowered by the tightest target (capacity stayed 80), slow preemption (it was not reached: the quota comes first), late demand of other entries.

Now only requests of the same or a more urgent tier count against the quota for a request.

--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -14,6 +14,9 @@
 	// lateReserve is what late requests leave free besides: what can still be on
 	// time shall not have to wait for them.
 	lateReserve = 2
+	// overReserve is what requests above the quota leave free besides: there are
+	// more of them than the split counts on, and tier 0 shall not feel it.
+	overReserve = 0.5
 	// firstReserve and stepReserve are the slots of each server that tier 1
 	// leaves free for tier 0, and what each further tier leaves besides.
 	firstReserve = 1
--- a/request/policy/decision_test.go
+++ b/request/policy/decision_test.go
@@ -13,8 +13,12 @@
 func poolOf(size int) *core {
 	snapshot := &lilacv1.Snapshot{
 		Revision: 1,
-		Classes:  []*lilacv1.Class{{Name: "alerts", FirstTokenMs: 420, BetweenTokensMs: 65}},
-		Teams:    []*lilacv1.Team{{Name: "a"}},
+		Classes: []*lilacv1.Class{
+			{Name: "alerts", FirstTokenMs: 420, BetweenTokensMs: 65},
+			{Name: "officers", Tier: 1, FirstTokenMs: 800, BetweenTokensMs: 65},
+			{Name: "batch", Tier: 3, FirstTokenMs: 5000, BetweenTokensMs: 200},
+		},
+		Teams: []*lilacv1.Team{{Name: "a"}},
 	}
 	for i := range size {
 		snapshot.Servers = append(snapshot.Servers, &lilacv1.Server{Name: fmt.Sprintf("r%04d", i), DataCenter: "dakar-a", Serves: []string{"redaction"}, Slots: 16})
--- a/request/policy/demand_test.go
+++ b/request/policy/demand_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
 // A burst at one instance leaves hundreds of urgent requests there that are too
@@ -29,3 +31,19 @@
 	}
 	is.Equal(p.demand()[0], float64(len(p.running)+2))
 }
+
+// A burst of tier 3 comes in at another instance and leaves few slots to this one,
+// which runs some tier 3 answers of its own. A tier 1 call waited here for seconds
+// until they ended: they held the slots that the split had given to it.
+func TestLowerTiersHoldNoUrgentRequestBack(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(1)
+	for id := range ID(3) {
+		c.Step(epoch, arrival(id+1, "batch"))
+	}
+	burst := &lilacv1.PoolCutoff{Pool: "redaction", AdmittedTier: 4, Demand: []uint32{0, 0, 0, 400}}
+	c.Step(epoch, PeerDigest{Digest: &lilacv1.Digest{Instance: "e2", Cutoffs: []*lilacv1.PoolCutoff{burst}}})
+	is.Equal(only[Start](t, c.Step(epoch, arrival(4, "officers"))).ID, ID(4))
+	c.Step(epoch, arrival(5, "batch"))
+	is.Equal(c.running, 4) // of tier 3 the burst's share is all
+}
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -49,7 +49,7 @@
 
 func (c *core) tryStart(now time.Time, p *pool, item *queue.Item) bool {
 	urgent := item.Tier == 0 && !item.Late
-	if !urgent && float64(len(p.running)) >= p.quota {
+	if !urgent && p.runs(item.Tier) >= p.quota {
 		return false
 	}
 	r := c.requests[ID(item.ID)]
@@ -57,6 +57,9 @@
 	if item.Late {
 		h.reserve += lateReserve
 	}
+	if !urgent && float64(len(p.running)) >= p.quota {
+		h.reserve += overReserve
+	}
 	s := c.choose(now, r, h)
 	if s == nil && c.identical.joins(now, r) != nil {
 		c.park(r)
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -100,6 +100,20 @@
 	return demand
 }
 
+// runs is how many requests of the tier and of more urgent ones this instance
+// runs. Only these count against the quota for a request of the tier. While a
+// burst of a lower tier waits elsewhere the quota holds few slots; if answers of
+// that tier that run here counted, an urgent request would wait seconds for their
+// ends, although its own demand won it a slot. What runs above the quota is at
+// most what ran of lower tiers, and the servers' limits hold in any case.
+func (p *pool) runs(tier int) float64 {
+	sum := 0.0
+	for _, running := range p.byTier[:tier+1] {
+		sum += running
+	}
+	return sum
+}
+
 // measure works out capacity, quota and rate from what is known of the servers.
 func (p *pool) measure(now time.Time) {
 	p.tighten(now)
