Weigh the places of two crashes in an outage

Cause: a crashing request in an outage of two or three engines was pardoned, since the outage's crashes counted for it wherever they were, and the next trial took a third server. Peers that saw neither pardoned it besides and ran its next copy: a conviction in the log barred arrivals, but not copies that waited.

Now two crashes after the same token, both early, are no outage; far apart ones need one other crash, all else two and one of them with the last or after it. A conviction by the log ends the copies that wait.

The measure was wrong too: it took the outage's engines off the crashes, but an engine that the request had taken down already counted for both.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -167,6 +167,7 @@
 			e.cache.store(j.call.prefix)
 		}
 		if j.call.crashes && j.made >= crashAfter {
+			e.world.tally.taken++
 			e.crash(restartTime)
 			return
 		}
--- a/internal/bench/suspects_test.go
+++ b/internal/bench/suspects_test.go
@@ -110,7 +110,7 @@
 func TestSmallOutageConvictsNobody(t *testing.T) {
 	t.Parallel()
 	o := outages{engines: 3, span: 5 * time.Second, load: 0.8}
-	for _, seed := range []uint64{1011, 1013, 1018, 1043} {
+	for _, seed := range []uint64{1011, 1013, 1018, 1021, 1043, 1066} {
 		w := o.run(seed)
 		sound(t, seed, w)
 		if n := w.convictedInnocents(); n > 0 {
@@ -119,6 +119,22 @@
 	}
 }
 
+// A request crashes engines while others fail by themselves. Its two crashes
+// were put down to the outage, and the trial after that took a third server;
+// peers that had pardoned it ran its next copy in spite of the conviction.
+func TestCrashingRequestInAnOutageCostsTwoServersAtMost(t *testing.T) {
+	t.Parallel()
+	for _, o := range []outages{{2, 5 * time.Second, 0.6, true}, {3, 5 * time.Second, 0.6, true}} {
+		for _, seed := range []uint64{1000, 1001, 1002} {
+			w := o.run(seed)
+			sound(t, seed, w)
+			if w.tally.taken > 2 || w.convictedInnocents() > 0 {
+				t.Errorf("%v, seed %d: %d servers lost to one request, %d innocents convicted", o, seed, w.tally.taken, w.convictedInnocents())
+			}
+		}
+	}
+}
+
 // convictedInnocents counts convictions of requests that crash nothing.
 func (w *world) convictedInnocents() int {
 	innocent := 0
@@ -213,7 +229,7 @@
 					innocent += n
 					runs++
 				}
-				if w.result(Product).Crashes-o.engines > 2 {
+				if w.tally.taken > 2 {
 					extra++
 				}
 				without += w.unanswered()
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -37,6 +37,9 @@
 	// engine, vanished the engines that left.
 	moved    int
 	vanished int
+	// taken counts engines that a crashing request took down; an outage that
+	// hits one of those while it is down takes nothing more.
+	taken int
 }
 
 // backend is an engine or a plain service.
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -56,7 +56,7 @@
 	if team == nil {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_TEAM, fmt.Sprintf("team %q is not configured; ask the operators to SET TEAM", r.Team), 0)
 	}
-	if c.barred(now, r.Digest) || c.guilty(r.Digest) {
+	if c.guilty(now, r.Digest) {
 		return refuseKind(lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 	}
 	r.pool = c.pools[r.Target]
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -18,6 +18,12 @@
 			c.suspects.Cleared(digest, now)
 		}
 	}
+	for digest := range view.Convictions {
+		if old.Convictions[digest] == nil {
+			c.endGuilty(now)
+			break
+		}
+	}
 	c.configureServers(now, view)
 	c.configurePools(now, view)
 	for _, p := range c.poolOrder {
--- a/request/policy/copies_test.go
+++ b/request/policy/copies_test.go
@@ -200,3 +200,15 @@
 	is.Equal(c.requests[1].claims, false)
 	is.True(c.requests[1].server != nil)
 }
+
+// Peers convict a request that this instance holds for a later trial. The log
+// told it, but the copy that waited was tried all the same and took a server.
+func TestConvictionByTheLogEndsWaitingCopies(t *testing.T) {
+	is := is.New(t)
+	c := poolOf(4)
+	c.Step(epoch, tellSuspect("e9", 1, "", "r9"))
+	is.Equal(len(sendCopy(c, 1)), 0)
+	view := *c.view
+	view.Convictions = map[string]*lilacv1.Conviction{"same": {Digest: "same"}}
+	is.Equal(only[Refuse](t, c.Step(epoch, Configured{View: &view})).Kind, lilacv1.ErrorKind_ERROR_KIND_CONVICTED)
+}
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -78,7 +78,7 @@
 // verdict says whether a failed request is given up, and as what. A retry is
 // taken from the budget unless the server did not run the request at all.
 func (c *core) verdict(now time.Time, r *request, e Failed) (fault.Kind, string, bool) {
-	if c.guilty(r.Digest) {
+	if c.guilty(now, r.Digest) {
 		return lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, true
 	}
 	if e.Final {
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -37,6 +37,7 @@
 	if e := c.suspects.Get(r.Digest); e != nil {
 		e.Own = true
 	}
+	c.suspects.CrashedAfter(r.Digest, s.name, r.got)
 	delete(c.identical.passed, r.Digest)
 	c.accuse(r.Digest)
 }
@@ -112,7 +113,7 @@
 		r.pool.queue.Push(&r.item)
 		return true
 	}
-	if c.guilty(r.Digest) {
+	if c.guilty(now, r.Digest) {
 		c.unqueue(r)
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 		return true
--- a/request/policy/verdict.go
+++ b/request/policy/verdict.go
@@ -21,6 +21,8 @@
 	// outageOthers is the number of such servers. One is left to a second
 	// crashing request or chance.
 	outageOthers = 2
+	// sameCrash is how far apart the news of crashes of one moment may come.
+	sameCrash = 500 * time.Millisecond
 	// calmAfter is how long after the last crash a pardoned request is tried.
 	calmAfter = 3 * time.Second
 	// unsettledFor is how long after the last crash no suspect is tried, where
@@ -59,10 +61,11 @@
 	return fell >= unsettledServers
 }
 
-// guilty tells whether the verdict on a suspect is known here.
-func (c *core) guilty(digest string) bool {
+// guilty tells whether the verdict on a suspect is known here, by the log or by
+// this instance's own judgement.
+func (c *core) guilty(now time.Time, digest string) bool {
 	e := c.suspects.Get(digest)
-	return e.Convicted() && e.Guilty
+	return c.barred(now, digest) || e.Convicted() && e.Guilty
 }
 
 // accuse has a request with two crashes wait for its verdict.
@@ -109,18 +112,33 @@
 }
 
 // outage tells whether servers that the request did not run on crashed in the
-// same window as those that it did.
+// same window as those that it did, and explain its crashes better.
 func (c *core) outage(e *suspect.Entry) bool {
-	others := 0
+	others, goesOn := c.othersFell(e)
+	switch e.Places() {
+	case suspect.PlacesAgree:
+		return false
+	case suspect.PlacesDiffer:
+		return others > 0
+	default:
+		return others >= outageOthers && goesOn
+	}
+}
+
+// othersFell counts the crashes of others near the suspect's own, and tells
+// whether any came with the last of these or after it.
+func (c *core) othersFell(e *suspect.Entry) (others int, goesOn bool) {
+	last := e.CrashedAt[len(e.CrashedAt)-1]
 	for _, s := range c.ordered {
 		if s.fellAt.IsZero() || e.Blamed(s.name) {
 			continue
 		}
 		if slices.ContainsFunc(e.CrashedAt, func(at time.Time) bool { return s.fellAt.Sub(at).Abs() <= outageWindow }) {
 			others++
+			goesOn = goesOn || last.Sub(s.fellAt) <= sameCrash
 		}
 	}
-	return others >= outageOthers
+	return others, goesOn
 }
 
 // holdAccused takes the copies of barred requests off their servers. They
@@ -136,9 +154,9 @@
 	}
 }
 
-// endGuilty ends the copies of convicted requests that wait here.
+// endGuilty ends the copies of convicted requests here.
 func (c *core) endGuilty(now time.Time) {
-	for _, r := range c.copies(func(r *request) bool { return c.guilty(r.Digest) }) {
+	for _, r := range c.copies(func(r *request) bool { return c.guilty(now, r.Digest) }) {
 		c.stop(now, r)
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, 0)
 	}
--- /dev/null
+++ b/request/suspect/place.go
@@ -0,0 +1,55 @@
+package suspect
+
+// earlyTokens is how far into its answer a request may be to have crashed early.
+const earlyTokens = 8
+
+// Places says what the places of two crashes, in tokens of the answer, tell.
+type Places int
+
+const (
+	// PlacesUnknown: the instance did not see both, or they tell nothing: many
+	// innocents die before the first token of their trial.
+	PlacesUnknown Places = iota
+	// PlacesDiffer: as where the servers went down by themselves.
+	PlacesDiffer
+	// PlacesAgree: both early and after the same token. Chance does that to
+	// few: most requests are well into their answers.
+	PlacesAgree
+)
+
+// CrashedAfter notes how many tokens of the answer this instance held when the
+// server crashed; of copies on it the one that was furthest counts.
+func (t *Table) CrashedAfter(digest, server string, tokens int) {
+	e := t.Get(digest)
+	if e == nil {
+		return
+	}
+	if e.places == nil {
+		e.places = make(map[string]int)
+	}
+	e.places[server] = max(e.places[server], tokens)
+}
+
+// Places compares the crashes that count. A token may be lost on its way, so
+// one more or less is no difference.
+func (e *Entry) Places() Places {
+	least, most := earlyTokens, 0
+	for i, server := range e.Servers {
+		at, known := e.places[server]
+		if !known {
+			return PlacesUnknown
+		}
+		if i == 0 {
+			least = at
+		}
+		least, most = min(least, at), max(most, at)
+	}
+	switch {
+	case most-least > 1:
+		return PlacesDiffer
+	case most == least && most < earlyTokens:
+		return PlacesAgree
+	default:
+		return PlacesUnknown
+	}
+}
--- a/request/suspect/table.go
+++ b/request/suspect/table.go
@@ -44,6 +44,9 @@
 	Guilty bool
 	// Pardoned is true once crashes were put down to an outage; only once.
 	Pardoned bool
+	// places are how many tokens of its answer this instance held at each of
+	// its own crashes, by server.
+	places map[string]int
 	// forgiven are crashes that a later run cleared the request of. Peers go on
 	// telling of them for a while; they must not count again.
 	forgiven []string
@@ -129,7 +132,7 @@
 		return
 	}
 	e.forgiven = append(e.forgiven, e.Servers...)
-	e.Servers, e.Trial, e.CrashedAt = nil, "", nil
+	e.Servers, e.Trial, e.CrashedAt, e.places = nil, "", nil, nil
 	e.Own, e.Guilty, e.Pardoned = false, false, false
 	e.Learned = now
 }
--- a/request/suspect/table_test.go
+++ b/request/suspect/table_test.go
@@ -40,6 +40,26 @@
 	is.True(!a.Get("d").Convicted())
 }
 
+func TestPlacesOfTwoCrashes(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		first, second int
+		want          Places
+	}{
+		{0, 0, PlacesAgree}, {2, 2, PlacesAgree}, {2, 3, PlacesUnknown},
+		{40, 40, PlacesUnknown}, {40, 41, PlacesUnknown}, {40, 47, PlacesDiffer},
+	} {
+		a := NewTable()
+		for server, tokens := range map[string]int{"r1": c.first, "r2": c.second} {
+			a.Crashed("d", "t", server, epoch)
+			a.CrashedAfter("d", server, tokens)
+		}
+		is.Equal(a.Get("d").Places(), c.want)
+		a.Crashed("d", "t", "r3", epoch) // a peer's, of unknown place
+		is.Equal(a.Get("d").Places(), PlacesUnknown)
+	}
+}
+
 func TestTrialsElsewhereAndExpiry(t *testing.T) {
 	is := is.New(t)
 	a := NewTable()
