Try a stopped copy where it ran

A stopped copy is now announced as the next trial, on the server where it ran: that is either gone, which convicts the request at no further price, or as good as any other. Such a trial goes before claims. A copy that had only just begun waits as before. Word of a crash counts against a stopped copy for 3 s, not 0.6 s, since the next start on the server may bring it.

--- a/internal/bench/suspects_test.go
+++ b/internal/bench/suspects_test.go
@@ -90,6 +90,10 @@
 		{copies{2, 2, 100 * time.Millisecond, 0.02}, []uint64{1001, 1003, 1008}},
 		{copies{3, 3, 100 * time.Millisecond, 0.02}, []uint64{1004, 1012, 1017}},
 		{copies{3, 3, 600 * time.Millisecond, 0.1}, []uint64{1023, 1025}},
+		// A copy was stopped while it took down a server where nothing else ran.
+		{copies{3, 3, 300 * time.Millisecond, 0.02}, []uint64{1009}},
+		{copies{4, 2, 100 * time.Millisecond, 0.02}, []uint64{1009, 1047}},
+		{copies{6, 6, 600 * time.Millisecond, 0.1}, []uint64{1057}},
 	}
 	for _, c := range cases {
 		for _, seed := range c.seeds {
--- a/request/policy/claim.go
+++ b/request/policy/claim.go
@@ -39,7 +39,7 @@
 	}
 	first := peer < c.options.Instance
 	for _, r := range c.copies(func(r *request) bool { return r.Digest == e.Digest }) {
-		if r.claims && (first || !isClaim(s)) || r.reserved != nil && first {
+		if r.claims && (first || !isClaim(s)) || r.reserved != nil && first && !isClaim(s) {
 			c.release(r)
 		}
 	}
--- a/request/policy/copies.go
+++ b/request/policy/copies.go
@@ -54,14 +54,31 @@
 // hold stops a running copy, which then waits as a suspect.
 func (c *core) hold(now time.Time, r *request) {
 	c.stopped = slices.DeleteFunc(c.stopped, func(copy stoppedCopy) bool { return now.Sub(copy.at) > stoppedFor })
-	c.stopped = append(c.stopped, stoppedCopy{digest: r.Digest, team: r.Team, server: r.server, at: now})
+	s := r.server
+	c.stopped = append(c.stopped, stoppedCopy{digest: r.Digest, team: r.Team, server: s, at: now})
 	c.stop(now, r)
 	c.enqueue(now, r)
+	c.reserveStopped(now, r, s)
 }
 
-// stoppedFor is how long after the order a stopped copy may have crashed its
-// server: the order's way, and that of the news, one lost digest included.
-const stoppedFor = 600 * time.Millisecond
+// reserveStopped has a stopped copy tried where it ran. It may have taken that
+// server down already, and where nothing else ran there nobody hears of it: a
+// trial on any other server is one too many then. A copy that had just begun
+// did nothing yet, and must not go before one that may have.
+func (c *core) reserveStopped(now time.Time, r *request, s *server) {
+	e := c.suspects.Get(r.Digest)
+	if e.Trial != "" || !c.mayTry(now, s, e, "") || now.Sub(r.started) < r.expected/2 {
+		return
+	}
+	r.reserved, r.reservedAt = s, now
+	e.Trial = s.name
+	s.trial = r.Digest
+	c.announce()
+}
+
+// stoppedFor is how long after the order the word of a crash is put down to a
+// stopped copy: where nothing else ran on the server, its next start brings it.
+const stoppedFor = 3 * time.Second
 
 // stoppedCopy is a copy that may have crashed its server before the order to
 // stop came there. Its own broken connection is no news any more.
