Let operators have old keys forgotten

Cause: a plain Idempotency-Key leaves a tombstone for ever, a million of them at most.

Ruled out: a higher bound (the same stop, later; and limits must be the same on all state processes at each moment, so a setting can't be raised by restarts), forgetting by age alone (nobody would have decided that a booking may run twice).

The last 7 days by the leaders' clocks are always kept; later dates are refused.

Conclusion: the bound is no dead end any more.

--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -76,14 +76,39 @@
 }
 
 func (m *Machine) propose(p *lilacv1.Proposal) *lilacv1.CommandResult {
+	if err := m.checkForget(p); err != nil {
+		return failed(err)
+	}
 	before := m.config.Revision()
 	result := m.config.Apply(p)
 	if m.config.Revision() != before {
+		m.forget(p)
 		m.wake()
 	}
 	return result
 }
 
+// checkForget has the ledger check a date that is not its configuration's. The
+// caller holds mu.
+func (m *Machine) checkForget(p *lilacv1.Proposal) error {
+	for _, change := range p.GetChanges() {
+		if op, ok := change.GetOp().(*lilacv1.Change_ForgetKeysBeforeUnixMs); ok {
+			if err := m.ledger.CheckForget(op.ForgetKeysBeforeUnixMs); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (m *Machine) forget(p *lilacv1.Proposal) {
+	for _, change := range p.GetChanges() {
+		if op, ok := change.GetOp().(*lilacv1.Change_ForgetKeysBeforeUnixMs); ok {
+			m.ledger.Forget(op.ForgetKeysBeforeUnixMs)
+		}
+	}
+}
+
 func (m *Machine) lease(r *lilacv1.LeaseRequest) *lilacv1.CommandResult {
 	reply, err := m.leases.Apply(r)
 	if reply.GetGranted() {
@@ -134,6 +159,9 @@
 	preview.DryRun = true
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.checkForget(preview); err != nil {
+		return failed(err)
+	}
 	return m.config.Apply(preview)
 }
 
--- a/daemon/state/service_test.go
+++ b/daemon/state/service_test.go
@@ -203,6 +203,12 @@
 	is.NoErr(err)
 	_, err = c.Lease(t.Context(), &lilacv1.LeaseRequest{Name: "orders", DurationMs: 1000})
 	is.NoErr(err)
+	for days, kind := range map[int]lilacv1.ErrorKind{6: lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE, 8: 0} {
+		before := time.Now().AddDate(0, 0, -days).UnixMilli()
+		forget := &lilacv1.Change{Op: &lilacv1.Change_ForgetKeysBeforeUnixMs{ForgetKeysBeforeUnixMs: before}}
+		_, err = c.Propose(t.Context(), &lilacv1.Proposal{CommandId: fmt.Sprint("forget-", days), Who: "awa", Changes: []*lilacv1.Change{forget}})
+		is.Equal(fault.KindOf(err), kind)
+	}
 	data, err := shared.machines[0].Snapshot()
 	is.NoErr(err)
 	restored := NewMachine(0, shared.machines[0].ledger.Limits())
--- a/process/ledger/entries.go
+++ b/process/ledger/entries.go
@@ -138,6 +138,7 @@
 		}
 	}
 	l.tombstones.sweep(l.nowMs)
+	l.forgetSome()
 }
 
 // retire replaces an entry by a tombstone. It tells false where there is no
@@ -159,7 +160,11 @@
 	l.forgetAnswer(e)
 	l.order.remove(e)
 	delete(l.entries, key)
-	if !forget {
+	switch {
+	case forget:
+	case until == 0:
+		l.tombstones.add(key, -e.claimedUnixMs)
+	default:
 		l.tombstones.add(key, until)
 	}
 	return true
@@ -169,7 +174,7 @@
 func (l *Ledger) makeRoom(key string) error {
 	if !isTimed(key) && l.tombstones.untimedSize()+l.untimed >= l.limits.Tombstones {
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_LIMIT,
-			"the ledger can remember no more keys without a time; send a UUID of version 7 as Idempotency-Key",
+			"the ledger can remember no more keys without a time; send a UUID of version 7 as Idempotency-Key, or ask the operators to FORGET KEYS",
 			fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
 	}
 	if len(l.entries) >= l.limits.Entries && !l.retireOldest() {
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -86,6 +86,7 @@
 	untimed int
 	// recovery is the last one from a lost majority; nil if there was none.
 	recovery     *lilacv1.LedgerRecovery
+	forgetting   forgetting
 	late, broken uint64
 	// doubted counts the claims refused because the key is in doubt.
 	doubted uint64
--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -17,6 +17,9 @@
 		Recovery:  l.recovery,
 		Current:   l.instances.all(),
 		Gone:      append([]string(nil), l.instances.order...),
+
+		ForgetBeforeUnixMs: l.forgetting.beforeMs,
+		ForgetShards:       uint32(l.forgetting.left),
 	}
 	records := make([]*record, 0, l.order.count)
 	for e := l.order.oldest; e != nil; e = e.after {
@@ -36,12 +39,13 @@
 func (l *Ledger) Restore(s *lilacv1.LedgerSnapshot) {
 	*l = *New(l.limits)
 	l.nowMs, l.recovery = s.GetNowUnixMs(), s.GetRecovery()
+	l.forgetting = forgetting{beforeMs: s.GetForgetBeforeUnixMs(), left: min(int(s.GetForgetShards()), shardCount)}
 	for _, e := range s.GetEntries() {
 		l.add(e)
 	}
 	for _, t := range s.GetTombstones() {
 		if len(t.GetHash()) == hashBytes {
-			l.tombstones.addHash(keyHash(t.GetHash()), t.GetUntilUnixMs())
+			l.tombstones.addHash(keyHash(t.GetHash()), t.GetUntilUnixMs()-t.GetClaimedUnixMs())
 		}
 	}
 	for _, i := range s.GetCurrent() {
--- a/process/ledger/tombstones.go
+++ b/process/ledger/tombstones.go
@@ -26,7 +26,8 @@
 // small map. It is a power of two of at most 16 bits.
 const shardCount = 4096
 
-// shard holds when each key is refused by its own time; 0 means never.
+// shard holds when each key is refused by its own time. A negative number stands
+// for never, and is when the key was claimed, times -1; 0 means never as well.
 type shard struct {
 	until map[keyHash]int64
 	// shared shards belong to a capture as well and are copied before a change.
@@ -107,7 +108,7 @@
 		t.count++
 	}
 	shard[hash] = untilMs
-	if untilMs != 0 {
+	if untilMs > 0 {
 		heap.Push(&t.timed, expiry{untilMs, hash})
 	}
 }
@@ -132,7 +133,7 @@
 	var list []*lilacv1.LedgerTombstone
 	for _, s := range shards {
 		for hash, until := range s.until {
-			list = append(list, &lilacv1.LedgerTombstone{Hash: hash[:], UntilUnixMs: until})
+			list = append(list, &lilacv1.LedgerTombstone{Hash: hash[:], UntilUnixMs: max(until, 0), ClaimedUnixMs: max(-until, 0)})
 		}
 	}
 	slices.SortFunc(list, func(a, b *lilacv1.LedgerTombstone) int { return bytes.Compare(a.GetHash(), b.GetHash()) })
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -66,6 +66,8 @@
 		return checkKnown(t.convictions, "conviction", op.LiftConviction)
 	case *lilacv1.Change_OrderModel:
 		return t.checkOrder(op.OrderModel)
+	case *lilacv1.Change_ForgetKeysBeforeUnixMs:
+		return nil // The ledger has checked it; see daemon/state.
 	}
 	return invalid("a change of a kind that this version does not know; run one version on all instances")
 }
--- a/version/statement/compile.go
+++ b/version/statement/compile.go
@@ -44,10 +44,20 @@
 		return s.Unload.change(false), nil
 	case s.Lift != nil:
 		return &lilacv1.Change{Op: &lilacv1.Change_LiftConviction{LiftConviction: s.Lift.Digest}}, nil
+	case s.Forget != nil:
+		return s.Forget.change()
 	}
 	return nil, invalid("SHOW changes nothing")
 }
 
+func (f *Forget) change() (*lilacv1.Change, error) {
+	date, err := time.Parse(time.DateOnly, f.Before)
+	if err != nil {
+		return nil, invalid("%q is no date; write one such as \"2026-06-01\"", f.Before)
+	}
+	return &lilacv1.Change{Op: &lilacv1.Change_ForgetKeysBeforeUnixMs{ForgetKeysBeforeUnixMs: date.UnixMilli()}}, nil
+}
+
 func milliseconds(text string) (uint32, error) {
 	d, err := time.ParseDuration(text)
 	if err != nil || d.Milliseconds() < 1 || d.Milliseconds() > math.MaxUint32 {
--- a/version/statement/grammar.go
+++ b/version/statement/grammar.go
@@ -20,7 +20,8 @@
 	Return     *Target  `parser:" | 'RETURN' @@"`
 	Load       *Order   `parser:" | 'LOAD' @@"`
 	Unload     *Order   `parser:" | 'UNLOAD' @@"`
-	Lift       *Lift    `parser:" | 'LIFT' @@ )"`
+	Lift       *Lift    `parser:" | 'LIFT' @@"`
+	Forget     *Forget  `parser:" | 'FORGET' @@ )"`
 	IfRevision *uint64  `parser:"( 'IF' 'REVISION' @Number )?"`
 	End        struct{} `parser:"';'?"`
 }
@@ -119,6 +120,12 @@
 	Digest string `parser:"'CONVICTION' @( Hex | String )"`
 }
 
+// Forget ends the memory of ended keys of non-idempotent requests.
+type Forget struct {
+	// Before is a date such as 2026-06-01, its begin in UTC.
+	Before string `parser:"'KEYS' 'BEFORE' @String"`
+}
+
 var words = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "Hex", Pattern: `[0-9a-f]{64}`},
 	{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
@@ -140,7 +147,7 @@
 
 // keywords are the words that an error may suggest.
 var keywords = []string{
-	"SHOW", "SET", "DROP", "DRAIN", "RETURN", "LOAD", "UNLOAD", "LIFT", "IF", "REVISION",
+	"SHOW", "SET", "DROP", "DRAIN", "RETURN", "LOAD", "UNLOAD", "LIFT", "FORGET", "KEYS", "BEFORE", "IF", "REVISION",
 	"REQUESTS", "SERVERS", "CLASSES", "TEAMS", "INSTANCES", "REVISIONS", "AUDIT", "LEASES", "CONVICTIONS", "MODELS", "STATE",
 	"WHERE", "AND", "ORDER", "BY", "ASC", "DESC", "LIMIT", "CONTAINS",
 	"CLASS", "TEAM", "SERVER", "INSTANCE", "TIER", "FIRST", "TOKEN", "BETWEEN", "TOKENS", "SHARE", "LATE", "RUN", "REFUSE",
--- a/version/statement/statement_test.go
+++ b/version/statement/statement_test.go
@@ -44,6 +44,7 @@
 	is.Equal(change(t, "LOAD MODEL m ADAPTER a ON r7").GetOrderModel().GetAdapter(), "a")
 	digest := strings.Repeat("3f", 32)
 	is.Equal(change(t, "LIFT CONVICTION "+digest).GetLiftConviction(), digest)
+	is.Equal(change(t, `FORGET KEYS BEFORE "2026-06-01"`).GetForgetKeysBeforeUnixMs(), int64(1780272000000))
 }
 
 func TestShow(t *testing.T) {
