Count packets, and call engines for orders over control

The kernel's own count of packets (TCP_INFO) is added up for the links and for the connections for control, and stands in two counters at /metrics. Ruled out: counting writes, which misses acknowledgements.

Readings and orders now pass through upstream.Client.Control. The tests of orders build their engines with such a client; nothing else in them changed.

--- a/connection/link/traffic.go
+++ b/connection/link/traffic.go
@@ -3,20 +3,29 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"github.com/lilacbridge/lilacbridge/connection/packets"
 )
 
 // Traffic counts the bytes of a process's links, framing included, without
-// packet headers. Any goroutine may read it.
-type Traffic struct{ sent, received atomic.Uint64 }
+// packet headers, and the packets. Any goroutine may read it.
+type Traffic struct {
+	sent, received atomic.Uint64
+	packets        packets.Counter
+}
 
 // Bytes returns what was sent and received so far.
 func (t *Traffic) Bytes() (sent, received uint64) { return t.sent.Load(), t.received.Load() }
 
+// Packets returns how many packets were sent and received so far.
+func (t *Traffic) Packets() (sent, received uint64) { return t.packets.Packets() }
+
 // counted returns the connection with its bytes added to t, which may be nil.
 func (t *Traffic) counted(conn net.Conn) net.Conn {
 	if t == nil {
 		return conn
 	}
+	t.packets.Open(conn)
 	return &countedConn{Conn: conn, traffic: t}
 }
 
@@ -36,3 +45,8 @@
 	c.traffic.sent.Add(uint64(n))
 	return n, err
 }
+
+func (c *countedConn) Close() error {
+	c.traffic.packets.Close(c.Conn)
+	return c.Conn.Close()
+}
--- a/connection/orders/engines.go
+++ b/connection/orders/engines.go
@@ -11,6 +11,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/orders"
 )
@@ -43,15 +44,17 @@
 
 // engines speaks the orders' part of the engines' protocol.
 type engines struct {
-	client *http.Client
+	// client makes the calls over the connections for control, where their bytes
+	// are counted and a late answer of another call is found out.
+	client *upstream.Client
 	valid  func(fencing uint64) bool
 	flying *atomic.Int64
 	// timeout bounds one order.
 	timeout time.Duration
 }
 
-func newEngines(valid func(uint64) bool, timeout time.Duration) engines {
-	return engines{client: &http.Client{}, valid: valid, flying: new(atomic.Int64), timeout: timeout}
+func newEngines(client *upstream.Client, valid func(uint64) bool, timeout time.Duration) engines {
+	return engines{client: client, valid: valid, flying: new(atomic.Int64), timeout: timeout}
 }
 
 func (e engines) inFlight() bool { return e.flying.Load() > 0 }
@@ -69,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := e.client.Do(req)
+	resp, err := e.client.Control(req)
 	if err != nil {
 		return nil, err
 	}
@@ -123,7 +126,7 @@
 	}
 	req.ContentLength = int64(len(data))
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := e.client.Do(req)
+	resp, err := e.client.Control(req)
 	if err != nil {
 		return false, err
 	}
--- a/connection/orders/orders.go
+++ b/connection/orders/orders.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/lease"
 	"github.com/lilacbridge/lilacbridge/process/orders"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -35,6 +36,8 @@
 	View func() *model.View
 	// Lease asks the state processes, as stateclient.Client does.
 	Lease func(context.Context, *lilacv1.LeaseRequest) (*lilacv1.LeaseReply, error)
+	// Client makes the calls to engines; nil means one of the Giver's own.
+	Client *upstream.Client
 	// LoadsPerMinute bounds the loads from the weight store. Default 30.
 	LoadsPerMinute int
 	// LeaseTime is how long a lease lasts unless it is renewed. Default 10 s;
@@ -72,11 +75,14 @@
 	if o.OrderTimeout <= 0 {
 		o.OrderTimeout = orders.OrderTimeout
 	}
+	if o.Client == nil {
+		o.Client = upstream.NewClient()
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
 	g := &Giver{options: o, events: make(chan orders.Event, 16), moved: make(chan struct{}, 1)}
-	g.engines = newEngines(g.valid, o.OrderTimeout)
+	g.engines = newEngines(o.Client, g.valid, o.OrderTimeout)
 	return g
 }
 
--- a/connection/orders/orders_test.go
+++ b/connection/orders/orders_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/lease"
 	"github.com/lilacbridge/lilacbridge/process/orders"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -101,7 +102,7 @@
 func TestOrderIsNotSentAfterTheLease(t *testing.T) {
 	is := is.New(t)
 	e, address := start(t)
-	frozen := newEngines(func(uint64) bool { return false }, orders.OrderTimeout)
+	frozen := newEngines(upstream.NewClient(), func(uint64) bool { return false }, orders.OrderTimeout)
 	done := frozen.order(t.Context(), orders.Order{Engine: orders.Engine{Name: "r1", Address: address}, Model: orders.Model{Name: "large"}, Load: true, Fencing: 1})
 	is.True(done.Err != nil)
 	is.True(!done.Refused)
@@ -129,7 +130,7 @@
 			defer server.Close()
 			target := orders.Engine{Name: "r1", Address: strings.TrimPrefix(server.URL, "http://"),
 				Wishes: map[orders.Model]bool{{Name: "large"}: true, {Name: "large", Adapter: "fr"}: true, {Name: "large", Adapter: "wo"}: true}}
-			e := newEngines(func(uint64) bool { return true }, orders.OrderTimeout)
+			e := newEngines(upstream.NewClient(), func(uint64) bool { return true }, orders.OrderTimeout)
 			read := e.read(t.Context(), orders.Read{Engine: target})
 			is.Equal(read.Err != nil, c.readFails)
 			is.Equal(len(read.Has) == 2, !c.readFails)
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/connection/packets"
 )
 
 const (
@@ -33,6 +35,7 @@
 	fresh *http.Client
 	// sent and received count the bytes of all connections.
 	sent, received atomic.Uint64
+	packets        packets.Counter
 
 	mu sync.Mutex
 	// echoes tells by host:port whether the server echoes. One answer without
@@ -59,6 +62,7 @@
 			if err != nil {
 				return nil, err
 			}
+			p.packets.Open(conn)
 			return &trackedConn{Conn: conn, pool: p}, nil
 		},
 		DisableCompression:     true,
@@ -116,3 +120,8 @@
 	c.pool.received.Add(uint64(n))
 	return n, err
 }
+
+func (c *trackedConn) Close() error {
+	c.pool.packets.Close(c.Conn)
+	return c.Conn.Close()
+}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -36,6 +36,10 @@
 	return c.control.sent.Load(), c.control.received.Load()
 }
 
+// ControlPackets returns how many packets Control's connections sent and
+// received so far.
+func (c *Client) ControlPackets() (sent, received uint64) { return c.control.packets.Packets() }
+
 // onceBody hides the body's kind from net/http.
 //
 // It guards against a second run of a non-idempotent call: net/http sends a
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -87,7 +87,7 @@
 	d.spread.Register(mux, "entry")
 	d.gossip = d.newGossip()
 	d.gossip.Register(mux)
-	d.orders = orders.New(orders.Options{View: d.watcher.Current, Lease: d.state.Lease, Logger: logger})
+	d.orders = orders.New(orders.Options{View: d.watcher.Current, Lease: d.state.Lease, Client: d.entry.clients, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
 	d.links = link.NewServer(id, mux)
 	d.registerMembership()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -80,8 +80,10 @@
 		Counter: e.counters, OnConvict: e.convict, OnAnnounce: options.OnAnnounce,
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
-	metrics.RegisterBytes(e.registry, "lilacbridge_control_upstream_bytes_total",
+	metrics.RegisterTraffic(e.registry, "lilacbridge_control_upstream_bytes_total",
 		"Bytes of control calls to backend servers, without packet headers.", e.clients.ControlBytes)
+	metrics.RegisterTraffic(e.registry, "lilacbridge_control_upstream_packets_total",
+		"Packets of control calls to backend servers, acknowledgements included.", e.clients.ControlPackets)
 	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
 	e.poller = engine.NewPoller(engines, reports{e.relay})
 	return e
--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -81,7 +81,8 @@
 // configuration, and what that costs.
 func (d *Daemon) registerMembership() {
 	registry := d.entry.registry
-	metrics.RegisterBytes(registry, metrics.LinkBytes, metrics.LinkBytesHelp, d.traffic.Bytes)
+	metrics.RegisterTraffic(registry, metrics.LinkBytes, metrics.LinkBytesHelp, d.traffic.Bytes)
+	metrics.RegisterTraffic(registry, metrics.LinkPackets, metrics.LinkPacketsHelp, d.traffic.Packets)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -68,7 +68,8 @@
 	service := NewService(machine, log)
 	service.Register(mux)
 	register(registry, service)
-	metrics.RegisterBytes(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
+	metrics.RegisterTraffic(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
+	metrics.RegisterTraffic(registry, metrics.LinkPackets, metrics.LinkPacketsHelp, id.Traffic.Packets)
 	listener, err := net.Listen("tcp", s.Link.Value)
 	if err != nil {
 		return nil, errors.Join(err, log.Close())
