Join the frames of a link into few packets

Cause: a relay of digests with 9 neighbours spent 18.7 KB/s on the wire of 13 (9.2 with framing, 9.5 of headers), the idle leader of five voters 35.9. One call took about 28 packets: yamux writes header and body of a frame apart and a frame for each stream's beginning and end, and pings from both ends of a connection even while messages pass.

A header waits for its body, a stream's beginning and end for the next write; request and opening, answer and status share a frame. Pings only after silence: 2 s while a call waits, else 10 s. The bytes on the wire are as before, so that old and new processes understand each other. Ruled out: a timer for held frames, which costs a wake-up for each call.

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -20,7 +20,8 @@
 	dialTimeout = 2 * time.Second
 	// redialPause keeps a dead peer from costing a dial for every call.
 	redialPause = 200 * time.Millisecond
-	// keepAlive finds a silently cut connection within about this time.
+	// keepAlive finds a silently cut connection within about twice this time,
+	// once a call waits on it.
 	keepAlive = 2 * time.Second
 )
 
@@ -35,7 +36,7 @@
 	end  context.CancelFunc
 
 	mu      sync.Mutex
-	session *yamux.Session
+	session *session
 	// dialing is nil if no dial runs.
 	dialing *dialing
 	failed  time.Time
@@ -64,10 +65,16 @@
 // dialing is a dial that runs; session and err are set before done is closed.
 type dialing struct {
 	done    chan struct{}
-	session *yamux.Session
+	session *session
 	err     error
 }
 
+// session is a yamux session and what its writes pass through.
+type session struct {
+	*yamux.Session
+	out *gathering
+}
+
 // connect returns the live session, or waits for the one dial that serves all
 // calls.
 //
@@ -76,7 +83,7 @@
 // timeout, one after another, and long past its own deadline. It holds because
 // the dial runs in the background with a time limit of its own, no lock is held
 // meanwhile, and each caller waits no longer than its context.
-func (c *Client) connect(ctx context.Context) (*yamux.Session, error) {
+func (c *Client) connect(ctx context.Context) (*session, error) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -122,7 +129,7 @@
 	c.session, c.failure, d.session = session, nil, session
 }
 
-func (c *Client) establish() (*yamux.Session, error) {
+func (c *Client) establish() (*session, error) {
 	conn, err := c.dialer(c.life, c.address)
 	if err != nil {
 		return nil, err
@@ -135,7 +142,13 @@
 		conn.Close()
 		return nil, err
 	}
-	return yamux.Client(conn, sessionConfig())
+	out := newGathering(conn)
+	muxed, err := yamux.Client(out, sessionConfig())
+	if err != nil {
+		return nil, err
+	}
+	go keepSession(muxed, out)
+	return &session{muxed, out}, nil
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -146,8 +159,7 @@
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
-	config.EnableKeepAlive = true
-	config.KeepAliveInterval = keepAlive
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = keepAlive
 	config.StreamOpenTimeout = 0
 	return config
@@ -155,6 +167,8 @@
 
 type clientStream struct {
 	conn   *yamux.Stream
+	out    *gathering
+	ended  bool
 	reader *bufio.Reader
 	stop   func() bool
 }
@@ -180,12 +194,8 @@
 	}
 	// An expired context unblocks reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
-	s := &clientStream{conn: conn, reader: bufio.NewReader(conn), stop: stop}
-	if err := writeFrame(conn, open); err != nil {
-		s.Close()
-		return nil, unavailable(err, c.address, nil)
-	}
-	if err := writeFrame(conn, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Message{Message: payload}}); err != nil {
+	s := &clientStream{conn: conn, out: session.out, reader: bufio.NewReader(conn), stop: stop}
+	if err := writeFrames(conn, open, messageFrame(payload)); err != nil {
 		s.Close()
 		return nil, unavailable(err, c.address, nil)
 	}
@@ -221,6 +231,7 @@
 		return unavailable(errors.Join(err, io.ErrUnexpectedEOF), s.conn.RemoteAddr().String(), nil)
 	}
 	if status := frame.GetStatus(); status != nil {
+		s.ended = true
 		if err := fault.FromStatus(status); err != nil {
 			return err
 		}
@@ -232,5 +243,9 @@
 // Close gives the stream up; the answering side's context ends.
 func (s *clientStream) Close() error {
 	s.stop()
-	return s.conn.Close()
+	err := s.conn.Close()
+	if !s.ended {
+		s.out.flush()
+	}
+	return err
 }
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -1,10 +1,11 @@
 package link
 
 import (
-	"bufio"
+	"bytes"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"encoding/binary"
 	"io"
 	"net"
 	"time"
@@ -59,12 +60,23 @@
 	return protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
 }
 
-func writeFrame(w io.Writer, m proto.Message) error {
-	bw := bufio.NewWriter(w)
-	if _, err := protodelim.MarshalTo(bw, m); err != nil {
-		return err
+func writeFrame(w io.Writer, m proto.Message) error { return writeFrames(w, m) }
+
+// writeFrames writes all frames at once, so that they share a packet.
+func writeFrames(w io.Writer, frames ...proto.Message) error {
+	var buffer bytes.Buffer
+	for _, m := range frames {
+		buffer.Grow(proto.Size(m) + binary.MaxVarintLen64)
+		if _, err := protodelim.MarshalTo(&buffer, m); err != nil {
+			return err
+		}
 	}
-	return bw.Flush()
+	_, err := w.Write(buffer.Bytes())
+	return err
+}
+
+func messageFrame(payload []byte) *lilacv1.LinkFrame {
+	return &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Message{Message: payload}}
 }
 
 func sign(key []byte, role string, own, other *lilacv1.LinkHello) []byte {
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -47,6 +47,8 @@
 	RequestID string
 	payload   []byte
 	send      func(proto.Message) error
+	// answer is the single one of a Unary, which goes with the closing status.
+	answer proto.Message
 }
 
 // Request decodes the caller's message into m.
@@ -107,6 +109,21 @@
 		if err != nil {
 			return err
 		}
-		return x.Send(resp)
+		x.answer = resp
+		return nil
 	}
 }
+
+// ending returns the last frames of the stream: the answer that is left, and the
+// closing status.
+func (x *Exchange) ending(err error) []proto.Message {
+	var frames []proto.Message
+	if err == nil && x.answer != nil {
+		var payload []byte
+		payload, err = proto.Marshal(x.answer)
+		if err == nil {
+			frames = append(frames, messageFrame(payload))
+		}
+	}
+	return append(frames, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Status{Status: fault.ToStatus(err)}})
+}
--- a/connection/link/local.go
+++ b/connection/link/local.go
@@ -46,7 +46,13 @@
 		}
 	}
 	x := &Exchange{Peer: l.Self, payload: payload, send: send}
-	go func() { s.done <- l.Mux.serve(ctx, method, x) }()
+	go func() {
+		err := l.Mux.serve(ctx, method, x)
+		if err == nil && x.answer != nil {
+			err = send(x.answer)
+		}
+		s.done <- err
+	}()
 	return s, nil
 }
 
@@ -86,5 +92,9 @@
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
 	}
+	if over, ok := s.(*clientStream); ok && err == nil {
+		// The status comes with the answer and says nothing more.
+		over.ended = true
+	}
 	return err
 }
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -12,7 +12,6 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
-	"github.com/lilacbridge/lilacbridge/process/fault"
 )
 
 // Server accepts connections of other processes and hands their streams to a Mux.
@@ -82,11 +81,13 @@
 		return
 	}
 	s.proved(conn, key)
-	session, err := yamux.Server(conn, sessionConfig())
+	out := newGathering(conn)
+	session, err := yamux.Server(out, sessionConfig())
 	if err != nil {
 		return
 	}
 	defer session.Close()
+	go keepSession(session, out)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
@@ -97,20 +98,19 @@
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
-			s.serveStream(ctx, peer, stream)
+			s.serveStream(ctx, peer, stream, out)
 		}()
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, peer Peer, stream *yamux.Stream) {
+func (s *Server) serveStream(ctx context.Context, peer Peer, stream *yamux.Stream, out *gathering) {
 	defer stream.Close()
 	reader := bufio.NewReader(stream)
-	open := &lilacv1.LinkOpen{}
-	if err := readFrame(reader, open); err != nil {
-		return
-	}
-	frame := &lilacv1.LinkFrame{}
-	if err := readFrame(reader, frame); err != nil {
+	open, frame := &lilacv1.LinkOpen{}, &lilacv1.LinkFrame{}
+	if err := errors.Join(readFrame(reader, open), readFrame(reader, frame)); err != nil {
+		// Without a status the other end waits for the end of the stream.
+		stream.Close()
+		out.flush()
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -131,10 +131,10 @@
 		if err != nil {
 			return err
 		}
-		return writeFrame(stream, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Message{Message: payload}})
+		return writeFrame(stream, messageFrame(payload))
 	}
 	err := s.mux.serve(ctx, open.GetMethod(), x)
-	_ = writeFrame(stream, &lilacv1.LinkFrame{Body: &lilacv1.LinkFrame_Status{Status: fault.ToStatus(err)}})
+	_ = writeFrames(stream, x.ending(err)...)
 }
 
 func (s *Server) proved(conn net.Conn, key []byte) {
