--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -4,6 +4,7 @@
 package state
 
 import (
+	"errors"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -23,12 +24,18 @@
 	ledger  *ledger.Ledger
 	leases  *lease.Table
 	applied uint64
+	// encoded is the size of the last snapshot, in bytes.
+	encoded int
 	// changed is closed and replaced at each new revision.
 	changed chan struct{}
 	// onLease is told of each grant or renewal as it is applied.
 	onLease func(*lilacv1.LeaseEntry)
 }
 
+// roomPart is the part of the last snapshot's size by which the next may be
+// larger without a new buffer.
+const roomPart = 8
+
 // NewMachine returns an empty Machine. All processes of a group must have the
 // same audit retention (in revisions) and limits.
 func NewMachine(auditRetention int, limits ledger.Limits) *Machine {
@@ -102,14 +109,27 @@
 func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
 
 // Capture notes the whole state as it is now, and returns a function that
-// encodes it while further commands are applied.
+// encodes it while further commands are applied. Encoded messages that stand one
+// after the other decode as one, merged.
 func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	configured, claimed, leased := m.config.Capture(), m.ledger.Capture(), m.leases.Snapshot()
+	size := m.encoded
 	return func() ([]byte, error) {
-		s := &lilacv1.MachineSnapshot{Config: configured(), Ledger: claimed(), Leases: leased}
-		return proto.MarshalOptions{Deterministic: true}.Marshal(s)
+		data := make([]byte, 0, size+size/roomPart)
+		add := func(part *lilacv1.MachineSnapshot) (err error) {
+			data, err = proto.MarshalOptions{Deterministic: true}.MarshalAppend(data, part)
+			return err
+		}
+		err := add(&lilacv1.MachineSnapshot{Config: configured(), Leases: leased})
+		for part := range claimed {
+			err = errors.Join(err, add(&lilacv1.MachineSnapshot{Ledger: part}))
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.encoded = len(data)
+		return data, err
 	}
 }
 
@@ -124,6 +144,7 @@
 	m.config.Restore(s.GetConfig())
 	m.ledger.Restore(s.GetLedger())
 	m.leases.Restore(s.GetLeases())
+	m.encoded = len(data)
 	m.wake()
 	return nil
 }
--- a/process/ledger/snapshot.go
+++ b/process/ledger/snapshot.go
@@ -1,18 +1,36 @@
 package ledger
 
 import (
+	"iter"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
+// partEntries is how many entries stand in one part of a snapshot.
+const partEntries = 1000
+
 // Snapshot returns all that Restore needs.
-func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot { return l.Capture()() }
+func (l *Ledger) Snapshot() *lilacv1.LedgerSnapshot {
+	s := &lilacv1.LedgerSnapshot{}
+	for part := range l.Capture() {
+		proto.Merge(s, part)
+	}
+	return s
+}
 
-// Capture notes the state as it is now and returns a function that makes the
-// snapshot of it. That one is the slow part; any goroutine may call it, once,
-// while the ledger goes on.
-func (l *Ledger) Capture() func() *lilacv1.LedgerSnapshot {
+// Capture notes the state as it is now and returns the parts of its snapshot,
+// which merged in turn are the whole. Making them is the slow part; any goroutine
+// may range over them, once, while the ledger goes on.
+//
+// It guards against a state process that needs several times the memory of its
+// ledger while a snapshot is made: as messages the entries take more room than
+// both as records and encoded. It holds because few exist as messages at a time.
+func (l *Ledger) Capture() iter.Seq[*lilacv1.LedgerSnapshot] {
 	shards := l.tombstones.capture()
-	s := &lilacv1.LedgerSnapshot{
+	rest := &lilacv1.LedgerSnapshot{
 		NowUnixMs: l.nowMs,
 		Recovery:  l.recovery,
 		Current:   l.instances.all(),
@@ -22,14 +40,29 @@
 	for e := l.order.oldest; e != nil; e = e.after {
 		records = append(records, e.record)
 	}
-	return func() *lilacv1.LedgerSnapshot {
-		s.Entries = make([]*lilacv1.LedgerEntry, len(records))
-		for i, r := range records {
-			s.Entries[i] = r.message()
+	return func(yield func(*lilacv1.LedgerSnapshot) bool) {
+		if !yield(rest) {
+			return
 		}
-		s.Tombstones = listed(shards)
-		return s
+		for some := range slices.Chunk(records, partEntries) {
+			if !yield(entriesPart(some)) {
+				return
+			}
+		}
+		for i := range shards {
+			if !yield(&lilacv1.LedgerSnapshot{Tombstones: listed(shards[i : i+1])}) {
+				return
+			}
+		}
+	}
+}
+
+func entriesPart(records []*record) *lilacv1.LedgerSnapshot {
+	part := &lilacv1.LedgerSnapshot{Entries: make([]*lilacv1.LedgerEntry, len(records))}
+	for i, r := range records {
+		part.Entries[i] = r.message()
 	}
+	return part
 }
 
 // Restore replaces the whole state; the limits stay.
