Measure holder, relay and follower in make capacity

Cause: three figures of the capacity page were reckoned. New lines: readings of the lease holder (real connections to as many addresses as engines), digests on the wire of real entries in one process, and real state processes, five voters, at 250 to 2,000 claims a second, made by lilacload claims. weigh.sh also weighs a follower and gives bytes on the wire, wide.sh counts headers.

--- a/Makefile
+++ b/Makefile
@@ -91,10 +91,13 @@
 	go test -run '^$$' -bench Snapshot -benchtime 3x ./version/spread >> out/capacity.txt
 	go test -run '^$$' -bench Heartbeat -benchtime 100x ./connection/replicalink >> out/capacity.txt
 	go test -run '^$$' -bench Holder -benchtime 200x ./process/orders >> out/capacity.txt
+	go test -run '^$$' -bench Readings -benchtime 1x ./connection/orders >> out/capacity.txt
+	go test -run '^$$' -bench Wire -benchtime 1x ./connection/gossip >> out/capacity.txt
 	go test -run '^$$' -bench Query -benchtime 3x ./connection/operator >> out/capacity.txt
 	go test -run '^$$' -bench Polls -benchtime 2000x ./connection/engine >> out/capacity.txt
 	go test -run '^$$' -bench Entry -benchtime 200x ./daemon/entry >> out/capacity.txt
 	bash scripts/weigh.sh >> out/capacity.txt
+	bash scripts/follow.sh >> out/capacity.txt
 	go run ./cmd/lilaccapacity < out/capacity.txt
 
 # Fuzzing of what reads bytes from outside; make test runs the corpora kept in
--- a/cmd/lilacload/main.go
+++ b/cmd/lilacload/main.go
@@ -28,7 +28,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), changesCommand(), verifyCommand(), portsCommand(), tokenCommand())
+	root.AddCommand(runCommand(), changesCommand(), verifyCommand(), claimsCommand(), portsCommand(), tokenCommand())
 	err := root.Execute()
 	if err == nil {
 		return
--- a/connection/engine/bench_test.go
+++ b/connection/engine/bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/packets"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 )
 
@@ -69,4 +70,6 @@
 	}
 	sent, received := up.ControlBytes()
 	b.ReportMetric(float64(sent+received)/float64(b.N)*callsPerSecond, "poll-B/s")
+	sent, received = up.ControlPackets()
+	b.ReportMetric(float64(sent+received)*packets.HeaderBytes/float64(b.N)*callsPerSecond, "headers-B/s")
 }
--- a/connection/gossip/gossip_test.go
+++ b/connection/gossip/gossip_test.go
@@ -37,6 +37,8 @@
 	others atomic.Pointer[lilacv1.Digest]
 	server *link.Server
 	stop   context.CancelFunc
+	// traffic is that of its links.
+	traffic *link.Traffic
 }
 
 // start starts n entries of one data centre that know each other, of which the
@@ -46,7 +48,7 @@
 }
 
 // startIn spreads the entries over the data centres in turn; now is their clock.
-func startIn(t *testing.T, dataCenters []string, now func() time.Time, n int, list string, own func(i int) *lilacv1.Digest) []*node {
+func startIn(t testing.TB, dataCenters []string, now func() time.Time, n int, list string, own func(i int) *lilacv1.Digest) []*node {
 	var all []*node
 	var peers []settings.Peer
 	var listeners []net.Listener
@@ -57,8 +59,8 @@
 		peers = append(peers, settings.Peer{Name: fmt.Sprint("entry-", i), Address: settings.Address{Value: listener.Addr().String()}, DataCenter: dataCenters[i%len(dataCenters)]})
 	}
 	for i, peer := range peers {
-		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Keys: secret.Always(testKey)}
-		x := &node{peer: peer, news: make(chan string, newsKept)}
+		id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Keys: secret.Always(testKey), Traffic: &link.Traffic{}}
+		x := &node{peer: peer, news: make(chan string, newsKept), traffic: id.Traffic}
 		o := Options{
 			Self:    member.Peer{Name: peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter},
 			Entries: peers, Dial: dialer(t, id), Own: func() *lilacv1.Digest { return own(i) }, Now: now,
@@ -113,7 +115,7 @@
 	}
 }
 
-func dialer(t *testing.T, id link.Identity) func(string) link.Caller {
+func dialer(t testing.TB, id link.Identity) func(string) link.Caller {
 	var mu sync.Mutex
 	clients := make(map[string]*link.Client)
 	return func(address string) link.Caller {
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -26,6 +26,10 @@
 	tokensPerRequest   = 8.5e6 / RequestsPerSecond
 	requestsPerNode    = float64(RequestsPerSecond) / Nodes
 	digestsPerSecond   = 6
+	// claimsPerSecond is the load if one request in ten is non-idempotent.
+	claimsPerSecond = RequestsPerSecond / 10
+	// heldKeys is how many keys the ledger holds at most within their retention.
+	heldKeys = 100000
 	// subsetSize is how many servers of a pool an instance uses at most.
 	subsetSize     = 100
 	pollsPerSecond = 8
@@ -54,6 +58,8 @@
 	{"entry", "digests, mean", "Traffic", "mean-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "mesh up to 10 entries, then a tree of fanout 5"},
 	{"relay entry", "digests, busiest", "Traffic", "max-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "the same tree, relays exchange sums"},
 	{"relay entry", "membership core", "Traffic", "core-%", Nodes, 1, CapCorePercent, "% of a core", "one exchange a second with each neighbour"},
+	{"entry", "digests on the wire, mean", "Wire", "mean-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "the same, with framing and packet headers"},
+	{"relay entry", "digests on the wire, busiest", "Wire", "max-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "the same; frames share packets, no pings while messages pass"},
 	{"entry", "revisions, inside", "Spread/tree", "near-B/rev", Nodes, changesPerSecond / Nodes, CapBytesPerSecond, "B/s", "tree of fanout 8 by rank"},
 	{"relay entry", "revisions, between data centres", "Spread/tree", "far-B/rev", Nodes, changesPerSecond, CapBytesPerSecond, "B/s", "one flow into each data centre"},
 	{"state", "revisions, out", "Spread/tree", "state-B/rev", Nodes, changesPerSecond, CapBytesPerSecond, "B/s", "only relays follow a state process"},
@@ -69,11 +75,23 @@
 	{"entry", "polls, processor time of both sides", "Polls/fresh", "ns/op", subsetSize, pollsPerSecond * percent / nanosecondsPerCore, CapCorePercent, "% of a core", "the same"},
 	{"entry", "whole process, resident", "Weigh/entry", "rss-MB", Teams, 1, CapMemoryMB, "MB", "all of the above"},
 	{"entry", "whole process, idle", "Weigh/entry", "core-%", Teams, 1, CapCorePercent, "% of a core", "few wake-ups while idle"},
+	{"entry", "whole process, idle, on the wire", "Weigh/entry", "wire-B/s", Teams, 1, CapBytesPerSecond, "B/s", "all of the above"},
 	{"entry", "one query of all requests, 200 at each instance", "Query/all", "gathered-MB", Nodes, 1, CapMemoryMB, "MB", "narrowed at each instance, 50,000 rows at most"},
-	{"lease holder", "core for orders, all engines to be loaded", "Holder/rollout", "ns/op", Replicas, percent / nanosecondsPerCore, CapCorePercent, "% of a core", "a bucket of ten readings a second, urgent ones first"},
+	{"lease holder", "core for orders, all engines to be loaded", "Holder/rollout", "ns/op", Replicas, percent / nanosecondsPerCore, CapCorePercent, "% of a core", "a bucket of seven readings a second, urgent ones first"},
+	{"lease holder", "readings on the wire", "Readings", "wire-B/s", Replicas, 1, CapBytesPerSecond, "B/s", "the same"},
+	{"lease holder", "readings, processor time of both sides", "Readings", "core-%", Replicas, 1, CapCorePercent, "% of a core", "the same"},
 	{"lease holder", "readings a second", "Holder/steady", "reads/s", Replicas, 1, 0, "calls/s", "the same"},
 	{"state", "whole leader, resident", "Weigh/leader", "rss-MB", Teams, 1, CapMemoryMB, "MB", "one copy of the configuration"},
 	{"state", "whole leader, idle", "Weigh/leader", "core-%", Teams, 1, CapCorePercent, "% of a core", "one heartbeat each 200 ms to each voter"},
+	{"state", "whole leader, idle, three voters, on the wire", "Weigh/leader", "wire-B/s", Teams, 1, CapBytesPerSecond, "B/s", "the same"},
+	{"state", "whole follower, idle", "Weigh/follower", "core-%", Teams, 1, CapCorePercent, "% of a core", "an answer to each heartbeat"},
+	{"state", "whole follower, idle, on the wire", "Weigh/follower", "wire-B/s", Teams, 1, CapBytesPerSecond, "B/s", "the same"},
+	{"state", "whole follower under claims, no control", "Claimed/follower", "core-%", claimsPerSecond, 1, 0, "% of a core", "claims that wait share a sync"},
+	{"state", "whole follower under claims, on the wire", "Claimed/follower", "wire-B/s", claimsPerSecond, 1e-6, 0, "MB/s", "the same"},
+	{"state", "whole leader of five under claims, no control", "Claimed/leader", "core-%", claimsPerSecond, 1, 0, "% of a core", "the same"},
+	{"state", "whole leader of five under claims, on the wire", "Claimed/leader", "wire-B/s", claimsPerSecond, 1e-6, 0, "MB/s", "the same"},
+	{"state", "whole follower under claims, resident, by keys", "Held/follower", "rss-MB", heldKeys, 1, CapMemoryMB, "MB", "snapshots encoded in parts"},
+	{"state", "whole leader under claims, resident, by keys", "Held/leader", "rss-MB", heldKeys, 1, CapMemoryMB, "MB", "the same"},
 	{"state", "leader's heartbeats, five voters", "Heartbeat/idle", "leader-B/s", DataCenters, 1, CapBytesPerSecond, "B/s", "one voter in each data centre"},
 	{"entry", "callers' traffic itself, no control", "Entry/stream", "cpu-µs/request", tokensPerRequest, requestsPerNode * 1e-4, 0, "% of a core", "one flush and no lock for a token"},
 	{"state", "machine in memory, by keys", "Size/teams=45000", "heap-MB", 200000, 1, CapMemoryMB, "MB", "answers bounded, tombstones of 16 bytes"},
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -9,6 +9,9 @@
 # Every file of a fleet uses ports 71xx or 72xx; see examples/.
 PORT_PATTERN='127\.0\.0\.1:7[12][0-9][0-9]'
 
+# What a packet carries besides its data; see connection/packets.
+HEADER_BYTES=52
+
 say() { printf '%s\n' "$*"; }
 
 # machine: how busy the machine is besides; a starved one stalls every process.
--- a/scripts/weigh.sh
+++ b/scripts/weigh.sh
@@ -30,15 +30,25 @@
 # metric NAME METRIC: a process's own figure.
 metric() { curl -s -m 2 "http://$(field "$1" admin)/metrics" | awk -v m="$2" '$1 == m { printf "%.6f", $2 }'; }
 
+# wire NAME: bytes of its links and control calls so far, with packet headers.
+wire() {
+  curl -s -m 2 "http://$(field "$1" admin)/metrics" | awk -v h="$HEADER_BYTES" '
+    /^lilacbridge_(link|control_upstream)_bytes_total/ { sum += $2 }
+    /^lilacbridge_(link|control_upstream)_packets_total/ { sum += $2 * h }
+    END { printf "%.0f", sum }'
+}
+
 # weigh NAME ROLE TEAMS: one line of figures.
 weigh() {
-  local before after rss
+  local before after rss sent
+  sent="$(wire "$1")"
   before="$(metric "$1" process_cpu_seconds_total)"
   sleep "$IDLE_SECONDS"
   after="$(metric "$1" process_cpu_seconds_total)"
   rss="$(metric "$1" process_resident_memory_bytes)"
-  awk -v n="BenchmarkWeigh/$2/teams=$3" -v a="$after" -v b="$before" -v s="$IDLE_SECONDS" -v r="$rss" \
-    'BEGIN { printf "%s\t1\t%.3f core-%%\t%.1f rss-MB\n", n, 100 * (a - b) / s, r / 1048576 }'
+  sent=$(($(wire "$1") - sent))
+  awk -v w="$sent" -v n="BenchmarkWeigh/$2/teams=$3" -v a="$after" -v b="$before" -v s="$IDLE_SECONDS" -v r="$rss" \
+    'BEGIN { printf "%s\t1\t%.3f core-%%\t%.1f rss-MB\t%.0f wire-B/s\n", n, 100 * (a - b) / s, r / 1048576, w / s }'
 }
 
 prepare "$FLEET"
@@ -49,8 +59,11 @@
   done_teams=$size
   sleep "$SETTLE_SECONDS"
   weigh "${ENTRIES[0]}" entry "$size" &
-  weigh "$(leader)" leader "$size" &
-  wait $(jobs -p | tail -2)
+  now_leads="$(leader)"
+  weigh "$now_leads" leader "$size" &
+  for name in "${STATES[@]}"; do [[ "$name" == "$now_leads" ]] || follower="$name"; done
+  weigh "$follower" follower "$size" &
+  wait $(jobs -p | tail -3)
 done
 stop_all
 verdict weigh
--- a/scripts/wide.sh
+++ b/scripts/wide.sh
@@ -35,14 +35,16 @@
   (IFS=,; printf '{"instances": [%s]}\n' "${list[*]}") > "$WORK/conf/instances.json"
 }
 
-# figures FILE: "name link polls cpu rss live" of each entry.
+# figures FILE: "name link polls cpu rss live" of each entry, bytes with packet headers.
 figures() {
   local name
   for name in "${ENTRIES[@]}"; do
     alive "$name" || continue
-    curl -s -m 5 "http://$(field "$name" admin)/metrics" | awk -v n="$name" '
+    curl -s -m 5 "http://$(field "$name" admin)/metrics" | awk -v n="$name" -v h="$HEADER_BYTES" '
       /^lilacbridge_link_bytes_total/ { link += $2 }
+      /^lilacbridge_link_packets_total/ { link += $2 * h }
       /^lilacbridge_control_upstream_bytes_total/ { polls += $2 }
+      /^lilacbridge_control_upstream_packets_total/ { polls += $2 * h }
       $1 == "process_cpu_seconds_total" { cpu = $2 }
       $1 == "process_resident_memory_bytes" { rss = $2 }
       $1 == "lilacbridge_entries_live" { live = $2 }
@@ -58,7 +60,7 @@
       most("control", ($7 - $2 + $8 - $3) / s / 1000); most("core", ($9 - $4) / s * 100); most("memory", $10 / 1048576) }
     END {
       printf "%-28s %8s %8s\n", "a node, idle", "mean", "most"
-      printf "%-28s %8.1f %8.1f  KB/s, without packet headers\n", "links", sum["links"] / NR, max["links"]
+      printf "%-28s %8.1f %8.1f  KB/s, with packet headers\n", "links", sum["links"] / NR, max["links"]
       printf "%-28s %8.1f %8.1f  KB/s\n", "polls", sum["polls"] / NR, max["polls"]
       printf "%-28s %8.1f %8.1f  KB/s\n", "links and polls", sum["control"] / NR, max["control"]
       printf "%-28s %8.2f %8.2f  %% of a core\n", "processor time", sum["core"] / NR, max["core"]
