Give each tier its guaranteed shares in the split of slots

At instances without the burst it had 1 to 3 slots, all of them for tier 1: the split went by tier alone, and a class's share earned credit only from what its own instance ran, next to nothing during a burst elsewhere.

Now of the capacity each tier gets its classes' shares first, as far as it asks for them, and the rest goes by tier as before.

--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -146,7 +146,7 @@
 		if ms := e.Digest.GetPromiseMs(); ms > 0 {
 			p.tiers.SetPromise(time.Duration(ms) * time.Millisecond)
 		}
-		p.quota = p.tiers.Quota(p.capacity, p.demand())
+		p.quota = p.tiers.Quota(p.capacity, p.demand(), p.shares)
 		c.cutoff(now, p)
 		c.dispatch(now, p)
 	}
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -8,7 +8,7 @@
 	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
 
-// tightFor is how long a class's target binds the pool after its last request.
+// tightFor is how long a class's target and share bind the pool after its last request.
 const tightFor = time.Minute
 
 // pool is a model or service with its servers and what waits for it.
@@ -27,8 +27,10 @@
 	parked []*request
 	// tight is the tightest target between tokens of the classes in use.
 	tight time.Duration
-	used  map[string]*classUse
-	uses  []*classUse
+	// shares are the guaranteed ones of the same classes.
+	shares tiers.Shares
+	used   map[string]*classUse
+	uses   []*classUse
 	// capacity is how many requests the pool runs within targets, quota this
 	// instance's part of it, rate its tokens a second, gap its mean gap.
 	capacity, quota, rate float64
@@ -72,11 +74,16 @@
 	return float64(class.GetSharePermille()) / 1000
 }
 
+// tighten brings what the classes in use ask of the pool up to date.
 func (p *pool) tighten(now time.Time) {
-	p.tight = 0
+	p.tight, p.shares = 0, tiers.Shares{}
 	for _, u := range p.uses {
+		if now.Sub(u.at) >= tightFor {
+			continue
+		}
+		p.shares[u.class.GetTier()] += shareOf(u.class)
 		target := time.Duration(u.class.GetBetweenTokensMs()) * time.Millisecond
-		if target > 0 && now.Sub(u.at) < tightFor && (p.tight == 0 || target < p.tight) {
+		if target > 0 && (p.tight == 0 || target < p.tight) {
 			p.tight = target
 		}
 	}
@@ -136,7 +143,7 @@
 			s.fade(now, norms/float64(open))
 		}
 	}
-	p.quota = p.tiers.Quota(p.capacity, p.demand())
+	p.quota = p.tiers.Quota(p.capacity, p.demand(), p.shares)
 	if p.capacity > 0 {
 		p.rate *= min(1, p.quota/p.capacity)
 	}
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -43,6 +43,11 @@
 // Demand is the number of requests that run or wait, by tier.
 type Demand [model.Tiers]float64
 
+// Shares are the parts of the capacity, 0 to 1 together, that the classes of each
+// tier are guaranteed. Instances that count different classes split a little
+// differently; servers' limits hold all the same.
+type Shares [model.Tiers]float64
+
 type peer struct {
 	// until is when the peer's word binds no longer.
 	until    time.Time
@@ -206,23 +211,26 @@
 	return sum
 }
 
-// Quota returns how many requests this instance may run at once: capacity is
-// given out tier by tier, within a tier in proportion to demand, and what
+// Quota returns how many requests this instance may run at once. Of capacity
+// each tier gets its share first, as far as it is asked for; the rest is given
+// out tier by tier. Within a tier slots go in proportion to demand, and what
 // nobody asks for is split evenly.
-func (t *Table) Quota(capacity float64, own Demand) float64 {
-	others := t.Others()
-	left, quota := capacity, 0.0
+func (t *Table) Quota(capacity float64, own Demand, shares Shares) float64 {
+	total := t.Others()
+	left := capacity
+	var given Demand
 	for tier := range own {
-		total := own[tier] + others[tier]
-		if total <= left {
-			left -= total
-			quota += own[tier]
-			continue
-		}
-		if total > 0 {
-			quota += left * own[tier] / total
+		total[tier] += own[tier]
+		given[tier] = min(total[tier], shares[tier]*capacity)
+		left -= given[tier]
+	}
+	quota := 0.0
+	for tier := range own {
+		more := min(total[tier]-given[tier], max(left, 0))
+		left -= more
+		if total[tier] > 0 {
+			quota += (given[tier] + more) * own[tier] / total[tier]
 		}
-		left = 0
 	}
-	return max(1, quota+left/float64(len(t.peers)+1))
+	return max(1, quota+max(left, 0)/float64(len(t.peers)+1))
 }
--- a/request/tiers/table_test.go
+++ b/request/tiers/table_test.go
@@ -17,9 +17,10 @@
 	is := is.New(t)
 	a := NewTable("m", epoch)
 	a.Observe("b", &lilacv1.PoolCutoff{AdmittedTier: 4, Demand: []uint32{60, 40, 0, 0}}, epoch)
-	is.Equal(a.Quota(100, Demand{20, 40, 0, 0}), 20.0+20*0.5) // tier 1 halves what tier 0 leaves
-	is.Equal(a.Quota(100, Demand{0, 0, 0, 30}), 1.0)          // never none
-	is.Equal(a.Quota(200, Demand{20, 0, 0, 0}), 20.0+40)      // the rest is split evenly
+	is.Equal(a.Quota(100, Demand{20, 40, 0, 0}, Shares{}), 20.0+20*0.5) // tier 1 halves what tier 0 leaves
+	is.Equal(a.Quota(100, Demand{0, 0, 0, 30}, Shares{}), 1.0)          // never none
+	is.Equal(a.Quota(100, Demand{0, 0, 0, 30}, Shares{3: 0.1}), 10.0)   // its share comes first
+	is.Equal(a.Quota(200, Demand{20, 0, 0, 0}, Shares{}), 20.0+40)      // the rest is split evenly
 }
 
 // An urgent request is refused at one instance while another still lets
