Push only the pools whose cutoffs forbid more

Cause: each push of a cutoff, and its answer, carried the words of all pools, and a relay with nine neighbours makes dozens of exchanges a second while the entries cut off one after another. Beside, a push that met an exchange still under way with that peer was dropped by the shell, while the core held it for told; the next whole word came up to 1.5 s later.

A push now carries only the pools that forbid more than the peer was told, and so does its answer; the regular exchange stays whole. What a partial word leaves out binds no longer than it did before. It is marked incomplete too, so that a build which does not know the field takes it safely. Exchanges under way are known to the core, which waits with a push; a failed one has the next whole.

Ruled out: leaving out pools that hold nothing back (a sum would understate what is admitted); renewing left-out pools with the new word's time (a pool that forbids less since is left out too: its unit test fails with it).

Lower tiers come back up to 2 s later, since a push no longer renews what it leaves out.

--- a/process/member/core.go
+++ b/process/member/core.go
@@ -52,9 +52,10 @@
 	Leaving bool
 }
 
-// heard is the last digest of a peer.
+// heard is the last digest of a peer, as it came from one.
 type heard struct {
 	digest *lilacv1.Digest
+	from   string
 	at     time.Time
 	// since is a time, by the own clock, after which it was composed; zero
 	// means that none is known.
@@ -112,7 +113,7 @@
 		toldLeave: make(map[string]bool),
 		own:       &lilacv1.Digest{Instance: self.Name, DataCenter: self.DataCenter},
 		promises:  promises{stamps: make(map[string]uint64), missing: make(map[string]absence)},
-		pushes:    pushes{said: make(map[string]*lilacv1.Digest), pushedTo: make(map[string]time.Time)},
+		pushes:    pushes{said: make(map[string]*lilacv1.Digest), pushedTo: make(map[string]time.Time), brief: make(map[string]bool), open: make(map[string]time.Time)},
 	}
 	for _, peer := range seeds {
 		if peer.Name != self.Name {
@@ -156,8 +157,10 @@
 		c.platform(now, e)
 		return slices.Concat(c.servers(now), c.alive())
 	case Received:
+		c.brief[e.From] = e.Digest.GetPartial()
 		return c.take(now, e.From, e.Digest)
 	case Answered:
+		delete(c.open, e.Peer)
 		return c.take(now, e.Peer, e.Digest)
 	case Failed:
 		c.failed(now, e.Peer)
@@ -172,6 +175,7 @@
 // makes the sums incomplete at all entries.
 func (c *Core) failed(now time.Time, peer string) {
 	delete(c.asked, peer)
+	c.unsaid(peer)
 	c.failures[peer]++
 	if c.Tree() && c.failures[peer] < 2 {
 		return
@@ -218,31 +222,41 @@
 func (c *Core) take(now time.Time, from string, d *lilacv1.Digest) []Action {
 	c.noteStamp(from, d)
 	delete(c.failures, from)
+	word := heard{d, from, now, c.composedAfter(now, d)}
 	if c.Tree() && d.GetInstance() == Others {
 		if from != c.parent() {
 			return nil
 		}
-		c.noteTighter(c.down.digest, d)
-		c.down = heard{d, now, c.composedAfter(now, d)}
+		word, ok := c.down.with(word)
+		if !ok {
+			return nil
+		}
+		c.noteTighter(c.down.digest, word.digest)
+		c.down = word
 		c.heardNews = true
 		return c.servers(now)
 	}
-	return c.hear(now, d)
+	return c.hear(now, word)
 }
 
-func (c *Core) hear(now time.Time, d *lilacv1.Digest) []Action {
-	name := d.GetInstance()
+func (c *Core) hear(now time.Time, word heard) []Action {
+	name := word.digest.GetInstance()
 	if name == "" || name == c.self.Name || name == Others {
 		return nil
 	}
 	old, known := c.heard[name]
+	word, ok := old.with(word)
+	if !ok {
+		return nil
+	}
+	d := word.digest
 	sameLife := known && old.digest.GetIncarnation() == d.GetIncarnation()
 	if sameLife && d.GetSequence() < old.digest.GetSequence() {
 		// An older digest that was overtaken on the way.
 		return nil
 	}
 	c.noteTighter(old.digest, d)
-	c.heard[name] = heard{d, now, c.composedAfter(now, d)}
+	c.heard[name] = word
 	delete(c.missing, name)
 	if _, avoided := c.avoided[name]; avoided || old.digest.GetLeaving() != d.GetLeaving() {
 		c.peersChanged = true
@@ -252,7 +266,7 @@
 	var actions []Action
 	if !c.Tree() {
 		c.told[name] = true
-		actions = append(actions, Digest{c.given(now, d, c.heard[name]), now})
+		actions = append(actions, Digest{c.given(now, d, word), now})
 	}
 	return slices.Concat(actions, c.servers(now), c.alive())
 }
@@ -300,31 +314,6 @@
 	return []Action{Digest{c.given(now, sum, heard{}), now}}
 }
 
-// exchanges returns those that are due, all at once when there is news, and
-// those with whom a cutoff is news to.
-func (c *Core) exchanges(now time.Time) []Action {
-	urgent := c.heardNews && c.urgent(now)
-	c.held = false
-	var actions []Action
-	for _, peer := range c.partners(now) {
-		last, asked := c.asked[peer.Name]
-		if asked && !urgent && now.Sub(last) < c.interval() && !c.pushDue(now, peer.Name) {
-			continue
-		}
-		c.asked[peer.Name] = now
-		actions = append(actions, Exchange{Peer: peer, Digest: c.Reply(now, peer.Name)})
-	}
-	if !urgent && !c.tightened {
-		return actions
-	}
-	for _, peer := range c.listeners(now) {
-		if urgent || c.pushDue(now, peer.Name) {
-			actions = append(actions, Exchange{Peer: peer, Digest: c.Reply(now, peer.Name)})
-		}
-	}
-	return actions
-}
-
 // forget drops what has not been heard for its lifetime.
 func (c *Core) forget(now time.Time) []Action {
 	var actions []Action
--- a/process/member/partners.go
+++ b/process/member/partners.go
@@ -96,8 +96,17 @@
 	return sum
 }
 
-// Reply is the digest for the peer, asked or unasked.
+// Reply is the digest for the peer that was just received from: a partial one
+// is answered by a partial one.
 func (c *Core) Reply(now time.Time, peer string) *lilacv1.Digest {
+	if c.brief[peer] {
+		return c.changed(now, peer)
+	}
+	return c.whole(now, peer)
+}
+
+// whole is all that the peer is to know.
+func (c *Core) whole(now time.Time, peer string) *lilacv1.Digest {
 	d := c.word(now, peer)
 	c.said[peer] = d
 	d.Stamp, d.Echo = c.stamp(now), c.stamps[peer]
--- a/process/member/promise_test.go
+++ b/process/member/promise_test.go
@@ -23,8 +23,9 @@
 	earlier := NewCore(a, []Peer{a, b})
 	earlier.Step(now, Tick{Own: &lilacv1.Digest{Incarnation: "first life"}})
 
+	partial := false
 	heard := func(sequence, echo uint64) *lilacv1.Digest {
-		word := &lilacv1.Digest{Instance: "b", Incarnation: "1", Sequence: sequence, Echo: echo, BindsMs: 4000}
+		word := &lilacv1.Digest{Instance: "b", Incarnation: "1", Sequence: sequence, Echo: echo, BindsMs: 4000, Partial: partial, Incomplete: partial}
 		for _, action := range core.Step(now.Add(3*time.Second), Received{From: "b", Digest: word}) {
 			if given, ok := action.(Digest); ok {
 				return given.Digest
@@ -36,6 +37,12 @@
 	is.True(!heard(2, stamp).GetIncomplete())
 	is.True(heard(3, earlier.Reply(now.Add(2*time.Second), "b").GetStamp()).GetIncomplete())
 	is.True(heard(4, 0).GetIncomplete())
+
+	// What a later partial word leaves out binds no longer than it did before.
+	is.Equal(heard(5, stamp).GetBindsMs(), uint32(1000))
+	partial = true
+	is.Equal(heard(6, core.Reply(now.Add(2*time.Second), "b").GetStamp()).GetBindsMs(), uint32(1000))
+	is.True(heard(7, 0).GetIncomplete())
 }
 
 // Above ten entries nothing but the lowest tier was ever shed: the sums of all
--- a/request/tiers/promise_test.go
+++ b/request/tiers/promise_test.go
@@ -68,16 +68,18 @@
 // BenchmarkCutoff gives, in simulated seconds, the longest time over the seeds
 // until all entries have cut off what lies below the tier that one of them holds
 // back, until that one may shed it, and until all admit everything again after
-// its last need. The bytes are those of digests at the busiest entry from the
-// first need to the first shed, when each tells of 8 pools and 8 teams.
+// its last need. The bytes are those of digests at the busiest entry in the
+// first 4 s of the need, when each tells of 8 teams.
 func BenchmarkCutoff(b *testing.B) {
-	for _, size := range []struct{ entries, centers, seeds int }{{7, 3, 8}, {30, 3, 8}, {64, 5, 8}, {256, 5, 2}, {1100, 5, 1}} {
-		b.Run(fmt.Sprint("entries=", size.entries), func(b *testing.B) {
+	for _, size := range []struct{ entries, centers, seeds, pools int }{
+		{7, 3, 8, 8}, {30, 3, 8, 8}, {64, 5, 8, 8}, {256, 5, 2, 8}, {1100, 5, 1, 8}, {7, 3, 8, 40}, {64, 5, 8, 40}, {1100, 5, 1, 40},
+	} {
+		b.Run(fmt.Sprintf("entries=%d/pools=%d", size.entries, size.pools), func(b *testing.B) {
 			var cut, shed, lift time.Duration
 			busiest := 0.0
 			for seed := range uint64(size.seeds) {
 				w := newWorld(seed, size.entries, size.centers)
-				w.pools, w.spends = 7, 8
+				w.pools, w.spends = size.pools-1, 8
 				w.run(begin)
 				clear(w.bytes)
 				needy := w.entries[w.random.IntN(len(w.entries))]
@@ -87,6 +89,7 @@
 				cut = max(cut, w.now.Sub(at))
 				w.until(func() bool { return needy.table.MayShed(0, w.now) })
 				shed = max(shed, w.now.Sub(at))
+				w.run(max(0, 4*time.Second-w.now.Sub(at)))
 				for _, bytes := range w.bytes {
 					busiest = max(busiest, float64(bytes)/w.now.Sub(at).Seconds())
 				}
