Push the end of what was held back

Cause: lower tiers came back late because the end of "held back" climbed the tree one interval a step, up to nine of 1.5 s, before the promise even began to run out. It is pushed now like a cutoff; promises are unchanged.

--- a/process/member/core.go
+++ b/process/member/core.go
@@ -231,7 +231,7 @@
 		if !ok {
 			return nil
 		}
-		c.noteTighter(c.down.digest, word.digest)
+		c.notePressing(c.down.digest, word.digest)
 		c.down = word
 		c.heardNews = true
 		return c.servers(now)
@@ -255,7 +255,7 @@
 		// An older digest that was overtaken on the way.
 		return nil
 	}
-	c.noteTighter(old.digest, d)
+	c.notePressing(old.digest, d)
 	c.heard[name] = word
 	delete(c.missing, name)
 	if _, avoided := c.avoided[name]; avoided || old.digest.GetLeaving() != d.GetLeaving() {
@@ -273,7 +273,7 @@
 
 func (c *Core) tick(now time.Time, e Tick) []Action {
 	if e.Own != nil {
-		c.noteTighter(c.own, e.Own)
+		c.notePressing(c.own, e.Own)
 		c.own, c.ownAt = e.Own, e.Asked
 		if e.Asked.IsZero() {
 			c.ownAt = now
@@ -282,7 +282,7 @@
 	}
 	actions := slices.Concat(c.forget(now), c.regroup(), c.exchanges(now), c.summary(now), c.servers(now), c.alive())
 	c.heardNews = c.postponed
-	c.tightened = c.held
+	c.pressed = c.held
 	return actions
 }
 
@@ -299,14 +299,14 @@
 }
 
 // summary gives the policy the digest of all others in a tree, each interval
-// and as soon as it forbids more.
+// and as soon as it is pressing.
 func (c *Core) summary(now time.Time) []Action {
 	due := now.Sub(c.summed) >= c.interval()
-	if !c.Tree() || !due && !c.tightened {
+	if !c.Tree() || !due && !c.pressed {
 		return nil
 	}
 	sum := c.others(now, "")
-	if !due && !tighter(c.said[Others], sum) {
+	if !due && !pressing(c.said[Others], sum) {
 		return nil
 	}
 	c.summed, c.said[Others] = now, sum
--- a/process/member/push.go
+++ b/process/member/push.go
@@ -16,7 +16,8 @@
 
 // pushes is what the core told of cutoffs. Those that forbid more are pushed, so
 // that a burst at one instance is known at all at the speed of the network and
-// not an interval a step; those that forbid less may wait.
+// not an interval a step, and so is the end of what was held back; what is
+// admitted again may wait.
 type pushes struct {
 	// said holds the last digest for each peer, and under Others the policy's.
 	said     map[string]*lilacv1.Digest
@@ -25,9 +26,9 @@
 	brief map[string]bool
 	// open holds when the exchange with each peer began that has no answer yet.
 	open map[string]time.Time
-	// tightened is true when a cutoff may be news to somebody, held while a
+	// pressed is true when a cutoff may be pressing news to somebody, held while a
 	// push waits for pushPause.
-	tightened, held bool
+	pressed, held bool
 }
 
 // exchanges returns those that are due, all at once when there is news, and
@@ -44,7 +45,7 @@
 		}
 		actions = append(actions, c.tell(now, peer, due)...)
 	}
-	if !urgent && !c.tightened {
+	if !urgent && !c.pressed {
 		return actions
 	}
 	for _, peer := range c.listeners(now) {
@@ -53,13 +54,13 @@
 	return actions
 }
 
-func (c *Core) noteTighter(old, d *lilacv1.Digest) {
-	c.tightened = c.tightened || tighter(old, d)
+func (c *Core) notePressing(old, d *lilacv1.Digest) {
+	c.pressed = c.pressed || pressing(old, d)
 }
 
 // pushDue tells whether the peer must be told of a cutoff now.
 func (c *Core) pushDue(now time.Time, peer string) bool {
-	if !c.Tree() || !c.tightened || !tighter(c.said[peer], c.word(now, peer)) {
+	if !c.Tree() || !c.pressed || !pressing(c.said[peer], c.word(now, peer)) {
 		return false
 	}
 	if c.underWay(now, peer) || now.Sub(c.pushedTo[peer]) < pushPause {
@@ -97,11 +98,10 @@
 func (c *Core) unsaid(peer string) {
 	delete(c.open, peer)
 	delete(c.said, peer)
-	c.tightened = true
+	c.pressed = true
 }
 
-// changed is the word for the peer with only those pools that forbid more than
-// it was told. It is whole where there is nothing to add to.
+// changed is the word for the peer with only those pools that are pressing. It is whole where there is nothing to add to.
 //
 // It guards against a relay that spends more than its bytes while a burst
 // begins: each entry cuts its tiers off at its own moment, and each such moment
@@ -118,7 +118,7 @@
 		part.BindsMs = word.GetBindsMs()
 	}
 	for _, cutoff := range word.GetCutoffs() {
-		if tighterIn(cutoffOf(said, cutoff.GetPool()), cutoff) {
+		if pressingIn(cutoffOf(said, cutoff.GetPool()), cutoff) {
 			part.Cutoffs = append(part.Cutoffs, cutoff)
 		}
 	}
@@ -175,19 +175,18 @@
 
 // tighter tells whether the digest d forbids or wants more than the old one in
 // any pool.
-func tighter(old, d *lilacv1.Digest) bool {
+func pressing(old, d *lilacv1.Digest) bool {
 	if old.GetIncomplete() && !d.GetIncomplete() {
 		return true
 	}
 	return slices.ContainsFunc(d.GetCutoffs(), func(cutoff *lilacv1.PoolCutoff) bool {
-		return tighterIn(cutoffOf(old, cutoff.GetPool()), cutoff)
+		return pressingIn(cutoffOf(old, cutoff.GetPool()), cutoff)
 	})
 }
 
-// tighterIn is tighter for one pool; last is nil where it is new.
-func tighterIn(last, cutoff *lilacv1.PoolCutoff) bool {
-	held := cutoff.GetHeldBackTier()
-	if held != 0 && (last.GetHeldBackTier() == 0 || held < last.GetHeldBackTier()) {
+// pressingIn is pressing for one pool; last is nil where it is new.
+func pressingIn(last, cutoff *lilacv1.PoolCutoff) bool {
+	if cutoff.GetHeldBackTier() != last.GetHeldBackTier() {
 		return true
 	}
 	return last != nil && cutoff.GetAdmittedTier() < last.GetAdmittedTier()
