Pardon where three others crashed, as before

So the demand that the outage goes on holds only where just two others crashed; three or more are an outage.

--- a/request/policy/verdict.go
+++ b/request/policy/verdict.go
@@ -19,7 +19,8 @@
 	// outageWindow is how far from a suspect's crash others tell of an outage.
 	outageWindow = 5 * time.Second
 	// outageOthers is the number of such servers. One is left to a second
-	// crashing request or chance.
+	// crashing request or chance; where there are no more, one of them must have
+	// crashed with the request's last server or after it.
 	outageOthers = 2
 	// sameCrash is how far apart the news of crashes of one moment may come.
 	sameCrash = 500 * time.Millisecond
@@ -121,7 +122,7 @@
 	case suspect.PlacesDiffer:
 		return others > 0
 	default:
-		return others >= outageOthers && goesOn
+		return others > outageOthers || others == outageOthers && goesOn
 	}
 }
 
