Let copies meet on the first two servers

The first server by rendezvous hash cost 1.1 to 1.9 times the least at each instance, so that 40 % was too little for some, and others took the third or fourth by hash.

The first by hash may now cost twice the least, the second 50 % more, all others 10 %. Ranks count the servers that a filter bars too, since instances differ in these.

--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -63,10 +63,18 @@
 	Score(r *Request, c *Candidate) float64
 }
 
-// Picker takes one of the scored candidates, by its place; -1 for none. Ranks
-// are the candidates' own.
+// Ranks are the rendezvous hashes of the candidates.
+type Ranks struct {
+	// Allowed are those of the scored candidates.
+	Allowed []uint64
+	// First and Second are the highest of all, the filtered ones included:
+	// instances differ in what they filter.
+	First, Second uint64
+}
+
+// Picker takes one of the scored candidates, by its place; -1 for none.
 type Picker interface {
-	Pick(scores []float64, ranks []uint64, random *rand.Rand) int
+	Pick(scores []float64, ranks *Ranks, random *rand.Rand) int
 }
 
 // Chooser puts filters, scorers and a picker together.
@@ -76,13 +84,15 @@
 	Picker  Picker
 	allowed []int
 	scores  []float64
-	ranks   []uint64
+	ranks   Ranks
 }
 
 // Choose returns the place of the chosen candidate, or -1.
 func (c *Chooser) Choose(r *Request, candidates []Candidate, random *rand.Rand) int {
-	c.allowed, c.scores, c.ranks = c.allowed[:0], c.scores[:0], c.ranks[:0]
+	c.allowed, c.scores = c.allowed[:0], c.scores[:0]
+	c.ranks = Ranks{Allowed: c.ranks.Allowed[:0]}
 	for i := range candidates {
+		c.ranks.see(candidates[i].Rank)
 		if !c.allow(r, &candidates[i]) {
 			continue
 		}
@@ -92,15 +102,24 @@
 		}
 		c.allowed = append(c.allowed, i)
 		c.scores = append(c.scores, score)
-		c.ranks = append(c.ranks, candidates[i].Rank)
+		c.ranks.Allowed = append(c.ranks.Allowed, candidates[i].Rank)
 	}
-	at := c.Picker.Pick(c.scores, c.ranks, random)
+	at := c.Picker.Pick(c.scores, &c.ranks, random)
 	if at < 0 {
 		return -1
 	}
 	return c.allowed[at]
 }
 
+func (r *Ranks) see(rank uint64) {
+	switch {
+	case rank > r.First:
+		r.First, r.Second = rank, r.First
+	case rank > r.Second:
+		r.Second = rank
+	}
+}
+
 func (c *Chooser) allow(r *Request, candidate *Candidate) bool {
 	for _, filter := range c.Filters {
 		if !filter.Allow(r, candidate) {
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -20,9 +20,12 @@
 	stepReserve  = 0.5
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
-	// nearShare is how much more than the least a server may cost to be taken
-	// for the sake of copies elsewhere; see docs/notes/crashing-requests.md.
-	nearShare = 0.4
+	// nearFirst, nearSecond and nearShare are how much more than the least a
+	// server may cost to be taken for the sake of copies elsewhere: the first and
+	// second by rendezvous hash, and others; see docs/notes/crashing-requests.md.
+	nearFirst  = 1.0
+	nearSecond = 0.5
+	nearShare  = 0.1
 )
 
 // reservesOf returns what each tier leaves free of each server. Free slots
@@ -49,7 +52,7 @@
 
 func newChooser(weights settings.Policy) chooser {
 	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}}
-	picker := choose.Near{Share: nearShare}
+	picker := choose.Near{First: nearFirst, Second: nearSecond, Share: nearShare}
 	return chooser{
 		reserves: reservesOf(weights),
 		onTime:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: picker},
