Name the seeds that show each guard of suspects

Cause: with copies meeting on the first two servers, the seeds named for three guards (joining, blame of stopped copies, trial where a copy ran) no longer failed with the guard out. 160 seeds a row were searched for ones that do.

Ruled out: guards that do nothing any more (each fails a seed when taken out). No figure of the product changes.

--- a/internal/bench/suspects_test.go
+++ b/internal/bench/suspects_test.go
@@ -86,14 +86,14 @@
 		// Each seed lost three servers with one of the guards out.
 		seeds []uint64
 	}{
-		{copies{3, 1, 100 * time.Millisecond, 0.02}, []uint64{1009, 1027}},
-		{copies{2, 2, 100 * time.Millisecond, 0.02}, []uint64{1001, 1003, 1008}},
+		{copies{3, 1, 100 * time.Millisecond, 0.02}, []uint64{1009, 1027, 1071, 1083, 1087}},
+		{copies{2, 2, 100 * time.Millisecond, 0.02}, []uint64{1001, 1003, 1008, 1058}},
 		{copies{3, 3, 100 * time.Millisecond, 0.02}, []uint64{1004, 1012, 1017, 1032, 1039}},
 		{copies{3, 3, 600 * time.Millisecond, 0.1}, []uint64{1023, 1025}},
 		// A copy was stopped while it took down a server where nothing else ran.
 		{copies{3, 3, 300 * time.Millisecond, 0.02}, []uint64{1009}},
 		{copies{4, 2, 100 * time.Millisecond, 0.02}, []uint64{1009, 1047}},
-		{copies{6, 6, 600 * time.Millisecond, 0.1}, []uint64{1057}},
+		{copies{6, 6, 600 * time.Millisecond, 0.1}, []uint64{1057, 1113}},
 	}
 	for _, c := range cases {
 		for _, seed := range c.seeds {
