--- a/request/tiers/promise_test.go
+++ b/request/tiers/promise_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// The relay of one data centre is killed again and again, each time 17 s after the
+// last: whoever takes its place has sums that lack living entries. An entry sheds
+// an urgent request while another, reachable, still lets less urgent work in.
+func TestRelaysKilledInTurn(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed, 30, 3)
+		w.run(begin)
+		for i := range 4 {
+			w.after(time.Duration(3+17*i)*time.Second, func() { w.relay("dc-0").dead = true })
+		}
+		if broken, _ := w.bursts(4); broken != "" {
+			t.Fatalf("seed %d: %s", seed, broken)
+		}
+	}
+}
+
 // BenchmarkCutoff gives, in simulated seconds, the longest time over the seeds
 // until all entries have cut off what lies below the tier that one of them holds
 // back, until that one may shed it, and until all admit everything again after
