--- a/process/member/push.go
+++ b/process/member/push.go
@@ -101,7 +101,8 @@
 	c.pressed = true
 }
 
-// changed is the word for the peer with only those pools that are pressing. It is whole where there is nothing to add to.
+// changed is the word for the peer with only those pools that are pressing. It
+// is whole where there is nothing to add to.
 //
 // It guards against a relay that spends more than its bytes while a burst
 // begins: each entry cuts its tiers off at its own moment, and each such moment
@@ -173,8 +174,8 @@
 	return h.since.Add(time.Duration(h.digest.GetBindsMs()) * time.Millisecond)
 }
 
-// tighter tells whether the digest d forbids or wants more than the old one in
-// any pool.
+// pressing tells whether the digest d admits less in any pool than the old one,
+// or holds another tier back: what must be pushed and may not wait.
 func pressing(old, d *lilacv1.Digest) bool {
 	if old.GetIncomplete() && !d.GetIncomplete() {
 		return true
