--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,7 @@
 	go test -run '^$$' -bench 'ViewHeap|CoreHeap|TeamChange|CoreRequest|CoreDigest' -benchtime 200ms ./internal/capacity > out/capacity.txt
 	go test -run '^$$' -bench Traffic -benchtime 1x ./process/member >> out/capacity.txt
 	go test -run '^$$' -bench 'Spread/tree' -benchtime 1x ./daemon/state >> out/capacity.txt
+	go test -run '^$$' -bench Signs -benchtime 1x ./daemon/state >> out/capacity.txt
 	go test -run '^$$' -bench Size -benchtime 1x ./daemon/state >> out/capacity.txt
 	go test -run '^$$' -bench Snapshot -benchtime 3x ./version/spread >> out/capacity.txt
 	go test -run '^$$' -bench Heartbeat -benchtime 100x ./connection/replicalink >> out/capacity.txt
--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -100,10 +100,10 @@
 }
 
 // group starts n state processes, the first of which leads.
-func group(t *testing.T, n int) (*sharedLog, []*process) { return groupKeeping(t, n, 0) }
+func group(t testing.TB, n int) (*sharedLog, []*process) { return groupKeeping(t, n, 0) }
 
 // groupKeeping is group with so many revisions in the audit trail.
-func groupKeeping(t *testing.T, n, retention int) (*sharedLog, []*process) {
+func groupKeeping(t testing.TB, n, retention int) (*sharedLog, []*process) {
 	shared := &sharedLog{}
 	var all []*process
 	for i := range n {
@@ -167,15 +167,16 @@
 	return &lilacv1.Proposal{CommandId: id, Who: "awa", Statement: "SET CLASS " + name, Changes: []*lilacv1.Change{change}, ProposedUnixMs: time.Now().UnixMilli()}
 }
 
-// serveEntry lets others follow the watcher, and returns the address and what
-// ends it as a crash would.
-func serveEntry(t *testing.T, w *spreadlink.Watcher) (address string, kill func()) {
+// serveEntry lets others follow the watcher, and returns the address, what ends
+// it as a crash would, and the traffic of those who follow.
+func serveEntry(t testing.TB, w *spreadlink.Watcher) (address string, kill func(), traffic *link.Traffic) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	mux := link.NewMux()
 	served := spreadlink.NewServer(w)
 	served.Register(mux, "entry")
-	server := link.NewServer(link.Identity{Keys: secret.Always(testKey)}, mux)
+	traffic = &link.Traffic{}
+	server := link.NewServer(link.Identity{Keys: secret.Always(testKey), Traffic: traffic}, mux)
 	go server.Serve(listener)
 	kill = func() {
 		served.Close()
@@ -183,5 +184,5 @@
 		server.Close()
 	}
 	t.Cleanup(kill)
-	return listener.Addr().String(), kill
+	return listener.Addr().String(), kill, traffic
 }
--- a/daemon/state/recover_test.go
+++ b/daemon/state/recover_test.go
@@ -68,7 +68,7 @@
 	is.NoErr(err)
 	entries := watchers(t, c.processes(), 1)
 	waitFor(entries[0], 1)
-	entryAddress, _ := serveEntry(t, entries[0].Watcher)
+	entryAddress, _, _ := serveEntry(t, entries[0].Watcher)
 	// The entry keeps what it sent here, as it does when another entry starts.
 	early, err := spreadlink.FetchConfig(t.Context(), dialer(t)(entryAddress))
 	is.NoErr(err)
--- a/daemon/state/service_test.go
+++ b/daemon/state/service_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/member"
@@ -222,13 +223,13 @@
 // follower is an entry that does nothing but follow revisions.
 type follower struct {
 	*spreadlink.Watcher
-	name string
-	kill func()
+	name    string
+	kill    func()
+	traffic *link.Traffic
 }
 
 // watchers starts n entries of one data centre.
-func watchers(t *testing.T, all []*process, n int) []*follower {
-	dial := dialer(t)
+func watchers(t testing.TB, all []*process, n int) []*follower {
 	var state []settings.Peer
 	for _, p := range all {
 		state = append(state, p.peer)
@@ -237,10 +238,10 @@
 	var started []*follower
 	for i := range n {
 		name := string(rune('1' + i))
-		w := spreadlink.NewWatcher(spreadlink.Options{Instance: name, DataCenter: "dakar-a", State: state, Dial: dial})
-		address, kill := serveEntry(t, w)
+		w := spreadlink.NewWatcher(spreadlink.Options{Instance: name, DataCenter: "dakar-a", State: state, Dial: dialer(t)})
+		address, kill, traffic := serveEntry(t, w)
 		entries = append(entries, settings.Peer{Name: name, DataCenter: "dakar-a", Address: settings.Address{Value: address}})
-		started = append(started, &follower{w, name, kill})
+		started = append(started, &follower{w, name, kill, traffic})
 	}
 	for _, w := range started {
 		w.SetEntries(entries)
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -33,6 +33,8 @@
 	// subsetSize is how many servers of a pool an instance uses at most.
 	subsetSize     = 100
 	pollsPerSecond = 8
+	// followers is how many entries follow one.
+	followers = 8
 )
 
 // Line is one line of the capacity table: a metric of a benchmark, scaled to
@@ -60,6 +62,7 @@
 	{"relay entry", "membership core", "Traffic", "core-%", Nodes, 1, CapCorePercent, "% of a core", "one exchange a second with each neighbour"},
 	{"entry", "digests on the wire, mean", "Wire", "mean-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "the same, with framing and packet headers"},
 	{"relay entry", "digests on the wire, busiest", "Wire", "max-B/s", Nodes, 1, CapBytesPerSecond, "B/s", "the same; frames share packets, no pings while messages pass"},
+	{"relay entry", "signs of life on the wire", "Signs", "signs-B/s", followers, 1, CapBytesPerSecond, "B/s", "fanout 8, one a second, none from followers"},
 	{"entry", "revisions, inside", "Spread/tree", "near-B/rev", Nodes, changesPerSecond / Nodes, CapBytesPerSecond, "B/s", "tree of fanout 8 by rank"},
 	{"relay entry", "revisions, between data centres", "Spread/tree", "far-B/rev", Nodes, changesPerSecond, CapBytesPerSecond, "B/s", "one flow into each data centre"},
 	{"state", "revisions, out", "Spread/tree", "state-B/rev", Nodes, changesPerSecond, CapBytesPerSecond, "B/s", "only relays follow a state process"},
