Look for FORGET KEYS in a proposal in one place

Cause: the check of a date and its carrying out each went through the changes of a proposal by a loop of their own. Ruled out: a change of what is accepted; the tests of daemon/state pass before and after, and no figure moves.

--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -98,22 +98,29 @@
 // checkForget has the ledger check a date that is not its configuration's. The
 // caller holds mu.
 func (m *Machine) checkForget(p *lilacv1.Proposal) error {
-	for _, change := range p.GetChanges() {
-		if op, ok := change.GetOp().(*lilacv1.Change_ForgetKeysBeforeUnixMs); ok {
-			if err := m.ledger.CheckForget(op.ForgetKeysBeforeUnixMs); err != nil {
-				return err
-			}
+	for _, before := range forgotten(p) {
+		if err := m.ledger.CheckForget(before); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
 func (m *Machine) forget(p *lilacv1.Proposal) {
+	for _, before := range forgotten(p) {
+		m.ledger.Forget(before)
+	}
+}
+
+// forgotten returns the moments before which the proposal has keys forgotten.
+func forgotten(p *lilacv1.Proposal) []int64 {
+	var moments []int64
 	for _, change := range p.GetChanges() {
 		if op, ok := change.GetOp().(*lilacv1.Change_ForgetKeysBeforeUnixMs); ok {
-			m.ledger.Forget(op.ForgetKeysBeforeUnixMs)
+			moments = append(moments, op.ForgetKeysBeforeUnixMs)
 		}
 	}
+	return moments
 }
 
 func (m *Machine) lease(r *lilacv1.LeaseRequest) *lilacv1.CommandResult {
