Place requests by shared prompts, lanes and the risk of lateness

Cause: prompts were read again on every engine, and long prompts delayed the tokens of short answers beside them.

--- a/connection/gossip/gossip.go
+++ b/connection/gossip/gossip.go
@@ -35,6 +35,8 @@
 	Self member.Peer
 	// Entries are those of the settings.
 	Entries []settings.Peer
+	// Interval lies between two exchanges of few entries; 0 means member.Interval.
+	Interval time.Duration
 	// Dial returns the caller for an address; the same one each time.
 	Dial func(address string) link.Caller
 	// InstanceList is the URL of the platform's list; "" means none.
@@ -84,6 +86,9 @@
 
 // New returns a Gossip that does nothing until Run.
 func New(o Options) *Gossip {
+	if o.Interval == 0 {
+		o.Interval = member.Interval
+	}
 	if o.Own == nil {
 		o.Own = func() *lilacv1.Digest { return &lilacv1.Digest{} }
 	}
@@ -109,7 +114,18 @@
 	for _, peer := range o.Entries {
 		seeds = append(seeds, member.Peer{Name: peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter})
 	}
-	return &Gossip{options: o, incarnation: rand.Text(), core: member.NewCore(o.Self, seeds), busy: make(map[string]bool), announce: make(chan struct{}, 1), ctx: context.Background()}
+	return &Gossip{options: o, incarnation: rand.Text(), core: member.NewCoreAt(o.Self, seeds, o.Interval), busy: make(map[string]bool), announce: make(chan struct{}, 1), ctx: context.Background()}
+}
+
+// SetEntries names the entries to try, as a list of the platform would.
+func (g *Gossip) SetEntries(entries []settings.Peer) {
+	var event member.Platform
+	for _, entry := range entries {
+		event.Entries = append(event.Entries, member.Peer{Name: entry.Name, Address: entry.Address.Value, DataCenter: entry.DataCenter})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.step(event)
 }
 
 // Register adds the method of an exchange to mux.
@@ -170,7 +186,7 @@
 			return nil
 		case now := <-ticker.C:
 			tick := member.Tick{}
-			if now.Sub(taken) >= ownInterval {
+			if now.Sub(taken) >= min(ownInterval, g.options.Interval) {
 				taken = now
 				tick = g.own()
 			}
--- a/connection/stateclient/client.go
+++ b/connection/stateclient/client.go
@@ -78,24 +78,42 @@
 	c.core.peers = peers
 }
 
-// Members asks any state process for those of its group.
-func (c *Client) Members(ctx context.Context) ([]settings.Peer, error) {
+// Members asks all state processes for those of their group and for the entries
+// that asked them, and tells them of this one. It fails where none answers.
+func (c *Client) Members(ctx context.Context, self settings.Peer) (members, entries []settings.Peer, err error) {
+	request := &lilacv1.StateMembersRequest{Entry: &lilacv1.StateMember{
+		Name: self.Name, Address: self.Address.Value, DataCenter: self.DataCenter,
+	}}
 	var errs []error
+	known := make(map[string]bool)
 	for _, address := range c.order() {
 		reply := &lilacv1.StateMembers{}
-		if err := c.attempt(ctx, address, "state.members", &lilacv1.StateMembersRequest{}, reply); err != nil {
+		if err := c.attempt(ctx, address, "state.members", request, reply); err != nil {
 			errs = append(errs, err)
 			continue
 		}
-		var peers []settings.Peer
-		for _, member := range reply.GetMembers() {
-			peers = append(peers, settings.Peer{Name: member.GetName(), DataCenter: member.GetDataCenter(), Address: settings.Address{Value: member.GetAddress()}})
+		if len(members) == 0 {
+			members = peersOf(reply.GetMembers())
 		}
-		if len(peers) > 0 {
-			return peers, nil
+		for _, entry := range peersOf(reply.GetEntries()) {
+			if !known[entry.Name] {
+				known[entry.Name] = true
+				entries = append(entries, entry)
+			}
 		}
 	}
-	return nil, errors.Join(errs...)
+	if len(members) == 0 {
+		return nil, nil, errors.Join(errs...)
+	}
+	return members, entries, nil
+}
+
+func peersOf(members []*lilacv1.StateMember) []settings.Peer {
+	peers := make([]settings.Peer, 0, len(members))
+	for _, member := range members {
+		peers = append(peers, settings.Peer{Name: member.GetName(), DataCenter: member.GetDataCenter(), Address: settings.Address{Value: member.GetAddress()}})
+	}
+	return peers
 }
 
 func (c *Client) order() []string {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/service"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -85,7 +86,7 @@
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
 		Counter: e.counters, OnConvict: e.convict, OnAnnounce: options.OnAnnounce,
-		Protocol: options.Gateway, Gateway: e.gatewayClient(options.Gateway),
+		Log: logs.New(options.Logger), Protocol: options.Gateway, Gateway: e.gatewayClient(options.Gateway),
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
 	metrics.RegisterTraffic(e.registry, "lilacbridge_control_upstream_bytes_total",
@@ -118,7 +119,10 @@
 // Configure brings a revision into force.
 func (e *Entry) Configure(view *model.View) {
 	e.relay.Configure(view)
-	e.poller.Watch(pollSet(view, e.settings.Name))
+	if e.routed == nil {
+		// Behind a gateway, servers tell their load with each answer.
+		e.poller.Watch(pollSet(view, e.settings.Name))
+	}
 }
 
 // Work runs the entry's goroutines until ctx ends.
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
+	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
@@ -173,16 +174,22 @@
 }
 
 func (g *routed) followMembers(ctx context.Context) {
-	for sleep(ctx, membersEvery) == nil {
+	s := g.daemon.settings
+	self := settings.Peer{Name: s.Name, Address: s.Link, DataCenter: s.DataCenter}
+	for {
 		asked, cancel := context.WithTimeout(ctx, membersEvery)
-		peers, err := g.daemon.state.Members(asked)
+		members, entries, err := g.daemon.state.Members(asked, self)
 		cancel()
 		if err != nil {
 			g.logger.Debug("no state process names its group", "error", err)
-			continue
+		} else {
+			g.daemon.state.SetPeers(members)
+			g.daemon.watcher.SetState(members)
+			g.daemon.gossip.SetEntries(entries)
+		}
+		if sleep(ctx, membersEvery) != nil {
+			return
 		}
-		g.daemon.state.SetPeers(peers)
-		g.daemon.watcher.SetState(peers)
 	}
 }
 
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -21,6 +21,7 @@
 	return gossip.New(gossip.Options{
 		Self:         member.Peer{Name: d.settings.Name, Address: d.settings.Link.Value, DataCenter: d.settings.DataCenter},
 		Entries:      d.settings.Entries,
+		Interval:     d.settings.DigestInterval.Duration,
 		Dial:         d.dialer.dial,
 		InstanceList: d.settings.InstanceList,
 		Own:          d.ownDigest,
--- a/daemon/program/program.go
+++ b/daemon/program/program.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/lilacbridge/lilacbridge/process/build"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
 
@@ -63,8 +64,10 @@
 	// The framework's own lines are no changes of state.
 	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
 	common := s.Shared()
+	output := logs.NewWriter(os.Stdout)
+	defer output.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
-		Name: common.Name, Level: hclog.LevelFromString(common.LogLevel), JSONFormat: true, Output: os.Stdout,
+		Name: common.Name, Level: hclog.LevelFromString(common.LogLevel), JSONFormat: true, Output: output,
 	})
 	daemon, err := open(s, logger)
 	if err != nil {
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -22,6 +22,7 @@
 	watch   *spreadlink.Server
 	timer   *leaseTimer
 	lives   *lives
+	entries *entryTable
 	now     func() time.Time
 }
 
@@ -30,6 +31,7 @@
 	s := &Service{machine: machine, log: log, now: time.Now}
 	s.timer = newLeaseTimer(s.now)
 	s.lives = newLives(s.now)
+	s.entries = newEntryTable(s.now)
 	s.watch = spreadlink.NewServer(source{machine, log})
 	machine.mu.Lock()
 	machine.onLease = s.timer.renewed
@@ -154,9 +156,13 @@
 	return s.Status(), nil
 }
 
-// members lists the group, so that entries need to be told of one process only.
-func (s *Service) members(context.Context, link.Peer, *lilacv1.StateMembersRequest) (*lilacv1.StateMembers, error) {
-	return &lilacv1.StateMembers{Members: s.log.Status().Members}, nil
+// members lists the group and the entries, so that an entry need be told of one
+// state process only.
+func (s *Service) members(_ context.Context, _ link.Peer, r *lilacv1.StateMembersRequest) (*lilacv1.StateMembers, error) {
+	if entry := r.GetEntry(); entry != nil {
+		s.entries.heard(entry)
+	}
+	return &lilacv1.StateMembers{Members: s.log.Status().Members, Entries: s.entries.list()}, nil
 }
 
 // heartbeat is answered by the leader only, since it alone judges who lives.
--- a/process/member/core.go
+++ b/process/member/core.go
@@ -65,6 +65,8 @@
 // Core is the membership of one entry. Calls must not overlap.
 type Core struct {
 	self Peer
+	// mesh is the interval between two exchanges of few entries.
+	mesh time.Duration
 	// peers are the entries that may be tried, without the own one.
 	peers   map[string]Peer
 	listed  map[string]bool
@@ -99,8 +101,12 @@
 }
 
 // NewCore returns the core of the entry self; seeds are the entries of its settings.
-func NewCore(self Peer, seeds []Peer) *Core {
+func NewCore(self Peer, seeds []Peer) *Core { return NewCoreAt(self, seeds, Interval) }
+
+// NewCoreAt is NewCore with another interval for few entries.
+func NewCoreAt(self Peer, seeds []Peer, interval time.Duration) *Core {
 	c := &Core{
+		mesh:      interval,
 		self:      self,
 		peers:     make(map[string]Peer),
 		listed:    make(map[string]bool),
@@ -137,7 +143,7 @@
 	if c.Tree() {
 		return TreeInterval
 	}
-	return Interval
+	return c.mesh
 }
 
 func (c *Core) lifetime() time.Duration {
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -25,6 +25,9 @@
 	InstanceList string `yaml:"instance_list"`
 	// Gateway is set where callers' requests are routed by host and path.
 	Gateway *Gateway `yaml:"gateway"`
+	// DigestInterval lies between two exchanges of digests with the same entry, up
+	// to ten entries. Default 1s; less makes choices agree sooner and costs bytes.
+	DigestInterval Duration `yaml:"digest_interval"`
 	// Limits bound what one caller may send.
 	Limits EntryLimits `yaml:"limits"`
 	// Policy holds the weights of the fleet.
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -17,6 +17,8 @@
 type Request struct {
 	// FirstBy is the time left for the first token; negative once it is late.
 	FirstBy time.Duration
+	// Target is the class's for the first token.
+	Target time.Duration
 	// Between is the class's target for the gap between tokens; 0 means none.
 	Between time.Duration
 	// Left is the expected number of tokens to come.
@@ -48,6 +50,11 @@
 	Load float64
 	// Limit is how many the server runs within the targets.
 	Limit float64
+	// Work is the engine's time that the prompt takes there.
+	Work time.Duration
+	// Stray is the price of the request there rather than on the servers kept for
+	// its kind.
+	Stray time.Duration
 	// First is the expected time to the first token, Gap between tokens.
 	First time.Duration
 	Gap   time.Duration
--- a/request/choose/score.go
+++ b/request/choose/score.go
@@ -41,3 +41,45 @@
 	}
 	return s.Weight * r.Left * c.Gap.Seconds() * c.Load / c.Limit
 }
+
+// Stray costs what the request does outside the servers that are kept for its kind.
+type Stray struct{}
+
+var _ Scorer = Stray{}
+
+// Score implements Scorer.
+func (Stray) Score(_ *Request, c *Candidate) float64 { return c.Stray.Seconds() }
+
+// Work costs the engine's time that the request's prompt takes.
+type Work struct{}
+
+var _ Scorer = Work{}
+
+// Score implements Scorer.
+func (Work) Score(_ *Request, c *Candidate) float64 { return c.Work.Seconds() }
+
+// Risk costs the danger of a late first token. A wait that is short against the
+// target costs next to nothing, so that requests keep to the engines that hold
+// their prompt; close to the target it costs as much as a prompt of 50,000 tokens.
+type Risk struct{}
+
+var _ Scorer = Risk{}
+
+// Score implements Scorer.
+func (Risk) Score(r *Request, c *Candidate) float64 {
+	if r.Target <= 0 {
+		return c.First.Seconds()
+	}
+	waited := r.Target - r.FirstBy
+	share := (waited + c.First).Seconds() / r.Target.Seconds()
+	return share * share * share
+}
+
+// Pace costs the time of the answer's tokens, at a share: a slower engine that
+// keeps the targets does little harm.
+type Pace struct{ Weight float64 }
+
+var _ Scorer = Pace{}
+
+// Score implements Scorer.
+func (s Pace) Score(r *Request, c *Candidate) float64 { return s.Weight * r.Left * c.Gap.Seconds() }
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -31,6 +31,7 @@
 	}
 	c.charge(now, r)
 	r.pool.use(r.class, now)
+	r.pool.noteWork(r)
 	c.fillItem(now, r)
 	if c.cutOff(now, r) {
 		return
--- /dev/null
+++ b/request/policy/affinity.go
@@ -0,0 +1,66 @@
+package policy
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Requests that share a long part of their prompt cost a quarter of a second
+// less each on an engine that holds the part. An instance knows only what it
+// sent itself, so all instances rank the engines alike by a hash of the part,
+// and each takes the first two for holding it. The first that is not too loaded
+// so gets all requests of the part, whichever instance they come to; the second
+// takes what is too much for it.
+
+// homes are the engines that are taken to hold a request's shared parts; nil
+// where the request shares too little.
+type homes struct{ first, second *server }
+
+// homesOf ranks the open engines by the request's last shared part.
+func (c *core) homesOf(r *request) homes {
+	var h homes
+	shared := len(r.Prefix) - 2
+	if !r.Anchored || shared < 0 {
+		return h
+	}
+	remote := c.options.Weights.RemoteCost.Duration.Seconds()
+	part := strconv.FormatUint(r.Prefix[shared].Hash, 36)
+	tight := r.tight()
+	var most, next uint64
+	for _, s := range r.pool.servers {
+		if s.closed() || s.cut || s.lane != tight {
+			continue
+		}
+		// A remote engine is worth its price where that buys more time of reading.
+		if s.remote && s.prefill*float64(r.Prefix[shared].End) < remote {
+			continue
+		}
+		switch rank := xxhash.Sum64String(part + s.name); {
+		case rank > most:
+			h.second, next = h.first, most
+			h.first, most = s, rank
+		case rank > next:
+			h.second, next = s, rank
+		}
+	}
+	return h
+}
+
+// holds tells whether the server is taken to hold the request's shared parts.
+func (h homes) holds(s *server) bool { return s == h.first || s == h.second }
+
+// uncachedAt is the prompt work on the server, by what is known of its cache and
+// by its being a home of the request.
+func (h homes) uncachedAt(s *server, r *request) float64 {
+	uncached := s.uncached(r)
+	if !h.holds(s) {
+		return uncached
+	}
+	return min(uncached, float64(max(r.PromptTokens-r.Prefix[len(r.Prefix)-2].End, 1)))
+}
+
+// preferSecond is the price of the second home: requests leave the first only
+// where it is that much busier.
+const preferSecond = 100 * time.Millisecond
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -169,6 +169,26 @@
 	ResumeFrom string
 	// Continue is true where the caller already holds a part of the answer.
 	Continue bool
+	// Why is what decided the place, for the log.
+	Why Why
+}
+
+// Why holds the inputs of a choice, as of its moment.
+type Why struct {
+	// Waited is how long the request waited here.
+	Waited time.Duration
+	// Own is what this instance runs on the server, Load what all are thought to.
+	Own  int
+	Load float64
+	// ReportAge is the age of the server's last word on its load; negative for none.
+	ReportAge time.Duration
+	// Uncached is the part of the prompt that the server must read, in tokens, and
+	// Ahead what it must read before.
+	Uncached, Ahead float64
+	// Expected is the time to the first token.
+	Expected time.Duration
+	// Lane is true on an engine that is kept for tight answers.
+	Lane bool
 }
 
 // Refuse tells the shell to answer the caller at once with a typed error.
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -23,6 +23,8 @@
 	stepReserve  = 0.5
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
+	// paceWeight is the share at which the pace of an anchored answer counts.
+	paceWeight = 0.2
 	// nearFirst, nearSecond and nearShare are how much more than the least a
 	// server may cost to be taken for the sake of copies elsewhere: the first and
 	// second by rendezvous hash, and others; see docs/notes/crashing-requests.md.
@@ -47,33 +49,41 @@
 
 // chooser holds the ways of choosing and the memory that they share.
 type chooser struct {
-	onTime     choose.Chooser
-	late       choose.Chooser
-	candidates []choose.Candidate
-	reserves   [model.Tiers]float64
+	onTime choose.Chooser
+	late   choose.Chooser
+	// anchored and anchoredLate are the same for anchored requests, whose homes
+	// take the place of the rank.
+	anchored, anchoredLate choose.Chooser
+	candidates             []choose.Candidate
+	reserves               [model.Tiers]float64
 }
 
 func newChooser(weights settings.Policy) chooser {
-	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}}
+	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}, choose.Stray{}}
+	anchored := []choose.Scorer{choose.Work{}, choose.Risk{}, choose.Pace{Weight: paceWeight}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Stray{}}
+	late := []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}
+	onTime := append(slices.Clone(late), choose.OnTime{})
 	picker := choose.Near{First: nearFirst, Second: nearSecond, Share: nearShare}
 	return chooser{
-		reserves: reservesOf(weights),
-		onTime:   choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}, choose.OnTime{}}, Scorers: scorers, Picker: picker},
-		late:     choose.Chooser{Filters: []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}, Scorers: scorers, Picker: picker},
+		reserves:     reservesOf(weights),
+		onTime:       choose.Chooser{Filters: onTime, Scorers: scorers, Picker: picker},
+		late:         choose.Chooser{Filters: late, Scorers: scorers, Picker: picker},
+		anchored:     choose.Chooser{Filters: onTime, Scorers: anchored, Picker: choose.Least{}},
+		anchoredLate: choose.Chooser{Filters: late, Scorers: anchored, Picker: choose.Least{}},
 	}
 }
 
 // describe fills in the candidates for a request; a large pool is sampled.
 func (c *core) describe(now time.Time, r *request) {
-	servers := r.pool.servers
+	servers, h := r.pool.servers, c.homesOf(r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
 		return
 	}
 	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
 		}
 		return
 	}
@@ -81,7 +91,7 @@
 	step := 1 + c.random.IntN(len(servers)-1)
 	for i := range choose.Sample {
 		at := (start + i*step) % len(servers)
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
 	}
 }
 
@@ -96,15 +106,22 @@
 func (c *core) choose(now time.Time, r *request, h how) *server {
 	c.describe(now, r)
 	asked := choose.Request{
-		FirstBy: r.firstBy(now), Between: r.between(), Avoid: r.failedOn,
+		FirstBy: r.firstBy(now), Target: r.first(), Between: r.between(), Avoid: r.failedOn,
 		Left: r.left(c), Reserve: h.reserve, Over: h.over, Alone: h.alone,
 	}
 	if len(r.pool.servers) == 1 {
 		asked.Avoid = ""
 	}
 	way := &c.choice.onTime
+	anchored := r.Anchored && !r.pool.service
+	if anchored {
+		way = &c.choice.anchored
+	}
 	if h.late || !c.possible(r) {
 		way = &c.choice.late
+		if anchored {
+			way = &c.choice.anchoredLate
+		}
 	}
 	at := way.Choose(&asked, c.choice.candidates, c.random)
 	if at < 0 {
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -72,10 +72,28 @@
 	}
 	if tokens := configured.GetCacheTokens(); tokens > 0 {
 		s.cache.most = int(tokens)
+		s.expectFast()
 	}
 	s.close(now, &s.configLeaving, configured.GetDraining())
 }
 
+// expectFast starts the estimates of an engine with a large batch from what such
+// engines do.
+//
+// It guards against requests that wait here for a server that is taken for too
+// slow while it idles: with the estimates of small engines a prompt of 17,000
+// tokens seems to miss a target of 2.5 s anywhere, and nothing is measured until
+// it is late.
+func (s *server) expectFast() {
+	if s.told {
+		return
+	}
+	s.told = true
+	s.base = largeBase
+	s.norm = largeNorm / float64(s.slots)
+	s.prefill = largePrefill / float64(s.slots)
+}
+
 // close sets one of the reasons for which a server gets no new work.
 func (s *server) close(now time.Time, reason *bool, closed bool) {
 	before := s.closed()
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -99,9 +99,10 @@
 	r.sentNow = false
 	r.gotNow = 0
 	r.started, r.lastAt = now, now
-	r.uncached, r.ahead = s.uncached(r), s.ahead
+	r.uncached, r.ahead = s.uncached(r), s.ahead+s.peersAhead
 	r.expected = s.firstToken(s.load()+1, r.uncached)
 	c.carry(now, r, s, from)
+	why := s.why(now, r)
 	s.attach(r)
 	c.identical.started(r)
 	s.ahead += r.uncached
@@ -119,7 +120,15 @@
 	if from != nil {
 		resume = from.name
 	}
-	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), ResumeFrom: resume, Continue: r.got > 0})
+	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), ResumeFrom: resume, Continue: r.got > 0, Why: why})
+}
+
+// why notes what speaks for the server before the request is on it.
+func (s *server) why(now time.Time, r *request) Why {
+	return Why{
+		Waited: now.Sub(r.item.Arrived), Own: len(s.own), Load: s.load(), ReportAge: time.Duration(s.reportAge * float64(time.Second)),
+		Uncached: r.uncached, Ahead: r.ahead, Expected: r.expected, Lane: s.lane,
+	}
 }
 
 // leave takes the request off its server.
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -31,8 +31,8 @@
 }
 
 type peerLoad struct {
-	server   *server
-	inFlight float64
+	server          *server
+	inFlight, ahead float64
 }
 
 // Digest tells the other instances what this one does.
@@ -157,7 +157,8 @@
 	for _, load := range loads {
 		if s := c.servers[load.GetServer()]; s != nil {
 			s.peers += float64(load.GetInFlight())
-			p.loads = append(p.loads, peerLoad{server: s, inFlight: float64(load.GetInFlight())})
+			s.peersAhead += float64(load.GetTokensLeft())
+			p.loads = append(p.loads, peerLoad{server: s, inFlight: float64(load.GetInFlight()), ahead: float64(load.GetTokensLeft())})
 			s.join(true)
 			s.hearGap(now, time.Duration(load.GetGapUs())*time.Microsecond)
 		}
@@ -167,6 +168,7 @@
 func (c *core) dropLoads(p *peer) {
 	for _, load := range p.loads {
 		load.server.peers = max(0, load.server.peers-load.inFlight)
+		load.server.peersAhead = max(0, load.server.peersAhead-load.ahead)
 		load.server.join(true)
 	}
 	p.loads = p.loads[:0]
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -35,6 +35,8 @@
 	// instance's part of it, rate its tokens a second, gap its mean gap.
 	capacity, quota, rate float64
 	gap                   time.Duration
+	// tightWork and allWork are running means of a request's work; see lanes.
+	tightWork, allWork float64
 	// openAt is when a server was last open, progressAt when one last sent
 	// anything to this instance, rejectedAt when an attempt last failed.
 	openAt, progressAt, rejectedAt time.Time
@@ -124,6 +126,7 @@
 // measure works out capacity, quota and rate from what is known of the servers.
 func (p *pool) measure(now time.Time) {
 	p.tighten(now)
+	p.formLanes(now)
 	p.capacity, p.rate, p.gap = 0, 0, 0
 	open, norms := 0, 0.0
 	for _, s := range p.servers {
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -24,6 +24,13 @@
 	defaultNorm = 0.0018
 	// defaultPrefill is the time for a prompt token before anything was measured, in seconds.
 	defaultPrefill = 0.00015
+	// largeBase, largeNorm and largePrefill take the place of batchBase,
+	// defaultNorm and defaultPrefill for engines with large batches, the last two
+	// over the slots: at 64 slots a step of 6 ms at a load of 7 that grows by 0.056
+	// for each request, and 53 prompt tokens a millisecond.
+	largeBase    = 100
+	largeNorm    = 0.0036
+	largePrefill = 0.0012
 	// defaultService is the time of a plain service's answer before anything was measured, in seconds.
 	defaultService = 0.08
 	// learn is the weight of one measurement; jumpLearn where it is far off.
@@ -56,11 +63,17 @@
 	own []*request
 	// ahead is the prompt work of own requests that have no first token yet.
 	ahead float64
+	// peersAhead is the same of other instances, by their digests.
+	peersAhead float64
 	// peers is what other instances run here, by their digests.
 	peers float64
 	// others joins peers with reports.
 	others float64
 
+	// told is true once the configuration said what engine it is.
+	told bool
+	// base is the batch at which a step costs twice what an empty one does.
+	base      float64
 	norm      float64
 	prefill   float64
 	answer    float64
@@ -88,6 +101,8 @@
 	// leavesAt is the first word of the platform that it leaves, wentAt when it
 	// was seen to have gone.
 	leavesAt, wentAt time.Time
+	// lane is true for an engine that is kept for tight answers; see lanes.
+	lane bool
 	// cut is true while the server's data centre is out of reach.
 	cut bool
 	// fullUntil is how long the server counts as full after a late first token.
@@ -99,7 +114,7 @@
 }
 
 func newServer(name string) *server {
-	return &server{name: name, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, cache: newPrefixSet()}
+	return &server{name: name, base: batchBase, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, cache: newPrefixSet()}
 }
 
 func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
@@ -116,7 +131,7 @@
 
 // gapAt is the expected gap between tokens in a batch of n.
 func (s *server) gapAt(n float64) time.Duration {
-	gap := time.Duration(s.norm * (n + batchBase) * float64(time.Second))
+	gap := time.Duration(s.norm * (n + s.base) * float64(time.Second))
 	return max(gap, s.stall)
 }
 
@@ -125,7 +140,7 @@
 	if target <= 0 {
 		return float64(s.slots)
 	}
-	return min(float64(s.slots), headroom*target.Seconds()/s.norm-batchBase)
+	return min(float64(s.slots), headroom*target.Seconds()/s.norm-s.base)
 }
 
 // limit is how many requests the server takes: what keeps the tightest target
@@ -151,9 +166,14 @@
 
 // measured takes in one gap between tokens.
 func (s *server) measured(gap time.Duration) {
-	sample := gap.Seconds() / (s.load() + batchBase)
+	sample := gap.Seconds() / (s.load() + s.base)
 	weight := learn
-	if sample > jump*s.norm {
+	switch {
+	case sample <= jump*s.norm:
+	case s.told:
+		// A gap beside a long prompt says nothing of the step: many in a row do.
+		sample = jump * s.norm
+	default:
 		weight = jumpLearn
 	}
 	s.norm += weight * (sample - s.norm)
@@ -186,7 +206,7 @@
 		return
 	}
 	// Only news of a much slower server is worth it: small differences are noise.
-	if heard := gap.Seconds() / (s.load() + batchBase); heard > jump*s.norm/2 {
+	if heard := gap.Seconds() / (s.load() + s.base); heard > jump*s.norm/2 {
 		s.heardGap = now
 		s.norm += peerLearn * (heard - s.norm)
 	}
@@ -219,7 +239,7 @@
 	if s.service {
 		return time.Duration(s.answer * max(1, n/float64(s.slots)) * float64(time.Second))
 	}
-	first := s.gapAt(n) + time.Duration(s.prefill*(uncached+s.ahead)*float64(time.Second))
+	first := s.gapAt(n) + time.Duration(s.prefill*(uncached+s.ahead+s.peersAhead)*float64(time.Second))
 	if over := n - float64(s.slots); over > 0 {
 		first += time.Duration(over * slotWait * float64(s.gapAt(n)))
 	}
@@ -308,7 +328,7 @@
 }
 
 // candidate describes the server with the request on it.
-func (s *server) candidate(r *request, now time.Time, index int) choose.Candidate {
+func (s *server) candidate(r *request, now time.Time, index int, h homes) choose.Candidate {
 	n := s.load() + 1
 	c := choose.Candidate{
 		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now),
@@ -318,7 +338,10 @@
 	if c.Barred {
 		return c
 	}
-	c.First = s.firstToken(n, s.uncached(r))
+	uncached := h.uncachedAt(s, r)
+	c.First = s.firstToken(n, uncached)
+	c.Work = time.Duration(s.prefill * uncached * float64(time.Second))
+	c.Stray = s.stray(r, h)
 	if !s.service {
 		c.Gap = s.gapAt(n)
 	}
--- a/request/relay/flight.go
+++ b/request/relay/flight.go
@@ -56,6 +56,8 @@
 	// progress is when the last token came, in Unix nanoseconds; 0 before the first.
 	progress atomic.Int64
 	attempt  atomic.Int64
+	// first is the time from the arrival to the first token, in nanoseconds.
+	first atomic.Int64
 
 	mu      sync.Mutex
 	server  string
@@ -150,7 +152,9 @@
 
 // growBy counts tokens that came together.
 func (f *flight) growBy(box *mailbox, count int) (first bool) {
-	f.tokens.Add(int64(count))
+	if f.tokens.Add(int64(count)) == int64(count) {
+		f.first.Store(int64(time.Since(f.arrived)))
+	}
 	first = f.progress.Swap(time.Now().UnixNano()) == 0
 	if first {
 		box.post(policy.Tokens{ID: f.id, Attempt: int(f.attempt.Load()), Count: count})
@@ -162,6 +166,9 @@
 	return false
 }
 
+// firstAfter is the time from the arrival to the first token; 0 before it.
+func (f *flight) firstAfter() time.Duration { return time.Duration(f.first.Load()) }
+
 // takeTokens returns what the core has not heard of yet.
 func (f *flight) takeTokens() (policy.Tokens, bool) {
 	count := f.pending.Swap(0)
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/service"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -53,6 +54,8 @@
 	OnConvict func(policy.Convict)
 	// OnAnnounce is told that the digest should go out at once; it must not block.
 	OnAnnounce func()
+	// Log tells what becomes of requests; nil writes nothing.
+	Log *logs.Log
 	// StallAfter is how long a stream that began may stay silent. Default 30s.
 	StallAfter time.Duration
 }
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -90,6 +90,7 @@
 }
 
 func (r *Relay) refuse(f *flight, a policy.Refuse) error {
+	r.logRefused(f, a)
 	err := f.record.Error(a.Kind, a.Message, fault.WithRetryAfter(a.RetryAfter))
 	if a.NotRun == lilacv1.NotRun_NOT_RUN_TRUE && fault.NotRunOf(err) != a.NotRun {
 		r.Counter.Broken("refused_as_not_run_without_proof")
@@ -112,6 +113,7 @@
 		return false, nil
 	}
 	t := &try{start: start, server: server, upstreamID: f.requestID + "-" + strconv.Itoa(start.Attempt)}
+	r.logSent(f, start)
 	t.attempt = f.record.Add(func() { r.Post(policy.Sent{ID: f.id, Attempt: start.Attempt}) })
 	err = j.try(attemptCtx, t)
 	cause := context.Cause(attemptCtx)
@@ -122,10 +124,12 @@
 	if err == nil {
 		r.Counter.Attempt("finished")
 		r.Post(policy.Finished{ID: f.id, Attempt: start.Attempt})
+		r.logFinished(f, start)
 		f.held = held{}
 		return true, nil
 	}
 	unsent := t.attempt.Seal()
+	r.logFailed(f, start, err, unsent)
 	switch {
 	case !f.claimed && (ctx.Err() != nil || f.late() || errors.Is(err, errCallerGone)):
 		r.Counter.Attempt("canceled")
