--- a/process/member/core.go
+++ b/process/member/core.go
@@ -36,6 +36,9 @@
 	Fanout = 5
 	// avoidance is how long a failed parent or relay is passed over.
 	avoidance = 10 * time.Second
+	// failuresToLeave is how many exchanges in a row must fail for a parent to be
+	// given up in a tree.
+	failuresToLeave = 2
 	// urgentPause is the least time between two urgent exchanges.
 	urgentPause = 500 * time.Millisecond
 )
@@ -183,9 +186,10 @@
 	delete(c.asked, peer)
 	c.unsaid(peer)
 	c.failures[peer]++
-	if c.Tree() && c.failures[peer] < 2 {
+	if c.Tree() && c.failures[peer] < failuresToLeave {
 		return
 	}
+	c.orphans(now, peer)
 	c.avoided[peer] = now.Add(avoidance)
 	c.peersChanged = true
 }
--- a/process/member/promise.go
+++ b/process/member/promise.go
@@ -163,6 +163,21 @@
 	}
 }
 
+// orphans notes that a peer above was given up whose children are not known here.
+//
+// It guards against an entry that takes a dead parent's place: it never heard the
+// parent's other children, so it misses none of them, and its sums seem whole
+// while such a child still looks for a parent and admits what the sums deny. It
+// shows where parents die in turn, since then a child tries the dead ones first.
+// It holds because the sums are incomplete for as long as a living child may take.
+// A peer that is tried again and still silent has no children any more.
+func (c *Core) orphans(now time.Time, peer string) {
+	dataCenter := c.peers[peer].DataCenter
+	if c.Tree() && c.failures[peer] == failuresToLeave && dataCenter == c.self.DataCenter {
+		c.missing[peer] = absence{dataCenter, now.Add(absent)}
+	}
+}
+
 // giveUp ends the absences of those who must be dead.
 func (c *Core) giveUp(now time.Time) {
 	for name, a := range c.missing {
