Read prompts once: one home for a shared part, a low quantile for reading rates

Cause: queueing behind others' work was learned as a slow engine (212 us a token against 20), so requests left the engines that hold their prompt and had it read again; and late prompts went before punctual ones at the engines.

--- a/request/choose/filter.go
+++ b/request/choose/filter.go
@@ -34,6 +34,18 @@
 	return !r.Alone || !c.Trial
 }
 
+// FirstOnTime bars servers that are expected to miss the target for the first
+// token. The gap between tokens is left to the scores: beside a long prompt it
+// says nothing of the next answer's.
+type FirstOnTime struct{}
+
+var _ Filter = FirstOnTime{}
+
+// Allow implements Filter.
+func (FirstOnTime) Allow(r *Request, c *Candidate) bool {
+	return r.FirstBy <= 0 || c.First <= r.FirstBy
+}
+
 // OnTime bars servers that are expected to miss the request's targets.
 type OnTime struct{}
 
--- a/request/choose/score.go
+++ b/request/choose/score.go
@@ -50,13 +50,15 @@
 // Score implements Scorer.
 func (Stray) Score(_ *Request, c *Candidate) float64 { return c.Stray.Seconds() }
 
-// Work costs the engine's time that the request's prompt takes.
-type Work struct{}
+// Work costs the engine's time that the request's prompt takes. Weight counts
+// what it takes from others too: while all engines are busy, a prompt read twice
+// delays everyone behind it, who then spread out and have theirs read twice.
+type Work struct{ Weight float64 }
 
 var _ Scorer = Work{}
 
 // Score implements Scorer.
-func (Work) Score(_ *Request, c *Candidate) float64 { return c.Work.Seconds() }
+func (s Work) Score(_ *Request, c *Candidate) float64 { return s.Weight * c.Work.Seconds() }
 
 // Risk costs the danger of a late first token. A wait that is short against the
 // target costs next to nothing, so that requests keep to the engines that hold
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -129,7 +129,7 @@
 	best := time.Duration(-1)
 	for i := range min(len(p.servers), dueSample) {
 		s := p.servers[i]
-		first := s.firstToken(s.load(), s.uncached(r))
+		first := s.firstToken(s.load(), s.uncached(r), r.levelOf())
 		if best < 0 || first < best {
 			best = first
 		}
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -10,12 +10,11 @@
 // Requests that share a long part of their prompt cost a quarter of a second
 // less each on an engine that holds the part. An instance knows only what it
 // sent itself, so all instances rank the engines alike by a hash of the part,
-// and each takes the first two for holding it. The first that is not too loaded
-// so gets all requests of the part, whichever instance they come to; the second
-// takes what is too much for it.
+// and each takes the first one for holding it. It so gets all requests of the
+// part, whichever instance they come to; the second takes what is too much for it.
 
-// homes are the engines that are taken to hold a request's shared parts; nil
-// where the request shares too little.
+// homes are the engines that a request's shared parts belong to; nil where the
+// request shares too little.
 type homes struct{ first, second *server }
 
 // homesOf ranks the open engines by the request's last shared part.
@@ -48,19 +47,27 @@
 	return h
 }
 
-// holds tells whether the server is taken to hold the request's shared parts.
-func (h homes) holds(s *server) bool { return s == h.first || s == h.second }
-
 // uncachedAt is the prompt work on the server, by what is known of its cache and
-// by its being a home of the request.
+// by its being the first home of the request.
 func (h homes) uncachedAt(s *server, r *request) float64 {
 	uncached := s.uncached(r)
-	if !h.holds(s) {
+	if s != h.first {
 		return uncached
 	}
-	return min(uncached, float64(max(r.PromptTokens-r.Prefix[len(r.Prefix)-2].End, 1)))
+	return min(uncached, float64(max(r.PromptTokens+r.got-r.Prefix[len(r.Prefix)-2].End, 1)))
 }
 
-// preferSecond is the price of the second home: requests leave the first only
-// where it is that much busier.
-const preferSecond = 100 * time.Millisecond
+// pastSecond is the price of an engine that is no home, so that what leaves the
+// first home meets on the second, and is read there once.
+const pastSecond = 200 * time.Millisecond
+
+// place is 1 or 2 for the homes, else 0.
+func (h homes) place(s *server) int {
+	switch s {
+	case h.first:
+		return 1
+	case h.second:
+		return 2
+	}
+	return 0
+}
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -163,6 +163,9 @@
 	Attempt int
 	// Priority is for engines that honour one; 0 is the most urgent.
 	Priority int
+	// Level is the priority with the rank within its tier, from 0 up to 9; requests
+	// that are late already have the last.
+	Level int
 	// ResumeFrom names the server that holds the first part of a broken
 	// stream, where it may be resumed; empty otherwise. The tokens so far, which
 	// the shell keeps, go along as a prefix.
@@ -189,6 +192,8 @@
 	Expected time.Duration
 	// Lane is true on an engine that is kept for tight answers.
 	Lane bool
+	// Home is 1 or 2 on the engines that the request's shared prompt belongs to.
+	Home int
 }
 
 // Refuse tells the shell to answer the caller at once with a typed error.
--- /dev/null
+++ b/request/policy/backlog.go
@@ -0,0 +1,65 @@
+package policy
+
+// levels is the number of priorities at engines; 0 is the most urgent.
+const levels = 10
+
+// lateLevel is that of requests that start when their target is missed already:
+// they run in what the others leave.
+const lateLevel = levels - 1
+
+// backlog is prompt work that waits at an engine, in tokens, by the priority of
+// its requests. Engines read the prompts of more urgent requests first, so only
+// the part up to a request's own level is before it.
+type backlog [levels]float64
+
+// before is what is read before a prompt of the level.
+func (b *backlog) before(level int) float64 {
+	sum := 0.0
+	for _, tokens := range b[:level+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+// total is the whole backlog.
+func (b *backlog) total() float64 { return b.before(levels - 1) }
+
+// add puts tokens on, or takes them off where they are negative.
+func (b *backlog) add(level int, tokens float64) { b[level] = max(0, b[level]+tokens) }
+
+// told is the backlog as peers are told of it.
+func (b *backlog) told() []uint32 {
+	if b.total() == 0 {
+		return nil
+	}
+	list := make([]uint32, levels)
+	for level, tokens := range b {
+		list[level] = uint32(tokens)
+	}
+	return list
+}
+
+// merge adds what a peer told, with the sign.
+func (b *backlog) merge(told []uint32, sign float64) {
+	for level, tokens := range told {
+		if level < levels {
+			b.add(level, sign*float64(tokens))
+		}
+	}
+}
+
+// levelOf is the request's priority at engines if it started now. Requests that
+// are not anchored may meet engines that read prompts in turn: they expect all
+// of the backlog before them.
+func (r *request) levelOf() int {
+	switch {
+	case !r.Anchored:
+		return levels - 1
+	case r.item.Late:
+		return lateLevel
+	}
+	return min(r.tier()*ranks+int(r.class.GetRank()), lateLevel-1)
+}
+
+// ranks is the number of ranks within a tier.
+const ranks = 3
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -23,6 +23,9 @@
 	stepReserve  = 0.5
 	// crowdWeight is the weight of what a request adds to others' gaps.
 	crowdWeight = 0.5
+	// workWeight keeps requests with their shared prompt until its engine is about
+	// to miss their target: 13,000 tokens weigh as much as a wait of 0.9 of it.
+	workWeight = 4
 	// paceWeight is the share at which the pace of an anchored answer counts.
 	paceWeight = 0.2
 	// nearFirst, nearSecond and nearShare are how much more than the least a
@@ -60,15 +63,16 @@
 
 func newChooser(weights settings.Policy) chooser {
 	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}, choose.Stray{}}
-	anchored := []choose.Scorer{choose.Work{}, choose.Risk{}, choose.Pace{Weight: paceWeight}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Stray{}}
+	anchored := []choose.Scorer{choose.Work{Weight: workWeight}, choose.Risk{}, choose.Pace{Weight: paceWeight}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Stray{}}
 	late := []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}
 	onTime := append(slices.Clone(late), choose.OnTime{})
+	firstOnTime := append(slices.Clone(late), choose.FirstOnTime{})
 	picker := choose.Near{First: nearFirst, Second: nearSecond, Share: nearShare}
 	return chooser{
 		reserves:     reservesOf(weights),
 		onTime:       choose.Chooser{Filters: onTime, Scorers: scorers, Picker: picker},
 		late:         choose.Chooser{Filters: late, Scorers: scorers, Picker: picker},
-		anchored:     choose.Chooser{Filters: onTime, Scorers: anchored, Picker: choose.Least{}},
+		anchored:     choose.Chooser{Filters: firstOnTime, Scorers: anchored, Picker: choose.Least{}},
 		anchoredLate: choose.Chooser{Filters: late, Scorers: anchored, Picker: choose.Least{}},
 	}
 }
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -99,13 +99,14 @@
 	r.sentNow = false
 	r.gotNow = 0
 	r.started, r.lastAt = now, now
-	r.uncached, r.ahead = s.uncached(r), s.ahead+s.peersAhead
-	r.expected = s.firstToken(s.load()+1, r.uncached)
+	r.level = r.levelOf()
+	r.uncached, r.ahead = c.homesOf(r).uncachedAt(s, r), s.before(r.level)
+	r.expected = s.firstToken(s.load()+1, r.uncached, r.level)
 	c.carry(now, r, s, from)
-	why := s.why(now, r)
+	why := c.why(now, r, s)
 	s.attach(r)
 	c.identical.started(r)
-	s.ahead += r.uncached
+	s.ahead.add(r.level, r.uncached)
 	r.pool.attach(r)
 	s.cache.use(r.Prefix)
 	c.running++
@@ -120,14 +121,14 @@
 	if from != nil {
 		resume = from.name
 	}
-	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), ResumeFrom: resume, Continue: r.got > 0, Why: why})
+	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), Level: r.level, ResumeFrom: resume, Continue: r.got > 0, Why: why})
 }
 
 // why notes what speaks for the server before the request is on it.
-func (s *server) why(now time.Time, r *request) Why {
+func (c *core) why(now time.Time, r *request, s *server) Why {
 	return Why{
 		Waited: now.Sub(r.item.Arrived), Own: len(s.own), Load: s.load(), ReportAge: time.Duration(s.reportAge * float64(time.Second)),
-		Uncached: r.uncached, Ahead: r.ahead, Expected: r.expected, Lane: s.lane,
+		Uncached: r.uncached, Ahead: r.ahead, Expected: r.expected, Lane: s.lane, Home: c.homesOf(r).place(s),
 	}
 }
 
@@ -139,7 +140,7 @@
 	}
 	r.sentEver = r.sentEver || r.sentNow
 	if r.gotNow == 0 {
-		s.ahead = max(0, s.ahead-r.uncached)
+		s.ahead.add(r.level, -r.uncached)
 		if r.carriedAt != nil {
 			c.gaveUpCarried(now, r)
 		}
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -18,15 +18,15 @@
 	// readingGap is the gap between two tokens beside a long prompt: a chunk of
 	// 2,048 tokens at 50 to 64 a millisecond, its attention and the step itself.
 	readingGap = 72 * time.Millisecond
-	// longPrompt is the uncached length from which a prompt counts as long: one chunk.
-	longPrompt = 2048
+	// longRead is the uncached length from which a prompt counts as long: two chunks.
+	longRead = 4096
 	// laneLearn is the weight of one request in the lane's share of all work.
 	laneLearn = 0.02
 	// firstLaneShare is that share before any request was seen.
 	firstLaneShare = 0.33
-	// laneTokenWork is what a generated token costs of an engine's time in a batch
-	// of about 20, as prompt tokens read in the same time.
-	laneTokenWork = 17
+	// laneTokenWork is what one more generated token costs of an engine's time in a
+	// large batch, as prompt tokens read in the same time: 0.045 ms.
+	laneTokenWork = 2.3
 )
 
 // tight tells whether the request's answers are late beside a long prompt.
@@ -35,11 +35,11 @@
 }
 
 // long tells whether the request's prompt would hold up others' tokens there.
-func (r *request) long(s *server) bool { return s.uncached(r) >= longPrompt }
+func (r *request) long(s *server) bool { return s.uncached(r) >= longRead }
 
 // noteWork learns which share of the pool's work the lane's requests make.
 func (p *pool) noteWork(r *request) {
-	work := laneTokenWork*r.estimated + min(float64(r.PromptTokens), 2*longPrompt)
+	work := laneTokenWork*r.estimated + min(float64(r.PromptTokens), longRead)
 	tight := 0.0
 	if r.tight() {
 		tight = work
@@ -88,8 +88,8 @@
 const (
 	// strayLong is the price of a long prompt in the lane, strayTight that of a
 	// tight answer outside: a miss of one answer's target, or a likely one.
-	strayLong  = 1500 * time.Millisecond
-	strayTight = 400 * time.Millisecond
+	strayLong  = 4 * time.Second
+	strayTight = time.Second
 )
 
 // stray is the price of the request outside the engines that suit it.
@@ -97,12 +97,13 @@
 	switch {
 	case s.service || !r.Anchored:
 		return 0
-	case s == h.second:
-		return preferSecond
-	case s.lane && r.long(s):
+	case s.lane && r.long(s) && !r.tight():
 		return strayLong
 	case !s.lane && r.tight():
 		return strayTight
 	}
+	if h.first != nil && h.place(s) == 0 {
+		return pastSecond
+	}
 	return 0
 }
--- a/request/policy/leaving_test.go
+++ b/request/policy/leaving_test.go
@@ -73,7 +73,7 @@
 	c.Step(at.Add(500*time.Millisecond), Tokens{ID: 1, Attempt: start.Attempt, Count: 1})
 	is.Equal(c.Stats().Spared, Spared{})
 	is.True(c.kv.near.expect(at, 2000) > before)
-	is.Equal(c.servers[start.Server].ahead, 0.0)
+	is.Equal(c.servers[start.Server].ahead.total(), 0.0)
 }
 
 // Another server is slow to take KV caches, so that each move is overdue and
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -75,7 +75,7 @@
 	}
 	n := s.load()
 	return n <= s.limit(r.pool.tight, r.between()) &&
-		(r.between() == 0 || s.gapAt(n) <= r.between()) && s.firstToken(n, s.uncached(r)) <= r.firstBy(now)
+		(r.between() == 0 || s.gapAt(n) <= r.between()) && s.firstToken(n, s.uncached(r), r.levelOf()) <= r.firstBy(now)
 }
 
 // moveStragglers takes requests off servers that fell behind, where another
@@ -151,7 +151,7 @@
 // better tells whether the answer would still keep its targets on the server.
 func (c *core) better(now time.Time, r *request, s *server) bool {
 	n := s.load() + 1
-	first := s.firstToken(n, s.uncached(r))
+	first := s.firstToken(n, s.uncached(r), r.levelOf())
 	if r.got == 0 {
 		return first <= r.firstBy(now)
 	}
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -31,8 +31,9 @@
 }
 
 type peerLoad struct {
-	server          *server
-	inFlight, ahead float64
+	server   *server
+	inFlight float64
+	backlog  []uint32
 }
 
 // Digest tells the other instances what this one does.
@@ -54,7 +55,7 @@
 	}
 	for _, s := range c.ordered {
 		if len(s.own) > 0 {
-			d.Loads = append(d.Loads, &lilacv1.ServerLoad{Server: s.name, InFlight: uint32(len(s.own)), TokensLeft: uint64(s.ahead), GapUs: s.gapTold(now)})
+			d.Loads = append(d.Loads, &lilacv1.ServerLoad{Server: s.name, InFlight: uint32(len(s.own)), TokensLeft: uint64(s.ahead.total()), Backlog: s.ahead.told(), GapUs: s.gapTold(now)})
 		}
 		if s.leaving || s.gone {
 			d.LeavingServers = append(d.LeavingServers, s.name)
@@ -157,8 +158,8 @@
 	for _, load := range loads {
 		if s := c.servers[load.GetServer()]; s != nil {
 			s.peers += float64(load.GetInFlight())
-			s.peersAhead += float64(load.GetTokensLeft())
-			p.loads = append(p.loads, peerLoad{server: s, inFlight: float64(load.GetInFlight()), ahead: float64(load.GetTokensLeft())})
+			s.peersAhead.merge(load.GetBacklog(), 1)
+			p.loads = append(p.loads, peerLoad{server: s, inFlight: float64(load.GetInFlight()), backlog: load.GetBacklog()})
 			s.join(true)
 			s.hearGap(now, time.Duration(load.GetGapUs())*time.Microsecond)
 		}
@@ -168,7 +169,7 @@
 func (c *core) dropLoads(p *peer) {
 	for _, load := range p.loads {
 		load.server.peers = max(0, load.server.peers-load.inFlight)
-		load.server.peersAhead = max(0, load.server.peersAhead-load.ahead)
+		load.server.peersAhead.merge(load.backlog, -1)
 		load.server.join(true)
 	}
 	p.loads = p.loads[:0]
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -26,7 +26,7 @@
 	s := r.server
 	r.sentNow, r.sentEver = true, true
 	if r.gotNow == 0 {
-		s.ahead = max(0, s.ahead-r.uncached)
+		s.ahead.add(r.level, -r.uncached)
 		s.decoding++
 		if r.carried > 0 {
 			c.carriedOver(now, r)
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -34,7 +34,9 @@
 	charged   float64
 	// uncached is the prompt work of this attempt, ahead what stood before it.
 	uncached, ahead float64
-	expected        time.Duration
+	// level is its priority at the engine, as it started.
+	level    int
+	expected time.Duration
 	// carried is the length of the KV cache that this attempt came with, at the
 	// rate carriedAt; 0 and nil if it came without.
 	carried   float64
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -62,9 +62,9 @@
 
 	own []*request
 	// ahead is the prompt work of own requests that have no first token yet.
-	ahead float64
+	ahead backlog
 	// peersAhead is the same of other instances, by their digests.
-	peersAhead float64
+	peersAhead backlog
 	// peers is what other instances run here, by their digests.
 	peers float64
 	// others joins peers with reports.
@@ -230,16 +230,51 @@
 		return
 	}
 	sample := (took - s.gapAt(s.load())).Seconds() / work
+	if s.told {
+		s.learnReading(sample, work)
+		return
+	}
 	sample = min(max(sample, 0), 20*defaultPrefill)
 	s.prefill += learn * (sample - s.prefill)
 }
 
+const (
+	// readingWork is the least prompt work, in tokens, from which the rate of
+	// reading is learned: below, the fixed times of a request weigh more.
+	readingWork = 4096
+	// readingStep is how far one sample moves the rate, readingQuantile which part
+	// of the samples lies below it in the end.
+	readingStep     = 0.2
+	readingQuantile = 0.25
+)
+
+// learnReading moves the rate of reading towards a low quantile of its samples.
+//
+// It guards against an engine that is taken for ten times slower than it is:
+// what other instances sent it, and more urgent prompts that came later, are in
+// the time to a first token but not in the work known here. It shows as an idle
+// engine that gets nothing. It holds because the samples with little such work
+// are the low ones.
+func (s *server) learnReading(sample, work float64) {
+	switch {
+	case work < readingWork:
+	case sample > s.prefill:
+		s.prefill *= 1 + readingStep*readingQuantile
+	default:
+		s.prefill *= 1 - readingStep*(1-readingQuantile)
+	}
+	s.prefill = min(max(s.prefill, largePrefill/float64(s.slots)/2), 20*defaultPrefill)
+}
+
+// before is the prompt work of all instances before a request of the level.
+func (s *server) before(level int) float64 { return s.ahead.before(level) + s.peersAhead.before(level) }
+
 // firstToken is the expected time to the first token of a prompt on top of load n.
-func (s *server) firstToken(n, uncached float64) time.Duration {
+func (s *server) firstToken(n, uncached float64, level int) time.Duration {
 	if s.service {
 		return time.Duration(s.answer * max(1, n/float64(s.slots)) * float64(time.Second))
 	}
-	first := s.gapAt(n) + time.Duration(s.prefill*(uncached+s.ahead+s.peersAhead)*float64(time.Second))
+	first := s.gapAt(n) + time.Duration(s.prefill*(uncached+s.before(level))*float64(time.Second))
 	if over := n - float64(s.slots); over > 0 {
 		first += time.Duration(over * slotWait * float64(s.gapAt(n)))
 	}
@@ -339,7 +374,7 @@
 		return c
 	}
 	uncached := h.uncachedAt(s, r)
-	c.First = s.firstToken(n, uncached)
+	c.First = s.firstToken(n, uncached, r.levelOf())
 	c.Work = time.Duration(s.prefill * uncached * float64(time.Second))
 	c.Stray = s.stray(r, h)
 	if !s.service {
--- a/request/policy/transfer.go
+++ b/request/policy/transfer.go
@@ -70,7 +70,7 @@
 	}
 	s := r.server
 	r.uncached = s.uncached(r)
-	s.ahead += r.uncached
+	s.ahead.add(r.level, r.uncached)
 	r.carriedAt.measured(now, r.carried, now.Sub(r.started)+s.prefillTime(r.uncached))
 	r.carried, r.carriedAt = 0, nil
 }
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -112,7 +112,7 @@
 
 func (j *forwardJob) try(ctx context.Context, t *try) error {
 	send := &gateway.Send{
-		Server: t.server.GetIdentity(), Priority: t.start.Priority, Resumable: j.q.Route.Resumable, LastEvent: j.lastEvent,
+		Server: t.server.GetIdentity(), Priority: t.start.Level, Resumable: j.q.Route.Resumable, LastEvent: j.lastEvent,
 	}
 	if j.q.Team != nil {
 		send.Team = j.q.Team.Name
--- a/version/routing/view.go
+++ b/version/routing/view.go
@@ -77,10 +77,14 @@
 // shareOfAll is divided among the classes as their guaranteed shares, in permille.
 const shareOfAll = 200
 
+// maxRank is the last place within a tier.
+const maxRank = 2
+
 func class(t *Table, r *Route, priority int) *lilacv1.Class {
 	c := &lilacv1.Class{
 		Name: ClassName(r, priority), Tier: uint32(min(max(priority, 0), model.Tiers-1)),
 		FirstTokenMs: uint32(r.Target.Milliseconds()), MaxAttempts: uint32(r.MaxAttempts),
+		Rank:          uint32(min(max(r.Priority, 0), maxRank)),
 		SharePermille: uint32(max(1, shareOfAll/max(len(t.Document.Routes), 1))),
 		Late:          lilacv1.LatePolicy_LATE_POLICY_RUN,
 	}
