--- a/connection/spreadlink/serve.go
+++ b/connection/spreadlink/serve.go
@@ -94,7 +94,7 @@
 				continue
 			}
 		}
-		if err := s.wait(ctx, changed); err != nil {
+		if err := s.wait(ctx, changed, signOfLife(req)); err != nil {
 			return err
 		}
 	}
@@ -125,8 +125,19 @@
 	return s.source.Revision() == 0 && age > emptyAge
 }
 
-func (s *Server) wait(ctx context.Context, changed <-chan struct{}) error {
-	timer := time.NewTimer(spread.SignOfLife)
+// signOfLife is the pause that the watcher asks for.
+func signOfLife(req *lilacv1.WatchRequest) time.Duration {
+	if ms := req.GetSignOfLifeMs(); ms > 0 {
+		return max(time.Duration(ms)*time.Millisecond, leastSign)
+	}
+	return spread.SignOfLife
+}
+
+// leastSign keeps one watcher from taking all of a process's time.
+const leastSign = 100 * time.Millisecond
+
+func (s *Server) wait(ctx context.Context, changed <-chan struct{}, sign time.Duration) error {
+	timer := time.NewTimer(sign)
 	defer timer.Stop()
 	select {
 	case <-changed:
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -36,6 +36,8 @@
 	Entries []settings.Peer
 	// Dial returns the caller for an address; the same one each time.
 	Dial func(address string) link.Caller
+	// Timing says how soon a silent sender is left; zero means spread.Usual.
+	Timing spread.Timing
 	// OnView is told of each newer revision, in order; may be nil.
 	OnView func(*model.View)
 	// Logger gets a line for each change of whom the entry follows; may be nil.
@@ -70,6 +72,9 @@
 
 // NewWatcher returns a Watcher that holds no revision yet.
 func NewWatcher(options Options) *Watcher {
+	if options.Timing == (spread.Timing{}) {
+		options.Timing = spread.Usual
+	}
 	if options.OnView == nil {
 		options.OnView = func(*model.View) {}
 	}
@@ -79,7 +84,7 @@
 	return &Watcher{
 		options: options,
 		holder:  config.NewHolder(),
-		core:    spread.NewCore(options.Instance),
+		core:    spread.NewTimedCore(options.Instance, options.Timing),
 		events:  make(chan spread.Event, 64),
 		entries: options.Entries,
 		changed: make(chan struct{}),
@@ -264,6 +269,7 @@
 func (w *Watcher) receive(ctx context.Context, caller link.Caller, prefix string, target spread.Target) error {
 	stream, err := caller.Open(ctx, prefix+".watch", &lilacv1.WatchRequest{
 		Have: w.holder.Revision(), Instance: w.options.Instance, DataCenter: w.options.DataCenter,
+		SignOfLifeMs: uint32(w.options.Timing.SignOfLife.Milliseconds()),
 	})
 	if err != nil {
 		return err
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
+	"github.com/lilacbridge/lilacbridge/version/spread"
 )
 
 // stopTimeout bounds the closing of listeners after the drain.
@@ -88,7 +89,7 @@
 	d.entry = New(Options{Gateway: protocolOf(platform), Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, State: s.State, Entries: s.Entries,
-		Dial: d.dialer.dial, OnView: d.onView, Logger: logger,
+		Dial: d.dialer.dial, Timing: d.timing(), OnView: d.onView, Logger: logger,
 	})
 	if platform != nil {
 		d.gateway = newRouted(d, platform)
@@ -199,6 +200,14 @@
 	return platform
 }
 
+// timing keeps a gateway's entries within the bounds that its platform sets.
+func (d *Daemon) timing() spread.Timing {
+	if d.settings.Gateway != nil {
+		return spread.Quick
+	}
+	return spread.Usual
+}
+
 // onView brings a revision into force, through the gateway where there is one.
 func (d *Daemon) onView(view *model.View) {
 	if d.gateway != nil {
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -52,7 +52,11 @@
 	d.mu.Lock()
 	d.live = peers
 	d.mu.Unlock()
-	d.watcher.SetEntries(peers)
+	if d.settings.Gateway == nil {
+		// Behind a gateway an entry that is cut off must not hold up the others of
+		// its data centre: all follow the state processes themselves.
+		d.watcher.SetEntries(peers)
+	}
 	d.orders.SetPosition(d.position(peers))
 	d.entry.poller.SetBudget(pollBudget(len(peers)+1, d.relays(peers)))
 }
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -15,6 +15,24 @@
 	"github.com/lilacbridge/lilacbridge/process/member"
 )
 
+// Timing says how soon an entry leaves a sender.
+type Timing struct {
+	// SignOfLife is how often a sender sends an update when nothing changes.
+	SignOfLife time.Duration
+	// Silence is how long a sender may say nothing before another is taken.
+	Silence time.Duration
+	// Behind is the age of a sender's knowledge above which another is taken.
+	Behind time.Duration
+}
+
+// Usual keeps the signs of life of 1,100 entries cheap: changes are in force
+// everywhere in 13 s.
+var Usual = Timing{SignOfLife: SignOfLife, Silence: silence, Behind: behindLimit}
+
+// Quick finds a silent sender soon enough for changes that must be in force
+// everywhere within 3 s: 1 s of silence and the way to another sender.
+var Quick = Timing{SignOfLife: 300 * time.Millisecond, Silence: time.Second, Behind: 1500 * time.Millisecond}
+
 const (
 	// Fanout is how many entries follow one entry directly.
 	Fanout = 8
@@ -71,7 +89,8 @@
 
 // Core decides whom one entry follows. Calls must not overlap.
 type Core struct {
-	self string
+	self   string
+	timing Timing
 	// above holds the entries of a rank above the own, best rank first, with
 	// all positions counted in the data centre.
 	above   []string
@@ -91,8 +110,11 @@
 }
 
 // NewCore returns the core of the entry named self, which follows nobody yet.
-func NewCore(self string) *Core {
-	return &Core{self: self, avoided: make(map[string]time.Time)}
+func NewCore(self string) *Core { return NewTimedCore(self, Usual) }
+
+// NewTimedCore is NewCore with its own timing.
+func NewTimedCore(self string, timing Timing) *Core {
+	return &Core{self: self, timing: timing, avoided: make(map[string]time.Time)}
 }
 
 // Current returns whom the entry follows.
@@ -114,7 +136,7 @@
 		if sure := now.Add(-e.Age); sure.After(c.sure) {
 			c.sure = sure
 		}
-		if e.Age > behindLimit {
+		if e.Age > c.timing.Behind {
 			c.avoid(now)
 			c.leaveBehind(now)
 		}
@@ -140,13 +162,13 @@
 // together more than a change may take. It holds because an entry that is
 // behind itself goes to a state process at once, whoever is to blame.
 func (c *Core) tick(now time.Time) {
-	if c.following && now.Sub(c.heard) > silence {
+	if c.following && now.Sub(c.heard) > c.timing.Silence {
 		c.avoid(now)
 		if c.current.State() {
 			c.turn++
 		}
 	}
-	if !c.current.State() && now.Sub(c.sure) > behindLimit && !now.Before(c.direct) {
+	if !c.current.State() && now.Sub(c.sure) > c.timing.Behind && !now.Before(c.direct) {
 		c.avoid(now)
 		c.direct = now.Add(avoidance)
 	}
@@ -160,7 +182,7 @@
 // the cut has healed. It holds because the processes are followed in turn; each
 // gets some time, since while the cut lasts none is better than the nearest.
 func (c *Core) leaveBehind(now time.Time) {
-	if c.current.State() && now.Sub(c.turned) >= behindLimit {
+	if c.current.State() && now.Sub(c.turned) >= c.timing.Behind {
 		c.turn++
 		c.turned = now
 	}
