Read the list of backend servers once for all instances

The leader reads it, the other state processes ask the leader, entries ask the nearest state processes, and each reads the platform's list itself where nobody knows.

--- a/cmd/lilacbridge-state/main.go
+++ b/cmd/lilacbridge-state/main.go
@@ -17,6 +17,7 @@
 func main() {
 	control := state.Control{
 		Decode:  platform.Protocol{}.Document,
+		List:    (&platform.Platform{}).ServerList,
 		Handler: func(documents gateway.Documents) http.Handler { return &platform.Control{Documents: documents} },
 	}
 	open := func(s *settings.State, logger hclog.Logger) (program.Daemon, error) {
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -1,12 +1,14 @@
 package spreadlink
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -251,12 +253,26 @@
 	if len(w.options.State) == 0 {
 		return nil, "", ""
 	}
+	near := w.nearest()
+	peer := near[target.Turn%len(near)]
+	return w.options.Dial(peer.Address.Value), "state", peer.Name
+}
+
+// Nearest returns the state processes, those of the own data centre first.
+func (w *Watcher) Nearest() []settings.Peer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nearest()
+}
+
+// nearest needs w.mu. Entries of one data centre begin at different places of
+// the others, by their names, so that not all ask the same.
+func (w *Watcher) nearest() []settings.Peer {
 	near := slices.Clone(w.options.State)
 	slices.SortStableFunc(near, func(a, b settings.Peer) int {
-		return w.distance(a) - w.distance(b)
+		return cmp.Or(w.distance(a)-w.distance(b), cmp.Compare(xxhash.Sum64String(w.options.Instance+a.Name), xxhash.Sum64String(w.options.Instance+b.Name)))
 	})
-	peer := near[target.Turn%len(near)]
-	return w.options.Dial(peer.Address.Value), "state", peer.Name
+	return near
 }
 
 func (w *Watcher) distance(peer settings.Peer) int {
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,14 +13,17 @@
 
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/serverlist"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
 const (
-	// listTimeout bounds one reading of the list of backend servers.
-	listTimeout = 2 * time.Second
+	// askedForList is how many state processes are asked for the list before the
+	// platform is.
+	askedForList = 2
 	// membersEvery is how often the state processes are asked for their group.
 	membersEvery = 2 * time.Second
 	// keysTrusted is the share of the bound on revocations for which the keys may
@@ -52,22 +54,12 @@
 
 func newRouted(d *Daemon, platform gateway.Platform) *routed {
 	g := &routed{daemon: d, logger: d.logger, platform: platform}
-	g.list = platform.ServerList(d.settings.Gateway.ServerList.Value, newListClient())
+	g.list = platform.ServerList(d.settings.Gateway.ServerList.Value, serverlist.NewClient())
 	g.handler = gateway.NewHandler(platform, g, d.entry.counters, requestLog{d.logger})
 	d.entry.onLeave = g.handler.Leave
 	return g
 }
 
-// newListClient keeps one connection to the list. A silent one ends with the
-// timeout of the reading, and the next reading has a new one.
-func newListClient() *http.Client {
-	dialer := &net.Dialer{Timeout: listTimeout}
-	return &http.Client{
-		Timeout:   listTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true},
-	}
-}
-
 // Table implements gateway.Router.
 func (g *routed) Table() *routing.Table { return g.table.Load() }
 
@@ -125,52 +117,29 @@
 	group.Wait()
 }
 
+// followList takes the list from the state processes, the nearest first, and from
+// the platform itself where none of them knows it.
 func (g *routed) followList(ctx context.Context) {
-	lost := false
-	for {
-		err := g.readList(ctx)
-		if (err != nil) != lost && ctx.Err() == nil {
-			lost = err != nil
-			if lost {
-				g.logger.Warn("lost the list of backend servers; the last one stays in force", "error", err)
-			} else {
-				g.logger.Info("regained the list of backend servers")
-			}
-		}
-		if sleep(ctx, g.daemon.settings.Gateway.ListEvery.Duration) != nil {
-			return
-		}
-	}
+	serverlist.NewFollower(serverlist.NewHolder(), serverlist.Options{
+		Upstream: g.upstream, List: g.list, Every: g.daemon.settings.Gateway.ListEvery.Duration,
+		OnList: g.onList, Logger: g.logger,
+	}).Run(ctx)
 }
 
-func (g *routed) readList(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	servers, skipped, err := g.list.Fetch(ctx)
-	if err != nil {
-		return err
+func (g *routed) upstream() []link.Caller {
+	var callers []link.Caller
+	for _, peer := range g.daemon.watcher.Nearest() {
+		callers = append(callers, g.daemon.dialer.dial(peer.Address.Value))
 	}
+	return callers[:min(len(callers), askedForList)]
+}
+
+// onList brings a list of backend servers into force.
+func (g *routed) onList(servers []routing.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.listed && sameServers(g.servers, servers) {
-		return nil
-	}
-	g.logger.Info("list of backend servers changed", "servers", len(servers), "skipped", skipped)
 	g.servers, g.listed = servers, true
 	g.configure()
-	return nil
-}
-
-func sameServers(a, b []routing.Server) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
 }
 
 func (g *routed) followMembers(ctx context.Context) {
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/serverlist"
 	"github.com/lilacbridge/lilacbridge/process/build"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
@@ -55,6 +56,8 @@
 	listener net.Listener
 	links    *link.Server
 	keys     *secret.Reloadable[secret.Keys]
+	// follower keeps the list of backend servers; nil where the settings name none.
+	follower *serverlist.Follower
 	// control serves the gateway's document; nil without a gateway.
 	control  *khttp.Server
 	stopping atomic.Bool
@@ -69,6 +72,8 @@
 	Decode func(content []byte) (*routing.Document, error)
 	// Handler makes the HTTP handler.
 	Handler ControlHandler
+	// List makes the reader of the platform's list of backend servers.
+	List func(address string, client *http.Client) gateway.ServerList
 }
 
 // NewDaemon opens the log and the listeners; Run serves.
@@ -87,6 +92,8 @@
 	}
 	service := NewService(machine, log)
 	service.Register(mux)
+	servers := serverlist.NewHolder()
+	servers.Register(mux)
 	register(registry, service)
 	metrics.RegisterTraffic(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
 	metrics.RegisterTraffic(registry, metrics.LinkPackets, metrics.LinkPacketsHelp, id.Traffic.Packets)
@@ -98,6 +105,9 @@
 		settings: s, logger: logger, log: log, service: service, registry: registry,
 		listener: listener, links: link.NewServer(id, mux), keys: keys,
 	}
+	if s.ServerList.Value != "" {
+		d.follower = d.newFollower(servers, id, control)
+	}
 	if s.Control.Value != "" {
 		if err := d.openControl(control); err != nil {
 			return nil, errors.Join(err, listener.Close(), log.Close())
@@ -106,6 +116,30 @@
 	return d, nil
 }
 
+// newFollower reads the platform's list on the leader, and asks the leader elsewhere.
+func (d *Daemon) newFollower(holder *serverlist.Holder, id link.Identity, control Control) *serverlist.Follower {
+	var leader link.Caller
+	address := ""
+	upstream := func() []link.Caller {
+		status := d.log.Status()
+		at := status.Status.GetLeader()
+		if status.Leads || at == "" || status.Contact > leaderSilent {
+			return nil
+		}
+		if at != address {
+			address, leader = at, link.NewClient(at, id)
+		}
+		return []link.Caller{leader}
+	}
+	return serverlist.NewFollower(holder, serverlist.Options{
+		Upstream: upstream, List: control.List(d.settings.ServerList.Value, serverlist.NewClient()),
+		Every: d.settings.ListEvery.Duration, Logger: d.logger,
+	})
+}
+
+// leaderSilent is how old the contact with the leader may be for it to be asked.
+const leaderSilent = 2 * time.Second
+
 // openControl opens the listener for the operators of the gateway's document.
 func (d *Daemon) openControl(control Control) error {
 	address, err := netip.ParseAddrPort(d.settings.Control.Value)
@@ -158,6 +192,12 @@
 	group.Go(func() error { return stopApp(d.log.Run(running)) })
 	group.Go(func() error { return stopApp(d.links.Serve(d.listener)) })
 	group.Go(func() error { return d.service.Run(running) })
+	if d.follower != nil {
+		group.Go(func() error {
+			d.follower.Run(running)
+			return nil
+		})
+	}
 	group.Go(func() error {
 		secret.ReloadOnHangUp(running, d.logger, d.links.DropOldKeys, d.keys)
 		return nil
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -91,6 +91,10 @@
 		}
 		return
 	}
+	if r.Anchored {
+		c.sampleAnchored(now, r, h)
+		return
+	}
 	start := c.random.IntN(len(servers))
 	step := 1 + c.random.IntN(len(servers)-1)
 	for i := range choose.Sample {
@@ -99,6 +103,36 @@
 	}
 }
 
+// sampleAnchored looks at the request's homes, at as many near servers as fit and
+// at some others. A blind sample of a large pool would miss the homes four times
+// in five, and have each prompt read on many engines.
+func (c *core) sampleAnchored(now time.Time, r *request, h homes) {
+	servers := r.pool.servers
+	start := c.random.IntN(len(servers))
+	near, far := nearSample, farSample
+	for i := range servers {
+		at := (start + i) % len(servers)
+		s := servers[at]
+		switch {
+		case h.place(s) > 0:
+		case !s.remote && near > 0:
+			near--
+		case s.remote && far > 0:
+			far--
+		default:
+			continue
+		}
+		c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, at, h))
+	}
+}
+
+const (
+	// nearSample and farSample are how many servers of the own data centre and of
+	// the others are looked at besides the homes.
+	nearSample = 16
+	farSample  = 6
+)
+
 // how says how a request looks for a server.
 type how struct {
 	reserve, over float64
