--- /dev/null
+++ b/process/logs/logs_test.go
@@ -0,0 +1,71 @@
+package logs
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// Nobody reads standard output any more: the pipe is full, and each write to it
+// waits for ever. Requests that log a line must go on all the same, and the
+// reader that comes back must learn how many lines it missed.
+func TestFullPipeHoldsNobodyUp(t *testing.T) {
+	is := is.New(t)
+	reader, pipe := io.Pipe()
+	w := NewWriter(pipe)
+	const lines = 3 * queuedLines
+	for range lines {
+		n, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+		is.Equal(n, 5)
+	}
+	is.True(w.Dropped() > 0)
+	var text bytes.Buffer
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.Copy(&text, reader)
+	}()
+	is.NoErr(w.Close())
+	<-w.done
+	pipe.Close()
+	<-done
+	is.True(strings.Contains(text.String(), "log lines dropped"))
+	is.True(strings.Count(text.String(), "line\n") <= queuedLines+1)
+}
+
+// All requests fail at once. Their lines stay within the budget of a second, the
+// rest is counted, and lines of other kinds still go out.
+func TestBudgetBoundsEachKind(t *testing.T) {
+	is := is.New(t)
+	var text lockedBuffer
+	l := New(hclog.New(&hclog.LoggerOptions{Output: &text, JSONFormat: true}))
+	now := time.Unix(1_800_000_000, 0)
+	l.now = func() time.Time { return now }
+	for range 10 * perSecond[Failure] {
+		l.Line(Failure, "refused")
+	}
+	l.Line(Belief, "document in force")
+	is.Equal(strings.Count(text.String(), `"refused"`), perSecond[Failure])
+	is.Equal(strings.Count(text.String(), "document in force"), 1)
+	now = now.Add(time.Second)
+	l.Line(Success, "sent")
+	is.True(strings.Contains(text.String(), `"lines":2700`))
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
