Elect a leader in turn after a loss of power everywhere

Also: a reset from a server that still accepts connections is no crash (an idempotent retry waited 0.65 s as a suspect), and servers that fail get less. Callers without a configuration are told to come back after 0.9 to 1.3 s (0.5 before).

--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -16,9 +17,11 @@
 )
 
 const (
-	// notReadyRetry is when a caller may find a configuration here: an entry gets
-	// its first one within 0.5 s of the first state process.
-	notReadyRetry = 500 * time.Millisecond
+	// notReadyRetry is when a caller may find a configuration here, at least: after
+	// a loss of power everywhere the state processes elect a leader within 0.9 s.
+	notReadyRetry = 900 * time.Millisecond
+	// notReadySpread lengthens it by chance, so that callers don't return together.
+	notReadySpread = 400 * time.Millisecond
 	// defaultBodyBytes bounds bodies where the document doesn't.
 	defaultBodyBytes = 4 << 20
 )
@@ -110,6 +113,11 @@
 	answer.Fail(err)
 }
 
+// later says when to come back.
+func later() fault.Option {
+	return fault.WithRetryAfter(notReadyRetry + rand.N(notReadySpread))
+}
+
 // refused makes the error of a check that failed before the request was handed
 // on: no backend server has seen it.
 func refused(kind fault.Kind, message string, options ...fault.Option) error {
@@ -121,7 +129,7 @@
 	arrived := time.Now()
 	table := h.router.Table()
 	if table == nil {
-		return nil, refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no configuration yet; come back after Retry-After", fault.WithRetryAfter(notReadyRetry))
+		return nil, refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no configuration yet; come back after Retry-After", later())
 	}
 	head, err := h.protocol.Head(r.Header)
 	if err != nil {
@@ -158,7 +166,7 @@
 		return nil
 	}
 	if !h.router.KeysFresh() {
-		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance is cut off from the state processes and can't check keys; try again, another instance may", fault.WithRetryAfter(notReadyRetry))
+		return refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance is cut off from the state processes and can't check keys; try again, another instance may", later())
 	}
 	q.Team = table.Holder(q.Key)
 	if q.Team == nil {
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -312,10 +312,35 @@
 }
 
 func (c *Core) resetElection() {
+	if c.cfg.AutoMembers {
+		c.electionAt = c.now + c.cfg.Election + c.turn()
+		return
+	}
 	spread := time.Duration(c.rng.Int64N(int64(c.cfg.Election)))
 	c.electionAt = c.now + c.cfg.Election + spread
 }
 
+// turn is how much longer than the others this voter waits before it campaigns.
+//
+// It guards against votes that split again and again where all voters start in
+// the same moment and a vote takes a way between regions: two of them campaign
+// within that way, and nobody wins. It shows as seconds without a leader after all
+// lost power at once. It holds because each voter has a turn of its own, by its
+// place among the members, and a share of it is left to chance.
+func (c *Core) turn() time.Duration {
+	ids := voters(c.members.latest())
+	place := slices.Index(ids, c.cfg.ID)
+	if place < 0 {
+		place = len(ids)
+	}
+	step := c.cfg.Election / turnShare
+	return time.Duration(place)*step + time.Duration(c.rng.Int64N(int64(step)/2))
+}
+
+// turnShare is the part of the shortest silence that lies between two turns: with
+// 600 ms, 200 ms, which covers pre-vote, vote and sync over 30 ms a way.
+const turnShare = 3
+
 // compacted drops entries that a synced snapshot covers.
 func (c *Core) compacted(e Compacted) {
 	if !c.check(e.Meta.GetIndex() <= c.applied, "snapshot_of_applied_only", "snapshot lies after the applied index") {
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -55,6 +55,8 @@
 	// Stray is the price of the request there rather than on the servers kept for
 	// its kind.
 	Stray time.Duration
+	// Trouble is the price of failures that are to be expected there.
+	Trouble time.Duration
 	// First is the expected time to the first token, Gap between tokens.
 	First time.Duration
 	Gap   time.Duration
--- a/request/choose/score.go
+++ b/request/choose/score.go
@@ -85,3 +85,12 @@
 
 // Score implements Scorer.
 func (s Pace) Score(r *Request, c *Candidate) float64 { return s.Weight * r.Left * c.Gap.Seconds() }
+
+// Trouble costs the failures that are to be expected, as time: a server that
+// answers its liveness check well and fails part of its requests gets fewer.
+type Trouble struct{}
+
+var _ Scorer = Trouble{}
+
+// Score implements Scorer.
+func (Trouble) Score(_ *Request, c *Candidate) float64 { return c.Trouble.Seconds() }
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -62,8 +62,8 @@
 }
 
 func newChooser(weights settings.Policy) chooser {
-	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}, choose.Stray{}}
-	anchored := []choose.Scorer{choose.Work{Weight: workWeight}, choose.Risk{}, choose.Pace{Weight: paceWeight}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Stray{}}
+	scorers := []choose.Scorer{choose.Finish{}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Crowd{Weight: crowdWeight}, choose.Trouble{}}
+	anchored := []choose.Scorer{choose.Work{Weight: workWeight}, choose.Risk{}, choose.Pace{Weight: paceWeight}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Stray{}, choose.Trouble{}}
 	late := []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}
 	onTime := append(slices.Clone(late), choose.OnTime{})
 	firstOnTime := append(slices.Clone(late), choose.FirstOnTime{})
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -32,6 +32,9 @@
 	if e.Sent || e.Refused {
 		r.sends++
 	}
+	if e.Sent && !e.Refused && !e.Final {
+		s.trouble += troubleLearn * (1 - s.trouble)
+	}
 	c.leave(now, r)
 	r.pool.rejectedAt = now
 	if e.Refused || !e.Sent {
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -59,6 +59,7 @@
 		s.answered(r, now.Sub(r.started))
 	}
 	s.proved()
+	s.trouble -= troubleLearn * s.trouble
 	r.pool.progressAt = now
 	c.passed(now, r)
 	c.leave(now, r)
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -101,6 +101,8 @@
 	// leavesAt is the first word of the platform that it leaves, wentAt when it
 	// was seen to have gone.
 	leavesAt, wentAt time.Time
+	// trouble is the share of requests that failed here lately.
+	trouble float64
 	// lane is true for an engine that is kept for tight answers; see lanes.
 	lane bool
 	// cut is true while the server's data centre is out of reach.
@@ -281,6 +283,15 @@
 	return first
 }
 
+const (
+	// troubleLearn is the weight of one request's end in a server's share of
+	// failures.
+	troubleLearn = 0.15
+	// troubleFade is what the share loses at each slowTick: half in 4.6 s, so that
+	// a server that failed is tried again.
+	troubleFade = 0.015
+)
+
 // slotWait is how many gaps it takes until one of a full batch ends.
 const slotWait = 12
 
@@ -289,6 +300,7 @@
 func (s *server) sample(now time.Time) {
 	s.historyAt = (s.historyAt + 1) % historyLength
 	s.history[s.historyAt] = int16(len(s.own))
+	s.trouble -= troubleFade * s.trouble
 	s.stall = 0
 	if s.decoding == 0 {
 		return
@@ -377,6 +389,9 @@
 	c.First = s.firstToken(n, uncached, r.levelOf())
 	c.Work = time.Duration(s.prefill * uncached * float64(time.Second))
 	c.Stray = s.stray(r, h)
+	if r.Anchored {
+		c.Trouble = time.Duration(s.trouble * float64(r.first()))
+	}
 	if !s.service {
 		c.Gap = s.gapAt(n)
 	}
--- a/request/relay/classify.go
+++ b/request/relay/classify.go
@@ -24,9 +24,13 @@
 	case errors.Is(err, errServerFailed):
 		failed.Answered = true
 		return failed, "server_failed"
+	case errors.Is(err, errCutLive):
+		failed.Answered = true
+		return failed, "cut"
 	case errors.Is(err, errStalled):
 		return failed, "stalled"
-	case errors.Is(err, upstream.ErrNotBound):
+	case errors.Is(err, upstream.ErrNotBound), errors.Is(err, upstream.ErrUnnamed):
+		failed.Answered = true
 		return failed, "not_bound"
 	case upstream.Crashed(err):
 		failed.Crashed = true
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -111,6 +111,14 @@
 func (j *forwardJob) continuable() bool { return j.q.Route.Resumable }
 
 func (j *forwardJob) try(ctx context.Context, t *try) error {
+	if err := j.send(ctx, t); err != nil {
+		return probed(ctx, t, err)
+	}
+	return nil
+}
+
+// send makes one attempt.
+func (j *forwardJob) send(ctx context.Context, t *try) error {
 	send := &gateway.Send{
 		Server: t.server.GetIdentity(), Priority: t.start.Level, Resumable: j.q.Route.Resumable, LastEvent: j.lastEvent,
 	}
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -79,7 +79,9 @@
 
 // probed tells a crashed service from a broken connection, so that a request is
 // suspected of a crash only where there was one.
-func (j *serviceJob) probed(ctx context.Context, t *try, err error) error {
+func (j *serviceJob) probed(ctx context.Context, t *try, err error) error { return probed(ctx, t, err) }
+
+func probed(ctx context.Context, t *try, err error) error {
 	if upstream.Crashed(err) && t.attempt.Written() && upstream.Alive(ctx, t.server.GetAddress()) {
 		return errCutLive
 	}
