--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -165,6 +165,11 @@
 		c.role = Follower
 	}
 	c.resetElection()
+	if c.cfg.AutoMembers {
+		// Who starts has heard no leader yet and need not wait for its silence: if
+		// there is one, the pre-vote finds it.
+		c.electionAt -= c.cfg.Election * 2 / 3
+	}
 	return c
 }
 
