Tell what was sent where, so that backlogs are counted by what must be read

Cause: at a cold start each instance took a prompt's home for holding it, and an engine that had 8 s to read was expected to need 1.2 s.

--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -14,6 +14,10 @@
 	maxSpends   = 8
 	maxSuspects = 16
 	maxEjected  = 32
+	// maxReadings and maxLoads keep what helps the choice of servers in a combined
+	// digest below 8 KB: the readings of some seconds, and the busiest servers.
+	maxReadings = 256
+	maxLoads    = 32
 )
 
 // Combine makes one digest of many. Every rule gives the same whatever the
@@ -22,8 +26,7 @@
 // Cutoffs take the most urgent tier held back anywhere and the least urgent one
 // admitted anywhere, never an average: one instance that still admits a lower
 // tier forbids all others to shed a higher one. Spends are added up, the
-// largest are kept. Loads are left out: they are for instances that exchange
-// digests directly. The sum binds as long as all parts do, and is incomplete if
+// largest are kept, and so are the loads of the busiest servers. The sum binds as long as all parts do, and is incomplete if
 // one is.
 func Combine(instance, dataCenter string, all ...*lilacv1.Digest) *lilacv1.Digest {
 	out := &lilacv1.Digest{Instance: instance, DataCenter: dataCenter}
@@ -31,6 +34,8 @@
 	spends := make(map[string]uint64)
 	suspects := make(map[string]*lilacv1.Suspect)
 	ejected := make(map[string]struct{})
+	readings := make(map[readingKey]*lilacv1.Reading)
+	loads := make(map[string]*lilacv1.ServerLoad)
 	for _, d := range all {
 		if d == nil {
 			continue
@@ -52,7 +57,15 @@
 		for _, server := range d.GetEjected() {
 			ejected[server] = struct{}{}
 		}
+		for _, reading := range d.GetReadings() {
+			readings[readingKey{reading.GetServer(), reading.GetHash()}] = reading
+		}
+		for _, load := range d.GetLoads() {
+			loads[load.GetServer()] = combineLoads(loads[load.GetServer()], load)
+		}
 	}
+	out.Readings = allReadings(readings)
+	out.Loads = busiest(loads)
 	out.Cutoffs = first(maxCutoffs, values(cutoffs))
 	out.Spends = topSpends(spends)
 	out.Suspects = first(maxSuspects, values(suspects))
@@ -93,6 +106,51 @@
 	return &lilacv1.Suspect{Digest: a.GetDigest(), Team: a.GetTeam(), Servers: slices.Compact(servers)}
 }
 
+type readingKey struct {
+	server string
+	hash   uint64
+}
+
+// allReadings lists the readings in an order that is the same whatever the parts.
+func allReadings(readings map[readingKey]*lilacv1.Reading) []*lilacv1.Reading {
+	var list []*lilacv1.Reading
+	for _, reading := range readings {
+		list = append(list, reading)
+	}
+	slices.SortFunc(list, func(a, b *lilacv1.Reading) int {
+		return cmp.Or(cmp.Compare(a.GetHash(), b.GetHash()), cmp.Compare(a.GetServer(), b.GetServer()))
+	})
+	return first(maxReadings, list)
+}
+
+func combineLoads(a, b *lilacv1.ServerLoad) *lilacv1.ServerLoad {
+	if a == nil {
+		return b
+	}
+	sum := &lilacv1.ServerLoad{
+		Server: a.GetServer(), InFlight: a.GetInFlight() + b.GetInFlight(), TokensLeft: a.GetTokensLeft() + b.GetTokensLeft(),
+		GapUs: max(a.GetGapUs(), b.GetGapUs()), Backlog: slices.Clone(a.GetBacklog()),
+	}
+	for level, tokens := range b.GetBacklog() {
+		if level < len(sum.Backlog) {
+			sum.Backlog[level] += tokens
+		} else {
+			sum.Backlog = append(sum.Backlog, tokens)
+		}
+	}
+	return sum
+}
+
+// busiest keeps the servers with most prompt work, and of those with none the
+// ones that run most.
+func busiest(loads map[string]*lilacv1.ServerLoad) []*lilacv1.ServerLoad {
+	list := values(loads)
+	slices.SortStableFunc(list, func(a, b *lilacv1.ServerLoad) int {
+		return cmp.Or(cmp.Compare(b.GetTokensLeft(), a.GetTokensLeft()), cmp.Compare(b.GetInFlight(), a.GetInFlight()))
+	})
+	return first(maxLoads, list)
+}
+
 func topSpends(spends map[string]uint64) []*lilacv1.TeamSpend {
 	list := make([]*lilacv1.TeamSpend, 0, len(spends))
 	for team, tokens := range spends {
--- a/process/member/promise.go
+++ b/process/member/promise.go
@@ -93,6 +93,7 @@
 	binds := remaining(d.GetBindsMs(), now, h.since)
 	return &lilacv1.Digest{
 		Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Suspects: d.GetSuspects(), Spends: d.GetSpends(),
+		Readings: d.GetReadings(), Loads: d.GetLoads(),
 		Ejected: d.GetEjected(), BindsMs: binds, Incomplete: d.GetIncomplete() || binds == 0,
 	}
 }
@@ -105,7 +106,8 @@
 		Instance: d.GetInstance(), DataCenter: d.GetDataCenter(), Incarnation: d.GetIncarnation(), Sequence: d.GetSequence(),
 		Leaving: d.GetLeaving(), Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Loads: d.GetLoads(),
 		Suspects: d.GetSuspects(), Spends: d.GetSpends(), Ejected: d.GetEjected(), LeavingServers: d.GetLeavingServers(),
-		BindsMs: d.GetBindsMs(), Incomplete: d.GetIncomplete(), PromiseMs: uint32(c.promise().Milliseconds()),
+		Readings: d.GetReadings(),
+		BindsMs:  d.GetBindsMs(), Incomplete: d.GetIncomplete(), PromiseMs: uint32(c.promise().Milliseconds()),
 	}
 	if d.GetInstance() == Others {
 		c.count++
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -47,19 +47,12 @@
 	return h
 }
 
-// uncachedAt is the prompt work on the server, by what is known of its cache and
-// by its being the first home of the request.
-func (h homes) uncachedAt(s *server, r *request) float64 {
-	uncached := s.uncached(r)
-	if s != h.first {
-		return uncached
-	}
-	return min(uncached, float64(max(r.PromptTokens+r.got-r.Prefix[len(r.Prefix)-2].End, 1)))
-}
+// uncachedAt is the prompt work on the server, by what is known of its cache.
+func (h homes) uncachedAt(s *server, r *request) float64 { return s.uncached(r) }
 
 // pastSecond is the price of an engine that is no home, so that what leaves the
 // first home meets on the second, and is read there once.
-const pastSecond = 200 * time.Millisecond
+const pastSecond = 500 * time.Millisecond
 
 // place is 1 or 2 for the homes, else 0.
 func (h homes) place(s *server) int {
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -25,7 +25,7 @@
 	crowdWeight = 0.5
 	// workWeight keeps requests with their shared prompt until its engine is about
 	// to miss their target: 13,000 tokens weigh as much as a wait of 0.9 of it.
-	workWeight = 4
+	workWeight = 6
 	// paceWeight is the share at which the pace of an anchored answer counts.
 	paceWeight = 0.2
 	// nearFirst, nearSecond and nearShare are how much more than the least a
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -54,6 +54,8 @@
 	stats     Stats
 	actions   []Action
 	announced bool
+	// readings are the shared parts that others must hear of.
+	readings []reading
 	// accused are digests whose verdict is due; lastFall is the last new crash.
 	accused  []string
 	lastFall time.Time
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -100,7 +100,7 @@
 	r.gotNow = 0
 	r.started, r.lastAt = now, now
 	r.level = r.levelOf()
-	r.uncached, r.ahead = c.homesOf(r).uncachedAt(s, r), s.before(r.level)
+	r.uncached, r.ahead = s.uncached(r), s.before(r.level)
 	r.expected = s.firstToken(s.load()+1, r.uncached, r.level)
 	c.carry(now, r, s, from)
 	why := c.why(now, r, s)
@@ -108,6 +108,7 @@
 	c.identical.started(r)
 	s.ahead.add(r.level, r.uncached)
 	r.pool.attach(r)
+	c.noteReadings(now, r, s)
 	s.cache.use(r.Prefix)
 	c.running++
 	c.stats.Starts++
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -48,6 +48,7 @@
 		Revision:    c.view.Revision,
 		Suspects:    c.suspects.Share(now),
 		Spends:      c.spends(now),
+		Readings:    c.toldReadings(now),
 	}
 	for _, p := range c.poolOrder {
 		d.Cutoffs = append(d.Cutoffs, p.tiers.Tell(p.demand(), p.queue.LowestTier()))
@@ -107,6 +108,7 @@
 	c.heardOf[d.GetDataCenter()] = now
 	p.dataCenter, p.leaving = d.GetDataCenter(), d.GetLeaving()
 	c.takeLoads(now, p, d.GetLoads())
+	c.hearReadings(d.GetReadings())
 	c.takeSuspects(now, name, p, d.GetSuspects())
 	for _, spend := range d.GetSpends() {
 		if team := c.view.Teams[spend.GetTeam()]; team != nil {
--- /dev/null
+++ b/request/policy/readings.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// An instance sees a small part of the requests that share a prompt. Without the
+// others' word it takes each first one of its own for work on its engine, or, at
+// a prompt's home, none for any: while everything is cold an engine seemed idle
+// that had 8 s to read, and got more. So what was sent where is told.
+
+// reading is a shared part that was sent to a server that was not known to hold it.
+type reading struct {
+	server string
+	block  Block
+	tokens int
+	at     time.Time
+}
+
+const (
+	// readingTold is how long a reading is told: in a tree of three levels, until
+	// it has reached all.
+	readingTold = 5 * time.Second
+	// maxReadings bounds what one instance tells.
+	maxReadings = 64
+)
+
+// noteReadings remembers the shared parts of a request that starts on the server
+// and that it is not known to hold. Called before they count as held.
+func (c *core) noteReadings(now time.Time, r *request, s *server) {
+	if !r.Anchored {
+		return
+	}
+	begin := 0
+	for i := range len(r.Prefix) - 1 {
+		block := r.Prefix[i]
+		if s.cache.held[block.Hash] == nil && len(c.readings) < maxReadings {
+			c.readings = append(c.readings, reading{server: s.name, block: block, tokens: block.End - begin, at: now})
+		}
+		begin = block.End
+	}
+}
+
+// toldReadings lists what others must hear of, and forgets what they have heard.
+func (c *core) toldReadings(now time.Time) []*lilacv1.Reading {
+	kept := c.readings[:0]
+	var list []*lilacv1.Reading
+	for _, read := range c.readings {
+		if now.Sub(read.at) > readingTold {
+			continue
+		}
+		kept = append(kept, read)
+		list = append(list, &lilacv1.Reading{Server: read.server, Hash: read.block.Hash, Tokens: uint32(read.tokens)})
+	}
+	c.readings = kept
+	return list
+}
+
+// hearReadings takes in what others sent to servers. A part that is held already
+// keeps its place in the order of use: it is told of again and again.
+func (c *core) hearReadings(readings []*lilacv1.Reading) {
+	for _, read := range readings {
+		s := c.servers[read.GetServer()]
+		if s != nil && s.cache.held[read.GetHash()] == nil {
+			s.cache.add(read.GetHash(), int(read.GetTokens()))
+		}
+	}
+}
