Test how the gateway's requests are placed; lanes and homes stand still

Found by the tests: the first requests of an instance moved its lanes, servers' rates differed by chance by more than a shared prompt is worth, the second home was taken for being near, and a refusal of a route that allows one server was sent to a second one.

--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		// A remote engine is worth its price where that buys more time of reading.
-		if s.remote && s.prefill*float64(r.Prefix[shared].End) < remote {
+		if s.remote && r.pool.reading*float64(r.Prefix[shared].End) < remote {
 			continue
 		}
 		switch rank := xxhash.Sum64String(part + s.name); {
@@ -50,9 +50,14 @@
 // uncachedAt is the prompt work on the server, by what is known of its cache.
 func (h homes) uncachedAt(s *server, r *request) float64 { return s.uncached(r) }
 
-// pastSecond is the price of an engine that is no home, so that what leaves the
-// first home meets on the second, and is read there once.
-const pastSecond = 500 * time.Millisecond
+const (
+	// pastFirst is the price of the second home: more than a way between regions,
+	// so that instances everywhere begin with the same engine.
+	pastFirst = 250 * time.Millisecond
+	// pastSecond is the price of an engine that is no home, so that what leaves the
+	// first home meets on the second, and is read there once.
+	pastSecond = 500 * time.Millisecond
+)
 
 // place is 1 or 2 for the homes, else 0.
 func (h homes) place(s *server) int {
@@ -64,3 +69,14 @@
 	}
 	return 0
 }
+
+// past is the price of an engine that is not the first home.
+func (h homes) past(s *server) time.Duration {
+	switch {
+	case h.first == nil || s == h.first:
+		return 0
+	case s == h.second:
+		return pastFirst
+	}
+	return pastSecond
+}
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -102,7 +102,8 @@
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline passed; allow more time", true
 	}
-	if !e.Sent || e.Refused && r.class.GetMaxAttempts() == 0 {
+	bounded := r.class.GetMaxAttempts() > 0
+	if !e.Sent && !e.Refused || e.Refused && !bounded {
 		return 0, "", false
 	}
 	if r.attempt >= maxAttempts || r.spent() || !c.budget.Take() {
--- /dev/null
+++ b/request/policy/gateway_test.go
@@ -0,0 +1,268 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+const ms = time.Millisecond
+
+// engines returns a core before n large engines in each data centre, with a tight
+// class, a loose one and a plain service.
+func engines(instance string, n int, centres ...string) *core {
+	snapshot := &lilacv1.Snapshot{
+		Revision: 1,
+		Classes: []*lilacv1.Class{
+			{Name: "draft", Tier: 1, Rank: 0, FirstTokenMs: 500, BetweenTokensMs: 66, MaxAttempts: 1},
+			{Name: "digest", Tier: 1, Rank: 2, FirstTokenMs: 2500, BetweenTokensMs: 266, MaxAttempts: 1},
+			{Name: "lookup", Tier: 1, Rank: 2, FirstTokenMs: 200, MaxAttempts: 2},
+		},
+		Teams: []*lilacv1.Team{{Name: "a"}},
+	}
+	for _, centre := range centres {
+		for i := range n {
+			snapshot.Servers = append(snapshot.Servers, &lilacv1.Server{
+				Name: fmt.Sprintf("%s-%d", centre, i), DataCenter: centre, Serves: []string{"llm"}, Slots: 64, CacheTokens: 600000,
+				Kind: lilacv1.ServerKind_SERVER_KIND_ENGINE,
+			})
+		}
+		snapshot.Servers = append(snapshot.Servers, &lilacv1.Server{
+			Name: "desk-" + centre, DataCenter: centre, Serves: []string{"desk"}, Slots: 6, Kind: lilacv1.ServerKind_SERVER_KIND_SERVICE,
+		})
+	}
+	c := New(Options{Instance: instance, DataCenter: centres[0], Seed: 1, Weights: settings.Policy{
+		RetryShare: 0.2, RemoteCost: settings.Duration{Duration: 100 * ms},
+	}}).(*core)
+	c.Step(epoch, Configured{View: model.NewView(snapshot)})
+	return c
+}
+
+// digest is a long prompt about a subject, draft a short one.
+func digest(id ID, subject uint64) Arrival {
+	return Arrival{ID: id, Class: "digest", Team: "a", Target: "llm", Digest: fmt.Sprint(id), PromptTokens: 17000, Anchored: true,
+		Prefix: []Block{{Hash: subject, End: 13300}, {Hash: 1<<40 + uint64(id), End: 17000}}, Deadline: epoch.Add(time.Minute)}
+}
+
+func draft(id ID) Arrival {
+	return Arrival{ID: id, Class: "draft", Team: "a", Target: "llm", Digest: fmt.Sprint(id), PromptTokens: 1400, Anchored: true,
+		Prefix: []Block{{Hash: 1 << 50, End: 350}, {Hash: 1<<41 + uint64(id), End: 1400}}, Deadline: epoch.Add(time.Minute)}
+}
+
+func lookup(id ID) Arrival {
+	return Arrival{ID: id, Class: "lookup", Team: "a", Target: "desk", Digest: fmt.Sprint(id), PromptTokens: 1, Idempotent: true, Anchored: true, Deadline: epoch.Add(2 * time.Minute)}
+}
+
+// finish ends a started request whose first token took as long as was expected.
+func finish(c *core, now time.Time, start Start) {
+	c.Step(now, Sent{ID: start.ID, Attempt: start.Attempt})
+	c.Step(now.Add(start.Why.Expected), Tokens{ID: start.ID, Attempt: start.Attempt, Count: 3})
+	c.Step(now.Add(start.Why.Expected), Finished{ID: start.ID, Attempt: start.Attempt})
+}
+
+// Digests of a few subjects come to two instances in turn. If each instance went
+// by its own memory alone, a subject's 13,300 shared tokens would be read on two
+// engines, a quarter of a second each time.
+func TestInstancesAgreeOnTheEngineOfASharedPrompt(t *testing.T) {
+	is := is.New(t)
+	cores := []*core{engines("e1", 3, "a", "b", "c"), engines("e2", 3, "b", "a", "c")}
+	for subject := range uint64(20) {
+		used := make(map[string]bool)
+		for round := range 6 {
+			now := epoch.Add(time.Duration(subject)*time.Second + time.Duration(round)*100*ms)
+			c := cores[round%2]
+			c.Step(now, Tick{})
+			start := only[Start](t, c.Step(now, digest(ID(100*subject+uint64(round)+1), subject+1)))
+			used[start.Server] = true
+			is.True(!c.servers[start.Server].lane)
+			finish(c, now, start)
+		}
+		is.Equal(len(used), 1)
+	}
+}
+
+// Drafts want an event each 200 ms. Beside a digest's prompt a step takes 60 ms,
+// three of them an event: drafts on the same engines are late. So one engine of
+// each data centre takes no digests while the others have room.
+func TestTightAnswersHaveEnginesWithoutLongPrompts(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 3, "a", "b", "c")
+	c.Step(epoch.Add(slowTick), Tick{})
+	for i := range 60 {
+		now := epoch.Add(time.Second + time.Duration(i)*50*ms)
+		c.Step(now, Tick{})
+		a := draft(ID(i + 1))
+		if i%2 == 0 {
+			a = digest(ID(i+1), uint64(i%10+1))
+		}
+		start := only[Start](t, c.Step(now, a))
+		is.Equal(c.servers[start.Server].lane, i%2 == 1)
+		finish(c, now, start)
+	}
+}
+
+// A data centre's only open engine is left: drafts and digests share it.
+func TestOneEngineIsNoLane(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a")
+	c.Step(epoch.Add(slowTick), Tick{})
+	is.True(!c.servers["a-0"].lane)
+	only[Start](t, c.Step(epoch.Add(slowTick), draft(1)))
+	only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 1)))
+}
+
+// While all is cold another instance sends a long prompt to an engine. This one
+// must count it as work before its own, and as held from then on.
+func TestWhatPeersSentIsWorkAndCache(t *testing.T) {
+	is := is.New(t)
+	c, peer := engines("e1", 3, "a"), engines("e2", 3, "a")
+	peer.Step(epoch, Tick{})
+	start := only[Start](t, peer.Step(epoch, digest(1, 7)))
+	word := peer.Digest(epoch)
+	word.Instance, word.Incarnation = "e2", "1"
+	is.Equal(len(word.GetReadings()), 1)
+	c.Step(epoch, PeerDigest{Digest: word, At: epoch})
+	s := c.servers[start.Server]
+	is.Equal(s.before(levels-1), 17000.0)
+	mine := &request{Arrival: digest(2, 7)}
+	is.Equal(s.uncached(mine), 3700.0)
+	c.Step(epoch, PeerGone{Instance: "e2"})
+	is.Equal(s.before(levels-1), 0.0)
+	is.Equal(s.uncached(mine), 3700.0) // the engine still holds it
+	is.Equal(len(peer.Digest(epoch.Add(2*readingTold)).GetReadings()), 0)
+}
+
+// An engine reads urgent prompts first. A draft is not behind the digests that
+// wait there, a digest is behind the drafts.
+func TestOnlyMoreUrgentPromptsAreBeforeARequest(t *testing.T) {
+	is := is.New(t)
+	var b backlog
+	b.add(3, 1000)
+	b.add(5, 20000)
+	is.Equal(b.before(3), 1000.0)
+	is.Equal(b.before(4), 1000.0)
+	is.Equal(b.total(), 21000.0)
+	var peer backlog
+	peer.merge(b.told(), 1)
+	is.Equal(peer, b)
+	peer.merge(b.told(), -1)
+	is.Equal(peer.told(), nil)
+	b.add(5, -30000)
+	is.Equal(b.total(), 1000.0)
+}
+
+// Prompts wait behind work that this instance does not know of: one in three is
+// read at the engine's own rate, the others take ten times as long. The engine
+// must not be taken for ten times slower.
+func TestUnknownWorkDoesNotMakeAnEngineSlow(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a")
+	s := c.servers["a-0"]
+	const rate = 0.00002
+	for i := range 300 {
+		sample := rate
+		if i%3 != 0 {
+			sample = 10 * rate
+		}
+		s.learnReading(sample, 10000)
+	}
+	is.True(s.prefill < 2*rate)
+	for range 100 {
+		s.learnReading(5*rate, 10000) // it has really turned slow
+	}
+	is.True(s.prefill > 3*rate)
+}
+
+// A route allows one server for each request. A full one refuses it: the caller is
+// told that it did not run, and no second server is asked.
+func TestRequestIsSentToNoMoreServersThanAllowed(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 3, "a")
+	start := only[Start](t, c.Step(epoch, draft(1)))
+	refuse := only[Refuse](t, c.Step(epoch.Add(ms), Failed{ID: 1, Attempt: start.Attempt, Refused: true}))
+	is.Equal(refuse.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
+	// An attempt of which no byte went out is none.
+	start = only[Start](t, c.Step(epoch.Add(time.Second), draft(2)))
+	again := only[Start](t, c.Step(epoch.Add(time.Second+ms), Failed{ID: 2, Attempt: start.Attempt, Crashed: true}))
+	is.True(again.Server != start.Server)
+}
+
+// A service answers some look-ups with a failure of its own. It is not down: it
+// must go on getting requests, and the look-up is tried once more elsewhere.
+func TestFailedAnswerIsRetriedAndEjectsNobody(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a", "b")
+	start := only[Start](t, c.Step(epoch, lookup(1)))
+	c.Step(epoch, Sent{ID: 1, Attempt: 1})
+	again := only[Start](t, c.Step(epoch.Add(ms), Failed{ID: 1, Attempt: 1, Sent: true, Answered: true}))
+	is.True(again.Server != start.Server)
+	is.True(!c.servers[start.Server].barred(epoch.Add(2 * ms)))
+	c.Step(epoch.Add(2*ms), Sent{ID: 1, Attempt: 2})
+	refuse := only[Refuse](t, c.Step(epoch.Add(3*ms), Failed{ID: 1, Attempt: 2, Sent: true, Answered: true}))
+	is.Equal(refuse.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
+}
+
+// A service's server fails half of its requests while its liveness check is good.
+// The others of the data centre must get most of them, and it must be tried again.
+func TestServerThatFailsOftenGetsLess(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a", "b")
+	grey := c.servers["desk-a"]
+	for range 10 {
+		grey.trouble += troubleLearn * (1 - grey.trouble)
+	}
+	start := only[Start](t, c.Step(epoch, lookup(1)))
+	is.Equal(start.Server, "desk-b")
+	finish(c, epoch, start)
+	later := epoch.Add(time.Minute)
+	for now := epoch; now.Before(later); now = now.Add(slowTick) {
+		c.Step(now, Tick{})
+	}
+	start = only[Start](t, c.Step(later, lookup(2)))
+	is.Equal(start.Server, "desk-a")
+}
+
+// A digest whose target has passed starts all the same, but behind all that can
+// still be on time.
+func TestLateRequestsGoLastAtTheEngine(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a")
+	s := c.servers["a-0"]
+	s.ahead.add(4, 200000) // 3.7 s to read
+	c.Step(epoch, digest(1, 1))
+	var late Start
+	for now := epoch; late.Server == "" && now.Before(epoch.Add(5*time.Second)); now = now.Add(TickInterval) {
+		for _, action := range c.Step(now, Tick{}) {
+			if start, ok := action.(Start); ok {
+				late = start
+			}
+		}
+	}
+	is.Equal(late.Level, lateLevel)
+	is.Equal(only[Start](t, c.Step(epoch.Add(5*time.Second), draft(2))).Level, 3)
+}
+
+// One engine of a large pool holds the prompt. A sample of the pool would miss it
+// four times in five, and 40 subjects' prompts would be read 160 times.
+func TestHomesAreLookedAtInALargePool(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 10, "a", "b", "c", "d", "e", "f")
+	c.Step(epoch.Add(slowTick), Tick{})
+	read := 0
+	for i := range 200 {
+		now := epoch.Add(time.Duration(i+1) * 200 * ms)
+		c.Step(now, Tick{})
+		start := only[Start](t, c.Step(now, digest(ID(i+1), uint64(i%40+1))))
+		if start.Why.Uncached > 13300 {
+			read++
+		}
+		finish(c, now, start)
+	}
+	is.True(read <= 44) // once each, and one in ten again where lanes move
+}
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -22,8 +22,12 @@
 	longRead = 4096
 	// laneLearn is the weight of one request in the lane's share of all work.
 	laneLearn = 0.02
-	// firstLaneShare is that share before any request was seen.
-	firstLaneShare = 0.33
+	// firstTightWork and firstWork are the means before any request was seen: a
+	// third, with the weight of 50 requests, so that the first few don't move lanes.
+	firstTightWork = 1000
+	firstWork      = 3000
+	// leastLane is the share of work below which nothing is kept free.
+	leastLane = 0.02
 	// laneTokenWork is what one more generated token costs of an engine's time in a
 	// large batch, as prompt tokens read in the same time: 0.045 ms.
 	laneTokenWork = 2.3
@@ -48,14 +52,8 @@
 	p.allWork += laneLearn * (work - p.allWork)
 }
 
-// laneShare is the part of the engines that the lane gets; 0 without any tight
-// request, and all where there is nothing else.
-func (p *pool) laneShare() float64 {
-	if p.allWork == 0 {
-		return firstLaneShare
-	}
-	return p.tightWork / p.allWork
-}
+// laneShare is the part of the engines that the lane gets.
+func (p *pool) laneShare() float64 { return p.tightWork / p.allWork }
 
 // formLanes marks the lane's engines: in each data centre the first of the open
 // ones by hash, at least one and not all.
@@ -72,7 +70,7 @@
 	}
 	share := p.laneShare()
 	for _, group := range groups {
-		if len(group) < 2 || share == 0 {
+		if len(group) < 2 || share < leastLane {
 			continue
 		}
 		slices.SortFunc(group, func(a, b *server) int {
@@ -102,8 +100,5 @@
 	case !s.lane && r.tight():
 		return strayTight
 	}
-	if h.first != nil && h.place(s) == 0 {
-		return pastSecond
-	}
-	return 0
+	return h.past(s)
 }
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -35,6 +36,12 @@
 	// instance's part of it, rate its tokens a second, gap its mean gap.
 	capacity, quota, rate float64
 	gap                   time.Duration
+	// reading is the usual time for a prompt token, in seconds: the median of the
+	// servers. What a prompt is worth where it is held goes by this one, since the
+	// servers' own rates differ more by chance than they do.
+	reading float64
+	// rates is kept to spare an allocation each time.
+	rates []float64
 	// tightWork and allWork are running means of a request's work; see lanes.
 	tightWork, allWork float64
 	// openAt is when a server was last open, progressAt when one last sent
@@ -50,7 +57,7 @@
 }
 
 func newPool(name string, now time.Time) *pool {
-	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), used: make(map[string]*classUse), quota: 1, rate: 1, openAt: now, progressAt: now}
+	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), used: make(map[string]*classUse), quota: 1, rate: 1, tightWork: firstTightWork, allWork: firstWork, openAt: now, progressAt: now}
 }
 
 // use notes that a class's requests come to the pool.
@@ -127,6 +134,7 @@
 func (p *pool) measure(now time.Time) {
 	p.tighten(now)
 	p.formLanes(now)
+	p.measureReading()
 	p.capacity, p.rate, p.gap = 0, 0, 0
 	open, norms := 0, 0.0
 	for _, s := range p.servers {
@@ -153,6 +161,17 @@
 	p.rate = max(p.rate, 1)
 }
 
+func (p *pool) measureReading() {
+	p.rates = p.rates[:0]
+	for _, s := range p.servers {
+		p.rates = append(p.rates, s.prefill)
+	}
+	if len(p.rates) > 0 {
+		slices.Sort(p.rates)
+		p.reading = p.rates[len(p.rates)/2]
+	}
+}
+
 // rateAt is the tokens a second, or a service's answers, at load n.
 func (s *server) rateAt(n float64) float64 {
 	if s.service {
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -387,7 +387,7 @@
 	}
 	uncached := h.uncachedAt(s, r)
 	c.First = s.firstToken(n, uncached, r.levelOf())
-	c.Work = time.Duration(s.prefill * uncached * float64(time.Second))
+	c.Work = time.Duration(r.pool.reading * uncached * float64(time.Second))
 	c.Stray = s.stray(r, h)
 	if r.Anchored {
 		c.Trouble = time.Duration(s.trouble * float64(r.first()))
