Take changed settings while a process runs; test members, documents and the list

SIGHUP or a changed file gives new seeds and bounds; wrong ones, or others addresses, are refused whole with a line that names the field. Tests for members that come and go by themselves, documents, the list and quick timing.

--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -109,6 +109,22 @@
 	return d, d.listen()
 }
 
+// Reload takes changed settings in: seeds, and what a gateway's bounds are. Other
+// fields take effect at the next start.
+func (d *Daemon) Reload(s *settings.Entry) error {
+	if err := s.SameProcess(&d.settings.Common); err != nil {
+		return err
+	}
+	if d.gateway != nil && s.Gateway == nil {
+		return &settings.Problem{Line: 1, Field: "gateway", Message: "is gone; restart the process to serve without one"}
+	}
+	if d.gateway != nil {
+		d.gateway.revocation.Store(int64(s.Gateway.Revocation.Duration))
+		d.gateway.seeds.Store(&s.State)
+	}
+	return nil
+}
+
 // recoveries tells how many recoveries of the state processes this entry knows of.
 func (d *Daemon) recoveries() uint32 {
 	if view := d.watcher.Current(); view != nil {
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -41,6 +41,10 @@
 	handler  *gateway.Handler
 	list     gateway.ServerList
 	table    atomic.Pointer[routing.Table]
+	// revocation is the bound in nanoseconds, 0 for none; seeds are the state
+	// processes to ask while none that is known answers.
+	revocation atomic.Int64
+	seeds      atomic.Pointer[[]settings.Peer]
 
 	// mu guards what the view for the policy is made of.
 	mu      sync.Mutex
@@ -57,6 +61,8 @@
 	g.list = platform.ServerList(d.settings.Gateway.ServerList.Value, serverlist.NewClient())
 	g.handler = gateway.NewHandler(platform, g, d.entry.counters, requestLog{d.logger})
 	d.entry.onLeave = g.handler.Leave
+	g.revocation.Store(int64(d.settings.Gateway.Revocation.Duration))
+	g.seeds.Store(&d.settings.State)
 	return g
 }
 
@@ -70,7 +76,7 @@
 // team that is gone. It holds because the age of what is known counts from a
 // moment at which a quorum was heard, by a clock that counts suspension too.
 func (g *routed) KeysFresh() bool {
-	bound := g.daemon.settings.Gateway.Revocation.Duration
+	bound := time.Duration(g.revocation.Load())
 	if bound == 0 {
 		return true
 	}
@@ -150,6 +156,9 @@
 		members, entries, err := g.daemon.state.Members(asked, self)
 		cancel()
 		if err != nil {
+			// All that were known may be gone; the seeds may be newer.
+			g.daemon.state.SetPeers(*g.seeds.Load())
+			g.daemon.watcher.SetState(*g.seeds.Load())
 			g.logger.Debug("no state process names its group", "error", err)
 		} else {
 			g.daemon.state.SetPeers(members)
--- a/daemon/program/program.go
+++ b/daemon/program/program.go
@@ -52,7 +52,7 @@
 			return err
 		}
 		code = exitFailed
-		return run(cmd.Context(), s, open)
+		return run(cmd.Context(), file, s, open)
 	}
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -60,7 +60,7 @@
 	}
 }
 
-func run[S Settings](ctx context.Context, s S, open func(S, hclog.Logger) (Daemon, error)) error {
+func run[S Settings](ctx context.Context, file string, s S, open func(S, hclog.Logger) (Daemon, error)) error {
 	// The framework's own lines are no changes of state.
 	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
 	common := s.Shared()
@@ -73,5 +73,16 @@
 	if err != nil {
 		return err
 	}
+	if reloadable, ok := daemon.(Reloadable[S]); ok {
+		// What was read at the start; a later change differs from it.
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		following, stop := context.WithCancel(ctx)
+		defer stop()
+		r := &reloader[S]{file: file, logger: logger, daemon: reloadable, content: content}
+		go r.follow(following)
+	}
 	return daemon.Run(ctx)
 }
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -35,6 +35,8 @@
 // RunningLog is a Log with its life cycle.
 type RunningLog interface {
 	Log
+	// SetPeers replaces the processes that are asked for a group.
+	SetPeers(peers []settings.Peer)
 	// Run drives the log until ctx ends or it fails, as on a broken disk.
 	Run(ctx context.Context) error
 	// Close hands leadership to another process, if this one leads, and closes
@@ -212,6 +214,16 @@
 	return err
 }
 
+// Reload takes changed settings in: the seeds, which a process asks that belongs
+// to no group or was taken out. Other fields take effect at the next start.
+func (d *Daemon) Reload(s *settings.State) error {
+	if err := s.SameProcess(&d.settings.Common); err != nil {
+		return err
+	}
+	d.log.SetPeers(s.Peers)
+	return nil
+}
+
 // handOver lets the others take over while this process still answers.
 func (d *Daemon) handOver() error {
 	d.stopping.Store(true)
--- /dev/null
+++ b/daemon/state/documents_test.go
@@ -0,0 +1,137 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/gateway"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/version/routing"
+)
+
+// answeringLog applies at once, or fails as the test says.
+type answeringLog struct {
+	machine *Machine
+	index   uint64
+	err     error
+}
+
+func (l *answeringLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	if l.err != nil {
+		return nil, l.err
+	}
+	l.index++
+	return l.machine.Apply(l.index, command), nil
+}
+func (l *answeringLog) Barrier(context.Context) error { return l.err }
+func (l *answeringLog) Status() LogStatus             { return LogStatus{Leads: l.err == nil} }
+
+// decodeText reads "VERSION text"; a text that says "invalid" has a route
+// without a timeout.
+func decodeText(content []byte) (*routing.Document, error) {
+	number, text, _ := strings.Cut(string(content), " ")
+	version, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE, "no version")
+	}
+	d := &routing.Document{Version: version}
+	if text == "invalid" {
+		d.Routes = []routing.Route{{Name: "r"}}
+	}
+	return d, nil
+}
+
+func newDocuments(t *testing.T) (*documents, *answeringLog) {
+	machine := NewMachine(100, ledger.Limits{Retention: time.Hour})
+	log := &answeringLog{machine: machine}
+	return &documents{
+		service: NewService(machine, log), decode: decodeText, logger: hclog.NewNullLogger(), name: "s1",
+		control: netip.MustParseAddrPort("10.0.0.1:8229"),
+	}, log
+}
+
+// Operators send versions out of order, again, and other texts under a version
+// that is held. The highest version must stay, as it was first accepted.
+func TestHighestDocumentStays(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDocuments(t)
+	ctx := t.Context()
+	_, err := d.Get(ctx)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND))
+	for _, step := range []struct{ put, held string }{
+		{"4 first", "4 first"}, {"9 newer", "9 newer"}, {"4 first", "9 newer"}, {"7 late", "9 newer"},
+		{"9 other", "9 newer"}, {"9 newer", "9 newer"}, {"12 newest", "12 newest"},
+	} {
+		is.NoErr(d.Put(ctx, []byte(step.put)))
+		content, err := d.Get(ctx)
+		is.NoErr(err)
+		is.Equal(string(content), step.held)
+	}
+	is.Equal(d.service.machine.Revision(), uint64(3))
+}
+
+func TestInvalidDocumentsAreNeitherHeldNorAccepted(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDocuments(t)
+	for _, text := range []string{"x", "5 invalid"} {
+		is.True(fault.Is(d.Put(t.Context(), []byte(text)), lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE))
+	}
+	is.Equal(d.service.machine.Document(), nil)
+}
+
+// A process that does not lead sends the operator to the one that does, on that
+// machine's own port for operators; without a leader nothing is promised.
+func TestOperatorsAreSentToTheLeader(t *testing.T) {
+	is := is.New(t)
+	d, log := newDocuments(t)
+	log.err = fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "another leads", fault.WithLeader("10.0.0.4:7340"))
+	var moved *gateway.MovedError
+	is.True(errors.As(d.Put(t.Context(), []byte("4 first")), &moved))
+	is.Equal(moved.Address, "10.0.0.4:8229")
+	_, err := d.Get(t.Context())
+	is.True(errors.As(err, &moved))
+	log.err = fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "nobody leads")
+	is.True(!errors.As(d.Put(t.Context(), []byte("4 first")), &moved))
+}
+
+// Hundreds of large documents come in a day. The trail must not hold them all.
+func TestTrailHoldsFewLargeDocuments(t *testing.T) {
+	is := is.New(t)
+	d, _ := newDocuments(t)
+	large := strings.Repeat("x", 200<<10)
+	for version := range 100 {
+		is.NoErr(d.Put(t.Context(), []byte(strconv.Itoa(version+1)+" "+large)))
+	}
+	total := 0
+	for _, revision := range d.service.machine.Audit(0, 100) {
+		total += len(revision.GetChanges()[0].GetSetDocument().GetContent())
+	}
+	is.True(total <= 2<<20)
+	is.Equal(d.service.machine.Document().GetVersion(), uint64(100))
+}
+
+// An entry asks for the members of the group and so is named to the others; one
+// that asks no more is forgotten.
+func TestEntriesFindEachOtherThroughTheStateProcesses(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := newEntryTable(func() time.Time { return now })
+	table.heard(&lilacv1.StateMember{Name: "e2"})
+	now = now.Add(entryMemory / 2)
+	table.heard(&lilacv1.StateMember{Name: "e1"})
+	is.Equal(len(table.list()), 2)
+	now = now.Add(entryMemory/2 + time.Second)
+	list := table.list()
+	is.Equal(len(list), 1)
+	is.Equal(list[0].GetName(), "e1")
+}
--- a/daemon/state/replica.go
+++ b/daemon/state/replica.go
@@ -28,10 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var peers []replica.Peer
-	for _, peer := range s.Peers {
-		peers = append(peers, replica.Peer{Name: peer.Name, Address: peer.Address.Value})
-	}
+	peers := replicaPeers(s.Peers)
 	transport := replicalink.New(func(address string) link.Caller { return link.NewClient(address, id) })
 	node, err := replica.Open(replica.Options{
 		Name: s.Name, Address: s.Link.Value, DataCenter: s.DataCenter,
@@ -53,6 +50,17 @@
 	return l.node.Propose(ctx, command)
 }
 
+// SetPeers replaces the processes that are asked for a group.
+func (l *replicaLog) SetPeers(peers []settings.Peer) { l.node.SetPeers(replicaPeers(peers)) }
+
+func replicaPeers(list []settings.Peer) []replica.Peer {
+	var peers []replica.Peer
+	for _, peer := range list {
+		peers = append(peers, replica.Peer{Name: peer.Name, Address: peer.Address.Value})
+	}
+	return peers
+}
+
 // Barrier waits for a linearizable read point.
 func (l *replicaLog) Barrier(ctx context.Context) error { return l.node.Barrier(ctx) }
 
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -205,6 +205,11 @@
 		c.changeMembers(e)
 	case HandOver:
 		c.handOver()
+	case SetPeers:
+		// A founding counts on the first peers.
+		if c.group != "" || !c.cfg.Bootstrap {
+			c.cfg.Peers = e.Peers
+		}
 	}
 	c.persist()
 	c.apply()
--- a/process/replica/event.go
+++ b/process/replica/event.go
@@ -65,6 +65,11 @@
 // HandOver asks the leader to give its office to the most caught-up voter.
 type HandOver struct{}
 
+// SetPeers replaces the processes that are asked for a group. It does not change
+// who founds one.
+type SetPeers struct{ Peers []Peer }
+
+func (SetPeers) event()      {}
 func (Tick) event()          {}
 func (Received) event()      {}
 func (Propose) event()       {}
--- a/process/replica/node.go
+++ b/process/replica/node.go
@@ -140,6 +140,14 @@
 	return n.ask(ctx, ChangeMembers{Kind: Remove, Member: &lilacv1.RaftMember{Id: id}}).Err
 }
 
+// SetPeers replaces the processes that are asked for a group.
+func (n *Node) SetPeers(peers []Peer) {
+	select {
+	case n.events <- Ask{Event: SetPeers{Peers: peers}}:
+	case <-n.done:
+	}
+}
+
 // Receive takes messages of other processes from the transport. It drops them
 // when the node is too busy, as a network would.
 func (n *Node) Receive(messages []*lilacv1.RaftMessage) {
--- /dev/null
+++ b/process/replica/regroup_test.go
@@ -0,0 +1,118 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// autoScript is newScript with members that come and go by themselves.
+func autoScript(t *testing.T) *script {
+	s := newScript(t)
+	s.core.cfg.AutoMembers = true
+	s.core.resetElection()
+	s.now = testElection
+	s.lead()
+	return s
+}
+
+// alive lets time pass while these members answer the leader's heartbeats.
+func (s *script) alive(d time.Duration, ids ...string) {
+	for end := s.now + d; s.now < end; {
+		s.now += testHeartbeat / 2
+		s.step(Tick{})
+		for _, id := range ids {
+			s.get(&lilacv1.RaftMessage{Kind: kindAppendReply, From: id, Term: s.core.term, Index: s.core.log.last()})
+		}
+	}
+}
+
+func (s *script) ask(id string) {
+	s.get(&lilacv1.RaftMessage{Kind: kindJoin, From: id, Member: &lilacv1.RaftMember{Id: id, Name: "name-" + id, Address: id}})
+}
+
+func (s *script) voterIDs() []string { return voters(s.core.members.latest()) }
+
+// Machines are replaced one after the other, each newcomer at another address.
+// The gone ones must not hold the majority in the end.
+func TestNewcomersTakeThePlaceOfLostVoters(t *testing.T) {
+	s := autoScript(t)
+	s.alive(testElection, "b", "c")
+	s.ask("d")
+	s.alive(testElection, "b", "c", "d")
+	s.is.Equal(s.voterIDs(), []string{"a", "b", "c", "d"})
+	s.alive(2*lostElections*testElection, "b", "d") // c is gone
+	s.is.Equal(s.voterIDs(), []string{"a", "b", "d"})
+	s.ask("e")
+	s.alive(testElection, "b", "d", "e")
+	s.alive(2*lostElections*testElection, "d", "e") // b is gone
+	s.is.Equal(s.voterIDs(), []string{"a", "d", "e"})
+	s.is.Equal(s.core.BrokenCount, uint64(0))
+}
+
+// One of three is lost and nobody stands in its place. Taking it out would make
+// the next loss stop the group.
+func TestTheThirdVoterIsKeptWithoutANewcomer(t *testing.T) {
+	s := autoScript(t)
+	s.alive(4*lostElections*testElection, "b")
+	s.is.Equal(s.voterIDs(), []string{"a", "b", "c"})
+}
+
+// A newcomer that has not caught up counts for nothing: a quorum with it could
+// lack what was committed.
+func TestNewcomerCountsOnlyOnceItHasCaughtUp(t *testing.T) {
+	s := autoScript(t)
+	s.alive(testElection, "b", "c")
+	s.ask("d")
+	s.alive(2*testElection, "b", "c")
+	s.is.Equal(s.voterIDs(), []string{"a", "b", "c"})
+}
+
+// Three voters start in the same moment, one way between them takes 60 ms. If two
+// campaign within that time the votes split. Each must have its turn.
+func TestVotersThatStartTogetherCampaignInTurn(t *testing.T) {
+	const way = 60 * time.Millisecond
+	var first []time.Duration
+	for _, id := range []string{"a", "b", "c"} {
+		restored := Restored{
+			Hard:     &lilacv1.RaftHardState{Id: id, Group: "g", Term: 1},
+			Snapshot: &lilacv1.RaftSnapshotMeta{Index: 1, Term: 1, Members: testMembers("a", "b", "c")},
+		}
+		for seed := range uint64(20) {
+			c := NewCore(Config{Name: "name-" + id, Address: id, Heartbeat: testHeartbeat, Election: testElection, Seed: seed, AutoMembers: true}, restored, 0)
+			if len(first) > 0 && id != "a" && c.electionAt-first[len(first)-1] < way {
+				t.Fatalf("%s campaigns %v after the one before it", id, c.electionAt-first[len(first)-1])
+			}
+			if seed == 19 {
+				// The latest that this one may come.
+				step := testElection / turnShare
+				first = append(first, c.electionAt-c.electionAt%step+step/2)
+			}
+		}
+	}
+}
+
+// A voter was taken out while it was lost. Its own log still names it a voter, so
+// nobody tells it anything: it must ask to be taken in again.
+func TestVoterThatWasTakenOutAsksAgain(t *testing.T) {
+	s := newScript(t)
+	s.core.cfg.AutoMembers = true
+	s.core.cfg.Peers = []Peer{{Name: "name-b", Address: "b"}}
+	s.wait(2 * forgottenElections * testElection)
+	asked := make(map[string]bool)
+	for _, action := range s.out {
+		if send, ok := action.(Send); ok && send.Message.GetKind() == kindHello {
+			asked[send.Address] = true
+		}
+	}
+	s.is.True(asked["b"] && asked["c"])
+	s.get(&lilacv1.RaftMessage{Kind: kindHelloReply, From: "b", Member: &lilacv1.RaftMember{Id: "b", Name: "name-b"}, Leader: "b", Index: 9})
+	joins := 0
+	for _, action := range s.out {
+		if send, ok := action.(Send); ok && send.Message.GetKind() == kindJoin {
+			joins++
+		}
+	}
+	s.is.Equal(joins, 1)
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -231,6 +231,22 @@
 	return peers
 }
 
+// SameProcess returns why the settings can't take the place of others while the
+// process runs; nil if they can.
+func (c *Common) SameProcess(old *Common) error {
+	var all []error
+	same := func(before, after, field string) {
+		if before != after {
+			all = append(all, &Problem{Line: 1, Field: field, Message: fmt.Sprintf("was %q and is %q; restart the process to change it", before, after)})
+		}
+	}
+	same(old.Name, c.Name, "name")
+	same(old.DataCenter, c.DataCenter, "data_center")
+	same(old.Link.Value, c.Link.Value, "link")
+	same(old.Admin.Value, c.Admin.Value, "admin")
+	return errors.Join(all...)
+}
+
 // unknownDataCenter is that of a seed until its process has named its own.
 const unknownDataCenter = "unknown"
 
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -67,3 +67,60 @@
 		_ = Parse("e.yaml", data, &Entry{})
 	})
 }
+
+const gatewayEntry = `name: e1
+data_center: dakar-a
+link: 10.1.0.19:7340
+admin: 10.1.0.19:9464
+link_key: lilacbridge-on-the-platform
+seeds: ["10.1.0.22:8229", "10.2.0.38:8229"]
+gateway:
+  callers: 10.1.0.19:8227
+  readiness: 10.1.0.19:8220
+  server_list: 10.200.0.61:8223
+`
+
+// An entry is told of addresses only, at which the platform reaches the state
+// processes: their links have the port of its own.
+func TestSeedsNameTheStateProcesses(t *testing.T) {
+	is := is.New(t)
+	e := &Entry{}
+	is.NoErr(Parse("e.yaml", []byte(gatewayEntry), e))
+	is.Equal(len(e.State), 2)
+	is.Equal(e.State[1].Address.Value, "10.2.0.38:7340")
+	is.Equal(e.Gateway.ListEvery.Duration, time.Second)
+	for _, missing := range []string{"  callers: 10.1.0.19:8227\n", "  readiness: 10.1.0.19:8220\n", "  server_list: 10.200.0.61:8223\n"} {
+		err := Parse("e.yaml", []byte(strings.Replace(gatewayEntry, missing, "", 1)), &Entry{})
+		field := strings.TrimSpace(strings.SplitN(missing, ":", 2)[0])
+		is.True(err != nil && strings.Contains(err.Error(), "gateway."+field))
+	}
+}
+
+// Six processes start at once with the same three seeds. Only those three found
+// the group: two groups would each take changes.
+func TestOnlySeedsFoundTheGroup(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(rightState, "peers:\n  - {name: state-2, address: \"127.0.0.1:7202\", data_center: thies-a}\n", "", 1) + "bootstrap: true\nseeds: [\"127.0.0.2:1\", \"127.0.0.3:1\"]\n"
+	for _, c := range []struct {
+		seeds string
+		found bool
+		peers int
+	}{{"\"127.0.0.2:1\", \"127.0.0.3:1\"", false, 2}, {"\"127.0.0.1:1\", \"127.0.0.3:1\"", true, 1}} {
+		s := &State{}
+		is.NoErr(Parse("s.yaml", []byte(strings.Replace(text, "\"127.0.0.2:1\", \"127.0.0.3:1\"", c.seeds, 1)), s))
+		is.Equal(s.Bootstrap, c.found)
+		is.Equal(len(s.Peers), c.peers)
+	}
+}
+
+// A settings file is changed while the process runs. What can't change without a
+// restart must be refused, or the process would answer where nobody asks.
+func TestChangedAddressesNeedARestart(t *testing.T) {
+	is := is.New(t)
+	old, changed := &Entry{}, &Entry{}
+	is.NoErr(Parse("e.yaml", []byte(gatewayEntry), old))
+	is.NoErr(Parse("e.yaml", []byte(strings.Replace(gatewayEntry, "10.1.0.19:7340", "10.1.0.19:7341", 1)), changed))
+	is.NoErr(old.SameProcess(&old.Common))
+	err := changed.SameProcess(&old.Common)
+	is.True(err != nil && strings.Contains(err.Error(), "link") && strings.Contains(err.Error(), "restart"))
+}
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -97,6 +97,22 @@
 	is.True(follows(t, c.Step(start.Add(silence+1), Tick{})).State())
 }
 
+// The sender of revisions falls silent, or knows nothing new for long. A document
+// must be in force everywhere within 3 s, so an entry with quick timing must have
+// left that sender long before.
+func TestQuickTimingLeavesSilentSendersInTime(t *testing.T) {
+	is := is.New(t)
+	c := NewTimedCore("only", Quick)
+	first := follows(t, c.Step(start, Entries{}))
+	c.Step(start, Heard{Target: first})
+	is.Equal(len(c.Step(start.Add(Quick.Silence), Tick{})), 0)
+	second := follows(t, c.Step(start.Add(Quick.Silence+1), Tick{}))
+	is.True(second.State() && second != first)
+	is.True(Quick.Silence+2*Quick.SignOfLife < 2*time.Second)
+	third := follows(t, c.Step(start.Add(2*time.Second), Heard{Target: second, Age: Quick.Behind + 1}))
+	is.True(third != second)
+}
+
 func large(revision uint64, teams int) *lilacv1.Snapshot {
 	s := &lilacv1.Snapshot{Revision: revision, Classes: []*lilacv1.Class{{Name: "alerts"}}}
 	for i := range teams {
