--- a/cmd/lilacctl/main.go
+++ b/cmd/lilacctl/main.go
@@ -30,6 +30,6 @@
 	}
 	flags.register(root)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newExec(flags), newShow(flags), newApply(flags), newWatch(flags), newCheck(), newDiag(), newRecover(), newToken())
+	root.AddCommand(newExec(flags), newShow(flags), newApply(flags), newWatch(flags), newCheck(), newDiag(), newRecover(), newToken(), newExplain())
 	return root
 }
--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -66,6 +66,8 @@
 type Log interface {
 	// Refused notes a request that failed a check.
 	Refused(attemptID, host, path string, err error)
+	// Failed notes the failure that a request ended with, as its caller got it.
+	Failed(attemptID string, status int, err error)
 }
 
 // Handler answers callers.
@@ -103,6 +105,7 @@
 	h.counter.Request(q.Route.Name)
 	if err := h.router.Forward(ctx, q, answer); err != nil {
 		h.counter.Refused(fault.Name(fault.KindOf(err)))
+		h.log.Failed(q.AttemptID, statusOf(err), err)
 		answer.Fail(err)
 	}
 }
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -13,6 +13,10 @@
 
 const (
 	dialTimeout = 2 * time.Second
+	// routedDialTimeout bounds a new connection for a routed request: several ways
+	// between regions. A machine without power answers nothing, and until a byte
+	// went out another server may take the request.
+	routedDialTimeout = 400 * time.Millisecond
 	// A server behind a silent cut is noticed after keepAliveIdle plus
 	// keepAliveCount times keepAliveGap.
 	keepAliveIdle  = 5 * time.Second
@@ -55,7 +59,7 @@
 }
 
 func (p *pool) transport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := &net.Dialer{Timeout: p.dialTimeout(), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveGap, Count: keepAliveCount,
 	}}
 	return &http.Transport{
@@ -75,6 +79,13 @@
 	}
 }
 
+func (p *pool) dialTimeout() time.Duration {
+	if p.idHeader != RequestIDHeader {
+		return routedDialTimeout
+	}
+	return dialTimeout
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // clientFor returns the client whose connections fit what is known of the server.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -52,6 +52,7 @@
 	settings *settings.Entry
 	logger   hclog.Logger
 	state    State
+	log      *logs.Log
 	registry *prometheus.Registry
 	counters *metrics.Entry
 	clients  *upstream.Client
@@ -73,7 +74,7 @@
 func New(options Options) *Entry {
 	e := &Entry{
 		settings: options.Settings, logger: options.Logger, state: options.State,
-		registry: metrics.NewRegistry(), clients: upstream.NewClient(), convicts: make(chan policy.Convict, maxConvicts),
+		log: logs.New(options.Logger), registry: metrics.NewRegistry(), clients: upstream.NewClient(), convicts: make(chan policy.Convict, maxConvicts),
 	}
 	e.life, e.end = context.WithCancel(context.Background())
 	e.counters = metrics.NewEntry(e.registry)
@@ -86,7 +87,7 @@
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
 		Counter: e.counters, OnConvict: e.convict, OnAnnounce: options.OnAnnounce,
-		Log: logs.New(options.Logger), Protocol: options.Gateway, Gateway: e.gatewayClient(options.Gateway),
+		Log: e.log, Protocol: options.Gateway, Gateway: e.gatewayClient(options.Gateway),
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
 	metrics.RegisterTraffic(e.registry, "lilacbridge_control_upstream_bytes_total",
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -15,6 +15,8 @@
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/connection/serverlist"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/routing"
@@ -50,6 +52,8 @@
 	mu      sync.Mutex
 	view    *model.View
 	servers []routing.Server
+	// newest is the document of view, indexed.
+	newest *routing.Table
 	// listed is true once the list was read.
 	listed bool
 }
@@ -59,7 +63,7 @@
 func newRouted(d *Daemon, platform gateway.Platform) *routed {
 	g := &routed{daemon: d, logger: d.logger, platform: platform}
 	g.list = platform.ServerList(d.settings.Gateway.ServerList.Value, serverlist.NewClient())
-	g.handler = gateway.NewHandler(platform, g, d.entry.counters, requestLog{d.logger})
+	g.handler = gateway.NewHandler(platform, g, d.entry.counters, requestLog{d.entry.log})
 	d.entry.onLeave = g.handler.Leave
 	g.revocation.Store(int64(d.settings.Gateway.Revocation.Duration))
 	g.seeds.Store(&d.settings.State)
@@ -101,18 +105,27 @@
 			g.logger.Error("document does not decode; run one version on all instances", "version", document.GetVersion(), "error", err)
 			return
 		}
-		g.table.Store(routing.NewTable(decoded, view.Revision))
+		g.newest = routing.NewTable(decoded, view.Revision)
 		g.logger.Info("document in force", "version", document.GetVersion(), "revision", view.Revision, "routes", len(decoded.Routes))
 	}
 	g.view = view
 	g.configure()
 }
 
-// configure gives the policy what is known. The caller holds mu.
+// configure gives the policy what is known, and then lets requests in by it. The
+// caller holds mu.
+//
+// It guards against a request on a route that was just added and of which the
+// policy has not heard: it would be refused for an unknown class. It holds because
+// the policy takes its events in order.
 func (g *routed) configure() {
-	if table := g.table.Load(); table != nil && g.listed {
-		g.daemon.entry.Configure(routing.View(table, g.servers, g.view.Convictions))
+	if g.newest == nil {
+		return
+	}
+	if g.listed {
+		g.daemon.entry.Configure(routing.View(g.newest, g.servers, g.view.Convictions))
 	}
+	g.table.Store(g.newest)
 }
 
 // run follows the list of backend servers and the group of state processes.
@@ -204,10 +217,15 @@
 	return nil
 }
 
-// requestLog writes a line for each request that fails a check.
-type requestLog struct{ logger hclog.Logger }
+// requestLog writes a line for each request that fails.
+type requestLog struct{ log *logs.Log }
 
 // Refused implements gateway.Log.
 func (l requestLog) Refused(attemptID, host, path string, err error) {
-	l.logger.Info("request refused", "request", attemptID, "host", host, "path", path, "error", err)
+	l.log.Line(logs.Failure, "request refused", "request", attemptID, "host", host, "path", path, "kind", fault.Name(fault.KindOf(err)), "error", err)
+}
+
+// Failed implements gateway.Log.
+func (l requestLog) Failed(attemptID string, status int, err error) {
+	l.log.Line(logs.Failure, "failed", "request", attemptID, "status", status, "kind", fault.Name(fault.KindOf(err)), "not_run", fault.NotRunOf(err).String(), "error", err)
 }
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -169,6 +169,7 @@
 		s.sample(now)
 	}
 	c.noticeCuts(now)
+	c.noticeSilent(now)
 	c.judge(now)
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -70,6 +70,7 @@
 	case e.Refused:
 		s.busyUntil = now.Add(max(e.RetryAfter, minBusy))
 	case e.Final, e.Answered:
+		s.heardAt = now
 	case e.Crashed:
 		c.noteCrash(now, s)
 		c.noteGone(now, s)
--- a/request/policy/gateway_test.go
+++ b/request/policy/gateway_test.go
@@ -266,3 +266,31 @@
 	}
 	is.True(read <= 44) // once each, and one in ten again where lanes move
 }
+
+// A service's machine loses power while look-ups are on their way. No connection
+// breaks. The look-up must be answered elsewhere well before its caller gives up,
+// a booking must not run twice, and nothing more goes to the dark server.
+func TestSilentServerLosesWhatMayRunAgain(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a", "b")
+	first := only[Start](t, c.Step(epoch, lookup(1)))
+	booking := lookup(2)
+	booking.Idempotent = false
+	second := only[Start](t, c.Step(epoch, booking))
+	is.Equal(first.Server, second.Server)
+	c.Step(epoch, Sent{ID: 1, Attempt: 1})
+	c.Step(epoch, Sent{ID: 2, Attempt: 1})
+	var again []Start
+	now := epoch
+	for ; now.Before(epoch.Add(1500 * ms)); now = now.Add(TickInterval) {
+		for _, action := range c.Step(now, Tick{}) {
+			if start, ok := action.(Start); ok {
+				again = append(again, start)
+			}
+		}
+	}
+	is.Equal(len(again), 1)
+	is.Equal(again[0].ID, ID(1))
+	is.True(again[0].Server != first.Server)
+	is.True(c.servers[first.Server].barred(now))
+}
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -57,7 +57,9 @@
 	// MovedByKV counts those of the moved that went with their KV cache.
 	MovedByKV uint64
 	// Spared are the tokens that engines did not have to make.
-	Spared    Spared
+	Spared Spared
+	// Silent counts servers that were taken out for their silence.
+	Silent    uint64
 	Crashes   uint64
 	Convicted uint64
 	// Pardoned counts suspects whose crashes were put down to an outage.
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -42,7 +42,7 @@
 	}
 	r.got += e.Count
 	r.gotNow += e.Count
-	r.lastAt, s.lastToken = now, now
+	r.lastAt, s.lastToken, s.heardAt = now, now, now
 	r.idleSince, r.pool.progressAt, r.rejections = now, now, 0
 	if r.gotNow >= trialTokens {
 		c.passed(now, r)
@@ -59,6 +59,7 @@
 		s.answered(r, now.Sub(r.started))
 	}
 	s.proved()
+	s.heardAt = now
 	s.trouble -= troubleLearn * s.trouble
 	r.pool.progressAt = now
 	c.passed(now, r)
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -101,6 +101,8 @@
 	// leavesAt is the first word of the platform that it leaves, wentAt when it
 	// was seen to have gone.
 	leavesAt, wentAt time.Time
+	// heardAt is the last answer or token of any own request.
+	heardAt time.Time
 	// trouble is the share of requests that failed here lately.
 	trouble float64
 	// lane is true for an engine that is kept for tight answers; see lanes.
--- /dev/null
+++ b/request/policy/silent.go
@@ -0,0 +1,62 @@
+package policy
+
+import "time"
+
+// A server that loses power, or whose machine is cut off, breaks no connection:
+// requests sent there get nothing until their callers' time ends. An engine that
+// works sends tokens of some answer all the time, and a service answers within a
+// tenth of a second, so silence towards all requests of this instance shows it.
+const (
+	// silentFor is the silence after which a server is taken for gone, besides
+	// twice the time in which its oldest request was expected to be answered.
+	silentFor = 700 * time.Millisecond
+)
+
+// noticeSilent takes servers that fell silent out, and has what may run again and
+// has not begun to be answered run elsewhere.
+func (c *core) noticeSilent(now time.Time) {
+	for _, s := range c.ordered {
+		oldest := s.oldestUnanswered()
+		if oldest == nil || !oldest.Anchored || now.Before(s.ejectedUntil) {
+			continue
+		}
+		since := oldest.started
+		if s.heardAt.After(since) {
+			since = s.heardAt
+		}
+		if now.Sub(since) < silentFor+2*oldest.expected {
+			continue
+		}
+		s.eject(now)
+		c.stats.Silent++
+		c.moveUnanswered(now, s)
+	}
+}
+
+// oldestUnanswered is the request that waits longest for its answer to begin.
+func (s *server) oldestUnanswered() *request {
+	var oldest *request
+	for _, r := range s.own {
+		if r.gotNow == 0 && (oldest == nil || r.started.Before(oldest.started)) {
+			oldest = r
+		}
+	}
+	return oldest
+}
+
+// moveUnanswered sends requests of a silent server to others, as far as their
+// kind, their class and the retry budget allow it.
+func (c *core) moveUnanswered(now time.Time, s *server) {
+	for _, r := range c.copies(func(r *request) bool { return r.server == s && r.gotNow == 0 && r.Idempotent }) {
+		most := int(r.class.GetMaxAttempts())
+		if most > 0 && r.sends+1 >= most || r.attempt >= maxAttempts || !c.budget.Take() {
+			continue
+		}
+		c.check(InvariantBudget, c.budget.Holds())
+		r.sends++
+		r.failedOn = s.name
+		c.stop(now, r)
+		c.enqueue(now, r)
+		c.dispatch(now, r.pool)
+	}
+}
