Soak the real programs under faults from outside

Processes are killed, stopped, paused, emptied, cut one way, silenced, delayed and reset in series and at once; checked are at most once, true refusals, own whole answers, documents that never go back, taken keys, graceful stops and recovery.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,13 @@
 soak: build
 	FLEET=$(FLEET) MINUTES=$(MINUTES) bash scripts/soak.sh
 
+# Real processes hurt from outside, checked from what callers, operators and
+# backend servers see: make fault-soak SEED=7 MINUTES=2; KEEP=FOLDER keeps the logs.
+SOAK_SECONDS ?= 10
+.PHONY: fault-soak
+fault-soak:
+	@go test ./faultsoak -count=1 -v -timeout 0 -args -seed $(SEED) -seeds $$(( $(MINUTES) * 60 / ($(SOAK_SECONDS) + 8) + 1 )) -length $(SOAK_SECONDS)s $(if $(KEEP),-keep $(KEEP))
+
 # Many real entries in trees: make wide ENTRIES_WANTED=45.
 ENTRIES_WANTED ?= 45
 .PHONY: wide
--- a/connection/stateclient/client.go
+++ b/connection/stateclient/client.go
@@ -103,11 +103,18 @@
 		}
 	}
 	if len(members) == 0 {
-		return nil, nil, errors.Join(errs...)
+		return nil, nil, errors.Join(append(errs, errNoGroup)...)
 	}
 	return members, entries, nil
 }
 
+// errNoGroup is the error where all that answered belong to no group yet.
+//
+// It guards against an entry that takes an empty answer for the group's members
+// while the state processes are still founding it: it would know nobody to ask any
+// more, and never get a configuration.
+var errNoGroup = fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "no state process that answered belongs to a group yet; see their logs")
+
 func peersOf(members []*lilacv1.StateMember) []settings.Peer {
 	peers := make([]settings.Peer, 0, len(members))
 	for _, member := range members {
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -163,7 +163,7 @@
 
 func (g *routed) followMembers(ctx context.Context) {
 	s := g.daemon.settings
-	self := settings.Peer{Name: s.Name, Address: s.Link, DataCenter: s.DataCenter}
+	self := settings.Peer{Name: s.Name, Address: s.LinkForOthers(), DataCenter: s.DataCenter}
 	for {
 		asked, cancel := context.WithTimeout(ctx, membersEvery)
 		members, entries, err := g.daemon.state.Members(asked, self)
--- /dev/null
+++ b/faultsoak/fleet_test.go
@@ -0,0 +1,248 @@
+package faultsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/platform/standin"
+)
+
+// process is one of the real programs. The soak ends only processes that it
+// started, each by its own id.
+type process struct {
+	name     string
+	program  string
+	settings string
+	data     string
+	log      string
+	callers  string
+	control  string
+	proxy    *proxy
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+func (p *process) start(folder string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(filepath.Join(folder, p.program), "--settings", p.settings)
+	command.Stdout, command.Stderr, command.Dir = log, log, folder
+	// A soak that is ended itself leaves no process behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(done)
+	}()
+	p.command, p.done = command, done
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// end signals the process and waits until it has ended; one that takes too long is
+// killed, which the answer tells.
+func (p *process) end(s syscall.Signal, patience time.Duration) (inTime bool) {
+	p.signal(s)
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return true
+	}
+	select {
+	case <-done:
+		return true
+	case <-time.After(patience):
+		p.signal(syscall.SIGKILL)
+		<-done
+		return false
+	}
+}
+
+// fleet is the whole system on loopback addresses.
+type fleet struct {
+	folder  string
+	states  []*process
+	entries []*process
+	servers []*standin.Server
+
+	mu      sync.Mutex
+	leaving map[string]time.Time
+}
+
+// ports of a fleet, the same on each of its addresses.
+type ports struct{ link, admin, control, callers, ready int }
+
+// freePorts takes ports that nobody uses now.
+func freePorts() (ports, error) {
+	var list [5]int
+	for i := range list {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return ports{}, err
+		}
+		defer listener.Close()
+		list[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	return ports{list[0], list[1], list[2], list[3], list[4]}, nil
+}
+
+// newFleet writes the settings of all processes and starts the stand-ins.
+func newFleet(folder string, states, entries, servers int) (*fleet, error) {
+	f := &fleet{folder: folder, leaving: make(map[string]time.Time)}
+	at, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
+	for i := range servers {
+		service := []string{"desk", "engines"}[i%2]
+		s := &standin.Server{Identity: fmt.Sprintf("%s-%d", service, i), Events: 8, Gap: 10 * time.Millisecond}
+		if err := s.Start("127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		f.servers = append(f.servers, s)
+	}
+	list, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(list, http.HandlerFunc(f.serveList)) }()
+	seeds := ""
+	for i := range min(states, 3) {
+		seeds += fmt.Sprintf("  - \"%s:%d\"\n", advertised("state", i), at.control)
+	}
+	for i := range states + entries {
+		kind, number := "state", i
+		if i >= states {
+			kind, number = "entry", i-states
+		}
+		p, err := f.write(kind, number, at, seeds, list.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		if kind == "state" {
+			f.states = append(f.states, p)
+		} else {
+			f.entries = append(f.entries, p)
+		}
+	}
+	return f, nil
+}
+
+// Loopback addresses: a process listens on one and is known by another, behind
+// which its proxy stands.
+func listening(kind string, number int) string {
+	return fmt.Sprintf("127.77.%d.%d", octet(kind)+1, number+1)
+}
+func advertised(kind string, number int) string {
+	return fmt.Sprintf("127.77.%d.%d", octet(kind), number+1)
+}
+
+func octet(kind string) int {
+	if kind == "state" {
+		return 10
+	}
+	return 20
+}
+
+func (f *fleet) write(kind string, number int, at ports, seeds, list string) (*process, error) {
+	own, known := listening(kind, number), advertised(kind, number)
+	p := &process{
+		name: fmt.Sprintf("%s-%d", kind, number), program: "lilacbridge-" + kind,
+		log: filepath.Join(f.folder, fmt.Sprintf("%s-%d.log", kind, number)), settings: filepath.Join(f.folder, fmt.Sprintf("%s-%d.yaml", kind, number)),
+		callers: fmt.Sprintf("%s:%d", own, at.callers), control: fmt.Sprintf("%s:%d", own, at.control),
+	}
+	text := fmt.Sprintf("name: %q\ndata_center: dc-%d\nlink: %s:%d\nadvertise: %s:%d\nadmin: %s:%d\nlink_key: key-of-the-fault-soak\nseeds:\n%s",
+		known, number%3, own, at.link, known, at.link, own, at.admin, seeds)
+	if kind == "state" {
+		p.data = filepath.Join(f.folder, p.name+"-data")
+		text += fmt.Sprintf("control: %s\nserver_list: %s\ndata: %s\nbootstrap: true\nauto_members: true\nheartbeat: 120ms\nelection: 600ms\n", p.control, list, p.data)
+	} else {
+		text += fmt.Sprintf("drain_lag: 500ms\ndrain: 5s\ngateway:\n  callers: %s\n  readiness: %s:%d\n  server_list: %s\n  revocation: 5s\n", p.callers, own, at.ready, list)
+	}
+	var err error
+	p.proxy, err = newProxy(fmt.Sprintf("%s:%d", known, at.link), fmt.Sprintf("%s:%d", own, at.link))
+	if err != nil {
+		return nil, err
+	}
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// serveList is the platform's list of backend servers.
+func (f *fleet) serveList(w http.ResponseWriter, _ *http.Request) {
+	type listed struct {
+		Identifier string `json:"identifier"`
+		Service    string `json:"service"`
+		Address    string `json:"address"`
+		Zone       string `json:"zone"`
+		Slots      int    `json:"slots"`
+		State      string `json:"state"`
+	}
+	var page struct {
+		Instances []listed `json:"instances"`
+		Next      *string  `json:"next"`
+	}
+	f.mu.Lock()
+	for i, s := range f.servers {
+		state := "ready"
+		if !f.leaving[s.Identity].IsZero() {
+			state = "draining"
+		}
+		page.Instances = append(page.Instances, listed{s.Identity, []string{"desk", "engines"}[i%2], s.Address(), fmt.Sprintf("dc-%d", i/2%3), 8, state})
+	}
+	f.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(page)
+}
+
+// drain has the list say that a server leaves, or that it stays.
+func (f *fleet) drain(identity string, leaves bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if leaves {
+		f.leaving[identity] = time.Now()
+	} else {
+		delete(f.leaving, identity)
+	}
+}
+
+func (f *fleet) processes() []*process {
+	return append(append([]*process(nil), f.states...), f.entries...)
+}
+
+// close ends all that the soak started.
+func (f *fleet) close() {
+	for _, p := range f.processes() {
+		p.signal(syscall.SIGCONT)
+		p.end(syscall.SIGKILL, time.Minute)
+		p.proxy.listener.Close()
+		p.proxy.reset()
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/faultsoak/soak_test.go
@@ -0,0 +1,103 @@
+package faultsoak
+
+import (
+	"flag"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	seed    = flag.Uint64("seed", 1, "first seed")
+	seeds   = flag.Uint64("seeds", 1, "how many seeds, one after the other")
+	length  = flag.Duration("length", 8*time.Second, "how long faults come in a run")
+	states  = flag.Int("states", 3, "state processes")
+	entries = flag.Int("entries", 3, "entries")
+	servers = flag.Int("servers", 6, "backend servers")
+	keep    = flag.String("keep", "", "folder for logs, which stay; default a temporary one")
+)
+
+// regressions are seeds that failed once, with the cause.
+var regressions = map[uint64]string{}
+
+// programs builds the real programs into a folder.
+func programs(t *testing.T, folder string) {
+	for _, name := range []string{"lilacbridge-entry", "lilacbridge-state"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(folder, name), "../cmd/"+name).CombinedOutput()
+		if err != nil {
+			t.Fatalf("%v: %s", err, out)
+		}
+	}
+}
+
+// Processes are killed, stopped, paused, emptied, cut off and delayed in series and
+// at once, while callers keep their connections and operators send documents. What
+// was promised must hold all the while, and all must serve again in the end.
+func TestFaultSoak(t *testing.T) {
+	folder := *keep
+	if folder == "" {
+		folder = t.TempDir()
+	}
+	programs(t, folder)
+	list := make([]uint64, 0, *seeds)
+	for i := range *seeds {
+		list = append(list, *seed+i)
+	}
+	for failed := range regressions {
+		list = append(list, failed)
+	}
+	checks := int64(0)
+	for _, one := range list {
+		r := soak(t, folder, one)
+		checks += r.checked.Load()
+		for _, problem := range r.problems {
+			t.Errorf("seed %d: %s", one, problem)
+		}
+		if t.Failed() {
+			t.Fatalf("fault-soak: broken at seed %d; logs in %s (give -keep FOLDER to keep them)", one, folder)
+		}
+	}
+	t.Logf("fault-soak: ok seeds=%d checks=%d", len(list), checks)
+}
+
+func soak(t *testing.T, programs string, seed uint64) *run {
+	is := is.New(t)
+	f, err := newFleet(programs, *states, *entries, *servers)
+	is.NoErr(err)
+	defer f.close()
+	r := newRun(f)
+	for _, p := range f.processes() {
+		is.NoErr(removeData(p))
+		is.NoErr(p.start(programs))
+	}
+	r.put(func(*documentState) {})
+	for _, entry := range f.entries {
+		for range 3 {
+			r.callers.Add(1)
+			go r.callFrom(entry, 15*time.Millisecond)
+		}
+	}
+	end := time.Now().Add(startPatience)
+	for !r.servedLately() {
+		if time.Now().After(end) {
+			t.Fatalf("seed %d: the fleet does not serve %v after its start", seed, startPatience)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	begun := time.Now()
+	for _, s := range plan(seed, *length, *states, *entries, *servers) {
+		time.Sleep(s.at - time.Since(begun))
+		t.Log(s)
+		s.do(r)
+		r.readBack(f.states[int(s.at/time.Millisecond)%len(f.states)])
+	}
+	r.faults.Wait()
+	r.recovered()
+	close(r.stop)
+	r.callers.Wait()
+	r.judge()
+	return r
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -168,6 +168,9 @@
 	DataCenter string `yaml:"data_center"`
 	// Link is the address for lilacbridge's own processes. No default.
 	Link Address `yaml:"link"`
+	// Advertise is where the other processes reach Link, where that differs, as
+	// behind an address translation. Default Link; the port must be the same.
+	Advertise Address `yaml:"advertise"`
 	// Admin is the address of /metrics, /healthz, /readyz and pprof. No default.
 	Admin Address `yaml:"admin"`
 	// LinkKeyFile holds the key that all processes share. No default; LinkKey may
@@ -183,6 +186,14 @@
 	LogLevel string `yaml:"log_level"`
 }
 
+// LinkForOthers is the address at which the other processes reach this one.
+func (c *Common) LinkForOthers() Address {
+	if c.Advertise.Value != "" {
+		return c.Advertise
+	}
+	return c.Link
+}
+
 // Shared returns the part of the settings that all kinds of daemons have.
 func (c *Common) Shared() *Common { return c }
 
@@ -215,7 +226,7 @@
 // seedPeers are the state processes behind the seeds, but for this process. They
 // are named by their machines' addresses, as each names itself.
 func (c *Common) seedPeers() []Peer {
-	own, err := netip.ParseAddrPort(c.Link.Value)
+	own, err := netip.ParseAddrPort(c.LinkForOthers().Value)
 	if err != nil {
 		return nil
 	}
