--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -21,7 +21,10 @@
 )
 
 // regressions are seeds that failed once, with the cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	1:  "an entry took the empty answer of processes without a group for the group, and never got a configuration",
+	14: "the stand-in answered streams with a plain text where it framed an answer badly; so did seeds 32 and 44",
+}
 
 // programs builds the real programs into a folder.
 func programs(t *testing.T, folder string) {
--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -14,10 +14,8 @@
 	maxSpends   = 8
 	maxSuspects = 16
 	maxEjected  = 32
-	// maxReadings and maxLoads keep what helps the choice of servers in a combined
-	// digest below 8 KB: the readings of some seconds, and the busiest servers.
+	// maxReadings keeps the readings of some seconds below 8 KB.
 	maxReadings = 256
-	maxLoads    = 32
 )
 
 // Combine makes one digest of many. Every rule gives the same whatever the
@@ -26,7 +24,8 @@
 // Cutoffs take the most urgent tier held back anywhere and the least urgent one
 // admitted anywhere, never an average: one instance that still admits a lower
 // tier forbids all others to shed a higher one. Spends are added up, the
-// largest are kept, and so are the loads of the busiest servers. The sum binds as long as all parts do, and is incomplete if
+// largest are kept. Loads are left out: they are for instances that exchange
+// digests directly; seconds old, they keep requests from their homes. The sum binds as long as all parts do, and is incomplete if
 // one is.
 func Combine(instance, dataCenter string, all ...*lilacv1.Digest) *lilacv1.Digest {
 	out := &lilacv1.Digest{Instance: instance, DataCenter: dataCenter}
@@ -35,7 +34,6 @@
 	suspects := make(map[string]*lilacv1.Suspect)
 	ejected := make(map[string]struct{})
 	readings := make(map[readingKey]*lilacv1.Reading)
-	loads := make(map[string]*lilacv1.ServerLoad)
 	for _, d := range all {
 		if d == nil {
 			continue
@@ -60,12 +58,8 @@
 		for _, reading := range d.GetReadings() {
 			readings[readingKey{reading.GetServer(), reading.GetHash()}] = reading
 		}
-		for _, load := range d.GetLoads() {
-			loads[load.GetServer()] = combineLoads(loads[load.GetServer()], load)
-		}
 	}
 	out.Readings = allReadings(readings)
-	out.Loads = busiest(loads)
 	out.Cutoffs = first(maxCutoffs, values(cutoffs))
 	out.Spends = topSpends(spends)
 	out.Suspects = first(maxSuspects, values(suspects))
@@ -123,34 +117,6 @@
 	return first(maxReadings, list)
 }
 
-func combineLoads(a, b *lilacv1.ServerLoad) *lilacv1.ServerLoad {
-	if a == nil {
-		return b
-	}
-	sum := &lilacv1.ServerLoad{
-		Server: a.GetServer(), InFlight: a.GetInFlight() + b.GetInFlight(), TokensLeft: a.GetTokensLeft() + b.GetTokensLeft(),
-		GapUs: max(a.GetGapUs(), b.GetGapUs()), Backlog: slices.Clone(a.GetBacklog()),
-	}
-	for level, tokens := range b.GetBacklog() {
-		if level < len(sum.Backlog) {
-			sum.Backlog[level] += tokens
-		} else {
-			sum.Backlog = append(sum.Backlog, tokens)
-		}
-	}
-	return sum
-}
-
-// busiest keeps the servers with most prompt work, and of those with none the
-// ones that run most.
-func busiest(loads map[string]*lilacv1.ServerLoad) []*lilacv1.ServerLoad {
-	list := values(loads)
-	slices.SortStableFunc(list, func(a, b *lilacv1.ServerLoad) int {
-		return cmp.Or(cmp.Compare(b.GetTokensLeft(), a.GetTokensLeft()), cmp.Compare(b.GetInFlight(), a.GetInFlight()))
-	})
-	return first(maxLoads, list)
-}
-
 func topSpends(spends map[string]uint64) []*lilacv1.TeamSpend {
 	list := make([]*lilacv1.TeamSpend, 0, len(spends))
 	for team, tokens := range spends {
--- a/process/member/promise.go
+++ b/process/member/promise.go
@@ -93,8 +93,8 @@
 	binds := remaining(d.GetBindsMs(), now, h.since)
 	return &lilacv1.Digest{
 		Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Suspects: d.GetSuspects(), Spends: d.GetSpends(),
-		Readings: d.GetReadings(), Loads: d.GetLoads(),
-		Ejected: d.GetEjected(), BindsMs: binds, Incomplete: d.GetIncomplete() || binds == 0,
+		Readings: d.GetReadings(),
+		Ejected:  d.GetEjected(), BindsMs: binds, Incomplete: d.GetIncomplete() || binds == 0,
 	}
 }
 
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacbridge/lilacbridge/process/member"
 )
 
 // Requests that share a long part of their prompt cost a quarter of a second
@@ -15,11 +17,15 @@
 
 // homes are the engines that a request's shared parts belong to; nil where the
 // request shares too little.
-type homes struct{ first, second *server }
+type homes struct {
+	first, second *server
+	// assumed is true where the first one is taken to hold the parts.
+	assumed bool
+}
 
 // homesOf ranks the open engines by the request's last shared part.
 func (c *core) homesOf(r *request) homes {
-	var h homes
+	h := homes{assumed: c.peers[member.Others] != nil}
 	shared := len(r.Prefix) - 2
 	if !r.Anchored || shared < 0 {
 		return h
@@ -47,8 +53,18 @@
 	return h
 }
 
-// uncachedAt is the prompt work on the server, by what is known of its cache.
-func (h homes) uncachedAt(s *server, r *request) float64 { return s.uncached(r) }
+// uncachedAt is the prompt work on the server, by what is known of its cache. Where
+// instances exchange their digests directly, all know within one exchange what
+// was sent where. In a tree that takes seconds, and an instance sees a small part
+// of the requests itself: there the first home is taken to hold the prompt. By what
+// is known, shared parts were read again 2.7 times as often at 76 instances.
+func (h homes) uncachedAt(s *server, r *request) float64 {
+	uncached := s.uncached(r)
+	if !h.assumed || s != h.first {
+		return uncached
+	}
+	return min(uncached, float64(max(r.PromptTokens+r.got-r.Prefix[len(r.Prefix)-2].End, 1)))
+}
 
 const (
 	// pastFirst is the price of the second home: more than a way between regions,
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -100,7 +100,7 @@
 	r.gotNow = 0
 	r.started, r.lastAt = now, now
 	r.level = r.levelOf()
-	r.uncached, r.ahead = s.uncached(r), s.before(r.level)
+	r.uncached, r.ahead = c.homesOf(r).uncachedAt(s, r), s.before(r.level)
 	r.expected = s.firstToken(s.load()+1, r.uncached, r.level)
 	c.carry(now, r, s, from)
 	why := c.why(now, r, s)
