--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,11 @@
 	PATH=$(GOBIN):$$PATH buf generate
 
 demo: build
+ifeq ($(FLEET),platform)
+	go test ./faultsoak -count=1 -v -run TestPlatformDemo
+else
 	FLEET=$(FLEET) bash scripts/demo.sh
+endif
 
 # Real processes killed, frozen and emptied under load.
 .PHONY: fail soak
--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"flag"
+	"net/http"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,7 +68,37 @@
 	t.Logf("fault-soak: ok seeds=%d checks=%d", len(list), checks)
 }
 
+// The whole path on the platform's protocol, as separate processes: callers, two
+// documents and a graceful restart. make demo FLEET=platform shows it.
+func TestPlatformDemo(t *testing.T) {
+	folder := t.TempDir()
+	programs(t, folder)
+	r := play(t, folder, []step{
+		{time.Second, "change of the document", (*run).change},
+		{2 * time.Second, "entry-1 is restarted", func(r *run) { r.down(r.fleet.entries[1], syscall.SIGTERM, time.Second) }},
+		{3 * time.Second, "change of the document", (*run).change},
+	})
+	for _, problem := range r.problems {
+		t.Error(problem)
+	}
+	served := 0
+	for _, c := range r.calls {
+		if c.status == http.StatusOK && !c.cut {
+			served++
+		}
+	}
+	t.Logf("demo: %d requests, %d served, document %d in force, %d checks", len(r.calls), served, r.document.acked, r.checked.Load())
+	if !t.Failed() {
+		t.Log("demo: ok")
+	}
+}
+
 func soak(t *testing.T, programs string, seed uint64) *run {
+	return play(t, programs, plan(seed, *length, *states, *entries, *servers))
+}
+
+// play starts a fleet, has the steps happen and judges what was seen.
+func play(t *testing.T, programs string, steps []step) *run {
 	is := is.New(t)
 	f, err := newFleet(programs, *states, *entries, *servers)
 	is.NoErr(err)
@@ -86,12 +118,12 @@
 	end := time.Now().Add(startPatience)
 	for !r.servedLately() {
 		if time.Now().After(end) {
-			t.Fatalf("seed %d: the fleet does not serve %v after its start", seed, startPatience)
+			t.Fatalf("the fleet does not serve %v after its start", startPatience)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	begun := time.Now()
-	for _, s := range plan(seed, *length, *states, *entries, *servers) {
+	for _, s := range steps {
 		time.Sleep(s.at - time.Since(begun))
 		t.Log(s)
 		s.do(r)
