fault soak: failures explained by the logs alone; ports free on all addresses

Each failed answer must have a reason in its entry's lines, unless the entry went down or says that it left lines out. The list's test read a count without its lock (race detector).

--- a/connection/serverlist/serverlist_test.go
+++ b/connection/serverlist/serverlist_test.go
@@ -30,6 +30,12 @@
 	return p.list, 0, p.err
 }
 
+func (p *platform) called() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
 func (p *platform) set(err error, names ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,10 +102,10 @@
 		p.set(nil, "i-2")
 		time.Sleep(1100 * time.Millisecond)
 		is.Equal(entry.holds(), []string{"i-2"})
-		before := unread.calls
+		before := unread.called()
 		time.Sleep(time.Minute)
-		is.Equal(unread.calls, before)
-		is.True(p.calls < 70)
+		is.Equal(unread.called(), before)
+		is.True(p.called() < 70)
 		cancel()
 		synctest.Wait()
 	})
--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -98,11 +98,11 @@
 // ports of a fleet, the same on each of its addresses.
 type ports struct{ link, admin, control, callers, ready int }
 
-// freePorts takes ports that nobody uses now.
+// freePorts takes ports that nobody uses now on any address of the machine.
 func freePorts() (ports, error) {
 	var list [5]int
 	for i := range list {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", ":0")
 		if err != nil {
 			return ports{}, err
 		}
@@ -155,14 +155,17 @@
 }
 
 // Loopback addresses: a process listens on one and is known by another, behind
-// which its proxy stands.
+// which its proxy stands. Each soak has a block of addresses of its own, or two
+// beside each other could meet on a port that is free on other addresses only.
 func listening(kind string, number int) string {
-	return fmt.Sprintf("127.77.%d.%d", octet(kind)+1, number+1)
+	return fmt.Sprintf("127.%d.%d.%d", block(), octet(kind)+1, number+1)
 }
 func advertised(kind string, number int) string {
-	return fmt.Sprintf("127.77.%d.%d", octet(kind), number+1)
+	return fmt.Sprintf("127.%d.%d.%d", block(), octet(kind), number+1)
 }
 
+func block() int { return 2 + os.Getpid()%250 }
+
 func octet(kind string) int {
 	if kind == "state" {
 		return 10
--- /dev/null
+++ b/faultsoak/logs_test.go
@@ -0,0 +1,91 @@
+package faultsoak
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	// lossAround is how long before a start of an entry its lines may be lost with it.
+	lossAround = 6 * time.Second
+	// leftOutAround is how soon an entry says that it left lines out.
+	leftOutAround = 2 * time.Second
+)
+
+// logLine is what the checks read of a log line.
+type logLine struct {
+	At      time.Time `json:"@timestamp"`
+	Message string    `json:"@message"`
+	Request string    `json:"request"`
+	Kind    string    `json:"kind"`
+	Error   string    `json:"error"`
+}
+
+// entryLog is what an entry wrote in one run.
+type entryLog struct {
+	own map[string][]logLine
+	// holes are the times about which lines may be missing, and say so.
+	holes []hole
+}
+
+type hole struct{ from, to time.Time }
+
+func readLog(path string, since time.Time) (*entryLog, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	read := &entryLog{own: make(map[string][]logLine)}
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		var l logLine
+		if json.Unmarshal(scanner.Bytes(), &l) != nil || l.At.Before(since) {
+			continue
+		}
+		switch {
+		case l.Request != "":
+			read.own[l.Request] = append(read.own[l.Request], l)
+		case l.Message == "started":
+			read.holes = append(read.holes, hole{l.At.Add(-lossAround), l.At})
+		case l.Message == "log lines left out, the budget of their kind was spent":
+			read.holes = append(read.holes, hole{l.At.Add(-leftOutAround), l.At})
+		}
+	}
+	return read, scanner.Err()
+}
+
+// explains tells whether the lines give a reason for the failure of the call.
+func (e *entryLog) explains(c *call) bool {
+	for _, l := range e.own[c.id] {
+		if l.Error != "" || l.Kind != "" {
+			return true
+		}
+	}
+	for _, h := range e.holes {
+		if c.ended.After(h.from) && c.sent.Before(h.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeLogs: each failed answer is explained by its entry's lines.
+func (r *run) judgeLogs() {
+	for _, entry := range r.fleet.entries {
+		read, err := readLog(entry.log, r.begun)
+		if err != nil {
+			r.broken("harness", "%v", err)
+			continue
+		}
+		for _, c := range r.calls {
+			if c.entry == entry && c.status >= http.StatusBadRequest {
+				r.check(read.explains(c), "failures are explained", "%s on %s was answered %d by %s, whose lines give no reason", c.id, c.route, c.status, entry.name)
+			}
+		}
+	}
+}
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -20,8 +20,6 @@
 	// revocation is the bound in the settings, slack what a busy machine may add.
 	revocation = 5 * time.Second
 	slack      = 3 * time.Second
-	// drainBound is how long a leaving server may get new work.
-	drainBound = 4 * time.Second
 	// callTimeout is the longest time that a caller waits.
 	callTimeout = 3 * time.Second
 )
@@ -29,6 +27,7 @@
 // run is one seeded run of the soak.
 type run struct {
 	fleet   *fleet
+	begun   time.Time
 	checked atomic.Int64
 	serial  atomic.Int64
 	stop    chan struct{}
@@ -41,8 +40,6 @@
 	calls    map[string]*call
 	stops    []stopTime
 	document documentState
-	served   int
-	asked    int
 }
 
 // stopTime is a graceful stop of an entry.
@@ -70,7 +67,7 @@
 
 func newRun(f *fleet) *run {
 	return &run{
-		fleet: f, stop: make(chan struct{}), held: make(map[*process]bool), calls: make(map[string]*call),
+		fleet: f, begun: time.Now(), stop: make(chan struct{}), held: make(map[*process]bool), calls: make(map[string]*call),
 		document: documentState{keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time)},
 	}
 }
--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -134,5 +134,6 @@
 	close(r.stop)
 	r.callers.Wait()
 	r.judge()
+	r.judgeLogs()
 	return r
 }
