Drain within a gateway's grace time, whatever its length; a test for routes known in time

drain_lag and drain follow gateway.grace where left out (2 s and 4.5 s of 8 as before), and settings that leave nothing of it are refused. Before, a grace time of 6 s would have been outlasted.

--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -30,9 +30,6 @@
 	"github.com/lilacbridge/lilacbridge/version/spread"
 )
 
-// stopTimeout bounds the closing of listeners after the drain.
-const stopTimeout = 10 * time.Second
-
 // Daemon is an entry instance with its listeners and its links to the others.
 type Daemon struct {
 	settings *settings.Entry
@@ -177,7 +174,7 @@
 		kratos.Version(build.Version),
 		kratos.Server(d.servers()...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
-		kratos.StopTimeout(d.closing()),
+		kratos.StopTimeout(d.settings.Closing()),
 		// The drain comes before the library closes anything.
 		kratos.BeforeStop(func(context.Context) error {
 			d.gossip.Leave()
@@ -216,19 +213,6 @@
 	return platform
 }
 
-// closing bounds the closing of listeners after the drain. Under a gateway's grace
-// there is little left of it by then.
-func (d *Daemon) closing() time.Duration {
-	if d.settings.Gateway == nil {
-		return stopTimeout
-	}
-	left := d.settings.Gateway.Grace.Duration - d.settings.DrainLag.Duration - d.settings.Drain.Duration
-	return max(left/2, leastClosing)
-}
-
-// leastClosing is the shortest time for the closing of listeners.
-const leastClosing = 200 * time.Millisecond
-
 // timing keeps a gateway's entries within the bounds that its platform sets.
 func (d *Daemon) timing() spread.Timing {
 	if d.settings.Gateway != nil {
--- /dev/null
+++ b/daemon/entry/gateway_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/gateway"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+	"github.com/lilacbridge/lilacbridge/version/model"
+	"github.com/lilacbridge/lilacbridge/version/routing"
+)
+
+// numbered is a platform whose documents are numbers, each with one route.
+type numbered struct{ gateway.Platform }
+
+func (numbered) Document(content []byte) (*routing.Document, error) {
+	version, err := strconv.ParseUint(string(content), 10, 64)
+	route := routing.Route{
+		Name: "r-" + string(content), Host: "h", PathPrefix: "/", Timeout: time.Second, Public: true,
+		Backends: []routing.Backend{{Service: "desk", Weight: 1}},
+	}
+	return &routing.Document{Version: version, Routes: []routing.Route{route}, Services: []routing.Service{{Name: "desk"}}}, err
+}
+
+// A route is added, and its first request comes at the same moment. The policy
+// must know the route by then, or the request is refused for an unknown class.
+func TestPolicyKnowsARouteBeforeItsFirstRequest(t *testing.T) {
+	is := is.New(t)
+	const documents = 200
+	var known *model.View
+	var unknown, asked atomic.Int64
+	core := scripted(func(event policy.Event) []policy.Action {
+		switch e := event.(type) {
+		case policy.Configured:
+			known = e.View
+		case policy.Arrival:
+			asked.Add(1)
+			if known == nil || known.Classes[e.Class] == nil {
+				unknown.Add(1)
+			}
+			return []policy.Action{policy.Refuse{ID: e.ID, Kind: lilacv1.ErrorKind_ERROR_KIND_OVERLOADED}}
+		}
+		return nil
+	})
+	f := startWith(t, testSettings(), core)
+	g := &routed{daemon: &Daemon{entry: f.Entry}, logger: hclog.NewNullLogger(), platform: numbered{}}
+	g.onList([]routing.Server{{Name: "desk-1", Identity: "desk-1", Service: "desk", Address: "127.0.0.1:1", DataCenter: "dakar-a", Slots: 1}})
+	var callers sync.WaitGroup
+	callers.Go(func() {
+		for seen := uint64(0); seen < documents; {
+			table := g.Table()
+			if table == nil || table.Document.Version == seen {
+				continue
+			}
+			seen = table.Document.Version
+			q := &gateway.Request{Head: gateway.Head{AttemptID: "a"}, Method: http.MethodGet, URI: "/", Host: "h", Route: &table.Document.Routes[0], Table: table, Deadline: time.Now().Add(time.Second)}
+			_ = f.relay.Forward(context.Background(), q, &gateway.Answer{})
+		}
+	})
+	for version := uint64(1); version <= documents; version++ {
+		content := []byte(strconv.FormatUint(version, 10))
+		g.onView(model.NewView(&lilacv1.Snapshot{Revision: version, Document: &lilacv1.Document{Version: version, Content: content}}))
+		time.Sleep(time.Millisecond)
+	}
+	callers.Wait()
+	is.True(asked.Load() > 0)
+	is.Equal(unknown.Load(), int64(0))
+}
--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -14,8 +14,9 @@
 	maxSpends   = 8
 	maxSuspects = 16
 	maxEjected  = 32
-	// maxReadings keeps the readings of some seconds below 8 KB.
-	maxReadings = 256
+	// maxReadings keeps readings below 0.7 KB of a combined digest: a relay sends
+	// six of them a second, and has 13 KB/s for all it says.
+	maxReadings = 16
 )
 
 // Combine makes one digest of many. Every rule gives the same whatever the
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -32,10 +33,12 @@
 	Limits EntryLimits `yaml:"limits"`
 	// Policy holds the weights of the fleet.
 	Policy Policy `yaml:"policy"`
-	// Drain is how long streams may go on after SIGTERM. Default 5m.
+	// Drain is how long streams may go on after SIGTERM. Default 5m, under a gateway
+	// 9/16 of its grace time.
 	Drain Duration `yaml:"drain"`
 	// DrainLag is how long the instance goes on accepting after SIGTERM, while
-	// /readyz says no and the balancer has not looked yet. Default 3s.
+	// /readyz says no and the balancer has not looked yet. Default 3s, under a
+	// gateway a quarter of its grace time.
 	DrainLag Duration `yaml:"drain_lag"`
 }
 
@@ -101,9 +104,23 @@
 		all = append(all, &Problem{Line: 1, Field: "policy.retry_share", Message: "must lie between 0 and 1"})
 	}
 	e.fill()
+	if e.Gateway != nil && e.Closing() < minClosing {
+		all = append(all, &Problem{Line: 1, Field: "gateway.grace", Message: fmt.Sprintf(
+			"is %v, and drain_lag and drain take %v of it; %v must be left, so shorten them or leave them out",
+			e.Gateway.Grace.Duration, e.DrainLag.Duration+e.Drain.Duration, 2*minClosing)})
+	}
 	return errors.Join(all...)
 }
 
+// Closing is how long listeners may take to close after the drain: half of what
+// is left of a gateway's grace time, the other half is for the process to end.
+func (e *Entry) Closing() time.Duration {
+	if e.Gateway == nil {
+		return defaultClosing
+	}
+	return (e.Gateway.Grace.Duration - e.DrainLag.Duration - e.Drain.Duration) / 2
+}
+
 // Gateway holds the settings of the interface for routed requests.
 type Gateway struct {
 	// Callers is the address for callers' requests. No default.
@@ -118,7 +135,8 @@
 	// Revocation is how long after its acceptance a change that takes a key away
 	// may still be unknown to an instance; 0 means that there is no bound. Default 0.
 	Revocation Duration `yaml:"revocation"`
-	// Grace is how long the process may take to end after SIGTERM. Default 8s.
+	// Grace is how long the process may take to end after SIGTERM; drain_lag and
+	// drain follow it where they are left out. Default 8s.
 	Grace Duration `yaml:"grace"`
 }
 
@@ -127,6 +145,15 @@
 	// leaving server must get no new work.
 	defaultListEvery = time.Second
 	defaultGrace     = 8 * time.Second
+	// lagShare and drainShare are what the drain's two parts take of the grace
+	// time, unless set: 2 s until the balancer has noticed and 4.5 s for what runs,
+	// of 8 s.
+	lagShare   = 0.25
+	drainShare = 0.5625
+	// defaultClosing is for entries without a gateway, which have no grace time.
+	defaultClosing = 10 * time.Second
+	// minClosing is the least time in which listeners close on a busy machine.
+	minClosing = 50 * time.Millisecond
 )
 
 func (g *Gateway) fill() {
@@ -152,6 +179,11 @@
 	}
 	e.Limits.ReadTimeout.Duration = e.Limits.ReadTimeout.Or(defaultReadTimeout)
 	e.Policy.RemoteCost.Duration = e.Policy.RemoteCost.Or(defaultRemoteCost)
-	e.Drain.Duration = e.Drain.Or(defaultDrain)
-	e.DrainLag.Duration = e.DrainLag.Or(defaultDrainLag)
+	lag, drain := defaultDrainLag, defaultDrain
+	if e.Gateway != nil {
+		grace := float64(e.Gateway.Grace.Duration)
+		lag, drain = time.Duration(lagShare*grace), time.Duration(drainShare*grace)
+	}
+	e.Drain.Duration = e.Drain.Or(drain)
+	e.DrainLag.Duration = e.DrainLag.Or(lag)
 }
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -124,3 +124,17 @@
 	err := changed.SameProcess(&old.Common)
 	is.True(err != nil && strings.Contains(err.Error(), "link") && strings.Contains(err.Error(), "restart"))
 }
+
+// The platform ends a process some seconds after SIGTERM, whatever it still does.
+// Drain and closing must fit into that, or answers that run are cut off.
+func TestDrainFitsIntoTheGraceTime(t *testing.T) {
+	is := is.New(t)
+	for _, grace := range []time.Duration{time.Second, 4 * time.Second, 8 * time.Second, 30 * time.Second} {
+		e := &Entry{}
+		is.NoErr(Parse("e.yaml", []byte(gatewayEntry+"  grace: "+grace.String()+"\n"), e))
+		is.True(e.Drain.Duration > grace/2)
+		is.True(e.DrainLag.Duration+e.Drain.Duration+e.Closing() < grace)
+	}
+	err := Parse("e.yaml", []byte("drain_lag: 2s\ndrain: 6s\n"+gatewayEntry), &Entry{})
+	is.True(err != nil && strings.Contains(err.Error(), "gateway.grace"))
+}
