Tell readings between instances that exchange digests directly only

In combined digests they took up to 8 KB each, six a second at a relay whose bound is 13 KB/s. Told for 2 s in place of 5, which was for trees of three levels.

--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -14,9 +14,6 @@
 	maxSpends   = 8
 	maxSuspects = 16
 	maxEjected  = 32
-	// maxReadings keeps readings below 0.7 KB of a combined digest: a relay sends
-	// six of them a second, and has 13 KB/s for all it says.
-	maxReadings = 16
 )
 
 // Combine makes one digest of many. Every rule gives the same whatever the
@@ -34,7 +31,6 @@
 	spends := make(map[string]uint64)
 	suspects := make(map[string]*lilacv1.Suspect)
 	ejected := make(map[string]struct{})
-	readings := make(map[readingKey]*lilacv1.Reading)
 	for _, d := range all {
 		if d == nil {
 			continue
@@ -56,11 +52,7 @@
 		for _, server := range d.GetEjected() {
 			ejected[server] = struct{}{}
 		}
-		for _, reading := range d.GetReadings() {
-			readings[readingKey{reading.GetServer(), reading.GetHash()}] = reading
-		}
 	}
-	out.Readings = allReadings(readings)
 	out.Cutoffs = first(maxCutoffs, values(cutoffs))
 	out.Spends = topSpends(spends)
 	out.Suspects = first(maxSuspects, values(suspects))
@@ -101,23 +93,6 @@
 	return &lilacv1.Suspect{Digest: a.GetDigest(), Team: a.GetTeam(), Servers: slices.Compact(servers)}
 }
 
-type readingKey struct {
-	server string
-	hash   uint64
-}
-
-// allReadings lists the readings in an order that is the same whatever the parts.
-func allReadings(readings map[readingKey]*lilacv1.Reading) []*lilacv1.Reading {
-	var list []*lilacv1.Reading
-	for _, reading := range readings {
-		list = append(list, reading)
-	}
-	slices.SortFunc(list, func(a, b *lilacv1.Reading) int {
-		return cmp.Or(cmp.Compare(a.GetHash(), b.GetHash()), cmp.Compare(a.GetServer(), b.GetServer()))
-	})
-	return first(maxReadings, list)
-}
-
 func topSpends(spends map[string]uint64) []*lilacv1.TeamSpend {
 	list := make([]*lilacv1.TeamSpend, 0, len(spends))
 	for team, tokens := range spends {
--- a/request/policy/readings.go
+++ b/request/policy/readings.go
@@ -9,7 +9,9 @@
 // An instance sees a small part of the requests that share a prompt. Without the
 // others' word it takes each first one of its own for work on its engine, or, at
 // a prompt's home, none for any: while everything is cold an engine seemed idle
-// that had 8 s to read, and got more. So what was sent where is told.
+// that had 8 s to read, and got more. So what was sent where is told, between
+// instances that exchange digests directly; in a tree a part's home is taken to
+// hold it.
 
 // reading is a shared part that was sent to a server that was not known to hold it.
 type reading struct {
@@ -20,10 +22,10 @@
 }
 
 const (
-	// readingTold is how long a reading is told: in a tree of three levels, until
-	// it has reached all.
-	readingTold = 5 * time.Second
-	// maxReadings bounds what one instance tells.
+	// readingTold is how long a reading is told: some exchanges, for those that lose
+	// one.
+	readingTold = 2 * time.Second
+	// maxReadings bounds what one instance tells, at most 3 KB.
 	maxReadings = 64
 )
 
