--- a/daemon/entry/gateway_test.go
+++ b/daemon/entry/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,16 +20,20 @@
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
-// numbered is a platform whose documents are numbers, each with one route.
+// numbered is a platform whose documents are numbers; each has one route more than
+// the one before it.
 type numbered struct{ gateway.Platform }
 
 func (numbered) Document(content []byte) (*routing.Document, error) {
 	version, err := strconv.ParseUint(string(content), 10, 64)
-	route := routing.Route{
-		Name: "r-" + string(content), Host: "h", PathPrefix: "/", Timeout: time.Second, Public: true,
-		Backends: []routing.Backend{{Service: "desk", Weight: 1}},
+	document := &routing.Document{Version: version, Services: []routing.Service{{Name: "desk"}}}
+	for number := range version {
+		document.Routes = append(document.Routes, routing.Route{
+			Name: fmt.Sprintf("r-%d", number+1), Host: "h", PathPrefix: "/", Timeout: time.Second, Public: true,
+			Backends: []routing.Backend{{Service: "desk", Weight: 1}},
+		})
 	}
-	return &routing.Document{Version: version, Routes: []routing.Route{route}, Services: []routing.Service{{Name: "desk"}}}, err
+	return document, err
 }
 
 // A route is added, and its first request comes at the same moment. The policy
@@ -62,7 +67,7 @@
 				continue
 			}
 			seen = table.Document.Version
-			q := &gateway.Request{Head: gateway.Head{AttemptID: "a"}, Method: http.MethodGet, URI: "/", Host: "h", Route: &table.Document.Routes[0], Table: table, Deadline: time.Now().Add(time.Second)}
+			q := &gateway.Request{Head: gateway.Head{AttemptID: "a"}, Method: http.MethodGet, URI: "/", Host: "h", Route: &table.Document.Routes[seen-1], Table: table, Deadline: time.Now().Add(time.Second)}
 			_ = f.relay.Forward(context.Background(), q, &gateway.Answer{})
 		}
 	})
