fault soak: leaving servers get no new work; voters' turns checked over all seeds

A run that a server begins more than the bound of 4 s (and 3 s of a busy machine) after the list said that it leaves fails the soak. TestVotersThatStartTogetherCampaignInTurn compares the earliest of each voter with the latest of the one before it over 50 seeds; stricter, and shorter, than what it was.

--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -91,8 +91,11 @@
 	entries []*process
 	servers []*standin.Server
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// leaving holds since when the list says that a server leaves, left the times
+	// in which it said so before.
 	leaving map[string]time.Time
+	left    []leave
 }
 
 // ports of a fleet, the same on each of its addresses.
@@ -222,15 +225,22 @@
 	_ = json.NewEncoder(w).Encode(page)
 }
 
+// leave is a time in which the list said that a server leaves.
+type leave struct {
+	server   string
+	from, to time.Time
+}
+
 // drain has the list say that a server leaves, or that it stays.
 func (f *fleet) drain(identity string, leaves bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if leaves {
 		f.leaving[identity] = time.Now()
-	} else {
-		delete(f.leaving, identity)
+		return
 	}
+	f.left = append(f.left, leave{identity, f.leaving[identity], time.Now()})
+	delete(f.leaving, identity)
 }
 
 func (f *fleet) processes() []*process {
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -20,6 +20,8 @@
 	// revocation is the bound in the settings, slack what a busy machine may add.
 	revocation = 5 * time.Second
 	slack      = 3 * time.Second
+	// drainBound is how long a leaving server may get new work.
+	drainBound = 4 * time.Second
 	// callTimeout is the longest time that a caller waits.
 	callTimeout = 3 * time.Second
 )
@@ -307,6 +309,7 @@
 	for _, s := range r.fleet.servers {
 		for _, one := range s.Runs() {
 			runs[one.AttemptID] = append(runs[one.AttemptID], one)
+			r.judgeLeaving(s.Identity, one)
 		}
 	}
 	for id, list := range runs {
@@ -337,6 +340,17 @@
 	r.check(!revoked || c.sent.Before(taken.Add(revocation+slack)), "taken keys", "%s ran %v after its key was taken away", c.id, c.sent.Sub(taken))
 }
 
+// judgeLeaving: a leaving server gets no new work once all must know that it leaves.
+func (r *run) judgeLeaving(server string, one standin.Run) {
+	for _, l := range r.fleet.left {
+		if l.server == server {
+			known := l.from.Add(drainBound + slack)
+			r.check(one.Begun.Before(known) || one.Begun.After(l.to), "leaving servers",
+				"%s began at %s %v after it began to leave", one.AttemptID, server, one.Begun.Sub(l.from))
+		}
+	}
+}
+
 // judgeStop: a graceful stop cuts off no request that a server had begun.
 func (r *run) judgeStop(c *call, ran bool) {
 	for _, stop := range r.stops {
--- a/process/replica/regroup_test.go
+++ b/process/replica/regroup_test.go
@@ -73,24 +73,29 @@
 // campaign within that time the votes split. Each must have its turn.
 func TestVotersThatStartTogetherCampaignInTurn(t *testing.T) {
 	const way = 60 * time.Millisecond
-	var first []time.Duration
+	latestBefore := -way
 	for _, id := range []string{"a", "b", "c"} {
-		restored := Restored{
-			Hard:     &lilacv1.RaftHardState{Id: id, Group: "g", Term: 1},
-			Snapshot: &lilacv1.RaftSnapshotMeta{Index: 1, Term: 1, Members: testMembers("a", "b", "c")},
-		}
-		for seed := range uint64(20) {
-			c := NewCore(Config{Name: "name-" + id, Address: id, Heartbeat: testHeartbeat, Election: testElection, Seed: seed, AutoMembers: true}, restored, 0)
-			if len(first) > 0 && id != "a" && c.electionAt-first[len(first)-1] < way {
-				t.Fatalf("%s campaigns %v after the one before it", id, c.electionAt-first[len(first)-1])
-			}
-			if seed == 19 {
-				// The latest that this one may come.
-				step := testElection / turnShare
-				first = append(first, c.electionAt-c.electionAt%step+step/2)
-			}
+		earliest, latest := campaigns(id)
+		if earliest < latestBefore+way {
+			t.Fatalf("%s may campaign after %v, the one before it after %v", id, earliest, latestBefore)
 		}
+		latestBefore = latest
+	}
+}
+
+// campaigns returns when a voter that starts now may campaign first.
+func campaigns(id string) (earliest, latest time.Duration) {
+	restored := Restored{
+		Hard:     &lilacv1.RaftHardState{Id: id, Group: "g", Term: 1},
+		Snapshot: &lilacv1.RaftSnapshotMeta{Index: 1, Term: 1, Members: testMembers("a", "b", "c")},
+	}
+	earliest = time.Hour
+	for seed := range uint64(50) {
+		config := Config{Name: "name-" + id, Address: id, Heartbeat: testHeartbeat, Election: testElection, Seed: seed, AutoMembers: true}
+		at := NewCore(config, restored, 0).electionAt
+		earliest, latest = min(earliest, at), max(latest, at)
 	}
+	return earliest, latest
 }
 
 // A voter was taken out while it was lost. Its own log still names it a voter, so
