--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -231,16 +231,19 @@
 	from, to time.Time
 }
 
-// drain has the list say that a server leaves, or that it stays.
+// drain has the list say that a server leaves, or that it stays. Where two drains
+// overlap, the first to end ends both.
 func (f *fleet) drain(identity string, leaves bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if leaves {
+	since, already := f.leaving[identity]
+	switch {
+	case leaves && !already:
 		f.leaving[identity] = time.Now()
-		return
+	case !leaves && already:
+		f.left = append(f.left, leave{identity, since, time.Now()})
+		delete(f.leaving, identity)
 	}
-	f.left = append(f.left, leave{identity, f.leaving[identity], time.Now()})
-	delete(f.leaving, identity)
 }
 
 func (f *fleet) processes() []*process {
