--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -24,8 +24,8 @@
 
 // regressions are seeds that failed once, with the cause.
 var regressions = map[uint64]string{
-	1:  "an entry took the empty answer of processes without a group for the group, and never got a configuration",
-	14: "the stand-in answered streams with a plain text where it framed an answer badly; so did seeds 32 and 44",
+	1:   "an entry took the empty answer of processes without a group for the group, and never got a configuration",
+	14:  "the stand-in answered streams with a plain text where it framed an answer badly; so did seeds 32 and 44",
 	521: "two drains of one server overlapped, and the second one's end was taken for that of a drain since the year 1",
 }
 
