--- a/cmd/lilacctl/apply.go
+++ b/cmd/lilacctl/apply.go
@@ -31,6 +31,7 @@
 	cmd.Flags().Uint64Var(&ifRevision, ifRevisionFlag, 0, "refuse unless this is the current revision; 0 is an empty configuration")
 	cmd.Flags().BoolVar(&request.DryRun, "dry-run", false, "show the difference without making it")
 	cmd.Flags().BoolVar(&request.Prune, "prune", false, "drop what the file lacks")
+	// It fails for a flag that is not defined, and this one is, above.
 	_ = cmd.MarkFlagRequired("file")
 	return cmd
 }
--- a/cmd/lilacctl/global.go
+++ b/cmd/lilacctl/global.go
@@ -59,6 +59,7 @@
 	flags.StringSliceVar(&g.endpoints, "endpoint", fromEnvironment(endpointVariable), "host:port of an entry's operators' address; several are tried in turn ($"+endpointVariable+")")
 	flags.StringVar(&g.tokenFile, "token-file", os.Getenv(tokenFileVariable), "file that holds the operator's token ($"+tokenFileVariable+")")
 	flags.StringVarP(&g.output, "output", "o", "table", "table, json or yaml")
+	// It fails for a flag that is not defined, and this one is, above.
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"table", "json", "yaml"}, cobra.ShellCompDirectiveNoFileComp))
 }
 
--- a/cmd/lilacctl/recover.go
+++ b/cmd/lilacctl/recover.go
@@ -41,6 +41,7 @@
 	flags.DurationVar(&f.KeyMargin, "key-margin", state.DefaultKeyMargin, "how far ahead the clocks of callers that send keys with a time may be; such keys are in doubt that long")
 	flags.StringVar(&f.Who, "who", "", "who orders this, for the audit trail")
 	flags.BoolVar(&f.Confirm, "confirm", false, "change the folder; without it nothing is written")
+	// It fails for a flag that is not defined, and this one is, above.
 	_ = cmd.MarkFlagRequired("who")
 	return cmd
 }
--- a/cmd/lilacctl/token.go
+++ b/cmd/lilacctl/token.go
@@ -24,6 +24,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&keyFile, "key-file", "", "the callers' key file of the entries' settings")
+	// It fails for a flag that is not defined, and this one is, above.
 	_ = cmd.MarkFlagRequired("key-file")
 	return cmd
 }
--- a/cmd/lilacload/changes.go
+++ b/cmd/lilacload/changes.go
@@ -32,6 +32,7 @@
 	flags.StringVar(&o.tokenFile, "token-file", "", "file with the operator's token")
 	flags.StringVar(&o.record, "record", "", "file with the accepted changes")
 	for _, name := range []string{"endpoint", "token-file", "record"} {
+		// It fails for a flag that is not defined, and these are, above.
 		_ = command.MarkFlagRequired(name)
 	}
 }
--- a/cmd/lilacload/claims.go
+++ b/cmd/lilacload/claims.go
@@ -40,6 +40,7 @@
 	flags.DurationVar(&o.plan.Duration, "duration", 10*time.Second, "how long")
 	flags.IntVar(&o.plan.AnswerBytes, "answer-bytes", 256, "size of the answer that each outcome records")
 	for _, name := range []string{"state", "link-key-file"} {
+		// It fails for a flag that is not defined, and these are, above.
 		_ = command.MarkFlagRequired(name)
 	}
 	return command
--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -1,7 +1,6 @@
 package faultsoak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -201,28 +200,17 @@
 
 // serveList is the platform's list of backend servers.
 func (f *fleet) serveList(w http.ResponseWriter, _ *http.Request) {
-	type listed struct {
-		Identifier string `json:"identifier"`
-		Service    string `json:"service"`
-		Address    string `json:"address"`
-		Zone       string `json:"zone"`
-		Slots      int    `json:"slots"`
-		State      string `json:"state"`
-	}
-	var page struct {
-		Instances []listed `json:"instances"`
-		Next      *string  `json:"next"`
-	}
+	var list []standin.Listed
 	f.mu.Lock()
 	for i, s := range f.servers {
-		state := "ready"
-		if !f.leaving[s.Identity].IsZero() {
-			state = "draining"
-		}
-		page.Instances = append(page.Instances, listed{s.Identity, []string{"desk", "engines"}[i%2], s.Address(), fmt.Sprintf("dc-%d", i/2%3), 8, state})
+		list = append(list, standin.Listed{
+			Identity: s.Identity, Service: []string{"desk", "engines"}[i%2], Address: s.Address(),
+			DataCenter: fmt.Sprintf("dc-%d", i/2%3), Slots: 8, Leaving: !f.leaving[s.Identity].IsZero(),
+		})
 	}
 	f.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(page)
+	// A reader that is gone asks again.
+	_ = standin.WriteList(w, list)
 }
 
 // leave is a time in which the list said that a server leaves.
--- /dev/null
+++ b/faultsoak/judge_test.go
@@ -0,0 +1,76 @@
+package faultsoak
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/platform/standin"
+)
+
+// judge checks what only the end of a run shows.
+func (r *run) judge() {
+	runs := make(map[string][]standin.Run)
+	for _, s := range r.fleet.servers {
+		for _, one := range s.Runs() {
+			runs[one.AttemptID] = append(runs[one.AttemptID], one)
+			r.judgeLeaving(s.Identity, one)
+		}
+	}
+	for id, list := range runs {
+		r.judgeRuns(r.calls[id], list)
+	}
+	for _, c := range r.calls {
+		if c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests {
+			mayRun := c.route == "look" || c.route == "review"
+			r.check(mayRun || len(runs[c.id]) == 0, "not run is true", "%s on %s was answered %d and ran", c.id, c.route, c.status)
+		}
+		r.judgeStop(c, len(runs[c.id]) > 0)
+	}
+}
+
+func (r *run) judgeRuns(c *call, list []standin.Run) {
+	if c == nil {
+		r.broken("own requests", "a server ran %s, which nobody sent", list[0].AttemptID)
+		return
+	}
+	if c.route == "book" || c.route == "plan" {
+		r.check(len(list) == 1, "at most once", "%s on %s ran %d times", c.id, c.route, len(list))
+	}
+	for _, one := range list {
+		r.check(one.Body == "body of "+c.id && one.URI == "/"+c.route+"/x", "unchanged", "%s reached a server as %s %q", c.id, one.URI, one.Body)
+		r.check(!one.KeySent && one.Team != "", "keys stay here", "%s reached a server with its key or without its team", c.id)
+	}
+	taken, revoked := r.document.revoked[c.key]
+	r.check(!revoked || c.sent.Before(taken.Add(revocation+slack)), "taken keys", "%s ran %v after its key was taken away", c.id, c.sent.Sub(taken))
+}
+
+// judgeLeaving: a leaving server gets no new work once all must know that it leaves.
+func (r *run) judgeLeaving(server string, one standin.Run) {
+	for _, l := range r.fleet.left {
+		if l.server == server {
+			known := l.from.Add(drainBound + slack)
+			r.check(one.Begun.Before(known) || one.Begun.After(l.to), "leaving servers",
+				"%s began at %s %v after it began to leave", one.AttemptID, server, one.Begun.Sub(l.from))
+		}
+	}
+}
+
+// judgeStop: a graceful stop cuts off no request that a server had begun.
+func (r *run) judgeStop(c *call, ran bool) {
+	for _, stop := range r.stops {
+		within := c.sent.Before(stop.at) && c.ended.After(stop.at) && c.ended.Before(stop.at.Add(4*time.Second))
+		if c.entry == stop.entry && within && ran && c.status != 0 {
+			r.check(!c.cut || r.hurt(c), "graceful stop", "%s was cut off while %s stopped", c.id, c.entry.name)
+		}
+	}
+}
+
+// hurt tells whether servers broke answers off themselves while the call ran.
+func (r *run) hurt(c *call) bool {
+	for _, s := range r.fleet.servers {
+		if s.Spoiled(c.sent.Add(-callTimeout), c.ended) {
+			return true
+		}
+	}
+	return false
+}
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,28 +131,14 @@
 	r.stops = append(r.stops, stopTime{p, time.Now()})
 }
 
-// text is the document of the moment.
-func (d *documentState) text() []byte {
-	type object = map[string]any
-	route := func(name, kind, service string, resume bool) object {
-		return object{"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 2500,
-			"targetLatencyMs": 500, "eventGapMs": 500, "priority": 1, "service": service, "maxAttempts": 2, "streamResumption": resume}
-	}
-	var teams []object
+// text is the document of the moment. The list of teams may come in any order, so
+// a version's text is made once.
+func (d *documentState) text() ([]byte, error) {
+	teams := make(map[string][]string)
 	for i, key := range d.keys {
-		teams = append(teams, object{"name": fmt.Sprint("team-", i), "apiKeys": []string{key}})
+		teams[fmt.Sprint("team-", i)] = []string{key}
 	}
-	text, _ := json.Marshal(object{
-		"version": d.version,
-		"routes": []object{
-			route("book", "non_idempotent", "desk", false), route("look", "idempotent", "desk", false),
-			route("plan", "streaming", "engines", false), route("review", "streaming", "engines", true),
-			route(fmt.Sprint("v", d.version), "idempotent", "desk", false),
-		},
-		"services": []object{{"name": "desk"}, {"name": "engines", "inferenceEngine": object{"slots": 64, "kvCapacityTokens": 100000, "stride": 3}}},
-		"tenants":  teams,
-	})
-	return text
+	return standin.Document(d.version, fmt.Sprint("v", d.version), teams)
 }
 
 // change sends a new version of the document until it is acknowledged.
@@ -185,8 +170,13 @@
 	r.mu.Lock()
 	edit(&r.document)
 	r.document.version += 1 + uint64(rand.IntN(3))
-	version, text := r.document.version, r.document.text()
+	version := r.document.version
+	text, err := r.document.text()
 	r.mu.Unlock()
+	if err != nil {
+		r.broken("harness", "%v", err)
+		return
+	}
 	client := &http.Client{Timeout: time.Second}
 	for attempt := 0; ; attempt++ {
 		select {
@@ -195,7 +185,7 @@
 		default:
 		}
 		p := r.fleet.states[attempt%len(r.fleet.states)]
-		req, _ := http.NewRequest(http.MethodPut, "http://"+p.control+"/configuration", bytes.NewReader(text))
+		req, _ := http.NewRequest(http.MethodPut, "http://"+p.control+standin.ControlPath, bytes.NewReader(text))
 		resp, err := client.Do(req)
 		if err == nil {
 			resp.Body.Close()
@@ -218,7 +208,7 @@
 	acked := r.document.acked
 	r.mu.Unlock()
 	client := &http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + p.control + "/configuration")
+	resp, err := client.Get("http://" + p.control + standin.ControlPath)
 	if err != nil {
 		return 0, false
 	}
@@ -265,13 +255,10 @@
 	r.mu.Lock()
 	r.calls[c.id] = c
 	r.mu.Unlock()
-	req, _ := http.NewRequest(http.MethodPost, "http://"+entry.callers+"/"+route+"/x", strings.NewReader("body of "+c.id))
-	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", c.id)
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Deadline-Ms", "2000")
-	if route == "plan" || route == "review" {
-		req.Header.Set("Token-Counts", "100,24")
+	req, err := standin.NewRequest(entry.callers, route, c.id, key, route == "plan" || route == "review")
+	if err != nil {
+		r.broken("harness", "%v", err)
+		return
 	}
 	resp, err := client.Do(req)
 	if err == nil {
@@ -300,75 +287,7 @@
 			want += standin.Event(number + 1)
 		}
 	}
-	r.check(body == want && resp.Header.Get("Replica-Signature") == "signed."+c.id, "own whole answer", "%s on %s got %q", c.id, c.route, body)
-}
-
-// judge checks what only the end of a run shows.
-func (r *run) judge() {
-	runs := make(map[string][]standin.Run)
-	for _, s := range r.fleet.servers {
-		for _, one := range s.Runs() {
-			runs[one.AttemptID] = append(runs[one.AttemptID], one)
-			r.judgeLeaving(s.Identity, one)
-		}
-	}
-	for id, list := range runs {
-		r.judgeRuns(r.calls[id], list)
-	}
-	for _, c := range r.calls {
-		if c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests {
-			mayRun := c.route == "look" || c.route == "review"
-			r.check(mayRun || len(runs[c.id]) == 0, "not run is true", "%s on %s was answered %d and ran", c.id, c.route, c.status)
-		}
-		r.judgeStop(c, len(runs[c.id]) > 0)
-	}
-}
-
-func (r *run) judgeRuns(c *call, list []standin.Run) {
-	if c == nil {
-		r.broken("own requests", "a server ran %s, which nobody sent", list[0].AttemptID)
-		return
-	}
-	if c.route == "book" || c.route == "plan" {
-		r.check(len(list) == 1, "at most once", "%s on %s ran %d times", c.id, c.route, len(list))
-	}
-	for _, one := range list {
-		r.check(one.Body == "body of "+c.id && one.URI == "/"+c.route+"/x", "unchanged", "%s reached a server as %s %q", c.id, one.URI, one.Body)
-		r.check(!one.KeySent && one.Team != "", "keys stay here", "%s reached a server with its key or without its team", c.id)
-	}
-	taken, revoked := r.document.revoked[c.key]
-	r.check(!revoked || c.sent.Before(taken.Add(revocation+slack)), "taken keys", "%s ran %v after its key was taken away", c.id, c.sent.Sub(taken))
-}
-
-// judgeLeaving: a leaving server gets no new work once all must know that it leaves.
-func (r *run) judgeLeaving(server string, one standin.Run) {
-	for _, l := range r.fleet.left {
-		if l.server == server {
-			known := l.from.Add(drainBound + slack)
-			r.check(one.Begun.Before(known) || one.Begun.After(l.to), "leaving servers",
-				"%s began at %s %v after it began to leave", one.AttemptID, server, one.Begun.Sub(l.from))
-		}
-	}
-}
-
-// judgeStop: a graceful stop cuts off no request that a server had begun.
-func (r *run) judgeStop(c *call, ran bool) {
-	for _, stop := range r.stops {
-		within := c.sent.Before(stop.at) && c.ended.After(stop.at) && c.ended.Before(stop.at.Add(4*time.Second))
-		if c.entry == stop.entry && within && ran && c.status != 0 {
-			r.check(!c.cut || r.hurt(c), "graceful stop", "%s was cut off while %s stopped", c.id, c.entry.name)
-		}
-	}
-}
-
-// hurt tells whether servers broke answers off themselves while the call ran.
-func (r *run) hurt(c *call) bool {
-	for _, s := range r.fleet.servers {
-		if s.Spoiled(c.sent.Add(-callTimeout), c.ended) {
-			return true
-		}
-	}
-	return false
+	r.check(body == want && standin.Signed(resp.Header, c.id), "own whole answer", "%s on %s got %q", c.id, c.route, body)
 }
 
 // recovered waits until nearly all requests are served again.
