Know loads in large fleets, fetch shared prompts, begin with a smaller lane

Cause: with 78 entries each saw one request in 78 and no load of the others (loads were left out of digests in trees). All of a burst's long prompts went to their homes: expected 0.08 s to the first token, 3.5 s in fact.

--- a/connection/gateway/protocol.go
+++ b/connection/gateway/protocol.go
@@ -68,6 +68,9 @@
 	Resumable bool
 	// LastEvent is the last event that was passed on of a stream that broke.
 	LastEvent string
+	// FetchFrom is the address of an engine that holds more of the prompt; the
+	// server fetches that part before it reads the rest. Empty for none.
+	FetchFrom string
 }
 
 // Reply is what a backend server's header says.
--- /dev/null
+++ b/connection/loadlink/loadlink.go
@@ -0,0 +1,156 @@
+// Package loadlink carries an instance's load board over the links: it sends the
+// words that are due and answers those of others.
+package loadlink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/member"
+)
+
+// Method is the link method of a word.
+const Method = "entry.loads"
+
+const (
+	// callTimeout bounds one word and its answer: some ways between regions.
+	callTimeout = 500 * time.Millisecond
+	// tick is how often the board is asked for what is due.
+	tick = 50 * time.Millisecond
+)
+
+// Options say whose board it is.
+type Options struct {
+	Self member.Peer
+	// Dial returns the caller for an address; the same one each time.
+	Dial func(address string) link.Caller
+	// Own returns the own loads; nil where they are not known now.
+	Own func() loadboard.Loads
+	// OnLoads is given what all others run, each Interval; nil once that isn't known.
+	OnLoads func(loadboard.Loads)
+}
+
+// Link runs one board.
+type Link struct {
+	options Options
+
+	mu    sync.Mutex
+	board *loadboard.Board
+	busy  map[string]bool
+	wg    sync.WaitGroup
+}
+
+// New returns a Link that does nothing until Run.
+func New(o Options) *Link {
+	return &Link{options: o, board: loadboard.New(o.Self), busy: make(map[string]bool)}
+}
+
+// SetPeers names the other instances that live.
+func (l *Link) SetPeers(peers []member.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.board.SetPeers(peers)
+}
+
+// Register adds the method to mux.
+func (l *Link) Register(mux *link.Mux) { mux.Handle(Method, link.Unary(l.receive)) }
+
+func (l *Link) receive(_ context.Context, peer link.Peer, w *lilacv1.LoadWord) (*lilacv1.LoadWord, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer := l.board.Receive(time.Now(), peer.Process, peer.DataCenter, loadboard.Decode(w.GetLoads()))
+	return l.word(answer), nil
+}
+
+func (l *Link) word(loads loadboard.Loads) *lilacv1.LoadWord {
+	return &lilacv1.LoadWord{DataCenter: l.options.Self.DataCenter, Loads: loads.Encode()}
+}
+
+// Run sends what is due until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	defer l.wg.Wait()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var taken time.Time
+	known := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if now.Sub(taken) >= loadboard.Interval {
+				taken = now
+				l.renew(now)
+				known = l.tell(now, known)
+			}
+			l.send(ctx, now)
+		}
+	}
+}
+
+// renew takes the own loads anew.
+func (l *Link) renew(now time.Time) {
+	if !l.active() {
+		return
+	}
+	own := l.options.Own()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if own != nil {
+		l.board.SetOwn(own)
+	}
+	l.board.Forget(now)
+}
+
+func (l *Link) active() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.board.Active()
+}
+
+// tell passes on what the others run, and once that it isn't known any more.
+func (l *Link) tell(now time.Time, known bool) bool {
+	l.mu.Lock()
+	others := l.board.Others(now)
+	l.mu.Unlock()
+	if others != nil || known {
+		l.options.OnLoads(others)
+	}
+	return others != nil
+}
+
+func (l *Link) send(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ask := range l.board.Due(now) {
+		if l.busy[ask.Peer.Name] {
+			continue
+		}
+		l.busy[ask.Peer.Name] = true
+		word := l.word(ask.Loads)
+		l.wg.Go(func() { l.call(ctx, ask.Peer, word) })
+	}
+}
+
+// call sends one word; one at a time to each peer.
+func (l *Link) call(ctx context.Context, peer member.Peer, word *lilacv1.LoadWord) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer := &lilacv1.LoadWord{}
+	err := l.options.Dial(peer.Address).Call(limited, Method, word, answer)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.busy, peer.Name)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		l.board.Failed(time.Now(), peer)
+		return
+	}
+	l.board.Answered(time.Now(), peer, loadboard.Decode(answer.GetLoads()))
+}
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/gossip"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/loadlink"
 	"github.com/lilacbridge/lilacbridge/connection/operator"
 	"github.com/lilacbridge/lilacbridge/connection/orders"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
@@ -40,6 +41,7 @@
 	watcher  *spreadlink.Watcher
 	spread   *spreadlink.Server
 	gossip   *gossip.Gossip
+	loads    *loadlink.Link
 	orders   *orders.Giver
 	links    *link.Server
 	// gateway is nil where the settings name none.
@@ -97,8 +99,10 @@
 	}))
 	d.spread = spreadlink.NewServer(d.watcher)
 	d.spread.Register(mux, "entry")
+	d.loads = d.newLoads()
 	d.gossip = d.newGossip()
 	d.gossip.Register(mux)
+	d.loads.Register(mux)
 	d.orders = orders.New(orders.Options{View: d.watcher.Current, Lease: d.state.Lease, Client: d.entry.clients, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
 	d.links = link.NewServer(id, mux)
@@ -158,6 +162,7 @@
 	group.Go(func() { _ = d.watcher.Run(working) })
 	group.Go(func() { _ = d.state.Run(working) })
 	group.Go(func() { _ = d.gossip.Run(working) })
+	group.Go(func() { d.loads.Run(working) })
 	if d.gateway != nil {
 		group.Go(func() { d.gateway.run(working) })
 	} else {
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -57,6 +57,7 @@
 		// its data centre: all follow the state processes themselves.
 		d.watcher.SetEntries(peers)
 	}
+	d.loads.SetPeers(membersOf(peers))
 	d.orders.SetPosition(d.position(peers))
 	d.entry.poller.SetBudget(pollBudget(len(peers)+1, d.relays(peers)))
 }
--- /dev/null
+++ b/daemon/entry/loads.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/lilacbridge/lilacbridge/connection/loadlink"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// newLoads joins the policy core with the board of loads.
+func (d *Daemon) newLoads() *loadlink.Link {
+	return loadlink.New(loadlink.Options{
+		Self:    member.Peer{Name: d.settings.Name, Address: d.settings.LinkForOthers().Value, DataCenter: d.settings.DataCenter},
+		Dial:    d.dialer.dial,
+		Own:     d.ownLoads,
+		OnLoads: func(loads loadboard.Loads) { d.entry.relay.Post(policy.LoadsTold{Loads: loads}) },
+	})
+}
+
+// ownLoads asks the core; nil where it doesn't answer in time.
+func (d *Daemon) ownLoads() loadboard.Loads {
+	ctx, cancel := context.WithTimeout(context.Background(), digestTimeout)
+	defer cancel()
+	loads, err := d.entry.relay.Loads(ctx)
+	if err != nil {
+		d.logger.Warn("own loads not known in time; the last ones are told again", "error", err)
+		return nil
+	}
+	return loads
+}
+
+func membersOf(peers []settings.Peer) []member.Peer {
+	members := make([]member.Peer, 0, len(peers))
+	for _, p := range peers {
+		members = append(members, member.Peer{Name: p.Name, Address: p.Address.Value, DataCenter: p.DataCenter})
+	}
+	return members
+}
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -7,6 +7,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -110,6 +111,9 @@
 // Digest implements policy.Core; baselines tell nothing.
 func (b *baseline) Digest(time.Time) *lilacv1.Digest { return &lilacv1.Digest{} }
 
+// Loads implements policy.Core; baselines tell nothing.
+func (b *baseline) Loads() loadboard.Loads { return nil }
+
 // Stats implements policy.Core.
 func (b *baseline) Stats() policy.Stats { return policy.Stats{} }
 
--- /dev/null
+++ b/process/loadboard/board.go
@@ -0,0 +1,203 @@
+// Package loadboard lets the instances of a large fleet know within half a second
+// what all of them run on each backend server.
+//
+// Few instances tell each other in their digests. Where digests travel in a tree,
+// an instance sees a part of the requests in a hundred, and what it hears is
+// seconds old: engines with seconds of prompts to read seem idle to all. So in
+// each data centre the instance of the best rank is the collector. The others
+// tell it their loads, it exchanges sums with the collectors of the other data
+// centres, and answers with what all others run: three steps, of one interval each
+// at most.
+package loadboard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/member"
+)
+
+const (
+	// Interval lies between two words to the same instance. Engines read some 10,000
+	// tokens meanwhile, less than one long prompt.
+	Interval = 250 * time.Millisecond
+	// Lifetime is how long a word counts. Loads change within a second or two, and
+	// older ones keep requests from engines that are idle again.
+	Lifetime = 1200 * time.Millisecond
+	// Avoidance is how long a collector that failed is passed over.
+	Avoidance = 3 * time.Second
+	// Most is the number of instances of a data centre up to which there is a board:
+	// its collector takes 4 words of each a second, some 70 KB/s at 16.
+	Most = 32
+)
+
+// Board is the knowledge of one instance. Calls must not overlap.
+type Board struct {
+	self member.Peer
+	// peers are the other instances that live.
+	peers []member.Peer
+	own   Loads
+	// parts are the loads of this data centre's other instances, where this one
+	// collects them, sums those of other data centres.
+	parts, sums map[string]word
+	// others is the last answer of the collector.
+	others  word
+	asked   map[string]time.Time
+	avoided map[string]time.Time
+}
+
+// word is what was heard, and when.
+type word struct {
+	loads Loads
+	at    time.Time
+}
+
+func (w word) fresh(now time.Time) bool { return w.loads != nil && now.Sub(w.at) <= Lifetime }
+
+// New returns a board that knows nobody else.
+func New(self member.Peer) *Board {
+	return &Board{
+		self: self, parts: make(map[string]word), sums: make(map[string]word),
+		asked: make(map[string]time.Time), avoided: make(map[string]time.Time),
+	}
+}
+
+// SetPeers names the other instances that live.
+func (b *Board) SetPeers(peers []member.Peer) { b.peers = slices.Clone(peers) }
+
+// SetOwn gives the own loads.
+func (b *Board) SetOwn(loads Loads) { b.own = loads }
+
+// Active tells whether the fleet is of the size for a board.
+func (b *Board) Active() bool {
+	return len(b.peers)+1 > member.MeshLimit && len(b.neighbours()) < Most
+}
+
+func (b *Board) neighbours() []member.Peer {
+	return slices.DeleteFunc(slices.Clone(b.peers), func(p member.Peer) bool { return p.DataCenter != b.self.DataCenter })
+}
+
+// collectors are the instances of the best rank, by data centre.
+func (b *Board) collectors(now time.Time) map[string]member.Peer {
+	best := map[string]member.Peer{b.self.DataCenter: b.self}
+	for _, peer := range b.peers {
+		if now.Before(b.avoided[peer.Name]) {
+			continue
+		}
+		if other, known := best[peer.DataCenter]; !known || member.CompareRank(peer.Name, other.Name) < 0 {
+			best[peer.DataCenter] = peer
+		}
+	}
+	return best
+}
+
+// Ask is a word to be sent to a peer.
+type Ask struct {
+	Peer  member.Peer
+	Loads Loads
+}
+
+// Due returns the words that are to be sent now.
+func (b *Board) Due(now time.Time) []Ask {
+	if !b.Active() {
+		return nil
+	}
+	collectors := b.collectors(now)
+	own := collectors[b.self.DataCenter]
+	if own.Name != b.self.Name {
+		if b.due(now, own.Name) {
+			return []Ask{{own, b.own}}
+		}
+		return nil
+	}
+	var asks []Ask
+	for _, dataCenter := range slices.Sorted(maps.Keys(collectors)) {
+		peer := collectors[dataCenter]
+		// One of the two begins; the other does where it heard nothing.
+		begins := member.CompareRank(b.self.Name, peer.Name) < 0 || !b.sums[dataCenter].fresh(now)
+		if dataCenter != b.self.DataCenter && begins && b.due(now, peer.Name) {
+			asks = append(asks, Ask{peer, b.collected(now, "")})
+		}
+	}
+	return asks
+}
+
+func (b *Board) due(now time.Time, name string) bool {
+	if last, known := b.asked[name]; known && now.Sub(last) < Interval {
+		return false
+	}
+	b.asked[name] = now
+	return true
+}
+
+// collected is what this data centre's instances run, but for the one named.
+func (b *Board) collected(now time.Time, without string) Loads {
+	sum := make(Loads, len(b.own))
+	if without != b.self.Name {
+		sum.add(b.own)
+	}
+	for name, part := range b.parts {
+		if name != without && part.fresh(now) {
+			sum.add(part.loads)
+		}
+	}
+	return sum
+}
+
+// Receive takes a word and returns the answer: to an instance of the own data
+// centre what all others run, to a foreign collector what this one's run.
+func (b *Board) Receive(now time.Time, from, dataCenter string, loads Loads) Loads {
+	if dataCenter != b.self.DataCenter {
+		b.sums[dataCenter] = word{loads, now}
+		return b.collected(now, "")
+	}
+	b.parts[from] = word{loads, now}
+	return b.without(now, from)
+}
+
+// without is what all but the instance named run.
+func (b *Board) without(now time.Time, name string) Loads {
+	sum := b.collected(now, name)
+	for _, foreign := range b.sums {
+		if foreign.fresh(now) {
+			sum.add(foreign.loads)
+		}
+	}
+	return sum
+}
+
+// Answered takes the answer of a peer.
+func (b *Board) Answered(now time.Time, peer member.Peer, loads Loads) {
+	if peer.DataCenter != b.self.DataCenter {
+		b.sums[peer.DataCenter] = word{loads, now}
+		return
+	}
+	b.others = word{loads, now}
+}
+
+// Failed passes the peer over for some time.
+func (b *Board) Failed(now time.Time, peer member.Peer) { b.avoided[peer.Name] = now.Add(Avoidance) }
+
+// Others is what all other instances run; nil while that isn't known.
+func (b *Board) Others(now time.Time) Loads {
+	if !b.Active() {
+		return nil
+	}
+	if b.collectors(now)[b.self.DataCenter].Name == b.self.Name {
+		return b.without(now, b.self.Name)
+	}
+	if !b.others.fresh(now) {
+		return nil
+	}
+	return b.others.loads
+}
+
+// Forget drops what no longer counts.
+func (b *Board) Forget(now time.Time) {
+	stale := func(_ string, w word) bool { return !w.fresh(now) }
+	maps.DeleteFunc(b.parts, stale)
+	maps.DeleteFunc(b.sums, stale)
+	maps.DeleteFunc(b.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(b.asked, func(_ string, at time.Time) bool { return now.Sub(at) > Lifetime })
+}
--- /dev/null
+++ b/process/loadboard/board_test.go
@@ -0,0 +1,165 @@
+package loadboard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/process/member"
+)
+
+// step is how often the simulated instances are asked for what is due.
+const step = 50 * time.Millisecond
+
+// fleet runs the boards of several data centres. Words arrive at once; who is in
+// dead answers nothing.
+type fleet struct {
+	now    time.Time
+	boards map[string]*Board
+	peers  map[string]member.Peer
+	dead   map[string]bool
+	words  int
+}
+
+func newFleet(dataCenters, each int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), boards: make(map[string]*Board), peers: make(map[string]member.Peer), dead: make(map[string]bool)}
+	for d := range dataCenters {
+		for i := range each {
+			name := fmt.Sprintf("entry-%d-%d", d, i)
+			f.peers[name] = member.Peer{Name: name, DataCenter: fmt.Sprint("dc-", d)}
+		}
+	}
+	for name, self := range f.peers {
+		board := New(self)
+		var others []member.Peer
+		for other, peer := range f.peers {
+			if other != name {
+				others = append(others, peer)
+			}
+		}
+		board.SetPeers(others)
+		f.boards[name] = board
+	}
+	return f
+}
+
+func (f *fleet) run(length time.Duration) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
+		for name, board := range f.boards {
+			if !f.dead[name] {
+				f.send(name, board)
+			}
+		}
+	}
+}
+
+func (f *fleet) send(name string, board *Board) {
+	board.Forget(f.now)
+	for _, ask := range board.Due(f.now) {
+		f.words++
+		if f.dead[ask.Peer.Name] {
+			board.Failed(f.now, ask.Peer)
+			continue
+		}
+		answer := f.boards[ask.Peer.Name].Receive(f.now, name, f.peers[name].DataCenter, Decode(ask.Loads.Encode()))
+		board.Answered(f.now, ask.Peer, Decode(answer.Encode()))
+	}
+}
+
+// burst has each instance run n requests on the one engine.
+func (f *fleet) burst(n uint32) {
+	for _, board := range f.boards {
+		board.SetOwn(Loads{7: {InFlight: n, Backlog: [Levels]uint32{4: 10 * n}}})
+	}
+}
+
+// allKnow tells whether each living instance knows what so many others run.
+func (f *fleet) allKnow(others uint32, n uint32) bool {
+	for name, board := range f.boards {
+		if f.dead[name] {
+			continue
+		}
+		load := board.Others(f.now)[7]
+		if load.InFlight != others*n || load.Backlog[4] != others*n*10 {
+			return false
+		}
+	}
+	return true
+}
+
+// A burst comes to all instances of a large fleet at once. Each sees one part in
+// 78 of it; until the others' part is known here an engine with seconds of prompts
+// to read seems idle. Three steps of an interval each bring it to all.
+func TestABurstIsKnownEverywhereAfterThreeIntervals(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 13)
+	f.run(time.Second)
+	f.burst(2)
+	f.run(3*Interval + step)
+	is.True(f.allKnow(77, 2))
+}
+
+// A word costs its sender and its collector bytes and time. An instance sends one
+// an interval, a collector one more to half of the other data centres.
+func TestWordsGrowWithTheInstances(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 13)
+	f.run(time.Second)
+	f.words = 0
+	f.run(time.Second)
+	perInterval := float64(f.words) * Interval.Seconds()
+	is.True(perInterval <= 72+15+5) // 72 instances, 15 pairs of collectors, one step of slack
+}
+
+// A collector loses power. The others of its data centre pass it over, the next in
+// rank takes its place, and what the dead one ran counts no longer.
+func TestANextCollectorTakesTheDeadOnesPlace(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 5)
+	f.burst(1)
+	f.run(time.Second)
+	is.True(f.allKnow(14, 1))
+	first := f.boards["entry-0-0"].collectors(f.now)["dc-0"].Name
+	f.dead[first] = true
+	f.run(Lifetime + 4*Interval)
+	is.True(f.allKnow(13, 1))
+}
+
+// Two collectors can no longer reach each other. What the other data centre ran
+// must be forgotten, not counted for ever.
+func TestLoadsOfAnUnreachableDataCentreEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 5)
+	f.burst(1)
+	f.run(time.Second)
+	for name, peer := range f.peers {
+		f.dead[name] = peer.DataCenter == "dc-2"
+	}
+	f.run(Lifetime + 4*Interval)
+	is.True(f.allKnow(9, 1))
+}
+
+// Few instances tell each other in their digests, and a data centre of hundreds
+// would drown its collector: neither has a board, and nothing is sent.
+func TestSmallAndVeryLargeFleetsHaveNoBoard(t *testing.T) {
+	is := is.New(t)
+	for _, f := range []*fleet{newFleet(3, 3), newFleet(2, Most+1)} {
+		f.burst(1)
+		f.run(time.Second)
+		is.Equal(f.words, 0)
+		is.True(f.boards["entry-0-0"].Others(f.now) == nil)
+	}
+}
+
+// Levels that a later build might add, and empty ones, don't break the words.
+func TestLoadsSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	loads := Loads{1: {InFlight: 3, Backlog: [Levels]uint32{0, 2}}, 9: {Backlog: [Levels]uint32{9: 4}}}
+	is.Equal(Decode(loads.Encode()), loads)
+	is.Equal(len(loads.Encode()[0].GetBacklog()), 2)
+	told := loads.Encode()
+	told[1].Backlog = append(told[1].Backlog, 5, 6)
+	is.Equal(Decode(told), loads)
+}
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -21,10 +21,14 @@
 	first, second *server
 	// assumed is true where the first one is taken to hold the parts.
 	assumed bool
+	// holder is the engine that holds the most of the shared parts, held how many
+	// of their tokens; nil where none is known to.
+	holder *server
+	held   float64
 }
 
 // homesOf ranks the open engines by the request's last shared part.
-func (c *core) homesOf(r *request) homes {
+func (c *core) homesOf(now time.Time, r *request) homes {
 	h := homes{assumed: c.peers[member.Others] != nil}
 	shared := len(r.Prefix) - 2
 	if !r.Anchored || shared < 0 {
@@ -35,7 +39,13 @@
 	tight := r.tight()
 	var most, next uint64
 	for _, s := range r.pool.servers {
-		if s.closed() || s.cut || s.lane != tight {
+		if s.closed() || s.cut {
+			continue
+		}
+		if !now.Before(s.ejectedUntil) {
+			h.noteHolder(s, r, shared)
+		}
+		if s.lane != tight {
 			continue
 		}
 		// A remote engine is worth its price where that buys more time of reading.
@@ -50,6 +60,7 @@
 			h.second, next = s, rank
 		}
 	}
+	h.holdAtHome(now, r, shared)
 	return h
 }
 
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -12,6 +12,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -170,6 +171,9 @@
 	// stream, where it may be resumed; empty otherwise. The tokens so far, which
 	// the shell keeps, go along as a prefix.
 	ResumeFrom string
+	// FetchFrom names the engine that holds a shared part of the prompt that Server
+	// lacks, and from which it can fetch it; empty for none.
+	FetchFrom string
 	// Continue is true where the caller already holds a part of the answer.
 	Continue bool
 	// Why is what decided the place, for the log.
@@ -188,6 +192,8 @@
 	// Uncached is the part of the prompt that the server must read, in tokens, and
 	// Ahead what it must read before.
 	Uncached, Ahead float64
+	// Fetched is the part of the prompt that it fetches from another engine, in tokens.
+	Fetched float64
 	// Expected is the time to the first token.
 	Expected time.Duration
 	// Lane is true on an engine that is kept for tight answers.
@@ -260,6 +266,8 @@
 	Step(now time.Time, event Event) []Action
 	// Digest returns what the other instances must know, as of now.
 	Digest(now time.Time) *lilacv1.Digest
+	// Loads is what this instance runs on each server.
+	Loads() loadboard.Loads
 	// Stats returns the counters and the invariants that were seen broken.
 	Stats() Stats
 }
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -79,7 +79,7 @@
 
 // describe fills in the candidates for a request; a large pool is sampled.
 func (c *core) describe(now time.Time, r *request) {
-	servers, h := r.pool.servers, c.homesOf(r)
+	servers, h := r.pool.servers, c.homesOf(now, r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
 		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -73,6 +73,7 @@
 	if tokens := configured.GetCacheTokens(); tokens > 0 {
 		s.cache.most = int(tokens)
 		s.expectFast()
+		s.cacheToken = time.Duration(configured.GetCacheTokenNs())
 	}
 	s.close(now, &s.configLeaving, configured.GetDraining())
 }
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -120,6 +120,8 @@
 		c.peerDigest(now, e)
 	case PeerGone:
 		c.peerGone(now, e.Instance)
+	case LoadsTold:
+		c.takeTold(e)
 	case Draining:
 		c.draining = true
 	case Tick:
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -100,8 +100,9 @@
 	r.gotNow = 0
 	r.started, r.lastAt = now, now
 	r.level = r.levelOf()
-	r.uncached, r.ahead = c.homesOf(r).uncachedAt(s, r), s.before(r.level)
-	r.expected = s.firstToken(s.load()+1, r.uncached, r.level)
+	supply := c.homesOf(now, r).supplyAt(s, r)
+	r.uncached, r.fetched, r.ahead = supply.read, supply.fetched, s.before(r.level)
+	r.expected = s.firstToken(s.load()+1, r.uncached, r.level) + s.fetchTime(r.fetched)
 	c.carry(now, r, s, from)
 	why := c.why(now, r, s)
 	s.attach(r)
@@ -118,18 +119,22 @@
 	if r.got > 0 {
 		c.stats.Continued++
 	}
+	fetch := ""
+	if supply.from != nil {
+		fetch = supply.from.name
+	}
 	resume := ""
 	if from != nil {
 		resume = from.name
 	}
-	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), Level: r.level, ResumeFrom: resume, Continue: r.got > 0, Why: why})
+	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), Level: r.level, ResumeFrom: resume, FetchFrom: fetch, Continue: r.got > 0, Why: why})
 }
 
 // why notes what speaks for the server before the request is on it.
 func (c *core) why(now time.Time, r *request, s *server) Why {
 	return Why{
 		Waited: now.Sub(r.item.Arrived), Own: len(s.own), Load: s.load(), ReportAge: time.Duration(s.reportAge * float64(time.Second)),
-		Uncached: r.uncached, Ahead: r.ahead, Expected: r.expected, Lane: s.lane, Home: c.homesOf(r).place(s),
+		Uncached: r.uncached, Fetched: r.fetched, Ahead: r.ahead, Expected: r.expected, Lane: s.lane, Home: c.homesOf(now, r).place(s),
 	}
 }
 
--- /dev/null
+++ b/request/policy/fetch.go
@@ -0,0 +1,68 @@
+package policy
+
+import "time"
+
+// A shared prompt of 13,300 tokens takes an engine a quarter of a second to read,
+// and all answers that it runs meanwhile get their tokens seven times slower. An
+// engine can fetch the part from another one that holds it, in half the time and
+// beside its own work. So a request that finds the engine of its prompt busy goes
+// to another one without the prompt being read there again.
+
+const (
+	// leastFetch is the least shared part that is fetched, in tokens: a shorter one
+	// is read in the time that a fetch takes to begin, some 5 ms at 50 tokens a
+	// millisecond, with as much again for the links of two engines that are busy.
+	leastFetch = 512
+	// fetchShare is what a fetched token costs of what a read one does: it takes the
+	// links' time and volume in place of the engine's.
+	fetchShare = 0.3
+)
+
+// supply is how an engine comes by a request's prompt.
+type supply struct {
+	// read is what it must read, fetched what it takes from another engine, in tokens.
+	read, fetched float64
+	// from is the engine that holds the fetched part; nil for none.
+	from *server
+}
+
+// work is the supply's cost, as tokens to be read.
+func (p supply) work() float64 { return p.read + fetchShare*p.fetched }
+
+// fetchTime is how long the fetched part takes on its way.
+func (s *server) fetchTime(tokens float64) time.Duration {
+	return time.Duration(tokens * float64(s.cacheToken))
+}
+
+// supplyAt says how the server would come by the request's prompt.
+func (h homes) supplyAt(s *server, r *request) supply {
+	p := supply{read: h.uncachedAt(s, r)}
+	if h.holder == nil || s == h.holder || s.cacheToken == 0 {
+		return p
+	}
+	held := float64(r.PromptTokens+r.got) - p.read
+	if more := h.held - held; more >= leastFetch {
+		p.read, p.fetched, p.from = p.read-more, more, h.holder
+	}
+	return p
+}
+
+// noteHolder keeps the engine that holds the most of the request's shared parts.
+// Where others' requests are not known, the first home is taken for it.
+func (h *homes) noteHolder(s *server, r *request, shared int) {
+	held := float64(s.cache.hit(r.Prefix[:shared+1]))
+	if held > h.held {
+		h.holder, h.held = s, held
+	}
+}
+
+// holdAtHome takes the first home for the holder where it is assumed to be one and
+// has not failed just now.
+func (h *homes) holdAtHome(now time.Time, r *request, shared int) {
+	if !h.assumed || h.first == nil || now.Before(h.first.ejectedUntil) {
+		return
+	}
+	if all := float64(r.Prefix[shared].End); h.held < all {
+		h.holder, h.held = h.first, all
+	}
+}
--- /dev/null
+++ b/request/policy/fetch_test.go
@@ -0,0 +1,109 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/member"
+)
+
+// fetching lets the core's engines fetch KV cache, as long as the wire takes for it.
+func fetching(c *core) *core {
+	for _, s := range c.ordered {
+		if !s.service {
+			s.cacheToken = 10 * time.Microsecond
+		}
+	}
+	return c
+}
+
+// inTree has the core believe that digests travel in a tree: a prompt's home is
+// taken to hold it.
+func inTree(c *core) *core {
+	c.Step(epoch, PeerDigest{Digest: &lilacv1.Digest{Instance: member.Others, Incarnation: "1", Sequence: 1}, At: epoch})
+	return c
+}
+
+// told has others run so much prompt work on the server, at the level of digests.
+func told(c *core, server string, tokens uint32) {
+	var load loadboard.Load
+	load.InFlight = 10
+	load.Backlog[5] = tokens / loadboard.Unit
+	c.Step(epoch, LoadsTold{Loads: loadboard.Loads{loadboard.Key(server): load}})
+}
+
+// In a burst of one kind of request the engine that holds a prompt has four
+// seconds of others' prompts to read, which this instance never saw. Without their
+// word all requests of the prompt went there and were late; reading it on another
+// engine costs a quarter of a second. So it goes elsewhere and the prompt is
+// fetched.
+func TestARequestLeavesABusyHomeAndTakesItsPromptAlong(t *testing.T) {
+	is := is.New(t)
+	c := inTree(fetching(engines("e1", 3, "a", "b", "c")))
+	c.Step(epoch.Add(slowTick), Tick{})
+	home := only[Start](t, c.Step(epoch.Add(slowTick), digest(1, 7)))
+	is.Equal(home.Why.Home, 1)
+	is.Equal(home.FetchFrom, "")
+	told(c, home.Server, 200000)
+	away := only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 7)))
+	is.True(away.Server != home.Server)
+	is.Equal(away.FetchFrom, home.Server)
+	is.Equal(away.Why.Fetched, 13300.0)
+	is.Equal(away.Why.Uncached, 3700.0)
+}
+
+// Once the others' word ends, what they ran must not keep requests from a prompt's
+// engine for ever.
+func TestLoadsThatAreNotToldAnyMoreEnd(t *testing.T) {
+	is := is.New(t)
+	c := inTree(fetching(engines("e1", 3, "a", "b", "c")))
+	c.Step(epoch.Add(slowTick), Tick{})
+	home := only[Start](t, c.Step(epoch.Add(slowTick), digest(1, 7)))
+	told(c, home.Server, 200000)
+	is.True(c.servers[home.Server].before(lateLevel) > 200000)
+	c.Step(epoch, LoadsTold{})
+	again := only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 7)))
+	is.Equal(again.Server, home.Server)
+}
+
+// The engine that holds the prompt went down, or can't pass anything on: the
+// prompt is read, and no engine waits for another that never answers.
+func TestNothingIsFetchedFromAnEngineThatIsOut(t *testing.T) {
+	is := is.New(t)
+	c := inTree(fetching(engines("e1", 3, "a", "b", "c")))
+	c.Step(epoch.Add(slowTick), Tick{})
+	home := only[Start](t, c.Step(epoch.Add(slowTick), digest(1, 7)))
+	c.servers[home.Server].ejectedUntil = epoch.Add(time.Minute)
+	away := only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 7)))
+	is.True(away.FetchFrom != home.Server)
+	plain := inTree(engines("e1", 3, "a", "b", "c"))
+	plain.Step(epoch.Add(slowTick), Tick{})
+	told(plain, home.Server, 200000)
+	is.Equal(only[Start](t, plain.Step(epoch.Add(slowTick), digest(3, 7))).FetchFrom, "")
+}
+
+// A short shared part is read sooner than a fetch begins.
+func TestShortPartsAreRead(t *testing.T) {
+	is := is.New(t)
+	c := inTree(fetching(engines("e1", 3, "a", "b", "c")))
+	c.Step(epoch.Add(slowTick), Tick{})
+	home := only[Start](t, c.Step(epoch.Add(slowTick), draft(1)))
+	told(c, home.Server, 200000)
+	is.Equal(only[Start](t, c.Step(epoch.Add(slowTick), draft(2))).FetchFrom, "")
+}
+
+// What this instance runs is told by server and priority, and ends with the answer.
+func TestOwnLoadsAreTold(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 3, "a")
+	start := only[Start](t, c.Step(epoch, digest(1, 7)))
+	load := c.Loads()[loadboard.Key(start.Server)]
+	is.Equal(load.InFlight, uint32(1))
+	is.Equal(load.Backlog[5], uint32(266)) // 17,000 tokens
+	finish(c, epoch, start)
+	is.Equal(len(c.Loads()), 0)
+}
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -24,7 +24,7 @@
 	laneLearn = 0.02
 	// firstTightWork and firstWork are the means before any request was seen: a
 	// third, with the weight of 50 requests, so that the first few don't move lanes.
-	firstTightWork = 1000
+	firstTightWork = 400
 	firstWork      = 3000
 	// leastLane is the share of work below which nothing is kept free.
 	leastLane = 0.02
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -34,6 +34,8 @@
 	charged   float64
 	// uncached is the prompt work of this attempt, ahead what stood before it.
 	uncached, ahead float64
+	// fetched is the part of the prompt that the server fetches from another one.
+	fetched float64
 	// level is its priority at the engine, as it started.
 	level    int
 	expected time.Duration
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -30,7 +30,7 @@
 	// for each request, and 53 prompt tokens a millisecond.
 	largeBase    = 100
 	largeNorm    = 0.0036
-	largePrefill = 0.0012
+	largePrefill = 0.0015
 	// defaultService is the time of a plain service's answer before anything was measured, in seconds.
 	defaultService = 0.08
 	// learn is the weight of one measurement; jumpLearn where it is far off.
@@ -67,20 +67,27 @@
 	peersAhead backlog
 	// peers is what other instances run here, by their digests.
 	peers float64
+	// toldLoad and toldAhead are the same of all others together, where they tell
+	// their loads beside their digests.
+	toldLoad  float64
+	toldAhead backlog
 	// others joins peers with reports.
 	others float64
 
 	// told is true once the configuration said what engine it is.
 	told bool
 	// base is the batch at which a step costs twice what an empty one does.
-	base      float64
-	norm      float64
-	prefill   float64
-	answer    float64
-	decoding  int
-	lastToken time.Time
-	stall     time.Duration
-	heardGap  time.Time
+	base    float64
+	norm    float64
+	prefill float64
+	// cacheToken is how long a token of KV cache takes from another engine; 0 where
+	// it can't be fetched.
+	cacheToken time.Duration
+	answer     float64
+	decoding   int
+	lastToken  time.Time
+	stall      time.Duration
+	heardGap   time.Time
 
 	history   [historyLength]int16
 	historyAt int
@@ -223,7 +230,9 @@
 }
 
 // before is the prompt work of all instances before a request of the level.
-func (s *server) before(level int) float64 { return s.ahead.before(level) + s.peersAhead.before(level) }
+func (s *server) before(level int) float64 {
+	return s.ahead.before(level) + s.peersAhead.before(level) + s.toldAhead.before(level)
+}
 
 // firstToken is the expected time to the first token of a prompt on top of load n.
 func (s *server) firstToken(n, uncached float64, level int) time.Duration {
@@ -283,7 +292,7 @@
 // join weighs what peers tell against what the server reported, by age.
 func (s *server) join(peersKnown bool) {
 	if s.reportAge < 0 {
-		s.others = s.peers
+		s.others = s.peers + s.toldLoad
 		return
 	}
 	if !peersKnown {
@@ -296,7 +305,7 @@
 		report = 0
 	}
 	digest := 1 / (reportTrust + digestAge)
-	s.others = (report*s.reported + digest*s.peers) / (report + digest)
+	s.others = (report*s.reported + digest*(s.peers+s.toldLoad)) / (report + digest)
 }
 
 // eject keeps new work away after a failure, for longer each time.
@@ -339,9 +348,9 @@
 	if c.Barred {
 		return c
 	}
-	uncached := h.uncachedAt(s, r)
-	c.First = s.firstToken(n, uncached, r.levelOf())
-	c.Work = time.Duration(r.pool.reading * uncached * float64(time.Second))
+	supply := h.supplyAt(s, r)
+	c.First = s.firstToken(n, supply.read, r.levelOf()) + s.fetchTime(supply.fetched)
+	c.Work = time.Duration(r.pool.reading * supply.work() * float64(time.Second))
 	c.Stray = s.stray(r, h)
 	if r.Anchored {
 		c.Trouble = time.Duration(s.trouble * float64(r.first()))
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -125,6 +125,9 @@
 	if j.q.Team != nil {
 		send.Team = j.q.Team.Name
 	}
+	if holder := j.relay.server(t.start.FetchFrom); holder != nil {
+		send.FetchFrom = holder.GetAddress()
+	}
 	if !j.q.Waits.IsZero() {
 		send.Left = time.Until(j.q.Waits)
 	}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/service"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
@@ -187,6 +188,11 @@
 	return askCore(ctx, r.box, func(core policy.Core, now time.Time) *lilacv1.Digest { return core.Digest(now) })
 }
 
+// Loads asks the core for what this instance runs on each server.
+func (r *Relay) Loads(ctx context.Context) (loadboard.Loads, error) {
+	return askCore(ctx, r.box, func(core policy.Core, _ time.Time) loadboard.Loads { return core.Loads() })
+}
+
 // Stats asks the core for its counters.
 func (r *Relay) Stats(ctx context.Context) (policy.Stats, error) {
 	return askCore(ctx, r.box, func(core policy.Core, _ time.Time) policy.Stats { return core.Stats() })
--- a/version/routing/document.go
+++ b/version/routing/document.go
@@ -90,6 +90,9 @@
 	CacheTokens int
 	// EventTokens is how many tokens an event of a stream holds.
 	EventTokens int
+	// FetchTime is how long one token of KV cache takes from engine to engine; 0 if
+	// it can't be fetched.
+	FetchTime time.Duration
 }
 
 // Team is a customer with its keys.
--- a/version/routing/view.go
+++ b/version/routing/view.go
@@ -103,6 +103,7 @@
 	if service.Engine != nil {
 		made.Kind = lilacv1.ServerKind_SERVER_KIND_ENGINE
 		made.CacheTokens = uint64(service.Engine.CacheTokens)
+		made.CacheTokenNs = uint32(service.Engine.FetchTime.Nanoseconds())
 		if made.Slots == 0 {
 			made.Slots = uint32(service.Engine.Slots)
 		}
