A late first token before a prompt read twice; what was sent where is told beside loads

Ruled out: loads too old (250 ms a step), wrong keys. Now an engine is barred that would read again what another one holds or reads, and a request that no engine can read in time starts behind the others where its prompt is.

--- a/connection/loadlink/loadlink.go
+++ b/connection/loadlink/loadlink.go
@@ -28,10 +28,12 @@
 	Self member.Peer
 	// Dial returns the caller for an address; the same one each time.
 	Dial func(address string) link.Caller
-	// Own returns the own loads; nil where they are not known now.
-	Own func() loadboard.Loads
-	// OnLoads is given what all others run, each Interval; nil once that isn't known.
-	OnLoads func(loadboard.Loads)
+	// Own returns the own loads and the shared parts sent lately; false where they
+	// are not known now.
+	Own func() (loadboard.Word, bool)
+	// OnLoads is given what all others run and sent, each Interval; once with empty
+	// Loads when that isn't known any more.
+	OnLoads func(loadboard.Word)
 }
 
 // Link runs one board.
@@ -62,12 +64,8 @@
 func (l *Link) receive(_ context.Context, peer link.Peer, w *lilacv1.LoadWord) (*lilacv1.LoadWord, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answer := l.board.Receive(time.Now(), peer.Process, peer.DataCenter, loadboard.Decode(w.GetLoads()))
-	return l.word(answer), nil
-}
-
-func (l *Link) word(loads loadboard.Loads) *lilacv1.LoadWord {
-	return &lilacv1.LoadWord{DataCenter: l.options.Self.DataCenter, Loads: loads.Encode()}
+	answer := l.board.Receive(time.Now(), peer.Process, peer.DataCenter, loadboard.DecodeWord(w))
+	return answer.Encode(l.options.Self.DataCenter), nil
 }
 
 // Run sends what is due until ctx ends.
@@ -97,11 +95,11 @@
 	if !l.active() {
 		return
 	}
-	own := l.options.Own()
+	own, known := l.options.Own()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if own != nil {
-		l.board.SetOwn(own)
+	if known {
+		l.board.SetOwn(now, own)
 	}
 	l.board.Forget(now)
 }
@@ -115,12 +113,15 @@
 // tell passes on what the others run, and once that it isn't known any more.
 func (l *Link) tell(now time.Time, known bool) bool {
 	l.mu.Lock()
-	others := l.board.Others(now)
+	others, fresh := l.board.Others(now)
 	l.mu.Unlock()
-	if others != nil || known {
+	switch {
+	case fresh:
 		l.options.OnLoads(others)
+	case known:
+		l.options.OnLoads(loadboard.Word{})
 	}
-	return others != nil
+	return fresh
 }
 
 func (l *Link) send(ctx context.Context, now time.Time) {
@@ -131,7 +132,7 @@
 			continue
 		}
 		l.busy[ask.Peer.Name] = true
-		word := l.word(ask.Loads)
+		word := ask.Word.Encode(l.options.Self.DataCenter)
 		l.wg.Go(func() { l.call(ctx, ask.Peer, word) })
 	}
 }
@@ -152,5 +153,5 @@
 		l.board.Failed(time.Now(), peer)
 		return
 	}
-	l.board.Answered(time.Now(), peer, loadboard.Decode(answer.GetLoads()))
+	l.board.Answered(time.Now(), peer, loadboard.DecodeWord(answer))
 }
--- a/daemon/entry/loads.go
+++ b/daemon/entry/loads.go
@@ -16,20 +16,20 @@
 		Self:    member.Peer{Name: d.settings.Name, Address: d.settings.LinkForOthers().Value, DataCenter: d.settings.DataCenter},
 		Dial:    d.dialer.dial,
 		Own:     d.ownLoads,
-		OnLoads: func(loads loadboard.Loads) { d.entry.relay.Post(policy.LoadsTold{Loads: loads}) },
+		OnLoads: func(word loadboard.Word) { d.entry.relay.Post(policy.LoadsTold{Word: word}) },
 	})
 }
 
-// ownLoads asks the core; nil where it doesn't answer in time.
-func (d *Daemon) ownLoads() loadboard.Loads {
+// ownLoads asks the core; false where it doesn't answer in time.
+func (d *Daemon) ownLoads() (loadboard.Word, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), digestTimeout)
 	defer cancel()
-	loads, err := d.entry.relay.Loads(ctx)
+	word, err := d.entry.relay.Loads(ctx)
 	if err != nil {
 		d.logger.Warn("own loads not known in time; the last ones are told again", "error", err)
-		return nil
+		return loadboard.Word{}, false
 	}
-	return loads
+	return word, true
 }
 
 func membersOf(peers []settings.Peer) []member.Peer {
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -112,7 +112,7 @@
 func (b *baseline) Digest(time.Time) *lilacv1.Digest { return &lilacv1.Digest{} }
 
 // Loads implements policy.Core; baselines tell nothing.
-func (b *baseline) Loads() loadboard.Loads { return nil }
+func (b *baseline) Loads(time.Time) loadboard.Word { return loadboard.Word{} }
 
 // Stats implements policy.Core.
 func (b *baseline) Stats() policy.Stats { return policy.Stats{} }
--- a/process/loadboard/board.go
+++ b/process/loadboard/board.go
@@ -38,6 +38,7 @@
 	// peers are the other instances that live.
 	peers []member.Peer
 	own   Loads
+	news  news
 	// parts are the loads of this data centre's other instances, where this one
 	// collects them, sums those of other data centres.
 	parts, sums map[string]word
@@ -59,15 +60,18 @@
 func New(self member.Peer) *Board {
 	return &Board{
 		self: self, parts: make(map[string]word), sums: make(map[string]word),
-		asked: make(map[string]time.Time), avoided: make(map[string]time.Time),
+		asked: make(map[string]time.Time), avoided: make(map[string]time.Time), news: make(news),
 	}
 }
 
 // SetPeers names the other instances that live.
 func (b *Board) SetPeers(peers []member.Peer) { b.peers = slices.Clone(peers) }
 
-// SetOwn gives the own loads.
-func (b *Board) SetOwn(loads Loads) { b.own = loads }
+// SetOwn gives the own loads, and the shared parts that were sent lately.
+func (b *Board) SetOwn(now time.Time, own Word) {
+	b.own = own.Loads
+	b.news.add(now, own.Readings, origin{b.self.Name, b.self.DataCenter})
+}
 
 // Active tells whether the fleet is of the size for a board.
 func (b *Board) Active() bool {
@@ -94,8 +98,8 @@
 
 // Ask is a word to be sent to a peer.
 type Ask struct {
-	Peer  member.Peer
-	Loads Loads
+	Peer member.Peer
+	Word Word
 }
 
 // Due returns the words that are to be sent now.
@@ -107,7 +111,7 @@
 	own := collectors[b.self.DataCenter]
 	if own.Name != b.self.Name {
 		if b.due(now, own.Name) {
-			return []Ask{{own, b.own}}
+			return []Ask{{own, Word{b.own, b.news.of(now, origin{b.self.Name, b.self.DataCenter})}}}
 		}
 		return nil
 	}
@@ -117,7 +121,7 @@
 		// One of the two begins; the other does where it heard nothing.
 		begins := member.CompareRank(b.self.Name, peer.Name) < 0 || !b.sums[dataCenter].fresh(now)
 		if dataCenter != b.self.DataCenter && begins && b.due(now, peer.Name) {
-			asks = append(asks, Ask{peer, b.collected(now, "")})
+			asks = append(asks, Ask{peer, b.ofDataCenter(now)})
 		}
 	}
 	return asks
@@ -145,15 +149,21 @@
 	return sum
 }
 
+// ofDataCenter is the word of this data centre for another one.
+func (b *Board) ofDataCenter(now time.Time) Word {
+	return Word{b.collected(now, ""), b.news.ofDataCenter(now, b.self.DataCenter)}
+}
+
 // Receive takes a word and returns the answer: to an instance of the own data
 // centre what all others run, to a foreign collector what this one's run.
-func (b *Board) Receive(now time.Time, from, dataCenter string, loads Loads) Loads {
+func (b *Board) Receive(now time.Time, from, dataCenter string, w Word) Word {
+	b.news.add(now, w.Readings, origin{from, dataCenter})
 	if dataCenter != b.self.DataCenter {
-		b.sums[dataCenter] = word{loads, now}
-		return b.collected(now, "")
+		b.sums[dataCenter] = word{w.Loads, now}
+		return b.ofDataCenter(now)
 	}
-	b.parts[from] = word{loads, now}
-	return b.without(now, from)
+	b.parts[from] = word{w.Loads, now}
+	return Word{b.without(now, from), b.news.without(now, from)}
 }
 
 // without is what all but the instance named run.
@@ -168,29 +178,29 @@
 }
 
 // Answered takes the answer of a peer.
-func (b *Board) Answered(now time.Time, peer member.Peer, loads Loads) {
+func (b *Board) Answered(now time.Time, peer member.Peer, w Word) {
+	b.news.add(now, w.Readings, origin{peer.Name, peer.DataCenter})
 	if peer.DataCenter != b.self.DataCenter {
-		b.sums[peer.DataCenter] = word{loads, now}
+		b.sums[peer.DataCenter] = word{w.Loads, now}
 		return
 	}
-	b.others = word{loads, now}
+	b.others = word{w.Loads, now}
 }
 
 // Failed passes the peer over for some time.
 func (b *Board) Failed(now time.Time, peer member.Peer) { b.avoided[peer.Name] = now.Add(Avoidance) }
 
-// Others is what all other instances run; nil while that isn't known.
-func (b *Board) Others(now time.Time) Loads {
+// Others is what all other instances run and sent lately; false while that isn't
+// known.
+func (b *Board) Others(now time.Time) (Word, bool) {
 	if !b.Active() {
-		return nil
+		return Word{}, false
 	}
+	readings := b.news.without(now, b.self.Name)
 	if b.collectors(now)[b.self.DataCenter].Name == b.self.Name {
-		return b.without(now, b.self.Name)
-	}
-	if !b.others.fresh(now) {
-		return nil
+		return Word{b.without(now, b.self.Name), readings}, true
 	}
-	return b.others.loads
+	return Word{b.others.loads, readings}, b.others.fresh(now)
 }
 
 // Forget drops what no longer counts.
@@ -199,5 +209,6 @@
 	maps.DeleteFunc(b.parts, stale)
 	maps.DeleteFunc(b.sums, stale)
 	maps.DeleteFunc(b.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+	b.news.forget(now)
 	maps.DeleteFunc(b.asked, func(_ string, at time.Time) bool { return now.Sub(at) > Lifetime })
 }
--- a/process/loadboard/board_test.go
+++ b/process/loadboard/board_test.go
@@ -63,15 +63,15 @@
 			board.Failed(f.now, ask.Peer)
 			continue
 		}
-		answer := f.boards[ask.Peer.Name].Receive(f.now, name, f.peers[name].DataCenter, Decode(ask.Loads.Encode()))
-		board.Answered(f.now, ask.Peer, Decode(answer.Encode()))
+		answer := f.boards[ask.Peer.Name].Receive(f.now, name, f.peers[name].DataCenter, DecodeWord(ask.Word.Encode("")))
+		board.Answered(f.now, ask.Peer, DecodeWord(answer.Encode("")))
 	}
 }
 
 // burst has each instance run n requests on the one engine.
 func (f *fleet) burst(n uint32) {
 	for _, board := range f.boards {
-		board.SetOwn(Loads{7: {InFlight: n, Backlog: [Levels]uint32{4: 10 * n}}})
+		board.SetOwn(f.now, Word{Loads: Loads{7: {InFlight: n, Backlog: [Levels]uint32{4: 10 * n}}}})
 	}
 }
 
@@ -81,7 +81,8 @@
 		if f.dead[name] {
 			continue
 		}
-		load := board.Others(f.now)[7]
+		word, _ := board.Others(f.now)
+		load := word.Loads[7]
 		if load.InFlight != others*n || load.Backlog[4] != others*n*10 {
 			return false
 		}
@@ -101,6 +102,34 @@
 	is.True(f.allKnow(77, 2))
 }
 
+// A prompt is read on one engine. Until the others hear of it each has it read again
+// somewhere; told once, it must reach all, be told on by nobody for ever, and not
+// come back to its sender.
+func TestWhatWasSentWhereIsKnownEverywhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 13)
+	f.run(time.Second)
+	read := Reading{Server: 7, Hash: 1 << 40, Tokens: 13300}
+	f.boards["entry-2-3"].SetOwn(f.now, Word{Readings: []Reading{read}})
+	heard := make(map[string]int)
+	for range 16 {
+		f.run(Interval)
+		for name, board := range f.boards {
+			others, known := board.Others(f.now)
+			is.True(known)
+			for _, r := range others.Readings {
+				is.Equal(r, read)
+				heard[name]++
+			}
+		}
+	}
+	is.Equal(len(heard), 77)
+	is.Equal(heard["entry-2-3"], 0)
+	for _, times := range heard {
+		is.True(times <= 4)
+	}
+}
+
 // A word costs its sender and its collector bytes and time. An instance sends one
 // an interval, a collector one more to half of the other data centres.
 func TestWordsGrowWithTheInstances(t *testing.T) {
@@ -149,7 +178,8 @@
 		f.burst(1)
 		f.run(time.Second)
 		is.Equal(f.words, 0)
-		is.True(f.boards["entry-0-0"].Others(f.now) == nil)
+		_, known := f.boards["entry-0-0"].Others(f.now)
+		is.True(!known)
 	}
 }
 
--- /dev/null
+++ b/process/loadboard/news.go
@@ -0,0 +1,110 @@
+package loadboard
+
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// Reading is a shared part of a prompt that was sent to a server, which holds it
+// from then on.
+type Reading struct {
+	// Server is the server's key.
+	Server uint32
+	// Hash is that of the part and all before it.
+	Hash uint64
+	// Tokens is the part's length.
+	Tokens uint32
+}
+
+// Word is what instances tell each other.
+type Word struct {
+	Loads    Loads
+	Readings []Reading
+}
+
+// Encode makes the message of the word.
+func (w Word) Encode(dataCenter string) *lilacv1.LoadWord {
+	told := &lilacv1.LoadWord{DataCenter: dataCenter, Loads: w.Loads.Encode()}
+	for _, r := range w.Readings {
+		told.Readings = append(told.Readings, &lilacv1.EngineReading{Server: r.Server, Hash: r.Hash, Tokens: r.Tokens})
+	}
+	return told
+}
+
+// DecodeWord reads the message of a word.
+func DecodeWord(told *lilacv1.LoadWord) Word {
+	w := Word{Loads: Decode(told.GetLoads())}
+	for _, r := range told.GetReadings() {
+		w.Readings = append(w.Readings, Reading{Server: r.GetServer(), Hash: r.GetHash(), Tokens: r.GetTokens()})
+	}
+	return w
+}
+
+const (
+	// newsTold is how long a reading goes along with each word: two, so that one
+	// lost word hides nothing.
+	newsTold = 2*Interval + Interval/2
+	// newsKept is how long it is remembered, so that it isn't news again on another
+	// way: longer than its sender tells it.
+	newsKept = 4 * time.Second
+)
+
+// origin is who a reading came from, and of which data centre.
+type origin struct{ instance, dataCenter string }
+
+// place is a part on a server.
+type place struct {
+	server uint32
+	hash   uint64
+}
+
+// item is a reading as it was heard first.
+type item struct {
+	tokens uint32
+	at     time.Time
+	from   origin
+}
+
+// news are the readings of the last seconds.
+type news map[place]item
+
+func (n news) add(now time.Time, readings []Reading, from origin) {
+	for _, r := range readings {
+		at := place{r.Server, r.Hash}
+		if _, known := n[at]; !known {
+			n[at] = item{r.Tokens, now, from}
+		}
+	}
+}
+
+func (n news) forget(now time.Time) {
+	for at, i := range n {
+		if now.Sub(i.at) > newsKept {
+			delete(n, at)
+		}
+	}
+}
+
+// pick lists what is to be told of the readings that fit.
+func (n news) pick(now time.Time, fits func(origin) bool) []Reading {
+	var list []Reading
+	for at, i := range n {
+		if now.Sub(i.at) <= newsTold && fits(i.from) {
+			list = append(list, Reading{at.server, at.hash, i.tokens})
+		}
+	}
+	return list
+}
+
+func (n news) of(now time.Time, from origin) []Reading {
+	return n.pick(now, func(o origin) bool { return o == from })
+}
+
+func (n news) ofDataCenter(now time.Time, dataCenter string) []Reading {
+	return n.pick(now, func(o origin) bool { return o.dataCenter == dataCenter })
+}
+
+func (n news) without(now time.Time, instance string) []Reading {
+	return n.pick(now, func(o origin) bool { return o.instance != instance })
+}
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -50,6 +50,9 @@
 	Load float64
 	// Limit is how many the server runs within the targets.
 	Limit float64
+	// Again is true where the server would read a long part of the prompt that
+	// another one holds or reads already.
+	Again bool
 	// Work is the engine's time that the prompt takes there.
 	Work time.Duration
 	// Stray is the price of the request there rather than on the servers kept for
--- a/request/choose/filter.go
+++ b/request/choose/filter.go
@@ -46,6 +46,14 @@
 	return r.FirstBy <= 0 || c.First <= r.FirstBy
 }
 
+// Once bars servers that would read again what another one holds or reads.
+type Once struct{}
+
+var _ Filter = Once{}
+
+// Allow implements Filter.
+func (Once) Allow(_ *Request, c *Candidate) bool { return !c.Again }
+
 // OnTime bars servers that are expected to miss the request's targets.
 type OnTime struct{}
 
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -149,7 +149,7 @@
 		r.pool.quarantine = append(r.pool.quarantine, r)
 		return
 	}
-	r.item.Late = false
+	r.item.Late, r.behind = false, false
 	if r.got > 0 {
 		// A continued answer goes first where it would fall behind its pace.
 		r.item.Due = now.Add(max(r.firstBy(now), 0))
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -25,11 +25,13 @@
 	// of their tokens; nil where none is known to.
 	holder *server
 	held   float64
+	// kept is the same as held for engines that may not have read it yet.
+	kept float64
 }
 
 // homesOf ranks the open engines by the request's last shared part.
 func (c *core) homesOf(now time.Time, r *request) homes {
-	h := homes{assumed: c.peers[member.Others] != nil}
+	h := homes{assumed: c.peers[member.Others] != nil && !c.told}
 	shared := len(r.Prefix) - 2
 	if !r.Anchored || shared < 0 {
 		return h
@@ -43,7 +45,7 @@
 			continue
 		}
 		if !now.Before(s.ejectedUntil) {
-			h.noteHolder(s, r, shared)
+			h.noteHolder(now, s, r, shared)
 		}
 		if s.lane != tight {
 			continue
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -266,8 +266,8 @@
 	Step(now time.Time, event Event) []Action
 	// Digest returns what the other instances must know, as of now.
 	Digest(now time.Time) *lilacv1.Digest
-	// Loads is what this instance runs on each server.
-	Loads() loadboard.Loads
+	// Loads is what this instance runs on each server and sent there lately.
+	Loads(now time.Time) loadboard.Word
 	// Stats returns the counters and the invariants that were seen broken.
 	Stats() Stats
 }
--- a/request/policy/backlog.go
+++ b/request/policy/backlog.go
@@ -55,7 +55,7 @@
 	switch {
 	case !r.Anchored:
 		return levels - 1
-	case r.item.Late:
+	case r.item.Late || r.behind:
 		return lateLevel
 	}
 	return min(r.tier()*ranks+int(r.class.GetRank()), lateLevel-1)
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -56,7 +56,8 @@
 	late   choose.Chooser
 	// anchored and anchoredLate are the same for anchored requests, whose homes
 	// take the place of the rank.
-	anchored, anchoredLate choose.Chooser
+	// anchoredOnce takes a late first token before a prompt read twice.
+	anchored, anchoredLate, anchoredOnce choose.Chooser
 	candidates             []choose.Candidate
 	reserves               [model.Tiers]float64
 }
@@ -66,7 +67,8 @@
 	anchored := []choose.Scorer{choose.Work{Weight: workWeight}, choose.Risk{}, choose.Pace{Weight: paceWeight}, choose.Remote{Price: weights.RemoteCost.Duration}, choose.Stray{}, choose.Trouble{}}
 	late := []choose.Filter{choose.Open{}, choose.Room{}, choose.Quarantine{}}
 	onTime := append(slices.Clone(late), choose.OnTime{})
-	firstOnTime := append(slices.Clone(late), choose.FirstOnTime{})
+	once := append(slices.Clone(late), choose.Once{})
+	firstOnTime := append(slices.Clone(once), choose.FirstOnTime{})
 	picker := choose.Near{First: nearFirst, Second: nearSecond, Share: nearShare}
 	return chooser{
 		reserves:     reservesOf(weights),
@@ -74,6 +76,7 @@
 		late:         choose.Chooser{Filters: late, Scorers: scorers, Picker: picker},
 		anchored:     choose.Chooser{Filters: firstOnTime, Scorers: anchored, Picker: choose.Least{}},
 		anchoredLate: choose.Chooser{Filters: late, Scorers: anchored, Picker: choose.Least{}},
+		anchoredOnce: choose.Chooser{Filters: once, Scorers: anchored, Picker: choose.Least{}},
 	}
 }
 
@@ -162,6 +165,11 @@
 		}
 	}
 	at := way.Choose(&asked, c.choice.candidates, c.random)
+	if at < 0 && way == &c.choice.anchored {
+		// No engine is in time: it waits where its prompt is.
+		at = c.choice.anchoredOnce.Choose(&asked, c.choice.candidates, c.random)
+		r.behind = at >= 0
+	}
 	if at < 0 {
 		return nil
 	}
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -54,6 +54,10 @@
 		}
 		c.ordered = append(c.ordered, s)
 	}
+	c.byKey = make(map[uint32]*server, len(c.ordered))
+	for _, s := range c.ordered {
+		c.byKey[s.key] = s
+	}
 	slices.SortFunc(c.ordered, func(a, b *server) int {
 		if a.name < b.name {
 			return -1
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -20,12 +20,16 @@
 
 // core is the state of one instance's policy.
 type core struct {
-	options   Options
-	view      *model.View
-	random    *rand.Rand
-	requests  map[ID]*request
-	servers   map[string]*server
-	ordered   []*server
+	options  Options
+	view     *model.View
+	random   *rand.Rand
+	requests map[ID]*request
+	servers  map[string]*server
+	ordered  []*server
+	// byKey holds the servers by the names that they have in told loads.
+	byKey map[uint32]*server
+	// told is true while others tell their loads beside their digests.
+	told      bool
 	pools     map[string]*pool
 	poolOrder []*pool
 	peers     map[string]*peer
@@ -121,7 +125,7 @@
 	case PeerGone:
 		c.peerGone(now, e.Instance)
 	case LoadsTold:
-		c.takeTold(e)
+		c.takeTold(now, e)
 	case Draining:
 		c.draining = true
 	case Tick:
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -110,7 +110,7 @@
 	s.ahead.add(r.level, r.uncached)
 	r.pool.attach(r)
 	c.noteReadings(now, r, s)
-	s.cache.use(r.Prefix)
+	s.cache.use(r.Prefix, now.Add(r.expected))
 	c.running++
 	c.stats.Starts++
 	if r.attempt == 1 {
--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -13,6 +13,11 @@
 	// is read in the time that a fetch takes to begin, some 5 ms at 50 tokens a
 	// millisecond, with as much again for the links of two engines that are busy.
 	leastFetch = 512
+	// leastAgain is the least part of a prompt, in tokens, for whose sake a request
+	// stays at the engine that reads it already: one chunk. While all engines are
+	// busy, a prompt of 13,300 tokens read twice costs the others 0.4 s, and who does
+	// so to be in time makes more than one of them late.
+	leastAgain = 2048
 	// fetchShare is what a fetched token costs of what a read one does: it takes the
 	// links' time and volume in place of the engine's.
 	fetchShare = 0.3
@@ -24,6 +29,8 @@
 	read, fetched float64
 	// from is the engine that holds the fetched part; nil for none.
 	from *server
+	// again is the part of read that another engine holds or reads already.
+	again float64
 }
 
 // work is the supply's cost, as tokens to be read.
@@ -37,20 +44,21 @@
 // supplyAt says how the server would come by the request's prompt.
 func (h homes) supplyAt(s *server, r *request) supply {
 	p := supply{read: h.uncachedAt(s, r)}
-	if h.holder == nil || s == h.holder || s.cacheToken == 0 {
-		return p
-	}
 	held := float64(r.PromptTokens+r.got) - p.read
-	if more := h.held - held; more >= leastFetch {
+	more := h.held - held
+	if h.holder != nil && s != h.holder && s.cacheToken > 0 && more >= leastFetch {
 		p.read, p.fetched, p.from = p.read-more, more, h.holder
+		held += more
 	}
+	p.again = max(0, h.kept-held)
 	return p
 }
 
 // noteHolder keeps the engine that holds the most of the request's shared parts.
 // Where others' requests are not known, the first home is taken for it.
-func (h *homes) noteHolder(s *server, r *request, shared int) {
-	held := float64(s.cache.hit(r.Prefix[:shared+1]))
+func (h *homes) noteHolder(now time.Time, s *server, r *request, shared int) {
+	h.kept = max(h.kept, float64(s.cache.hit(r.Prefix[:shared+1])))
+	held := float64(s.cache.ready(now, r.Prefix[:shared+1]))
 	if held > h.held {
 		h.holder, h.held = s, held
 	}
@@ -62,7 +70,9 @@
 	if !h.assumed || h.first == nil || now.Before(h.first.ejectedUntil) {
 		return
 	}
-	if all := float64(r.Prefix[shared].End); h.held < all {
+	all := float64(r.Prefix[shared].End)
+	h.kept = all
+	if h.held < all {
 		h.holder, h.held = h.first, all
 	}
 }
--- a/request/policy/fetch_test.go
+++ b/request/policy/fetch_test.go
@@ -33,7 +33,7 @@
 	var load loadboard.Load
 	load.InFlight = 10
 	load.Backlog[5] = tokens / loadboard.Unit
-	c.Step(epoch, LoadsTold{Loads: loadboard.Loads{loadboard.Key(server): load}})
+	c.Step(epoch, LoadsTold{Word: loadboard.Word{Loads: loadboard.Loads{loadboard.Key(server): load}}})
 }
 
 // In a burst of one kind of request the engine that holds a prompt has four
@@ -48,14 +48,30 @@
 	home := only[Start](t, c.Step(epoch.Add(slowTick), digest(1, 7)))
 	is.Equal(home.Why.Home, 1)
 	is.Equal(home.FetchFrom, "")
+	finish(c, epoch.Add(slowTick), home)
 	told(c, home.Server, 200000)
-	away := only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 7)))
+	away := only[Start](t, c.Step(epoch.Add(2*time.Second), digest(2, 7)))
 	is.True(away.Server != home.Server)
 	is.Equal(away.FetchFrom, home.Server)
 	is.Equal(away.Why.Fetched, 13300.0)
 	is.Equal(away.Why.Uncached, 3700.0)
 }
 
+// A prompt has just come to its home and waits there to be read. An engine that is
+// sent to fetch it finds nothing, and has to read it all the same: 0.26 s that
+// nobody counted.
+func TestNothingIsFetchedBeforeItWasRead(t *testing.T) {
+	is := is.New(t)
+	c := inTree(fetching(engines("e1", 3, "a", "b", "c")))
+	c.Step(epoch.Add(slowTick), Tick{})
+	home := only[Start](t, c.Step(epoch.Add(slowTick), digest(1, 7)))
+	told(c, home.Server, 200000)
+	away := only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 7)))
+	is.True(away.Server != home.Server)
+	is.Equal(away.FetchFrom, "")
+	is.Equal(away.Why.Uncached, 17000.0)
+}
+
 // Once the others' word ends, what they ran must not keep requests from a prompt's
 // engine for ever.
 func TestLoadsThatAreNotToldAnyMoreEnd(t *testing.T) {
@@ -101,9 +117,9 @@
 	is := is.New(t)
 	c := engines("e1", 3, "a")
 	start := only[Start](t, c.Step(epoch, digest(1, 7)))
-	load := c.Loads()[loadboard.Key(start.Server)]
+	load := c.Loads(epoch).Loads[loadboard.Key(start.Server)]
 	is.Equal(load.InFlight, uint32(1))
 	is.Equal(load.Backlog[5], uint32(266)) // 17,000 tokens
 	finish(c, epoch, start)
-	is.Equal(len(c.Loads()), 0)
+	is.Equal(len(c.Loads(epoch).Loads), 0)
 }
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -108,7 +108,7 @@
 	c.heardOf[d.GetDataCenter()] = now
 	p.dataCenter, p.leaving = d.GetDataCenter(), d.GetLeaving()
 	c.takeLoads(now, p, d.GetLoads())
-	c.hearReadings(d.GetReadings())
+	c.hearReadings(now, d.GetReadings())
 	c.takeSuspects(now, name, p, d.GetSuspects())
 	for _, spend := range d.GetSpends() {
 		if team := c.view.Teams[spend.GetTeam()]; team != nil {
--- a/request/policy/prefix.go
+++ b/request/policy/prefix.go
@@ -1,5 +1,7 @@
 package policy
 
+import "time"
+
 // defaultCacheTokens is what a server's prefix cache is taken to hold where the
 // configuration doesn't say: 4,096 blocks of 16 tokens.
 const defaultCacheTokens = 65536
@@ -17,8 +19,10 @@
 
 // heldBlock is one block of the cache in the list of use.
 type heldBlock struct {
-	hash         uint64
-	tokens       int
+	hash   uint64
+	tokens int
+	// readyAt is when the server is expected to have read it.
+	readyAt      time.Time
 	newer, older *heldBlock
 }
 
@@ -29,22 +33,22 @@
 	return prefixSet{held: make(map[uint64]*heldBlock), most: defaultCacheTokens}
 }
 
-// use notes that the blocks of a prompt were read, the last one first, so that
-// the beginnings, which others share, yield last.
-func (p *prefixSet) use(prefix []Block) {
+// use notes that the blocks of a prompt are read, the new ones by readyAt, the last
+// one first, so that the beginnings, which others share, yield last.
+func (p *prefixSet) use(prefix []Block, readyAt time.Time) {
 	for i := len(prefix) - 1; i >= 0; i-- {
 		begin := 0
 		if i > 0 {
 			begin = prefix[i-1].End
 		}
-		p.add(prefix[i].Hash, prefix[i].End-begin)
+		p.add(prefix[i].Hash, prefix[i].End-begin, readyAt)
 	}
 }
 
-func (p *prefixSet) add(hash uint64, tokens int) {
+func (p *prefixSet) add(hash uint64, tokens int, readyAt time.Time) {
 	b := p.held[hash]
 	if b == nil {
-		b = &heldBlock{hash: hash, tokens: tokens}
+		b = &heldBlock{hash: hash, tokens: tokens, readyAt: readyAt}
 		p.held[hash] = b
 		p.tokens += tokens
 	} else {
@@ -99,13 +103,26 @@
 	}
 	p.sequence = e.Sequence
 	for _, hash := range e.Stored {
-		p.add(hash, eventBlock)
+		p.add(hash, eventBlock, time.Time{})
 	}
 	for _, hash := range e.Dropped {
 		p.drop(hash)
 	}
 }
 
+// ready returns how many leading tokens of a prompt are expected to be read by now.
+func (p *prefixSet) ready(now time.Time, prefix []Block) int {
+	end := 0
+	for _, block := range prefix {
+		b := p.held[block.Hash]
+		if b == nil || now.Before(b.readyAt) {
+			break
+		}
+		end = block.End
+	}
+	return end
+}
+
 // hit returns how many leading tokens are held. Each hash stands for all
 // blocks before it too, so a search by halves finds the place.
 func (p *prefixSet) hit(prefix []Block) int {
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -36,6 +36,8 @@
 	uncached, ahead float64
 	// fetched is the part of the prompt that the server fetches from another one.
 	fetched float64
+	// behind is true where it starts although no engine is expected to be in time.
+	behind bool
 	// level is its priority at the engine, as it started.
 	level    int
 	expected time.Duration
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/request/choose"
 )
 
@@ -51,7 +52,9 @@
 
 // server is a backend server as this instance sees it.
 type server struct {
-	name       string
+	name string
+	// key is its name in told loads.
+	key        uint32
 	dataCenter string
 	remote     bool
 	service    bool
@@ -125,7 +128,7 @@
 }
 
 func newServer(name string) *server {
-	return &server{name: name, base: batchBase, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, cache: newPrefixSet()}
+	return &server{name: name, key: loadboard.Key(name), base: batchBase, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, cache: newPrefixSet()}
 }
 
 func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
@@ -351,6 +354,7 @@
 	supply := h.supplyAt(s, r)
 	c.First = s.firstToken(n, supply.read, r.levelOf()) + s.fetchTime(supply.fetched)
 	c.Work = time.Duration(r.pool.reading * supply.work() * float64(time.Second))
+	c.Again = supply.again >= leastAgain
 	c.Stray = s.stray(r, h)
 	if r.Anchored {
 		c.Trouble = time.Duration(s.trouble * float64(r.first()))
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -1,31 +1,41 @@
 package policy
 
-import "github.com/lilacbridge/lilacbridge/process/loadboard"
+import (
+	"time"
 
-// LoadsTold brings what all other instances run on each server, where they tell it
-// to each other beside their digests; nil once that isn't known any more.
-type LoadsTold struct{ Loads loadboard.Loads }
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+)
+
+// LoadsTold brings what all other instances run on each server and sent there
+// lately, where they tell it to each other beside their digests; its loads are nil
+// once that isn't known any more.
+type LoadsTold struct{ Word loadboard.Word }
 
 func (LoadsTold) event() {}
 
 // takeTold puts what others run in the place of what was told before.
-func (c *core) takeTold(e LoadsTold) {
+func (c *core) takeTold(now time.Time, e LoadsTold) {
+	c.told = e.Word.Loads != nil
 	for _, s := range c.ordered {
-		load := e.Loads[loadboard.Key(s.name)]
+		load := e.Word.Loads[s.key]
 		s.toldLoad = float64(load.InFlight)
 		for level, units := range load.Backlog {
 			s.toldAhead[level] = float64(units) * loadboard.Unit
 		}
-		s.join(e.Loads != nil || len(c.peers) > 0)
+		s.join(c.told || len(c.peers) > 0)
+	}
+	for _, read := range e.Word.Readings {
+		c.hearReading(now, c.byKey[read.Server], read.Hash, int(read.Tokens))
 	}
 	for _, p := range c.poolOrder {
 		p.dirty = p.dirty || p.queue.Len() > 0
 	}
 }
 
-// Loads is what this instance runs on each server, for the others.
-func (c *core) Loads() loadboard.Loads {
-	loads := make(loadboard.Loads)
+// Loads is what this instance runs on each server and sent there lately, for the
+// others.
+func (c *core) Loads(now time.Time) loadboard.Word {
+	word := loadboard.Word{Loads: make(loadboard.Loads)}
 	for _, s := range c.ordered {
 		if len(s.own) == 0 {
 			continue
@@ -34,7 +44,12 @@
 		for level, tokens := range s.ahead {
 			load.Backlog[level] = uint32(tokens/loadboard.Unit + 0.5)
 		}
-		loads[loadboard.Key(s.name)] = load
+		word.Loads[s.key] = load
+	}
+	for _, read := range c.recentReadings(now) {
+		word.Readings = append(word.Readings, loadboard.Reading{
+			Server: loadboard.Key(read.server), Hash: read.block.Hash, Tokens: uint32(read.tokens),
+		})
 	}
-	return loads
+	return word
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -188,9 +188,9 @@
 	return askCore(ctx, r.box, func(core policy.Core, now time.Time) *lilacv1.Digest { return core.Digest(now) })
 }
 
-// Loads asks the core for what this instance runs on each server.
-func (r *Relay) Loads(ctx context.Context) (loadboard.Loads, error) {
-	return askCore(ctx, r.box, func(core policy.Core, _ time.Time) loadboard.Loads { return core.Loads() })
+// Loads asks the core for what this instance runs on each server and sent there.
+func (r *Relay) Loads(ctx context.Context) (loadboard.Word, error) {
+	return askCore(ctx, r.box, func(core policy.Core, now time.Time) loadboard.Word { return core.Loads(now) })
 }
 
 // Stats asks the core for its counters.
