--- a/process/loadboard/board.go
+++ b/process/loadboard/board.go
@@ -37,7 +37,7 @@
 	self member.Peer
 	// peers are the other instances that live.
 	peers []member.Peer
-	own   Loads
+	own   Word
 	news  news
 	// parts are the loads of this data centre's other instances, where this one
 	// collects them, sums those of other data centres.
@@ -51,11 +51,15 @@
 // word is what was heard, and when.
 type word struct {
 	loads Loads
+	work  Work
 	at    time.Time
 }
 
 func (w word) fresh(now time.Time) bool { return w.loads != nil && now.Sub(w.at) <= Lifetime }
 
+// heard keeps a word's sums.
+func heard(now time.Time, w Word) word { return word{w.Loads, w.Work, now} }
+
 // New returns a board that knows nobody else.
 func New(self member.Peer) *Board {
 	return &Board{
@@ -69,7 +73,7 @@
 
 // SetOwn gives the own loads, and the shared parts that were sent lately.
 func (b *Board) SetOwn(now time.Time, own Word) {
-	b.own = own.Loads
+	b.own = own
 	b.news.add(now, own.Readings, origin{b.self.Name, b.self.DataCenter})
 }
 
@@ -111,7 +115,7 @@
 	own := collectors[b.self.DataCenter]
 	if own.Name != b.self.Name {
 		if b.due(now, own.Name) {
-			return []Ask{{own, Word{b.own, b.news.of(now, origin{b.self.Name, b.self.DataCenter})}}}
+			return []Ask{{own, Word{b.own.Loads, b.own.Work, b.news.of(now, origin{b.self.Name, b.self.DataCenter})}}}
 		}
 		return nil
 	}
@@ -136,14 +140,14 @@
 }
 
 // collected is what this data centre's instances run, but for the one named.
-func (b *Board) collected(now time.Time, without string) Loads {
-	sum := make(Loads, len(b.own))
+func (b *Board) collected(now time.Time, without string) Word {
+	sum := Word{Loads: make(Loads, len(b.own.Loads)), Work: make(Work)}
 	if without != b.self.Name {
-		sum.add(b.own)
+		sum.add(b.own.Loads, b.own.Work)
 	}
 	for name, part := range b.parts {
 		if name != without && part.fresh(now) {
-			sum.add(part.loads)
+			sum.add(part.loads, part.work)
 		}
 	}
 	return sum
@@ -151,7 +155,9 @@
 
 // ofDataCenter is the word of this data centre for another one.
 func (b *Board) ofDataCenter(now time.Time) Word {
-	return Word{b.collected(now, ""), b.news.ofDataCenter(now, b.self.DataCenter)}
+	sum := b.collected(now, "")
+	sum.Readings = b.news.ofDataCenter(now, b.self.DataCenter)
+	return sum
 }
 
 // Receive takes a word and returns the answer: to an instance of the own data
@@ -159,21 +165,22 @@
 func (b *Board) Receive(now time.Time, from, dataCenter string, w Word) Word {
 	b.news.add(now, w.Readings, origin{from, dataCenter})
 	if dataCenter != b.self.DataCenter {
-		b.sums[dataCenter] = word{w.Loads, now}
+		b.sums[dataCenter] = heard(now, w)
 		return b.ofDataCenter(now)
 	}
-	b.parts[from] = word{w.Loads, now}
-	return Word{b.without(now, from), b.news.without(now, from)}
+	b.parts[from] = heard(now, w)
+	return b.without(now, from)
 }
 
-// without is what all but the instance named run.
-func (b *Board) without(now time.Time, name string) Loads {
+// without is what all but the instance named run and sent.
+func (b *Board) without(now time.Time, name string) Word {
 	sum := b.collected(now, name)
 	for _, foreign := range b.sums {
 		if foreign.fresh(now) {
-			sum.add(foreign.loads)
+			sum.add(foreign.loads, foreign.work)
 		}
 	}
+	sum.Readings = b.news.without(now, name)
 	return sum
 }
 
@@ -181,10 +188,10 @@
 func (b *Board) Answered(now time.Time, peer member.Peer, w Word) {
 	b.news.add(now, w.Readings, origin{peer.Name, peer.DataCenter})
 	if peer.DataCenter != b.self.DataCenter {
-		b.sums[peer.DataCenter] = word{w.Loads, now}
+		b.sums[peer.DataCenter] = heard(now, w)
 		return
 	}
-	b.others = word{w.Loads, now}
+	b.others = heard(now, w)
 }
 
 // Failed passes the peer over for some time.
@@ -196,11 +203,10 @@
 	if !b.Active() {
 		return Word{}, false
 	}
-	readings := b.news.without(now, b.self.Name)
 	if b.collectors(now)[b.self.DataCenter].Name == b.self.Name {
-		return Word{b.without(now, b.self.Name), readings}, true
+		return b.without(now, b.self.Name), true
 	}
-	return Word{b.others.loads, readings}, b.others.fresh(now)
+	return Word{b.others.loads, b.others.work, b.news.without(now, b.self.Name)}, b.others.fresh(now)
 }
 
 // Forget drops what no longer counts.
--- a/process/loadboard/loads.go
+++ b/process/loadboard/loads.go
@@ -17,6 +17,23 @@
 // servers of one key would share their loads; among 256 that is one fleet in 130,000.
 func Key(server string) uint32 { return uint32(xxhash.Sum64String(server)) }
 
+// Lanes is the number of lanes of a pool's engines.
+const Lanes = 3
+
+// Work is what instances start in each pool, by its key: prompt tokens a second by
+// lane.
+type Work map[uint32][Lanes]uint32
+
+func (w Work) add(other Work) {
+	for key, rates := range other {
+		sum := w[key]
+		for l, rate := range rates {
+			sum[l] += rate
+		}
+		w[key] = sum
+	}
+}
+
 // Load is what instances run on one server.
 type Load struct {
 	// InFlight counts requests.
--- a/process/loadboard/news.go
+++ b/process/loadboard/news.go
@@ -1,6 +1,8 @@
 package loadboard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -20,12 +22,22 @@
 // Word is what instances tell each other.
 type Word struct {
 	Loads    Loads
+	Work     Work
 	Readings []Reading
 }
 
+func (w Word) add(loads Loads, work Work) {
+	w.Loads.add(loads)
+	w.Work.add(work)
+}
+
 // Encode makes the message of the word.
 func (w Word) Encode(dataCenter string) *lilacv1.LoadWord {
 	told := &lilacv1.LoadWord{DataCenter: dataCenter, Loads: w.Loads.Encode()}
+	for _, key := range slices.Sorted(maps.Keys(w.Work)) {
+		rates := w.Work[key]
+		told.Work = append(told.Work, &lilacv1.PoolWork{Pool: key, Rates: rates[:]})
+	}
 	for _, r := range w.Readings {
 		told.Readings = append(told.Readings, &lilacv1.EngineReading{Server: r.Server, Hash: r.Hash, Tokens: r.Tokens})
 	}
@@ -34,7 +46,12 @@
 
 // DecodeWord reads the message of a word.
 func DecodeWord(told *lilacv1.LoadWord) Word {
-	w := Word{Loads: Decode(told.GetLoads())}
+	w := Word{Loads: Decode(told.GetLoads()), Work: make(Work)}
+	for _, work := range told.GetWork() {
+		var rates [Lanes]uint32
+		copy(rates[:], work.GetRates())
+		w.Work[work.GetPool()] = rates
+	}
 	for _, r := range told.GetReadings() {
 		w.Readings = append(w.Readings, Reading{Server: r.GetServer(), Hash: r.GetHash(), Tokens: r.GetTokens()})
 	}
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -31,7 +31,6 @@
 	}
 	c.charge(now, r)
 	r.pool.use(r.class, now)
-	r.pool.noteWork(r)
 	c.fillItem(now, r)
 	if c.cutOff(now, r) {
 		return
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,18 +16,42 @@
 // and each takes the first one for holding it. It so gets all requests of the
 // part, whichever instance they come to; the second takes what is too much for it.
 
-// homes are the engines that a request's shared parts belong to; nil where the
+// homeCount is how many engines a shared part has for homes. Two would do on
+// average; with four the busiest engine of 60 has a fifth more work than the mean
+// where placing goes by loads that are half a second old.
+const homeCount = 4
+
+// homes are the engines that a request's shared parts belong to; empty where the
 // request shares too little.
 type homes struct {
-	first, second *server
+	// ranked are in order of rank; those that don't exist are nil.
+	ranked [homeCount]*server
+	ranks  [homeCount]uint64
 	// assumed is true where the first one is taken to hold the parts.
 	assumed bool
 	// holder is the engine that holds the most of the shared parts, held how many
 	// of their tokens; nil where none is known to.
 	holder *server
 	held   float64
-	// kept is the same as held for engines that may not have read it yet.
-	kept float64
+	// keeper and kept are the same for engines that may not have read it yet.
+	keeper *server
+	kept   float64
+}
+
+// first is the first home; nil where the request has none.
+func (h *homes) first() *server { return h.ranked[0] }
+
+// note puts the server at its place among the homes.
+func (h *homes) note(s *server, rank uint64) {
+	for i := range h.ranked {
+		if h.ranked[i] == nil || rank > h.ranks[i] {
+			s, h.ranked[i] = h.ranked[i], s
+			rank, h.ranks[i] = h.ranks[i], rank
+		}
+		if s == nil {
+			return
+		}
+	}
 }
 
 // homesOf ranks the open engines by the request's last shared part.
@@ -38,8 +63,7 @@
 	}
 	remote := c.options.Weights.RemoteCost.Duration.Seconds()
 	part := strconv.FormatUint(r.Prefix[shared].Hash, 36)
-	tight := r.tight()
-	var most, next uint64
+	belongs := r.laneOf()
 	for _, s := range r.pool.servers {
 		if s.closed() || s.cut {
 			continue
@@ -47,20 +71,14 @@
 		if !now.Before(s.ejectedUntil) {
 			h.noteHolder(now, s, r, shared)
 		}
-		if s.lane != tight {
+		if s.lane != belongs {
 			continue
 		}
 		// A remote engine is worth its price where that buys more time of reading.
 		if s.remote && r.pool.reading*float64(r.Prefix[shared].End) < remote {
 			continue
 		}
-		switch rank := xxhash.Sum64String(part + s.name); {
-		case rank > most:
-			h.second, next = h.first, most
-			h.first, most = s, rank
-		case rank > next:
-			h.second, next = s, rank
-		}
+		h.note(s, xxhash.Sum64String(part+s.name))
 	}
 	h.holdAtHome(now, r, shared)
 	return h
@@ -71,9 +89,9 @@
 // was sent where. In a tree that takes seconds, and an instance sees a small part
 // of the requests itself: there the first home is taken to hold the prompt. By what
 // is known, shared parts were read again 2.7 times as often at 76 instances.
-func (h homes) uncachedAt(s *server, r *request) float64 {
+func (h *homes) uncachedAt(s *server, r *request) float64 {
 	uncached := s.uncached(r)
-	if !h.assumed || s != h.first {
+	if !h.assumed || s != h.first() {
 		return uncached
 	}
 	return min(uncached, float64(max(r.PromptTokens+r.got-r.Prefix[len(r.Prefix)-2].End, 1)))
@@ -83,28 +101,22 @@
 	// pastFirst is the price of the second home: more than a way between regions,
 	// so that instances everywhere begin with the same engine.
 	pastFirst = 250 * time.Millisecond
-	// pastSecond is the price of an engine that is no home, so that what leaves the
-	// first home meets on the second, and is read there once.
+	// pastSecond is the price of the homes after it and of other engines, so that
+	// what leaves the first home meets on the second, and is read there once.
 	pastSecond = 500 * time.Millisecond
 )
 
-// place is 1 or 2 for the homes, else 0.
-func (h homes) place(s *server) int {
-	switch s {
-	case h.first:
-		return 1
-	case h.second:
-		return 2
-	}
-	return 0
+// place is the home's place from 1 on, else 0.
+func (h *homes) place(s *server) int {
+	return 1 + slices.Index(h.ranked[:], s)
 }
 
 // past is the price of an engine that is not the first home.
-func (h homes) past(s *server) time.Duration {
+func (h *homes) past(s *server) time.Duration {
 	switch {
-	case h.first == nil || s == h.first:
+	case h.first() == nil || s == h.first():
 		return 0
-	case s == h.second:
+	case s == h.ranked[1]:
 		return pastFirst
 	}
 	return pastSecond
--- a/request/policy/backlog.go
+++ b/request/policy/backlog.go
@@ -1,10 +1,13 @@
 package policy
 
+import lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+
 // levels is the number of priorities at engines; 0 is the most urgent.
 const levels = 10
 
 // lateLevel is that of requests that start when their target is missed already:
-// they run in what the others leave.
+// they run in what the others leave. Only the least urgent classes have it: a more
+// urgent request that is late must not be preempted before less urgent ones.
 const lateLevel = levels - 1
 
 // backlog is prompt work that waits at an engine, in tokens, by the priority of
@@ -55,10 +58,15 @@
 	switch {
 	case !r.Anchored:
 		return levels - 1
-	case r.item.Late || r.behind:
+	case (r.item.Late || r.behind) && usualLevel(r.class) >= r.pool.lastLevel:
 		return lateLevel
 	}
-	return min(r.tier()*ranks+int(r.class.GetRank()), lateLevel-1)
+	return usualLevel(r.class)
+}
+
+// usualLevel is that of the class's requests that can be in time.
+func usualLevel(class *lilacv1.Class) int {
+	return min(int(class.GetTier())*ranks+int(class.GetRank()), lateLevel-1)
 }
 
 // ranks is the number of ranks within a tier.
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -58,8 +58,8 @@
 	// take the place of the rank.
 	// anchoredOnce takes a late first token before a prompt read twice.
 	anchored, anchoredLate, anchoredOnce choose.Chooser
-	candidates             []choose.Candidate
-	reserves               [model.Tiers]float64
+	candidates                           []choose.Candidate
+	reserves                             [model.Tiers]float64
 }
 
 func newChooser(weights settings.Policy) chooser {
@@ -80,62 +80,48 @@
 	}
 }
 
-// describe fills in the candidates for a request; a large pool is sampled.
-func (c *core) describe(now time.Time, r *request) {
+// describe fills in the candidates for a request; a large pool is sampled, wider for
+// requests that find no room among the few engines that suit them.
+func (c *core) describe(now time.Time, r *request, wide bool) {
 	servers, h := r.pool.servers, c.homesOf(now, r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 		return
 	}
 	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h))
 		}
 		return
 	}
-	if r.Anchored {
-		c.sampleAnchored(now, r, h)
+	if r.Anchored && h.first() != nil && !wide {
+		c.describeHomes(now, r, &h)
 		return
 	}
 	start := c.random.IntN(len(servers))
 	step := 1 + c.random.IntN(len(servers)-1)
 	for i := range choose.Sample {
 		at := (start + i*step) % len(servers)
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 	}
 }
 
-// sampleAnchored looks at the request's homes, at as many near servers as fit and
-// at some others. A blind sample of a large pool would miss the homes four times
-// in five, and have each prompt read on many engines.
-func (c *core) sampleAnchored(now time.Time, r *request, h homes) {
-	servers := r.pool.servers
-	start := c.random.IntN(len(servers))
-	near, far := nearSample, farSample
-	for i := range servers {
-		at := (start + i) % len(servers)
-		s := servers[at]
-		switch {
-		case h.place(s) > 0:
-		case !s.remote && near > 0:
-			near--
-		case s.remote && far > 0:
-			far--
-		default:
-			continue
+// describeHomes looks at the request's homes and at the engines that hold its
+// prompt.
+//
+// It guards against a herd: 78 instances that see the same loads, half a second
+// old, all send to the engine that was the least loaded then. It shows as engines
+// with 5 s of prompts to read beside idle ones. It holds because each shared part has
+// homes of its own, spread over all engines.
+func (c *core) describeHomes(now time.Time, r *request, h *homes) {
+	for i, s := range r.pool.servers {
+		if h.place(s) > 0 || s == h.holder || s == h.keeper {
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
 		}
-		c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, at, h))
 	}
 }
 
-const (
-	// nearSample and farSample are how many servers of the own data centre and of
-	// the others are looked at besides the homes.
-	nearSample = 16
-	farSample  = 6
-)
-
 // how says how a request looks for a server.
 type how struct {
 	reserve, over float64
@@ -145,7 +131,7 @@
 
 // choose returns the server for the request, or nil while none has room.
 func (c *core) choose(now time.Time, r *request, h how) *server {
-	c.describe(now, r)
+	c.describe(now, r, h.late)
 	asked := choose.Request{
 		FirstBy: r.firstBy(now), Target: r.first(), Between: r.between(), Avoid: r.failedOn,
 		Left: r.left(c), Reserve: h.reserve, Over: h.over, Alone: h.alone,
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -179,6 +179,7 @@
 	c.judge(now)
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
+		p.fadeWork()
 		p.measure(now)
 		c.unpark(now, p)
 		c.cutoff(now, p)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -100,14 +100,19 @@
 	r.gotNow = 0
 	r.started, r.lastAt = now, now
 	r.level = r.levelOf()
-	supply := c.homesOf(now, r).supplyAt(s, r)
+	h := c.homesOf(now, r)
+	supply := h.supplyAt(s, r)
 	r.uncached, r.fetched, r.ahead = supply.read, supply.fetched, s.before(r.level)
 	r.expected = s.firstToken(s.load()+1, r.uncached, r.level) + s.fetchTime(r.fetched)
 	c.carry(now, r, s, from)
 	why := c.why(now, r, s)
+	why.Home = h.place(s)
 	s.attach(r)
 	c.identical.started(r)
 	s.ahead.add(r.level, r.uncached)
+	if r.attempt == 1 {
+		r.pool.noteWork(r)
+	}
 	r.pool.attach(r)
 	c.noteReadings(now, r, s)
 	s.cache.use(r.Prefix, now.Add(r.expected))
@@ -134,7 +139,7 @@
 func (c *core) why(now time.Time, r *request, s *server) Why {
 	return Why{
 		Waited: now.Sub(r.item.Arrived), Own: len(s.own), Load: s.load(), ReportAge: time.Duration(s.reportAge * float64(time.Second)),
-		Uncached: r.uncached, Fetched: r.fetched, Ahead: r.ahead, Expected: r.expected, Lane: s.lane, Home: c.homesOf(now, r).place(s),
+		Uncached: r.uncached, Fetched: r.fetched, Ahead: r.ahead, Expected: r.expected, Lane: s.lane != laneLong,
 	}
 }
 
--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -20,7 +20,7 @@
 	leastAgain = 2048
 	// fetchShare is what a fetched token costs of what a read one does: it takes the
 	// links' time and volume in place of the engine's.
-	fetchShare = 0.3
+	fetchShare = 0.5
 )
 
 // supply is how an engine comes by a request's prompt.
@@ -42,7 +42,7 @@
 }
 
 // supplyAt says how the server would come by the request's prompt.
-func (h homes) supplyAt(s *server, r *request) supply {
+func (h *homes) supplyAt(s *server, r *request) supply {
 	p := supply{read: h.uncachedAt(s, r)}
 	held := float64(r.PromptTokens+r.got) - p.read
 	more := h.held - held
@@ -57,7 +57,9 @@
 // noteHolder keeps the engine that holds the most of the request's shared parts.
 // Where others' requests are not known, the first home is taken for it.
 func (h *homes) noteHolder(now time.Time, s *server, r *request, shared int) {
-	h.kept = max(h.kept, float64(s.cache.hit(r.Prefix[:shared+1])))
+	if kept := float64(s.cache.hit(r.Prefix[:shared+1])); kept > h.kept {
+		h.keeper, h.kept = s, kept
+	}
 	held := float64(s.cache.ready(now, r.Prefix[:shared+1]))
 	if held > h.held {
 		h.holder, h.held = s, held
@@ -67,12 +69,12 @@
 // holdAtHome takes the first home for the holder where it is assumed to be one and
 // has not failed just now.
 func (h *homes) holdAtHome(now time.Time, r *request, shared int) {
-	if !h.assumed || h.first == nil || now.Before(h.first.ejectedUntil) {
+	if !h.assumed || h.first() == nil || now.Before(h.first().ejectedUntil) {
 		return
 	}
 	all := float64(r.Prefix[shared].End)
-	h.kept = all
+	h.keeper, h.kept = h.first(), all
 	if h.held < all {
-		h.holder, h.held = h.first, all
+		h.holder, h.held = h.first(), all
 	}
 }
--- a/request/policy/gateway_test.go
+++ b/request/policy/gateway_test.go
@@ -80,7 +80,7 @@
 			c.Step(now, Tick{})
 			start := only[Start](t, c.Step(now, digest(ID(100*subject+uint64(round)+1), subject+1)))
 			used[start.Server] = true
-			is.True(!c.servers[start.Server].lane)
+			is.Equal(c.servers[start.Server].lane, laneLong)
 			finish(c, now, start)
 		}
 		is.Equal(len(used), 1)
@@ -102,7 +102,7 @@
 			a = digest(ID(i+1), uint64(i%10+1))
 		}
 		start := only[Start](t, c.Step(now, a))
-		is.Equal(c.servers[start.Server].lane, i%2 == 1)
+		is.Equal(c.servers[start.Server].lane == laneTight, i%2 == 1)
 		finish(c, now, start)
 	}
 }
@@ -112,7 +112,7 @@
 	is := is.New(t)
 	c := engines("e1", 1, "a")
 	c.Step(epoch.Add(slowTick), Tick{})
-	is.True(!c.servers["a-0"].lane)
+	is.Equal(c.servers["a-0"].lane, laneLong)
 	only[Start](t, c.Step(epoch.Add(slowTick), draft(1)))
 	only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 1)))
 }
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,94 +12,222 @@
 // Reading a long prompt delays the tokens of all answers on its engine: by some
 // 60 ms each while it lasts, where an empty step takes 6 ms. An answer whose
 // class wants less than that between two tokens is late then, however few
-// requests the engine runs. So in each data centre some engines are kept for
-// such answers, their lane, and long prompts are read on the others. All
-// instances rank the engines alike, so they agree on the lane without a word.
+// requests the engine runs. An engine also reads a prompt that it has begun to its
+// end, and an answer that is wanted within a second is late behind a long one. So
+// in each data centre some engines are kept for either, their lanes, and long
+// prompts are read on the others. All instances rank the engines alike, so they
+// agree on the lanes without a word.
+
+// lane is what an engine is kept for, or the one that a request belongs to.
+type lane int
+
+const (
+	// laneLong takes long prompts, and all that has no other lane.
+	laneLong lane = iota
+	// laneQuick is for answers that are wanted within readingFirst.
+	laneQuick
+	// laneTight is for answers with short pauses between their tokens.
+	laneTight
+	// lanes counts them.
+	lanes
+)
+
 const (
 	// readingGap is the gap between two tokens beside a long prompt: a chunk of
 	// 2,048 tokens at 50 to 64 a millisecond, its attention and the step itself.
 	readingGap = 72 * time.Millisecond
+	// readingFirst is the target for a first token below which an answer is late behind
+	// a long prompt: 13,300 tokens take 0.4 s, and some have three times as many.
+	readingFirst = time.Second
 	// longRead is the uncached length from which a prompt counts as long: two chunks.
 	longRead = 4096
-	// laneLearn is the weight of one request in the lane's share of all work.
+	// laneLearn is the weight of one request in the lanes' shares of all work, where an
+	// instance goes by its own requests.
 	laneLearn = 0.02
 	// firstTightWork and firstWork are the means before any request was seen: a
 	// third, with the weight of 50 requests, so that the first few don't move lanes.
-	firstTightWork = 400
+	firstTightWork = 1000
 	firstWork      = 3000
 	// leastLane is the share of work below which nothing is kept free.
 	leastLane = 0.02
-	// laneTokenWork is what one more generated token costs of an engine's time in a
-	// large batch, as prompt tokens read in the same time: 0.045 ms.
-	laneTokenWork = 2.3
+	// tokenWork is what one more generated token costs of an engine's time in a large
+	// batch, as prompt tokens read in the same time: 0.045 ms.
+	tokenWork = 2.3
+	// quickLaneFrom is the number of engines in a data centre from which answers that
+	// are wanted soon have a lane of their own: below, one engine more or less is too
+	// large a step.
+	quickLaneFrom = 6
+	// laneHold is by how many engines the work must differ from a lane before it
+	// changes: each change moves homes, whose prompts are then read again.
+	laneHold = 0.8
+	// workFor is the time over which the work of all instances is averaged: a burst
+	// is seen within it, and some hundred requests settle the shares.
+	workFor = 2 * time.Second
 )
 
-// tight tells whether the request's answers are late beside a long prompt.
-func (r *request) tight() bool {
-	return !r.pool.service && r.between() > 0 && r.between() < readingGap
+// laneOf is the lane that the request belongs to, where the pool has such engines.
+func (r *request) laneOf() lane {
+	switch {
+	case r.pool.service || r.between() <= 0:
+		return laneLong
+	case r.between() < readingGap:
+		return laneTight
+	case r.first() < readingFirst && r.pool.hasLane[laneQuick]:
+		return laneQuick
+	}
+	return laneLong
 }
 
-// long tells whether the request's prompt would hold up others' tokens there.
-func (r *request) long(s *server) bool { return s.uncached(r) >= longRead }
+// wants is the lane that the request's class asks for, whether there is one or not.
+func (r *request) wants() lane {
+	if r.pool.service || r.between() <= 0 || r.between() >= readingGap && r.first() >= readingFirst {
+		return laneLong
+	}
+	if r.between() < readingGap {
+		return laneTight
+	}
+	return laneQuick
+}
+
+// ownPart is the part of the prompt that no other request shares, in tokens.
+func (r *request) ownPart() float64 {
+	if len(r.Prefix) < 2 {
+		return float64(r.PromptTokens)
+	}
+	return float64(r.PromptTokens - r.Prefix[len(r.Prefix)-2].End)
+}
+
+// laneWork is the work of the instances in each lane.
+type laneWork struct {
+	// means are running means of one own request's work.
+	means [lanes]float64
+	// rates are the own work in tokens a second, told the others'.
+	rates, told [lanes]float64
+}
+
+func newLaneWork() laneWork {
+	return laneWork{means: [lanes]float64{laneLong: firstWork - firstTightWork, laneTight: firstTightWork}}
+}
 
-// noteWork learns which share of the pool's work the lane's requests make.
+// noteWork learns from a request that starts. Its shared parts are left out: while
+// all is cold, long prompts make twenty times the work of short ones for some
+// seconds, and would leave these a single engine.
 func (p *pool) noteWork(r *request) {
-	work := laneTokenWork*r.estimated + min(float64(r.PromptTokens), longRead)
-	tight := 0.0
-	if r.tight() {
-		tight = work
+	if p.service {
+		return
 	}
-	p.tightWork += laneLearn * (tight - p.tightWork)
-	p.allWork += laneLearn * (work - p.allWork)
+	to := r.wants()
+	work := r.ownPart() + tokenWork*r.estimated
+	for l := range p.work.means {
+		sample := 0.0
+		if lane(l) == to {
+			sample = work
+		}
+		p.work.means[l] += laneLearn * (sample - p.work.means[l])
+	}
+	p.work.rates[to] += work / workFor.Seconds()
 }
 
-// laneShare is the part of the engines that the lane gets.
-func (p *pool) laneShare() float64 { return p.tightWork / p.allWork }
+// fadeWork lets the rates follow the last seconds.
+func (p *pool) fadeWork() {
+	for l := range p.work.rates {
+		p.work.rates[l] *= math.Exp(-slowTick.Seconds() / workFor.Seconds())
+	}
+}
 
-// formLanes marks the lane's engines: in each data centre the first of the open
-// ones by hash, at least one and not all.
-func (p *pool) formLanes(now time.Time) {
+// laneShares are the parts of all work. Where others tell theirs, theirs count too:
+// one instance in 78 sees five requests a second, and would take 20 s to notice a
+// burst that lasts ten.
+func (p *pool) laneShares(told bool) [lanes]float64 {
+	shares, sum := p.work.means, 0.0
+	for l := range shares {
+		if told {
+			shares[l] = p.work.rates[l] + p.work.told[l]
+		}
+		sum += shares[l]
+	}
+	for l := range shares {
+		shares[l] /= max(sum, 1)
+	}
+	return shares
+}
+
+// formLanes marks the lanes' engines in each data centre among the open ones in
+// order of a hash: the tight lane at one end, the quick one at the other.
+func (p *pool) formLanes(now time.Time, told bool) {
 	if p.service {
 		return
 	}
 	groups := make(map[string][]*server)
 	for _, s := range p.servers {
-		s.lane = false
+		s.lane = laneLong
 		if !s.closed() && !s.cut && !now.Before(s.ejectedUntil) {
 			groups[s.dataCenter] = append(groups[s.dataCenter], s)
 		}
 	}
-	share := p.laneShare()
-	for _, group := range groups {
-		if len(group) < 2 || share < leastLane {
+	p.hasLane = [lanes]bool{}
+	shares := p.laneShares(told)
+	for dataCenter, group := range groups {
+		if len(group) < 2 {
 			continue
 		}
 		slices.SortFunc(group, func(a, b *server) int {
 			return cmp.Compare(xxhash.Sum64String(a.name), xxhash.Sum64String(b.name))
 		})
-		count := int(share*float64(len(group)) + 0.5)
-		for _, s := range group[:min(max(count, 1), len(group)-1)] {
-			s.lane = true
+		tight, quick := p.laneSizes(dataCenter, len(group), shares)
+		p.mark(group[:tight], laneTight)
+		p.mark(group[len(group)-quick:], laneQuick)
+	}
+}
+
+func (p *pool) mark(group []*server, l lane) {
+	for _, s := range group {
+		s.lane = l
+		p.hasLane[l] = true
+	}
+}
+
+// laneSizes returns how many of a data centre's n engines each lane gets: at least
+// one, and not all.
+func (p *pool) laneSizes(dataCenter string, n int, shares [lanes]float64) (tight, quick int) {
+	size := p.sizes[dataCenter]
+	for l, share := range shares {
+		switch wanted := share * float64(n); {
+		case lane(l) == laneLong || lane(l) == laneQuick && n < quickLaneFrom || share < leastLane:
+			size[l] = 0
+		case size[l] == 0 || math.Abs(wanted-float64(size[l])) > laneHold:
+			size[l] = max(int(wanted+0.5), 1)
 		}
 	}
+	tight = min(size[laneTight], n-1)
+	quick = min(size[laneQuick], n-1-tight)
+	p.sizes[dataCenter] = size
+	return tight, quick
 }
 
 const (
-	// strayLong is the price of a long prompt in the lane, strayTight that of a
-	// tight answer outside: a miss of one answer's target, or a likely one.
+	// strayLong is the price of a long prompt in a lane, strayTight that of an answer
+	// outside its lane: a miss of one answer's target, or a likely one.
 	strayLong  = 4 * time.Second
 	strayTight = time.Second
+	// strayShort is the price of a prompt in a lane that is short there: it holds
+	// others up by two steps at most.
+	strayShort = 700 * time.Millisecond
 )
 
-// stray is the price of the request outside the engines that suit it.
-func (s *server) stray(r *request, h homes) time.Duration {
+// stray is the price of the request outside the engines that suit it, where it has
+// so many tokens to read.
+func (s *server) stray(r *request, h *homes, read float64) time.Duration {
+	belongs := r.laneOf()
 	switch {
 	case s.service || !r.Anchored:
 		return 0
-	case s.lane && r.long(s) && !r.tight():
+	case s.lane == belongs:
+		return h.past(s)
+	case s.lane != laneLong && belongs != laneTight && read >= longRead:
 		return strayLong
-	case !s.lane && r.tight():
-		return strayTight
+	case belongs == laneLong:
+		return strayShort
 	}
-	return h.past(s)
+	return strayTight
 }
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -28,6 +28,8 @@
 	parked []*request
 	// tight is the tightest target between tokens of the classes in use.
 	tight time.Duration
+	// lastLevel is the last of the levels of the same classes.
+	lastLevel int
 	// shares are the guaranteed ones of the same classes.
 	shares tiers.Shares
 	used   map[string]*classUse
@@ -42,8 +44,13 @@
 	reading float64
 	// rates is kept to spare an allocation each time.
 	rates []float64
-	// tightWork and allWork are running means of a request's work; see lanes.
-	tightWork, allWork float64
+	// work is what the lanes are sized by, sizes their engines by data centre, and
+	// hasLane tells which there are; see lanes.
+	work    laneWork
+	sizes   map[string][lanes]int
+	hasLane [lanes]bool
+	// toldWork is true while others tell their work.
+	toldWork bool
 	// openAt is when a server was last open, progressAt when one last sent
 	// anything to this instance, rejectedAt when an attempt last failed.
 	openAt, progressAt, rejectedAt time.Time
@@ -57,7 +64,7 @@
 }
 
 func newPool(name string, now time.Time) *pool {
-	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), used: make(map[string]*classUse), quota: 1, rate: 1, tightWork: firstTightWork, allWork: firstWork, openAt: now, progressAt: now}
+	return &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), used: make(map[string]*classUse), quota: 1, rate: 1, work: newLaneWork(), sizes: make(map[string][lanes]int), openAt: now, progressAt: now}
 }
 
 // use notes that a class's requests come to the pool.
@@ -85,12 +92,13 @@
 
 // tighten brings what the classes in use ask of the pool up to date.
 func (p *pool) tighten(now time.Time) {
-	p.tight, p.shares = 0, tiers.Shares{}
+	p.tight, p.shares, p.lastLevel = 0, tiers.Shares{}, 0
 	for _, u := range p.uses {
 		if now.Sub(u.at) >= tightFor {
 			continue
 		}
 		p.shares[u.class.GetTier()] += shareOf(u.class)
+		p.lastLevel = max(p.lastLevel, usualLevel(u.class))
 		target := time.Duration(u.class.GetBetweenTokensMs()) * time.Millisecond
 		if target > 0 && (p.tight == 0 || target < p.tight) {
 			p.tight = target
@@ -133,7 +141,7 @@
 // measure works out capacity, quota and rate from what is known of the servers.
 func (p *pool) measure(now time.Time) {
 	p.tighten(now)
-	p.formLanes(now)
+	p.formLanes(now, p.toldWork)
 	p.measureReading()
 	p.capacity, p.rate, p.gap = 0, 0, 0
 	open, norms := 0, 0.0
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -115,8 +115,8 @@
 	heardAt time.Time
 	// trouble is the share of requests that failed here lately.
 	trouble float64
-	// lane is true for an engine that is kept for tight answers; see lanes.
-	lane bool
+	// lane is what an engine is kept for; see lanes.
+	lane lane
 	// cut is true while the server's data centre is out of reach.
 	cut bool
 	// fullUntil is how long the server counts as full after a late first token.
@@ -341,7 +341,7 @@
 }
 
 // candidate describes the server with the request on it.
-func (s *server) candidate(r *request, now time.Time, index int, h homes) choose.Candidate {
+func (s *server) candidate(r *request, now time.Time, index int, h *homes) choose.Candidate {
 	n := s.load() + 1
 	c := choose.Candidate{
 		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now),
@@ -355,7 +355,7 @@
 	c.First = s.firstToken(n, supply.read, r.levelOf()) + s.fetchTime(supply.fetched)
 	c.Work = time.Duration(r.pool.reading * supply.work() * float64(time.Second))
 	c.Again = supply.again >= leastAgain
-	c.Stray = s.stray(r, h)
+	c.Stray = s.stray(r, h, supply.read)
 	if r.Anchored {
 		c.Trouble = time.Duration(s.trouble * float64(r.first()))
 	}
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -28,14 +28,30 @@
 		c.hearReading(now, c.byKey[read.Server], read.Hash, int(read.Tokens))
 	}
 	for _, p := range c.poolOrder {
+		p.hearWork(e.Word.Work[loadboard.Key(p.name)], c.told)
 		p.dirty = p.dirty || p.queue.Len() > 0
 	}
 }
 
+// hearWork takes in the work that others start in the pool.
+func (p *pool) hearWork(rates [loadboard.Lanes]uint32, told bool) {
+	p.toldWork = told
+	for l, rate := range rates {
+		p.work.told[l] = float64(rate)
+	}
+}
+
 // Loads is what this instance runs on each server and sent there lately, for the
 // others.
 func (c *core) Loads(now time.Time) loadboard.Word {
-	word := loadboard.Word{Loads: make(loadboard.Loads)}
+	word := loadboard.Word{Loads: make(loadboard.Loads), Work: make(loadboard.Work)}
+	for _, p := range c.poolOrder {
+		var rates [loadboard.Lanes]uint32
+		for l, rate := range p.work.rates {
+			rates[l] = uint32(rate)
+		}
+		word.Work[loadboard.Key(p.name)] = rates
+	}
 	for _, s := range c.ordered {
 		if len(s.own) == 0 {
 			continue
