--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -92,6 +92,9 @@
 	r.estimated = 1
 	if !r.pool.service {
 		r.estimated = c.estimates.Left(r.key(), 0)
+		if r.Hint > 0 {
+			r.estimated = float64(r.Hint)
+		}
 		if r.MaxTokens > 0 {
 			r.estimated = min(r.estimated, float64(r.MaxTokens))
 		}
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -27,6 +27,10 @@
 	// ranked are in order of rank; those that don't exist are nil.
 	ranked [homeCount]*server
 	ranks  [homeCount]uint64
+	// refuge is the first in rank of the engines in other lanes: an answer of hundreds
+	// of tokens takes five times as long beside prompts that are read all the time.
+	refuge     *server
+	refugeRank uint64
 	// assumed is true where the first one is taken to hold the parts.
 	assumed bool
 	// holder is the engine that holds the most of the shared parts, held how many
@@ -65,20 +69,24 @@
 	part := strconv.FormatUint(r.Prefix[shared].Hash, 36)
 	belongs := r.laneOf()
 	for _, s := range r.pool.servers {
+		if s.canGive(now) {
+			h.noteHolder(now, s, r, shared)
+		}
 		if s.closed() || s.cut {
 			continue
 		}
-		if !now.Before(s.ejectedUntil) {
-			h.noteHolder(now, s, r, shared)
-		}
+		rank := xxhash.Sum64String(part + s.name)
 		if s.lane != belongs {
+			if belongs == laneLong && rank > h.refugeRank {
+				h.refuge, h.refugeRank = s, rank
+			}
 			continue
 		}
 		// A remote engine is worth its price where that buys more time of reading.
 		if s.remote && r.pool.reading*float64(r.Prefix[shared].End) < remote {
 			continue
 		}
-		h.note(s, xxhash.Sum64String(part+s.name))
+		h.note(s, rank)
 	}
 	h.holdAtHome(now, r, shared)
 	return h
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -116,7 +116,7 @@
 // homes of its own, spread over all engines.
 func (c *core) describeHomes(now time.Time, r *request, h *homes) {
 	for i, s := range r.pool.servers {
-		if h.place(s) > 0 || s == h.holder || s == h.keeper {
+		if h.place(s) > 0 || s == h.holder || s == h.keeper || s == h.refuge {
 			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
 		}
 	}
@@ -185,6 +185,10 @@
 		return 0
 	}
 	left := c.estimates.Left(r.key(), r.got)
+	if r.Hint > r.got {
+		// Callers' guesses are right at the median, a class's lengths differ thirtyfold.
+		left = float64(r.Hint - r.got)
+	}
 	if r.MaxTokens > 0 {
 		left = min(left, float64(max(r.MaxTokens-r.got, 1)))
 	}
--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -54,10 +54,23 @@
 	return p
 }
 
+// leavingGives is how long a leaving engine still passes its cache on: it stays for
+// some seconds after the word that it leaves, and its prompts, once fetched, need not
+// be read again by those who take its place.
+const leavingGives = 2 * time.Second
+
+// canGive tells whether others may fetch from the engine.
+func (s *server) canGive(now time.Time) bool {
+	if s.gone || s.cut || now.Before(s.ejectedUntil) {
+		return false
+	}
+	return !s.closed() || now.Sub(s.closedAt) < leavingGives
+}
+
 // noteHolder keeps the engine that holds the most of the request's shared parts.
 // Where others' requests are not known, the first home is taken for it.
 func (h *homes) noteHolder(now time.Time, s *server, r *request, shared int) {
-	if kept := float64(s.cache.hit(r.Prefix[:shared+1])); kept > h.kept {
+	if kept := float64(s.cache.hit(r.Prefix[:shared+1])); kept > h.kept && !s.closed() {
 		h.keeper, h.kept = s, kept
 	}
 	held := float64(s.cache.ready(now, r.Prefix[:shared+1]))
