--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -27,10 +27,6 @@
 	// ranked are in order of rank; those that don't exist are nil.
 	ranked [homeCount]*server
 	ranks  [homeCount]uint64
-	// refuge is the first in rank of the engines in other lanes: an answer of hundreds
-	// of tokens takes five times as long beside prompts that are read all the time.
-	refuge     *server
-	refugeRank uint64
 	// assumed is true where the first one is taken to hold the parts.
 	assumed bool
 	// holder is the engine that holds the most of the shared parts, held how many
@@ -77,9 +73,6 @@
 		}
 		rank := xxhash.Sum64String(part + s.name)
 		if s.lane != belongs {
-			if belongs == laneLong && rank > h.refugeRank {
-				h.refuge, h.refugeRank = s, rank
-			}
 			continue
 		}
 		// A remote engine is worth its price where that buys more time of reading.
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -116,7 +116,7 @@
 // homes of its own, spread over all engines.
 func (c *core) describeHomes(now time.Time, r *request, h *homes) {
 	for i, s := range r.pool.servers {
-		if h.place(s) > 0 || s == h.holder || s == h.keeper || s == h.refuge {
+		if h.place(s) > 0 || s == h.holder || s == h.keeper {
 			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
 		}
 	}
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -41,9 +41,6 @@
 	readingFirst = time.Second
 	// longRead is the uncached length from which a prompt counts as long: two chunks.
 	longRead = 4096
-	// slowRead is the length of a request's own part from which it would hold up the
-	// quick lane's others: 0.25 s to read, a third of their target.
-	slowRead = 8192
 	// laneLearn is the weight of one request in the lanes' shares of all work, where an
 	// instance goes by its own requests.
 	laneLearn = 0.02
@@ -75,7 +72,7 @@
 		return laneLong
 	case r.between() < readingGap:
 		return laneTight
-	case r.first() < readingFirst && r.pool.hasLane[laneQuick] && r.ownPart() < slowRead:
+	case r.first() < readingFirst && r.pool.hasLane[laneQuick]:
 		return laneQuick
 	}
 	return laneLong
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -362,20 +362,5 @@
 	if !s.service {
 		c.Gap = s.gapAt(n)
 	}
-	if r.Anchored && s.told {
-		c.Gap = s.paceAt(n)
-	}
 	return c
 }
-
-// readingFull is the backlog, as time to read it, from which an engine's steps all
-// read prompts for as long as an answer lasts.
-const readingFull = 2 * time.Second
-
-// paceAt is the expected time for a token in a batch of n beside the prompts that
-// wait to be read.
-func (s *server) paceAt(n float64) time.Duration {
-	gap := s.gapAt(n)
-	busy := min(s.prefillTime(s.before(levels-1)).Seconds()/readingFull.Seconds(), 1)
-	return gap + time.Duration(busy*float64(max(readingGap-gap, 0)))
-}
