--- a/request/policy/gateway_test.go
+++ b/request/policy/gateway_test.go
@@ -228,15 +228,17 @@
 	is.Equal(start.Server, "desk-a")
 }
 
-// A digest whose target has passed starts all the same, but behind all that can
-// still be on time.
+// A digest that no engine can read in time starts all the same, but behind all that
+// can be.
 func TestLateRequestsGoLastAtTheEngine(t *testing.T) {
 	is := is.New(t)
 	c := engines("e1", 1, "a")
 	s := c.servers["a-0"]
 	s.ahead.add(4, 200000) // 3.7 s to read
-	c.Step(epoch, digest(1, 1))
 	var late Start
+	if starts := c.Step(epoch, digest(1, 1)); len(starts) > 0 {
+		late = only[Start](t, starts)
+	}
 	for now := epoch; late.Server == "" && now.Before(epoch.Add(5*time.Second)); now = now.Add(TickInterval) {
 		for _, action := range c.Step(now, Tick{}) {
 			if start, ok := action.(Start); ok {
--- /dev/null
+++ b/request/policy/lanes_test.go
@@ -0,0 +1,119 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+)
+
+// review is a prompt of middle length whose answer is wanted within 0.8 s.
+func review(id ID, subject uint64) Arrival {
+	a := digest(id, subject)
+	a.Class, a.PromptTokens = "review", 9000
+	a.Prefix = []Block{{Hash: subject, End: 6300}, {Hash: 1<<42 + uint64(id), End: 9000}}
+	return a
+}
+
+// withReviews adds the class of reviews.
+func withReviews(c *core) *core {
+	c.view.Classes["review"] = &lilacv1.Class{Name: "review", Tier: 1, Rank: 1, FirstTokenMs: 800, BetweenTokensMs: 100, MaxAttempts: 2}
+	return c
+}
+
+// others tells that all other instances start so much work in each lane, in tokens a
+// second.
+func others(c *core, now time.Time, long, quick, tight uint32) {
+	c.Step(now, LoadsTold{Word: loadboard.Word{
+		Loads: loadboard.Loads{}, Work: loadboard.Work{loadboard.Key("llm"): {long, quick, tight}},
+	}})
+}
+
+// sizes counts the engines of each lane.
+func sizes(c *core) (count [lanes]int) {
+	for _, s := range c.pools["llm"].servers {
+		count[s.lane]++
+	}
+	return count
+}
+
+// A burst of drafts comes to 78 instances. Each sees five of them a second; by its
+// own requests alone it would take 20 s to give them more engines, and the burst
+// lasts ten. By the work of all it takes the time of one word.
+func TestLanesFollowTheWorkOfAllInstances(t *testing.T) {
+	is := is.New(t)
+	c := inTree(withReviews(engines("e1", 15, "a", "b")))
+	others(c, epoch, 600000, 200000, 200000)
+	c.Step(epoch.Add(slowTick), Tick{})
+	is.Equal(sizes(c), [lanes]int{laneLong: 18, laneQuick: 6, laneTight: 6})
+	others(c, epoch.Add(time.Second), 600000, 200000, 700000)
+	c.Step(epoch.Add(time.Second), Tick{})
+	is.Equal(sizes(c), [lanes]int{laneLong: 12, laneQuick: 4, laneTight: 14})
+}
+
+// The work of two lanes differs a little from one word to the next. If each
+// difference moved an engine, the prompts whose home it is would be read again.
+func TestLanesStandStillForSmallChanges(t *testing.T) {
+	is := is.New(t)
+	c := inTree(withReviews(engines("e1", 15, "a")))
+	others(c, epoch, 600000, 200000, 200000)
+	c.Step(epoch.Add(slowTick), Tick{})
+	before := sizes(c)
+	for i := range 10 {
+		now := epoch.Add(time.Duration(i+1) * time.Second)
+		others(c, now, 600000, 200000, 190000+uint32(i%2)*30000)
+		c.Step(now, Tick{})
+		is.Equal(sizes(c), before)
+	}
+}
+
+// An engine reads a prompt that it has begun to its end. Beside digests of 17,000
+// tokens a review, which is wanted within 0.8 s, waits 0.4 s for the one in progress;
+// so reviews have engines of their own where there are enough.
+func TestQuickAnswersKeepAwayFromLongPrompts(t *testing.T) {
+	is := is.New(t)
+	c := inTree(withReviews(engines("e1", 15, "a")))
+	others(c, epoch, 600000, 200000, 200000)
+	c.Step(epoch.Add(slowTick), Tick{})
+	is.Equal(c.servers[only[Start](t, c.Step(epoch.Add(slowTick), review(1, 5))).Server].lane, laneQuick)
+	is.Equal(c.servers[only[Start](t, c.Step(epoch.Add(slowTick), digest(2, 6))).Server].lane, laneLong)
+	few := withReviews(engines("e1", 3, "a"))
+	few.Step(epoch.Add(slowTick), Tick{})
+	is.Equal(few.servers[only[Start](t, few.Step(epoch.Add(slowTick), review(1, 5))).Server].lane, laneLong)
+}
+
+// Memory runs out at an engine, which preempts the least urgent of its requests. A
+// late draft that had been sent as less urgent than the digests beside it would go
+// before them, though its class is more urgent than theirs.
+func TestALateUrgentRequestStaysMoreUrgentThanOthers(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 1, "a")
+	c.Step(epoch, digest(1, 1))
+	c.servers["a-0"].ahead.add(0, 200000)
+	start := only[Start](t, c.Step(epoch, draft(2)))
+	is.True(c.requests[2].behind)
+	is.Equal(start.Level, 3)
+}
+
+// Sixty requests of as many new subjects come between two words of the others. All
+// instances see the same engine as the least loaded one; if they went by that, it
+// would have a million tokens to read. Each subject has homes of its own.
+func TestNewPromptsSpreadOverAllEngines(t *testing.T) {
+	is := is.New(t)
+	used := make(map[string]int)
+	for i := range 60 {
+		c := inTree(engines("e1", 10, "a", "b", "c", "d"))
+		others(c, epoch, 1000, 0, 0)
+		for _, s := range c.ordered {
+			s.toldAhead[5] = 30000
+		}
+		c.servers["a-3"].toldAhead = backlog{}
+		c.Step(epoch.Add(slowTick), Tick{})
+		used[only[Start](t, c.Step(epoch.Add(slowTick), digest(ID(i+1), uint64(i+1)))).Server]++
+	}
+	is.True(len(used) >= 20)
+	is.True(used["a-3"] <= 15) // four homes of 36 engines: 7 expected
+}
