--- a/daemon/program/program.go
+++ b/daemon/program/program.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/hashicorp/go-hclog"
@@ -64,6 +65,9 @@
 	// The framework's own lines are no changes of state.
 	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
 	common := s.Shared()
+	if common.GCPercent > 0 {
+		debug.SetGCPercent(common.GCPercent)
+	}
 	output := logs.NewWriter(os.Stdout)
 	defer output.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -184,6 +184,10 @@
 	Seeds []Address `yaml:"seeds"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `yaml:"log_level"`
+	// GCPercent is by how much the heap may grow, in percent of what is in use, before
+	// it is collected. Less saves memory and takes processor time. Default 100, the
+	// runtime's own.
+	GCPercent int `yaml:"gc_percent"`
 }
 
 // LinkForOthers is the address at which the other processes reach this one.
@@ -209,6 +213,9 @@
 	required(c.Link.Value, "link")
 	required(c.Admin.Value, "admin")
 	required(c.LinkKeyFile+c.LinkKey, "link_key_file")
+	if c.GCPercent < 0 {
+		all = append(all, &Problem{Line: 1, Field: "gc_percent", Message: "is below 0; write how many percent the heap may grow, such as 50, or leave it out"})
+	}
 	if c.LinkKey != "" && len(c.LinkKey) < minLinkKey {
 		all = append(all, &Problem{Line: 1, Field: "link_key", Message: fmt.Sprintf("shorter than %d bytes; write a longer random key", minLinkKey)})
 	}
