--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -64,7 +64,7 @@
 	before := sizes(c)
 	for i := range 10 {
 		now := epoch.Add(time.Duration(i+1) * time.Second)
-		others(c, now, 600000, 200000, 190000+uint32(i%2)*30000)
+		others(c, now, 600000, 200000, 190000+uint32(i%2)*60000)
 		c.Step(now, Tick{})
 		is.Equal(sizes(c), before)
 	}
