--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -65,28 +65,26 @@
 	workFor = 2 * time.Second
 )
 
-// laneOf is the lane that the request belongs to, where the pool has such engines.
+// laneOf is the lane that the request belongs to: the one that it wants, where the
+// pool has such engines.
 func (r *request) laneOf() lane {
-	switch {
-	case r.pool.service || r.between() <= 0:
-		return laneLong
-	case r.between() < readingGap:
-		return laneTight
-	case r.first() < readingFirst && r.pool.hasLane[laneQuick]:
-		return laneQuick
+	if wanted := r.wants(); wanted != laneQuick || r.pool.hasLane[laneQuick] {
+		return wanted
 	}
 	return laneLong
 }
 
 // wants is the lane that the request's class asks for, whether there is one or not.
 func (r *request) wants() lane {
-	if r.pool.service || r.between() <= 0 || r.between() >= readingGap && r.first() >= readingFirst {
+	switch {
+	case r.pool.service || r.between() <= 0:
 		return laneLong
-	}
-	if r.between() < readingGap {
+	case r.between() < readingGap:
 		return laneTight
+	case r.first() < readingFirst:
+		return laneQuick
 	}
-	return laneQuick
+	return laneLong
 }
 
 // ownPart is the part of the prompt that no other request shares, in tokens.
