--- a/process/loadboard/board.go
+++ b/process/loadboard/board.go
@@ -28,7 +28,8 @@
 	// Avoidance is how long a collector that failed is passed over.
 	Avoidance = 3 * time.Second
 	// Most is the number of instances of a data centre up to which there is a board:
-	// its collector takes 4 words of each a second, some 70 KB/s at 16.
+	// its collector takes 4 words of each a second, and answers with 12 bytes and more
+	// for each server in use.
 	Most = 32
 )
 
--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -11,14 +11,12 @@
 )
 
 // Requests that share a long part of their prompt cost a quarter of a second
-// less each on an engine that holds the part. An instance knows only what it
-// sent itself, so all instances rank the engines alike by a hash of the part,
-// and each takes the first one for holding it. It so gets all requests of the
-// part, whichever instance they come to; the second takes what is too much for it.
+// less each on an engine that holds the part. So all instances rank the engines
+// alike by a hash of the part, its homes. The first gets all requests of the part,
+// whichever instance they come to; the others take what is too much for it.
 
-// homeCount is how many engines a shared part has for homes. Two would do on
-// average; with four the busiest engine of 60 has a fifth more work than the mean
-// where placing goes by loads that are half a second old.
+// homeCount is how many engines a shared part has for homes: some choice by load, and
+// few enough that the requests of one moment spread over all engines.
 const homeCount = 4
 
 // homes are the engines that a request's shared parts belong to; empty where the
--- a/request/policy/backlog.go
+++ b/request/policy/backlog.go
@@ -1,9 +1,12 @@
 package policy
 
-import lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+import (
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+)
 
 // levels is the number of priorities at engines; 0 is the most urgent.
-const levels = 10
+const levels = loadboard.Levels
 
 // lateLevel is that of requests that start when their target is missed already:
 // they run in what the others leave. Only the least urgent classes have it: a more
--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -9,9 +9,8 @@
 // to another one without the prompt being read there again.
 
 const (
-	// leastFetch is the least shared part that is fetched, in tokens: a shorter one
-	// is read in the time that a fetch takes to begin, some 5 ms at 50 tokens a
-	// millisecond, with as much again for the links of two engines that are busy.
+	// leastFetch is the least shared part that is fetched, in tokens: it is read in
+	// 10 ms at 50 tokens a millisecond, and a fetch takes some 5 ms to begin.
 	leastFetch = 512
 	// leastAgain is the least part of a prompt, in tokens, for whose sake a request
 	// stays at the engine that reads it already: one chunk. While all engines are
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// Work is told by lane: both packages count the same ones.
+var _ [loadboard.Lanes]uint32 = [lanes]uint32{}
+
 // hearWork takes in the work that others start in the pool.
 func (p *pool) hearWork(rates [loadboard.Lanes]uint32, told bool) {
 	p.toldWork = told
