Logs and metrics that tell why an entry has no document

The page of metrics begins with our own counters: what the record kept of it, its first 4 KB, was the runtime's figures alone. Ruled out by this: nothing yet.

--- a/connection/spreadlink/serve.go
+++ b/connection/spreadlink/serve.go
@@ -7,11 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/version/spread"
 )
 
@@ -47,6 +49,7 @@
 // Server answers the watch and snapshot methods from a Source.
 type Server struct {
 	source Source
+	log    *logs.Log
 
 	mu     sync.Mutex
 	parts  []*lilacv1.SnapshotPart
@@ -54,9 +57,10 @@
 	once   sync.Once
 }
 
-// NewServer returns a Server of the source.
-func NewServer(source Source) *Server {
-	return &Server{source: source, closed: make(chan struct{})}
+// NewServer returns a Server of the source. The logger gets a line for each
+// snapshot that is given.
+func NewServer(source Source, logger hclog.Logger) *Server {
+	return &Server{source: source, log: logs.New(logger), closed: make(chan struct{})}
 }
 
 // Register adds the methods prefix+".watch" and prefix+".snapshot", where
@@ -185,6 +189,7 @@
 	if err != nil {
 		return err
 	}
+	s.log.Line(logs.Belief, "gives a snapshot of the configuration", "to", req.GetInstance(), "revision", parts[0].GetRevision(), "from_part", req.GetFromPart(), "parts", parts[0].GetParts())
 	for _, part := range parts {
 		if err := x.Send(part); err != nil {
 			return err
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/clock"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/config"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -42,13 +43,15 @@
 	Timing spread.Timing
 	// OnView is told of each newer revision, in order; may be nil.
 	OnView func(*model.View)
-	// Logger gets a line for each change of whom the entry follows; may be nil.
+	// Logger gets a line for each change of whom the entry follows, for each
+	// snapshot, and when a newer revision is known than is held; may be nil.
 	Logger hclog.Logger
 }
 
 // Watcher follows the revisions on one entry and gives them on to others.
 type Watcher struct {
 	options Options
+	log     *logs.Log
 	holder  *config.Holder
 	core    *spread.Core
 	events  chan spread.Event
@@ -57,6 +60,9 @@
 	entries []settings.Peer
 	changed chan struct{}
 	known   knowledge
+	// behindSince is since when a newer revision is known than is held, by
+	// clock.Boot; 0 while none is.
+	behindSince time.Duration
 
 	// receiving is held by the one goroutine that receives; it guards assembly.
 	receiving sync.Mutex
@@ -85,6 +91,7 @@
 	}
 	return &Watcher{
 		options: options,
+		log:     logs.New(options.Logger),
 		holder:  config.NewHolder(),
 		core:    spread.NewTimedCore(options.Instance, options.Timing),
 		events:  make(chan spread.Event, 64),
@@ -171,7 +178,7 @@
 			stop()
 			var followed context.Context
 			followed, stop = context.WithCancel(ctx)
-			following.Go(func() { w.follow(followed, follow.Target) })
+			following.Go(func() { w.follow(followed, follow) })
 		}
 	}
 	step(w.entriesEvent())
@@ -189,7 +196,8 @@
 }
 
 // follow receives from one target until the stream breaks.
-func (w *Watcher) follow(ctx context.Context, target spread.Target) {
+func (w *Watcher) follow(ctx context.Context, follow spread.Follow) {
+	target := follow.Target
 	caller, prefix, name := w.caller(target)
 	if caller == nil {
 		w.broken(ctx, target)
@@ -197,7 +205,8 @@
 	}
 	w.receiving.Lock()
 	defer w.receiving.Unlock()
-	w.options.Logger.Debug("following revisions", "from", name)
+	_, age := w.Known()
+	w.log.Line(logs.Belief, "following revisions", "from", name, "reason", string(follow.Reason), "revision", w.holder.Revision(), "age_ms", age.Milliseconds())
 	begun := clock.Boot()
 	err := w.receive(ctx, caller, prefix, target)
 	if fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND) {
@@ -311,9 +320,31 @@
 		}
 	}
 	w.learn(update.GetNewest(), time.Duration(update.GetAgeMs())*time.Millisecond)
+	w.noteBehind()
 	return nil
 }
 
+// noteBehind writes a line when a newer revision becomes known than is held, and
+// one when it is held.
+func (w *Watcher) noteBehind() {
+	held, now := w.holder.Revision(), clock.Boot()
+	w.mu.Lock()
+	newest, since := w.known.newest, w.behindSince
+	switch {
+	case newest > held && since == 0:
+		w.behindSince = now
+	case newest <= held:
+		w.behindSince = 0
+	}
+	w.mu.Unlock()
+	switch {
+	case newest > held && since == 0:
+		w.log.Line(logs.Belief, "behind the newest revision", "held", held, "newest", newest)
+	case newest <= held && since != 0:
+		w.log.Line(logs.Belief, "caught up with the newest revision", "held", held, "after_ms", (now - since).Milliseconds())
+	}
+}
+
 func (w *Watcher) learn(newest uint64, age time.Duration) {
 	at := clock.Boot() - age
 	w.mu.Lock()
@@ -345,6 +376,7 @@
 // fetch takes a snapshot, from where the last transfer broke if the sender
 // still holds that one.
 func (w *Watcher) fetch(ctx context.Context, caller link.Caller, prefix string, target spread.Target) error {
+	begun, bytes := clock.Boot(), 0
 	revision, part := w.assembly.Resume()
 	stream, err := caller.Open(ctx, prefix+".snapshot", &lilacv1.SnapshotRequest{Instance: w.options.Instance, Revision: revision, FromPart: part})
 	if err != nil {
@@ -356,12 +388,15 @@
 		if err := stream.Recv(part); err != nil {
 			return errors.Join(err, context.Cause(ctx))
 		}
+		bytes += len(part.GetData())
 		whole, err := w.assembly.Add(part)
 		if err != nil {
 			return err
 		}
 		w.send(ctx, spread.Heard{Target: target})
 		if whole != nil {
+			w.log.Line(logs.Belief, "took a snapshot of the configuration", "revision", whole.GetRevision(), "document", whole.GetDocument().GetVersion(),
+				"bytes", bytes, "after_ms", (clock.Boot() - begun).Milliseconds())
 			return w.apply(func() error { return w.holder.Load(whole) })
 		}
 	}
--- /dev/null
+++ b/connection/spreadlink/watcher_test.go
@@ -0,0 +1,113 @@
+package spreadlink
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/spread"
+)
+
+// sender is a scripted state process.
+type sender struct {
+	mu sync.Mutex
+	// opened counts the streams of revisions.
+	opened int
+	// next gives the update that follows, and how long it takes to arrive.
+	next func(stream, update int) (*lilacv1.WatchUpdate, time.Duration)
+}
+
+func (s *sender) Call(context.Context, string, proto.Message, proto.Message) error {
+	return errors.New("no calls here")
+}
+
+func (s *sender) Open(ctx context.Context, _ string, _ proto.Message) (link.Stream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened++
+	return &sending{sender: s, ctx: ctx, number: s.opened}, nil
+}
+
+type sending struct {
+	sender         *sender
+	ctx            context.Context
+	number, update int
+}
+
+func (s *sending) Close() error { return nil }
+
+func (s *sending) Recv(m proto.Message) error {
+	update, takes := s.sender.next(s.number, s.update)
+	s.update++
+	select {
+	case <-time.After(takes):
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+	proto.Merge(m, update)
+	return nil
+}
+
+// follows runs a watcher that follows the sender, within a bubble of synctest.
+func follows(t *testing.T, s *sender, logger hclog.Logger) *Watcher {
+	w := NewWatcher(Options{
+		Instance: "e1", DataCenter: "a", Timing: spread.Quick, Logger: logger,
+		State: []settings.Peer{{Name: "s1", DataCenter: "a"}},
+		Dial:  func(string) link.Caller { return s },
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return w
+}
+
+func revision(number uint64) *lilacv1.Revision {
+	return &lilacv1.Revision{Number: number}
+}
+
+// Guards against an entry of which the log does not tell whom it followed and that
+// it was behind.
+func TestLogTellsWhomAnEntryFollowsAndThatItIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var text bytes.Buffer
+		s := &sender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
+			switch update {
+			case 0:
+				return &lilacv1.WatchUpdate{Newest: 2, Revisions: []*lilacv1.Revision{revision(1)}}, 0
+			case 1:
+				return &lilacv1.WatchUpdate{Newest: 2, Revisions: []*lilacv1.Revision{revision(2)}}, 500 * time.Millisecond
+			}
+			return &lilacv1.WatchUpdate{Newest: 2}, 300 * time.Millisecond
+		}}
+		w := follows(t, s, hclog.New(&hclog.LoggerOptions{Output: &text, JSONFormat: true}))
+		time.Sleep(time.Second)
+		is.Equal(w.Revision(), uint64(2))
+		for _, want := range []string{
+			`"@message":"following revisions"`, `"reason":"start"`,
+			`"@message":"behind the newest revision"`, `"held":1,"newest":2`,
+			`"@message":"caught up with the newest revision"`,
+		} {
+			is.True(strings.Contains(text.String(), want)) // line in the log
+		}
+	})
+}
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -97,7 +97,7 @@
 	mux.Handle("entry.query", link.Unary(func(ctx context.Context, _ link.Peer, req *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) {
 		return d.query(ctx, req)
 	}))
-	d.spread = spreadlink.NewServer(d.watcher)
+	d.spread = spreadlink.NewServer(d.watcher, logger)
 	d.spread.Register(mux, "entry")
 	d.loads = d.newLoads()
 	d.gossip = d.newGossip()
--- a/daemon/entry/daemon_test.go
+++ b/daemon/entry/daemon_test.go
@@ -55,7 +55,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	machine := state.NewMachine(100, ledger.Limits{Retention: time.Hour})
-	p := &stateProcess{listener: listener, service: state.NewService(machine, &loneLog{machine: machine})}
+	p := &stateProcess{listener: listener, service: state.NewService(machine, &loneLog{machine: machine}, hclog.NewNullLogger())}
 	mux := link.NewMux()
 	p.service.Register(mux)
 	p.links = link.NewServer(link.Identity{Peer: link.Peer{Process: "state-1", DataCenter: "dakar-a"}, Keys: secret.Always([]byte(key))}, mux)
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -99,6 +99,7 @@
 	defer g.mu.Unlock()
 	document := view.Document
 	if document != nil && (g.view == nil || g.view.Document.GetVersion() != document.GetVersion()) {
+		begun := time.Now()
 		decoded, err := g.platform.Document(document.GetContent())
 		if err != nil {
 			// The state processes have decoded the same text before they took it.
@@ -106,7 +107,8 @@
 			return
 		}
 		g.newest = routing.NewTable(decoded, view.Revision)
-		g.logger.Info("document in force", "version", document.GetVersion(), "revision", view.Revision, "routes", len(decoded.Routes))
+		g.logger.Info("document in force", "version", document.GetVersion(), "revision", view.Revision, "routes", len(decoded.Routes),
+			"bytes", len(document.GetContent()), "decoded_ms", time.Since(begun).Milliseconds())
 	}
 	g.view = view
 	g.configure()
--- a/daemon/state/cluster_test.go
+++ b/daemon/state/cluster_test.go
@@ -92,7 +92,7 @@
 		listener.Close()
 		return err
 	}
-	service := NewService(machine, log)
+	service := NewService(machine, log, hclog.NewNullLogger())
 	service.Register(mux)
 	mux.Handle("test.nothing", link.Unary(func(context.Context, link.Peer, *lilacv1.StateStatusRequest) (*lilacv1.StateStatus, error) {
 		return &lilacv1.StateStatus{}, nil
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	service := NewService(machine, log)
+	service := NewService(machine, log, logger)
 	service.Register(mux)
 	servers := serverlist.NewHolder()
 	servers.Register(mux)
--- a/daemon/state/documents_test.go
+++ b/daemon/state/documents_test.go
@@ -55,7 +55,7 @@
 	machine := NewMachine(100, ledger.Limits{Retention: time.Hour})
 	log := &answeringLog{machine: machine}
 	return &documents{
-		service: NewService(machine, log), decode: decodeText, logger: hclog.NewNullLogger(), name: "s1",
+		service: NewService(machine, log, hclog.NewNullLogger()), decode: decodeText, logger: hclog.NewNullLogger(), name: "s1",
 		control: netip.MustParseAddrPort("10.0.0.1:8229"),
 	}, log
 }
--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -113,7 +114,7 @@
 		machine := NewMachine(retention, ledger.Limits{})
 		shared.machines = append(shared.machines, machine)
 		log := &memberLog{group: shared, address: address}
-		service := NewService(machine, log)
+		service := NewService(machine, log, hclog.NewNullLogger())
 		mux := link.NewMux()
 		service.Register(mux)
 		server := link.NewServer(link.Identity{Keys: secret.Always(testKey)}, mux)
@@ -173,7 +174,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	mux := link.NewMux()
-	served := spreadlink.NewServer(w)
+	served := spreadlink.NewServer(w, hclog.NewNullLogger())
 	served.Register(mux, "entry")
 	traffic = &link.Traffic{}
 	server := link.NewServer(link.Identity{Keys: secret.Always(testKey), Traffic: traffic}, mux)
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -26,13 +27,14 @@
 	now     func() time.Time
 }
 
-// NewService joins a machine and the log that drives it.
-func NewService(machine *Machine, log Log) *Service {
+// NewService joins a machine and the log that drives it. The logger gets a line
+// for each snapshot of the configuration that is given.
+func NewService(machine *Machine, log Log, logger hclog.Logger) *Service {
 	s := &Service{machine: machine, log: log, now: time.Now}
 	s.timer = newLeaseTimer(s.now)
 	s.lives = newLives(s.now)
 	s.entries = newEntryTable(s.now)
-	s.watch = spreadlink.NewServer(source{machine, log})
+	s.watch = spreadlink.NewServer(source{machine, log}, logger)
 	machine.mu.Lock()
 	machine.onLease = s.timer.renewed
 	machine.mu.Unlock()
--- a/daemon/state/spread_bench_test.go
+++ b/daemon/state/spread_bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -89,7 +90,7 @@
 			return &wiredCaller{&link.Local{Mux: muxes[address]}, w, centers[address] != peer.DataCenter, address == "state"}
 		}
 		watcher := spreadlink.NewWatcher(o)
-		spreadlink.NewServer(watcher).Register(muxes[peer.Name], "entry")
+		spreadlink.NewServer(watcher, hclog.NewNullLogger()).Register(muxes[peer.Name], "entry")
 		running.Go(func() { watcher.Run(ctx) })
 		all = append(all, watcher)
 	}
@@ -106,7 +107,7 @@
 			b.Run(fmt.Sprintf("%s/entries=%d", name, n), func(b *testing.B) {
 				machine := NewMachine(0, ledger.Limits{})
 				shared := &sharedLog{machines: []*Machine{machine}, leader: "state"}
-				service := NewService(machine, &memberLog{group: shared, address: "state"})
+				service := NewService(machine, &memberLog{group: shared, address: "state"}, hclog.NewNullLogger())
 				w := &wire{}
 				watchers := entries(b, service, w, n, flat)
 				propose := func(i int) {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -4,11 +4,14 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 
 	"github.com/lilacbridge/lilacbridge/process/build"
 )
@@ -25,9 +28,28 @@
 	return registry
 }
 
-// Handler serves the registry.
+// ownPrefix begins the names of lilacbridge's own metrics.
+const ownPrefix = "lilacbridge_"
+
+// Handler serves the registry, lilacbridge's own counters and gauges first, then its
+// histograms: what collects the page may keep only its beginning.
 func Handler(registry *prometheus.Registry) http.Handler {
-	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{Registry: registry})
+	ownFirst := prometheus.GathererFunc(func() ([]*dto.MetricFamily, error) {
+		families, err := registry.Gather()
+		slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return place(a) - place(b) })
+		return families, err
+	})
+	return promhttp.HandlerFor(ownFirst, promhttp.HandlerOpts{Registry: registry})
+}
+
+func place(family *dto.MetricFamily) int {
+	switch {
+	case !strings.HasPrefix(family.GetName(), ownPrefix):
+		return 2
+	case family.GetType() == dto.MetricType_HISTOGRAM:
+		return 1
+	}
+	return 0
 }
 
 // firstTokenBuckets are in seconds.
--- a/process/replica/conclude.go
+++ b/process/replica/conclude.go
@@ -66,9 +66,21 @@
 		// Another entry was committed in its place: it can never be.
 		p.reply(Outcome{Err: r.refusal(NotLeader, "")})
 	}
+	r.noteReady()
 	r.answerReads()
 }
 
+// noteReady writes a line once a new leader has applied all that was committed
+// before its term: from then on it answers reads.
+func (r *Runner) noteReady() {
+	if r.electedAt == 0 || r.applied < r.core.lead.firstIndex {
+		return
+	}
+	after := r.options.Clock() - r.electedAt
+	r.electedAt = 0
+	r.logger.Info("leads with the whole log applied", "term", r.core.term, "index", r.applied, "after_ms", after.Milliseconds())
+}
+
 func (r *Runner) answerReads() {
 	r.reads = slices.DeleteFunc(r.reads, func(w waitingRead) bool {
 		if w.index > r.applied {
@@ -127,6 +139,10 @@
 }
 
 func (r *Runner) roleChanged(a RoleChanged) {
+	r.electedAt = 0
+	if a.Role == Leader {
+		r.electedAt = r.options.Clock()
+	}
 	if a.Role != Leader {
 		r.failPlaced(unknownOutcome())
 	}
--- a/process/replica/runner.go
+++ b/process/replica/runner.go
@@ -123,7 +123,10 @@
 	writing *writing
 	// snapshotAt is when a snapshot that failed may be tried again.
 	snapshotAt time.Duration
-	fatal      error
+	// electedAt is when this process took office, until it has applied all that was
+	// committed before; 0 otherwise.
+	electedAt time.Duration
+	fatal     error
 }
 
 // placed is a proposal that stands in the log.
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -85,7 +85,29 @@
 func (Tick) event()    {}
 
 // Follow tells the shell to leave whom it follows and to follow the target.
-type Follow struct{ Target Target }
+type Follow struct {
+	Target Target
+	// Reason says why, for the log.
+	Reason Reason
+}
+
+// Reason is why an entry changes whom it follows.
+type Reason string
+
+const (
+	// First is the first choice after the start.
+	First Reason = "start"
+	// Ranked is a change of the entries that are alive, or a sender that is no longer avoided.
+	Ranked Reason = "rank"
+	// Silent is a sender that said nothing for too long.
+	Silent Reason = "silent"
+	// SenderBehind is a sender whose own knowledge is too old.
+	SenderBehind Reason = "sender behind"
+	// Behind is an entry that is itself behind and goes to a state process.
+	Behind Reason = "behind"
+	// Ended is a stream that ended or could not be opened.
+	Ended Reason = "stream ended"
+)
 
 // Core decides whom one entry follows. Calls must not overlap.
 type Core struct {
@@ -107,6 +129,8 @@
 	turned time.Time
 	// direct is until when a state process is followed whatever the rank.
 	direct time.Time
+	// reason is why the sender followed last was left.
+	reason Reason
 }
 
 // NewCore returns the core of the entry named self, which follows nobody yet.
@@ -125,6 +149,7 @@
 	if c.sure.IsZero() {
 		c.sure = now
 	}
+	c.reason = Ranked
 	switch e := event.(type) {
 	case Entries:
 		c.setEntries(e.Names)
@@ -137,6 +162,7 @@
 			c.sure = sure
 		}
 		if e.Age > c.timing.Behind {
+			c.reason = SenderBehind
 			c.avoid(now)
 			c.leaveBehind(now)
 		}
@@ -144,6 +170,7 @@
 		if e.Target != c.current {
 			return nil
 		}
+		c.reason = Ended
 		c.avoid(now)
 		if c.current.State() {
 			c.turn++
@@ -163,12 +190,14 @@
 // behind itself goes to a state process at once, whoever is to blame.
 func (c *Core) tick(now time.Time) {
 	if c.following && now.Sub(c.heard) > c.timing.Silence {
+		c.reason = Silent
 		c.avoid(now)
 		if c.current.State() {
 			c.turn++
 		}
 	}
 	if !c.current.State() && now.Sub(c.sure) > c.timing.Behind && !now.Before(c.direct) {
+		c.reason = Behind
 		c.avoid(now)
 		c.direct = now.Add(avoidance)
 	}
@@ -218,8 +247,12 @@
 	if c.following && target == c.current {
 		return nil
 	}
+	reason := c.reason
+	if !c.following {
+		reason = First
+	}
 	c.current, c.following, c.heard = target, true, now
-	return []Follow{{Target: target}}
+	return []Follow{{Target: target, Reason: reason}}
 }
 
 // parent is the place above the own one in a tree of Fanout by rank, over the
