--- a/connection/spreadlink/watcher_test.go
+++ b/connection/spreadlink/watcher_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,7 @@
 	sender         *sender
 	ctx            context.Context
 	number, update int
+	received       atomic.Uint64
 }
 
 func (s *sending) Close() error { return nil }
@@ -51,15 +53,24 @@
 func (s *sending) Recv(m proto.Message) error {
 	update, takes := s.sender.next(s.number, s.update)
 	s.update++
-	select {
-	case <-time.After(takes):
-	case <-s.ctx.Done():
-		return s.ctx.Err()
+	for begun := time.Now(); time.Since(begun) < takes; {
+		select {
+		case <-time.After(arrivalStep):
+			s.received.Add(1000)
+		case <-s.ctx.Done():
+			return s.ctx.Err()
+		}
 	}
 	proto.Merge(m, update)
 	return nil
 }
 
+// arrivalStep is how often bytes of an update arrive.
+const arrivalStep = 50 * time.Millisecond
+
+// Received implements link.Stream.
+func (s *sending) Received() uint64 { return s.received.Load() }
+
 // follows runs a watcher that follows the sender, within a bubble of synctest.
 func follows(t *testing.T, s *sender, logger hclog.Logger) *Watcher {
 	w := NewWatcher(Options{
@@ -111,3 +122,26 @@
 		}
 	})
 }
+
+// Guards against a document that takes longer to arrive than a sender may be
+// silent: the entry would leave the sender in the middle, and begin the same
+// transfer anew elsewhere, for as long as the document is in force.
+func TestSenderIsKeptWhileALongUpdateArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const takes = 3 * time.Second
+		s := &sender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
+			switch update {
+			case 0:
+				return &lilacv1.WatchUpdate{Newest: 1, Revisions: []*lilacv1.Revision{revision(1)}}, 0
+			case 1:
+				return &lilacv1.WatchUpdate{Newest: 2, Revisions: []*lilacv1.Revision{revision(2)}}, takes
+			}
+			return &lilacv1.WatchUpdate{Newest: 2}, 300 * time.Millisecond
+		}}
+		w := follows(t, s, nil)
+		time.Sleep(takes + tick)
+		is.Equal(w.Revision(), uint64(2))
+		is.Equal(s.opened, 1)
+	})
+}
--- a/daemon/state/documents_test.go
+++ b/daemon/state/documents_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -135,3 +136,37 @@
 	is.Equal(len(list), 1)
 	is.Equal(list[0].GetName(), "e1")
 }
+
+// Guards against a loss of power after which every entry holds the newest revision
+// without the document: more documents came than the trail holds, so entries that
+// start take a snapshot.
+func TestEntryThatStartsAfterManyDocumentsHasTheNewest(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 1)
+	putDocuments(t, all[0], 30)
+	entries := watchers(t, all, 3)
+	for _, w := range entries {
+		is.Equal(waitFor(w, 30).Document.GetVersion(), uint64(30))
+	}
+}
+
+// putDocuments has the process accept versions 1 to n, of which the trail holds
+// the newest only.
+func putDocuments(t *testing.T, p *process, n int) {
+	d := &documents{service: p.service, decode: decodeText, logger: hclog.NewNullLogger(), name: "s1", control: netip.MustParseAddrPort("10.0.0.1:8229")}
+	for version := range n {
+		is.New(t).NoErr(d.Put(t.Context(), []byte(strconv.Itoa(version+1)+" "+randomText(200<<10))))
+	}
+	_, held := p.service.machine.Since(0, 1)
+	is.New(t).True(!held) // entries must need a snapshot
+}
+
+// randomText is text that does not compress, the same each time.
+func randomText(n int) string {
+	text := make([]byte, n)
+	source := rand.New(rand.NewPCG(1, uint64(n)))
+	for i := range text {
+		text[i] = byte('!' + source.IntN('~'-'!'))
+	}
+	return string(text)
+}
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/member"
@@ -205,3 +206,62 @@
 	is.Equal(third.Turn, second.Turn+1)
 	is.Equal(len(c.Step(now.Add(behindLimit), Heard{Target: third})), 0)
 }
+
+// Guards against a part of the configuration that a snapshot leaves out: an entry
+// that takes one would hold the newest revision without it, for good.
+func TestSnapshotPartsCarryEveryField(t *testing.T) {
+	is := is.New(t)
+	whole := &lilacv1.Snapshot{}
+	fields := whole.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		fill(whole.ProtoReflect(), fields.Get(i))
+	}
+	parts, err := Split(whole)
+	is.NoErr(err)
+	assembly := Assembly{}
+	var again *lilacv1.Snapshot
+	for _, part := range parts {
+		again, err = assembly.Add(part)
+		is.NoErr(err)
+	}
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		t.Run(string(field.Name()), func(t *testing.T) {
+			is := is.New(t)
+			is.True(whole.ProtoReflect().Has(field))
+			is.True(again.ProtoReflect().Get(field).Equal(whole.ProtoReflect().Get(field)))
+		})
+	}
+}
+
+// fill gives the field a value that is not its default.
+func fill(m protoreflect.Message, field protoreflect.FieldDescriptor) {
+	value := func() protoreflect.Value {
+		switch field.Kind() {
+		case protoreflect.MessageKind:
+			made := m.NewField(field)
+			if field.IsList() {
+				made = made.List().NewElement()
+			}
+			inner := made.Message()
+			for i := range inner.Descriptor().Fields().Len() {
+				if one := inner.Descriptor().Fields().Get(i); one.Kind() == protoreflect.StringKind && !one.IsList() {
+					inner.Set(one, protoreflect.ValueOfString("x"))
+				}
+			}
+			if one := inner.Descriptor().Fields().ByName("content"); one != nil {
+				inner.Set(one, protoreflect.ValueOfBytes([]byte("text")))
+			}
+			return made
+		case protoreflect.Uint32Kind:
+			return protoreflect.ValueOfUint32(3)
+		default:
+			return protoreflect.ValueOfUint64(7)
+		}
+	}()
+	if field.IsList() {
+		m.Mutable(field).List().Append(value)
+		return
+	}
+	m.Set(field, value)
+}
