--- a/version/spread/parts.go
+++ b/version/spread/parts.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
@@ -21,8 +22,8 @@
 	maxParts = 100000
 )
 
-// Split cuts a snapshot into parts: everything but the teams first, then the
-// teams. Equal snapshots give equal parts, so that a broken transfer goes on
+// Split cuts a snapshot into parts: first all but the lists that may be long, then
+// these lists. Equal snapshots give equal parts, so that a broken transfer goes on
 // where it stopped.
 func Split(s *lilacv1.Snapshot) ([]*lilacv1.SnapshotPart, error) {
 	pieces := pieces(s)
@@ -38,7 +39,7 @@
 }
 
 func pieces(s *lilacv1.Snapshot) []*lilacv1.Snapshot {
-	all := []*lilacv1.Snapshot{{Revision: s.GetRevision(), Recoveries: s.GetRecoveries(), Classes: s.GetClasses(), Instances: s.GetInstances(), Orders: s.GetOrders()}}
+	all := []*lilacv1.Snapshot{withoutLongLists(s)}
 	for servers := s.GetServers(); len(servers) > 0; {
 		n := min(partItems, len(servers))
 		all = append(all, &lilacv1.Snapshot{Revision: s.GetRevision(), Servers: servers[:n]})
@@ -57,6 +58,22 @@
 	return all
 }
 
+// longLists are the fields of a snapshot that are cut into pieces of their own.
+var longLists = map[protoreflect.Name]bool{"servers": true, "convictions": true, "teams": true}
+
+// withoutLongLists shares all fields but the long lists with s. It leaves fields
+// out by name, so that one that is added later is carried too.
+func withoutLongLists(s *lilacv1.Snapshot) *lilacv1.Snapshot {
+	piece := &lilacv1.Snapshot{}
+	s.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		if !longLists[field.Name()] {
+			piece.ProtoReflect().Set(field, value)
+		}
+		return true
+	})
+	return piece
+}
+
 func compress(piece *lilacv1.Snapshot) ([]byte, error) {
 	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(piece)
 	if err != nil {
@@ -92,9 +109,9 @@
 // and nil before. Part 0 of any revision begins anew.
 func (a *Assembly) Add(part *lilacv1.SnapshotPart) (*lilacv1.Snapshot, error) {
 	if part.GetPart() == 0 {
-		*a = Assembly{revision: part.GetRevision(), parts: part.GetParts(), whole: &lilacv1.Snapshot{Revision: part.GetRevision()}}
+		*a = Assembly{revision: part.GetRevision(), parts: part.GetParts()}
 	}
-	if a.whole == nil || part.GetRevision() != a.revision || part.GetPart() != a.next || part.GetParts() != a.parts || a.parts > maxParts {
+	if a.parts == 0 || part.GetRevision() != a.revision || part.GetPart() != a.next || part.GetParts() != a.parts || a.parts > maxParts {
 		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, "part %d of revision %d does not follow part %d of revision %d; begin the transfer anew", part.GetPart(), part.GetRevision(), a.next, a.revision)
 	}
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(part.GetData())), maxPartBytes))
@@ -105,13 +122,7 @@
 	if err := proto.Unmarshal(raw, piece); err != nil {
 		return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, "part of a snapshot does not decode; begin the transfer anew")
 	}
-	a.whole.Recoveries = max(a.whole.GetRecoveries(), piece.GetRecoveries())
-	a.whole.Classes = append(a.whole.Classes, piece.GetClasses()...)
-	a.whole.Teams = append(a.whole.Teams, piece.GetTeams()...)
-	a.whole.Servers = append(a.whole.Servers, piece.GetServers()...)
-	a.whole.Instances = append(a.whole.Instances, piece.GetInstances()...)
-	a.whole.Convictions = append(a.whole.Convictions, piece.GetConvictions()...)
-	a.whole.Orders = append(a.whole.Orders, piece.GetOrders()...)
+	a.take(piece)
 	a.next++
 	if a.next < a.parts {
 		return nil, nil
@@ -120,3 +131,14 @@
 	*a = Assembly{}
 	return whole, nil
 }
+
+// take adds a piece: the first holds everything but the long lists.
+func (a *Assembly) take(piece *lilacv1.Snapshot) {
+	if a.whole == nil {
+		a.whole = piece
+		return
+	}
+	a.whole.Teams = append(a.whole.Teams, piece.GetTeams()...)
+	a.whole.Servers = append(a.whole.Servers, piece.GetServers()...)
+	a.whole.Convictions = append(a.whole.Convictions, piece.GetConvictions()...)
+}
