A sender of revisions is kept while an update arrives from it

Cause: silence was measured by whole updates, and the entries' links bear 10 Mbit/s: a document of 0.95 MB took about a second, the time after which a sender counts as silent. The entries left it in the middle and began the same transfer anew at the next one. Ruled out: decoding (5 % of a processor in those seconds), streams that broke (no line on a lost sender).

Fix: bytes of an update that is not whole yet count as heard, for up to 16 s, so a sender that trickles is left at last; one that stops in the middle is left after the usual silence.

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -188,9 +189,23 @@
 	out    *gathering
 	ended  bool
 	reader *bufio.Reader
+	bytes  *countedReader
 	stop   func() bool
 }
 
+// countedReader counts what is read.
+type countedReader struct {
+	io.Reader
+	read atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.read.Add(uint64(n))
+	return n, err
+}
+
 // Open dials if needed, and sends the request. Failures before the first byte
 // wrap ErrNotSent.
 func (c *Client) Open(ctx context.Context, method string, req proto.Message) (Stream, error) {
@@ -212,7 +227,8 @@
 	}
 	// An expired context unblocks reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
-	s := &clientStream{conn: conn, out: session.out, reader: bufio.NewReader(conn), stop: stop}
+	counted := &countedReader{Reader: conn}
+	s := &clientStream{conn: conn, out: session.out, reader: bufio.NewReader(counted), bytes: counted, stop: stop}
 	if err := writeFrames(conn, open, messageFrame(payload)); err != nil {
 		s.Close()
 		return nil, unavailable(err, c.address, nil)
@@ -258,6 +274,9 @@
 	return proto.Unmarshal(frame.GetMessage(), m)
 }
 
+// Received implements Stream.
+func (s *clientStream) Received() uint64 { return s.bytes.read.Load() }
+
 // Close gives the stream up; the answering side's context ends.
 func (s *clientStream) Close() error {
 	s.stop()
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -32,6 +32,9 @@
 type Stream interface {
 	// Recv reads the next message; io.EOF after a regular end.
 	Recv(m proto.Message) error
+	// Received counts the bytes that have come so far, those of a message that is
+	// not whole yet included. It may be called beside Recv.
+	Received() uint64
 	Close() error
 }
 
--- a/connection/link/local.go
+++ b/connection/link/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -23,6 +24,7 @@
 	messages chan []byte
 	done     chan error
 	cancel   context.CancelFunc
+	received atomic.Uint64
 }
 
 // Open starts the handler in a goroutine of its own.
@@ -65,6 +67,7 @@
 func (s *localStream) Recv(m proto.Message) error {
 	select {
 	case b := <-s.messages:
+		s.received.Add(uint64(len(b)))
 		return proto.Unmarshal(b, m)
 	case err := <-s.done:
 		s.done <- err
@@ -75,6 +78,9 @@
 	}
 }
 
+// Received implements Stream.
+func (s *localStream) Received() uint64 { return s.received.Load() }
+
 // Close ends the handler's context.
 func (s *localStream) Close() error {
 	s.cancel()
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -63,6 +63,11 @@
 	// behindSince is since when a newer revision is known than is held, by
 	// clock.Boot; 0 while none is.
 	behindSince time.Duration
+	// stream is what is received at present; nil between two streams. received is
+	// what it had received at the last look.
+	stream   link.Stream
+	from     spread.Target
+	received uint64
 
 	// receiving is held by the one goroutine that receives; it guards assembly.
 	receiving sync.Mutex
@@ -190,6 +195,9 @@
 			step(event)
 		case <-ticker.C:
 			step(w.entriesEvent())
+			if from, ok := w.receives(); ok {
+				step(spread.Receiving{Target: from})
+			}
 			step(spread.Tick{})
 		}
 	}
@@ -300,6 +308,7 @@
 		return err
 	}
 	defer stream.Close()
+	defer w.receiveFrom(stream, target)()
 	for {
 		update := &lilacv1.WatchUpdate{}
 		if err := stream.Recv(update); err != nil {
@@ -312,6 +321,31 @@
 	}
 }
 
+// receiveFrom notes the stream that is received until the returned function is called.
+func (w *Watcher) receiveFrom(stream link.Stream, from spread.Target) func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stream, w.from, w.received = stream, from, 0
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.stream = nil
+	}
+}
+
+// receives tells whether bytes came since the last look, and from whom.
+func (w *Watcher) receives() (spread.Target, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stream == nil {
+		return spread.Target{}, false
+	}
+	received := w.stream.Received()
+	more := received > w.received
+	w.received = received
+	return w.from, more
+}
+
 func (w *Watcher) take(update *lilacv1.WatchUpdate) error {
 	// A sender that holds nothing has nothing to say of the newest either.
 	if len(update.GetRevisions()) > 0 || w.holder.Current() == nil && update.GetNewest() == 0 {
@@ -383,6 +417,7 @@
 		return err
 	}
 	defer stream.Close()
+	defer w.receiveFrom(stream, target)()
 	for {
 		part := &lilacv1.SnapshotPart{}
 		if err := stream.Recv(part); err != nil {
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -23,15 +23,18 @@
 	Silence time.Duration
 	// Behind is the age of a sender's knowledge above which another is taken.
 	Behind time.Duration
+	// Transfer is how long one update may take to arrive, as long as it goes on
+	// arriving, before another sender is taken.
+	Transfer time.Duration
 }
 
 // Usual keeps the signs of life of 1,100 entries cheap: changes are in force
 // everywhere in 13 s.
-var Usual = Timing{SignOfLife: SignOfLife, Silence: silence, Behind: behindLimit}
+var Usual = Timing{SignOfLife: SignOfLife, Silence: silence, Behind: behindLimit, Transfer: transfer}
 
 // Quick finds a silent sender soon enough for changes that must be in force
 // everywhere within 3 s: 1 s of silence and the way to another sender.
-var Quick = Timing{SignOfLife: 300 * time.Millisecond, Silence: time.Second, Behind: 1500 * time.Millisecond}
+var Quick = Timing{SignOfLife: 300 * time.Millisecond, Silence: time.Second, Behind: 1500 * time.Millisecond, Transfer: transfer}
 
 const (
 	// Fanout is how many entries follow one entry directly.
@@ -41,6 +44,9 @@
 	silence = 3 * time.Second
 	// behindLimit is the age of a sender's knowledge above which another is taken.
 	behindLimit = 5 * time.Second
+	// transfer is what 1 MB takes at 1 Mbit/s, with as much again for what else
+	// shares the link.
+	transfer = 16 * time.Second
 	// avoidance is how long a failed sender is passed over.
 	avoidance = 10 * time.Second
 )
@@ -73,16 +79,20 @@
 	Age time.Duration
 }
 
+// Receiving tells that more of an update came from the target, which is not whole yet.
+type Receiving struct{ Target Target }
+
 // Broken tells that the stream from the target ended, or could not be opened.
 type Broken struct{ Target Target }
 
 // Tick lets time pass.
 type Tick struct{}
 
-func (Entries) event() {}
-func (Heard) event()   {}
-func (Broken) event()  {}
-func (Tick) event()    {}
+func (Entries) event()   {}
+func (Heard) event()     {}
+func (Receiving) event() {}
+func (Broken) event()    {}
+func (Tick) event()      {}
 
 // Follow tells the shell to leave whom it follows and to follow the target.
 type Follow struct {
@@ -121,6 +131,9 @@
 	// following is false until the first Follow.
 	following bool
 	heard     time.Time
+	// whole is when the last update came or the target was first followed,
+	// receiving when more of the next one last came.
+	whole, receiving time.Time
 	// sure is when the own revision was surely the newest.
 	sure time.Time
 	// turn counts the state processes that were left, turned is when one was left
@@ -157,7 +170,7 @@
 		if e.Target != c.current {
 			return nil
 		}
-		c.heard = now
+		c.heard, c.whole = now, now
 		if sure := now.Add(-e.Age); sure.After(c.sure) {
 			c.sure = sure
 		}
@@ -166,6 +179,8 @@
 			c.avoid(now)
 			c.leaveBehind(now)
 		}
+	case Receiving:
+		c.receive(now, e.Target)
 	case Broken:
 		if e.Target != c.current {
 			return nil
@@ -182,6 +197,18 @@
 	return c.choose(now)
 }
 
+// receive keeps a sender whose update is on its way.
+//
+// It guards against an update that takes longer than a sender may be silent, as a
+// large document does over a narrow link: the entry would leave the sender and
+// begin the same transfer anew elsewhere, and never end it. It holds because what
+// arrives counts as heard; a sender that is merely slow is left after Transfer.
+func (c *Core) receive(now time.Time, from Target) {
+	if from == c.current && now.Sub(c.whole) <= c.timing.Transfer {
+		c.heard, c.receiving = now, now
+	}
+}
+
 // tick looks for silence and for a configuration that has grown old.
 //
 // It guards against a walk down the ranks in which each sender is behind as
@@ -196,7 +223,8 @@
 			c.turn++
 		}
 	}
-	if !c.current.State() && now.Sub(c.sure) > c.timing.Behind && !now.Before(c.direct) {
+	receives := now.Sub(c.receiving) <= c.timing.Silence
+	if !c.current.State() && !receives && now.Sub(c.sure) > c.timing.Behind && !now.Before(c.direct) {
 		c.reason = Behind
 		c.avoid(now)
 		c.direct = now.Add(avoidance)
@@ -251,7 +279,8 @@
 	if !c.following {
 		reason = First
 	}
-	c.current, c.following, c.heard = target, true, now
+	c.current, c.following = target, true
+	c.heard, c.whole, c.receiving = now, now, time.Time{}
 	return []Follow{{Target: target, Reason: reason}}
 }
 
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -265,3 +265,25 @@
 	}
 	m.Set(field, value)
 }
+
+// Guards against an entry that stays with a sender which stops in the middle of an
+// update, or which takes for ever to send it.
+func TestSenderIsLeftThatStopsInTheMiddleOfAnUpdate(t *testing.T) {
+	is := is.New(t)
+	receive := func(stops, until time.Duration) *Core {
+		c := NewTimedCore("only", Quick)
+		first := follows(t, c.Step(start, Entries{}))
+		c.Step(start, Heard{Target: first})
+		for at := step; at < until; at += step {
+			if at < stops {
+				c.Step(start.Add(at), Receiving{Target: first})
+			}
+			c.Step(start.Add(at), Tick{})
+		}
+		return c
+	}
+	is.Equal(receive(3*time.Second, 3*time.Second).Current(), Target{})
+	is.Equal(receive(3*time.Second, 3*time.Second+Quick.Silence+2*step).Current(), Target{Turn: 1})
+	is.Equal(receive(time.Minute, Quick.Transfer-step).Current(), Target{})
+	is.True(receive(time.Minute, Quick.Transfer+Quick.Silence+2*step).Current() != Target{})
+}
