What a sender says is dated by when it was said

What callers could see: an entry that was suspended, or cut off one way, reads words said seconds before and takes what it holds for confirmed just now: it takes a key that was taken away, and denies routes added since. Cause: knowledge was dated by the arrival of an update less the age in it, whatever the time on the way; over a narrow link that is seconds too. And a sender that knew less than the entry held confirmed it all the same.

Fix: an update says how long after the stream's request it was said, by the sender's clock; the request was sent before it came, so the entry dates the update by its own clock, at the latest when it was said. A sender is called behind for its own age alone, not for the way. TestLateWordIsDatedByWhenItWasSaid and TestSenderThatKnowsLessConfirmsNothing fail without it (age under 0.3 s in place of 5 s).

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/clock"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 )
 
@@ -191,6 +192,8 @@
 	reader *bufio.Reader
 	bytes  *countedReader
 	stop   func() bool
+	// requested is by clock.Boot.
+	requested time.Duration
 }
 
 // countedReader counts what is read.
@@ -228,7 +231,7 @@
 	// An expired context unblocks reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	counted := &countedReader{Reader: conn}
-	s := &clientStream{conn: conn, out: session.out, reader: bufio.NewReader(counted), bytes: counted, stop: stop}
+	s := &clientStream{conn: conn, out: session.out, reader: bufio.NewReader(counted), bytes: counted, stop: stop, requested: clock.Boot()}
 	if err := writeFrames(conn, open, messageFrame(payload)); err != nil {
 		s.Close()
 		return nil, unavailable(err, c.address, nil)
@@ -274,6 +277,9 @@
 	return proto.Unmarshal(frame.GetMessage(), m)
 }
 
+// Requested implements Stream.
+func (s *clientStream) Requested() time.Duration { return s.requested }
+
 // Received implements Stream.
 func (s *clientStream) Received() uint64 { return s.bytes.read.Load() }
 
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -35,6 +36,9 @@
 	// Received counts the bytes that have come so far, those of a message that is
 	// not whole yet included. It may be called beside Recv.
 	Received() uint64
+	// Requested is when the request was written, by clock.Boot: the answering
+	// process got it later.
+	Requested() time.Duration
 	Close() error
 }
 
--- a/connection/link/local.go
+++ b/connection/link/local.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lilacbridge/lilacbridge/process/clock"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 )
 
@@ -25,6 +27,8 @@
 	done     chan error
 	cancel   context.CancelFunc
 	received atomic.Uint64
+	// requested is by clock.Boot.
+	requested time.Duration
 }
 
 // Open starts the handler in a goroutine of its own.
@@ -34,7 +38,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s := &localStream{messages: make(chan []byte), done: make(chan error, 1), cancel: cancel}
+	s := &localStream{messages: make(chan []byte), done: make(chan error, 1), cancel: cancel, requested: clock.Boot()}
 	send := func(m proto.Message) error {
 		b, err := proto.Marshal(m)
 		if err != nil {
@@ -78,6 +82,9 @@
 	}
 }
 
+// Requested implements Stream.
+func (s *localStream) Requested() time.Duration { return s.requested }
+
 // Received implements Stream.
 func (s *localStream) Received() uint64 { return s.received.Load() }
 
--- a/connection/spreadlink/serve.go
+++ b/connection/spreadlink/serve.go
@@ -12,6 +12,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/clock"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/version/spread"
@@ -78,7 +79,7 @@
 	if err := x.Request(req); err != nil {
 		return err
 	}
-	have := req.GetHave()
+	have, began := req.GetHave(), clock.Boot()
 	if err := s.waitForFirst(ctx); err != nil {
 		return err
 	}
@@ -89,6 +90,7 @@
 		if err != nil {
 			return err
 		}
+		next.SaidAfterMs = uint64((clock.Boot() - began).Milliseconds())
 		if err := x.Send(next); err != nil {
 			return err
 		}
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -333,10 +333,12 @@
 		if err := stream.Recv(update); err != nil {
 			return err
 		}
-		if err := w.take(update); err != nil {
+		sure := sureAt(stream.Requested(), update)
+		if err := w.take(update, sure); err != nil {
 			return err
 		}
-		w.send(ctx, spread.Heard{Target: target, Age: time.Duration(update.GetAgeMs()) * time.Millisecond})
+		age := time.Duration(update.GetAgeMs()) * time.Millisecond
+		w.send(ctx, spread.Heard{Target: target, Age: age, Delay: w.options.Clock() - sure - age})
 	}
 }
 
@@ -365,14 +367,27 @@
 	return w.from, more
 }
 
-func (w *Watcher) take(update *lilacv1.WatchUpdate) error {
+// sureAt returns the moment, by the own clock, at which what the update calls newest
+// was surely the newest.
+//
+// It guards against words that come late, after a cut, a suspension or behind a
+// large document: dated by their arrival they would make old knowledge fresh. It
+// shows as a key that is taken by an entry that wakes, long after it was taken
+// away. It holds because the update says how long after the request it was said,
+// and the request was sent before it came; the clocks need not agree.
+func sureAt(requested time.Duration, update *lilacv1.WatchUpdate) time.Duration {
+	said := time.Duration(update.GetSaidAfterMs()) * time.Millisecond
+	return requested + said - time.Duration(update.GetAgeMs())*time.Millisecond
+}
+
+func (w *Watcher) take(update *lilacv1.WatchUpdate, sure time.Duration) error {
 	// A sender that holds nothing has nothing to say of the newest either.
 	if len(update.GetRevisions()) > 0 || w.holder.Current() == nil && update.GetNewest() == 0 {
 		if err := w.apply(func() error { return w.holder.Apply(update.GetRevisions()) }); err != nil {
 			return err
 		}
 	}
-	w.learn(update.GetNewest(), time.Duration(update.GetAgeMs())*time.Millisecond)
+	w.learn(update.GetNewest(), sure)
 	w.noteBehind()
 	return nil
 }
@@ -398,15 +413,20 @@
 	}
 }
 
-func (w *Watcher) learn(newest uint64, age time.Duration) {
-	at := w.options.Clock() - age
+// learn notes the newest revision that a sender knows of, and when it was sure of it.
+// A sender that knows less than is held here can't be sure of anything newer.
+func (w *Watcher) learn(newest uint64, at time.Duration) {
+	held := w.holder.Revision()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.known.newest = max(w.known.newest, newest, w.holder.Revision())
+	w.known.newest = max(w.known.newest, newest, held)
+	if newest < held {
+		return
+	}
 	if at > w.known.at {
 		w.known.at = at
 	}
-	if newest <= w.holder.Revision() {
+	if newest == held {
 		w.confirmed = max(w.confirmed, at)
 	}
 }
--- a/connection/spreadlink/watcher_test.go
+++ b/connection/spreadlink/watcher_test.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// opened counts the streams of revisions.
 	opened int
+	// epoch is when the watcher's clock began.
+	epoch time.Time
 	// next gives the update that follows, and how long it takes to arrive.
 	next func(stream, update int) (*lilacv1.WatchUpdate, time.Duration)
 }
@@ -38,13 +40,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.opened++
-	return &sending{sender: s, ctx: ctx, number: s.opened}, nil
+	return &sending{sender: s, ctx: ctx, number: s.opened, opened: time.Now()}, nil
 }
 
 type sending struct {
 	sender         *sender
 	ctx            context.Context
 	number, update int
+	opened         time.Time
 	received       atomic.Uint64
 }
 
@@ -53,6 +56,7 @@
 func (s *sending) Recv(m proto.Message) error {
 	update, takes := s.sender.next(s.number, s.update)
 	s.update++
+	update.SaidAfterMs = uint64(time.Since(s.opened).Milliseconds())
 	for begun := time.Now(); time.Since(begun) < takes; {
 		select {
 		case <-time.After(arrivalStep):
@@ -68,17 +72,20 @@
 // arrivalStep is how often bytes of an update arrive.
 const arrivalStep = 50 * time.Millisecond
 
+// Requested implements link.Stream, by the clock of the watcher.
+func (s *sending) Requested() time.Duration { return s.opened.Sub(s.sender.epoch) }
+
 // Received implements link.Stream.
 func (s *sending) Received() uint64 { return s.received.Load() }
 
 // follows runs a watcher that follows the sender, within a bubble of synctest.
 func follows(t *testing.T, s *sender, logger hclog.Logger) *Watcher {
-	begun := time.Now().Add(-time.Hour)
+	s.epoch = time.Now().Add(-time.Hour)
 	w := NewWatcher(Options{
 		Instance: "e1", DataCenter: "a", Timing: spread.Quick, Logger: logger,
 		State: []settings.Peer{{Name: "s1", DataCenter: "a"}},
 		Dial:  func(string) link.Caller { return s },
-		Clock: func() time.Duration { return time.Since(begun) },
+		Clock: func() time.Duration { return time.Since(s.epoch) },
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -171,3 +178,40 @@
 		is.True(w.Unconfirmed() < time.Second)
 	})
 }
+
+// Guards against a word that comes late, as after a cut or a suspension, and makes
+// old knowledge fresh: a key that was taken away since would be taken.
+func TestLateWordIsDatedByWhenItWasSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const late = 5 * time.Second
+		s := &sender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
+			if update == 0 {
+				return &lilacv1.WatchUpdate{Newest: 1, Revisions: []*lilacv1.Revision{revision(1)}}, 0
+			}
+			return &lilacv1.WatchUpdate{Newest: 1}, late
+		}}
+		w := follows(t, s, nil)
+		time.Sleep(late + tick)
+		is.True(w.Unconfirmed() >= late)
+		_, age := w.Known()
+		is.True(age >= late)
+	})
+}
+
+// Guards against a state process that has just woken and calls an old revision the
+// newest: an entry that holds a newer one must not take that for a confirmation.
+func TestSenderThatKnowsLessConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
+			if update == 0 {
+				return &lilacv1.WatchUpdate{Newest: 2, Revisions: []*lilacv1.Revision{revision(1), revision(2)}}, 0
+			}
+			return &lilacv1.WatchUpdate{Newest: 1}, 300 * time.Millisecond
+		}}
+		w := follows(t, s, nil)
+		time.Sleep(3 * time.Second)
+		is.True(w.Unconfirmed() >= 3*time.Second-tick)
+	})
+}
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -75,8 +75,10 @@
 // Heard tells that the target sent an update.
 type Heard struct {
 	Target Target
-	// Age of the target's knowledge of the newest revision.
+	// Age of the target's knowledge of the newest revision when it sent the update.
 	Age time.Duration
+	// Delay is how long the update was on its way, which says nothing of the target.
+	Delay time.Duration
 }
 
 // Receiving tells that more of an update came from the target, which is not whole yet.
@@ -171,7 +173,7 @@
 			return nil
 		}
 		c.heard, c.whole = now, now
-		if sure := now.Add(-e.Age); sure.After(c.sure) {
+		if sure := now.Add(-e.Age - e.Delay); sure.After(c.sure) {
 			c.sure = sure
 		}
 		if e.Age > c.timing.Behind {
--- a/version/spread/random_test.go
+++ b/version/spread/random_test.go
@@ -69,7 +69,7 @@
 			return
 		}
 		f.revision, f.sure = c.newest, c.now
-		c.apply(f, f.core.Step(c.now, Heard{f.target, 0}))
+		c.apply(f, f.core.Step(c.now, Heard{Target: f.target, Age: 0}))
 		return
 	}
 	parent := c.entries[f.target.Entry]
@@ -83,7 +83,7 @@
 		if parent.sure.After(f.sure) {
 			f.sure = parent.sure
 		}
-		c.apply(f, f.core.Step(c.now, Heard{f.target, c.now.Sub(parent.sure)}))
+		c.apply(f, f.core.Step(c.now, Heard{Target: f.target, Age: c.now.Sub(parent.sure)}))
 	}
 }
 
--- a/version/spread/spread_test.go
+++ b/version/spread/spread_test.go
@@ -61,7 +61,7 @@
 	for name, fail := range map[string]func(c *Core, relay Target) []Follow{
 		"dies":    func(c *Core, relay Target) []Follow { return c.Step(start, Broken{relay}) },
 		"hangs":   func(c *Core, _ Target) []Follow { return c.Step(start.Add(silence+1), Tick{}) },
-		"behind":  func(c *Core, relay Target) []Follow { return c.Step(start, Heard{relay, behindLimit + 1}) },
+		"behind":  func(c *Core, relay Target) []Follow { return c.Step(start, Heard{Target: relay, Age: behindLimit + 1}) },
 		"removed": func(c *Core, _ Target) []Follow { return c.Step(start, Entries{all[1:]}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -79,7 +79,7 @@
 				if name != "removed" {
 					// The next sender is in order; the relay is tried again all the same.
 					for now := start.Add(silence + 2); now.Before(start.Add(avoidance)); now = now.Add(SignOfLife) {
-						is.Equal(len(c.Step(now, Heard{next, 0})), 0)
+						is.Equal(len(c.Step(now, Heard{Target: next, Age: 0})), 0)
 						is.Equal(len(c.Step(now, Tick{})), 0)
 					}
 					is.Equal(follows(t, c.Step(start.Add(silence+avoidance+2), Tick{})).Entry, all[0])
