The fault soak plays documents of thousands of routes, and darkness after a change

The soak never met the faults of the incident: its documents had five routes, its trails held every revision, a change always came after a restart, and no caller asked for a route just added.

--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -186,9 +186,9 @@
 		known, number%3, own, at.link, known, at.link, own, at.admin, seeds)
 	if kind == "state" {
 		p.data = filepath.Join(f.folder, p.name+"-data")
-		text += fmt.Sprintf("control: %s\nserver_list: %s\ndata: %s\nbootstrap: true\nauto_members: true\nheartbeat: 120ms\nelection: 600ms\n", p.control, list, p.data)
+		text += fmt.Sprintf("control: %s\nserver_list: %s\ndata: %s\nbootstrap: true\nauto_members: true\naudit_retention: 3\nheartbeat: 120ms\nelection: 600ms\n", p.control, list, p.data)
 	} else {
-		text += fmt.Sprintf("drain_lag: 500ms\ndrain: 5s\ngateway:\n  callers: %s\n  readiness: %s:%d\n  server_list: %s\n  revocation: 5s\n", p.callers, own, at.ready, list)
+		text += fmt.Sprintf("drain_lag: 500ms\ndrain: 5s\ngateway:\n  callers: %s\n  readiness: %s:%d\n  server_list: %s\n  revocation: 5s\n  applied_within: 3s\n", p.callers, own, at.ready, list)
 	}
 	var err error
 	p.proxy, err = newProxy(fmt.Sprintf("%s:%d", known, at.link), fmt.Sprintf("%s:%d", own, at.link))
--- a/faultsoak/judge_test.go
+++ b/faultsoak/judge_test.go
@@ -24,6 +24,8 @@
 			mayRun := c.route == "look" || c.route == "review"
 			r.check(mayRun || len(runs[c.id]) == 0, "not run is true", "%s on %s was answered %d and ran", c.id, c.route, c.status)
 		}
+		r.check(c.status != http.StatusNotFound || c.sent.Before(c.deniedUntil), "documents in force",
+			"%s on %s was answered 404 by %s %v after an entry had to know the route", c.id, c.route, c.entry.name, c.sent.Sub(c.deniedUntil))
 		r.judgeStop(c, len(runs[c.id]) > 0)
 	}
 }
--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -52,9 +52,22 @@
 			steps = append(steps, step{at, "a key is taken away", (*run).revoke})
 		}
 	}
+	if random.IntN(2) == 0 {
+		steps = append(steps, step{length, "all are killed after a change", (*run).darken})
+	}
 	return steps
 }
 
+// darken has a change acknowledged and kills every process: nothing that comes
+// later makes good what one of them does not find again.
+func (r *run) darken() {
+	r.faults.Wait()
+	r.put(func(*documentState) {})
+	for _, p := range r.fleet.processes() {
+		r.down(p, syscall.SIGKILL, time.Second)
+	}
+}
+
 func stateFault(random *rand.Rand, at, lasts time.Duration, i int) step {
 	faults := []struct {
 		what string
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,10 @@
 	slack      = 3 * time.Second
 	// drainBound is how long a leaving server may get new work.
 	drainBound = 4 * time.Second
+	// appliedWithin is the bound in the settings on documents that entries don't have.
+	appliedWithin = 3 * time.Second
+	// largeRoutes are as many as operators add at once, thrice.
+	largeRoutes = 4200
 	// callTimeout is the longest time that a caller waits.
 	callTimeout = 3 * time.Second
 )
@@ -56,20 +61,33 @@
 	sent, ended    time.Time
 	status         int
 	cut            bool
+	// deniedUntil is until when an entry may not know the route.
+	deniedUntil time.Time
 }
 
 // documentState is what the operator sent and what was acknowledged.
 type documentState struct {
 	version, acked uint64
+	// added are the routes that versions have added, and more that make documents
+	// large enough to leave the processes' memory of single revisions soon.
+	added []string
+	// newest is the route that the last acknowledged version added, at ackedAt.
+	newest  string
+	ackedAt time.Time
 	// keys are in force, revoked holds when the acknowledgement came.
 	keys    []string
 	revoked map[string]time.Time
 }
 
 func newRun(f *fleet) *run {
+	added := make([]string, largeRoutes)
+	source := rand.New(rand.NewPCG(1, largeRoutes))
+	for i := range added {
+		added[i] = strconv.FormatUint(source.Uint64(), 36)
+	}
 	return &run{
 		fleet: f, begun: time.Now(), stop: make(chan struct{}), held: make(map[*process]bool), calls: make(map[string]*call),
-		document: documentState{keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time)},
+		document: documentState{keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time), added: added},
 	}
 }
 
@@ -138,7 +156,7 @@
 	for i, key := range d.keys {
 		teams[fmt.Sprint("team-", i)] = []string{key}
 	}
-	return standin.Document(d.version, fmt.Sprint("v", d.version), teams)
+	return standin.Document(d.version, d.added, teams)
 }
 
 // change sends a new version of the document until it is acknowledged.
@@ -170,7 +188,8 @@
 	r.mu.Lock()
 	edit(&r.document)
 	r.document.version += 1 + uint64(rand.IntN(3))
-	version := r.document.version
+	version, added := r.document.version, fmt.Sprint("v", r.document.version)
+	r.document.added = append(r.document.added, added)
 	text, err := r.document.text()
 	r.mu.Unlock()
 	if err != nil {
@@ -192,6 +211,7 @@
 			if resp.StatusCode == http.StatusOK {
 				r.mu.Lock()
 				r.document.acked = max(r.document.acked, version)
+				r.document.newest, r.document.ackedAt = added, time.Now()
 				r.mu.Unlock()
 				return
 			}
@@ -237,10 +257,23 @@
 			return
 		case <-time.After(pause):
 		}
-		r.one(client, entry, routes[rand.IntN(len(routes))])
+		r.one(client, entry, r.routeOf(routes[rand.IntN(len(routes))]))
 	}
 }
 
+// routeOf gives the route, or now and then the one that was added last.
+func (r *run) routeOf(usual string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.document.newest == "" || rand.IntN(newestEvery) != 0 {
+		return usual
+	}
+	return r.document.newest
+}
+
+// newestEvery is how many requests come for one on the newest route.
+const newestEvery = 8
+
 func (r *run) one(client *http.Client, entry *process, route string) {
 	r.mu.Lock()
 	key := r.document.keys[0]
@@ -250,8 +283,9 @@
 			key = taken
 		}
 	}
+	denied := r.document.ackedAt.Add(appliedWithin + slack)
 	r.mu.Unlock()
-	c := &call{id: fmt.Sprintf("id-%d", r.serial.Add(1)), route: route, key: key, entry: entry, sent: time.Now()}
+	c := &call{id: fmt.Sprintf("id-%d", r.serial.Add(1)), route: route, deniedUntil: denied, key: key, entry: entry, sent: time.Now()}
 	r.mu.Lock()
 	r.calls[c.id] = c
 	r.mu.Unlock()
