An entry lets requests in once it has the list of backend servers too

Cause, found while reading the way from darkness to the first answer: a document made the handler let requests in, while the policy is configured only with the list of backend servers, which may come later. TestRequestsWaitForTheListOfServersAfterAStart failed before: the table was there without a list. Now requests are held for a moment, as before the first document, or told to come back.

--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -149,14 +149,13 @@
 //
 // It guards against a request on a route that was just added and of which the
 // policy has not heard: it would be refused for an unknown class. It holds because
-// the policy takes its events in order.
+// the policy takes its events in order, and because an instance that has just
+// started lets no request in before it has read the list of backend servers.
 func (g *routed) configure() {
-	if g.newest == nil {
+	if g.newest == nil || !g.listed {
 		return
 	}
-	if g.listed {
-		g.daemon.entry.Configure(routing.View(g.newest, g.servers, g.view.Convictions))
-	}
+	g.daemon.entry.Configure(routing.View(g.newest, g.servers, g.view.Convictions))
 	g.table.Store(g.newest)
 }
 
--- a/daemon/entry/gateway_test.go
+++ b/daemon/entry/gateway_test.go
@@ -80,3 +80,16 @@
 	is.True(asked.Load() > 0)
 	is.Equal(unknown.Load(), int64(0))
 }
+
+// Guards against an instance that has just started, knows its document and not yet
+// the list of backend servers: requests would be refused for an unknown class.
+func TestRequestsWaitForTheListOfServersAfterAStart(t *testing.T) {
+	is := is.New(t)
+	core := scripted(func(policy.Event) []policy.Action { return nil })
+	f := startWith(t, testSettings(), core)
+	g := &routed{daemon: &Daemon{entry: f.Entry}, logger: hclog.NewNullLogger(), platform: numbered{}}
+	g.onView(model.NewView(&lilacv1.Snapshot{Revision: 1, Document: &lilacv1.Document{Version: 1, Content: []byte("1")}}))
+	is.Equal(g.Table(), nil) // requests are held, or told to come back
+	g.onList([]routing.Server{{Name: "desk-1", Identity: "desk-1", Service: "desk", Address: "127.0.0.1:1", DataCenter: "dakar-a", Slots: 1}})
+	is.Equal(g.Table().Document.Version, uint64(1))
+}
