--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -223,3 +223,17 @@
 		}
 	}
 }
+
+// Guards against a newer snapshot that lacks the document, or holds an older one:
+// routes and keys would go back without a change that says so.
+func TestSnapshotNeverTakesADocumentBack(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder()
+	is.NoErr(h.Load(&lilacv1.Snapshot{Revision: 3, Document: &lilacv1.Document{Version: 7}}))
+	for _, older := range []*lilacv1.Document{nil, {Version: 6}} {
+		err := h.Load(&lilacv1.Snapshot{Revision: 4, Document: older})
+		is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+		is.Equal(h.Current().Document.GetVersion(), uint64(7))
+	}
+	is.NoErr(h.Load(&lilacv1.Snapshot{Revision: 4, Document: &lilacv1.Document{Version: 7}}))
+}
