--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -236,4 +236,6 @@
 		is.Equal(h.Current().Document.GetVersion(), uint64(7))
 	}
 	is.NoErr(h.Load(&lilacv1.Snapshot{Revision: 4, Document: &lilacv1.Document{Version: 7}}))
+	// A recovery tells what was accepted.
+	is.NoErr(h.Load(&lilacv1.Snapshot{Revision: 9, Recoveries: 1, Document: &lilacv1.Document{Version: 6}}))
 }
--- a/version/config/holder.go
+++ b/version/config/holder.go
@@ -38,7 +38,8 @@
 }
 
 // Load takes a whole snapshot into force. One that is not newer, or whose document is
-// older, is refused as a CONFLICT and changes nothing.
+// older, is refused as a CONFLICT and changes nothing; a group that was recovered from
+// a lost majority may overrule the document.
 //
 // It guards against configuration that reverts when a slow or replaced sender
 // gives an old snapshot: it would show as a statement that was in force and no
@@ -52,7 +53,8 @@
 	if s.GetRecoveries() < h.tables.recoveries {
 		return fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "snapshot of revision %d comes from a group of state processes that was replaced by a recovered one; stop the sender and move its data folder away", s.GetRevision())
 	}
-	if held := h.tables.document.GetVersion(); s.GetDocument().GetVersion() < held {
+	held := h.tables.document.GetVersion()
+	if s.GetRecoveries() == h.tables.recoveries && s.GetDocument().GetVersion() < held {
 		return fault.Newf(lilacv1.ErrorKind_ERROR_KIND_CONFLICT, "snapshot of revision %d holds document %d, and %d is in force; ask another sender", s.GetRevision(), s.GetDocument().GetVersion(), held)
 	}
 	h.tables = newTables()
