--- a/connection/spreadlink/watcher_test.go
+++ b/connection/spreadlink/watcher_test.go
@@ -78,6 +78,24 @@
 // Received implements link.Stream.
 func (s *sending) Received() uint64 { return s.received.Load() }
 
+// lockedText is a log that is read while it is written.
+type lockedText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lockedText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // follows runs a watcher that follows the sender, within a bubble of synctest.
 func follows(t *testing.T, s *sender, logger hclog.Logger) *Watcher {
 	s.epoch = time.Now().Add(-time.Hour)
@@ -109,7 +127,7 @@
 func TestLogTellsWhomAnEntryFollowsAndThatItIsBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var text bytes.Buffer
+		var text lockedText
 		s := &sender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
 			switch update {
 			case 0:
