A sender is kept while an update from it is brought into force

TestSenderIsKeptWhileAnUpdateIsBroughtIntoForce hung before (the next stream waits for the one that decodes) and holds now.

--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -72,6 +72,8 @@
 	stream   link.Stream
 	from     spread.Target
 	received uint64
+	// applying is true while an update is brought into force: nothing is read then.
+	applying bool
 
 	// receiving is held by the one goroutine that receives; it guards assembly.
 	receiving sync.Mutex
@@ -346,7 +348,7 @@
 func (w *Watcher) receiveFrom(stream link.Stream, from spread.Target) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stream, w.from, w.received = stream, from, 0
+	w.stream, w.from, w.received, w.applying = stream, from, 0, false
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -354,7 +356,8 @@
 	}
 }
 
-// receives tells whether bytes came since the last look, and from whom.
+// receives tells whether bytes came since the last look, or an update is brought into
+// force, and from whom.
 func (w *Watcher) receives() (spread.Target, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -362,7 +365,7 @@
 		return spread.Target{}, false
 	}
 	received := w.stream.Received()
-	more := received > w.received
+	more := received > w.received || w.applying
 	w.received = received
 	return w.from, more
 }
@@ -431,8 +434,16 @@
 	}
 }
 
+func (w *Watcher) setApplying(applying bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.applying = applying
+}
+
 // apply takes something newer into force and tells the watchers of this one.
 func (w *Watcher) apply(change func() error) error {
+	w.setApplying(true)
+	defer w.setApplying(false)
 	before := w.holder.Current()
 	if err := change(); err != nil {
 		return err
--- a/connection/spreadlink/watcher_test.go
+++ b/connection/spreadlink/watcher_test.go
@@ -18,6 +18,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/spread"
 )
 
@@ -26,6 +27,8 @@
 	mu sync.Mutex
 	// opened counts the streams of revisions.
 	opened int
+	// onView is told of each newer revision.
+	onView func(*model.View)
 	// epoch is when the watcher's clock began.
 	epoch time.Time
 	// next gives the update that follows, and how long it takes to arrive.
@@ -100,7 +103,7 @@
 func follows(t *testing.T, s *sender, logger hclog.Logger) *Watcher {
 	s.epoch = time.Now().Add(-time.Hour)
 	w := NewWatcher(Options{
-		Instance: "e1", DataCenter: "a", Timing: spread.Quick, Logger: logger,
+		Instance: "e1", DataCenter: "a", Timing: spread.Quick, Logger: logger, OnView: s.onView,
 		State: []settings.Peer{{Name: "s1", DataCenter: "a"}},
 		Dial:  func(string) link.Caller { return s },
 		Clock: func() time.Duration { return time.Since(s.epoch) },
@@ -233,3 +236,21 @@
 		is.True(w.Unconfirmed() >= 3*time.Second-tick)
 	})
 }
+
+// Guards against an entry that takes long to bring a document into force, as on a
+// slow machine, and takes its sender for silent meanwhile.
+func TestSenderIsKeptWhileAnUpdateIsBroughtIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &sender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
+			if update == 0 {
+				return &lilacv1.WatchUpdate{Newest: 1, Revisions: []*lilacv1.Revision{revision(1)}}, 0
+			}
+			return &lilacv1.WatchUpdate{Newest: 1}, 300 * time.Millisecond
+		}}
+		s.onView = func(*model.View) { time.Sleep(3 * time.Second) }
+		follows(t, s, nil)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.opened, 1)
+	})
+}
