--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -58,35 +58,17 @@
 	core    *spread.Core
 	events  chan spread.Event
 
-	mu      sync.Mutex
-	entries []settings.Peer
-	changed chan struct{}
-	known   knowledge
-	// confirmed is when what is held was surely the newest, by the clock.
-	confirmed time.Duration
-	// behindSince is since when a newer revision is known than is held, by
-	// the clock; 0 while none is.
-	behindSince time.Duration
-	// stream is what is received at present; nil between two streams. received is
-	// what it had received at the last look.
-	stream   link.Stream
-	from     spread.Target
-	received uint64
-	// applying is true while an update is brought into force: nothing is read then.
-	applying bool
+	mu       sync.Mutex
+	entries  []settings.Peer
+	changed  chan struct{}
+	known    knowledge
+	progress progress
 
 	// receiving is held by the one goroutine that receives; it guards assembly.
 	receiving sync.Mutex
 	assembly  spread.Assembly
 }
 
-// knowledge is the newest revision heard of and when that was known for sure.
-type knowledge struct {
-	newest uint64
-	// at is by the clock; 0 before the first word.
-	at time.Duration
-}
-
 var _ Source = (*Watcher)(nil)
 
 // NewWatcher returns a Watcher that holds no revision yet.
@@ -135,25 +117,6 @@
 	return w.changed
 }
 
-// Known returns the newest revision heard of, and the age of that knowledge.
-func (w *Watcher) Known() (newest uint64, age time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return max(w.known.newest, w.holder.Revision()), w.options.Clock() - w.known.at
-}
-
-// Unconfirmed returns how long ago the revision in force here was surely the newest.
-//
-// It guards against an entry that has heard of a newer revision, which has not
-// come yet, and takes the word of it for a sign that it is up to date. It shows as
-// a key that is taken long after it was taken away, on an entry with a narrow link.
-// It holds because a word from the sender counts only once all is held that it names.
-func (w *Watcher) Unconfirmed() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.options.Clock() - w.confirmed
-}
-
 // SetState replaces the state processes that may be followed.
 func (w *Watcher) SetState(peers []settings.Peer) {
 	w.mu.Lock()
@@ -344,45 +307,6 @@
 	}
 }
 
-// receiveFrom notes the stream that is received until the returned function is called.
-func (w *Watcher) receiveFrom(stream link.Stream, from spread.Target) func() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stream, w.from, w.received, w.applying = stream, from, 0, false
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.stream = nil
-	}
-}
-
-// receives tells whether bytes came since the last look, or an update is brought into
-// force, and from whom.
-func (w *Watcher) receives() (spread.Target, bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stream == nil {
-		return spread.Target{}, false
-	}
-	received := w.stream.Received()
-	more := received > w.received || w.applying
-	w.received = received
-	return w.from, more
-}
-
-// sureAt returns the moment, by the own clock, at which what the update calls newest
-// was surely the newest.
-//
-// It guards against words that come late, after a cut, a suspension or behind a
-// large document: dated by their arrival they would make old knowledge fresh. It
-// shows as a key that is taken by an entry that wakes, long after it was taken
-// away. It holds because the update says how long after the request it was said,
-// and the request was sent before it came; the clocks need not agree.
-func sureAt(requested time.Duration, update *lilacv1.WatchUpdate) time.Duration {
-	said := time.Duration(update.GetSaidAfterMs()) * time.Millisecond
-	return requested + said - time.Duration(update.GetAgeMs())*time.Millisecond
-}
-
 func (w *Watcher) take(update *lilacv1.WatchUpdate, sure time.Duration) error {
 	// A sender that holds nothing has nothing to say of the newest either.
 	if len(update.GetRevisions()) > 0 || w.holder.Current() == nil && update.GetNewest() == 0 {
@@ -395,51 +319,6 @@
 	return nil
 }
 
-// noteBehind writes a line when a newer revision becomes known than is held, and
-// one when it is held.
-func (w *Watcher) noteBehind() {
-	held, now := w.holder.Revision(), w.options.Clock()
-	w.mu.Lock()
-	newest, since := w.known.newest, w.behindSince
-	switch {
-	case newest > held && since == 0:
-		w.behindSince = now
-	case newest <= held:
-		w.behindSince = 0
-	}
-	w.mu.Unlock()
-	switch {
-	case newest > held && since == 0:
-		w.log.Line(logs.Belief, "behind the newest revision", "held", held, "newest", newest)
-	case newest <= held && since != 0:
-		w.log.Line(logs.Belief, "caught up with the newest revision", "held", held, "after_ms", (now - since).Milliseconds())
-	}
-}
-
-// learn notes the newest revision that a sender knows of, and when it was sure of it.
-// A sender that knows less than is held here can't be sure of anything newer.
-func (w *Watcher) learn(newest uint64, at time.Duration) {
-	held := w.holder.Revision()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.known.newest = max(w.known.newest, newest, held)
-	if newest < held {
-		return
-	}
-	if at > w.known.at {
-		w.known.at = at
-	}
-	if newest == held {
-		w.confirmed = max(w.confirmed, at)
-	}
-}
-
-func (w *Watcher) setApplying(applying bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.applying = applying
-}
-
 // apply takes something newer into force and tells the watchers of this one.
 func (w *Watcher) apply(change func() error) error {
 	w.setApplying(true)
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -87,20 +87,17 @@
 
 // KeysFresh implements gateway.Router.
 //
-// It guards against an instance that is cut off from the state processes and
-// goes on taking a key that was taken away. It shows as requests that run for a
-// team that is gone. It holds because the age of what is known counts from a
-// moment at which a quorum was heard, by a clock that counts suspension too.
+// An instance that is cut off from the state processes must not go on taking a key
+// that was taken away. The age counts from a moment at which a quorum was heard, by
+// a clock that counts suspension too.
 func (g *routed) KeysFresh() bool {
 	return g.confirmedWithin(&g.revocation, keysTrusted)
 }
 
 // MayDeny implements gateway.Router.
 //
-// It guards against a 404 or 401 for a route or key that was added since: an
-// instance that a document has not reached yet can't tell one that was added from
-// one that never was. It shows as callers who give up for good on a route that
-// works everywhere else. It holds as KeysFresh does.
+// An instance that a document has not reached yet can't tell a route or key that was
+// added from one that never was.
 func (g *routed) MayDeny() bool { return g.confirmedWithin(&g.applied, denialTrusted) }
 
 // confirmedWithin tells whether what is in force was surely the newest within a
@@ -144,13 +141,9 @@
 	return g.platform.Document(text)
 }
 
-// configure gives the policy what is known, and then lets requests in by it. The
+// configure gives the policy the document and the servers, and only then lets
+// requests in by the document: the policy refuses a class that it does not know. The
 // caller holds mu.
-//
-// It guards against a request on a route that was just added and of which the
-// policy has not heard: it would be refused for an unknown class. It holds because
-// the policy takes its events in order, and because an instance that has just
-// started lets no request in before it has read the list of backend servers.
 func (g *routed) configure() {
 	if g.newest == nil || !g.listed {
 		return
--- a/process/replica/contact.go
+++ b/process/replica/contact.go
@@ -50,13 +50,8 @@
 	return c.startedAt + since, true
 }
 
-// hearLeader notes what the leader calls committed, as of the last answer of this
-// process that the leader had got by then.
-//
-// It guards against words of the leader that come late, after a cut or when this
-// process wakes from a suspension: dated by their arrival they would make old
-// knowledge fresh for all entries that follow this process. It holds because the
-// leader echoes a stamp of this process, so its word is younger than the stamp.
+// hearLeader notes what the leader calls committed. It is dated by the stamp of this
+// process that the leader echoes, since a message may arrive long after it was sent.
 func (c *Core) hearLeader(m *message) {
 	if at, ok := c.stamped(m.GetStamp()); ok {
 		c.contact.hear(at, m.GetCommit())
--- a/version/spread/core.go
+++ b/version/spread/core.go
@@ -199,24 +199,17 @@
 	return c.choose(now)
 }
 
-// receive keeps a sender whose update is on its way.
-//
-// It guards against an update that takes longer than a sender may be silent, as a
-// large document does over a narrow link: the entry would leave the sender and
-// begin the same transfer anew elsewhere, and never end it. It holds because what
-// arrives counts as heard; a sender that is merely slow is left after Transfer.
+// receive keeps a sender while an update from it arrives, for up to Transfer: another
+// one would begin the same transfer anew.
 func (c *Core) receive(now time.Time, from Target) {
 	if from == c.current && now.Sub(c.whole) <= c.timing.Transfer {
 		c.heard, c.receiving = now, now
 	}
 }
 
-// tick looks for silence and for a configuration that has grown old.
-//
-// It guards against a walk down the ranks in which each sender is behind as
-// well, since it follows the same failed one: every step would cost seconds, and
-// together more than a change may take. It holds because an entry that is
-// behind itself goes to a state process at once, whoever is to blame.
+// tick looks for silence and for a configuration that has grown old. An entry that is
+// behind goes to a state process at once: senders of lower rank may follow the same
+// failed one, and each would cost seconds.
 func (c *Core) tick(now time.Time) {
 	if c.following && now.Sub(c.heard) > c.timing.Silence {
 		c.reason = Silent
@@ -233,13 +226,9 @@
 	}
 }
 
-// leaveBehind goes from a state process that is behind to the next one.
-//
-// It guards against a data centre that was cut off and whose state process takes
-// long to catch up: all entries there would wait for it, while another state
-// process has the newest revision. It shows as a change that isn't in force after
-// the cut has healed. It holds because the processes are followed in turn; each
-// gets some time, since while the cut lasts none is better than the nearest.
+// leaveBehind goes from a state process that is behind to the next one, as after a
+// cut from which the nearest takes long to catch up. Each gets some time, since while
+// the cut lasts none is better than the nearest.
 func (c *Core) leaveBehind(now time.Time) {
 	if c.current.State() && now.Sub(c.turned) >= c.timing.Behind {
 		c.turn++
@@ -250,11 +239,6 @@
 func (c *Core) setEntries(names []string) { c.above = member.Above(c.self, names) }
 
 // avoid passes the current target over for a while.
-//
-// It guards against a relay that died, hangs or is itself cut off from the
-// state processes: it shows as silence, a broken stream or a growing age. It
-// holds because the next in rank, or a state process, is followed instead, and
-// because the avoided one is tried again only later.
 func (c *Core) avoid(now time.Time) {
 	if !c.current.State() {
 		c.avoided[c.current.Entry] = now.Add(avoidance)
