--- a/connection/spreadlink/serve.go
+++ b/connection/spreadlink/serve.go
@@ -30,6 +30,13 @@
 	emptyAge = time.Second
 	// firstWait is how long a watcher waits for a source that is still empty.
 	firstWait = 2 * time.Second
+	// contactWait is how long a watcher waits for a source that has just started and
+	// is not sure of what it holds; less than any watcher's patience with silence.
+	contactWait = 700 * time.Millisecond
+	// justStarted is how long after its start a source may be finding its group.
+	justStarted = 3 * time.Second
+	// contactLook is how often such a source is looked at.
+	contactLook = 20 * time.Millisecond
 )
 
 // Source is what a Server gives on: the state machine of a state process or the
@@ -51,6 +58,8 @@
 type Server struct {
 	source Source
 	log    *logs.Log
+	// started is by clock.Boot.
+	started time.Duration
 
 	mu     sync.Mutex
 	parts  []*lilacv1.SnapshotPart
@@ -61,7 +70,7 @@
 // NewServer returns a Server of the source. The logger gets a line for each
 // snapshot that is given.
 func NewServer(source Source, logger hclog.Logger) *Server {
-	return &Server{source: source, log: logs.New(logger), closed: make(chan struct{})}
+	return &Server{source: source, log: logs.New(logger), started: clock.Boot(), closed: make(chan struct{})}
 }
 
 // Register adds the methods prefix+".watch" and prefix+".snapshot", where
@@ -80,6 +89,9 @@
 		return err
 	}
 	have, began := req.GetHave(), clock.Boot()
+	if err := s.waitForContact(ctx); err != nil {
+		return err
+	}
 	if err := s.waitForFirst(ctx); err != nil {
 		return err
 	}
@@ -106,6 +118,31 @@
 	}
 }
 
+// waitForContact gives a process that has just started a moment to find its group.
+// What its disk holds is older, and watchers would leave it for being behind.
+func (s *Server) waitForContact(ctx context.Context) error {
+	if clock.Boot()-s.started > justStarted {
+		return nil
+	}
+	look := time.NewTicker(contactLook)
+	defer look.Stop()
+	limit := time.NewTimer(contactWait)
+	defer limit.Stop()
+	for s.source.Revision() > 0 {
+		if _, age := s.source.Known(); age <= emptyAge {
+			return nil
+		}
+		select {
+		case <-look.C:
+		case <-limit.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // waitForFirst gives a process that has just started a moment to get its first
 // revision itself. When a whole data centre starts, all would otherwise leave
 // the relay at once and go to the state processes.
