An update is dated before its age is read

A process that is suspended between the two would date what it says by its wake-up. Found while reading the change as a newcomer; a window of microseconds, not seen, no test.

--- a/connection/spreadlink/serve.go
+++ b/connection/spreadlink/serve.go
@@ -103,11 +103,13 @@
 	for {
 		// Taken before the revisions are read, so that none slips between.
 		changed := s.source.Changed()
+		// Taken before the age of the knowledge, so that a suspension between dates it earlier.
+		said := clock.Boot() - began
 		next, err := s.update(have, following)
 		if err != nil {
 			return err
 		}
-		next.SaidAfterMs = uint64((clock.Boot() - began).Milliseconds())
+		next.SaidAfterMs = uint64(said.Milliseconds())
 		if err := x.Send(next); err != nil {
 			return err
 		}
