--- a/daemon/state/documents_test.go
+++ b/daemon/state/documents_test.go
@@ -197,7 +197,7 @@
 	source := rand.New(rand.NewPCG(2, 3))
 	word := func() string { return strconv.FormatUint(source.Uint64()>>24, 36) }
 	for range n {
-		fmt.Fprintf(&text, `{"name":"r-%s","host":"%s.example","pathPrefix":"/%s/","routeKind":"idempotent","timeoutMs":2000,"targetLatencyMs":400,"priority":2,"service":"desk","maxAttempts":2,"public":false},`,
+		fmt.Fprintf(&text, `{"name":"r-%s","host":"%s.example","pathBegins":"/%s/","routeSort":"idempotent","timeoutMs":2000,"targetLatencyMs":400,"priority":2,"service":"desk","maxAttempts":2,"public":false},`,
 			word(), word()[:3], word())
 	}
 	return text.String()
