The rate of reading is a quantile of the last samples

Ruled out: prompts that are cached after all (2 % of the samples).

Now the rate is a low quantile of the last 40 samples, weighted by the square of their length, the usual step is taken off, and prompts count from a chunk on, whatever the rate is taken for.

--- a/request/policy/engine.go
+++ b/request/policy/engine.go
@@ -1,6 +1,10 @@
 package policy
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 // Engines with large batches differ tenfold in how fast they read prompts and make
 // tokens, and no configuration says so. What the policy must know of them is
@@ -23,16 +27,17 @@
 	leastPrefill = 1e-6
 	mostPrefill  = 0.003
 
-	// readingLeast is the least time of reading, in seconds, from which the rate is
-	// learned: below, the fixed time of a request weighs more.
-	readingLeast = 0.04
-	// readingFirst and readingStep are how far one sample moves the pool's rate at first
-	// and in the end, slowStep a server's own against it; readingQuantile is the part of
-	// the samples that lies below.
-	readingFirst    = 0.2
-	readingStep     = 0.02
-	slowStep        = 0.05
+	// readingLeast is the least prompt work, in tokens, from which the rate is learned:
+	// below, the fixed time of a request weighs more. It must not depend on the rate
+	// itself: taken for too fast, an engine would have no prompts left to learn from.
+	readingLeast = readChunk
+	// longestSample bounds the weight of a sample, which grows with the square of the
+	// prompt: the part of the fixed time in it falls with the length.
+	longestSample = 16384
+	// readingQuantile is the part of the samples that lies below the pool's rate, and
+	// slowStep how far one sample moves a server's own against it.
 	readingQuantile = 0.25
+	slowStep        = 0.05
 	// aheadMost is how much may wait before a prompt, in times of the prompt, for its
 	// time to tell the rate: what is known of others' prompts is old.
 	aheadMost = 0.5
@@ -41,8 +46,6 @@
 
 	// closeSample is how close to an estimate a sample confirms it.
 	closeSample = 0.02
-	// settled is the number of samples after which the first ones count half.
-	settled = 10
 	// fixedStep is how far one sample moves the fixed part.
 	fixedStep = 0.1
 
@@ -58,8 +61,8 @@
 type engineModel struct {
 	// prefill is the time for a prompt token.
 	prefill float64
-	// readings counts the samples.
-	readings int
+	// readings are its samples.
+	readings *sampleWindow
 	// step is an empty batch's step, each what one more request adds to it.
 	step, each float64
 	// near and far are the fixed part of the time to a first token of engines in this
@@ -69,9 +72,12 @@
 }
 
 func newEngineModel() *engineModel {
-	return &engineModel{prefill: firstPrefill, step: firstStep, each: firstEach, near: firstFixed, far: firstFixed}
+	return &engineModel{prefill: firstPrefill, readings: newSampleWindow(firstPrefill), step: firstStep, each: firstEach, near: firstFixed, far: firstFixed}
 }
 
+// stepAt is the time of a step in a batch of n.
+func (e *engineModel) stepAt(n float64) float64 { return e.step + n*e.each }
+
 // base is the batch at which a step costs twice what an empty one does.
 func (e *engineModel) base() float64 { return e.step / e.each }
 
@@ -89,6 +95,14 @@
 	return &e.near
 }
 
+// way is how much longer a first token takes from engines as far away as the server.
+func (e *engineModel) way(s *server) float64 {
+	if s.remote {
+		return max(e.far-e.near, 0)
+	}
+	return 0
+}
+
 // waited takes in the rest of a short prompt's time to a first token. It goes by a low
 // quantile too.
 func (e *engineModel) waited(s *server, rest float64) {
@@ -111,23 +125,68 @@
 	return estimate * (1 - step*(1-q))
 }
 
-// read takes in the time of one prompt token, measured on a server. It goes by a low
+// read takes in the time in which a server read so many prompt tokens. It goes by a low
 // quantile: what other instances sent there, and more urgent prompts that came
 // later, are in the time to a first token but not in the work known here, and would
 // make an idle engine seem ten times slower than it is.
-func (e *engineModel) read(s *server, sample float64) {
+func (e *engineModel) read(s *server, reading, work float64) {
+	sample := min(max(reading/work, leastPrefill), mostPrefill)
 	s.slow = quantile(s.slow, sample/e.prefill, slowStep, readingQuantile)
 	s.slow = min(max(s.slow, 1/slowMost), slowMost)
-	e.readings++
-	step := max(readingStep, readingFirst*settled/(settled+float64(e.readings)))
-	e.prefill = quantile(e.prefill, sample, step, readingQuantile)
-	e.prefill = min(max(e.prefill, leastPrefill), mostPrefill)
+	longest := min(work, longestSample)
+	e.readings.add(sample, longest*longest)
+	e.prefill = e.readings.quantile(readingQuantile)
 	s.prefill = e.prefill * s.slow
 }
 
+const (
+	// windowSamples is how many samples a window holds, windowPrior the weight of the
+	// first estimate among them: that of one prompt of 4,096 tokens.
+	windowSamples = 40
+	windowPrior   = 4096 * 4096
+)
+
+// weighted is a sample with its weight.
+type weighted struct{ value, weight float64 }
+
+// sampleWindow holds the last samples of a quantity.
+type sampleWindow struct {
+	samples, sorted [windowSamples]weighted
+	count           int
+}
+
+func newSampleWindow(first float64) *sampleWindow {
+	w := &sampleWindow{}
+	w.add(first, windowPrior)
+	return w
+}
+
+func (w *sampleWindow) add(value, weight float64) {
+	w.samples[w.count%windowSamples] = weighted{value, weight}
+	w.count++
+}
+
+// quantile is the least sample such that the part q of all weight is at or below it.
+func (w *sampleWindow) quantile(q float64) float64 {
+	sorted := w.sorted[:min(w.count, windowSamples)]
+	copy(sorted, w.samples[:])
+	slices.SortFunc(sorted, func(a, b weighted) int { return cmp.Compare(a.value, b.value) })
+	sum := 0.0
+	for _, sample := range sorted {
+		sum += sample.weight
+	}
+	below := 0.0
+	for _, sample := range sorted {
+		if below += sample.weight; below >= q*sum {
+			return sample.value
+		}
+	}
+	return sorted[len(sorted)-1].value
+}
+
 // stepped takes in one gap between tokens in a batch of n, of an engine that isn't
 // known to read prompts.
-func (e *engineModel) stepped(n, gap float64) { e.fit.add(n, gap, e.step+n*e.each) }
+func (e *engineModel) stepped(n, gap float64) { e.fit.add(n, gap, e.stepAt(n)) }
 
 // settle brings step and each up to date with what was measured.
 func (e *engineModel) settle(slots float64) { e.step, e.each = e.fit.solve(slots) }
--- a/request/policy/engine_test.go
+++ b/request/policy/engine_test.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// An instance that sees few answers must not need hundreds of them to find out that its
+// engines are ten times slower than assumed at first.
+func TestTheRateOfReadingIsLearnedFromFewAnswers(t *testing.T) {
+	is := is.New(t)
+	e := newEngineModel()
+	s := newServer("a-0")
+	s.model(e)
+	for range 10 {
+		e.read(s, 10*firstPrefill*4096, 4096)
+	}
+	is.True(e.prefill > 5*firstPrefill)
+}
+
 // A clean series of gaps at small and large batches gives step and slope; the gaps
 // beside prompts that nobody told of must not.
 func TestStepIsLearnedFromGapsWithoutPrompts(t *testing.T) {
@@ -75,8 +88,8 @@
 	is.True(!p.isTight(class))
 }
 
-// Slow engines are still taken for faster than they are: prompts that were cached after
-// all count as read.
+// Slow engines were taken for faster than they are: the estimate rose too slowly, and
+// gaps beside long prompts were taken off the time of reading.
 func TestSlowEnginesAreLearnedClosely(t *testing.T) {
 	for _, slots := range []int{64, 12} {
 		is := is.New(t)
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -217,14 +217,16 @@
 	s.prefill += learn * (sample - s.prefill)
 }
 
-// learnReading takes in the time to a first token after so much prompt work.
+// learnReading takes in the time to a first token after so much prompt work. The step
+// in which the token was made is the engine's usual one: the server's own gaps include
+// those beside long prompts.
 func (s *server) learnReading(took time.Duration, work float64) {
-	reading := took.Seconds() - s.gapAt(s.load()).Seconds()
-	if s.prefill*work < readingLeast {
+	reading := took.Seconds() - s.engine.stepAt(s.load())
+	if work < readingLeast {
 		s.engine.waited(s, reading-s.prefill*work)
 		return
 	}
-	s.engine.read(s, max(reading-*s.engine.fixed(s), 0)/work)
+	s.engine.read(s, max(reading-s.engine.way(s), 0), work)
 }
 
 // before is the prompt work of all instances before a request of the level.
