--- a/request/policy/expected.go
+++ b/request/policy/expected.go
@@ -21,6 +21,9 @@
 	// slowdown is how much longer than now answers are expected to hold their slots:
 	// until slots are scarce, batches fill up and prompts wait to be read.
 	slowdown = 2.0
+	// growFor bounds what is expected by what can come in so long: a class that occupies
+	// what it needs would else keep as much again from less urgent ones.
+	growFor = 4 * time.Second
 	// briefHold is the time within which a slot that is lent out comes back in time for
 	// the requests that it is kept for.
 	briefHold = workFor
@@ -64,12 +67,17 @@
 		return
 	}
 	full := p.engine.stepAt(float64(p.slots()))
+	var growth tiers.Demand
 	for _, u := range p.uses {
 		u.flow.fade()
 		if now.Sub(u.at) < tightFor {
 			p.expected[levelOf(u.class)] += u.flow.rate * u.flow.holds(full)
+			growth[levelOf(u.class)] += u.flow.rate * growFor.Seconds()
 		}
 	}
+	for level := range p.expected {
+		p.expected[level] = min(p.expected[level], p.byLevel[level]+growth[level])
+	}
 }
 
 // claim is what this instance asks slots for: what runs and waits, and what is expected.
