Room and engines' priorities go by rank before tier

Slots are now split, and engines preempt, by rank and the tier within it (model.Place); the queue still starts a more urgent team's requests first. The digest tells demand by place in a field of its own.

--- a/request/policy/backlog.go
+++ b/request/policy/backlog.go
@@ -68,12 +68,19 @@
 	return usualLevel(r.class)
 }
 
-// levelOf is the class's place among all tiers and ranks.
+// levelOf is the class's level in the queue, by tier and the rank within it.
 func levelOf(class *lilacv1.Class) int {
 	return model.Level(int(class.GetTier()), int(class.GetRank()))
 }
 
-// usualLevel is that of the class's requests that can be in time.
+// placeOf is the position at which the class is given room, by rank and the tier
+// within it.
+func placeOf(class *lilacv1.Class) int {
+	return model.Place(int(class.GetTier()), int(class.GetRank()))
+}
+
+// usualLevel is the priority at engines of the class's requests that can be in time.
+// Engines preempt running requests by it: bulk before short urgent work of any tier.
 func usualLevel(class *lilacv1.Class) int {
-	return min(levelOf(class), lateLevel-1)
+	return min(placeOf(class), lateLevel-1)
 }
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -51,7 +51,7 @@
 func (c *core) tryStart(now time.Time, p *pool, item *queue.Item) bool {
 	urgent := item.Tier == 0 && !item.Late
 	r := c.requests[ID(item.ID)]
-	if !urgent && (p.runs(levelOf(r.class)) >= p.quota || !p.leavesRoom(r)) {
+	if !urgent && (p.runs(placeOf(r.class)) >= p.quota || !p.leavesRoom(r)) {
 		return false
 	}
 	h := how{reserve: c.choice.reserves[item.Tier], late: item.Late}
--- a/request/policy/expected.go
+++ b/request/policy/expected.go
@@ -9,9 +9,9 @@
 
 // Long answers of less urgent classes hold their slots for many seconds. In a burst
 // that grows they would fill the engines before the more urgent requests come that
-// need the slots, and running answers are not stopped. So each level asks for the slots
+// need the slots, and running answers are not stopped. So each place asks for the slots
 // that its requests will occupy at the rate at which they come now, by Little's law,
-// and less urgent levels get what is left.
+// and later places get what is left.
 
 const (
 	// lengthLearn is the weight of one request in its class's usual length, paceLearn
@@ -60,7 +60,7 @@
 // so long at least.
 func (f *flow) holds(least float64) float64 { return slowdown * f.tokens * max(f.pace, least) }
 
-// expectSlots brings the slots that each level's requests will occupy up to date.
+// expectSlots brings the slots that each place's requests will occupy up to date.
 func (p *pool) expectSlots(now time.Time) {
 	p.expected = tiers.Demand{}
 	if p.service {
@@ -71,20 +71,20 @@
 	for _, u := range p.uses {
 		u.flow.fade()
 		if now.Sub(u.at) < tightFor {
-			p.expected[levelOf(u.class)] += u.flow.rate * u.flow.holds(full)
-			growth[levelOf(u.class)] += u.flow.rate * growFor.Seconds()
+			p.expected[placeOf(u.class)] += u.flow.rate * u.flow.holds(full)
+			growth[placeOf(u.class)] += u.flow.rate * growFor.Seconds()
 		}
 	}
-	for level := range p.expected {
-		p.expected[level] = min(p.expected[level], p.byLevel[level]+growth[level])
+	for place := range p.expected {
+		p.expected[place] = min(p.expected[place], p.byPlace[place]+growth[place])
 	}
 }
 
 // claim is what this instance asks slots for: what runs and waits, and what is expected.
 func (p *pool) claim() tiers.Demand {
 	claim := p.demand()
-	for level := range claim {
-		claim[level] = max(claim[level], p.expected[level])
+	for place := range claim {
+		claim[place] = max(claim[place], p.expected[place])
 	}
 	return claim
 }
@@ -97,16 +97,16 @@
 // leavesRoom tells whether the request leaves the slots free that are kept for more
 // urgent ones. Brief answers may borrow them.
 func (p *pool) leavesRoom(r *request) bool {
-	level := levelOf(r.class)
+	place := placeOf(r.class)
 	if p.service || !r.Anchored {
 		return true
 	}
 	if p.used[r.Class].flow.holds(0) >= briefHold.Seconds() {
-		return p.byLevel[level] < p.split[level]
+		return p.byPlace[place] < p.split[place]
 	}
 	slots := 0.0
-	for _, part := range p.split[:level+1] {
+	for _, part := range p.split[:place+1] {
 		slots += part
 	}
-	return p.runs(level) < slots
+	return p.runs(place) < slots
 }
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -41,12 +41,13 @@
 
 // lowestRunning returns the least urgent tier that runs here, or -1.
 func (p *pool) lowestRunning() int {
-	for level := len(p.byLevel) - 1; level >= 0; level-- {
-		if p.byLevel[level] > 0 {
-			return level / model.Ranks
+	lowest := -1
+	for place, running := range p.byPlace {
+		if running > 0 {
+			lowest = max(lowest, model.TierOf(place))
 		}
 	}
-	return -1
+	return lowest
 }
 
 // victim finds the request of the lowest tier that is furthest ahead of its pace.
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -22,14 +22,14 @@
 	tiers   *tiers.Table
 	// running are the requests that this instance runs in the pool.
 	running []*request
-	byLevel tiers.Demand
+	byPlace tiers.Demand
 	// quarantine holds suspects that wait for their trial.
 	quarantine []*request
 	// parked holds copies that may only join the first; see identical.
 	parked []*request
 	// tight is the tightest target between tokens of the classes in use.
 	tight time.Duration
-	// lastLevel is the last of the levels of the same classes.
+	// lastLevel is the last of the levels that any instance's requests have at engines.
 	lastLevel int
 	// shares are the guaranteed ones of the same classes.
 	shares tiers.Shares
@@ -63,7 +63,7 @@
 	bound [model.Levels]float64
 	// starts is the rate at which requests start here, a second.
 	starts float64
-	// expected is how many slots the requests of each level will occupy, split how many
+	// expected is how many slots the requests of each place will occupy, split how many
 	// those of this instance may; see expected.go.
 	expected, split tiers.Demand
 	// dirty is true while waiting requests may have found room.
@@ -111,12 +111,13 @@
 
 // tighten brings what the classes in use ask of the pool up to date.
 func (p *pool) tighten(now time.Time) {
-	p.tight, p.shares, p.lastLevel = 0, tiers.Shares{}, 0
+	p.tight, p.shares = 0, tiers.Shares{}
+	p.lastLevel = min(p.tiers.Others().Last(), lateLevel-1)
 	for _, u := range p.uses {
 		if now.Sub(u.at) >= tightFor {
 			continue
 		}
-		p.shares[levelOf(u.class)] += shareOf(u.class)
+		p.shares[placeOf(u.class)] += shareOf(u.class)
 		p.lastLevel = max(p.lastLevel, usualLevel(u.class))
 		target := time.Duration(u.class.GetBetweenTokensMs()) * time.Millisecond
 		if target > 0 && (p.tight == 0 || target < p.tight) {
@@ -125,7 +126,7 @@
 	}
 }
 
-// lateSlots is how many slots the late requests of one level ask for together.
+// lateSlots is how many slots the late requests of one place ask for together.
 const lateSlots = 4
 
 // demand is what this instance asks slots for. What waits and is late asks for
@@ -134,23 +135,23 @@
 // tiers, and of other instances, that still can. The few keep an instance
 // without the burst from losing its place to it.
 func (p *pool) demand() tiers.Demand {
-	demand := p.byLevel
-	for level := range demand {
+	demand := p.byPlace
+	for level := range model.Levels {
 		waiting, late := p.queue.LevelLen(level)
-		demand[level] += float64(waiting - late + min(late, lateSlots))
+		demand[model.PlaceOf(level)] += float64(waiting - late + min(late, lateSlots))
 	}
 	return demand
 }
 
-// runs is how many requests of the level and of more urgent ones this instance
-// runs. Only these count against the quota for a request of the level. While a
-// burst of a lower level waits elsewhere the quota holds few slots; if answers of
-// that level that run here counted, an urgent request would wait seconds for their
+// runs is how many requests of the place and of those before it this instance
+// runs. Only these count against the quota for a request of the place. While a
+// burst of a later place waits elsewhere the quota holds few slots; if answers of
+// that place that run here counted, an urgent request would wait seconds for their
 // ends, although its own demand won it a slot. What runs above the quota is at
-// most what ran of lower levels, and the servers' limits hold in any case.
-func (p *pool) runs(level int) float64 {
+// most what ran of later places, and the servers' limits hold in any case.
+func (p *pool) runs(place int) float64 {
 	sum := 0.0
-	for _, running := range p.byLevel[:level+1] {
+	for _, running := range p.byPlace[:place+1] {
 		sum += running
 	}
 	return sum
@@ -233,7 +234,7 @@
 func (p *pool) attach(r *request) {
 	r.poolAt = len(p.running)
 	p.running = append(p.running, r)
-	p.byLevel[levelOf(r.class)]++
+	p.byPlace[placeOf(r.class)]++
 }
 
 func (p *pool) detach(r *request) {
@@ -242,5 +243,5 @@
 	p.running[r.poolAt].poolAt = r.poolAt
 	p.running[last] = nil
 	p.running = p.running[:last]
-	p.byLevel[levelOf(r.class)]--
+	p.byPlace[placeOf(r.class)]--
 }
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -41,21 +41,30 @@
 	none = model.Tiers
 )
 
-// Demand is the number of slots that are asked for, by level.
-type Demand [model.Levels]float64
+// Demand is the number of slots that are asked for, by place.
+type Demand [model.Places]float64
 
-// byTier sums up the levels of each tier.
+// Last is the last place that anything is asked for at, or -1.
+func (d Demand) Last() int {
+	last := len(d) - 1
+	for last >= 0 && d[last] == 0 {
+		last--
+	}
+	return last
+}
+
+// byTier sums up the places of each tier.
 func (d Demand) byTier() (sums [model.Tiers]float64) {
-	for level, count := range d {
-		sums[level/model.Ranks] += count
+	for place, count := range d {
+		sums[model.TierOf(place)] += count
 	}
 	return sums
 }
 
 // Shares are the parts of the capacity, 0 to 1 together, that the classes of each
-// level are guaranteed. Instances that count different classes split a little
+// place are guaranteed. Instances that count different classes split a little
 // differently; servers' limits hold all the same.
-type Shares [model.Levels]float64
+type Shares [model.Places]float64
 
 type peer struct {
 	// until is when the peer's word binds no longer.
@@ -121,17 +130,17 @@
 
 // demandOf reads a peer's demand.
 func demandOf(cutoff *lilacv1.PoolCutoff) (demand Demand) {
-	for level, count := range cutoff.GetLevelDemand() {
-		if level < model.Levels {
-			demand[level] = float64(count)
+	for place, count := range cutoff.GetPlaceDemand() {
+		if place < model.Places {
+			demand[place] = float64(count)
 		}
 	}
-	if len(cutoff.GetLevelDemand()) > 0 {
+	if len(cutoff.GetPlaceDemand()) > 0 {
 		return demand
 	}
 	for tier, count := range cutoff.GetDemand() {
 		if tier < model.Tiers {
-			demand[model.Level(tier, 0)] = float64(count)
+			demand[model.Place(tier, 0)] = float64(count)
 		}
 	}
 	return demand
@@ -217,12 +226,8 @@
 	for _, count := range demand.byTier() {
 		cutoff.Demand = append(cutoff.Demand, uint32(math.Round(count)))
 	}
-	last := len(demand)
-	for last > 0 && demand[last-1] == 0 {
-		last--
-	}
-	for _, count := range demand[:last] {
-		cutoff.LevelDemand = append(cutoff.LevelDemand, uint32(math.Round(count)))
+	for _, count := range demand[:demand.Last()+1] {
+		cutoff.PlaceDemand = append(cutoff.PlaceDemand, uint32(math.Round(count)))
 	}
 	return cutoff
 }
@@ -234,37 +239,37 @@
 func (t *Table) Others() Demand {
 	var sum Demand
 	for _, p := range t.peers {
-		for level, count := range p.demand {
-			sum[level] += count
+		for place, count := range p.demand {
+			sum[place] += count
 		}
 	}
 	return sum
 }
 
-// Split returns how many requests of each level this instance may run at once, and how
-// many in all. Of capacity each level gets its share first, as far as it is asked for;
-// the rest is given out level by level. Within a level slots go in proportion to
-// demand. What nobody asks for is split evenly, and open to each level.
+// Split returns how many requests of each place this instance may run at once, and how
+// many in all. Of capacity each place gets its share first, as far as it is asked for;
+// the rest is given out place by place. Within a place slots go in proportion to
+// demand. What nobody asks for is split evenly, and open to each place.
 func (t *Table) Split(capacity float64, own Demand, shares Shares) (split Demand, quota float64) {
 	total := t.Others()
 	left := capacity
 	var given Demand
-	for level := range own {
-		total[level] += own[level]
-		given[level] = min(total[level], shares[level]*capacity)
-		left -= given[level]
+	for place := range own {
+		total[place] += own[place]
+		given[place] = min(total[place], shares[place]*capacity)
+		left -= given[place]
 	}
-	for level := range own {
-		more := min(total[level]-given[level], max(left, 0))
+	for place := range own {
+		more := min(total[place]-given[place], max(left, 0))
 		left -= more
-		if total[level] > 0 {
-			split[level] = (given[level] + more) * own[level] / total[level]
-			quota += split[level]
+		if total[place] > 0 {
+			split[place] = (given[place] + more) * own[place] / total[place]
+			quota += split[place]
 		}
 	}
 	even := max(left, 0) / float64(len(t.peers)+1)
-	for level := range split {
-		split[level] += even
+	for place := range split {
+		split[place] += even
 	}
 	return split, max(1, quota+even)
 }
