Short urgent requests start in the place of bulk on a full engine

An engine puts its least urgent request back for a more urgent one. A request may now start on a full engine in the place of as many of this instance's own long answers of a lesser rank, up to an eighth of the slots.

--- a/request/policy/expected.go
+++ b/request/policy/expected.go
@@ -101,7 +101,7 @@
 	if p.service || !r.Anchored {
 		return true
 	}
-	if p.used[r.Class].flow.holds(0) >= briefHold.Seconds() {
+	if p.holdsLong(r) {
 		return p.byPlace[place] < p.split[place]
 	}
 	slots := 0.0
--- a/request/policy/replay_test.go
+++ b/request/policy/replay_test.go
@@ -37,8 +37,10 @@
 
 // replayJob is an attempt at an engine.
 type replayJob struct {
-	core    *core
-	start   Start
+	core  *core
+	start Start
+	// prompt is the length of the prompt, read what is left to read.
+	prompt  int
 	read    int
 	left    int
 	made    int
@@ -56,6 +58,8 @@
 	reading *replayJob
 	held    map[uint64]bool
 	freeAt  time.Time
+	// preempted counts requests that were put back for more urgent ones.
+	preempted int
 }
 
 // outcome is how a request of a replay ended.
@@ -196,7 +200,7 @@
 		read -= a.Prefix[0].End
 	}
 	e.held[a.Prefix[0].Hash] = true
-	job := &replayJob{core: c, start: start, read: read, left: r.kinds[end.kind].answer, readyAt: r.now.Add(e.speed.fixed)}
+	job := &replayJob{core: c, start: start, prompt: a.PromptTokens, read: read, left: r.kinds[end.kind].answer, readyAt: r.now.Add(e.speed.fixed)}
 	e.waiting = append(e.waiting, job)
 	r.apply(c, c.Step(r.now, Sent{ID: start.ID, Attempt: start.Attempt}))
 }
@@ -230,9 +234,35 @@
 
 func (e *replayEngine) admit() {
 	slices.SortStableFunc(e.waiting, func(a, b *replayJob) int { return a.start.Level - b.start.Level })
-	free := min(e.slots-len(e.running), len(e.waiting))
-	e.running = append(e.running, e.waiting[:free]...)
-	e.waiting = e.waiting[free:]
+	for len(e.waiting) > 0 {
+		if len(e.running) == e.slots && !e.preempt(e.waiting[0].start.Level) {
+			return
+		}
+		e.running = append(e.running, e.waiting[0])
+		e.waiting = e.waiting[1:]
+	}
+}
+
+// preempt puts the newest of the least urgent requests back, if it is less urgent than
+// the level; its prompt is read again.
+func (e *replayEngine) preempt(level int) bool {
+	var victim *replayJob
+	for _, j := range e.running {
+		if victim == nil || j.start.Level >= victim.start.Level {
+			victim = j
+		}
+	}
+	if victim.start.Level <= level {
+		return false
+	}
+	e.running = slices.DeleteFunc(e.running, func(j *replayJob) bool { return j == victim })
+	if e.reading == victim {
+		e.reading = nil
+	}
+	victim.read = victim.prompt + victim.made
+	e.waiting = append(e.waiting, victim)
+	e.preempted++
+	return true
 }
 
 func (e *replayEngine) readChunk() int {
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -351,6 +351,10 @@
 	if c.Barred {
 		return c
 	}
+	if yields := s.yields(r, c.Limit); yields > 0 {
+		c.Limit += yields
+		n = min(n, float64(s.slots))
+	}
 	supply := h.supplyAt(s, r)
 	c.First = s.firstToken(n, supply.read, r.levelOf()) + s.fetchTime(supply.fetched)
 	c.Work = r.pool.readTime(supply.work())
