Answers of less than four seconds borrow slots; a prompt on a lane's engine may be read again

A slot may be lent for four seconds, the time over which growth is expected, and an engine that can't take the request is no reason not to read its prompt on another.

--- a/request/policy/expected.go
+++ b/request/policy/expected.go
@@ -24,9 +24,9 @@
 	// growFor bounds what is expected by what can come in so long: a class that occupies
 	// what it needs would else keep as much again from less urgent ones.
 	growFor = 4 * time.Second
-	// briefHold is the time within which a slot that is lent out comes back in time for
-	// the requests that it is kept for.
-	briefHold = workFor
+	// briefHold is the time within which a slot that is lent out comes back before the
+	// requests that it is kept for have all come.
+	briefHold = growFor
 )
 
 // flow is what is known of a class's requests at this instance.
--- a/request/policy/fetch_test.go
+++ b/request/policy/fetch_test.go
@@ -40,7 +40,7 @@
 func told(c *core, server string, tokens uint32) {
 	var load loadboard.Load
 	load.InFlight = 10
-	load.Backlog[5] = tokens / loadboard.Unit
+	load.Backlog[lateLevel-1] = tokens / loadboard.Unit
 	c.Step(epoch, LoadsTold{Word: loadboard.Word{Loads: loadboard.Loads{loadboard.Key(server): load}}})
 }
 
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -141,3 +141,17 @@
 	c.Step(epoch.Add(slowTick), Tick{})
 	is.Equal(p.lastLevel, lateLevel-1)
 }
+
+// The engine that reads a prompt became one of the lane for short pauses. Requests of the
+// prompt could go neither there nor, since it must not be read twice, anywhere else.
+func TestAPromptOnALaneEngineIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 2, "a")
+	c.Step(epoch, draft(1))
+	lane, other := c.servers["a-0"], c.servers["a-1"]
+	lane.lane, other.lane = laneTight, laneLong
+	c.pools["llm"].hasLane[laneTight] = true
+	lane.cache.add(7, 13300, epoch.Add(time.Minute))
+	lane.ahead.add(0, 50000)
+	is.Equal(only[Start](t, c.Step(epoch, digest(2, 7))).Server, other.name)
+}
