Loads and claims are told in data centres of any size; large fleets split slots

A word holds loads in columns, 8 bytes for a server in use in place of 21, and the interval stretches so that a collector's answers stay within 250 KB/s (194 entries before 162 servers: 250 ms as before); beyond 0.6 s there is no board. The word also tells what its instances ask slots for, by place and in quarters of a slot, and how many they are. TestADataCenterOfFortyInstancesHasABoard, TestAnswersStayWithinTheirBudget, TestClaimsAreKnownEverywhere and TestLargeFleetsSplitSlotsByWhatIsTold fail without it. A test that held that 33 entries have no board is replaced by one for thousands of servers, and by the bound on answers.

--- a/process/loadboard/board.go
+++ b/process/loadboard/board.go
@@ -27,19 +27,26 @@
 	Lifetime = 1200 * time.Millisecond
 	// Avoidance is how long a collector that failed is passed over.
 	Avoidance = 3 * time.Second
-	// Most is the number of instances of a data centre up to which there is a board:
-	// its collector takes 4 words of each a second, and answers with 12 bytes and more
-	// for each server in use.
-	Most = 32
+	// answerBudget is how many bytes a second a collector may answer with, a fifth of a
+	// link of 10 Mbit/s. Words come more seldom where that takes longer than Interval.
+	answerBudget = 250_000
+	// wordSize and serverSize are the usual bytes of a word and of a server in it.
+	wordSize   = 200
+	serverSize = 8
+	// longestInterval is the interval beyond which a board is no use: loads would be
+	// older than Lifetime after three steps.
+	longestInterval = Lifetime / 2
 )
 
 // Board is the knowledge of one instance. Calls must not overlap.
 type Board struct {
 	self member.Peer
-	// peers are the other instances that live.
-	peers []member.Peer
-	own   Word
-	news  news
+	// peers are the other instances that live, neighbours how many of them are in this
+	// data centre, servers how many backend servers there are.
+	peers               []member.Peer
+	neighbours, servers int
+	own                 Word
+	news                news
 	// parts are the loads of this data centre's other instances, where this one
 	// collects them, sums those of other data centres.
 	parts, sums map[string]word
@@ -49,17 +56,19 @@
 	avoided map[string]time.Time
 }
 
-// word is what was heard, and when.
+// word is what was heard, and when; its readings are kept as news.
 type word struct {
-	loads Loads
-	work  Work
-	at    time.Time
+	Word
+	at time.Time
 }
 
-func (w word) fresh(now time.Time) bool { return w.loads != nil && now.Sub(w.at) <= Lifetime }
+func (w word) fresh(now time.Time) bool { return w.Loads != nil && now.Sub(w.at) <= Lifetime }
 
 // heard keeps a word's sums.
-func heard(now time.Time, w Word) word { return word{w.Loads, w.Work, now} }
+func heard(now time.Time, w Word) word {
+	w.Readings = nil
+	return word{w, now}
+}
 
 // New returns a board that knows nobody else.
 func New(self member.Peer) *Board {
@@ -70,21 +79,35 @@
 }
 
 // SetPeers names the other instances that live.
-func (b *Board) SetPeers(peers []member.Peer) { b.peers = slices.Clone(peers) }
+func (b *Board) SetPeers(peers []member.Peer) {
+	b.peers, b.neighbours = slices.Clone(peers), 0
+	for _, peer := range peers {
+		if peer.DataCenter == b.self.DataCenter {
+			b.neighbours++
+		}
+	}
+}
 
 // SetOwn gives the own loads, and the shared parts that were sent lately.
 func (b *Board) SetOwn(now time.Time, own Word) {
+	if own.Servers > 0 {
+		b.servers = own.Servers
+	}
+	own.Instances = 1
 	b.own = own
 	b.news.add(now, own.Readings, origin{b.self.Name, b.self.DataCenter})
 }
 
 // Active tells whether the fleet is of the size for a board.
 func (b *Board) Active() bool {
-	return len(b.peers)+1 > member.MeshLimit && len(b.neighbours()) < Most
+	return len(b.peers)+1 > member.MeshLimit && b.interval() <= longestInterval
 }
 
-func (b *Board) neighbours() []member.Peer {
-	return slices.DeleteFunc(slices.Clone(b.peers), func(p member.Peer) bool { return p.DataCenter != b.self.DataCenter })
+// interval lies between two words to the same instance, so that a collector's answers
+// to its neighbours stay within its budget.
+func (b *Board) interval() time.Duration {
+	answers := float64(b.neighbours * (wordSize + serverSize*b.servers))
+	return max(Interval, time.Duration(answers/answerBudget*float64(time.Second)))
 }
 
 // collectors are the instances of the best rank, by data centre.
@@ -116,7 +139,9 @@
 	own := collectors[b.self.DataCenter]
 	if own.Name != b.self.Name {
 		if b.due(now, own.Name) {
-			return []Ask{{own, Word{b.own.Loads, b.own.Work, b.news.of(now, origin{b.self.Name, b.self.DataCenter})}}}
+			word := b.own
+			word.Readings = b.news.of(now, origin{b.self.Name, b.self.DataCenter})
+			return []Ask{{own, word}}
 		}
 		return nil
 	}
@@ -133,7 +158,7 @@
 }
 
 func (b *Board) due(now time.Time, name string) bool {
-	if last, known := b.asked[name]; known && now.Sub(last) < Interval {
+	if last, known := b.asked[name]; known && now.Sub(last) < b.interval() {
 		return false
 	}
 	b.asked[name] = now
@@ -142,13 +167,13 @@
 
 // collected is what this data centre's instances run, but for the one named.
 func (b *Board) collected(now time.Time, without string) Word {
-	sum := Word{Loads: make(Loads, len(b.own.Loads)), Work: make(Work)}
+	sum := newWord(b.servers)
 	if without != b.self.Name {
-		sum.add(b.own.Loads, b.own.Work)
+		sum.add(b.own)
 	}
 	for name, part := range b.parts {
 		if name != without && part.fresh(now) {
-			sum.add(part.loads, part.work)
+			sum.add(part.Word)
 		}
 	}
 	return sum
@@ -178,7 +203,7 @@
 	sum := b.collected(now, name)
 	for _, foreign := range b.sums {
 		if foreign.fresh(now) {
-			sum.add(foreign.loads, foreign.work)
+			sum.add(foreign.Word)
 		}
 	}
 	sum.Readings = b.news.without(now, name)
@@ -207,7 +232,9 @@
 	if b.collectors(now)[b.self.DataCenter].Name == b.self.Name {
 		return b.without(now, b.self.Name), true
 	}
-	return Word{b.others.loads, b.others.work, b.news.without(now, b.self.Name)}, b.others.fresh(now)
+	others := b.others.Word
+	others.Readings = b.news.without(now, b.self.Name)
+	return others, b.others.fresh(now)
 }
 
 // Forget drops what no longer counts.
--- a/process/loadboard/board_test.go
+++ b/process/loadboard/board_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lilacbridge/lilacbridge/process/member"
 )
@@ -21,6 +22,8 @@
 	peers  map[string]member.Peer
 	dead   map[string]bool
 	words  int
+	// answered are the bytes of all answers.
+	answered int
 }
 
 func newFleet(dataCenters, each int) *fleet {
@@ -64,7 +67,9 @@
 			continue
 		}
 		answer := f.boards[ask.Peer.Name].Receive(f.now, name, f.peers[name].DataCenter, DecodeWord(ask.Word.Encode("")))
-		board.Answered(f.now, ask.Peer, DecodeWord(answer.Encode("")))
+		told := answer.Encode("")
+		f.answered += proto.Size(told)
+		board.Answered(f.now, ask.Peer, DecodeWord(told))
 	}
 }
 
@@ -170,11 +175,15 @@
 	is.True(f.allKnow(9, 1))
 }
 
-// Few instances tell each other in their digests, and a data centre of hundreds
-// would drown its collector: neither has a board, and nothing is sent.
-func TestSmallAndVeryLargeFleetsHaveNoBoard(t *testing.T) {
+// Few instances tell each other in their digests, and where thousands of servers would
+// drown a collector words are too old to help: neither has a board, and nothing is sent.
+func TestSmallFleetsAndThousandsOfServersHaveNoBoard(t *testing.T) {
 	is := is.New(t)
-	for _, f := range []*fleet{newFleet(3, 3), newFleet(2, Most+1)} {
+	small, large := newFleet(3, 3), newFleet(2, 220)
+	for _, board := range large.boards {
+		board.SetOwn(large.now, Word{Servers: 5900})
+	}
+	for _, f := range []*fleet{small, large} {
 		f.burst(1)
 		f.run(time.Second)
 		is.Equal(f.words, 0)
@@ -183,13 +192,70 @@
 	}
 }
 
-// Levels that a later build might add, and empty ones, don't break the words.
+// Data centres of 33 instances and more had no board: each of 194 instances took
+// engines with seconds of prompts to read for idle.
+func TestADataCenterOfFortyInstancesHasABoard(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 40)
+	for _, board := range f.boards {
+		board.SetOwn(f.now, Word{Servers: 160})
+	}
+	f.run(time.Second)
+	f.burst(2)
+	f.run(3*f.boards["entry-0-0"].interval() + step)
+	is.True(f.allKnow(239, 2))
+}
+
+// A collector's answers must leave its link to callers, however many ask it.
+func TestAnswersStayWithinTheirBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 120)
+	for _, board := range f.boards {
+		board.SetOwn(f.now, Word{Servers: 100})
+	}
+	own := Word{Loads: make(Loads), Work: make(Work)}
+	for key := range uint32(100) {
+		own.Loads[key<<24] = Load{InFlight: 100, Backlog: [Levels]uint32{1: 400}}
+	}
+	for _, board := range f.boards {
+		board.SetOwn(f.now, own)
+	}
+	f.run(time.Second)
+	f.answered = 0
+	f.run(2 * time.Second)
+	is.True(f.answered > 0)
+	is.True(float64(f.answered)/2/2 <= 1.3*answerBudget) // two collectors, two seconds
+}
+
+// What all ask slots for, and how many they are, is told with the loads: an instance of
+// a large fleet that knew only its own requests took half of all slots for its own.
+func TestClaimsAreKnownEverywhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 13)
+	for _, board := range f.boards {
+		var work PoolWork
+		work.Claims[9] = 0.75
+		board.SetOwn(f.now, Word{Loads: Loads{}, Work: Work{3: work}})
+	}
+	f.run(2 * time.Second)
+	for _, board := range f.boards {
+		others, known := board.Others(f.now)
+		is.True(known)
+		is.Equal(others.Instances, 77)
+		is.Equal(others.Work[3].Claims[9], 77*0.75)
+	}
+}
+
+// Columns of different lengths and levels that a later build might add don't break the
+// words.
 func TestLoadsSurviveTheWire(t *testing.T) {
 	is := is.New(t)
 	loads := Loads{1: {InFlight: 3, Backlog: [Levels]uint32{0, 2}}, 9: {Backlog: [Levels]uint32{9: 4}}}
-	is.Equal(Decode(loads.Encode()), loads)
-	is.Equal(len(loads.Encode()[0].GetBacklog()), 2)
-	told := loads.Encode()
-	told[1].Backlog = append(told[1].Backlog, 5, 6)
-	is.Equal(Decode(told), loads)
+	told := Word{Loads: loads}.Encode("")
+	is.Equal(DecodeWord(told).Loads, loads)
+	is.Equal(len(told.Backlog), 2)
+	told.BacklogAt = append(told.BacklogAt, 1<<levelBits|15, 40<<levelBits, 3)
+	told.Backlog = append(told.Backlog, 5, 6)
+	told.Servers = append(told.Servers, 11)
+	is.Equal(DecodeWord(told).Loads, loads)
 }
--- a/process/loadboard/loads.go
+++ b/process/loadboard/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,16 +21,59 @@
 // Lanes is the number of lanes of a pool's engines.
 const Lanes = 3
 
-// Work is what instances start in each pool, by its key: prompt tokens a second by
-// lane.
-type Work map[uint32][Lanes]uint32
+// Places is the number of positions at which classes are given slots.
+const Places = 12
+
+// claimUnit is the part of a slot that one unit of a told claim stands for: an
+// instance of a large fleet often asks for less than one.
+const claimUnit = 0.25
+
+// PoolWork is what instances do in one pool.
+type PoolWork struct {
+	// Rates are the prompt tokens a second that they start, by lane.
+	Rates [Lanes]uint32
+	// Claims are the slots that they ask for, by place.
+	Claims [Places]float64
+}
+
+func (w *PoolWork) add(other PoolWork) {
+	for l, rate := range other.Rates {
+		w.Rates[l] += rate
+	}
+	for place, slots := range other.Claims {
+		w.Claims[place] += slots
+	}
+}
+
+func (w *PoolWork) encode(pool uint32) *lilacv1.PoolWork {
+	told := &lilacv1.PoolWork{Pool: pool, Rates: slices.Clone(w.Rates[:])}
+	for _, slots := range w.Claims {
+		told.Claims = append(told.Claims, uint32(math.Round(slots/claimUnit)))
+	}
+	for len(told.Claims) > 0 && told.Claims[len(told.Claims)-1] == 0 {
+		told.Claims = told.Claims[:len(told.Claims)-1]
+	}
+	return told
+}
+
+func decodeWork(told *lilacv1.PoolWork) PoolWork {
+	var w PoolWork
+	copy(w.Rates[:], told.GetRates())
+	for place, units := range told.GetClaims() {
+		if place < Places {
+			w.Claims[place] = claimUnit * float64(units)
+		}
+	}
+	return w
+}
+
+// Work is what instances do in each pool, by its key.
+type Work map[uint32]PoolWork
 
 func (w Work) add(other Work) {
-	for key, rates := range other {
+	for key, work := range other {
 		sum := w[key]
-		for l, rate := range rates {
-			sum[l] += rate
-		}
+		sum.add(work)
 		w[key] = sum
 	}
 }
@@ -60,29 +104,40 @@
 	}
 }
 
-// Encode makes the word's loads, in order of their keys.
-func (l Loads) Encode() []*lilacv1.EngineLoad {
-	list := make([]*lilacv1.EngineLoad, 0, len(l))
-	for _, key := range slices.Sorted(maps.Keys(l)) {
+// levelBits is the room for the priority in a column of backlogs.
+const levelBits = 4
+
+// encode writes the loads into the word's columns, in order of their keys.
+func (l Loads) encode(told *lilacv1.LoadWord) {
+	for index, key := range slices.Sorted(maps.Keys(l)) {
 		load := l[key]
-		told := &lilacv1.EngineLoad{Server: key, InFlight: load.InFlight}
-		last := Levels
-		for last > 0 && load.Backlog[last-1] == 0 {
-			last--
+		told.Servers = append(told.Servers, key)
+		told.InFlight = append(told.InFlight, load.InFlight)
+		for level, units := range load.Backlog {
+			if units > 0 {
+				told.BacklogAt = append(told.BacklogAt, uint32(index<<levelBits|level))
+				told.Backlog = append(told.Backlog, units)
+			}
 		}
-		told.Backlog = slices.Clone(load.Backlog[:last])
-		list = append(list, told)
 	}
-	return list
 }
 
-// Decode reads a word's loads; levels that it doesn't know are left out.
-func Decode(list []*lilacv1.EngineLoad) Loads {
-	loads := make(Loads, len(list))
-	for _, told := range list {
-		load := Load{InFlight: told.GetInFlight()}
-		copy(load.Backlog[:], told.GetBacklog())
-		loads[told.GetServer()] = load
+// decode reads a word's columns; servers and levels that it doesn't know are left out.
+func decode(told *lilacv1.LoadWord) Loads {
+	servers, inFlight := told.GetServers(), told.GetInFlight()
+	known := min(len(servers), len(inFlight))
+	loads := make(Loads, known)
+	for i, key := range servers[:known] {
+		loads[key] = Load{InFlight: inFlight[i]}
+	}
+	for i, at := range told.GetBacklogAt() {
+		index, level := int(at>>levelBits), int(at&(1<<levelBits-1))
+		if i >= len(told.GetBacklog()) || index >= known || level >= Levels {
+			continue
+		}
+		load := loads[servers[index]]
+		load.Backlog[level] = told.GetBacklog()[i]
+		loads[servers[index]] = load
 	}
 	return loads
 }
--- a/process/loadboard/news.go
+++ b/process/loadboard/news.go
@@ -24,19 +24,28 @@
 	Loads    Loads
 	Work     Work
 	Readings []Reading
+	// Instances is how many the word speaks for.
+	Instances int
+	// Servers is how many backend servers its sender knows; it isn't told.
+	Servers int
 }
 
-func (w Word) add(loads Loads, work Work) {
-	w.Loads.add(loads)
-	w.Work.add(work)
+func newWord(servers int) Word { return Word{Loads: make(Loads, servers), Work: make(Work)} }
+
+// add puts other's sums on top of w's; readings are told apart.
+func (w *Word) add(other Word) {
+	w.Loads.add(other.Loads)
+	w.Work.add(other.Work)
+	w.Instances += other.Instances
 }
 
 // Encode makes the message of the word.
 func (w Word) Encode(dataCenter string) *lilacv1.LoadWord {
-	told := &lilacv1.LoadWord{DataCenter: dataCenter, Loads: w.Loads.Encode()}
+	told := &lilacv1.LoadWord{DataCenter: dataCenter, Instances: uint32(w.Instances)}
+	w.Loads.encode(told)
 	for _, key := range slices.Sorted(maps.Keys(w.Work)) {
-		rates := w.Work[key]
-		told.Work = append(told.Work, &lilacv1.PoolWork{Pool: key, Rates: rates[:]})
+		work := w.Work[key]
+		told.Work = append(told.Work, work.encode(key))
 	}
 	for _, r := range w.Readings {
 		told.Readings = append(told.Readings, &lilacv1.EngineReading{Server: r.Server, Hash: r.Hash, Tokens: r.Tokens})
@@ -46,11 +55,9 @@
 
 // DecodeWord reads the message of a word.
 func DecodeWord(told *lilacv1.LoadWord) Word {
-	w := Word{Loads: Decode(told.GetLoads()), Work: make(Work)}
+	w := Word{Loads: decode(told), Work: make(Work), Instances: int(told.GetInstances())}
 	for _, work := range told.GetWork() {
-		var rates [Lanes]uint32
-		copy(rates[:], work.GetRates())
-		w.Work[work.GetPool()] = rates
+		w.Work[work.GetPool()] = decodeWork(work)
 	}
 	for _, r := range told.GetReadings() {
 		w.Readings = append(w.Readings, Reading{Server: r.GetServer(), Hash: r.GetHash(), Tokens: r.GetTokens()})
--- a/request/policy/demand_test.go
+++ b/request/policy/demand_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
 // A burst at one instance leaves hundreds of urgent requests there that are too
@@ -47,3 +49,20 @@
 	c.Step(epoch, arrival(5, "batch"))
 	is.Equal(c.running, 4) // of tier 3 the burst's share is all
 }
+
+// An instance of a large fleet, whose digests travel in a tree, knew of no other's
+// demand, and took half of the pool's slots for its own.
+func TestLargeFleetsSplitSlotsByWhatIsTold(t *testing.T) {
+	is := is.New(t)
+	c := inTree(engines("e1", 2, "a"))
+	c.Step(epoch, draft(1))
+	p := c.pools["llm"]
+	var work loadboard.PoolWork
+	work.Claims[model.Place(1, 0)] = 2 * p.capacity
+	c.Step(epoch, LoadsTold{Word: loadboard.Word{Loads: loadboard.Loads{}, Work: loadboard.Work{loadboard.Key("llm"): work}, Instances: 193}})
+	c.Step(epoch.Add(slowTick), Tick{})
+	is.True(p.quota < p.capacity/10)
+	c.Step(epoch.Add(slowTick), LoadsTold{})
+	c.Step(epoch.Add(2*slowTick), Tick{})
+	is.True(p.quota > p.capacity/3) // nothing is known any more
+}
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -29,7 +29,7 @@
 // second.
 func others(c *core, now time.Time, long, quick, tight uint32) {
 	c.Step(now, LoadsTold{Word: loadboard.Word{
-		Loads: loadboard.Loads{}, Work: loadboard.Work{loadboard.Key("llm"): {long, quick, tight}},
+		Loads: loadboard.Loads{}, Work: loadboard.Work{loadboard.Key("llm"): {Rates: [lanes]uint32{long, quick, tight}}},
 	}})
 }
 
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -5,6 +5,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
 
 // LoadsTold brings what all other instances run on each server and sent there
@@ -29,13 +30,22 @@
 		c.hearReading(now, c.byKey[read.Server], read.Hash, int(read.Tokens))
 	}
 	for _, p := range c.poolOrder {
-		p.hearWork(e.Word.Work[loadboard.Key(p.name)], c.told)
+		p.hearWork(e.Word.Work[loadboard.Key(p.name)].Rates, c.told)
+		p.hearClaims(e.Word)
 		p.dirty = p.dirty || p.queue.Len() > 0
 	}
 }
 
-// Work is told by lane: both packages count the same ones.
-var _ [loadboard.Lanes]uint32 = [lanes]uint32{}
+// Work is told by lane, claims by place: both packages count the same ones.
+var (
+	_ [loadboard.Lanes]uint32   = [lanes]uint32{}
+	_ [loadboard.Places]float64 = tiers.Demand{}
+)
+
+// hearClaims takes in the slots that others ask for.
+func (p *pool) hearClaims(w loadboard.Word) {
+	p.tiers.Told(tiers.Demand(w.Work[loadboard.Key(p.name)].Claims), w.Instances)
+}
 
 // hearWork takes in the work that others start in the pool.
 func (p *pool) hearWork(rates [loadboard.Lanes]uint32, told bool) {
@@ -97,13 +107,13 @@
 // Loads is what this instance runs on each server and sent there lately, for the
 // others.
 func (c *core) Loads(now time.Time) loadboard.Word {
-	word := loadboard.Word{Loads: make(loadboard.Loads), Work: make(loadboard.Work)}
+	word := loadboard.Word{Loads: make(loadboard.Loads), Work: make(loadboard.Work), Servers: len(c.ordered)}
 	for _, p := range c.poolOrder {
-		var rates [loadboard.Lanes]uint32
+		work := loadboard.PoolWork{Claims: p.claim()}
 		for l, rate := range p.work.rates {
-			rates[l] = uint32(rate)
+			work.Rates[l] = uint32(rate)
 		}
-		word.Work[loadboard.Key(p.name)] = rates
+		word.Work[loadboard.Key(p.name)] = work
 	}
 	for _, s := range c.ordered {
 		if len(s.own) == 0 {
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -86,6 +86,10 @@
 	need           int
 	needAt         time.Time
 	born           time.Time
+	// told is what all others ask for where that is told beside digests, and
+	// toldPeers how many they are; 0 where it isn't.
+	told      Demand
+	toldPeers int
 }
 
 // NewTable returns a table that admits all tiers.
@@ -235,8 +239,23 @@
 // Peers returns how many instances share the pool, besides this one.
 func (t *Table) Peers() int { return len(t.peers) }
 
+// Told takes in what all other instances ask for and how many they are, where that is
+// told beside digests; no instances where it isn't known any more.
+func (t *Table) Told(demand Demand, instances int) { t.told, t.toldPeers = demand, instances }
+
+// others is how many instances Others speaks for.
+func (t *Table) others() int {
+	if t.toldPeers > 0 {
+		return t.toldPeers
+	}
+	return len(t.peers)
+}
+
 // Others returns what all reachable peers run and hold.
 func (t *Table) Others() Demand {
+	if t.toldPeers > 0 {
+		return t.told
+	}
 	var sum Demand
 	for _, p := range t.peers {
 		for place, count := range p.demand {
@@ -267,7 +286,7 @@
 			quota += split[place]
 		}
 	}
-	even := max(left, 0) / float64(len(t.peers)+1)
+	even := max(left, 0) / float64(t.others()+1)
 	for place := range split {
 		split[place] += even
 	}
