--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
 // Reading a long prompt delays the tokens of all answers on its engine, by several
@@ -192,6 +193,7 @@
 	}
 	p.hasLane = [lanes]bool{}
 	shares := p.laneShares(told)
+	shares[laneTight] = max(shares[laneTight], p.tightNeed(len(p.servers)))
 	for dataCenter, group := range groups {
 		if len(group) < 2 {
 			continue
@@ -205,6 +207,32 @@
 	}
 }
 
+// laneFill is the part of a lane's slots that its requests are expected to take.
+const laneFill = 0.8
+
+// tightNeed is the part of all n engines whose slots tight answers will take, as far as
+// the others leave it free. Where engines have few slots, work alone makes the lane too
+// small: answers that find it full are late beside long prompts.
+func (p *pool) tightNeed(n int) float64 {
+	claims, own := p.tiers.Others(), p.claim()
+	tight, all := 0.0, 0.0
+	var counted [model.Places]bool
+	for _, u := range p.uses {
+		place := placeOf(u.class)
+		if counted[place] {
+			continue
+		}
+		counted[place] = true
+		claim := claims[place] + own[place]
+		all += claim
+		if p.isTight(u.class) {
+			tight += claim
+		}
+	}
+	slots := laneFill * float64(n*p.slots())
+	return min(tight, slots-(all-tight)) / max(slots, 1)
+}
+
 func (p *pool) mark(group []*server, l lane) {
 	for _, s := range group {
 		s.lane = l
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -155,3 +155,28 @@
 	lane.ahead.add(0, 50000)
 	is.Equal(only[Start](t, c.Step(epoch, digest(2, 7))).Server, other.name)
 }
+
+// Engines of 12 slots have time for twice the drafts that they have slots for. Sized by
+// work alone the lane was full, and one draft in four was late beside long prompts.
+func TestTheTightLaneHasTheSlotsThatItsAnswersTake(t *testing.T) {
+	is := is.New(t)
+	c := inTree(withReviews(engines("e1", 15, "a", "b")))
+	for _, s := range c.ordered {
+		s.slots = 12
+	}
+	c.view.Classes["draft"].BetweenTokensMs = 50
+	c.Step(epoch, draft(1))
+	c.Step(epoch, digest(2, 1))
+	work := loadboard.PoolWork{Rates: [lanes]uint32{800000, 0, 100000}}
+	tell := func(now time.Time, drafts, digests float64) {
+		work.Claims[model.Place(1, 0)], work.Claims[model.Place(1, 2)] = drafts, digests
+		c.Step(now, LoadsTold{Word: loadboard.Word{Loads: loadboard.Loads{}, Work: loadboard.Work{loadboard.Key("llm"): work}, Instances: 77}})
+		c.Step(now, Tick{})
+	}
+	tell(epoch.Add(slowTick), 10, 50)
+	is.Equal(sizes(c)[laneTight], 4) // a ninth of the work
+	tell(epoch.Add(time.Second), 100, 50)
+	is.Equal(sizes(c)[laneTight], 10) // 101 of 360 slots, four fifths full
+	tell(epoch.Add(2*time.Second), 300, 150)
+	is.True(sizes(c)[laneTight] <= 14) // digests keep the slots that they need
+}
