State processes send the group's lists only where they changed

The answer has a version now, equal for equal lists; who holds it gets the version alone. Processes that answer the same share one copy in the entry's memory.

--- a/connection/stateclient/client.go
+++ b/connection/stateclient/client.go
@@ -9,6 +9,8 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,8 @@
 	generation  int
 	claimed     bool
 	releases    chan *lilacv1.OutcomeRequest
+	// groups are the last answers to Members, by the address that gave them.
+	groups map[string]*lilacv1.StateMembers
 }
 
 // New returns a Client; it dials nothing yet.
@@ -61,6 +65,7 @@
 		core:        NewCore(options.DataCenter, options.Peers),
 		incarnation: options.Instance + "/" + rand.Text(),
 		releases:    make(chan *lilacv1.OutcomeRequest, maxReleases),
+		groups:      make(map[string]*lilacv1.StateMembers),
 	}
 }
 
@@ -76,19 +81,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.core.peers = peers
+	maps.DeleteFunc(c.groups, func(address string, _ *lilacv1.StateMembers) bool {
+		return !slices.ContainsFunc(peers, func(p settings.Peer) bool { return p.Address.Value == address })
+	})
 }
 
 // Members asks all state processes for those of their group and for the entries
 // that asked them, and tells them of this one. It fails where none answers.
 func (c *Client) Members(ctx context.Context, self settings.Peer) (members, entries []settings.Peer, err error) {
-	request := &lilacv1.StateMembersRequest{Entry: &lilacv1.StateMember{
-		Name: self.Name, Address: self.Address.Value, DataCenter: self.DataCenter,
-	}}
+	entry := &lilacv1.StateMember{Name: self.Name, Address: self.Address.Value, DataCenter: self.DataCenter}
 	var errs []error
 	known := make(map[string]bool)
 	for _, address := range c.order() {
-		reply := &lilacv1.StateMembers{}
-		if err := c.attempt(ctx, address, "state.members", request, reply); err != nil {
+		reply, err := c.group(ctx, address, entry)
+		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
@@ -108,6 +114,33 @@
 	return members, entries, nil
 }
 
+// group is what one state process says of its group. The lists of a large fleet have
+// many kilobytes, so they are sent only where they differ from the last ones.
+func (c *Client) group(ctx context.Context, address string, entry *lilacv1.StateMember) (*lilacv1.StateMembers, error) {
+	c.mu.Lock()
+	held := c.groups[address]
+	c.mu.Unlock()
+	reply := &lilacv1.StateMembers{}
+	request := &lilacv1.StateMembersRequest{Entry: entry, Have: held.GetVersion()}
+	if err := c.attempt(ctx, address, "state.members", request, reply); err != nil {
+		return nil, err
+	}
+	if held != nil && reply.GetVersion() == held.GetVersion() && reply.GetVersion() != 0 {
+		return held, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Processes that give the same answer share it.
+	for _, other := range c.groups {
+		if reply.GetVersion() != 0 && other.GetVersion() == reply.GetVersion() {
+			reply = other
+			break
+		}
+	}
+	c.groups[address] = reply
+	return reply, nil
+}
+
 // errNoGroup is the error where all that answered belong to no group yet.
 //
 // It guards against an entry that takes an empty answer for the group's members
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
@@ -164,7 +165,18 @@
 	if entry := r.GetEntry(); entry != nil {
 		s.entries.heard(entry)
 	}
-	return &lilacv1.StateMembers{Members: s.log.Status().Members, Entries: s.entries.list()}, nil
+	reply := &lilacv1.StateMembers{Members: s.log.Status().Members, Entries: s.entries.list()}
+	if reply.Version = versionOf(reply); reply.Version == r.GetHave() {
+		return &lilacv1.StateMembers{Version: reply.Version}, nil
+	}
+	return reply, nil
+}
+
+// versionOf gives equal lists equal versions, never 0.
+func versionOf(members *lilacv1.StateMembers) uint64 {
+	// Messages of our own types always marshal.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(members)
+	return max(xxhash.Sum64(data), 1)
 }
 
 // heartbeat is answered by the leader only, since it alone judges who lives.
--- a/daemon/state/service_test.go
+++ b/daemon/state/service_test.go
@@ -334,3 +334,19 @@
 		is.Equal(newest, uint64(21))
 	}
 }
+
+// An entry that holds what this process would answer is told so, and nothing else, until
+// another entry comes.
+func TestMembersAreSentOnlyWhereTheyDiffer(t *testing.T) {
+	is := is.New(t)
+	_, all := group(t, 1)
+	ask := func(name string, have uint64) *lilacv1.StateMembers {
+		reply, err := all[0].service.members(t.Context(), link.Peer{}, &lilacv1.StateMembersRequest{Entry: &lilacv1.StateMember{Name: name}, Have: have})
+		is.NoErr(err)
+		return reply
+	}
+	first := ask("entry-1", 0)
+	is.Equal(len(first.GetEntries()), 1)
+	is.Equal(len(ask("entry-1", first.GetVersion()).GetEntries()), 0)
+	is.Equal(len(ask("entry-2", first.GetVersion()).GetEntries()), 2)
+}
