Instances share what they learn of engines, and one plan of lanes

So entries differed in which classes belong to the lanes, and in the lanes' sizes, which hang on what each had before; reviews of 4,000 to 9,000 tokens were read on the engines that others kept for drafts.

Each tells weighted sums of its own estimates (time for a prompt token, step, slope), and its plan of lanes: the gap beside long prompts and the lanes' sizes. All go by own and told estimates together, and by the plan of the instance of the best rank; if that is gone, by the next one's. The gap beside prompts has one hysteresis for the pool in place of one for each class. Told with loads in large fleets, in digests in small ones. TestInstancesAgreeOnTheLanes, TestEnginesAreKnownFromTheOthers, TestThePlanOfTheBestRankReachesAll.

--- a/process/loadboard/board_test.go
+++ b/process/loadboard/board_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -259,3 +262,39 @@
 	told.Servers = append(told.Servers, 11)
 	is.Equal(DecodeWord(told).Loads, loads)
 }
+
+// Each instance divided the engines into lanes by what it had seen itself, and an engine
+// kept for short pauses by some got long prompts from others. The plan of the instance of
+// the best rank must reach all, and that of the next once the first is gone.
+func TestThePlanOfTheBestRankReachesAll(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 5)
+	names := slices.SortedFunc(maps.Keys(f.boards), member.CompareRank)
+	for name, board := range f.boards {
+		plan := LanePlan{By: name, Beside: 70000, Sizes: map[uint32]LaneSizes{4: {Tight: 2}}}
+		board.SetOwn(f.now, Word{Loads: Loads{}, Work: Work{3: {Plan: plan, Engine: EngineSums{Weight: 2, Prefill: 40}}}})
+	}
+	f.run(2 * time.Second)
+	for _, name := range names[1:] {
+		others, known := f.boards[name].Others(f.now)
+		is.True(known)
+		is.Equal(others.Work[3].Plan.By, names[0])
+		is.Equal(others.Work[3].Plan.Sizes[4].Tight, uint32(2))
+		is.Equal(others.Work[3].Engine.Prefill, 14*40.0)
+	}
+	f.dead[names[0]] = true
+	f.run(2*Lifetime + 4*Interval)
+	others, _ := f.boards[names[2]].Others(f.now)
+	is.Equal(others.Work[3].Plan.By, names[1])
+}
+
+// Sums that are no numbers would make every engine seem infinitely slow for good.
+func TestSumsThatAreNoNumbersAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	for _, bad := range []float32{float32(math.NaN()), float32(math.Inf(1)), -1} {
+		told := (&PoolWork{Engine: EngineSums{Weight: 1, Prefill: 20, Step: 5000, Each: 50}}).Encode(3)
+		is.Equal(DecodeWork(told).Engine.Step, 5000.0)
+		told.Engine[1] = bad
+		is.Equal(DecodeWork(told).Engine, EngineSums{})
+	}
+}
--- a/process/loadboard/loads.go
+++ b/process/loadboard/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,52 +27,13 @@
 // instance of a large fleet often asks for less than one.
 const claimUnit = 0.25
 
-// PoolWork is what instances do in one pool.
-type PoolWork struct {
-	// Rates are the prompt tokens a second that they start, by lane.
-	Rates [Lanes]uint32
-	// Claims are the slots that they ask for, by place.
-	Claims [Places]float64
-}
-
-func (w *PoolWork) add(other PoolWork) {
-	for l, rate := range other.Rates {
-		w.Rates[l] += rate
-	}
-	for place, slots := range other.Claims {
-		w.Claims[place] += slots
-	}
-}
-
-func (w *PoolWork) encode(pool uint32) *lilacv1.PoolWork {
-	told := &lilacv1.PoolWork{Pool: pool, Rates: slices.Clone(w.Rates[:])}
-	for _, slots := range w.Claims {
-		told.Claims = append(told.Claims, uint32(math.Round(slots/claimUnit)))
-	}
-	for len(told.Claims) > 0 && told.Claims[len(told.Claims)-1] == 0 {
-		told.Claims = told.Claims[:len(told.Claims)-1]
-	}
-	return told
-}
-
-func decodeWork(told *lilacv1.PoolWork) PoolWork {
-	var w PoolWork
-	copy(w.Rates[:], told.GetRates())
-	for place, units := range told.GetClaims() {
-		if place < Places {
-			w.Claims[place] = claimUnit * float64(units)
-		}
-	}
-	return w
-}
-
 // Work is what instances do in each pool, by its key.
 type Work map[uint32]PoolWork
 
 func (w Work) add(other Work) {
 	for key, work := range other {
 		sum := w[key]
-		sum.add(work)
+		sum.Add(work)
 		w[key] = sum
 	}
 }
--- a/process/loadboard/news.go
+++ b/process/loadboard/news.go
@@ -45,7 +45,7 @@
 	w.Loads.encode(told)
 	for _, key := range slices.Sorted(maps.Keys(w.Work)) {
 		work := w.Work[key]
-		told.Work = append(told.Work, work.encode(key))
+		told.Work = append(told.Work, work.Encode(key))
 	}
 	for _, r := range w.Readings {
 		told.Readings = append(told.Readings, &lilacv1.EngineReading{Server: r.Server, Hash: r.Hash, Tokens: r.Tokens})
@@ -57,7 +57,7 @@
 func DecodeWord(told *lilacv1.LoadWord) Word {
 	w := Word{Loads: decode(told), Work: make(Work), Instances: int(told.GetInstances())}
 	for _, work := range told.GetWork() {
-		w.Work[work.GetPool()] = decodeWork(work)
+		w.Work[work.GetPool()] = DecodeWork(work)
 	}
 	for _, r := range told.GetReadings() {
 		w.Readings = append(w.Readings, Reading{Server: r.GetServer(), Hash: r.GetHash(), Tokens: r.GetTokens()})
--- /dev/null
+++ b/process/loadboard/work.go
@@ -0,0 +1,120 @@
+package loadboard
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/member"
+)
+
+// PoolWork is what instances do in one pool and know of it.
+type PoolWork struct {
+	// Rates are the prompt tokens a second that they start, by lane.
+	Rates [Lanes]uint32
+	// Claims are the slots that they ask for, by place.
+	Claims [Places]float64
+	// Engine is what they learned of the pool's engines.
+	Engine EngineSums
+	// Plan is that of the instance of the best rank among them.
+	Plan LanePlan
+}
+
+// EngineSums are weighted sums of what instances learned of a pool's engines: one that
+// sees one answer a second must know it from the others. Times are in microseconds.
+type EngineSums struct {
+	Weight float64
+	// Prefill is the time for a prompt token, Step that of an empty batch's step, Each
+	// what one more request adds to it.
+	Prefill, Step, Each float64
+}
+
+func (e *EngineSums) add(other EngineSums) {
+	e.Weight += other.Weight
+	e.Prefill += other.Prefill
+	e.Step += other.Step
+	e.Each += other.Each
+}
+
+// LanePlan is how an instance divides a pool's engines into lanes.
+type LanePlan struct {
+	// By is the instance; empty for no plan.
+	By string
+	// Beside is the gap between tokens beside long prompts, in microseconds.
+	Beside uint32
+	// Sizes are the numbers of engines by the key of their data centre.
+	Sizes map[uint32]LaneSizes
+}
+
+// LaneSizes is the number of a data centre's engines in the lanes for short pauses and
+// for answers that are wanted soon.
+type LaneSizes struct{ Tight, Quick uint32 }
+
+// Before tells whether the plan goes before another one.
+func (p LanePlan) Before(other LanePlan) bool {
+	return p.By != "" && (other.By == "" || member.CompareRank(p.By, other.By) < 0)
+}
+
+// Add puts what other instances do on top.
+func (w *PoolWork) Add(other PoolWork) {
+	for l, rate := range other.Rates {
+		w.Rates[l] += rate
+	}
+	for place, slots := range other.Claims {
+		w.Claims[place] += slots
+	}
+	w.Engine.add(other.Engine)
+	if other.Plan.Before(w.Plan) {
+		w.Plan = other.Plan
+	}
+}
+
+// Encode makes the message of the pool's work.
+func (w *PoolWork) Encode(pool uint32) *lilacv1.PoolWork {
+	told := &lilacv1.PoolWork{Pool: pool, Rates: slices.Clone(w.Rates[:])}
+	for _, slots := range w.Claims {
+		told.Claims = append(told.Claims, uint32(math.Round(slots/claimUnit)))
+	}
+	for len(told.Claims) > 0 && told.Claims[len(told.Claims)-1] == 0 {
+		told.Claims = told.Claims[:len(told.Claims)-1]
+	}
+	if e := w.Engine; e.Weight > 0 {
+		told.Engine = []float32{float32(e.Weight), float32(e.Prefill), float32(e.Step), float32(e.Each)}
+	}
+	if w.Plan.By != "" {
+		told.Plan = &lilacv1.LanePlan{By: w.Plan.By, BesideUs: w.Plan.Beside}
+		for _, key := range slices.Sorted(maps.Keys(w.Plan.Sizes)) {
+			size := w.Plan.Sizes[key]
+			told.Plan.Sizes = append(told.Plan.Sizes, &lilacv1.LaneSizes{DataCenter: key, Tight: size.Tight, Quick: size.Quick})
+		}
+	}
+	return told
+}
+
+// DecodeWork reads the message of a pool's work; places that it doesn't know are left out.
+func DecodeWork(told *lilacv1.PoolWork) PoolWork {
+	var w PoolWork
+	copy(w.Rates[:], told.GetRates())
+	for place, units := range told.GetClaims() {
+		if place < Places {
+			w.Claims[place] = claimUnit * float64(units)
+		}
+	}
+	if e := told.GetEngine(); len(e) >= 4 && finite(e[:4]) && e[0] > 0 {
+		w.Engine = EngineSums{float64(e[0]), float64(e[1]), float64(e[2]), float64(e[3])}
+	}
+	if plan := told.GetPlan(); plan.GetBy() != "" {
+		w.Plan = LanePlan{By: plan.GetBy(), Beside: plan.GetBesideUs(), Sizes: make(map[uint32]LaneSizes)}
+		for _, size := range plan.GetSizes() {
+			w.Plan.Sizes[size.GetDataCenter()] = LaneSizes{size.GetTight(), size.GetQuick()}
+		}
+	}
+	return w
+}
+
+// finite guards against sums that another build could not represent.
+func finite(values []float32) bool {
+	return !slices.ContainsFunc(values, func(v float32) bool { return cmp.Compare(v, 0) < 0 || math.IsInf(float64(v), 0) })
+}
--- a/request/policy/engine.go
+++ b/request/policy/engine.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 )
 
 // Engines with large batches differ tenfold in how fast they read prompts and make
@@ -59,22 +61,60 @@
 
 // engineModel is what was learned of a pool's engines. Times are in seconds.
 type engineModel struct {
-	// prefill is the time for a prompt token.
-	prefill float64
-	// readings are its samples.
+	// prefill is the time for a prompt token, step that of an empty batch's step, each
+	// what one more request adds to it: own and told estimates by their weights.
+	prefill, step, each float64
+	// own is what this instance's answers say, told what the others' do.
+	own  estimates
+	told loadboard.EngineSums
+	// readings are the own samples of prefill.
 	readings *sampleWindow
-	// step is an empty batch's step, each what one more request adds to it.
-	step, each float64
 	// near and far are the fixed part of the time to a first token of engines in this
 	// region and in others.
 	near, far float64
 	fit       stepFit
 }
 
+// estimates are an instance's own, in seconds.
+type estimates struct{ prefill, step, each float64 }
+
 func newEngineModel() *engineModel {
-	return &engineModel{prefill: firstPrefill, readings: newSampleWindow(firstPrefill), step: firstStep, each: firstEach, near: firstFixed, far: firstFixed}
+	e := &engineModel{own: estimates{firstPrefill, firstStep, firstEach}, readings: newSampleWindow(firstPrefill), near: firstFixed, far: firstFixed}
+	e.blend()
+	return e
+}
+
+// weight is that of the own estimates: the number of prompts that they come from.
+func (e *engineModel) weight() float64 { return float64(min(e.readings.count, windowSamples) - 1) }
+
+// sums are the own estimates, for the others.
+func (e *engineModel) sums() loadboard.EngineSums {
+	w := e.weight()
+	return loadboard.EngineSums{Weight: w, Prefill: w * e.own.prefill / micro, Step: w * e.own.step / micro, Each: w * e.own.each / micro}
+}
+
+// hear takes in the others' estimates.
+func (e *engineModel) hear(told loadboard.EngineSums) {
+	e.told = told
+	e.blend()
+}
+
+// blend weighs the own estimates against the others'. An instance that has none of its own
+// goes by the others' alone.
+func (e *engineModel) blend() {
+	w := e.weight()
+	if w+e.told.Weight == 0 {
+		w = 1
+	}
+	all := w + e.told.Weight
+	e.prefill = (w*e.own.prefill + micro*e.told.Prefill) / all
+	e.step = (w*e.own.step + micro*e.told.Step) / all
+	e.each = (w*e.own.each + micro*e.told.Each) / all
 }
 
+// micro is a microsecond in seconds.
+const micro = 1e-6
+
 // stepAt is the time of a step in a batch of n.
 func (e *engineModel) stepAt(n float64) float64 { return e.step + n*e.each }
 
@@ -135,7 +175,8 @@
 	s.slow = min(max(s.slow, 1/slowMost), slowMost)
 	longest := min(work, longestSample)
 	e.readings.add(sample, longest*longest)
-	e.prefill = e.readings.quantile(readingQuantile)
+	e.own.prefill = e.readings.quantile(readingQuantile)
+	e.blend()
 	s.prefill = e.prefill * s.slow
 }
 
@@ -189,7 +230,10 @@
 func (e *engineModel) stepped(n, gap float64) { e.fit.add(n, gap, e.stepAt(n)) }
 
 // settle brings step and each up to date with what was measured.
-func (e *engineModel) settle(slots float64) { e.step, e.each = e.fit.solve(slots) }
+func (e *engineModel) settle(slots float64) {
+	e.own.step, e.own.each = e.fit.solve(slots)
+	e.blend()
+}
 
 const (
 	// fitMemory is how many gaps the fit of the step remembers, by their weights.
--- a/request/policy/engine_test.go
+++ b/request/policy/engine_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 )
 
 // scaled is the workshop on engines that take so many times as long, with so much
@@ -120,3 +122,20 @@
 	is.True(e.each > 0.0001 && e.each < 0.0012)
 	is.True(e.step > 0.008 && e.step < 0.016)
 }
+
+// An instance that has seen no answer yet knows the engines from the others, and one
+// strange answer of its own doesn't outweigh theirs.
+func TestEnginesAreKnownFromTheOthers(t *testing.T) {
+	is := is.New(t)
+	e := newEngineModel()
+	const w = 500
+	e.hear(loadboard.EngineSums{Weight: w, Prefill: w * 60, Step: w * 9000, Each: w * 200})
+	is.True(math.Abs(e.prefill-60e-6) < 1e-9)
+	is.True(math.Abs(e.step-0.009) < 1e-9)
+	s := newServer("a-0")
+	s.model(e)
+	e.read(s, 10*60e-6*8000, 8000)
+	is.True(e.prefill < 65e-6)
+	e.hear(loadboard.EngineSums{})
+	is.True(e.prefill != 0) // alone again, it has its own
+}
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -18,7 +19,8 @@
 // also reads a prompt that it has begun to its end, and an answer that is wanted soon
 // is late behind a long one. So in each data centre some engines are kept for either,
 // their lanes, and long prompts are read on the others. All instances rank the
-// engines alike, so they agree on the lanes without a word.
+// engines alike, and follow the lanes' sizes of the instance of the best rank: an engine
+// that is in a lane for some and not for others is in none.
 
 // lane is what an engine is kept for, or the one that a request belongs to.
 type lane int
@@ -41,9 +43,9 @@
 	// longRead is the time of reading from which a prompt counts as long: it holds up
 	// several events of an answer.
 	longRead = 80 * time.Millisecond
-	// tightHold is the part of a class's gap that the gap beside prompts must fall below
-	// before a tight class is none, so that lanes don't change with each measurement.
-	tightHold = 0.8
+	// besideHold is by what part the gap beside prompts must change before lanes go by the
+	// new one, so that they don't change with each measurement.
+	besideHold = 0.2
 	// laneLearn is the weight of one request in the lanes' shares of all work, where an
 	// instance goes by its own requests.
 	laneLearn = 0.02
@@ -94,17 +96,18 @@
 // isTight tells whether the class's answers would be late between tokens beside long
 // prompts.
 func (p *pool) isTight(class *lilacv1.Class) bool {
-	between := float64(class.GetBetweenTokensMs()) / 1000
-	limit := p.engine.beside(p.slots())
-	u := p.used[class.GetName()]
-	if u == nil {
-		return between < limit
+	return float64(class.GetBetweenTokensMs())/1000 < p.besideLong()
+}
+
+// besideLong is the gap between tokens beside long prompts that lanes go by.
+func (p *pool) besideLong() float64 {
+	if p.plan.By != "" {
+		return micro * float64(p.plan.Beside)
 	}
-	if u.tight {
-		limit /= tightHold
+	if now := p.engine.beside(p.slots()); p.beside == 0 || math.Abs(now-p.beside) > besideHold*p.beside {
+		p.beside = now
 	}
-	u.tight = between < limit
-	return u.tight
+	return p.beside
 }
 
 // slots is the batch of the pool's engines.
@@ -240,16 +243,16 @@
 	}
 }
 
-// laneSizes returns how many of a data centre's n engines each lane gets: at least
-// one, and not all.
+// laneSizes returns how many of a data centre's n engines each lane gets, not all of
+// them: what the instance of the best rank plans, else at least one for each lane that
+// has work.
 func (p *pool) laneSizes(dataCenter string, n int, shares [lanes]float64) (tight, quick int) {
 	size := p.sizes[dataCenter]
-	for l, share := range shares {
-		switch wanted := share * float64(n); {
-		case lane(l) == laneLong || lane(l) == laneQuick && n < quickLaneFrom || share < leastLane:
-			size[l] = 0
-		case size[l] == 0 || math.Abs(wanted-float64(size[l])) > laneHold:
-			size[l] = max(int(wanted+0.5), 1)
+	if planned, known := p.plan.Sizes[loadboard.Key(dataCenter)]; known {
+		size[laneTight], size[laneQuick] = int(planned.Tight), int(planned.Quick)
+	} else {
+		for l, share := range shares {
+			size[l] = laneSize(lane(l), size[l], n, share)
 		}
 	}
 	tight = min(size[laneTight], n-1)
@@ -258,6 +261,26 @@
 	return tight, quick
 }
 
+// laneSize is the number of n engines for a lane with the share of all work.
+func laneSize(l lane, size, n int, share float64) int {
+	switch wanted := share * float64(n); {
+	case l == laneLong || l == laneQuick && n < quickLaneFrom || share < leastLane:
+		return 0
+	case size == 0 || math.Abs(wanted-float64(size)) > laneHold:
+		return max(int(wanted+0.5), 1)
+	}
+	return size
+}
+
+// ownPlan is this instance's division into lanes, for the others.
+func (p *pool) ownPlan(self string) loadboard.LanePlan {
+	plan := loadboard.LanePlan{By: self, Beside: uint32(p.besideLong() / micro), Sizes: make(map[uint32]loadboard.LaneSizes, len(p.sizes))}
+	for dataCenter, size := range p.sizes {
+		plan.Sizes[loadboard.Key(dataCenter)] = loadboard.LaneSizes{Tight: uint32(size[laneTight]), Quick: uint32(size[laneQuick])}
+	}
+	return plan
+}
+
 const (
 	// strayLong is the price of a long prompt in a lane, strayTight that of an answer
 	// outside its lane: a miss of one answer's target, or a likely one.
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -180,3 +182,40 @@
 	tell(epoch.Add(2*time.Second), 300, 150)
 	is.True(sizes(c)[laneTight] <= 14) // digests keep the slots that they need
 }
+
+// Of 194 instances each saw one answer in 194, and took the engines' rate from two or
+// three of them: for one a class was tight, for the next it was none, and one gave
+// short pauses the engine on which the other read long prompts.
+func TestInstancesAgreeOnTheLanes(t *testing.T) {
+	is := is.New(t)
+	names := []string{"e1", "e2"}
+	slices.SortFunc(names, member.CompareRank)
+	leader, other := withReviews(engines(names[0], 15, "a")), withReviews(engines(names[1], 15, "a"))
+	leader.pools["llm"].engine.own.prefill = 2 * firstPrefill
+	leader.pools["llm"].engine.blend()
+	now := epoch
+	for i, c := range []*core{leader, other} {
+		c.Step(now, draft(1))
+		c.Step(now, review(2, uint64(i)))
+	}
+	for range 10 {
+		now = now.Add(slowTick)
+		for _, c := range []*core{leader, other} {
+			c.Step(now, Tick{})
+			for _, to := range []*core{leader, other} {
+				digest := c.Digest(now)
+				to.Step(now, PeerDigest{Digest: digest, At: now})
+			}
+		}
+	}
+	for name, class := range leader.view.Classes {
+		is.Equal(leader.pools["llm"].isTight(class), other.pools["llm"].isTight(other.view.Classes[name]))
+	}
+	is.Equal(sizes(leader), sizes(other))
+	is.True(sizes(leader)[laneTight] > 0)
+	for i, s := range leader.ordered {
+		is.Equal(s.lane, other.ordered[i].lane)
+	}
+	other.Step(now, PeerGone{Instance: names[0]})
+	is.Equal(other.pools["llm"].plan.By, "") // it plans itself again
+}
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/request/limits"
 	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
@@ -27,8 +28,8 @@
 	at          time.Time
 	leaving     bool
 	loads       []peerLoad
-	// work is what it starts in each pool, by lane.
-	work   map[uint32][]uint32
+	// work is what it does in each pool.
+	work   loadboard.Work
 	trials []*server
 }
 
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/request/queue"
 	"github.com/lilacbridge/lilacbridge/request/tiers"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -54,6 +55,10 @@
 	hasLane [lanes]bool
 	// toldWork is true while others tell their work.
 	toldWork bool
+	// plan is the division into lanes of another instance that goes before the own one;
+	// empty for none. beside is the own gap beside long prompts, in seconds.
+	plan   loadboard.LanePlan
+	beside float64
 	// openAt is when a server was last open, progressAt when one last sent
 	// anything to this instance, rejectedAt when an attempt last failed.
 	openAt, progressAt, rejectedAt time.Time
@@ -73,8 +78,6 @@
 type classUse struct {
 	class *lilacv1.Class
 	at    time.Time
-	// tight is true while its answers would be late beside long prompts.
-	tight bool
 	flow  flow
 }
 
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -30,8 +30,9 @@
 		c.hearReading(now, c.byKey[read.Server], read.Hash, int(read.Tokens))
 	}
 	for _, p := range c.poolOrder {
-		p.hearWork(e.Word.Work[loadboard.Key(p.name)].Rates, c.told)
-		p.hearClaims(e.Word)
+		work := e.Word.Work[loadboard.Key(p.name)]
+		p.hear(c.options.Instance, work, c.told)
+		p.tiers.Told(tiers.Demand(work.Claims), e.Word.Instances)
 		p.dirty = p.dirty || p.queue.Len() > 0
 	}
 }
@@ -42,43 +43,49 @@
 	_ [loadboard.Places]float64 = tiers.Demand{}
 )
 
-// hearClaims takes in the slots that others ask for.
-func (p *pool) hearClaims(w loadboard.Word) {
-	p.tiers.Told(tiers.Demand(w.Work[loadboard.Key(p.name)].Claims), w.Instances)
-}
-
-// hearWork takes in the work that others start in the pool.
-func (p *pool) hearWork(rates [loadboard.Lanes]uint32, told bool) {
+// hear takes in what others do in the pool and know of it; told is false while they tell
+// nothing.
+func (p *pool) hear(self string, work loadboard.PoolWork, told bool) {
 	p.toldWork = told
-	for l, rate := range rates {
+	for l, rate := range work.Rates {
 		p.work.told[l] = float64(rate)
 	}
+	p.engine.hear(work.Engine)
+	p.plan = loadboard.LanePlan{}
+	if work.Plan.Before(loadboard.LanePlan{By: self}) {
+		p.plan = work.Plan
+	}
 }
 
-// toldWork is what this instance starts in each pool, for its peers.
+// ownWork is what this instance does in the pool and knows of it, for the others.
+func (p *pool) ownWork(self string) loadboard.PoolWork {
+	work := loadboard.PoolWork{Engine: p.engine.sums(), Plan: p.ownPlan(self)}
+	for l, rate := range p.work.rates {
+		work.Rates[l] = uint32(rate)
+	}
+	return work
+}
+
+// toldWork is the same of all pools, for peers that exchange digests directly.
 func (c *core) toldWork() []*lilacv1.PoolWork {
 	var all []*lilacv1.PoolWork
 	for _, p := range c.poolOrder {
-		if p.service {
-			continue
+		if !p.service {
+			work := p.ownWork(c.options.Instance)
+			all = append(all, work.Encode(loadboard.Key(p.name)))
 		}
-		rates := make([]uint32, lanes)
-		for l, rate := range p.work.rates {
-			rates[l] = uint32(rate)
-		}
-		all = append(all, &lilacv1.PoolWork{Pool: loadboard.Key(p.name), Rates: rates})
 	}
 	return all
 }
 
-// takeWork takes in what a peer starts, where peers exchange their digests directly.
+// takeWork takes in what a peer does, where peers exchange their digests directly.
 func (c *core) takeWork(p *peer, work []*lilacv1.PoolWork) {
 	p.work = nil
 	if len(work) > 0 {
-		p.work = make(map[uint32][]uint32, len(work))
+		p.work = make(loadboard.Work, len(work))
 	}
 	for _, told := range work {
-		p.work[told.GetPool()] = told.GetRates()
+		p.work[told.GetPool()] = loadboard.DecodeWork(told)
 	}
 	c.sumWork()
 }
@@ -90,17 +97,15 @@
 		return
 	}
 	for _, p := range c.poolOrder {
-		var sum [lanes]uint32
+		var sum loadboard.PoolWork
 		heard := false
 		for _, peer := range c.peers {
-			for l, rate := range peer.work[loadboard.Key(p.name)] {
-				if l < len(sum) {
-					sum[l] += rate
-					heard = true
-				}
+			if work, known := peer.work[loadboard.Key(p.name)]; known {
+				sum.Add(work)
+				heard = true
 			}
 		}
-		p.hearWork(sum, heard)
+		p.hear(c.options.Instance, sum, heard)
 	}
 }
 
@@ -109,10 +114,8 @@
 func (c *core) Loads(now time.Time) loadboard.Word {
 	word := loadboard.Word{Loads: make(loadboard.Loads), Work: make(loadboard.Work), Servers: len(c.ordered)}
 	for _, p := range c.poolOrder {
-		work := loadboard.PoolWork{Claims: p.claim()}
-		for l, rate := range p.work.rates {
-			work.Rates[l] = uint32(rate)
-		}
+		work := p.ownWork(c.options.Instance)
+		work.Claims = p.claim()
 		word.Work[loadboard.Key(p.name)] = work
 	}
 	for _, s := range c.ordered {
