--- a/process/loadboard/board_test.go
+++ b/process/loadboard/board_test.go
@@ -272,7 +272,7 @@
 	names := slices.SortedFunc(maps.Keys(f.boards), member.CompareRank)
 	for name, board := range f.boards {
 		plan := LanePlan{By: name, Beside: 70000, Sizes: map[uint32]LaneSizes{4: {Tight: 2}}}
-		board.SetOwn(f.now, Word{Loads: Loads{}, Work: Work{3: {Plan: plan, Engine: EngineSums{Weight: 2, Prefill: 40}}}})
+		board.SetOwn(f.now, Word{Loads: Loads{}, Work: Work{3: {Plan: plan, Engine: EngineSums{Weight: 2, Speed: 40}}}})
 	}
 	f.run(2 * time.Second)
 	for _, name := range names[1:] {
@@ -280,7 +280,7 @@
 		is.True(known)
 		is.Equal(others.Work[3].Plan.By, names[0])
 		is.Equal(others.Work[3].Plan.Sizes[4].Tight, uint32(2))
-		is.Equal(others.Work[3].Engine.Prefill, 14*40.0)
+		is.Equal(others.Work[3].Engine.Speed, 14*40.0)
 	}
 	f.dead[names[0]] = true
 	f.run(2*Lifetime + 4*Interval)
@@ -292,7 +292,7 @@
 func TestSumsThatAreNoNumbersAreLeftOut(t *testing.T) {
 	is := is.New(t)
 	for _, bad := range []float32{float32(math.NaN()), float32(math.Inf(1)), -1} {
-		told := (&PoolWork{Engine: EngineSums{Weight: 1, Prefill: 20, Step: 5000, Each: 50}}).Encode(3)
+		told := (&PoolWork{Engine: EngineSums{Weight: 1, Speed: 20, Step: 5000, Each: 50}}).Encode(3)
 		is.Equal(DecodeWork(told).Engine.Step, 5000.0)
 		told.Engine[1] = bad
 		is.Equal(DecodeWork(told).Engine, EngineSums{})
--- a/process/loadboard/work.go
+++ b/process/loadboard/work.go
@@ -14,8 +14,9 @@
 type PoolWork struct {
 	// Rates are the prompt tokens a second that they start, by lane.
 	Rates [Lanes]uint32
-	// Claims are the slots that they ask for, by place.
-	Claims [Places]float64
+	// Claims are the slots that they ask for, by place, LaneClaims the same by lane.
+	Claims     [Places]float64
+	LaneClaims [Lanes]float64
 	// Engine is what they learned of the pool's engines.
 	Engine EngineSums
 	// Plan is that of the instance of the best rank among them.
@@ -23,17 +24,21 @@
 }
 
 // EngineSums are weighted sums of what instances learned of a pool's engines: one that
-// sees one answer a second must know it from the others. Times are in microseconds.
+// sees one answer a second must know it from the others.
 type EngineSums struct {
 	Weight float64
-	// Prefill is the time for a prompt token, Step that of an empty batch's step, Each
-	// what one more request adds to it.
-	Prefill, Step, Each float64
+	// Speed sums the fourth power of the prompt tokens read in a millisecond: where
+	// answers waited behind work that nobody told of, engines seem slow, and quick ones
+	// are nearer the truth.
+	Speed float64
+	// Step is the time of an empty batch's step, Each what one more request adds to it,
+	// in microseconds.
+	Step, Each float64
 }
 
 func (e *EngineSums) add(other EngineSums) {
 	e.Weight += other.Weight
-	e.Prefill += other.Prefill
+	e.Speed += other.Speed
 	e.Step += other.Step
 	e.Each += other.Each
 }
@@ -65,6 +70,9 @@
 	for place, slots := range other.Claims {
 		w.Claims[place] += slots
 	}
+	for lane, slots := range other.LaneClaims {
+		w.LaneClaims[lane] += slots
+	}
 	w.Engine.add(other.Engine)
 	if other.Plan.Before(w.Plan) {
 		w.Plan = other.Plan
@@ -74,14 +82,9 @@
 // Encode makes the message of the pool's work.
 func (w *PoolWork) Encode(pool uint32) *lilacv1.PoolWork {
 	told := &lilacv1.PoolWork{Pool: pool, Rates: slices.Clone(w.Rates[:])}
-	for _, slots := range w.Claims {
-		told.Claims = append(told.Claims, uint32(math.Round(slots/claimUnit)))
-	}
-	for len(told.Claims) > 0 && told.Claims[len(told.Claims)-1] == 0 {
-		told.Claims = told.Claims[:len(told.Claims)-1]
-	}
+	told.Claims, told.LaneClaims = encodeClaims(w.Claims[:]), encodeClaims(w.LaneClaims[:])
 	if e := w.Engine; e.Weight > 0 {
-		told.Engine = []float32{float32(e.Weight), float32(e.Prefill), float32(e.Step), float32(e.Each)}
+		told.Engine = []float32{float32(e.Weight), float32(e.Speed), float32(e.Step), float32(e.Each)}
 	}
 	if w.Plan.By != "" {
 		told.Plan = &lilacv1.LanePlan{By: w.Plan.By, BesideUs: w.Plan.Beside}
@@ -93,15 +96,13 @@
 	return told
 }
 
-// DecodeWork reads the message of a pool's work; places that it doesn't know are left out.
+// DecodeWork reads the message of a pool's work; places and lanes that it doesn't know are
+// left out.
 func DecodeWork(told *lilacv1.PoolWork) PoolWork {
 	var w PoolWork
 	copy(w.Rates[:], told.GetRates())
-	for place, units := range told.GetClaims() {
-		if place < Places {
-			w.Claims[place] = claimUnit * float64(units)
-		}
-	}
+	decodeClaims(w.Claims[:], told.GetClaims())
+	decodeClaims(w.LaneClaims[:], told.GetLaneClaims())
 	if e := told.GetEngine(); len(e) >= 4 && finite(e[:4]) && e[0] > 0 {
 		w.Engine = EngineSums{float64(e[0]), float64(e[1]), float64(e[2]), float64(e[3])}
 	}
@@ -114,6 +115,24 @@
 	return w
 }
 
+// encodeClaims leaves out the last ones that are none.
+func encodeClaims(claims []float64) []uint32 {
+	var told []uint32
+	for _, slots := range claims {
+		told = append(told, uint32(math.Round(slots/claimUnit)))
+	}
+	for len(told) > 0 && told[len(told)-1] == 0 {
+		told = told[:len(told)-1]
+	}
+	return told
+}
+
+func decodeClaims(claims []float64, told []uint32) {
+	for i, units := range told[:min(len(told), len(claims))] {
+		claims[i] = claimUnit * float64(units)
+	}
+}
+
 // finite guards against sums that another build could not represent.
 func finite(values []float32) bool {
 	return !slices.ContainsFunc(values, func(v float32) bool { return cmp.Compare(v, 0) < 0 || math.IsInf(float64(v), 0) })
--- a/request/policy/engine.go
+++ b/request/policy/engine.go
@@ -90,9 +90,13 @@
 // sums are the own estimates, for the others.
 func (e *engineModel) sums() loadboard.EngineSums {
 	w := e.weight()
-	return loadboard.EngineSums{Weight: w, Prefill: w * e.own.prefill / micro, Step: w * e.own.step / micro, Each: w * e.own.each / micro}
+	return loadboard.EngineSums{Weight: w, Speed: w * speedPower(e.own.prefill), Step: w * e.own.step / micro, Each: w * e.own.each / micro}
 }
 
+// speedPower is the fourth power of the prompt tokens read in a millisecond, at the time
+// for one.
+func speedPower(prefill float64) float64 { return math.Pow(milli/prefill, 4) }
+
 // hear takes in the others' estimates.
 func (e *engineModel) hear(told loadboard.EngineSums) {
 	e.told = told
@@ -107,13 +111,17 @@
 		w = 1
 	}
 	all := w + e.told.Weight
-	e.prefill = (w*e.own.prefill + micro*e.told.Prefill) / all
+	speed := math.Pow((w*speedPower(e.own.prefill)+e.told.Speed)/all, 0.25)
+	e.prefill = min(max(milli/max(speed, 1), leastPrefill), mostPrefill)
 	e.step = (w*e.own.step + micro*e.told.Step) / all
 	e.each = (w*e.own.each + micro*e.told.Each) / all
 }
 
-// micro is a microsecond in seconds.
-const micro = 1e-6
+// milli and micro are a millisecond and a microsecond in seconds.
+const (
+	milli = 1e-3
+	micro = 1e-6
+)
 
 // stepAt is the time of a step in a batch of n.
 func (e *engineModel) stepAt(n float64) float64 { return e.step + n*e.each }
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -10,7 +10,6 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
-	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
 // Reading a long prompt delays the tokens of all answers on its engine, by several
@@ -65,6 +64,8 @@
 	// workFor is the time over which the work of all instances is averaged: a burst
 	// is seen within it, and some hundred requests settle the shares.
 	workFor = 2 * time.Second
+	// usualFor is the time in which one request of the usual work comes to an idle pool.
+	usualFor = time.Second
 )
 
 // laneOf is the lane that the request belongs to: the one that it wants, where the
@@ -132,6 +133,8 @@
 	means [lanes]float64
 	// rates are the own work in tokens a second, told the others'.
 	rates, told [lanes]float64
+	// toldClaims are the slots that the others ask for.
+	toldClaims [lanes]float64
 }
 
 func newLaneWork() laneWork {
@@ -171,7 +174,8 @@
 	shares, sum := p.work.means, 0.0
 	for l := range shares {
 		if told {
-			shares[l] = p.work.rates[l] + p.work.told[l]
+			// Before there is traffic the lanes are those of the usual shares.
+			shares[l] = p.work.rates[l] + p.work.told[l] + p.work.means[l]/usualFor.Seconds()
 		}
 		sum += shares[l]
 	}
@@ -217,23 +221,24 @@
 // the others leave it free. Where engines have few slots, work alone makes the lane too
 // small: answers that find it full are late beside long prompts.
 func (p *pool) tightNeed(n int) float64 {
-	claims, own := p.tiers.Others(), p.claim()
-	tight, all := 0.0, 0.0
-	var counted [model.Places]bool
+	claims, all := p.laneClaims(), 0.0
+	for l := range claims {
+		claims[l] += p.work.toldClaims[l]
+		all += claims[l]
+	}
+	slots := laneFill * float64(n*p.slots())
+	return min(claims[laneTight], slots-(all-claims[laneTight])) / max(slots, 1)
+}
+
+// laneClaims is what this instance asks slots for, by lane.
+func (p *pool) laneClaims() (claims [lanes]float64) {
+	claim := p.claim()
 	for _, u := range p.uses {
 		place := placeOf(u.class)
-		if counted[place] {
-			continue
-		}
-		counted[place] = true
-		claim := claims[place] + own[place]
-		all += claim
-		if p.isTight(u.class) {
-			tight += claim
-		}
+		claims[p.wantedBy(u.class)] += claim[place]
+		claim[place] = 0
 	}
-	slots := laneFill * float64(n*p.slots())
-	return min(tight, slots-(all-tight)) / max(slots, 1)
+	return claims
 }
 
 func (p *pool) mark(group []*server, l lane) {
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -171,7 +171,7 @@
 	c.Step(epoch, digest(2, 1))
 	work := loadboard.PoolWork{Rates: [lanes]uint32{800000, 0, 100000}}
 	tell := func(now time.Time, drafts, digests float64) {
-		work.Claims[model.Place(1, 0)], work.Claims[model.Place(1, 2)] = drafts, digests
+		work.LaneClaims = [lanes]float64{laneLong: digests, laneTight: drafts}
 		c.Step(now, LoadsTold{Word: loadboard.Word{Loads: loadboard.Loads{}, Work: loadboard.Work{loadboard.Key("llm"): work}, Instances: 77}})
 		c.Step(now, Tick{})
 	}
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -50,6 +50,7 @@
 	for l, rate := range work.Rates {
 		p.work.told[l] = float64(rate)
 	}
+	p.work.toldClaims = work.LaneClaims
 	p.engine.hear(work.Engine)
 	p.plan = loadboard.LanePlan{}
 	if work.Plan.Before(loadboard.LanePlan{By: self}) {
@@ -59,7 +60,7 @@
 
 // ownWork is what this instance does in the pool and knows of it, for the others.
 func (p *pool) ownWork(self string) loadboard.PoolWork {
-	work := loadboard.PoolWork{Engine: p.engine.sums(), Plan: p.ownPlan(self)}
+	work := loadboard.PoolWork{Engine: p.engine.sums(), Plan: p.ownPlan(self), LaneClaims: p.laneClaims()}
 	for l, rate := range p.work.rates {
 		work.Rates[l] = uint32(rate)
 	}
