--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -39,9 +39,6 @@
 	// longestPrompt is the length of prompt that counts against a target for the first
 	// token, in tokens: an engine reads what it has begun to its end.
 	longestPrompt = 50000
-	// quickPrompts is how many of them an answer may wait for: the one in progress, and one
-	// that came before it.
-	quickPrompts = 2
 	// longRead is the time of reading from which a prompt counts as long: it holds up
 	// several events of an answer.
 	longRead = 80 * time.Millisecond
@@ -91,7 +88,7 @@
 		return laneLong
 	case p.isTight(class):
 		return laneTight
-	case first < quickPrompts*p.readTime(longestPrompt):
+	case first < p.readTime(longestPrompt):
 		return laneQuick
 	}
 	return laneLong
