A burst of long prompts doesn't take the lane for short pauses

The lane has at least the slots that its answers take now, up to a third of the engines, whatever bulk asks for.

--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -218,16 +218,19 @@
 const laneFill = 0.8
 
 // tightNeed is the part of all n engines whose slots tight answers will take, as far as
-// the others leave it free. Where engines have few slots, work alone makes the lane too
-// small: answers that find it full are late beside long prompts.
+// the others leave it free; but what they take now, up to a third of the engines, in any
+// case: a burst of long prompts must not take the lane from them. Where engines have few
+// slots, work alone makes the lane too small: answers that find it full are late beside
+// long prompts.
 func (p *pool) tightNeed(n int) float64 {
 	claims, all := p.laneClaims(), 0.0
 	for l := range claims {
 		claims[l] += p.work.toldClaims[l]
 		all += claims[l]
 	}
-	slots := laneFill * float64(n*p.slots())
-	return min(claims[laneTight], slots-(all-claims[laneTight])) / max(slots, 1)
+	slots, tight := laneFill*float64(n*p.slots()), claims[laneTight]
+	spare, now := slots-(all-tight), min(tight/slowdown, slots/3)
+	return max(min(tight, spare), now) / max(slots, 1)
 }
 
 // laneClaims is what this instance asks slots for, by lane.
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -179,8 +179,12 @@
 	is.Equal(sizes(c)[laneTight], 4) // a ninth of the work
 	tell(epoch.Add(time.Second), 100, 50)
 	is.Equal(sizes(c)[laneTight], 10) // 101 of 360 slots, four fifths full
-	tell(epoch.Add(2*time.Second), 300, 150)
-	is.True(sizes(c)[laneTight] <= 14) // digests keep the slots that they need
+	tell(epoch.Add(2*time.Second), 200, 150)
+	is.Equal(sizes(c)[laneTight], 14) // digests keep the slots that they need
+	tell(epoch.Add(3*time.Second), 200, 1000)
+	is.Equal(sizes(c)[laneTight], 10) // a burst of digests leaves drafts what they take now
+	tell(epoch.Add(4*time.Second), 1000, 1000)
+	is.Equal(sizes(c)[laneTight], 10) // and two thirds to the others
 }
 
 // Of 194 instances each saw one answer in 194, and took the engines' rate from two or
