--- a/request/policy/engine.go
+++ b/request/policy/engine.go
@@ -273,9 +273,10 @@
 	f.wng = f.wng*keep + weight*n*gap
 }
 
-// solve returns the step of an empty batch and what each request adds. What is assumed
-// of them has the level of what was measured: small batches of slow engines would else be
-// joined with the full batch of a quick one, and seem not to grow with the batch.
+// solve returns the step of an empty batch and what each request adds. The two points that
+// stand for an empty and a full batch are scaled to the measured gaps: a full batch of quick
+// engines beside small batches of slow ones would make the step seem independent of the
+// batch.
 func (f *stepFit) solve(slots float64) (step, each float64) {
 	empty, full := firstStep, firstStep+slots*firstEach
 	level := (f.wg + fitPrior*(empty+full)) / (firstStep*f.w + firstEach*f.wn + fitPrior*(empty+full))
