Refusals say what the request waited for, sends their priority at the engine

On-call could not tell from the logs why short urgent requests were refused beside engines with open slots: a refused line had only kind and times, a sent line no priority. Both lines have it now; test first: without the fields it does not build, with them empty it fails.

--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -21,6 +21,7 @@
 	r := &request{Arrival: a, held: now, idleSince: now}
 	if refusal, ok := c.admit(now, r); !ok {
 		refusal.ID = a.ID
+		refusal.Held.Level = -1
 		refusal.NotRun = lilacv1.NotRun_NOT_RUN_TRUE
 		c.stats.Refused++
 		c.emit(refusal)
@@ -160,5 +161,6 @@
 		r.item.Due = now.Add(max(r.firstBy(now), 0))
 		r.item.Begun = true
 	}
+	r.blocked = BlockedByOrder
 	r.pool.queue.Push(&r.item)
 }
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -211,8 +211,37 @@
 	Message    string
 	NotRun     fault.NotRun
 	RetryAfter time.Duration
+	// Held is what the request waited for, for the log.
+	Held Held
 }
 
+// Held says how a request stood when it was given up.
+type Held struct {
+	// Level is its place in the order of urgency, -1 where it was refused before it had
+	// one; Before counts the requests that would have started before it.
+	Level, Before int
+	// Running and Slots are what this instance runs of its level and of more urgent
+	// ones, and what it may run.
+	Running, Slots float64
+	// Blocked is why it had not started.
+	Blocked Blocked
+}
+
+// Blocked is why a waiting request did not start when it was last looked at.
+type Blocked string
+
+// The reasons for which requests wait.
+const (
+	// NotBlocked requests were refused before they waited.
+	NotBlocked Blocked = ""
+	// BlockedByOrder: others that go first did not start.
+	BlockedByOrder Blocked = "order"
+	// BlockedByShare: this instance's part of the pool's slots is taken.
+	BlockedByShare Blocked = "share"
+	// BlockedByRoom: no server that suits it has room.
+	BlockedByRoom Blocked = "room"
+)
+
 // Stop tells the shell to cancel an attempt at its server, at once.
 type Stop struct {
 	ID      ID
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -52,6 +52,7 @@
 	urgent := item.Tier == 0 && !item.Late
 	r := c.requests[ID(item.ID)]
 	if !urgent && (p.runs(placeOf(r.class)) >= p.quota || !p.leavesRoom(r)) {
+		r.blocked = BlockedByShare
 		return false
 	}
 	h := how{reserve: c.choice.reserves[item.Tier], late: item.Late}
@@ -76,6 +77,7 @@
 		s = c.preempt(now, r)
 	}
 	if s == nil {
+		r.blocked = BlockedByRoom
 		return false
 	}
 	c.begin(now, r, s)
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -40,7 +40,17 @@
 		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
 	}
 	c.stats.Refused++
-	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after})
+	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Held: r.heldBy()})
+}
+
+// heldBy is what the request waits for.
+func (r *request) heldBy() Held {
+	place := placeOf(r.class)
+	slots := 0.0
+	for _, part := range r.pool.split[:place+1] {
+		slots += part
+	}
+	return Held{Level: place, Before: r.pool.queue.Before(&r.item), Running: r.pool.runs(place), Slots: slots, Blocked: r.blocked}
 }
 
 // forget drops the request and settles what its team was charged.
--- a/request/policy/overload_test.go
+++ b/request/policy/overload_test.go
@@ -121,3 +121,17 @@
 		is.Equal(s.yields(c.requests[2], float64(slots)), want)
 	}
 }
+
+// Requests waited out their target and were refused, and nothing said what they had waited for.
+func TestARefusalSaysWhatTheRequestWaitedFor(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(1, 8, 4, 64, workshopSpeed, workshop())
+	seen := make(map[Blocked]int)
+	r.refused = func(refusal Refuse) {
+		is.True(refusal.Held.Level >= 0)
+		seen[refusal.Held.Blocked]++
+	}
+	r.run(8*time.Second, surge(3.5))
+	is.True(seen[BlockedByShare]+seen[BlockedByRoom]+seen[BlockedByOrder] > 0)
+	is.True(seen[NotBlocked] > 0) // turned away before they waited
+}
--- a/request/policy/replay_test.go
+++ b/request/policy/replay_test.go
@@ -81,6 +81,8 @@
 	arrived map[ID]Arrival
 	random  *rand.Rand
 	now     time.Time
+	// refused hears of refusals; nil for none.
+	refused func(Refuse)
 }
 
 func newReplay(seed uint64, instances, perCentre, slots int, speed speed, kinds []kindOf) *replay {
@@ -185,6 +187,9 @@
 		case Refuse:
 			end := r.ends[a.ID]
 			end.refused, end.ended = true, r.now
+			if r.refused != nil {
+				r.refused(a)
+			}
 		}
 	}
 }
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -39,7 +39,9 @@
 	// behind is true where it starts although no engine is expected to be in time.
 	behind bool
 	// level is its priority at the engine, as it started.
-	level    int
+	level int
+	// blocked is why it did not start when it was last looked at.
+	blocked  Blocked
 	expected time.Duration
 	// carried is the length of the KV cache that this attempt came with, at the
 	// rate carriedAt; 0 and nil if it came without.
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -15,7 +15,7 @@
 func (r *Relay) logSent(f *flight, start policy.Start) {
 	why := start.Why
 	r.Log.Line(logs.Success, "sent", "request", f.requestID, "class", f.class, "team", f.team, "target", f.target,
-		"server", start.Server, "attempt", start.Attempt, "waited_ms", why.Waited.Milliseconds(),
+		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
 		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
 		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home)
 }
@@ -33,5 +33,6 @@
 func (r *Relay) logRefused(f *flight, a policy.Refuse) {
 	r.Log.Line(logs.Failure, "refused", "request", f.requestID, "class", f.class, "team", f.team, "target", f.target,
 		"kind", fault.Name(a.Kind), "not_run", a.NotRun.String(), "retry_after_ms", a.RetryAfter.Milliseconds(),
-		"after_ms", time.Since(f.arrived).Milliseconds())
+		"after_ms", time.Since(f.arrived).Milliseconds(), "level", a.Held.Level, "before", a.Held.Before,
+		"running", a.Held.Running, "slots", a.Held.Slots, "blocked", string(a.Held.Blocked))
 }
