A short prompt leaves its full homes at once

What callers saw: scans waited 0.42 s of their 0.6 s and were refused beside engines with a third of their slots in use, while notes ten times as long were served. Cause: in a pool of more than 18 engines a request on time looked at the four homes of its shared part only; a wide look came once it was late, when its class's setting refuses it in a full pool. Class of fault: affinity as a condition, not a preference. Now it looks wide as soon as its homes are full, if others share less of its prompt than one chunk of reading (the bound from which prompts read twice are avoided already), else after half of the time that it may wait.

--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -88,24 +88,25 @@
 	}
 }
 
-// describe fills in the candidates for a request; a large pool is sampled, wider for
-// requests that find no room among the few engines that suit them.
-func (c *core) describe(now time.Time, r *request, wide bool) {
+// describe fills in the candidates for a request; a large pool is sampled. It returns
+// true where only the engines that suit the request were looked at, and a wide look
+// would find others.
+func (c *core) describe(now time.Time, r *request, wide bool) (narrow bool) {
 	servers, h := r.pool.servers, c.homesOf(now, r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
 		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
-		return
+		return false
 	}
 	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
 			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h))
 		}
-		return
+		return false
 	}
 	if r.Anchored && h.first() != nil && !wide {
 		c.describeHomes(now, r, &h)
-		return
+		return true
 	}
 	start := c.random.IntN(len(servers))
 	step := 1 + c.random.IntN(len(servers)-1)
@@ -113,6 +114,7 @@
 		at := (start + i*step) % len(servers)
 		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 	}
+	return false
 }
 
 // describeHomes looks at the request's homes and at the engines that hold its
@@ -137,9 +139,28 @@
 	alone         bool
 }
 
-// choose returns the server for the request, or nil while none has room.
+// choose returns the server for the request, or nil while none has room. Where the
+// engines that suit it are full it looks at others, as soon as that costs less than to
+// wait.
 func (c *core) choose(now time.Time, r *request, h how) *server {
-	c.describe(now, r, h.late)
+	narrow := c.describe(now, r, h.late)
+	s := c.pick(now, r, h)
+	if s == nil && narrow && r.leavesHomes(now) {
+		c.describe(now, r, true)
+		s = c.pick(now, r, h)
+	}
+	return s
+}
+
+// leavesHomes tells whether the request goes to engines that don't hold its prompt: at
+// once where others share little of it, else after half of the time that it may wait.
+func (r *request) leavesHomes(now time.Time) bool {
+	shared := r.Prefix[len(r.Prefix)-2].End
+	return shared < leastAgain || now.Sub(r.item.Arrived) >= r.item.Due.Sub(r.item.Arrived)/2
+}
+
+// pick returns the best of the servers that were described.
+func (c *core) pick(now time.Time, r *request, h how) *server {
 	asked := choose.Request{
 		FirstBy: r.firstBy(now), Target: r.first(), Between: r.between(), Avoid: r.failedOn,
 		Left: r.left(c), Reserve: h.reserve, Over: h.over, Alone: h.alone,
