A request whose servers are full holds nobody up behind it

What callers saw: notes, and in part scans, were refused as late though the engines of their own prompts were idle: the queue offered one request of a tier at a time, and the first one waited for its home. Now up to four of each level are passed over in one dispatch, each keeps its place, and each rank of a tier is looked at (before, only the most urgent one that waited). One that waits for this instance's share of slots still holds its level, as the share is the level's. The queue's tests name the rank that they look at; that the more urgent one goes first is asserted by TestTheMoreUrgentRankOfATierStartsFirst now, and the rest as before.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -19,6 +19,7 @@
 			break
 		}
 	}
+	p.queue.Restore()
 	p.noteRoom(now)
 }
 
@@ -37,17 +38,41 @@
 	return true
 }
 
+// mostPassed is how many requests of a level are passed over in one dispatch: their
+// engines are full, and those behind them may belong to others.
+const mostPassed = 4
+
 func (c *core) startNext(now time.Time, p *pool) bool {
 	for _, late := range [...]bool{false, true} {
 		for tier := range model.Tiers {
-			if item := p.queue.Peek(tier, late); item != nil && c.tryStart(now, p, item) {
-				return true
+			for rank := range model.Ranks {
+				if c.startOf(now, p, tier, rank, late) {
+					return true
+				}
 			}
 		}
 	}
 	return false
 }
 
+// startOf starts the first request of a rank within its tier that finds a server.
+func (c *core) startOf(now time.Time, p *pool, tier, rank int, late bool) bool {
+	for range mostPassed {
+		item := p.queue.Peek(tier, rank, late)
+		if item == nil {
+			return false
+		}
+		if c.tryStart(now, p, item) {
+			return true
+		}
+		if c.requests[ID(item.ID)].blocked != BlockedByRoom {
+			return false
+		}
+		p.queue.Pass(item)
+	}
+	return false
+}
+
 func (c *core) tryStart(now time.Time, p *pool, item *queue.Item) bool {
 	urgent := item.Tier == 0 && !item.Late
 	r := c.requests[ID(item.ID)]
--- a/request/policy/waiting_test.go
+++ b/request/policy/waiting_test.go
@@ -58,3 +58,30 @@
 	is.True(c.requests[2].server == nil) // it waits rather than have its prompt read twice
 	is.True(only[Start](t, c.Step(now.Add(700*ms), digest(3, 2))).Server != start.Server)
 }
+
+// Requests of two ranks wait for the same room: the more urgent rank of the tier starts,
+// though the other came first.
+func TestTheMoreUrgentRankOfATierStartsFirst(t *testing.T) {
+	is := is.New(t)
+	c := inTree(engines("e1", 1, "a"))
+	c.Step(epoch, Tick{})
+	crowd(c, epoch, c.servers["a-0"])
+	c.Step(epoch, digest(1, 1))
+	c.Step(epoch.Add(ms), draft(2))
+	is.Equal(c.running, 0)
+	crowd(c, epoch.Add(2*ms))
+	starts := starts(c.Step(epoch.Add(3*ms), Tick{}))
+	is.True(len(starts) > 0)
+	is.Equal(starts[0].ID, ID(2))
+}
+
+// starts are the requests that an event starts, in order.
+func starts(actions []Action) []Start {
+	var all []Start
+	for _, action := range actions {
+		if start, ok := action.(Start); ok {
+			all = append(all, start)
+		}
+	}
+	return all
+}
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -10,6 +10,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -44,6 +45,8 @@
 
 	index   int
 	waiting bool
+	// passed is true while the item is out of its heap since it can't start now.
+	passed bool
 }
 
 // level is the item's place in the order of urgency.
@@ -127,6 +130,8 @@
 	names   []string
 	count   int
 	cost    float64
+	// passed are the items that Pass took out of their heaps.
+	passed []*Item
 }
 
 // New returns an empty queue.
@@ -234,7 +239,11 @@
 	}
 	t := &q.levels[item.level()]
 	of := t.all[item.Team]
-	heap.Remove(of.heap(item.Late), item.index)
+	if item.passed {
+		q.unpass(item)
+	} else {
+		heap.Remove(of.heap(item.Late), item.index)
+	}
 	item.waiting = false
 	q.add(item, -1)
 	if len(of.onTime)+len(of.late) == 0 {
@@ -254,15 +263,39 @@
 	}
 }
 
-// Peek returns the next request of the tier, on time or late, or nil: the most
-// urgent rank that waits goes first.
-func (q *Queue) Peek(tierNumber int, late bool) *Item {
-	for i := range q.ranksOf(tierNumber) {
-		if item := q.ranksOf(tierNumber)[i].peek(late); item != nil {
-			return item
+// Peek returns the next request of the rank within the tier, on time or late, or nil.
+// Those that Pass took aside are left out.
+func (q *Queue) Peek(tier, rank int, late bool) *Item {
+	return q.ranksOf(tier)[rank].peek(late)
+}
+
+// Pass takes the item aside until Restore: it can't start now, and those behind it may.
+// It still counts as waiting.
+func (q *Queue) Pass(item *Item) {
+	heap.Remove(q.levels[item.level()].all[item.Team].heap(item.Late), item.index)
+	item.passed = true
+	q.passed = append(q.passed, item)
+}
+
+// Restore gives the items that were taken aside their places back.
+func (q *Queue) Restore() {
+	for _, item := range q.passed {
+		item.passed = false
+		t := &q.levels[item.level()]
+		of := t.all[item.Team]
+		heap.Push(of.heap(item.Late), item)
+		if !slices.Contains(t.active, of) {
+			t.active = append(t.active, of)
 		}
 	}
-	return nil
+	clear(q.passed)
+	q.passed = q.passed[:0]
+}
+
+func (q *Queue) unpass(item *Item) {
+	item.passed = false
+	at := slices.Index(q.passed, item)
+	q.passed = slices.Delete(q.passed, at, at+1)
 }
 
 func (t *level) peek(late bool) *Item {
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -18,8 +18,8 @@
 	q := New()
 	q.Push(item(1, 1, "a", 900))
 	q.Push(item(2, 1, "b", 300))
-	is.Equal(q.Peek(1, false).ID, uint64(2))
-	is.True(q.Peek(0, false) == nil)
+	is.Equal(q.Peek(1, 0, false).ID, uint64(2))
+	is.True(q.Peek(0, 0, false) == nil)
 }
 
 // One team sends ten times as much as the other. First come first served
@@ -39,7 +39,7 @@
 	}
 	started := map[string]int{}
 	for range 300 {
-		next := q.Peek(1, false)
+		next := q.Peek(1, 0, false)
 		started[next.Team]++
 		q.Started(next)
 	}
@@ -54,10 +54,10 @@
 	expired := 0
 	q.Expired(epoch.Add(500*time.Millisecond), func(*Item) { expired++ })
 	is.Equal(expired, 1)
-	is.Equal(q.Peek(1, false).ID, uint64(2))
-	is.Equal(q.Peek(1, true).ID, uint64(1))
+	is.Equal(q.Peek(1, 0, false).ID, uint64(2))
+	is.Equal(q.Peek(1, 0, true).ID, uint64(1))
 	is.Equal(q.Victim(1).ID, uint64(1))
-	q.Remove(q.Peek(1, true))
+	q.Remove(q.Peek(1, 0, true))
 	is.Equal(q.Len(), 1)
 	is.Equal(q.Cost(), 100.0)
 }
@@ -105,10 +105,33 @@
 	query := item(2, 1, "b", 900)
 	q.Push(note)
 	q.Push(query)
-	is.Equal(q.Peek(1, false), query)
+	is.Equal(q.Peek(1, 0, false), query)
+	is.Equal(q.Peek(1, 2, false), note)
 	is.Equal(q.Before(query), 1)
 	is.Equal(q.Before(note), 2)
 	is.Equal(q.Victim(1), note)
 	is.Equal(q.TierLen(1), 2)
 	is.Equal(q.LowestTier(), 1)
 }
+
+// A request that was passed over was its team's only one, and the team's next one started:
+// the first must still be there afterwards.
+func TestRequestsThatWerePassedOverKeepTheirPlace(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	first, second := item(1, 1, "a", 100), item(2, 1, "a", 900)
+	q.Push(first)
+	q.Push(second)
+	q.Pass(first)
+	is.Equal(q.Len(), 2)
+	is.Equal(q.Peek(1, 0, false), second)
+	q.Started(second)
+	is.True(q.Peek(1, 0, false) == nil)
+	q.Restore()
+	is.Equal(q.Peek(1, 0, false), first)
+	q.Pass(first)
+	q.Remove(first)
+	q.Restore()
+	is.Equal(q.Len(), 0)
+	is.True(q.Peek(1, 0, false) == nil)
+}
