Requests start in the order in which they are given room: rank, then tier

Cause: two orders of urgency. Engines' priorities and the split of slots went by rank, then tier; the order of starts, what is counted before a request, the exemption from the split and the slots that are left free went by tier, then rank. Where they disagree, one decision lets in what another holds back. All of these go by place now; giving up under load stays by tier, as promised to operators. Bulk leaves free what the least urgent tier in use leaves. Both tests failed before.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -9,8 +9,8 @@
 )
 
 // dispatch starts waiting requests while servers have room: first what a class
-// is owed by its guaranteed share, then by tier what can still be on time,
-// then by tier what is late.
+// is owed by its guaranteed share, then by place what can still be on time,
+// then by place what is late.
 func (c *core) dispatch(now time.Time, p *pool) {
 	p.dirty = false
 	c.tryTrials(now, p)
@@ -44,11 +44,9 @@
 
 func (c *core) startNext(now time.Time, p *pool) bool {
 	for _, late := range [...]bool{false, true} {
-		for tier := range model.Tiers {
-			for rank := range model.Ranks {
-				if c.startOf(now, p, tier, rank, late) {
-					return true
-				}
+		for place := range model.Places {
+			if c.startOf(now, p, model.TierOf(place), model.RankOf(place), late) {
+				return true
 			}
 		}
 	}
@@ -74,13 +72,13 @@
 }
 
 func (c *core) tryStart(now time.Time, p *pool, item *queue.Item) bool {
-	urgent := item.Tier == 0 && !item.Late
+	urgent := item.Tier == 0 && item.Rank == 0 && !item.Late
 	r := c.requests[ID(item.ID)]
 	if !urgent && (p.runs(placeOf(r.class)) >= p.quota || !p.leavesRoom(r)) {
 		r.blocked = BlockedByShare
 		return false
 	}
-	h := how{reserve: c.choice.reserves[item.Tier], late: item.Late}
+	h := how{reserve: c.choice.reserves[p.reserveTier(r)], late: item.Late}
 	if item.Late {
 		h.reserve += lateReserve
 	}
@@ -109,6 +107,16 @@
 	return true
 }
 
+// reserveTier is the tier whose reserve the request leaves free. Bulk leaves that of the
+// last tier in use: it must not take a slot that short work of any tier leaves free.
+func (p *pool) reserveTier(r *request) int {
+	tier := r.tier()
+	if r.class.GetRank() == 0 || p.service {
+		return tier
+	}
+	return max(tier, p.lastTier)
+}
+
 // begin takes the request out of the queue and starts it.
 func (c *core) begin(now time.Time, r *request, s *server) {
 	r.pool.queue.Started(&r.item)
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -32,6 +32,8 @@
 	tight time.Duration
 	// lastLevel is the last of the levels that any instance's requests have at engines.
 	lastLevel int
+	// lastTier is the least urgent tier of the classes in use anywhere.
+	lastTier int
 	// shares are the guaranteed ones of the same classes.
 	shares tiers.Shares
 	used   map[string]*classUse
@@ -115,13 +117,15 @@
 // tighten brings what the classes in use ask of the pool up to date.
 func (p *pool) tighten(now time.Time) {
 	p.tight, p.shares = 0, tiers.Shares{}
-	p.lastLevel = min(p.tiers.Others().Last(), lateLevel-1)
+	others := p.tiers.Others()
+	p.lastLevel, p.lastTier = min(others.Last(), lateLevel-1), others.LastTier()
 	for _, u := range p.uses {
 		if now.Sub(u.at) >= tightFor {
 			continue
 		}
 		p.shares[placeOf(u.class)] += shareOf(u.class)
 		p.lastLevel = max(p.lastLevel, usualLevel(u.class))
+		p.lastTier = max(p.lastTier, int(u.class.GetTier()))
 		target := time.Duration(u.class.GetBetweenTokensMs()) * time.Millisecond
 		if target > 0 && (p.tight == 0 || target < p.tight) {
 			p.tight = target
--- a/request/policy/waiting_test.go
+++ b/request/policy/waiting_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
 )
 
@@ -85,3 +86,62 @@
 	}
 	return all
 }
+
+// fleetOfTwelves is an instance before engines of 12 slots, to which drafts and reviews of a
+// usual team and digests of an urgent one come.
+func fleetOfTwelves(n int) *core {
+	c := inTree(withReviews(engines("e1", n, "a")))
+	c.view.Classes["urgent-digest"] = &lilacv1.Class{Name: "urgent-digest", Tier: 0, Rank: 2, FirstTokenMs: 2500, BetweenTokensMs: 266, MaxAttempts: 1}
+	for _, s := range c.ordered {
+		s.slots = 12
+	}
+	for _, name := range []string{"draft", "review", "urgent-digest"} {
+		c.pools["llm"].use(c.view.Classes[name], epoch)
+	}
+	c.Step(epoch, Tick{})
+	return c
+}
+
+func urgentDigest(id ID) Arrival {
+	a := digest(id, uint64(id))
+	a.Class = "urgent-digest"
+	return a
+}
+
+// busy tells that others run so many requests on each engine.
+func busy(c *core, now time.Time, load uint32) {
+	loads := loadboard.Loads{}
+	for _, s := range c.ordered {
+		loads[s.key] = loadboard.Load{InFlight: load}
+	}
+	c.Step(now, LoadsTold{Word: loadboard.Word{Loads: loads, Instances: 74}})
+}
+
+// Notes of teams of the first priority began, ten times as long, while scans of the other
+// teams waited for the same slots until they were refused.
+func TestBulkOfAnUrgentTeamStartsAfterShortWorkOfOthers(t *testing.T) {
+	is := is.New(t)
+	c := fleetOfTwelves(1)
+	busy(c, epoch, 12)
+	c.Step(epoch, urgentDigest(1))
+	c.Step(epoch.Add(ms), review(2, 2))
+	is.Equal(c.running, 0)
+	busy(c, epoch.Add(2*ms), 0)
+	started := starts(c.Step(epoch.Add(3*ms), Tick{}))
+	is.True(len(started) > 0)
+	is.Equal(started[0].ID, ID(2))
+}
+
+// An engine had a slot left that a scan had to leave free and a note of an urgent team
+// might take.
+func TestBulkOfAnUrgentTeamLeavesAsManySlotsFree(t *testing.T) {
+	for load := range uint32(12) {
+		is := is.New(t)
+		short, bulk := fleetOfTwelves(1), fleetOfTwelves(1)
+		busy(short, epoch, load)
+		busy(bulk, epoch, load)
+		shortStarts := len(starts(short.Step(epoch, review(1, 1)))) > 0
+		bulkStarts := len(starts(bulk.Step(epoch, urgentDigest(1)))) > 0
+		is.True(shortStarts || !bulkStarts)
+	}
+}
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -1,7 +1,7 @@
 // Package queue orders the requests that wait for one pool.
 //
-// Tiers come first, and within a tier the ranks of its classes; together they are
-// a request's level. Within a level, teams are kept fair by tokens: each has a
+// Tiers and the ranks of their classes make a request's level. Requests start by rank,
+// then tier, and are given up by tier, then rank. Within a level, teams are kept fair by tokens: each has a
 // virtual time that its requests push on by their cost over the team's weight.
 // Among the teams within a window of the smallest virtual time, the request
 // with the least slack goes first. Requests that can't meet their target any
@@ -178,11 +178,13 @@
 }
 
 // Before returns how many requests would start before the item if it came now:
-// all that are more urgent, and those of its own level.
+// all of places before its own, and those of its own.
 func (q *Queue) Before(item *Item) int {
-	count := 0
-	for _, l := range q.levels[:item.level()+1] {
-		count += l.count - l.late
+	count, own := 0, model.Place(item.Tier, item.Rank)
+	for i, l := range q.levels {
+		if model.PlaceOf(i) <= own {
+			count += l.count - l.late
+		}
 	}
 	return count
 }
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -53,6 +53,17 @@
 	return last
 }
 
+// LastTier is the least urgent tier that anything is asked for by, or 0.
+func (d Demand) LastTier() int {
+	last := 0
+	for place, count := range d {
+		if count > 0 {
+			last = max(last, model.TierOf(place))
+		}
+	}
+	return last
+}
+
 // byTier sums up the places of each tier.
 func (d Demand) byTier() (sums [model.Tiers]float64) {
 	for place, count := range d {
--- a/version/model/view.go
+++ b/version/model/view.go
@@ -21,13 +21,17 @@
 // Places is the number of ranks with their tiers.
 const Places = Tiers * Ranks
 
-// Place is the position at which a request's class is given room: what all tiers ask
+// Place is the order of urgency in which requests start, are given room and stay at
+// engines: what all tiers ask
 // for in short urgent work goes before the bulk of any.
 func Place(tier, rank int) int { return min(rank, Ranks-1)*Tiers + tier }
 
 // TierOf is the tier of a place.
 func TierOf(place int) int { return place % Tiers }
 
+// RankOf is the rank of a place.
+func RankOf(place int) int { return place / Tiers }
+
 // PlaceOf is the place of a level.
 func PlaceOf(level int) int { return Place(level/Ranks, level%Ranks) }
 
