Replay of a large fleet with an oracle at its engines

24 instances with the product's own boards of loads before 48 engines of 12 slots, three kinds of request by teams of three priorities, callers that come back once, and a count at the engines of requests that are put back while a less urgent kind runs on. At four times 17 to 36 in 100 scans still get nothing: the lane for short pauses is full, and the split gives its slots to queries. Not in the test.

--- a/request/policy/replay_test.go
+++ b/request/policy/replay_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -40,10 +42,12 @@
 	core  *core
 	start Start
 	// prompt is the length of the prompt, read what is left to read.
-	prompt  int
-	read    int
-	left    int
-	made    int
+	prompt int
+	read   int
+	left   int
+	made   int
+	// rank is that of the request's kind.
+	rank    uint32
 	readyAt time.Time
 }
 
@@ -58,8 +62,9 @@
 	reading *replayJob
 	held    map[uint64]bool
 	freeAt  time.Time
-	// preempted counts requests that were put back for more urgent ones.
-	preempted int
+	// preempted counts requests that were put back for more urgent ones, wronged those of
+	// them whose kind is more urgent than that of one that ran on.
+	preempted, wronged int
 }
 
 // outcome is how a request of a replay ended.
@@ -70,6 +75,7 @@
 	refused, finished bool
 	paused            time.Duration
 	last              time.Time
+	returned          bool
 }
 
 // replay holds one run.
@@ -83,6 +89,15 @@
 	now     time.Time
 	// refused hears of refusals; nil for none.
 	refused func(Refuse)
+	// boards tell loads between the instances of large fleets; nil for small ones.
+	boards []*loadboard.Board
+	// returns is true where callers come back once after a refusal, at the time that they
+	// were told; returning are those that will.
+	returns   bool
+	returning []Arrival
+	dueBack   []time.Time
+	// first and attempts count the requests, and those of them that came back.
+	first, attempts ID
 }
 
 func newReplay(seed uint64, instances, perCentre, slots int, speed speed, kinds []kindOf) *replay {
@@ -128,7 +143,10 @@
 				r.apply(c, c.Step(r.now, Tick{}))
 			}
 		}
-		if at%digestEvery == 0 {
+		if r.boards != nil && at%loadboard.Interval == 0 {
+			r.tellLoads()
+		}
+		if r.boards == nil && at%digestEvery == 0 {
 			r.exchange()
 		}
 	}
@@ -155,12 +173,88 @@
 	}
 }
 
+// withBoards makes the fleet a large one, whose instances tell loads by boards alone.
+func (r *replay) withBoards() *replay {
+	var all []member.Peer
+	for _, c := range r.cores {
+		all = append(all, member.Peer{Name: c.options.Instance, DataCenter: c.options.DataCenter})
+	}
+	for i, self := range all {
+		board := loadboard.New(self)
+		board.SetPeers(slices.Delete(slices.Clone(all), i, i+1))
+		r.boards = append(r.boards, board)
+	}
+	return r
+}
+
+// tellLoads has each instance take its loads anew and say what is due.
+func (r *replay) tellLoads() {
+	byName := make(map[string]int, len(r.cores))
+	for i, c := range r.cores {
+		byName[c.options.Instance] = i
+		r.boards[i].SetOwn(r.now, c.Loads(r.now))
+		if others, known := r.boards[i].Others(r.now); known {
+			r.apply(c, c.Step(r.now, LoadsTold{Word: others}))
+		}
+	}
+	for i, board := range r.boards {
+		own := r.cores[i].options
+		for _, ask := range board.Due(r.now) {
+			answer := r.boards[byName[ask.Peer.Name]].Receive(r.now, own.Instance, own.DataCenter, ask.Word)
+			board.Answered(r.now, ask.Peer, answer)
+		}
+		board.Forget(r.now)
+	}
+}
+
+// comeBack sends the requests again whose time to return has come, to any instance.
+func (r *replay) comeBack() {
+	for i := 0; i < len(r.returning); {
+		if r.now.Before(r.dueBack[i]) {
+			i++
+			continue
+		}
+		a := r.returning[i]
+		r.returning, r.dueBack = slices.Delete(r.returning, i, i+1), slices.Delete(r.dueBack, i, i+1)
+		r.send(a)
+	}
+}
+
+// send gives the request to an instance.
+func (r *replay) send(a Arrival) {
+	r.arrived[a.ID] = a
+	c := r.cores[r.random.IntN(len(r.cores))]
+	r.apply(c, c.Step(r.now, a))
+}
+
+// refuse ends a request, unless its caller comes back.
+func (r *replay) refuse(a Refuse) {
+	end, arrival := r.ends[a.ID], r.arrived[a.ID]
+	if r.refused != nil {
+		r.refused(a)
+	}
+	if r.returns && !end.returned && a.RetryAfter > 0 && a.RetryAfter <= arrival.Deadline.Sub(r.now)/3 {
+		r.attempts++
+		end.returned = true
+		arrival.ID = returnedIDs + r.attempts
+		r.ends[arrival.ID] = end
+		r.returning, r.dueBack = append(r.returning, arrival), append(r.dueBack, r.now.Add(a.RetryAfter))
+		return
+	}
+	end.refused, end.ended = true, r.now
+}
+
+// returnedIDs are above those of first attempts.
+const returnedIDs ID = 1 << 32
+
 func (r *replay) arrivals(times float64) {
+	r.comeBack()
 	for kind, k := range r.kinds {
 		if r.random.Float64() >= times*k.perSecond*replayStep.Seconds() {
 			continue
 		}
-		id := ID(len(r.ends) + 1)
+		r.first++
+		id := r.first
 		a := Arrival{
 			ID: id, Class: k.class.GetName(), Team: "a", Target: "llm", Digest: fmt.Sprint(id), Anchored: true,
 			PromptTokens: k.shared + k.own, Deadline: r.now.Add(k.deadline), Hint: k.answer,
@@ -170,9 +264,7 @@
 			},
 		}
 		r.ends[id] = &outcome{kind: kind, at: r.now}
-		r.arrived[id] = a
-		c := r.cores[r.random.IntN(len(r.cores))]
-		r.apply(c, c.Step(r.now, a))
+		r.send(a)
 	}
 }
 
@@ -185,11 +277,7 @@
 		case Stop:
 			r.engines[a.Server].stop(c, a.ID)
 		case Refuse:
-			end := r.ends[a.ID]
-			end.refused, end.ended = true, r.now
-			if r.refused != nil {
-				r.refused(a)
-			}
+			r.refuse(a)
 		}
 	}
 }
@@ -205,7 +293,7 @@
 		read -= a.Prefix[0].End
 	}
 	e.held[a.Prefix[0].Hash] = true
-	job := &replayJob{core: c, start: start, prompt: a.PromptTokens, read: read, left: r.kinds[end.kind].answer, readyAt: r.now.Add(e.speed.fixed)}
+	job := &replayJob{core: c, start: start, prompt: a.PromptTokens, read: read, left: r.kinds[end.kind].answer, rank: r.kinds[end.kind].class.GetRank(), readyAt: r.now.Add(e.speed.fixed)}
 	e.waiting = append(e.waiting, job)
 	r.apply(c, c.Step(r.now, Sent{ID: start.ID, Attempt: start.Attempt}))
 }
@@ -264,6 +352,9 @@
 	if e.reading == victim {
 		e.reading = nil
 	}
+	if slices.ContainsFunc(e.running, func(j *replayJob) bool { return j.rank > victim.rank }) {
+		e.wronged++
+	}
 	victim.read = victim.prompt + victim.made
 	e.waiting = append(e.waiting, victim)
 	e.preempted++
@@ -328,8 +419,8 @@
 
 func (r *replay) tally(kind int, from, to time.Duration) (t tally) {
 	k := r.kinds[kind]
-	for _, end := range r.ends {
-		if end.kind != kind || end.at.Before(epoch.Add(from)) || !end.at.Before(epoch.Add(to)) {
+	for id, end := range r.ends {
+		if id > returnedIDs || end.kind != kind || end.at.Before(epoch.Add(from)) || !end.at.Before(epoch.Add(to)) {
 			continue
 		}
 		t.asked++
