Limits that backend servers name are read, told, logged and shown

Server-Limit was read nowhere, so neither logs nor metrics showed which servers were in need, since when, and which instance had been told. The adapter decodes the header once; what is no plain decimal number is logged and changes nothing. The policy believes the newest word, tells what answers to this instance said in its digests and, in large fleets, with the loads, and forgets a limit of which nobody tells for 30 s. A line for each change of belief, a gauge by server. Nothing is decided by it yet.

--- a/connection/gateway/protocol.go
+++ b/connection/gateway/protocol.go
@@ -89,6 +89,8 @@
 	KeepAlive time.Duration
 	// RetryAfter is when the server wants the request again; 0 if it doesn't say.
 	RetryAfter time.Duration
+	// Limit is the server's word on how many requests it takes.
+	Limit RateLimit
 }
 
 // Load is a server's word on its load.
--- a/connection/loadlink/loadlink.go
+++ b/connection/loadlink/loadlink.go
@@ -64,8 +64,9 @@
 func (l *Link) receive(_ context.Context, peer link.Peer, w *lilacv1.LoadWord) (*lilacv1.LoadWord, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answer := l.board.Receive(time.Now(), peer.Process, peer.DataCenter, loadboard.DecodeWord(w))
-	return answer.Encode(l.options.Self.DataCenter), nil
+	now := time.Now()
+	answer := l.board.Receive(now, peer.Process, peer.DataCenter, loadboard.DecodeWord(now, w))
+	return answer.Encode(now, l.options.Self.DataCenter), nil
 }
 
 // Run sends what is due until ctx ends.
@@ -132,7 +133,7 @@
 			continue
 		}
 		l.busy[ask.Peer.Name] = true
-		word := ask.Word.Encode(l.options.Self.DataCenter)
+		word := ask.Word.Encode(now, l.options.Self.DataCenter)
 		l.wg.Go(func() { l.call(ctx, ask.Peer, word) })
 	}
 }
@@ -149,9 +150,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	now := time.Now()
 	if err != nil {
-		l.board.Failed(time.Now(), peer)
+		l.board.Failed(now, peer)
 		return
 	}
-	l.board.Answered(time.Now(), peer, loadboard.DecodeWord(answer))
+	l.board.Answered(now, peer, loadboard.DecodeWord(now, answer))
 }
--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -22,6 +22,7 @@
 	checked *prometheus.Desc
 	broken  *prometheus.Desc
 	spared  *prometheus.Desc
+	limited *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*coreStats)(nil)
@@ -34,12 +35,13 @@
 		checked: prometheus.NewDesc("lilacbridge_policy_invariants_checked_total", "Evaluations of invariants.", nil, nil),
 		broken:  prometheus.NewDesc("lilacbridge_policy_invariants_broken_total", "Invariants of the policy seen broken; must stay 0.", []string{"invariant"}, nil),
 		spared:  prometheus.NewDesc("lilacbridge_policy_tokens_spared_total", "Tokens that engines did not have to make: the estimated rest of answers whose caller left or whose deadline passed, and what moved by its KV cache.", []string{"cause"}, nil),
+		limited: prometheus.NewDesc("lilacbridge_server_limit", "Requests a second that a backend server takes from all instances together, by its own word; only servers that name a limit.", []string{"server"}, nil),
 	}
 }
 
 // Describe names the metrics.
 func (c *coreStats) Describe(descs chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.events, c.now, c.checked, c.broken, c.spared} {
+	for _, desc := range []*prometheus.Desc{c.events, c.now, c.checked, c.broken, c.spared, c.limited} {
 		descs <- desc
 	}
 }
@@ -65,6 +67,9 @@
 	counter(c.spared, stats.Spared.Canceled, "canceled")
 	counter(c.spared, stats.Spared.Expired, "expired")
 	counter(c.spared, stats.Spared.Moved, "moved")
+	for server, perSecond := range stats.Limited {
+		out <- prometheus.MustNewConstMetric(c.limited, prometheus.GaugeValue, perSecond, server)
+	}
 	out <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Waiting), "waiting")
 	out <- prometheus.MustNewConstMetric(c.now, prometheus.GaugeValue, float64(stats.Running), "running")
 }
--- a/process/loadboard/board_test.go
+++ b/process/loadboard/board_test.go
@@ -69,10 +69,10 @@
 			board.Failed(f.now, ask.Peer)
 			continue
 		}
-		answer := f.boards[ask.Peer.Name].Receive(f.now, name, f.peers[name].DataCenter, DecodeWord(ask.Word.Encode("")))
-		told := answer.Encode("")
+		answer := f.boards[ask.Peer.Name].Receive(f.now, name, f.peers[name].DataCenter, DecodeWord(f.now, ask.Word.Encode(f.now, "")))
+		told := answer.Encode(f.now, "")
 		f.answered += proto.Size(told)
-		board.Answered(f.now, ask.Peer, DecodeWord(told))
+		board.Answered(f.now, ask.Peer, DecodeWord(f.now, told))
 	}
 }
 
@@ -254,13 +254,13 @@
 func TestLoadsSurviveTheWire(t *testing.T) {
 	is := is.New(t)
 	loads := Loads{1: {InFlight: 3, Backlog: [Levels]uint32{0, 2}}, 9: {Backlog: [Levels]uint32{9: 4}}}
-	told := Word{Loads: loads}.Encode("")
-	is.Equal(DecodeWord(told).Loads, loads)
+	told := Word{Loads: loads}.Encode(time.Time{}, "")
+	is.Equal(DecodeWord(time.Time{}, told).Loads, loads)
 	is.Equal(len(told.Backlog), 2)
 	told.BacklogAt = append(told.BacklogAt, 1<<levelBits|15, 40<<levelBits, 3)
 	told.Backlog = append(told.Backlog, 5, 6)
 	told.Servers = append(told.Servers, 11)
-	is.Equal(DecodeWord(told).Loads, loads)
+	is.Equal(DecodeWord(time.Time{}, told).Loads, loads)
 }
 
 // Each instance divided the engines into lanes by what it had seen itself, and an engine
--- a/process/loadboard/news.go
+++ b/process/loadboard/news.go
@@ -24,24 +24,29 @@
 	Loads    Loads
 	Work     Work
 	Readings []Reading
+	// Limits are those that servers named or denied lately.
+	Limits Limits
 	// Instances is how many the word speaks for.
 	Instances int
 	// Servers is how many backend servers its sender knows; it isn't told.
 	Servers int
 }
 
-func newWord(servers int) Word { return Word{Loads: make(Loads, servers), Work: make(Work)} }
+func newWord(servers int) Word {
+	return Word{Loads: make(Loads, servers), Work: make(Work), Limits: make(Limits)}
+}
 
 // add puts other's sums on top of w's; readings are told apart.
 func (w *Word) add(other Word) {
 	w.Loads.add(other.Loads)
 	w.Work.add(other.Work)
+	w.Limits.add(other.Limits)
 	w.Instances += other.Instances
 }
 
-// Encode makes the message of the word.
-func (w Word) Encode(dataCenter string) *lilacv1.LoadWord {
-	told := &lilacv1.LoadWord{DataCenter: dataCenter, Instances: uint32(w.Instances)}
+// Encode makes the message of the word as of now.
+func (w Word) Encode(now time.Time, dataCenter string) *lilacv1.LoadWord {
+	told := &lilacv1.LoadWord{DataCenter: dataCenter, Instances: uint32(w.Instances), Limits: w.Limits.Encode(now)}
 	w.Loads.encode(told)
 	for _, key := range slices.Sorted(maps.Keys(w.Work)) {
 		work := w.Work[key]
@@ -53,9 +58,9 @@
 	return told
 }
 
-// DecodeWord reads the message of a word.
-func DecodeWord(told *lilacv1.LoadWord) Word {
-	w := Word{Loads: decode(told), Work: make(Work), Instances: int(told.GetInstances())}
+// DecodeWord reads the message of a word that came now.
+func DecodeWord(now time.Time, told *lilacv1.LoadWord) Word {
+	w := Word{Loads: decode(told), Work: make(Work), Limits: DecodeLimits(now, told.GetLimits()), Instances: int(told.GetInstances())}
 	for _, work := range told.GetWork() {
 		w.Work[work.GetPool()] = DecodeWork(work)
 	}
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -114,6 +114,8 @@
 		c.failed(now, e)
 	case LoadReport:
 		c.loadReport(now, e)
+	case LimitReport:
+		c.limitReport(now, e)
 	case CacheEvent:
 		c.cacheEvent(e)
 	case ServerState:
@@ -177,6 +179,7 @@
 	c.noticeCuts(now)
 	c.noticeSilent(now)
 	c.judge(now)
+	c.forgetLimits(now)
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.fadeWork()
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -72,6 +72,8 @@
 	Peers    []string
 	// Estimates is how far predicted answer lengths were off.
 	Estimates estimate.Error
+	// Limited are the servers that name a limit, with it, in requests a second.
+	Limited map[string]float64
 	// Checked counts evaluations of invariants; Violations those that failed.
 	Checked    uint64
 	Violations map[Invariant]uint64
@@ -107,6 +109,12 @@
 	for _, p := range c.poolOrder {
 		copied.Admitted[p.name] = p.tiers.Admitted()
 	}
+	copied.Limited = make(map[string]float64)
+	for _, s := range c.ordered {
+		if s.limited.Named {
+			copied.Limited[s.name] = s.limited.PerSecond
+		}
+	}
 	for name := range c.peers {
 		copied.Peers = append(copied.Peers, name)
 	}
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -53,6 +53,7 @@
 		Spends:      c.spends(now),
 		Readings:    c.toldReadings(now),
 		Work:        c.toldWork(),
+		Limits:      c.ownLimits(now).Encode(now),
 	}
 	for _, p := range c.poolOrder {
 		d.Cutoffs = append(d.Cutoffs, p.tiers.Tell(p.claim(), p.queue.LowestTier()))
@@ -114,6 +115,7 @@
 	c.takeLoads(now, p, d.GetLoads())
 	c.takeWork(p, d.GetWork())
 	c.hearReadings(now, d.GetReadings())
+	c.hearLimits(now, loadboard.DecodeLimits(now, d.GetLimits()))
 	c.takeSuspects(now, name, p, d.GetSuspects())
 	for _, spend := range d.GetSpends() {
 		if team := c.view.Teams[spend.GetTeam()]; team != nil {
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -121,6 +121,9 @@
 	// fullUntil is how long the server counts as full after a late first token.
 	fullUntil time.Time
 
+	// limited is how many requests a second the server says that it takes.
+	limited serverLimit
+
 	trial      string
 	peerTrials int
 	cache      prefixSet
--- /dev/null
+++ b/request/policy/serverlimit.go
@@ -0,0 +1,114 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+)
+
+// A server in need names how many requests a second it takes from all instances
+// together, for as long as it says so. Instances tell each other what their answers say,
+// since most of them never have one of that server.
+
+const (
+	// limitTold is how long an instance tells what an answer to itself said.
+	limitTold = 3 * time.Second
+	// limitKept is how long a limit is believed without any word of it: a server to which
+	// nobody sends anything says nothing.
+	limitKept = 30 * time.Second
+)
+
+// serverLimit is the limit that a server names.
+type serverLimit struct {
+	loadboard.Limit
+	// ownAt is when an answer to this instance last stated or denied a limit; zero where
+	// none ever stated one.
+	ownAt time.Time
+}
+
+// LimitSource is who told of a server's limit.
+type LimitSource string
+
+// The sources of a limit.
+const (
+	LimitByAnswer   LimitSource = "answer"
+	LimitByInstance LimitSource = "instance"
+	// LimitBySilence: nobody told of it any more.
+	LimitBySilence LimitSource = "silence"
+)
+
+// LimitReport is what an answer of the server says of its limit.
+type LimitReport struct {
+	Server string
+	// Named is false where the answer names none: the server takes what comes.
+	Named bool
+	// PerSecond is in requests a second, of all instances together.
+	PerSecond float64
+}
+
+// LimitChanged tells the shell that a server's limit is believed to be another one.
+type LimitChanged struct {
+	Server    string
+	Named     bool
+	PerSecond float64
+	Source    LimitSource
+	// Age is that of the word.
+	Age time.Duration
+}
+
+func (LimitReport) event()   {}
+func (LimitChanged) action() {}
+
+func (c *core) limitReport(now time.Time, e LimitReport) {
+	s := c.servers[e.Server]
+	if s == nil || !e.Named && s.limited.At.IsZero() {
+		return
+	}
+	c.setLimit(now, s, loadboard.Limit{PerSecond: e.PerSecond, Named: e.Named, At: now}, LimitByAnswer)
+	s.limited.ownAt = now
+}
+
+// setLimit takes in news of a server's limit, unless newer ones are known.
+func (c *core) setLimit(now time.Time, s *server, told loadboard.Limit, source LimitSource) {
+	before := s.limited.Limit
+	if told.At.Before(before.At) {
+		return
+	}
+	s.limited.Limit = told
+	if told.Named == before.Named && told.PerSecond == before.PerSecond {
+		return
+	}
+	c.emit(LimitChanged{Server: s.name, Named: told.Named, PerSecond: told.PerSecond, Source: source, Age: now.Sub(told.At)})
+	if source == LimitByAnswer {
+		c.announce()
+	}
+}
+
+// ownLimits are what answers to this instance said lately.
+func (c *core) ownLimits(now time.Time) loadboard.Limits {
+	limits := make(loadboard.Limits)
+	for _, s := range c.ordered {
+		if at := s.limited.ownAt; !at.IsZero() && now.Sub(at) <= limitTold && !s.limited.At.After(at) {
+			limits[s.key] = s.limited.Limit
+		}
+	}
+	return limits
+}
+
+// hearLimits takes in what answers to other instances said.
+func (c *core) hearLimits(now time.Time, told loadboard.Limits) {
+	for key, limit := range told {
+		if s := c.byKey[key]; s != nil {
+			c.setLimit(now, s, limit, LimitByInstance)
+		}
+	}
+}
+
+// forgetLimits drops limits that nobody has told of for long.
+func (c *core) forgetLimits(now time.Time) {
+	for _, s := range c.ordered {
+		if s.limited.Named && now.Sub(s.limited.At) > limitKept {
+			c.setLimit(now, s, loadboard.Limit{At: now}, LimitBySilence)
+		}
+	}
+}
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -29,6 +29,7 @@
 	for _, read := range e.Word.Readings {
 		c.hearReading(now, c.byKey[read.Server], read.Hash, int(read.Tokens))
 	}
+	c.hearLimits(now, e.Word.Limits)
 	for _, p := range c.poolOrder {
 		work := e.Word.Work[loadboard.Key(p.name)]
 		p.hear(c.options.Instance, work, c.told)
@@ -113,7 +114,7 @@
 // Loads is what this instance runs on each server and sent there lately, for the
 // others.
 func (c *core) Loads(now time.Time) loadboard.Word {
-	word := loadboard.Word{Loads: make(loadboard.Loads), Work: make(loadboard.Work), Servers: len(c.ordered)}
+	word := loadboard.Word{Loads: make(loadboard.Loads), Work: make(loadboard.Work), Limits: c.ownLimits(now), Servers: len(c.ordered)}
 	for _, p := range c.poolOrder {
 		work := p.ownWork(c.options.Instance)
 		work.Claims = p.claim()
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -140,6 +140,7 @@
 	}
 	defer resp.Body.Close()
 	j.noteLoad(t, resp.Reply)
+	j.noteLimit(t, resp)
 	if resp.Reply.NotRun {
 		return &upstream.StatusError{Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: resp.Reply.RetryAfter}
 	}
@@ -156,6 +157,20 @@
 	}
 }
 
+// noteLimit tells the core of a limit that the server names, or names no longer. Another
+// server's word at the same address says nothing of this one.
+func (j *forwardJob) noteLimit(t *try, resp *gateway.Response) {
+	limit := resp.Reply.Limit
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if limit.Unreadable != "" {
+		j.relay.logBadLimit(j.flight, t.start, limit.Unreadable)
+		return
+	}
+	j.relay.Post(policy.LimitReport{Server: t.start.Server, Named: limit.Named, PerSecond: limit.PerSecond})
+}
+
 // passWhole reads the answer to its end before its first byte goes out.
 func (j *forwardJob) passWhole(resp *gateway.Response) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswerBytes+1))
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -36,3 +36,13 @@
 		"after_ms", time.Since(f.arrived).Milliseconds(), "level", a.Held.Level, "before", a.Held.Before,
 		"running", a.Held.Running, "slots", a.Held.Slots, "blocked", string(a.Held.Blocked))
 }
+
+func (r *Relay) logBadLimit(f *flight, start policy.Start, text string) {
+	r.Log.Line(logs.Failure, "limit not readable, the last one stands", "request", f.requestID, "server", start.Server, "value", text)
+}
+
+// logLimit tells of a limit that a server names, or names no longer.
+func (r *Relay) logLimit(a policy.LimitChanged) {
+	r.Log.Line(logs.Belief, "server limit", "server", a.Server, "named", a.Named, "per_second", a.PerSecond,
+		"source", string(a.Source), "age_ms", a.Age.Milliseconds())
+}
--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -151,6 +151,8 @@
 		}
 	case policy.Convict:
 		r.OnConvict(a)
+	case policy.LimitChanged:
+		r.logLimit(a)
 	case policy.Announce:
 		r.OnAnnounce()
 	}
