Red test: servers that name a limit get several times what it allows

The replay's engines name limits in their answers and count, as the users' rule does, what instances send that had such an answer half a second before. Two and 0.4 requests a second are named; both fleets, 8 instances before 9 engines and 24 before 48, send more than one and a half times as much and five.

--- /dev/null
+++ b/request/policy/limit_replay_test.go
@@ -0,0 +1,120 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// limitSpan is the span over which a server counts what it gets, limitSettles how long
+	// after its first word it begins to, and limitHeard how long an instance has to heed it.
+	limitSpan    = 4 * time.Second
+	limitSettles = 4 * time.Second
+	limitHeard   = 500 * ms
+)
+
+// needyEngine is what an engine names as its limit, and what it got.
+type needyEngine struct {
+	perSecond float64
+	// from and until bound the time in which it names it; zero from for never.
+	from, until time.Time
+	// namedAt is its first answer that named it, told when each instance had one.
+	namedAt time.Time
+	told    map[*core]time.Time
+	// all are the arrivals, counted those of instances that had been told.
+	all, counted []time.Time
+}
+
+// names tells whether the engine's answers name a limit.
+func (n *needyEngine) names(now time.Time) bool {
+	return !n.from.IsZero() && !now.Before(n.from) && now.Before(n.until)
+}
+
+// got takes in a request of an instance.
+func (n *needyEngine) got(now time.Time, from *core) {
+	n.all = append(n.all, now)
+	told, known := n.told[from]
+	if known && n.names(now) && now.Sub(told) >= limitHeard && now.Sub(n.namedAt) >= limitSettles {
+		n.counted = append(n.counted, now)
+	}
+}
+
+// answer gives the instance the header of an answer.
+func (n *needyEngine) answer(r *replay, j *replayJob) {
+	report := LimitReport{Server: j.start.Server, Named: n.names(r.now), PerSecond: n.perSecond}
+	if report.Named {
+		if n.told == nil {
+			n.told, n.namedAt = make(map[*core]time.Time), r.now
+		}
+		if _, known := n.told[j.core]; !known {
+			n.told[j.core] = r.now
+		}
+	}
+	r.apply(j.core, j.core.Step(r.now, report))
+}
+
+// most is the most that counted in any span.
+func (n *needyEngine) most() int {
+	most := 0
+	for i, end := range n.counted {
+		count := 0
+		for _, at := range n.counted[:i+1] {
+			if end.Sub(at) < limitSpan {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// allowed is how many may come in a span.
+func (n *needyEngine) allowed() int { return int(1.5*n.perSecond*limitSpan.Seconds() + 5) }
+
+// rate is the arrivals a second between two moments.
+func (n *needyEngine) rate(from, until time.Duration) float64 {
+	count := 0
+	for _, at := range n.all {
+		if !at.Before(epoch.Add(from)) && at.Before(epoch.Add(until)) {
+			count++
+		}
+	}
+	return float64(count) / (until - from).Seconds()
+}
+
+// need has engines name a limit from the second second on.
+func (r *replay) need(perSecond float64, until time.Duration, names ...string) {
+	for _, name := range names {
+		e := r.engines[name]
+		e.need = needyEngine{perSecond: perSecond, from: epoch.Add(2 * time.Second), until: epoch.Add(until)}
+	}
+}
+
+// smallFleet is eight instances before nine engines, largeFleet 24 before 48.
+func smallFleet(seed uint64) *replay {
+	return newReplay(seed, 8, 3, 64, workshopSpeed, workshop())
+}
+
+func largeFleet(seed uint64) *replay {
+	return newReplay(seed, 24, 16, 12, largeWorkshopSpeed, largeWorkshop()).withBoards()
+}
+
+// Engines in need named two requests a second, and got five: nobody heeded it.
+func TestServersGetNoMoreThanTheirLimit(t *testing.T) {
+	for name, fleet := range map[string]func(uint64) *replay{"small": smallFleet, "large": largeFleet} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(3) {
+				r := fleet(seed)
+				r.need(2, time.Minute, "a-0", "b-1")
+				r.need(0.4, time.Minute, "c-2")
+				r.run(14*time.Second, steady)
+				for _, e := range r.engines {
+					is.True(e.need.from.IsZero() || e.need.most() <= e.need.allowed())
+				}
+			}
+		})
+	}
+}
--- a/request/policy/replay_test.go
+++ b/request/policy/replay_test.go
@@ -65,6 +65,7 @@
 	// preempted counts requests that were put back for more urgent ones, wronged those of
 	// them whose kind is more urgent than that of one that ran on.
 	preempted, wronged int
+	need               needyEngine
 }
 
 // outcome is how a request of a replay ended.
@@ -295,6 +296,7 @@
 	e.held[a.Prefix[0].Hash] = true
 	job := &replayJob{core: c, start: start, prompt: a.PromptTokens, read: read, left: r.kinds[end.kind].answer, rank: r.kinds[end.kind].class.GetRank(), readyAt: r.now.Add(e.speed.fixed)}
 	e.waiting = append(e.waiting, job)
+	e.need.got(r.now, c)
 	r.apply(c, c.Step(r.now, Sent{ID: start.ID, Attempt: start.Attempt}))
 }
 
@@ -395,6 +397,9 @@
 		return
 	}
 	end := r.ends[j.start.ID]
+	if j.made == 1 {
+		e.need.answer(r, j)
+	}
 	if end.first.IsZero() {
 		end.first = r.now
 	} else {
--- a/request/policy/serverlimit_test.go
+++ b/request/policy/serverlimit_test.go
@@ -35,7 +35,7 @@
 	is := is.New(t)
 	here, there := engines("e1", 3, "a"), engines("e2", 3, "a")
 	here.Step(epoch, names("a-1", 1.8))
-	word := here.Loads(epoch.Add(100 * ms)).Encode(epoch.Add(100*ms), "a")
+	word := here.Loads(epoch.Add(100*ms)).Encode(epoch.Add(100*ms), "a")
 	there.Step(epoch.Add(200*ms), LoadsTold{Word: loadboard.DecodeWord(epoch.Add(200*ms), word)})
 	is.Equal(there.Stats().Limited, map[string]float64{"a-1": 1.8})
 }
