A server's limit is shared out among a few instances

Cause: each instance decides for itself what it sends, and a server in need was avoided only after it had refused. Class of fault: a bound on a sum over instances, of which each knows only its own part. Now a few instances of the server's data centre send to it, chosen by rendezvous hash, each its part of the limit; all others none. Every start counts, retries and resumed answers too. Homes, waiting for a prompt's cache and the pool's capacity go by it, and an instance that may send to no server of a pool refuses at once, as not run.

--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -58,6 +58,7 @@
 		d.watcher.SetEntries(peers)
 	}
 	d.loads.SetPeers(membersOf(peers))
+	d.entry.relay.Post(policy.Fleet{Others: instancesOf(peers)})
 	d.orders.SetPosition(d.position(peers))
 	d.entry.poller.SetBudget(pollBudget(len(peers)+1, d.relays(peers)))
 }
@@ -98,3 +99,12 @@
 	}
 	return names
 }
+
+// instancesOf are the peers as the policy knows them.
+func instancesOf(peers []settings.Peer) []policy.Instance {
+	others := make([]policy.Instance, 0, len(peers))
+	for _, p := range peers {
+		others = append(others, policy.Instance{Name: p.Name, DataCenter: p.DataCenter})
+	}
+	return others
+}
--- a/faultsoak/judge_test.go
+++ b/faultsoak/judge_test.go
@@ -16,6 +16,7 @@
 			r.judgeLeaving(s.Identity, one)
 		}
 	}
+	r.judgeLimits()
 	for id, list := range runs {
 		r.judgeRuns(r.calls[id], list)
 	}
--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -1,9 +1,11 @@
 package faultsoak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -55,6 +57,9 @@
 	if random.IntN(2) == 0 {
 		steps = append(steps, step{length, "all are killed after a change", (*run).darken})
 	}
+	// Drawn apart, so that seeds that failed once go on meaning the same faults.
+	steps = append(steps, limitSteps(seed, length, servers)...)
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
 
@@ -116,6 +121,7 @@
 	}
 	r.later(func() {
 		defer r.free(p)
+		defer r.hurting(p)()
 		if s == syscall.SIGTERM {
 			r.stopping(p)
 		}
@@ -149,6 +155,7 @@
 	}
 	r.later(func() {
 		defer r.free(p)
+		defer r.hurting(p)()
 		p.signal(syscall.SIGSTOP)
 		r.sleep(lasts)
 		p.signal(syscall.SIGCONT)
@@ -157,6 +164,7 @@
 
 func (r *run) through(p *process, mode proxyMode, delay, lasts time.Duration) {
 	r.later(func() {
+		defer r.hurting(p)()
 		p.proxy.set(mode, delay)
 		r.sleep(lasts)
 		p.proxy.set(passing, 0)
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -46,6 +46,10 @@
 	calls    map[string]*call
 	stops    []stopTime
 	document documentState
+	// needy are the servers that name a limit now, limits the times in which some did.
+	needy  map[*standin.Server]bool
+	limits []limitTime
+	hurts  []*hurt
 }
 
 // stopTime is a graceful stop of an entry.
@@ -86,7 +90,7 @@
 		added[i] = strconv.FormatUint(source.Uint64(), 36)
 	}
 	return &run{
-		fleet: f, begun: time.Now(), stop: make(chan struct{}), held: make(map[*process]bool), calls: make(map[string]*call),
+		fleet: f, begun: time.Now(), stop: make(chan struct{}), held: make(map[*process]bool), needy: make(map[*standin.Server]bool), calls: make(map[string]*call),
 		document: documentState{keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time), added: added},
 	}
 }
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -33,6 +33,7 @@
 	pools     map[string]*pool
 	poolOrder []*pool
 	peers     map[string]*peer
+	fleet     fleet
 	peerNames []string
 	// known counts instances that were ever heard, this one included.
 	known map[string]bool
@@ -77,6 +78,7 @@
 		servers:   make(map[string]*server),
 		pools:     make(map[string]*pool),
 		peers:     make(map[string]*peer),
+		fleet:     newFleet(Instance{options.Instance, options.DataCenter}),
 		known:     map[string]bool{options.Instance: true},
 		heardOf:   make(map[string]time.Time),
 		estimates: estimate.NewTable(),
@@ -114,6 +116,8 @@
 		c.failed(now, e)
 	case LoadReport:
 		c.loadReport(now, e)
+	case Fleet:
+		c.fleet.alive(now, e.Others)
 	case LimitReport:
 		c.limitReport(now, e)
 	case CacheEvent:
@@ -179,7 +183,7 @@
 	c.noticeCuts(now)
 	c.noticeSilent(now)
 	c.judge(now)
-	c.forgetLimits(now)
+	c.keepLimits(now)
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.fadeWork()
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -137,6 +137,8 @@
 	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
 	c.check(InvariantSuspects, !c.suspects.Get(r.Digest).Convicted() && (!r.trial || s.trial == r.Digest && s.peerTrials == 0))
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
+	c.check(InvariantLimit, !s.held(now))
+	s.spend(now)
 	r.attempt++
 	r.server = s
 	r.sentNow = false
--- a/request/policy/full.go
+++ b/request/policy/full.go
@@ -77,6 +77,10 @@
 // urgent takes its place: only what is as urgent or more counts before it.
 func (c *core) turnAway(now time.Time, r *request) bool {
 	p := r.pool
+	if p.shut() {
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, limitedMessage, c.spread(minRetryAfter))
+		return true
+	}
 	if r.class.GetLate() != lilacv1.LatePolicy_LATE_POLICY_RUN_WITH_ROOM || r.item.Kept || !p.full(now) {
 		return false
 	}
--- a/request/policy/limit_replay_test.go
+++ b/request/policy/limit_replay_test.go
@@ -118,3 +118,49 @@
 		})
 	}
 }
+
+// A server in need is not avoided: it gets a good part of what it takes. Once its answers
+// name no limit, all instances send to it again.
+func TestAServerInNeedIsUsedAsFarAsItAllows(t *testing.T) {
+	for name, fleet := range map[string]func(uint64) *replay{"small": smallFleet, "large": largeFleet} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(2) {
+				r := fleet(seed)
+				r.need(2, 12*time.Second, "a-0", "b-1")
+				r.run(17*time.Second, steady)
+				for _, name := range []string{"a-0", "b-1"} {
+					is.True(r.engines[name].need.rate(6*time.Second, 12*time.Second) >= 0.5)
+					for _, c := range r.cores {
+						is.True(!c.servers[name].limited.Named)
+					}
+				}
+			}
+		})
+	}
+}
+
+// All servers of a pool name limits. Its requests are served as far as these go, the others
+// are told at once that they did not run and when to come back.
+func TestAPoolWhoseServersAllNameLimitsGoesOn(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(1, 8, 1, 64, workshopSpeed, workshop())
+	r.returns = true
+	r.need(3, time.Minute, "a-0", "b-0", "c-0")
+	slow := 0
+	r.refused = func(refusal Refuse) {
+		end := r.ends[refusal.ID]
+		is.True(refusal.RetryAfter > 0)
+		if end.at.After(epoch.Add(6*time.Second)) && !end.returned && r.now.Sub(end.at) > time.Duration(r.kinds[end.kind].class.GetFirstTokenMs())*ms {
+			slow++
+		}
+	}
+	r.run(14*time.Second, steady)
+	served := 0.0
+	for _, e := range r.engines {
+		is.True(e.need.most() <= e.need.allowed())
+		served += e.need.rate(6*time.Second, 14*time.Second)
+	}
+	is.True(served >= 4.5) // half of what the three take
+	is.Equal(slow, 0)
+}
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -36,6 +36,8 @@
 	InvariantBudget Invariant = "retry_budget"
 	// InvariantIdempotent: no restart of a sent request that isn't idempotent.
 	InvariantIdempotent Invariant = "at_most_once"
+	// InvariantLimit: no start on a server beyond this instance's part of its limit.
+	InvariantLimit Invariant = "server_limit"
 	// InvariantDeadline: no start after the deadline.
 	InvariantDeadline Invariant = "deadline"
 	// InvariantSuspects: no suspect shares an engine, none runs after two crashes.
--- a/request/policy/overload.go
+++ b/request/policy/overload.go
@@ -13,6 +13,7 @@
 	// minQueue is how many requests may wait in any case.
 	minQueue = 8
 
+	limitedMessage  = "all backend servers name limits, and others send what they take; send the request again after Retry-After, another instance may take it"
 	overloadMessage = "all backend servers are busy; send the request again after Retry-After"
 	lateMessage     = "the class's target can't be met any more and its setting refuses late answers; send the request again after Retry-After"
 )
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -179,6 +179,9 @@
 		open++
 		norms += s.norm
 		n := s.limit(s.paced(p, 0), p.tight)
+		if s.limited.Named {
+			n = min(n, s.limited.PerSecond*limitedHold.Seconds())
+		}
 		p.capacity += n
 		p.rate += s.rateAt(n)
 		p.gap += s.gapAt(n)
--- a/request/policy/replay_test.go
+++ b/request/policy/replay_test.go
@@ -139,6 +139,9 @@
 		for _, name := range sortedKeys(r.engines) {
 			r.engines[name].advance(r)
 		}
+		if at%(500*ms) == 0 {
+			r.tellWhoLives()
+		}
 		if at%TickInterval == 0 {
 			for _, c := range r.cores {
 				r.apply(c, c.Step(r.now, Tick{}))
@@ -174,6 +177,19 @@
 	}
 }
 
+// tellWhoLives names each instance the others.
+func (r *replay) tellWhoLives() {
+	for i, c := range r.cores {
+		var others []Instance
+		for j, other := range r.cores {
+			if i != j {
+				others = append(others, Instance{other.options.Instance, other.options.DataCenter})
+			}
+		}
+		c.Step(r.now, Fleet{Others: others})
+	}
+}
+
 // withBoards makes the fleet a large one, whose instances tell loads by boards alone.
 func (r *replay) withBoards() *replay {
 	var all []member.Peer
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -123,6 +123,7 @@
 
 	// limited is how many requests a second the server says that it takes.
 	limited serverLimit
+	allowed allowance
 
 	trial      string
 	peerTrials int
@@ -136,7 +137,7 @@
 func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
 
 func (s *server) barred(now time.Time) bool {
-	if s.closed() || s.cut || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) {
+	if s.closed() || s.cut || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) || s.held(now) {
 		return true
 	}
 	return s.probing && len(s.own) > 0
--- a/request/policy/serverlimit.go
+++ b/request/policy/serverlimit.go
@@ -54,6 +54,8 @@
 	Source    LimitSource
 	// Age is that of the word.
 	Age time.Duration
+	// Share is what this instance may send, in requests a second.
+	Share float64
 }
 
 func (LimitReport) event()   {}
@@ -78,7 +80,8 @@
 	if told.Named == before.Named && told.PerSecond == before.PerSecond {
 		return
 	}
-	c.emit(LimitChanged{Server: s.name, Named: told.Named, PerSecond: told.PerSecond, Source: source, Age: now.Sub(told.At)})
+	c.shareLimit(now, s)
+	c.emit(LimitChanged{Server: s.name, Named: told.Named, PerSecond: told.PerSecond, Source: source, Age: now.Sub(told.At), Share: s.allowed.share})
 	if source == LimitByAnswer {
 		c.announce()
 	}
@@ -104,11 +107,16 @@
 	}
 }
 
-// forgetLimits drops limits that nobody has told of for long.
-func (c *core) forgetLimits(now time.Time) {
+// keepLimits drops limits that nobody has told of for long, and brings the shares of the
+// others up to date.
+func (c *core) keepLimits(now time.Time) {
+	c.fleet.forget(now)
 	for _, s := range c.ordered {
 		if s.limited.Named && now.Sub(s.limited.At) > limitKept {
 			c.setLimit(now, s, loadboard.Limit{At: now}, LimitBySilence)
 		}
+		if s.limited.Named {
+			c.shareLimit(now, s)
+		}
 	}
 }
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -44,5 +44,5 @@
 // logLimit tells of a limit that a server names, or names no longer.
 func (r *Relay) logLimit(a policy.LimitChanged) {
 	r.Log.Line(logs.Belief, "server limit", "server", a.Server, "named", a.Named, "per_second", a.PerSecond,
-		"source", string(a.Source), "age_ms", a.Age.Milliseconds())
+		"source", string(a.Source), "age_ms", a.Age.Milliseconds(), "share", a.Share)
 }
