Operators see which servers name limits, and each instance's part

With many instances before a server in need, lilacctl show servers told only how many requests each of them runs there. It shows the limit, this instance's part, who told of it and since when now; a part that changes with the living instances is logged too.

--- a/request/policy/limitshare_test.go
+++ b/request/policy/limitshare_test.go
@@ -102,3 +102,15 @@
 	a.Idempotent = true
 	return a
 }
+
+// Another instance starts, and this one's part of a limit becomes smaller. It must be told, and
+// show in the log.
+func TestAPartOfALimitFollowsTheFleet(t *testing.T) {
+	is := is.New(t)
+	c := engines("e1", 2, "a")
+	is.Equal(only[LimitChanged](t, c.Step(epoch, names("a-0", 0.5))).Share, 0.5)
+	c.Step(epoch.Add(slowTick), Fleet{Others: []Instance{{"e2", "a"}}})
+	changed := only[LimitChanged](t, c.Step(epoch.Add(2*slowTick), Tick{}))
+	is.Equal(changed.Source, LimitByFleet)
+	is.Equal(changed.Share, 0.25)
+}
--- a/request/policy/serverlimit.go
+++ b/request/policy/serverlimit.go
@@ -35,6 +35,8 @@
 	LimitByInstance LimitSource = "instance"
 	// LimitBySilence: nobody told of it any more.
 	LimitBySilence LimitSource = "silence"
+	// LimitByFleet: the limit stands, and other instances live now.
+	LimitByFleet LimitSource = "fleet"
 )
 
 // LimitReport is what an answer of the server says of its limit.
@@ -46,7 +48,8 @@
 	PerSecond float64
 }
 
-// LimitChanged tells the shell that a server's limit is believed to be another one.
+// LimitChanged tells the shell that a server's limit, or this instance's part of it, is
+// believed to be another one.
 type LimitChanged struct {
 	Server    string
 	Named     bool
@@ -81,12 +84,18 @@
 		return
 	}
 	c.shareLimit(now, s)
-	c.emit(LimitChanged{Server: s.name, Named: told.Named, PerSecond: told.PerSecond, Source: source, Age: now.Sub(told.At), Share: s.allowed.share})
+	c.tellLimit(now, s, source)
 	if source == LimitByAnswer {
 		c.announce()
 	}
 }
 
+func (c *core) tellLimit(now time.Time, s *server, source LimitSource) {
+	c.emit(LimitChanged{
+		Server: s.name, Named: s.limited.Named, PerSecond: s.limited.PerSecond, Source: source, Age: now.Sub(s.limited.At), Share: s.allowed.share,
+	})
+}
+
 // ownLimits are what answers to this instance said lately.
 func (c *core) ownLimits(now time.Time) loadboard.Limits {
 	limits := make(loadboard.Limits)
@@ -115,8 +124,12 @@
 		if s.limited.Named && now.Sub(s.limited.At) > limitKept {
 			c.setLimit(now, s, loadboard.Limit{At: now}, LimitBySilence)
 		}
-		if s.limited.Named {
-			c.shareLimit(now, s)
+		if !s.limited.Named {
+			continue
+		}
+		before := s.allowed.share
+		if c.shareLimit(now, s); s.allowed.share != before {
+			c.tellLimit(now, s, LimitByFleet)
 		}
 	}
 }
--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -153,6 +153,7 @@
 		r.OnConvict(a)
 	case policy.LimitChanged:
 		r.logLimit(a)
+		r.noteLimit(time.Now(), a)
 	case policy.Announce:
 		r.OnAnnounce()
 	}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -77,6 +77,7 @@
 
 	mu       sync.Mutex
 	flights  map[policy.ID]*flight
+	limits   map[string]limitRow
 	draining bool
 	// idle is closed when draining and no request is left.
 	idle chan struct{}
@@ -108,6 +109,7 @@
 		return
 	}
 	r.view.Store(view)
+	r.forgetLimits(view)
 	r.Post(policy.Configured{View: view})
 }
 
