A pool is full for a request only by what is as urgent

What callers saw: reviews were turned away on arrival, or refused at lateness, for a full pool, since less urgent digests had waited for room for 0.4 s; other digests began meanwhile. Cause: one mark of a full pool for all; class of fault: urgency left out of a decision. Now the mark is kept by place: what waits at a place or before it. The test failed before.

--- a/request/policy/full.go
+++ b/request/policy/full.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
 // A burst beyond what the servers can do fills the queue faster than it drains. A
@@ -26,19 +27,26 @@
 	boundCut  = 0.7
 )
 
-// noteRoom remembers since when requests wait for want of room.
+// noteRoom remembers since when requests wait for want of room, by place.
 func (p *pool) noteRoom(now time.Time) {
-	switch {
-	case p.queue.Len() == 0:
-		p.fullSince = time.Time{}
-	case p.fullSince.IsZero():
-		p.fullSince = now
+	waiting := false
+	for place := range p.fullSince {
+		count, _ := p.queue.LevelLen(model.Level(model.TierOf(place), model.RankOf(place)))
+		waiting = waiting || count > 0
+		switch since := &p.fullSince[place]; {
+		case !waiting:
+			*since = time.Time{}
+		case since.IsZero():
+			*since = now
+		}
 	}
 }
 
-// full tells whether requests have waited for room for some time.
-func (p *pool) full(now time.Time) bool {
-	return !p.fullSince.IsZero() && now.Sub(p.fullSince) >= fullAfter
+// full tells whether requests as urgent as this one, or more, have waited for room for some
+// time. Less urgent ones that wait take nothing from it.
+func (p *pool) full(now time.Time, r *request) bool {
+	since := p.fullSince[placeOf(r.class)]
+	return !since.IsZero() && now.Sub(since) >= fullAfter
 }
 
 // noteStart takes in a start: where it came in good time, one more may wait.
@@ -81,7 +89,7 @@
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, limitedMessage, c.spread(minRetryAfter))
 		return true
 	}
-	if r.class.GetLate() != lilacv1.LatePolicy_LATE_POLICY_RUN_WITH_ROOM || r.item.Kept || !p.full(now) {
+	if r.class.GetLate() != lilacv1.LatePolicy_LATE_POLICY_RUN_WITH_ROOM || r.item.Kept || !p.full(now, r) {
 		return false
 	}
 	wait := p.startsIn(r)
--- a/request/policy/overload.go
+++ b/request/policy/overload.go
@@ -32,9 +32,6 @@
 
 // refuseWaitingLate refuses what became late while there was room, and waits in a full pool now.
 func (c *core) refuseWaitingLate(now time.Time, p *pool) {
-	if !p.full(now) {
-		return
-	}
 	var refused []*request
 	p.queue.EachLate(func(item *queue.Item) {
 		if r := c.requests[ID(item.ID)]; r.got == 0 && r.refusedLate(now) {
@@ -58,7 +55,7 @@
 	case lilacv1.LatePolicy_LATE_POLICY_REFUSE:
 		return true
 	case lilacv1.LatePolicy_LATE_POLICY_RUN_WITH_ROOM:
-		return r.pool.full(now)
+		return r.pool.full(now, r)
 	}
 	return false
 }
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -64,8 +64,9 @@
 	// openAt is when a server was last open, progressAt when one last sent
 	// anything to this instance, rejectedAt when an attempt last failed.
 	openAt, progressAt, rejectedAt time.Time
-	// fullSince is since when requests wait for want of room; zero while none do.
-	fullSince time.Time
+	// fullSince is since when requests of a place or of those before it wait for want of
+	// room; zero while none do.
+	fullSince [model.Places]time.Time
 	// bound is how many requests of each level may wait while the pool is full; see full.
 	bound [model.Levels]float64
 	// starts is the rate at which requests start here, a second.
--- a/request/policy/waiting_test.go
+++ b/request/policy/waiting_test.go
@@ -162,3 +162,20 @@
 	is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_LATE)
 	is.True(refusal.RetryAfter > 0)
 }
+
+// Digests waited for room, and reviews, more urgent and half as long, were turned away on
+// arrival for a full pool while other digests began.
+func TestBulkThatWaitsDoesNotTurnUrgentRequestsAway(t *testing.T) {
+	is := is.New(t)
+	c := fleetOfTwelves(1)
+	c.view.Classes["review"].Late, c.view.Classes["digest"].Late = withRoom, withRoom
+	busy(c, epoch, 12)
+	c.Step(epoch, digest(1, 1))
+	now := epoch.Add(fullAfter + slowTick)
+	c.Step(now, Tick{})
+	for id := ID(2); id < 5; id++ {
+		is.Equal(len(c.Step(now, review(id, uint64(id)))), 0) // it waits
+	}
+	turnedAway := only[Refuse](t, c.Step(now, digest(5, 5)))
+	is.Equal(turnedAway.Kind, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED)
+}
