Each word of loads opens an engine to as many instances as fill its room

One engine of 12 slots got 45 requests within 1.3 s, and every sender took it for half empty. Cause: 194 entries go by the same loads, which fit the true ones best with a lag of 0.75 to 1 s (correlation 0.84 in second 3 to 6, 0.23 in the overload), and the few engines that seem to have room get what all start until the next word. Class of fault: a threshold on stale news that all share. Now each instance draws at each word which engines it uses: of those that would get more than their room, by the rate of starts of their lane, as many instances as fill it. Where engines have room nothing changes. Ruled out: fetches of cache (links at 0.4 of their time, one at 0.8), processor time (0.08 of 0.19 core at most). Test failed before.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -120,7 +120,7 @@
 // begin takes the request out of the queue and starts it.
 func (c *core) begin(now time.Time, r *request, s *server) {
 	r.pool.queue.Started(&r.item)
-	r.pool.noteStart(now, r)
+	r.pool.noteStart(now, r, s)
 	r.pool.queue.Served(r.Class, r.item.Cost, now)
 	c.start(now, r, s)
 }
--- a/request/policy/full.go
+++ b/request/policy/full.go
@@ -50,8 +50,9 @@
 }
 
 // noteStart takes in a start: where it came in good time, one more may wait.
-func (p *pool) noteStart(now time.Time, r *request) {
+func (p *pool) noteStart(now time.Time, r *request, s *server) {
 	p.starts += 1 / startsFor.Seconds()
+	p.laneStarts[s.lane] += 1 / startsFor.Seconds()
 	bound := &p.bound[levelOf(r.class)]
 	if now.Sub(r.item.Arrived) < r.item.Due.Sub(now) {
 		*bound = min(*bound+1, boundMost)
@@ -71,7 +72,13 @@
 }
 
 // fadeStarts lets the rate follow the last seconds.
-func (p *pool) fadeStarts() { p.starts *= math.Exp(-slowTick.Seconds() / startsFor.Seconds()) }
+func (p *pool) fadeStarts() {
+	keep := math.Exp(-slowTick.Seconds() / startsFor.Seconds())
+	p.starts *= keep
+	for l := range p.laneStarts {
+		p.laneStarts[l] *= keep
+	}
+}
 
 // startsIn is when the request would start, by the rate at which requests start
 // now and those that go before it.
--- /dev/null
+++ b/request/policy/herd_test.go
@@ -0,0 +1,64 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
+)
+
+// crowdedFleet is n instances before 40 engines, of which all but a few run as much as they
+// can, by what all are told.
+func crowdedFleet(n int, idle ...string) []*core {
+	var fleet []*core
+	for i := range n {
+		c := inTree(engines(fmt.Sprintf("e%d", i), 20, "a", "b"))
+		c.random = rand.New(rand.NewPCG(uint64(i), 1))
+		c.view.Classes["draft"].FirstTokenMs = 2000
+		c.pools["llm"].use(c.view.Classes["draft"], epoch)
+		c.Step(epoch, Tick{})
+		loads := loadboard.Loads{}
+		for _, s := range c.pools["llm"].servers {
+			loads[s.key] = loadboard.Load{InFlight: uint32(s.slots)}
+		}
+		for _, name := range idle {
+			loads[loadboard.Key(name)] = loadboard.Load{InFlight: uint32(c.servers[name].slots - 8)}
+		}
+		for l := range c.pools["llm"].laneStarts {
+			c.pools["llm"].laneStarts[l] = 10
+		}
+		c.Step(epoch, LoadsTold{Word: loadboard.Word{Loads: loads, Instances: n - 1}})
+		fleet = append(fleet, c)
+	}
+	return fleet
+}
+
+// Seventy-five instances heard in the same moment that two engines had room, and sent each
+// forty requests before the next word.
+func TestFewInstancesFillTheRoomOfAnEngine(t *testing.T) {
+	is := is.New(t)
+	users := 0
+	for _, c := range crowdedFleet(75, "a-3", "b-4") {
+		if s := c.servers["a-3"]; !s.shunned {
+			users++
+		}
+	}
+	is.True(users > 0 && users < 75/4)
+}
+
+// Where most engines have room nobody is kept from any.
+func TestEnginesWithRoomAreOpenToAll(t *testing.T) {
+	is := is.New(t)
+	var all []string
+	for i := range 20 {
+		all = append(all, fmt.Sprintf("a-%d", i), fmt.Sprintf("b-%d", i))
+	}
+	for _, c := range crowdedFleet(10, all...) {
+		for _, s := range c.pools["llm"].servers {
+			is.True(!s.shunned)
+		}
+	}
+}
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -69,8 +69,10 @@
 	fullSince [model.Places]time.Time
 	// bound is how many requests of each level may wait while the pool is full; see full.
 	bound [model.Levels]float64
-	// starts is the rate at which requests start here, a second.
-	starts float64
+	// starts is the rate at which requests start here, a second; laneStarts the same by the
+	// lane of their engine.
+	starts     float64
+	laneStarts [lanes]float64
 	// expected is how many slots the requests of each place will occupy, split how many
 	// those of this instance may; see expected.go.
 	expected, split tiers.Demand
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -118,6 +118,8 @@
 	lane lane
 	// cut is true while the server's data centre is out of reach.
 	cut bool
+	// shunned is true while others fill the server's room; see herd.
+	shunned bool
 	// fullUntil is how long the server counts as full after a late first token.
 	fullUntil time.Time
 
@@ -348,7 +350,7 @@
 func (s *server) candidate(r *request, now time.Time, index int, h *homes) choose.Candidate {
 	n := s.load() + 1
 	c := choose.Candidate{
-		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now),
+		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now) || s.shunned,
 		Trial: s.trial != "" || s.peerTrials > 0,
 		Load:  n - 1, Limit: s.limit(s.paced(r.pool, r.between()), r.between()),
 	}
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -262,6 +262,9 @@
 	return len(t.peers)
 }
 
+// Instances is how many share the pool, this one included.
+func (t *Table) Instances() int { return t.others() + 1 }
+
 // Others returns what all reachable peers run and hold.
 func (t *Table) Others() Demand {
 	if t.toldPeers > 0 {
