--- /dev/null
+++ b/request/queue/pass.go
@@ -0,0 +1,35 @@
+package queue
+
+import (
+	"container/heap"
+	"slices"
+)
+
+// Pass takes the item aside until Restore: it can't start now, and those behind it may.
+// It still counts as waiting.
+func (q *Queue) Pass(item *Item) {
+	heap.Remove(q.levels[item.level()].all[item.Team].heap(item.Late), item.index)
+	item.passed = true
+	q.passed = append(q.passed, item)
+}
+
+// Restore gives the items that were taken aside their places back.
+func (q *Queue) Restore() {
+	for _, item := range q.passed {
+		item.passed = false
+		t := &q.levels[item.level()]
+		of := t.all[item.Team]
+		heap.Push(of.heap(item.Late), item)
+		if !slices.Contains(t.active, of) {
+			t.active = append(t.active, of)
+		}
+	}
+	clear(q.passed)
+	q.passed = q.passed[:0]
+}
+
+func (q *Queue) unpass(item *Item) {
+	item.passed = false
+	at := slices.Index(q.passed, item)
+	q.passed = slices.Delete(q.passed, at, at+1)
+}
