Only the least urgent bulk keeps out of slots that others don't use

Cause: answers that hold their slots for over four seconds were kept to the part of their own place; what drafts claim by Little's law, at twice their pace, lay idle. That rule is meant for notes and digests, which fill what urgent requests need seconds later. Now it holds for the least urgent rank in use; others borrow, as engines put them back for what is more urgent. The test failed before (a review had to leave the slots).

--- a/request/policy/expected.go
+++ b/request/policy/expected.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/request/tiers"
+	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
 // Long answers of less urgent classes hold their slots for many seconds. In a burst
@@ -95,13 +96,14 @@
 }
 
 // leavesRoom tells whether the request leaves the slots free that are kept for more
-// urgent ones. Brief answers may borrow them.
+// urgent ones. All but long answers of the least urgent rank may borrow them: engines put
+// these back first, and others must not get nothing beside slots that nobody uses.
 func (p *pool) leavesRoom(r *request) bool {
 	place := placeOf(r.class)
 	if p.service || !r.Anchored {
 		return true
 	}
-	if p.holdsLong(r) {
+	if p.holdsLong(r) && model.RankOf(place) >= p.lastRank {
 		return p.byPlace[place] < p.split[place]
 	}
 	slots := 0.0
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -32,8 +32,8 @@
 	tight time.Duration
 	// lastLevel is the last of the levels that any instance's requests have at engines.
 	lastLevel int
-	// lastTier is the least urgent tier of the classes in use anywhere.
-	lastTier int
+	// lastTier and lastRank are the least urgent ones of the classes in use anywhere.
+	lastTier, lastRank int
 	// shares are the guaranteed ones of the same classes.
 	shares tiers.Shares
 	used   map[string]*classUse
@@ -122,6 +122,7 @@
 	p.tight, p.shares = 0, tiers.Shares{}
 	others := p.tiers.Others()
 	p.lastLevel, p.lastTier = min(others.Last(), lateLevel-1), others.LastTier()
+	p.lastRank = model.RankOf(max(others.Last(), 0))
 	for _, u := range p.uses {
 		if now.Sub(u.at) >= tightFor {
 			continue
@@ -129,6 +130,7 @@
 		p.shares[placeOf(u.class)] += shareOf(u.class)
 		p.lastLevel = max(p.lastLevel, usualLevel(u.class))
 		p.lastTier = max(p.lastTier, int(u.class.GetTier()))
+		p.lastRank = max(p.lastRank, model.RankOf(placeOf(u.class)))
 		target := time.Duration(u.class.GetBetweenTokensMs()) * time.Millisecond
 		if target > 0 && (p.tight == 0 || target < p.tight) {
 			p.tight = target
--- a/request/policy/waiting_test.go
+++ b/request/policy/waiting_test.go
@@ -8,6 +8,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
 
 // crowd tells that others fill the engines.
@@ -194,3 +195,24 @@
 	is.Equal(c.running, 1)
 	is.Equal(c.Stats().Overtook, uint64(1))
 }
+
+// Reviews, which hold their slots for seconds, used up their own part of the slots. They were
+// refused beside a third of the instance's slots, kept for drafts that did not come.
+func TestOnlyTheLeastUrgentBulkKeepsOutOfUnusedSlots(t *testing.T) {
+	is := is.New(t)
+	c := fleetOfTwelves(4)
+	for id, name := range []string{"draft", "review", "digest"} {
+		c.pools["llm"].use(c.view.Classes[name], epoch)
+		c.pools["llm"].used[name].flow.tokens, c.pools["llm"].used[name].flow.pace = 300, 0.05
+		a := digest(ID(id+1), uint64(id+1))
+		a.Class = name
+		c.Step(epoch, a)
+	}
+	p := c.pools["llm"]
+	p.tighten(epoch)
+	p.split = tiers.Demand{}
+	p.split[placeOf(c.view.Classes["draft"])] = 10
+	for id, want := range []bool{true, true, false} {
+		is.Equal(p.leavesRoom(c.requests[ID(id+1)]), want)
+	}
+}
