--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -88,42 +88,33 @@
 	}
 }
 
-// describe fills in the candidates for a request. It returns true where only the engines
-// that suit the request were looked at, and a wide look would find others.
-func (c *core) describe(now time.Time, r *request, h *homes) (narrow bool) {
-	servers := r.pool.servers
+// describe fills in the candidates for a request; a large pool is sampled. It returns
+// true where only the engines that suit the request were looked at, and a wide look
+// would find others.
+func (c *core) describe(now time.Time, r *request, wide bool) (narrow bool) {
+	servers, h := r.pool.servers, c.homesOf(now, r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 		return false
 	}
-	if !r.pool.large() {
+	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h))
 		}
 		return false
 	}
-	if r.Anchored && h.first() != nil {
-		c.describeHomes(now, r, h)
+	if r.Anchored && h.first() != nil && !wide {
+		c.describeHomes(now, r, &h)
 		return true
 	}
-	c.sample(now, r, h, choose.Sample)
-	return false
-}
-
-// large tells whether requests look at a part of the pool's servers only.
-func (p *pool) large() bool { return len(p.servers) > choose.Sample+choose.Sample/2 }
-
-// sample fills in n servers of a large pool.
-func (c *core) sample(now time.Time, r *request, h *homes, n int) {
-	servers := r.pool.servers
-	c.choice.candidates = c.choice.candidates[:0]
 	start := c.random.IntN(len(servers))
 	step := 1 + c.random.IntN(len(servers)-1)
-	for i := range n {
+	for i := range choose.Sample {
 		at := (start + i*step) % len(servers)
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, h))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 	}
+	return false
 }
 
 // describeHomes looks at the request's homes and at the engines that hold its
@@ -152,41 +143,15 @@
 // engines that suit it are full it looks at others, as soon as that costs less than to
 // wait.
 func (c *core) choose(now time.Time, r *request, h how) *server {
-	homes := c.homesOf(now, r)
-	if h.late && r.pool.large() && c.identical.joins(now, r) == nil {
-		return c.lookWide(now, r, h, &homes)
-	}
-	narrow := c.describe(now, r, &homes)
+	narrow := c.describe(now, r, h.late)
 	s := c.pick(now, r, h)
 	if s == nil && narrow && r.leavesHomes(now) {
-		s = c.lookWide(now, r, h, &homes)
+		c.describe(now, r, true)
+		s = c.pick(now, r, h)
 	}
 	return s
 }
 
-const (
-	// staleSample is how many servers are compared where loads are told, and old: of many,
-	// all instances would take the same one.
-	staleSample = 2
-	// wideLooks is how often a request looks at others in vain.
-	wideLooks = choose.Sample / staleSample
-)
-
-// lookWide takes the best of a sample of a large pool.
-func (c *core) lookWide(now time.Time, r *request, h how, homes *homes) *server {
-	sample, looks := choose.Sample, 1
-	if c.told && r.Anchored && !r.pool.service {
-		sample, looks = staleSample, wideLooks
-	}
-	for range looks {
-		c.sample(now, r, homes, sample)
-		if s := c.pick(now, r, h); s != nil {
-			return s
-		}
-	}
-	return nil
-}
-
 // leavesHomes tells whether the request goes to engines that don't hold its prompt: at
 // once where others share little of it, else after half of the time that it may wait.
 func (r *request) leavesHomes(now time.Time) bool {
