--- a/request/policy/fleet_replay_test.go
+++ b/request/policy/fleet_replay_test.go
@@ -87,3 +87,15 @@
 		is.True(warm.inTime*10 >= warm.asked*9)
 	}
 }
+
+// The same from the first second on: while engines are not learned yet, queries pause for too
+// long beside other prompts.
+func TestALargeFleetServesItsUsualLoadWhileCold(t *testing.T) {
+	is := is.New(t)
+	r := runLargeFleet(3, 10*time.Second, steady)
+	for rank := range uint32(3) {
+		all := r.rankTally(rank, time.Second, 8*time.Second)
+		is.Equal(all.nothing, 0)
+		is.True(all.inTime*10 >= all.asked*9)
+	}
+}
--- a/request/policy/limitshare.go
+++ b/request/policy/limitshare.go
@@ -11,7 +11,7 @@
 // A server's limit holds for all instances together. An equal part for each of hundreds
 // would be a request in a minute, and one request of each at the same moment breaks it. So
 // few instances send to a server in need, each its part of the limit; all others none. They
-// are chosen by rendezvous hash among the living instances of the server's data centre, so
+// are picked by rendezvous hash among the living instances of the server's data centre, so
 // all agree on them without a message, and a data centre that is cut off goes on by itself.
 
 const (
