Engines that leave the tight lane read no long prompts yet

Cause: the lane for short pauses starts larger than the load needs and grows smaller as the load is learned, 15 engines, 12, 9, 6 within 3.5 s. An engine that left it was given long prompts at once, beside the answers of the lane that it still ran. So it was not the cold fleet alone: each time the lane shrinks the answers on the engines that it gives up are late.

Evidence: a line for each pause of a query over its target, with its engine, the lane of the engine when it was sent and now, and the prompts beside it.

An engine that leaves the lane is no home for long prompts and is barred for what would hold the lane's answers up, for as long as such an answer usually takes.

TestEnginesThatLeaveTheTightLaneReadNoLongPromptsYet fails without the hold.

--- a/request/policy/affinity.go
+++ b/request/policy/affinity.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		rank := xxhash.Sum64String(part + s.name)
-		if s.lane != belongs {
+		if s.lane != belongs || belongs != laneTight && s.quiet(now) {
 			continue
 		}
 		// A remote engine is worth its price where that buys more time of reading.
--- a/request/policy/expected.go
+++ b/request/policy/expected.go
@@ -57,9 +57,13 @@
 // fade lets the rate follow the last seconds.
 func (f *flow) fade() { f.rate *= math.Exp(-slowTick.Seconds() / workFor.Seconds()) }
 
+// lasts is for how long an answer of the usual length is made, in seconds, where a token
+// takes so long at least.
+func (f *flow) lasts(least float64) float64 { return f.tokens * max(f.pace, least) }
+
 // holds is for how long an answer will hold its slot, in seconds, where a token takes
 // so long at least.
-func (f *flow) holds(least float64) float64 { return slowdown * f.tokens * max(f.pace, least) }
+func (f *flow) holds(least float64) float64 { return slowdown * f.lasts(least) }
 
 // expectSlots brings the slots that each place's requests will occupy up to date.
 func (p *pool) expectSlots(now time.Time) {
--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -69,7 +69,7 @@
 // noteHolder keeps the engine that holds the most of the request's shared parts.
 // Where others' requests are not known, the first home is taken for it.
 func (h *homes) noteHolder(now time.Time, s *server, r *request, shared int) {
-	if kept := float64(s.cache.hit(r.Prefix[:shared+1])); kept > h.kept && !s.closed() && !s.held(now) && !s.intrudes(r, s.uncached(r)) {
+	if kept := float64(s.cache.hit(r.Prefix[:shared+1])); kept > h.kept && !s.closed() && !s.held(now) && !s.intrudes(now, r, s.uncached(r)) {
 		h.keeper, h.kept = s, kept
 	}
 	held := float64(s.cache.ready(now, r.Prefix[:shared+1]))
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -192,8 +192,9 @@
 		return
 	}
 	groups := make(map[string][]*server)
-	for _, s := range p.servers {
-		s.lane = laneLong
+	former := make([]lane, len(p.servers))
+	for i, s := range p.servers {
+		former[i], s.lane = s.lane, laneLong
 		if !s.closed() && !s.cut && !now.Before(s.ejectedUntil) {
 			groups[s.dataCenter] = append(groups[s.dataCenter], s)
 		}
@@ -212,6 +213,29 @@
 		p.mark(group[:tight], laneTight)
 		p.mark(group[len(group)-quick:], laneQuick)
 	}
+	hold := p.tightHold()
+	for i, s := range p.servers {
+		if former[i] == laneTight && s.lane != laneTight {
+			s.quietUntil = now.Add(hold)
+		}
+	}
+}
+
+// tightHold is how long the longest of the usual tight answers take.
+func (p *pool) tightHold() time.Duration {
+	step, hold := p.engine.stepAt(float64(p.slots())), 0.0
+	for _, u := range p.uses {
+		if p.wantedBy(u.class) == laneTight {
+			hold = max(hold, u.flow.lasts(step))
+		}
+	}
+	return time.Duration(hold * float64(time.Second))
+}
+
+// quiet tells whether the engine reads no long prompts: it is in the tight lane, or was
+// and may still run tight answers from then.
+func (s *server) quiet(now time.Time) bool {
+	return s.lane == laneTight || now.Before(s.quietUntil)
 }
 
 // laneFill is the part of a lane's slots that its requests are expected to take.
@@ -305,8 +329,8 @@
 
 // intrudes tells whether the engine is kept for tight answers and the request, which is
 // none, would hold them up: with all that waits there it has too much to read.
-func (s *server) intrudes(r *request, read float64) bool {
-	if s.lane != laneTight || !r.Anchored || r.pool.isTight(r.class) {
+func (s *server) intrudes(now time.Time, r *request, read float64) bool {
+	if !s.quiet(now) || !r.Anchored || r.pool.isTight(r.class) {
 		return false
 	}
 	reading := s.prefill * (read + s.before(levels-1))
--- a/request/policy/lanes_test.go
+++ b/request/policy/lanes_test.go
@@ -223,3 +223,33 @@
 	other.Step(now, PeerGone{Instance: names[0]})
 	is.Equal(other.pools["llm"].plan.By, "") // it plans itself again
 }
+
+// The tight lane grew smaller, and engines that left it read long prompts beside the drafts
+// that they still ran: these paused for too long.
+func TestEnginesThatLeaveTheTightLaneReadNoLongPromptsYet(t *testing.T) {
+	is := is.New(t)
+	c := inTree(withReviews(engines("e1", 6, "a")))
+	others(c, epoch, 100000, 0, 100000)
+	c.Step(epoch, draft(1))
+	now := epoch.Add(slowTick)
+	c.Step(now, Tick{})
+	before := make(map[string]lane)
+	for _, s := range c.ordered {
+		before[s.name] = s.lane
+	}
+	others(c, now, 500000, 0, 100000)
+	now = now.Add(slowTick)
+	c.Step(now, Tick{})
+	left := func(s *server) bool { return before[s.name] == laneTight && s.lane != laneTight }
+	is.True(slices.ContainsFunc(c.ordered, left))
+	read := func(at time.Time, id ID) (onLeft int) {
+		for i := range ID(30) {
+			if start, ok := c.Step(at, digest(id+i, uint64(id+i)))[0].(Start); ok && left(c.servers[start.Server]) {
+				onLeft++
+			}
+		}
+		return onLeft
+	}
+	is.Equal(read(now, 100), 0)
+	is.True(read(now.Add(c.pools["llm"].tightHold()), 200) > 0)
+}
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -116,6 +116,8 @@
 	trouble float64
 	// lane is what an engine is kept for; see lanes.
 	lane lane
+	// quietUntil is how long an engine that left the tight lane reads no long prompts.
+	quietUntil time.Time
 	// cut is true while the server's data centre is out of reach.
 	cut bool
 	// shunned is true while others fill the server's room; see herd.
@@ -366,7 +368,7 @@
 	c.Work = r.pool.readTime(supply.work())
 	c.Again = supply.again >= leastAgain
 	c.Stray = s.stray(r, h, supply.read)
-	c.Intrudes = s.intrudes(r, supply.read)
+	c.Intrudes = s.intrudes(now, r, supply.read)
 	if r.Anchored {
 		c.Trouble = time.Duration(s.trouble * float64(r.first()))
 	}
