--- a/request/policy/fleet_replay_test.go
+++ b/request/policy/fleet_replay_test.go
@@ -50,6 +50,19 @@
 	return count
 }
 
+// checkUrgent checks that few queries and scans of any five seconds got nothing, and that few
+// were put back while a less urgent kind ran on.
+func (r *replay) checkUrgent(is *is.I) {
+	is.Helper()
+	for from := 2 * time.Second; from+5*time.Second <= 14*time.Second; from += time.Second {
+		for rank := range uint32(2) {
+			span := r.rankTally(rank, from, from+5*time.Second)
+			is.True(span.nothing < 10 || span.nothing*12 <= span.asked)
+		}
+	}
+	is.True(r.wronged() < 10)
+}
+
 func runLargeFleet(seed uint64, length time.Duration, times func(time.Duration) float64) *replay {
 	r := newReplay(seed, 24, 16, 12, largeWorkshopSpeed, largeWorkshop()).withBoards()
 	r.returns = true
@@ -64,18 +77,27 @@
 	for seed := range uint64(2) {
 		is := is.New(t)
 		r := runLargeFleet(seed, 15*time.Second, surge(3))
-		for from := 2 * time.Second; from+5*time.Second <= 14*time.Second; from += time.Second {
-			for rank := range uint32(2) {
-				span := r.rankTally(rank, from, from+5*time.Second)
-				is.True(span.nothing < 10 || span.nothing*12 <= span.asked)
-			}
-		}
-		is.True(r.wronged() < 10)
+		r.checkUrgent(is)
 		notes := r.rankTally(2, 2*time.Second, 12*time.Second)
 		is.True(notes.nothing < notes.asked) // the least urgent kind isn't shut out
 	}
 }
 
+// Four times the traffic: a quarter to a third of the scans got nothing in five seconds,
+// while notes began.
+func TestUrgentRequestsAreServedInALargeFleetAtFourTimes(t *testing.T) {
+	for seed := range uint64(4) {
+		runLargeFleet(seed, 15*time.Second, surge(4)).checkUrgent(is.New(t))
+	}
+}
+
+// Five times: more than half of the scans got nothing.
+func TestUrgentRequestsAreServedInALargeFleetAtFiveTimes(t *testing.T) {
+	for seed := range uint64(4) {
+		runLargeFleet(seed, 15*time.Second, surge(5)).checkUrgent(is.New(t))
+	}
+}
+
 // With the usual traffic everything is served, in a large fleet too, and in time once its
 // engines are learned.
 func TestALargeFleetServesItsUsualLoad(t *testing.T) {
