Each instance starts its part on an engine between two words of loads

What callers saw: at three to five times the traffic scans of a large fleet came late or got nothing while engines elsewhere had room.

Cause: each word of loads, 0.75 s old, opens a nearly full engine to as many instances as fill its room, by chance. But an instance for which one engine of ten is open sent there all that it had, not a tenth of it.

An open engine now takes from each instance its part of what all are expected to start there until the next word, at least one, and one more for each of its own that ends.

TestAnInstanceStartsItsPartUntilTheNextWord fails without the bound.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -148,6 +148,7 @@
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
 	c.check(InvariantLimit, !s.held(now))
 	s.spend(now)
+	s.startsLeft--
 	r.attempt++
 	r.server = s
 	r.sentNow = false
@@ -210,6 +211,7 @@
 		s.decoding--
 	}
 	s.detach(r)
+	s.startsLeft++
 	r.pool.detach(r)
 	c.identical.left(r)
 	r.server = nil
--- a/request/policy/herd.go
+++ b/request/policy/herd.go
@@ -1,23 +1,28 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // In a large fleet all instances know the same loads, three quarters of a second old. While
 // most engines are full, those few that seem to have room get what all instances start
 // until the next word, many times their slots, and are avoided for seconds afterwards. So
-// each word opens an engine to as many instances, by chance, as together fill its room.
+// each word opens an engine to as many instances, by chance, as together fill its room, and
+// bounds what each of them starts there until the next.
 
 // toldAge is the usual age of loads that are told beside digests.
 const toldAge = 750 * time.Millisecond
 
-// spreadStarts draws which engines this instance uses until the next word.
+// spreadStarts draws which engines this instance uses until the next word, and how much of
+// each.
 func (c *core) spreadStarts(p *pool) {
 	if p.service {
 		return
 	}
 	var engines, open [lanes]float64
 	for _, s := range p.servers {
-		s.shunned = false
+		s.shunned, s.startsLeft = false, math.Inf(1)
 		if s.closed() || s.cut {
 			continue
 		}
@@ -29,16 +34,19 @@
 	if !c.told {
 		return
 	}
+	instances := float64(p.tiers.Instances())
 	for _, s := range p.servers {
 		if open[s.lane] == 0 {
 			continue
 		}
-		starts := p.laneStarts[s.lane] * float64(p.tiers.Instances()) * toldAge.Seconds()
+		starts := p.laneStarts[s.lane] * instances * toldAge.Seconds()
 		// What ends meanwhile makes room too.
 		room := max(s.roomLeft(p), 0) + starts/engines[s.lane]
-		if come := starts / open[s.lane]; come > room {
+		come := starts / open[s.lane]
+		if come > room {
 			s.shunned = c.random.Float64() >= room/come
 		}
+		s.startsLeft = max(1, math.Ceil(max(room, come)/instances))
 	}
 }
 
--- a/request/policy/herd_test.go
+++ b/request/policy/herd_test.go
@@ -62,3 +62,24 @@
 		}
 	}
 }
+
+// One instance had one of two engines with room open, and sent it all requests that came
+// until the next word.
+func TestAnInstanceStartsItsPartUntilTheNextWord(t *testing.T) {
+	is := is.New(t)
+	c := crowdedFleet(4)[0]
+	s := c.servers["a-3"]
+	full := make(loadboard.Loads)
+	for _, other := range c.pools["llm"].servers {
+		if other != s {
+			full[other.key] = loadboard.Load{InFlight: uint32(other.slots)}
+		}
+	}
+	c.Step(epoch, LoadsTold{Word: loadboard.Word{Loads: full, Instances: 3}})
+	s.shunned = false
+	for id := range ID(60) {
+		c.Step(epoch, draft(id+1))
+	}
+	is.True(len(s.own) > 0)
+	is.True(len(s.own) <= s.slots/2) // a quarter is its part
+}
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -122,6 +123,9 @@
 	cut bool
 	// shunned is true while others fill the server's room; see herd.
 	shunned bool
+	// startsLeft is how many more requests than end here this instance starts until the next
+	// word of loads.
+	startsLeft float64
 	// fullUntil is how long the server counts as full after a late first token.
 	fullUntil time.Time
 
@@ -135,7 +139,7 @@
 }
 
 func newServer(name string) *server {
-	return &server{name: name, key: loadboard.Key(name), base: batchBase, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, slow: 1, cache: newPrefixSet()}
+	return &server{name: name, key: loadboard.Key(name), base: batchBase, norm: defaultNorm, prefill: defaultPrefill, answer: defaultService, slow: 1, startsLeft: math.Inf(1), cache: newPrefixSet()}
 }
 
 func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
@@ -352,7 +356,7 @@
 func (s *server) candidate(r *request, now time.Time, index int, h *homes) choose.Candidate {
 	n := s.load() + 1
 	c := choose.Candidate{
-		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now) || s.shunned,
+		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now) || s.shunned || s.startsLeft < 1,
 		Trial: s.trial != "" || s.peerTrials > 0,
 		Load:  n - 1, Limit: s.limit(s.paced(r.pool, r.between()), r.between()),
 	}
