Urgent requests of a large fleet displace the bulk that fills its engines

What callers saw: at three times the traffic and more, scans and queries were late or got nothing while notes, ten times as long and less urgent, held the engines.

Cause: an instance counts an engine that notes fill as full for a scan, though the engine puts the notes back for it. Notes begin in the first second of a surge, before anybody can know of it, and hold their slots for five to nine seconds. In the replay at five times the traffic, 3.5 s after its begin, notes hold about 30 of 48 engines, and all scans and queries go to the other ones: 41 to 119 wait at each of five of them.

Evidence: lines of each engine with what runs and waits there by level, what an instance believes of it, and its lane; the engines' time of reading by rank. Refused scans were blocked by `share` or `room`, and of what runs 281 of 504 were notes.

Fix: loads tell how much of each engine is bulk (the least urgent rank in use, answers that hold their slots for long). A request of a more urgent rank that finds no room starts in the place of bulk: of what there is each instance takes its part until the next word, by chance, and the place passes to its next one. All instances of a region take the engines in the same order, near ones first, so that few engines put their bulk back. Requests may wait there for a third of a batch, since a slot that is free for a moment goes to bulk, which reads its prompt again.

Ruled out: faster rates for claims (0.5 and 1 s in place of 2 s: no difference); claims without their twofold length (two tests of small fleets fail).

--- a/process/loadboard/board_test.go
+++ b/process/loadboard/board_test.go
@@ -298,3 +298,29 @@
 		is.Equal(DecodeWork(told).Engine, EngineSums{})
 	}
 }
+
+// An instance of an earlier build tells no bulk: its requests count as ones that don't give
+// way.
+func TestWordsWithoutBulkAreRead(t *testing.T) {
+	is := is.New(t)
+	loads := Loads{1: {InFlight: 3, Yielding: 2}, 9: {InFlight: 1}}
+	told := Word{Loads: loads}.Encode(time.Time{}, "")
+	is.Equal(DecodeWord(time.Time{}, told).Loads, loads)
+	told.Yielding = nil
+	is.Equal(DecodeWord(time.Time{}, told).Loads, Loads{1: {InFlight: 3}, 9: {InFlight: 1}})
+}
+
+// Engines filled with bulk were told as if nothing on them gave way.
+func TestBulkIsKnownEverywhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 11)
+	for _, board := range f.boards {
+		board.SetOwn(f.now, Word{Loads: Loads{7: {InFlight: 3, Yielding: 2}}})
+	}
+	f.run(2 * time.Second)
+	for _, board := range f.boards {
+		others, known := board.Others(f.now)
+		is.True(known)
+		is.Equal(others.Loads[7], Load{InFlight: 3 * 32, Yielding: 2 * 32})
+	}
+}
--- a/process/loadboard/loads.go
+++ b/process/loadboard/loads.go
@@ -42,6 +42,8 @@
 type Load struct {
 	// InFlight counts requests.
 	InFlight uint32
+	// Yielding counts those of them that the server puts back for more urgent ones.
+	Yielding uint32
 	// Backlog is the prompt work that waits, in units, by priority.
 	Backlog [Levels]uint32
 }
@@ -57,6 +59,7 @@
 	for key, load := range other {
 		sum := l[key]
 		sum.InFlight += load.InFlight
+		sum.Yielding += load.Yielding
 		for level, units := range load.Backlog {
 			sum.Backlog[level] += units
 		}
@@ -73,6 +76,7 @@
 		load := l[key]
 		told.Servers = append(told.Servers, key)
 		told.InFlight = append(told.InFlight, load.InFlight)
+		told.Yielding = append(told.Yielding, load.Yielding)
 		for level, units := range load.Backlog {
 			if units > 0 {
 				told.BacklogAt = append(told.BacklogAt, uint32(index<<levelBits|level))
@@ -88,7 +92,11 @@
 	known := min(len(servers), len(inFlight))
 	loads := make(Loads, known)
 	for i, key := range servers[:known] {
-		loads[key] = Load{InFlight: inFlight[i]}
+		load := Load{InFlight: inFlight[i]}
+		if yielding := told.GetYielding(); i < len(yielding) {
+			load.Yielding = min(yielding[i], inFlight[i])
+		}
+		loads[key] = load
 	}
 	for i, at := range told.GetBacklogAt() {
 		index, level := int(at>>levelBits), int(at&(1<<levelBits-1))
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -61,6 +61,8 @@
 	// Stray is the price of the request there rather than on the servers kept for
 	// its kind.
 	Stray time.Duration
+	// Order is the server's place among those on which requests displace others.
+	Order float64
 	// Trouble is the price of failures that are to be expected there.
 	Trouble time.Duration
 	// First is the expected time to the first token, Gap between tokens.
--- a/request/choose/score.go
+++ b/request/choose/score.go
@@ -94,3 +94,11 @@
 
 // Score implements Scorer.
 func (Trouble) Score(_ *Request, c *Candidate) float64 { return c.Trouble.Seconds() }
+
+// Ordered costs the server's place in the order that all instances take.
+type Ordered struct{}
+
+var _ Scorer = Ordered{}
+
+// Score implements Scorer.
+func (Ordered) Score(_ *Request, c *Candidate) float64 { return c.Order }
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -65,8 +65,10 @@
 	// take the place of the rank.
 	// anchoredOnce takes a late first token before a prompt read twice.
 	anchored, anchoredLate, anchoredOnce choose.Chooser
-	candidates                           []choose.Candidate
-	reserves                             [model.Tiers]float64
+	// displacing is for urgent ones that start in the place of bulk.
+	displacing, displacingLate choose.Chooser
+	candidates                 []choose.Candidate
+	reserves                   [model.Tiers]float64
 }
 
 func newChooser(weights settings.Policy) chooser {
@@ -79,12 +81,14 @@
 	firstOnTime := append(slices.Clone(once), choose.FirstOnTime{})
 	picker := choose.Near{First: nearFirst, Second: nearSecond, Share: nearShare}
 	return chooser{
-		reserves:     reservesOf(weights),
-		onTime:       choose.Chooser{Filters: onTime, Scorers: scorers, Picker: picker},
-		late:         choose.Chooser{Filters: late, Scorers: scorers, Picker: picker},
-		anchored:     choose.Chooser{Filters: firstOnTime, Scorers: anchored, Picker: choose.Least{}},
-		anchoredLate: choose.Chooser{Filters: apart, Scorers: anchored, Picker: choose.Least{}},
-		anchoredOnce: choose.Chooser{Filters: once, Scorers: anchored, Picker: choose.Least{}},
+		reserves:       reservesOf(weights),
+		onTime:         choose.Chooser{Filters: onTime, Scorers: scorers, Picker: picker},
+		late:           choose.Chooser{Filters: late, Scorers: scorers, Picker: picker},
+		anchored:       choose.Chooser{Filters: firstOnTime, Scorers: anchored, Picker: choose.Least{}},
+		anchoredLate:   choose.Chooser{Filters: apart, Scorers: anchored, Picker: choose.Least{}},
+		anchoredOnce:   choose.Chooser{Filters: once, Scorers: anchored, Picker: choose.Least{}},
+		displacingLate: choose.Chooser{Filters: once, Scorers: []choose.Scorer{choose.Ordered{}}, Picker: choose.Least{}},
+		displacing:     choose.Chooser{Filters: firstOnTime, Scorers: []choose.Scorer{choose.Ordered{}}, Picker: choose.Least{}},
 	}
 }
 
@@ -95,12 +99,12 @@
 	servers, h := r.pool.servers, c.homesOf(now, r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h, false))
 		return false
 	}
 	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h, false))
 		}
 		return false
 	}
@@ -112,7 +116,7 @@
 	step := 1 + c.random.IntN(len(servers)-1)
 	for i := range choose.Sample {
 		at := (start + i*step) % len(servers)
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h, false))
 	}
 	return false
 }
@@ -127,7 +131,7 @@
 func (c *core) describeHomes(now time.Time, r *request, h *homes) {
 	for i, s := range r.pool.servers {
 		if h.place(s) > 0 || s == h.holder || s == h.keeper {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h, false))
 		}
 	}
 }
@@ -149,6 +153,30 @@
 		c.describe(now, r, true)
 		s = c.pick(now, r, h)
 	}
+	if s == nil && r.mayDisplace() {
+		s = c.displace(now, r, h)
+	}
+	return s
+}
+
+// displace returns an engine on which the request starts in the place of bulk, or nil.
+func (c *core) displace(now time.Time, r *request, h how) *server {
+	homes := c.homesOf(now, r)
+	c.choice.candidates = c.choice.candidates[:0]
+	for i, s := range r.pool.servers {
+		if s.displaceLeft >= 1 {
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &homes, true))
+		}
+	}
+	s := c.pickBy(&c.choice.displacing, now, r, h)
+	if s == nil {
+		s = c.pickBy(&c.choice.displacingLate, now, r, h)
+		r.behind = s != nil
+	}
+	if s != nil {
+		s.displaceLeft--
+		r.displacing = true
+	}
 	return s
 }
 
@@ -161,13 +189,6 @@
 
 // pick returns the best of the servers that were described.
 func (c *core) pick(now time.Time, r *request, h how) *server {
-	asked := choose.Request{
-		FirstBy: r.firstBy(now), Target: r.first(), Between: r.between(), Avoid: r.failedOn,
-		Left: r.left(c), Reserve: h.reserve, Over: h.over, Alone: h.alone,
-	}
-	if len(r.pool.servers) == 1 {
-		asked.Avoid = ""
-	}
 	way := &c.choice.onTime
 	anchored := r.Anchored && !r.pool.service
 	if anchored {
@@ -179,12 +200,25 @@
 			way = &c.choice.anchoredLate
 		}
 	}
-	at := way.Choose(&asked, c.choice.candidates, c.random)
-	if at < 0 && way == &c.choice.anchored {
+	s := c.pickBy(way, now, r, h)
+	if s == nil && way == &c.choice.anchored {
 		// No engine is in time: it waits where its prompt is.
-		at = c.choice.anchoredOnce.Choose(&asked, c.choice.candidates, c.random)
-		r.behind = at >= 0
+		s = c.pickBy(&c.choice.anchoredOnce, now, r, h)
+		r.behind = s != nil
+	}
+	return s
+}
+
+// pickBy returns the best of the described servers in one way of choosing.
+func (c *core) pickBy(way *choose.Chooser, now time.Time, r *request, h how) *server {
+	asked := choose.Request{
+		FirstBy: r.firstBy(now), Target: r.first(), Between: r.between(), Avoid: r.failedOn,
+		Left: r.left(c), Reserve: h.reserve, Over: h.over, Alone: h.alone,
 	}
+	if len(r.pool.servers) == 1 {
+		asked.Avoid = ""
+	}
+	at := way.Choose(&asked, c.choice.candidates, c.random)
 	if at < 0 {
 		return nil
 	}
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -212,6 +212,10 @@
 	}
 	s.detach(r)
 	s.startsLeft++
+	if r.displacing {
+		s.displaceLeft++
+		r.displacing = false
+	}
 	r.pool.detach(r)
 	c.identical.left(r)
 	r.server = nil
--- a/request/policy/herd.go
+++ b/request/policy/herd.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -22,7 +23,7 @@
 	}
 	var engines, open [lanes]float64
 	for _, s := range p.servers {
-		s.shunned, s.startsLeft = false, math.Inf(1)
+		s.shunned, s.startsLeft, s.displaceLeft = false, math.Inf(1), 0
 		if s.closed() || s.cut {
 			continue
 		}
@@ -36,6 +37,7 @@
 	}
 	instances := float64(p.tiers.Instances())
 	for _, s := range p.servers {
+		s.displaceLeft = wholePart(c.random, s.yielding()/instances)
 		if open[s.lane] == 0 {
 			continue
 		}
@@ -50,6 +52,15 @@
 	}
 }
 
+// wholePart rounds up or down by chance, so that the mean stays the same.
+func wholePart(random *rand.Rand, part float64) float64 {
+	whole := math.Floor(part)
+	if random.Float64() < part-whole {
+		whole++
+	}
+	return whole
+}
+
 // roomLeft is how many more requests the engine takes, by what is known of its load.
 func (s *server) roomLeft(p *pool) float64 {
 	return s.limit(s.paced(p, 0), p.tight) - toldReserve - s.load()
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -38,6 +38,8 @@
 	fetched float64
 	// behind is true where it starts although no engine is expected to be in time.
 	behind bool
+	// displacing is true where it started in the place of bulk.
+	displacing bool
 	// level is its priority at the engine, as it started.
 	level int
 	// blocked is why it did not start when it was last looked at.
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -71,6 +71,8 @@
 	// their loads beside their digests.
 	toldLoad  float64
 	toldAhead backlog
+	// toldYielding counts those of the others' requests that give way to more urgent ones.
+	toldYielding float64
 	// others joins peers with reports.
 	others float64
 
@@ -124,8 +126,8 @@
 	// shunned is true while others fill the server's room; see herd.
 	shunned bool
 	// startsLeft is how many more requests than end here this instance starts until the next
-	// word of loads.
-	startsLeft float64
+	// word of loads, displaceLeft how many it starts in the place of others.
+	startsLeft, displaceLeft float64
 	// fullUntil is how long the server counts as full after a late first token.
 	fullUntil time.Time
 
@@ -352,18 +354,23 @@
 	s.own = s.own[:last]
 }
 
-// candidate describes the server with the request on it.
-func (s *server) candidate(r *request, now time.Time, index int, h *homes) choose.Candidate {
+// candidate describes the server with the request on it; where it displaces others, in the
+// place of bulk.
+func (s *server) candidate(r *request, now time.Time, index int, h *homes, displaces bool) choose.Candidate {
 	n := s.load() + 1
 	c := choose.Candidate{
-		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now) || s.shunned || s.startsLeft < 1,
+		Name: s.name, Index: index, Rank: xxhash.Sum64String(r.Digest + s.name), Remote: s.remote, Barred: s.barred(now) || s.spent(displaces),
 		Trial: s.trial != "" || s.peerTrials > 0,
 		Load:  n - 1, Limit: s.limit(s.paced(r.pool, r.between()), r.between()),
 	}
 	if c.Barred {
 		return c
 	}
-	if yields := s.yields(r, c.Limit); yields > 0 {
+	if displaces {
+		c.Load -= s.yielding() + displaceOver*float64(s.slots)
+		c.Order = s.displaceOrder()
+		n = min(n, float64(s.slots))
+	} else if yields := s.yields(r, c.Limit); yields > 0 {
 		c.Limit += yields
 		n = min(n, float64(s.slots))
 	}
--- a/request/policy/told.go
+++ b/request/policy/told.go
@@ -20,7 +20,7 @@
 	c.told = e.Word.Loads != nil
 	for _, s := range c.ordered {
 		load := e.Word.Loads[s.key]
-		s.toldLoad = float64(load.InFlight)
+		s.toldLoad, s.toldYielding = float64(load.InFlight), float64(load.Yielding)
 		for level, units := range load.Backlog {
 			s.toldAhead[level] = float64(units) * loadboard.Unit
 		}
@@ -125,7 +125,7 @@
 		if len(s.own) == 0 {
 			continue
 		}
-		load := loadboard.Load{InFlight: uint32(len(s.own))}
+		load := loadboard.Load{InFlight: uint32(len(s.own)), Yielding: uint32(s.ownYielding())}
 		for level, tokens := range s.ahead {
 			load.Backlog[level] = uint32(tokens/loadboard.Unit + 0.5)
 		}
