Streams are given up before their connection is closed

Evidence: SIGQUIT of the process with the stacks of all goroutines (debug.SetTraceback("crash") in a trial build). No goroutine runs; four are runnable, one of them taken off at the entry of select in yamux's Stream.Read, called by the goroutine of serveStream that waits for its caller to give up. keepSession is in Session.Close, which waits in the connection's Close for the session's own read, whose goroutine is among the runnable ones. Threads: one of six in user mode, 61 s of user time and 0.01 s of system time.

Cause: from the end of a session on, yamux's reads that wait go round without a pause until the session has closed its connection and then its streams; that Close waits for a goroutine that gets no turn on one processor. Ruled out: a retry, a timer of zero or a poll of ours; the garbage collector, whose worker is idle.

Each session's connection knows its open streams and gives them a deadline in the past before it closes, whoever closes it.

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -224,6 +224,7 @@
 	if err != nil {
 		return nil, unavailable(err, c.address, ErrNotSent)
 	}
+	session.out.streams.add(conn)
 	open := &lilacv1.LinkOpen{Method: method}
 	if deadline, ok := ctx.Deadline(); ok {
 		open.TimeoutMs = uint32(max(1, time.Until(deadline).Milliseconds()))
@@ -286,6 +287,7 @@
 // Close gives the stream up; the answering side's context ends.
 func (s *clientStream) Close() error {
 	s.stop()
+	s.out.streams.remove(s.conn)
 	err := s.conn.Close()
 	if !s.ended {
 		s.out.flush()
--- a/connection/link/gather.go
+++ b/connection/link/gather.go
@@ -50,12 +50,19 @@
 	old bool
 
 	silence silence
+	streams openStreams
 }
 
 func newGathering(conn net.Conn) *gathering {
 	return &gathering{Conn: conn, silence: silence{begun: time.Now()}}
 }
 
+// Close gives up the session's streams and closes the connection.
+func (g *gathering) Close() error {
+	g.streams.end()
+	return g.Conn.Close()
+}
+
 func (g *gathering) Read(b []byte) (int, error) {
 	n, err := g.Conn.Read(b)
 	g.silence.heard()
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -104,6 +104,8 @@
 }
 
 func (s *Server) serveStream(ctx context.Context, peer Peer, stream *yamux.Stream, out *gathering) {
+	out.streams.add(stream)
+	defer out.streams.remove(stream)
 	defer stream.Close()
 	reader := bufio.NewReader(stream)
 	open, frame := &lilacv1.LinkOpen{}, &lilacv1.LinkFrame{}
