A server in need is used to its limit in an overload

In an overload what a server in need takes and doesn't get is refused elsewhere.

Cause: few instances may send to such a server, and in a large fleet a request looks at its four homes or at twelve engines of all. What a sender had saved up found no request that looked there and was lost.

An instance that may send to a server in need always looks at it.

TestAServerInNeedIsUsedToItsLimitInAnOverload asks for the limit less the one request that may be saved up; it fails in the large fleet without the change. The older test stays as it is.

--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -108,6 +108,7 @@
 		}
 		return false
 	}
+	c.describeLimited(now, r, &h)
 	if r.Anchored && h.first() != nil && !wide {
 		c.describeHomes(now, r, &h)
 		return true
@@ -121,6 +122,16 @@
 	return false
 }
 
+// describeLimited looks at the servers in need that this instance may send a request to now.
+// Few instances may, and what one of them doesn't send nobody else does.
+func (c *core) describeLimited(now time.Time, r *request, h *homes) {
+	for i, s := range r.pool.servers {
+		if s.limited.Named && !s.held(now) {
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h, false))
+		}
+	}
+}
+
 // describeHomes looks at the request's homes and at the engines that hold its
 // prompt.
 //
--- a/request/policy/limit_replay_test.go
+++ b/request/policy/limit_replay_test.go
@@ -140,6 +140,25 @@
 	}
 }
 
+// In an overload a server in need got two thirds of what it takes: the few instances that may
+// send to it did not look at it.
+func TestAServerInNeedIsUsedToItsLimitInAnOverload(t *testing.T) {
+	const perSecond, from, until = 2, 6 * time.Second, 12 * time.Second
+	for name, fleet := range map[string]func(uint64) *replay{"small": smallFleet, "large": largeFleet} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := fleet(1)
+			r.need(perSecond, until, "a-0", "b-1")
+			r.run(until, func(time.Duration) float64 { return 3 })
+			span := (until - from).Seconds()
+			for _, name := range []string{"a-0", "b-1"} {
+				served := r.engines[name].need.rate(from, until) * span
+				is.True(served > perSecond*span-1.5) // all of it but the one that is saved up
+			}
+		})
+	}
+}
+
 // All servers of a pool name limits. Its requests are served as far as these go, the others
 // are told at once that they did not run and when to come back.
 func TestAPoolWhoseServersAllNameLimitsGoesOn(t *testing.T) {
