No read of a stream outlives its call

The goroutine that spins is the one that waits for a caller to give up, of a call whose handler has returned (its parent is gone): the stream was no longer among the open ones, but its read waits until the other end closes the stream, and that end was cut off.

A call that ends gives its stream up, so the read ends with it.

TestNobodyReadsAStreamThatWasAnswered fails without it.

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -287,8 +287,8 @@
 // Close gives the stream up; the answering side's context ends.
 func (s *clientStream) Close() error {
 	s.stop()
-	s.out.streams.remove(s.conn)
 	err := s.conn.Close()
+	s.out.streams.remove(s.conn)
 	if !s.ended {
 		s.out.flush()
 	}
--- a/connection/link/closing_test.go
+++ b/connection/link/closing_test.go
@@ -92,6 +92,37 @@
 	<-closed
 }
 
+// The goroutine that waits for a caller to give up outlived the call that was answered, and
+// spun once its session ended.
+func TestNobodyReadsAStreamThatWasAnswered(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	out := newGathering(near)
+	ours, err := yamux.Server(out, sessionConfig())
+	is.NoErr(err)
+	theirs, err := yamux.Client(far, sessionConfig())
+	is.NoErr(err)
+	defer theirs.Close()
+	defer ours.Close()
+	opened, err := theirs.OpenStream()
+	is.NoErr(err)
+	is.NoErr(writeFrames(opened, &lilacv1.LinkOpen{Method: "refuse"}, messageFrame(nil)))
+	stream, err := ours.AcceptStream()
+	is.NoErr(err)
+	NewServer(sharedKey, testMux()).serveStream(context.Background(), Peer{}, stream, out)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, err := stream.Read(make([]byte, 1))
+		is.True(err != nil)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		is.Fail()
+	}
+}
+
 // The same for the goroutines of a server that wait for their callers to give up.
 func TestAServersStreamsEndBeforeItsConnection(t *testing.T) {
 	is := is.New(t)
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -105,8 +105,10 @@
 
 func (s *Server) serveStream(ctx context.Context, peer Peer, stream *yamux.Stream, out *gathering) {
 	out.streams.add(stream)
-	defer out.streams.remove(stream)
-	defer stream.Close()
+	defer func() {
+		stream.Close()
+		out.streams.remove(stream)
+	}()
 	reader := bufio.NewReader(stream)
 	open, frame := &lilacv1.LinkOpen{}, &lilacv1.LinkFrame{}
 	if err := errors.Join(readFrame(reader, open), readFrame(reader, frame)); err != nil {
--- a/connection/link/streams.go
+++ b/connection/link/streams.go
@@ -33,8 +33,10 @@
 	s.all[stream] = struct{}{}
 }
 
-// remove forgets a stream that nobody uses any more.
+// remove forgets a stream whose call has ended. A read may still wait for the other end to
+// close the stream: it ends too.
 func (s *openStreams) remove(stream *yamux.Stream) {
+	giveUp(stream)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.all, stream)
