--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -200,6 +200,10 @@
 	Remote bool
 	// Lane is true on an engine that is kept for tight answers.
 	Lane bool
+	// Displaces is true where it starts in the place of bulk, Bulk how much of that all
+	// instances run there.
+	Displaces bool
+	Bulk      float64
 	// Home is 1 or 2 on the engines that the request's shared prompt belongs to.
 	Home int
 }
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -65,7 +65,8 @@
 	// take the place of the rank.
 	// anchoredOnce takes a late first token before a prompt read twice.
 	anchored, anchoredLate, anchoredOnce choose.Chooser
-	// displacing is for urgent ones that start in the place of bulk.
+	// displacing is for urgent requests that start in the place of bulk, displacingLate for
+	// those that can't be in time.
 	displacing, displacingLate choose.Chooser
 	candidates                 []choose.Candidate
 	reserves                   [model.Tiers]float64
@@ -99,12 +100,12 @@
 	servers, h := r.pool.servers, c.homesOf(now, r)
 	c.choice.candidates = c.choice.candidates[:0]
 	if at := slices.Index(servers, c.identical.joins(now, r)); at >= 0 {
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h, false))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 		return false
 	}
 	if len(servers) <= choose.Sample+choose.Sample/2 {
 		for i, s := range servers {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h, false))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h))
 		}
 		return false
 	}
@@ -117,7 +118,7 @@
 	step := 1 + c.random.IntN(len(servers)-1)
 	for i := range choose.Sample {
 		at := (start + i*step) % len(servers)
-		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h, false))
+		c.choice.candidates = append(c.choice.candidates, servers[at].candidate(r, now, at, &h))
 	}
 	return false
 }
@@ -127,7 +128,7 @@
 func (c *core) describeLimited(now time.Time, r *request, h *homes) {
 	for i, s := range r.pool.servers {
 		if s.limited.Named && !s.held(now) {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h, false))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
 		}
 	}
 }
@@ -142,7 +143,7 @@
 func (c *core) describeHomes(now time.Time, r *request, h *homes) {
 	for i, s := range r.pool.servers {
 		if h.place(s) > 0 || s == h.holder || s == h.keeper {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h, false))
+			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, h))
 		}
 	}
 }
@@ -176,7 +177,7 @@
 	c.choice.candidates = c.choice.candidates[:0]
 	for i, s := range r.pool.servers {
 		if s.displaceLeft >= 1 {
-			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &homes, true))
+			c.choice.candidates = append(c.choice.candidates, s.displaced(r, now, i, &homes))
 		}
 	}
 	s := c.pickBy(&c.choice.displacing, now, r, h)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -192,6 +192,7 @@
 	return Why{
 		Waited: now.Sub(r.item.Arrived), Own: len(s.own), Load: s.load(), ReportAge: time.Duration(s.reportAge * float64(time.Second)),
 		Uncached: r.uncached, Fetched: r.fetched, Ahead: r.ahead, Expected: r.expected, Remote: s.remote, Lane: s.lane != laneLong,
+		Displaces: r.displacing, Bulk: s.yielding(),
 	}
 }
 
--- a/request/policy/displace_test.go
+++ b/request/policy/displace_test.go
@@ -44,7 +44,9 @@
 	c.Step(epoch, review(1, 1))
 	is.Equal(c.running, 0) // no bulk there
 	c = filledWithBulk("e1", 12, 4)
-	c.Step(epoch, review(1, 1))
+	start := only[Start](t, c.Step(epoch, review(1, 1)))
+	is.True(start.Why.Displaces)
+	is.Equal(start.Why.Bulk, 12.0)
 	is.Equal(c.running, 1)
 	c.Step(epoch, digest(2, 2))
 	is.Equal(c.running, 1) // bulk doesn't take the place of bulk
--- a/request/policy/yield.go
+++ b/request/policy/yield.go
@@ -80,12 +80,3 @@
 	}
 	return order
 }
-
-// spent tells whether this instance has started on the server what it may until the next
-// word of loads.
-func (s *server) spent(displaces bool) bool {
-	if displaces {
-		return s.displaceLeft < 1
-	}
-	return s.shunned || s.startsLeft < 1
-}
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -17,7 +17,8 @@
 	r.Log.Line(logs.Success, "sent", "request", f.requestID, "class", f.class, "team", f.team, "target", f.target,
 		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
 		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
-		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home)
+		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
+		"displaces", why.Displaces, "bulk", why.Bulk)
 }
 
 func (r *Relay) logFinished(f *flight, start policy.Start) {
