usage: count begun requests by team and window, and close windows in the log

No duty existed. An entry keeps a count for each open window and reports all of them each time, so repeated or late reports change nothing. Windows follow the median of all clocks. The leader closes a window in the log before it is sent, once; counts of an instance that falls silent are checkpointed there. After a recovery from a lost majority the next closed window ends after it.

Also the platform's two calls, the scaling part of a service and the mark of servers that may be reclaimed, decoded in platform/. The tests play jumping clocks, killed instances with a killed leader, repeated reports, two leaders that close one window, a platform that is down, and a recovery.

--- a/connection/serverlist/store.go
+++ b/connection/serverlist/store.go
@@ -73,6 +73,14 @@
 	s.confirmedAt = s.now()
 }
 
+// Current returns the stored list, or false if there is none or it is outdated. The caller
+// must not modify it.
+func (s *Store) Current() ([]routing.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers, s.reply != nil && s.now().Sub(s.confirmedAt) <= maxAge
+}
+
 // Version returns the version of the stored list; 0 if there is none.
 func (s *Store) Version() uint64 {
 	s.mu.Lock()
@@ -117,7 +125,7 @@
 		s := &servers[i]
 		reply.Servers = append(reply.Servers, &lilacv1.ListedServer{
 			Name: s.Name, Identity: s.Identity, Service: s.Service, Address: s.Address,
-			DataCenter: s.DataCenter, Slots: uint32(s.Slots), Leaving: s.Draining,
+			DataCenter: s.DataCenter, Slots: uint32(s.Slots), Leaving: s.Draining, Reclaimable: s.Reclaimable,
 		})
 	}
 	// Marshalling a valid message does not fail.
@@ -132,7 +140,7 @@
 	for _, s := range reply.GetServers() {
 		servers = append(servers, routing.Server{
 			Name: s.GetName(), Identity: s.GetIdentity(), Service: s.GetService(), Address: s.GetAddress(),
-			DataCenter: s.GetDataCenter(), Slots: int(s.GetSlots()), Draining: s.GetLeaving(),
+			DataCenter: s.GetDataCenter(), Slots: int(s.GetSlots()), Draining: s.GetLeaving(), Reclaimable: s.GetReclaimable(),
 		})
 	}
 	return servers
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -13,6 +13,7 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/lease"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/usage"
 	"github.com/lilacbridge/lilacbridge/version/config"
 )
 
@@ -24,6 +25,7 @@
 	config  *config.Machine
 	ledger  *ledger.Ledger
 	leases  *lease.Table
+	usage   *usage.Table
 	applied uint64
 	// lastSnapshotSize is the size of the last snapshot, in bytes.
 	lastSnapshotSize int
@@ -44,6 +46,7 @@
 		config:  config.NewMachine(auditRetention),
 		ledger:  ledger.New(limits),
 		leases:  lease.NewTable(),
+		usage:   usage.NewTable(),
 		changed: make(chan struct{}),
 		onLease: func(*lilacv1.LeaseEntry) {},
 	}
@@ -80,6 +83,9 @@
 		return &lilacv1.CommandResult{}
 	case *lilacv1.Command_Lease:
 		return m.lease(op.Lease)
+	case *lilacv1.Command_Usage:
+		m.usage.Apply(op.Usage)
+		return &lilacv1.CommandResult{}
 	}
 	return failed(fault.New(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "command of a kind that this version does not know; run one version on all instances"))
 }
@@ -150,7 +156,8 @@
 func (m *Machine) Capture() func() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	encodeConfig, ledgerParts, leases := m.config.Capture(), m.ledger.Capture(), m.leases.Snapshot()
+	encodeConfig, ledgerParts := m.config.Capture(), m.ledger.Capture()
+	leases, usageState := m.leases.Snapshot(), m.usage.Snapshot()
 	size := m.lastSnapshotSize
 	return func() ([]byte, error) {
 		data := make([]byte, 0, size+size/headroomDivisor)
@@ -158,7 +165,7 @@
 			data, err = proto.MarshalOptions{Deterministic: true}.MarshalAppend(data, part)
 			return err
 		}
-		err := add(&lilacv1.MachineSnapshot{Config: encodeConfig(), Leases: leases})
+		err := add(&lilacv1.MachineSnapshot{Config: encodeConfig(), Leases: leases, Usage: usageState})
 		for part := range ledgerParts {
 			err = errors.Join(err, add(&lilacv1.MachineSnapshot{Ledger: part}))
 		}
@@ -180,6 +187,7 @@
 	m.config.Restore(s.GetConfig())
 	m.ledger.Restore(s.GetLedger())
 	m.leases.Restore(s.GetLeases())
+	m.usage.Restore(s.GetUsage())
 	m.lastSnapshotSize = len(data)
 	m.notifyChanged()
 	return nil
@@ -297,6 +305,13 @@
 	return m.leases.All()
 }
 
+// Usage returns the replicated state of usage reports.
+func (m *Machine) Usage() usage.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usage.State()
+}
+
 func failed(err error) *lilacv1.CommandResult {
 	return &lilacv1.CommandResult{Status: fault.ToStatus(err)}
 }
--- a/daemon/state/recover.go
+++ b/daemon/state/recover.go
@@ -233,6 +233,7 @@
 	statement := fmt.Sprintf("RECOVER group %s as %s from index %d of term %d; lost voters %v", r.Group, r.NewGroup, r.LastIndex, r.LastTerm, r.Lost)
 	r.NewRevision = p.machine.config.Recover(lastRevision, o.Who, statement, "recovery-"+r.NewGroup, now.UnixMilli()).GetNumber()
 	p.machine.leases.Recover()
+	p.machine.usage.Recover()
 	timed, untimed := p.machine.ledger.Recover(now.UnixMilli(), o.KeyMargin)
 	r.TimedKeysFrom, r.UntimedKeysFrom = time.UnixMilli(timed).UTC(), time.UnixMilli(untimed).UTC()
 }
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -33,6 +33,8 @@
 	// for up to ten instances. Default 1s; shorter intervals make decisions agree sooner
 	// and cost bandwidth.
 	DigestInterval Duration `yaml:"digest_interval"`
+	// Duties configures what this instance reports to the leader. Default nothing.
+	Duties EntryDuties `yaml:"duties"`
 	// Limits restricts what a caller may send.
 	Limits EntryLimits `yaml:"limits"`
 	// Policy holds the weights of the scheduling policy.
@@ -112,6 +114,7 @@
 	if e.Policy.RetryShare < 0 || e.Policy.RetryShare > 1 {
 		all = append(all, &Problem{Line: 1, Field: "policy.retry_share", Message: "must be between 0 and 1"})
 	}
+	all = append(all, e.Duties.validate()...)
 	e.setDefaults()
 	if e.Gateway != nil && e.CloseTimeout() < minCloseTimeout {
 		all = append(all, &Problem{Line: 1, Field: "gateway.grace", Message: fmt.Sprintf(
--- a/version/routing/document.go
+++ b/version/routing/document.go
@@ -80,6 +80,8 @@
 	Connections int
 	// Engine is nil for services that are not model engines.
 	Engine *Engine
+	// Scaling is nil for services whose number of replicas is fixed.
+	Scaling *Scaling
 }
 
 // Engine holds the properties that all model engines of a service share.
@@ -95,6 +97,28 @@
 	FetchTime time.Duration
 }
 
+// Scaling holds the bounds and prices of replicas that may be ordered from the platform.
+type Scaling struct {
+	// Minimum and Maximum bound the replicas in a data centre, of both kinds together.
+	Minimum, Maximum int
+	// BootTime is the time from an order until a new replica serves.
+	BootTime time.Duration
+	// Prices are the prices of a replica by data centre, in any unit.
+	Prices map[string]float64
+	// ReclaimablePrice is the price of a replica that the platform may reclaim, as a share
+	// of the price of an ordinary one; 0 if there are none.
+	ReclaimablePrice float64
+}
+
+// ReplicaGroup is the set of a service's replicas of one kind in a data centre.
+type ReplicaGroup struct {
+	Service    string
+	DataCenter string
+	// Reclaimable replicas are cheaper, and the platform may reclaim all of a data centre
+	// at short notice.
+	Reclaimable bool
+}
+
 // Team is a customer with its keys.
 type Team struct {
 	Name string
@@ -125,6 +149,9 @@
 	services := make(map[string]bool, len(d.Services))
 	for i := range d.Services {
 		services[d.Services[i].Name] = true
+		if err := d.Services[i].validateScaling(); err != nil {
+			return err
+		}
 	}
 	type match struct{ host, prefix string }
 	routes := make(map[match]string, len(d.Routes))
@@ -165,6 +192,16 @@
 	return nil
 }
 
+func (s *Service) validateScaling() error {
+	if s.Scaling == nil {
+		return nil
+	}
+	if s.Scaling.Minimum < 0 || s.Scaling.Maximum < s.Scaling.Minimum {
+		return invalid("service %q has a minimum of %d and a maximum of %d replicas; set 0 <= minimum <= maximum", s.Name, s.Scaling.Minimum, s.Scaling.Maximum)
+	}
+	return nil
+}
+
 func (d *Document) validateTeams() error {
 	teams := make(map[string]string)
 	for _, team := range d.Teams {
--- a/version/routing/view.go
+++ b/version/routing/view.go
@@ -20,6 +20,8 @@
 	Slots      int
 	// Draining servers get no new requests.
 	Draining bool
+	// Reclaimable servers may be reclaimed by the platform at short notice.
+	Reclaimable bool
 }
 
 // NoTeam is the team of requests without one: those on public routes, and all requests if
