scaling: a core that decides the number of replicas by data centre and kind

Replicas that may be reclaimed replace ordinary ones once they serve, and ordinary ones fill what these can't take. Orders state a number, and state it again if the list of servers differs.

--- /dev/null
+++ b/version/scaling/core.go
@@ -0,0 +1,469 @@
+// Package scaling decides how many replicas of each service to order from the platform, by
+// data centre and kind. It has no input or output.
+//
+// The number follows the load of all instances, as the number of replicas that would carry
+// it at full use. The largest of the recent loads counts, so that a wave of traffic moves
+// no replicas, and growth precedes shrinking by the length of that memory. Replicas of the
+// kind that the platform may reclaim are preferred where they are cheaper; their number is
+// even over the data centres, so that a reclaim takes the smallest share. An order is a
+// desired number, which is stated again if the list of servers does not show it.
+package scaling
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/version/routing"
+)
+
+// Options are the weights of the decision.
+type Options struct {
+	// TargetUse is the share of the replicas' capacity that the load may use.
+	TargetUse float64
+	// ShrinkAfter is how long the load must have been lower before replicas are removed.
+	ShrinkAfter time.Duration
+}
+
+const (
+	// loadTTL is the age from which a load is too old to act on.
+	loadTTL = 5 * time.Second
+	// listTTL is the age from which the list of servers is too old to act on.
+	listTTL = 5 * time.Second
+	// listLag is how long the list may take to show the effect of an order, in addition to
+	// the boot time.
+	listLag = 3 * time.Second
+	// refusedFor is how long a kind of replica counts as unavailable in a data centre after
+	// an order was refused or its replicas were reclaimed.
+	refusedFor = 8 * time.Second
+	// retryAfter is the pause after a call without an answer.
+	retryAfter = time.Second
+)
+
+// Event is an input of Step.
+type Event interface{ event() }
+
+// Configured replaces the services; those without scaling are ignored.
+type Configured struct{ Services []routing.Service }
+
+// Listed replaces the list of servers.
+type Listed struct{ Servers []routing.Server }
+
+// Load is the load of a service in all instances together.
+type Load struct {
+	Service string
+	// Replicas is the number of replicas that would carry the load at full use.
+	Replicas float64
+}
+
+// Answered is the platform's answer to an order.
+type Answered struct {
+	Order   Order
+	Outcome Outcome
+}
+
+// Tick asks for the orders that are due.
+type Tick struct{}
+
+func (Configured) event() {}
+func (Listed) event()     {}
+func (Load) event()       {}
+func (Answered) event()   {}
+func (Tick) event()       {}
+
+// Outcome is the result of an order.
+type Outcome int
+
+const (
+	// Accepted orders take effect.
+	Accepted Outcome = iota
+	// Refused orders have no effect: no such replicas are available.
+	Refused
+	// Unknown orders may take effect later.
+	Unknown
+)
+
+// Order is the only action: state the desired number of replicas of a group.
+type Order struct {
+	Group    routing.ReplicaGroup
+	Replicas int
+	// Reason says why, for logs.
+	Reason string
+}
+
+// Core holds the state. It is not safe for concurrent use.
+type Core struct {
+	options  Options
+	services map[string]*service
+	listedAt time.Time
+	servers  []routing.Server
+}
+
+type service struct {
+	name    string
+	scaling routing.Scaling
+	loads   []loadSample
+	// firstLoadAt is when the load was first above 0.
+	firstLoadAt time.Time
+	groups      map[routing.ReplicaGroup]*group
+	total       int
+	reason      string
+}
+
+type loadSample struct {
+	at       time.Time
+	replicas float64
+}
+
+// group is the state of one kind of replica in one data centre.
+type group struct {
+	// ready is the number of servers listed as ready, found the most that were before this
+	// holder gave an order.
+	ready, found int
+	// ordered is the number last ordered by this holder, -1 for none, at orderedAt.
+	ordered   int
+	orderedAt time.Time
+	// unavailableUntil is when orders that grow the group are worth trying again.
+	unavailableUntil time.Time
+	// retryAt is when an order without an answer is repeated.
+	retryAt time.Time
+}
+
+// New returns a Core without services.
+func New(options Options) *Core {
+	return &Core{options: options, services: make(map[string]*service)}
+}
+
+// Step applies an event and returns the orders to give now.
+func (c *Core) Step(now time.Time, event Event) []Order {
+	switch e := event.(type) {
+	case Configured:
+		c.configure(e.Services)
+	case Listed:
+		c.list(now, e.Servers)
+	case Load:
+		c.observeLoad(now, e)
+	case Answered:
+		c.answered(now, e)
+	case Tick:
+		return c.orders(now)
+	}
+	return nil
+}
+
+func (c *Core) configure(services []routing.Service) {
+	known := make(map[string]bool)
+	for i := range services {
+		scaling := services[i].Scaling
+		if scaling == nil || scaling.Maximum == 0 {
+			continue
+		}
+		name := services[i].Name
+		known[name] = true
+		s := c.services[name]
+		if s == nil {
+			s = &service{name: name, groups: make(map[routing.ReplicaGroup]*group)}
+			c.services[name] = s
+		}
+		s.scaling = *scaling
+	}
+	maps.DeleteFunc(c.services, func(name string, _ *service) bool { return !known[name] })
+}
+
+// list counts the ready servers of each group. Servers that the platform reclaims are those
+// of a reclaimable group that begin to leave although it was not ordered to shrink.
+func (c *Core) list(now time.Time, servers []routing.Server) {
+	c.listedAt, c.servers = now, servers
+	ready := make(map[routing.ReplicaGroup]int)
+	leaving := make(map[routing.ReplicaGroup]int)
+	for i := range servers {
+		server := &servers[i]
+		key := routing.ReplicaGroup{Service: server.Service, DataCenter: server.DataCenter, Reclaimable: server.Reclaimable}
+		if server.Draining {
+			leaving[key]++
+		} else {
+			ready[key]++
+		}
+	}
+	for _, s := range c.services {
+		for key, count := range ready {
+			if key.Service == s.name && count > 0 {
+				s.group(key)
+			}
+		}
+		for key, g := range s.groups {
+			if key.Reclaimable && leaving[key] > 0 && ready[key] < min(g.ready, g.ordered) {
+				g.unavailableUntil = now.Add(refusedFor)
+			}
+			g.ready = ready[key]
+			if g.ordered < 0 {
+				g.found = max(g.found, g.ready)
+			}
+		}
+	}
+}
+
+func (s *service) group(key routing.ReplicaGroup) *group {
+	g := s.groups[key]
+	if g == nil {
+		g = &group{ordered: -1}
+		s.groups[key] = g
+	}
+	return g
+}
+
+func (c *Core) observeLoad(now time.Time, load Load) {
+	s := c.services[load.Service]
+	if s == nil {
+		return
+	}
+	if s.firstLoadAt.IsZero() && load.Replicas > 0 {
+		s.firstLoadAt = now
+	}
+	s.loads = append(s.loads, loadSample{now, load.Replicas})
+	s.loads = slices.DeleteFunc(s.loads, func(l loadSample) bool { return now.Sub(l.at) > c.options.ShrinkAfter })
+}
+
+func (c *Core) answered(now time.Time, a Answered) {
+	s := c.services[a.Order.Group.Service]
+	if s == nil {
+		return
+	}
+	g := s.group(a.Order.Group)
+	g.orderedAt = now
+	switch a.Outcome {
+	case Accepted:
+		g.ordered, g.retryAt = a.Order.Replicas, time.Time{}
+	case Refused:
+		g.unavailableUntil = now.Add(refusedFor)
+	case Unknown:
+		g.retryAt = now.Add(retryAfter)
+	}
+}
+
+// orders returns the orders that are due, growing groups first.
+func (c *Core) orders(now time.Time) []Order {
+	if now.Sub(c.listedAt) > listTTL {
+		return nil
+	}
+	var list []Order
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		list = append(list, c.services[name].orders(now, c.options)...)
+	}
+	return list
+}
+
+func (s *service) orders(now time.Time, options Options) []Order {
+	dataCenters := s.dataCenters()
+	if len(dataCenters) == 0 {
+		return nil
+	}
+	s.setTotal(now, options)
+	var list []Order
+	for key, replicas := range s.desired(now, dataCenters) {
+		g := s.group(key)
+		if !s.due(now, key, g, replicas) {
+			continue
+		}
+		list = append(list, Order{key, replicas, s.reason})
+	}
+	slices.SortFunc(list, func(a, b Order) int {
+		growth := func(o Order) int { return o.Replicas - s.groups[o.Group].ready }
+		return cmp.Or(growth(b)-growth(a), cmp.Compare(a.Group.DataCenter, b.Group.DataCenter))
+	})
+	return list
+}
+
+// dataCenters returns the data centres in which the service runs.
+func (s *service) dataCenters() []string {
+	found := make(map[string]bool)
+	for key := range s.groups {
+		found[key.DataCenter] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// found returns how many replicas there were without an order of this holder. Servers
+// appear in the list one by one after they start.
+func (s *service) found() int {
+	total := 0
+	for _, g := range s.groups {
+		total += g.found
+	}
+	return total
+}
+
+// setTotal sets the number of replicas wanted in all data centres together.
+//
+// Without a recent load the number stays, so a new holder or a cut-off one removes
+// nothing.
+func (s *service) setTotal(now time.Time, options Options) {
+	settled := !s.firstLoadAt.IsZero() && now.Sub(s.firstLoadAt) >= options.ShrinkAfter
+	if found := s.found(); !settled && found > s.total {
+		s.total, s.reason = found, "as found"
+	}
+	if len(s.loads) == 0 || now.Sub(s.loads[len(s.loads)-1].at) > loadTTL {
+		return
+	}
+	peak := 0.0
+	for _, l := range s.loads {
+		peak = max(peak, l.replicas)
+	}
+	wanted := int(math.Ceil(peak / options.TargetUse))
+	if wanted > s.total || wanted < s.total && settled {
+		s.total = wanted
+		s.reason = fmt.Sprintf("load of %.1f replicas in the last %v, to be at most %.0f%% of capacity", peak, options.ShrinkAfter, 100*options.TargetUse)
+	}
+}
+
+// desired returns the number of replicas of each group.
+//
+// Reclaimable replicas are spread evenly over the data centres that have them. Ordinary
+// ones are ordered for what these can't take, and those that exist stay until reclaimable
+// ones are ready in their place.
+func (s *service) desired(now time.Time, dataCenters []string) map[routing.ReplicaGroup]int {
+	desired := make(map[routing.ReplicaGroup]int)
+	cheap := s.cheapDataCenters(now, dataCenters)
+	missing := s.spread(desired, cheap, s.total, true, unlimited)
+	readyInPlace := 0
+	for _, dataCenter := range dataCenters {
+		_, key := s.keys(dataCenter)
+		if !slices.Contains(cheap, dataCenter) {
+			// Replicas that are left of a reclaimed group stay.
+			desired[key] = s.group(key).ready
+		}
+		readyInPlace += min(s.group(key).ready, desired[key])
+	}
+	missing = max(0, missing-s.leftover(desired, cheap))
+	if s.bootsLate(now) {
+		missing = max(missing, s.total-readyInPlace)
+	}
+	s.spread(desired, dataCenters, missing, false, unlimited)
+	stay := max(0, s.total-readyInPlace-missing)
+	s.spread(desired, dataCenters, stay, false, func(key routing.ReplicaGroup) int { return s.group(key).ready })
+	s.keepMinimum(desired, dataCenters)
+	return desired
+}
+
+// leftover returns the number of reclaimable replicas outside the given data centres.
+func (s *service) leftover(desired map[routing.ReplicaGroup]int, except []string) int {
+	count := 0
+	for key, replicas := range desired {
+		if key.Reclaimable && !slices.Contains(except, key.DataCenter) {
+			count += replicas
+		}
+	}
+	return count
+}
+
+// bootsLate reports whether reclaimable replicas were accepted and have not become ready
+// in time.
+func (s *service) bootsLate(now time.Time) bool {
+	for key, g := range s.groups {
+		if key.Reclaimable && g.ordered > g.ready && now.Sub(g.orderedAt) > s.scaling.BootTime+listLag {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *service) keys(dataCenter string) (ordinary, reclaimable routing.ReplicaGroup) {
+	return routing.ReplicaGroup{Service: s.name, DataCenter: dataCenter},
+		routing.ReplicaGroup{Service: s.name, DataCenter: dataCenter, Reclaimable: true}
+}
+
+// cheapDataCenters returns the data centres in which reclaimable replicas can be had.
+func (s *service) cheapDataCenters(now time.Time, dataCenters []string) []string {
+	if s.scaling.ReclaimablePrice <= 0 || s.scaling.ReclaimablePrice >= 1 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(dataCenters), func(dataCenter string) bool {
+		_, key := s.keys(dataCenter)
+		return now.Before(s.group(key).unavailableUntil)
+	})
+}
+
+// unlimited is a limit of spread that only the maximum of a data centre bounds.
+func unlimited(routing.ReplicaGroup) int { return math.MaxInt }
+
+// spread adds up to count replicas of one kind evenly to the data centres, the cheaper ones
+// first, within the maximum of each data centre and the limit of each group. It returns
+// how many did not fit.
+func (s *service) spread(desired map[routing.ReplicaGroup]int, dataCenters []string, count int, reclaimable bool, limit func(routing.ReplicaGroup) int) int {
+	order := slices.Clone(dataCenters)
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(s.scaling.Prices[a], s.scaling.Prices[b]) })
+	for count > 0 {
+		placed := 0
+		for _, dataCenter := range order {
+			ordinaryKey, reclaimableKey := s.keys(dataCenter)
+			key := ordinaryKey
+			if reclaimable {
+				key = reclaimableKey
+			}
+			if count > 0 && desired[key] < limit(key) && desired[ordinaryKey]+desired[reclaimableKey] < s.scaling.Maximum {
+				desired[key]++
+				count--
+				placed++
+			}
+		}
+		if placed == 0 {
+			return count
+		}
+	}
+	return 0
+}
+
+// keepMinimum raises ordinary replicas where both kinds together are below the minimum, and
+// never lowers a group while the other kind has not reached the minimum yet.
+func (s *service) keepMinimum(desired map[routing.ReplicaGroup]int, dataCenters []string) {
+	for _, dataCenter := range dataCenters {
+		ordinary, reclaimable := s.keys(dataCenter)
+		missing := s.scaling.Minimum - min(desired[reclaimable], s.group(reclaimable).ready)
+		desired[ordinary] = max(desired[ordinary], missing)
+	}
+}
+
+// due reports whether the order is to be given now.
+func (s *service) due(now time.Time, key routing.ReplicaGroup, g *group, replicas int) bool {
+	if now.Before(g.retryAt) {
+		return false
+	}
+	if g.ordered < 0 {
+		return replicas != g.ready
+	}
+	if replicas != g.ordered {
+		return true
+	}
+	return replicas != g.ready && now.Sub(g.orderedAt) > s.scaling.BootTime+listLag
+}
+
+// GroupStatus describes a group for operators.
+type GroupStatus struct {
+	Group routing.ReplicaGroup
+	// Ordered is the number last ordered by this holder, -1 for none.
+	Ordered int
+	// Ready is the number of servers listed as ready.
+	Ready int
+	// Reason is the reason of the service's last decision.
+	Reason string
+}
+
+// Status returns the state of all groups, sorted.
+func (c *Core) Status() []GroupStatus {
+	var list []GroupStatus
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		s := c.services[name]
+		for _, dataCenter := range s.dataCenters() {
+			ordinary, reclaimable := s.keys(dataCenter)
+			for _, key := range []routing.ReplicaGroup{ordinary, reclaimable} {
+				if g := s.groups[key]; g != nil {
+					list = append(list, GroupStatus{key, g.ordered, g.ready, s.reason})
+				}
+			}
+		}
+	}
+	return list
+}
