duties: the leader of the log reports usage and orders replicas

The leader takes a fencing number from the lease table when it begins to lead and after each call without a sure effect, and confirms with a majority that it leads right before its calls. Orders to engines keep the lease of entries; both use one table of fencing numbers. On a platform that does not check numbers a new holder waits for the lease to expire.

--- a/cmd/lilacbridge-state/main.go
+++ b/cmd/lilacbridge-state/main.go
@@ -18,6 +18,7 @@
 	control := state.Control{
 		Decode:  platform.Protocol{}.ParseDocument,
 		List:    (&platform.Platform{}).ServerList,
+		Duties:  (&platform.Platform{}).DutyCalls,
 		Handler: func(documents gateway.DocumentStore) http.Handler { return &platform.Control{Documents: documents} },
 	}
 	open := func(s *settings.State, logger hclog.Logger) (program.Daemon, error) {
--- a/connection/stateclient/calls.go
+++ b/connection/stateclient/calls.go
@@ -142,6 +142,16 @@
 	return reply, nil
 }
 
+// Report sends a report of this instance to the leader. It sets the instance.
+func (c *Client) Report(ctx context.Context, r *lilacv1.InstanceReport) (*lilacv1.InstanceReportReply, error) {
+	r.Instance = c.options.Instance
+	reply := &lilacv1.InstanceReportReply{}
+	if err := c.callLeader(ctx, "state.report", r, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // Run sends heartbeats once this instance has made a claim, and releases claims whose
 // answer was lost. It returns nil when ctx ends.
 func (c *Client) Run(ctx context.Context) error {
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -44,6 +44,8 @@
 	loads    *loadlink.Link
 	orders   *orders.Controller
 	links    *link.Server
+	// usage is nil if the settings list no duties.
+	usage *usageReporter
 	// gateway is nil if the settings configure none.
 	gateway   *gatewayRouter
 	operators *secret.Reloadable[*secret.Operators]
@@ -85,7 +87,11 @@
 	if s.Gateway == nil {
 		platform = nil
 	}
-	d.entry = New(Options{Gateway: protocolOf(platform), Settings: s, CallerKey: callerKey, State: d.state, Logger: logger, OnAnnounce: func() { d.gossip.Announce() }})
+	d.usage = newUsageReporter(d)
+	d.entry = New(Options{
+		Gateway: protocolOf(platform), Settings: s, CallerKey: callerKey, State: d.state, Logger: logger,
+		OnAnnounce: func() { d.gossip.Announce() }, OnRun: d.usage.started,
+	})
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, StatePeers: s.State, Entries: s.Entries,
 		Dial: d.dialer.dial, Timing: d.timing(), OnView: d.onView, Logger: logger,
@@ -165,6 +171,9 @@
 	group.Go(func() { _ = d.state.Run(background) })
 	group.Go(func() { _ = d.gossip.Run(background) })
 	group.Go(func() { d.loads.Run(background) })
+	if d.usage != nil {
+		group.Go(func() { d.usage.run(background) })
+	}
 	if d.gateway != nil {
 		group.Go(func() { d.gateway.run(background) })
 	} else {
@@ -186,7 +195,11 @@
 		// Drains before the framework closes its servers.
 		kratos.BeforeStop(func(context.Context) error {
 			d.gossip.Leave()
-			return d.entry.Drain(context.Background())
+			err := d.entry.Drain(context.Background())
+			if d.usage != nil {
+				d.usage.send(context.Background(), true)
+			}
+			return err
 		}),
 	)
 	// The framework runs BeforeStop on a signal but not when its own context ends, so
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -43,6 +43,9 @@
 	// OnAnnounce is called when the digest should be sent at once. It must not block;
 	// it may be nil.
 	OnAnnounce func()
+	// OnRun is called for each request of a team that a backend server begins to run. It
+	// may be nil.
+	OnRun func(team string)
 	// Gateway is the wire protocol of gateway requests; nil without a gateway.
 	Gateway gateway.Protocol
 	// Core makes the scheduling decisions; nil means the default policy.
@@ -89,7 +92,7 @@
 	engines := engine.NewClient(e.clients)
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
-		Counter: e.counters, OnConvict: e.queueConviction, OnAnnounce: options.OnAnnounce,
+		Counter: e.counters, OnConvict: e.queueConviction, OnAnnounce: options.OnAnnounce, OnRun: options.OnRun,
 		Log: e.log, Protocol: options.Gateway, Gateway: e.newGatewayClient(options.Gateway),
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lilacbridge/lilacbridge/connection/duties"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
@@ -62,6 +63,9 @@
 	// follower keeps the list of backend servers up to date; nil if the settings
 	// configure no server list.
 	follower *serverlist.Updater
+	// duties performs the fleet's duties towards the platform while this process leads; nil
+	// if the settings list none.
+	duties *duties.Holder
 	// control serves the operators' interface for the gateway's document; nil without
 	// a gateway.
 	control  *khttp.Server
@@ -81,6 +85,8 @@
 	Handler ControlHandler
 	// List returns the client for the platform's list of backend servers.
 	List func(address string, client *http.Client) gateway.ServerList
+	// Duties returns the client for the platform's calls that one process at a time makes.
+	Duties func(address string, client *http.Client) gateway.DutyCalls
 }
 
 // NewDaemon opens the log and the listeners; Run serves.
@@ -111,6 +117,7 @@
 	d := &Daemon{
 		settings: s, logger: logger, log: log, service: service, registry: registry,
 		listener: listener, links: link.NewServer(id, mux), keys: keys,
+		duties: newDuties(s, service, servers, control, logger, mux),
 	}
 	if s.ServerList.Value != "" {
 		d.follower = d.newFollower(servers, id, control)
@@ -204,6 +211,12 @@
 	group.Go(func() error { return stopApp(d.log.Run(background)) })
 	group.Go(func() error { return stopApp(d.links.Serve(d.listener)) })
 	group.Go(func() error { return d.service.Run(background) })
+	if d.duties != nil {
+		group.Go(func() error {
+			d.duties.Run(background)
+			return nil
+		})
+	}
 	if d.follower != nil {
 		group.Go(func() error {
 			d.follower.Run(background)
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -185,10 +185,8 @@
 // heartbeat is answered by the leader only, since only the leader tracks which instances
 // are alive.
 func (s *Service) heartbeat(_ context.Context, _ link.Peer, r *lilacv1.HeartbeatRequest) (*lilacv1.HeartbeatReply, error) {
-	status := s.log.Status()
-	if !status.IsLeader {
-		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "this state process is not the leader; ask the leader",
-			fault.WithLeader(status.Status.GetLeader()), fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+	if !s.log.Status().IsLeader {
+		return nil, s.notLeader()
 	}
 	s.liveness.record(r.GetIncarnation())
 	return &lilacv1.HeartbeatReply{}, nil
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -138,6 +138,10 @@
 		Header: j.q.Header, Body: j.q.Body, Info: send, Attempt: att.state, NonIdempotent: !j.q.Route.Repeatable(),
 	})
 	if err != nil {
+		if j.q.Route.Kind != routing.Streaming && att.state.Written() && upstream.IsConnectionError(err) {
+			// A service that breaks the connection in place of an answer has run the request.
+			j.reportRun()
+		}
 		return err
 	}
 	defer resp.Body.Close()
@@ -175,6 +179,7 @@
 
 // forwardBuffered reads the complete answer before it sends the first byte.
 func (j *forwardJob) forwardBuffered(resp *gateway.Response) error {
+	j.reportRun()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxForwardBuffer+1))
 	if err != nil {
 		return err
@@ -210,6 +215,13 @@
 	return nil
 }
 
+// reportRun counts the attempt as one that a server has begun to run.
+func (j *forwardJob) reportRun() {
+	if j.q.Team != nil {
+		j.relay.OnRun(j.q.Team.Name)
+	}
+}
+
 // reportTokens counts received tokens and reports them to the core.
 func (j *forwardJob) reportTokens(tokens int) {
 	j.req.addTokens(j.relay.mailbox, tokens)
@@ -234,8 +246,13 @@
 	tokens := j.eventTokens()
 	var events eventReader
 	events.reset(resp.Body)
+	running := false
 	for {
 		event, err := events.next()
+		if len(event) > 0 && !running {
+			running = true
+			j.reportRun()
+		}
 		if len(event) > 0 && (err == nil || err == io.EOF) {
 			if forwardErr := j.forwardEvent(ctx, resp, event, tokens); forwardErr != nil {
 				return forwardErr
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -55,6 +55,9 @@
 	OnConvict func(policy.Convict)
 	// OnAnnounce is called when the digest should be sent at once; it must not block.
 	OnAnnounce func()
+	// OnRun is called for each attempt of a team's request that a server begins to run. It
+	// must not block.
+	OnRun func(team string)
 	// Log receives one line per event of a request; nil disables it.
 	Log *logs.Log
 	// StallTimeout is how long a started stream may stall. The default is 30 s.
@@ -97,6 +100,9 @@
 	if options.OnAnnounce == nil {
 		options.OnAnnounce = func() {}
 	}
+	if options.OnRun == nil {
+		options.OnRun = func(string) {}
+	}
 	return &Relay{Options: options, mailbox: newMailbox(), requests: make(map[policy.ID]*request), idle: make(chan struct{}), aborted: make(chan struct{})}
 }
 
