--- a/connection/duties/holder.go
+++ b/connection/duties/holder.go
@@ -50,6 +50,8 @@
 	// TakeLease requests the lease for this process. If takeover is true, the current
 	// holder's lease need not have expired.
 	TakeLease(ctx context.Context, request *lilacv1.LeaseRequest, takeover bool) (*lilacv1.LeaseReply, error)
+	// LeaseHolder returns the holder of the named lease; empty if there is none.
+	LeaseHolder(name string) string
 	// ApplyUsage appends a command on usage.
 	ApplyUsage(ctx context.Context, command *lilacv1.UsageCommand) error
 	// Usage returns the replicated state of usage.
@@ -238,7 +240,7 @@
 		if window == nil || h.apply(ctx, &lilacv1.UsageCommand{Op: &lilacv1.UsageCommand_Close{Close: window}}) != nil {
 			return
 		}
-		h.options.Logger.Info("usage window closed", "window", window.GetWindow(), "teams", len(window.GetTeams()))
+		h.options.Logger.Info("usage window closed", "window", window.GetWindow(), "teams", len(window.GetTeams()), "requests", usage.Total(window))
 	}
 }
 
@@ -298,9 +300,10 @@
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	request := &lilacv1.LeaseRequest{Name: LeaseName, Holder: h.options.Name, Incarnation: incarnation, DurationMs: uint32(h.options.Lease.Milliseconds())}
-	// After this process, another one may have held the duties: it must not act again
-	// before the platform has forgotten its own last call.
-	takeover := h.options.Fenced && now.Sub(lastCall) > h.options.Lease || grant.Fencing() != 0
+	// If another process has held the duties since the last call of this one, this one must
+	// not act again before the platform has forgotten that call.
+	alternates := h.options.Log.LeaseHolder(LeaseName) != h.options.Name && now.Sub(lastCall) <= h.options.Lease
+	takeover := h.options.Fenced && !alternates
 	reply, err := h.options.Log.TakeLease(ctx, request, takeover)
 	if err != nil {
 		return 0, err
--- a/daemon/state/duties.go
+++ b/daemon/state/duties.go
@@ -45,6 +45,9 @@
 	return result.GetLease(), nil
 }
 
+// LeaseHolder implements duties.Log.
+func (l dutyLog) LeaseHolder(name string) string { return l.machine.Lease(name).GetHolder() }
+
 // ApplyUsage implements duties.Log.
 func (l dutyLog) ApplyUsage(ctx context.Context, c *lilacv1.UsageCommand) error {
 	_, err := l.replicate(ctx, &lilacv1.Command{Op: &lilacv1.Command_Usage{Usage: c}})
--- a/process/usage/collector.go
+++ b/process/usage/collector.go
@@ -186,7 +186,8 @@
 		return max(c.recoveredFrom, state.Closed+1), true
 	}
 	if state.Closed > 0 {
-		return state.Closed + 1, true
+		// Instances keep no counts of older windows.
+		return max(state.Closed+1, current-maxOpenWindows), true
 	}
 	c.eachWindow(state.Checkpoints, func(window *lilacv1.WindowUsage) {
 		if !known || window.GetWindow() < next {
--- a/process/usage/counter.go
+++ b/process/usage/counter.go
@@ -144,3 +144,12 @@
 	}
 	return counts
 }
+
+// Total returns the requests of all teams in a window.
+func Total(window *lilacv1.WindowUsage) uint64 {
+	total := uint64(0)
+	for _, team := range window.GetTeams() {
+		total += team.GetRequests()
+	}
+	return total
+}
--- a/process/usage/usage_test.go
+++ b/process/usage/usage_test.go
@@ -188,3 +188,12 @@
 	table.Apply(&lilacv1.UsageCommand{Op: &lilacv1.UsageCommand_Close{Close: window}})
 	is.Equal(table.State().Recovered, false)
 }
+
+// All processes were down for an hour and more. Guards against a report for each window of that time.
+func TestWindowsOfALongOutageAreSkipped(t *testing.T) {
+	is := is.New(t)
+	c := NewCollector(start.Add(-time.Minute), timing)
+	c.ObserveClock(start, "leader", start.UnixMicro())
+	window := c.ToClose(start, State{Closed: 1})
+	is.Equal(window.GetWindow(), int64(1000-maxOpenWindows))
+}
--- a/version/scaling/core.go
+++ b/version/scaling/core.go
@@ -39,6 +39,10 @@
 	// refusedFor is how long a kind of replica counts as unavailable in a data centre after
 	// an order was refused or its replicas were reclaimed.
 	refusedFor = 8 * time.Second
+	// growthStep is the share by which growth goes beyond what the load needs, so that a
+	// load that rises for some seconds changes the set of replicas once: each change moves
+	// prompts to replicas that have to read them.
+	growthStep = 0.15
 	// retryAfter is the pause after a call without an answer.
 	retryAfter = time.Second
 )
@@ -314,6 +318,9 @@
 	}
 	wanted := int(math.Ceil(peak / options.TargetUse))
 	if wanted > s.total || wanted < s.total && settled {
+		if wanted > s.total {
+			wanted += int(growthStep * float64(wanted))
+		}
 		s.total = wanted
 		s.reason = fmt.Sprintf("load of %.1f replicas in the last %v, to be at most %.0f%% of capacity", peak, options.ShrinkAfter, 100*options.TargetUse)
 	}
@@ -327,17 +334,21 @@
 func (s *service) desired(now time.Time, dataCenters []string) map[routing.ReplicaGroup]int {
 	desired := make(map[routing.ReplicaGroup]int)
 	cheap := s.cheapDataCenters(now, dataCenters)
-	missing := s.spread(desired, cheap, s.total, true, unlimited)
-	readyInPlace := 0
+	left := 0
 	for _, dataCenter := range dataCenters {
-		_, key := s.keys(dataCenter)
-		if !slices.Contains(cheap, dataCenter) {
+		if _, key := s.keys(dataCenter); !slices.Contains(cheap, dataCenter) {
 			// Replicas that are left of a reclaimed group stay.
 			desired[key] = s.group(key).ready
+			left += desired[key]
+		}
+	}
+	missing := s.spread(desired, cheap, max(0, s.total-left), true, unlimited)
+	readyInPlace := 0
+	for key, replicas := range desired {
+		if key.Reclaimable {
+			readyInPlace += min(s.group(key).ready, replicas)
 		}
-		readyInPlace += min(s.group(key).ready, desired[key])
 	}
-	missing = max(0, missing-s.leftover(desired, cheap))
 	if s.bootsLate(now) {
 		missing = max(missing, s.total-readyInPlace)
 	}
@@ -348,17 +359,6 @@
 	return desired
 }
 
-// leftover returns the number of reclaimable replicas outside the given data centres.
-func (s *service) leftover(desired map[routing.ReplicaGroup]int, except []string) int {
-	count := 0
-	for key, replicas := range desired {
-		if key.Reclaimable && !slices.Contains(except, key.DataCenter) {
-			count += replicas
-		}
-	}
-	return count
-}
-
 // bootsLate reports whether reclaimable replicas were accepted and have not become ready
 // in time.
 func (s *service) bootsLate(now time.Time) bool {
