--- a/connection/duties/holder.go
+++ b/connection/duties/holder.go
@@ -99,34 +99,15 @@
 	grants       int
 	lastCall     time.Time
 	usageRetryAt time.Time
-	stats        Stats
+	calls        map[CallKind]uint64
 }
 
-// Stats are figures for metrics and operators.
-type Stats struct {
-	// Holds is true while this process holds the duties, since Since, under Fencing.
-	Holds   bool
-	Since   time.Time
-	Fencing uint64
-	// Calls counts calls by duty and outcome.
-	Calls map[CallKind]uint64
-	// Groups are the replicas by service, data centre and kind.
-	Groups []scaling.GroupStatus
-	// Unacknowledged is the number of closed windows without an acknowledgement, and
-	// OldestWindow the oldest of them.
-	Unacknowledged int
-	OldestWindow   int64
-}
-
-// CallKind is a duty with the outcome of a call.
-type CallKind struct{ Duty, Outcome string }
-
 // New returns a Holder that does nothing until Run.
 func New(options Options) *Holder {
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Holder{options: options, stats: Stats{Calls: make(map[CallKind]uint64)}}
+	return &Holder{options: options, calls: make(map[CallKind]uint64)}
 }
 
 // Run performs the duties until ctx ends.
@@ -392,7 +373,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lastCall = h.options.Now()
-	h.stats.Calls[CallKind{duty, outcome}]++
+	h.calls[CallKind{duty, outcome}]++
 	if (outcome == "refused" || outcome == "unknown") && h.grant.Fencing() == by.Fencing {
 		h.grant = lease.Grant{}
 	}
--- a/connection/operator/query.go
+++ b/connection/operator/query.go
@@ -34,7 +34,7 @@
 		return h.gatherRows(ctx, show, text)
 	case "revisions", "audit":
 		return h.audit(ctx)
-	case "state", "leases":
+	case "state", "leases", "duties", "replicas":
 		return h.stateRows(ctx, subject)
 	}
 	newest, age := h.Newest()
@@ -160,12 +160,19 @@
 // stateQueryFunc calls a method of one state process.
 type stateQueryFunc func(ctx context.Context, peer Peer, method string) (*lilacv1.QueryReply, error)
 
+// stateColumns are the columns of subjects that state processes answer as rows.
+var stateColumns = map[string][]string{
+	"leases":   {"lease", "holder", "fencing", "left"},
+	"duties":   {"holds", "since", "fencing", "calls", "unacknowledged", "oldest_window", "oldest_age", "dropped"},
+	"replicas": {"service", "data_center", "kind", "ordered", "ready", "reason"},
+}
+
 // stateQuery returns the method, the columns and the call for a subject that the state
 // processes answer.
 func stateQuery(subject string) (method string, columns []string, call stateQueryFunc) {
-	if subject == "leases" {
-		return "state.query", []string{"lease", "holder", "fencing", "left"}, func(ctx context.Context, peer Peer, method string) (*lilacv1.QueryReply, error) {
-			return queryState(ctx, peer, method, &lilacv1.QueryRequest{Subject: "leases"})
+	if columns := stateColumns[subject]; columns != nil {
+		return "state.query", columns, func(ctx context.Context, peer Peer, method string) (*lilacv1.QueryReply, error) {
+			return queryState(ctx, peer, method, &lilacv1.QueryRequest{Subject: subject})
 		}
 	}
 	return "state.status", []string{"role", "term", "leader", "commit", "applied", "revision", "voters", "learners", "claims", "disk_full", "recoveries", "rival"}, queryStatus
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -107,6 +107,7 @@
 	service.Register(mux)
 	servers := serverlist.NewStore()
 	servers.Register(mux)
+	holder := newDuties(s, service, servers, control, logger, mux)
 	registerMetrics(registry, service)
 	metrics.RegisterTraffic(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
 	metrics.RegisterTraffic(registry, metrics.LinkPackets, metrics.LinkPacketsHelp, id.Traffic.Packets)
@@ -117,7 +118,7 @@
 	d := &Daemon{
 		settings: s, logger: logger, log: log, service: service, registry: registry,
 		listener: listener, links: link.NewServer(id, mux), keys: keys,
-		duties: newDuties(s, service, servers, control, logger, mux),
+		duties: holder,
 	}
 	if s.ServerList.Value != "" {
 		d.follower = d.newFollower(servers, id, control)
--- a/daemon/state/duties.go
+++ b/daemon/state/duties.go
@@ -73,16 +73,20 @@
 		CallsPerSecond: d.CallsPerSecond, Lease: d.Lease.Duration, Fenced: d.Fenced,
 		Services: documents.services, Servers: servers.Current, Logger: logger,
 	})
-	mux.Handle("state.report", link.Unary(func(_ context.Context, _ link.Peer, r *lilacv1.InstanceReport) (*lilacv1.InstanceReportReply, error) {
-		reply, leads := holder.Report(r)
-		if !leads {
-			return nil, service.notLeader()
-		}
-		return reply, nil
-	}))
+	service.duties = holder
+	mux.Handle("state.report", link.Unary(service.report))
 	return holder
 }
 
+// report merges an entry's report of its usage and load. Only the leader does so.
+func (s *Service) report(_ context.Context, _ link.Peer, r *lilacv1.InstanceReport) (*lilacv1.InstanceReportReply, error) {
+	reply, leads := s.duties.Report(r)
+	if !leads {
+		return nil, s.notLeader()
+	}
+	return reply, nil
+}
+
 // notLeader returns the error of a method that only the leader answers.
 func (s *Service) notLeader() error {
 	return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "this state process is not the leader; ask the leader",
--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -90,7 +90,7 @@
 }
 
 func (l *memberLog) Status() LogStatus {
-	return LogStatus{IsLeader: l.leads(), Status: &lilacv1.StateStatus{Leader: l.group.leader, Process: l.address}}
+	return LogStatus{IsLeader: l.leads(), Status: &lilacv1.StateStatus{Leader: l.group.leader, Process: l.address, Term: 1}}
 }
 
 // process is a state process that serves the real link protocol.
--- a/daemon/state/metrics.go
+++ b/daemon/state/metrics.go
@@ -23,5 +23,8 @@
 		}
 		return 0
 	})
+	if s.duties != nil {
+		registry.MustRegister(&dutyMetrics{s.duties})
+	}
 	gauge("leader_contact_seconds", "How long ago all that was committed was surely applied here.", func() float64 { return s.log.Status().Staleness.Seconds() })
 }
--- a/daemon/state/query.go
+++ b/daemon/state/query.go
@@ -10,18 +10,28 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 )
 
-// query returns this process's part of an operator's SHOW LEASES statement.
+// query returns this process's part of an operator's SHOW statement about leases, duties or
+// replicas.
 func (s *Service) query(_ context.Context, _ link.Peer, r *lilacv1.QueryRequest) (*lilacv1.QueryReply, error) {
-	if r.GetSubject() != "leases" {
-		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "unknown subject %q: state processes answer leases only", r.GetSubject())
+	switch r.GetSubject() {
+	case "leases":
+		return s.leaseRows(), nil
+	case "duties":
+		return s.dutyRows(), nil
+	case "replicas":
+		return s.replicaRows(), nil
 	}
+	return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "unknown subject %q: state processes answer leases, duties or replicas", r.GetSubject())
+}
+
+func (s *Service) leaseRows() *lilacv1.QueryReply {
 	reply := &lilacv1.QueryReply{Revision: s.machine.Revision(), Columns: []string{"lease", "holder", "fencing", "left"}}
 	for _, e := range s.machine.Leases() {
 		reply.Rows = append(reply.Rows, &lilacv1.QueryRow{Values: []string{
 			e.GetName(), e.GetHolder(), strconv.FormatUint(e.GetFencing(), 10), s.leaseTimer.remaining(e),
 		}})
 	}
-	return reply, nil
+	return reply
 }
 
 // remaining returns the remaining time of the lease as measured by this process, or "-"
--- a/daemon/state/service.go
+++ b/daemon/state/service.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/duties"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
 	"github.com/lilacbridge/lilacbridge/process/fault"
@@ -25,7 +26,9 @@
 	leaseTimer  *leaseTimer
 	liveness    *livenessTracker
 	entries     *entryTable
-	now         func() time.Time
+	// duties is nil if the settings list none. It is set before the service is used.
+	duties *duties.Holder
+	now    func() time.Time
 }
 
 // NewService returns a service for a machine and the log that applies commands to it. It
