--- a/process/settings/duties.go
+++ b/process/settings/duties.go
@@ -60,7 +60,7 @@
 	// 10s.
 	UsageDelay Duration `yaml:"usage_delay"`
 	// TargetUse is the share of the replicas' capacity that the load may use; lower values
-	// keep more replicas for bursts. Default 0.45.
+	// keep more replicas for bursts. Default 0.3.
 	TargetUse float64 `yaml:"target_use"`
 	// ShrinkAfter is how long the load must have been lower before replicas are removed;
 	// at least the period of regular waves in traffic. Default 20s.
@@ -71,7 +71,7 @@
 	defaultDutyCalls   = 10
 	defaultDutyLease   = 3 * time.Second
 	defaultUsageDelay  = 10 * time.Second
-	defaultTargetUse   = 0.45
+	defaultTargetUse   = 0.3
 	defaultShrinkAfter = 20 * time.Second
 )
 
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -138,10 +138,6 @@
 		Header: j.q.Header, Body: j.q.Body, Info: send, Attempt: att.state, NonIdempotent: !j.q.Route.Repeatable(),
 	})
 	if err != nil {
-		if j.q.Route.Kind != routing.Streaming && att.state.Written() && upstream.IsConnectionError(err) {
-			// A service that breaks the connection in place of an answer has run the request.
-			j.reportRun()
-		}
 		return err
 	}
 	defer resp.Body.Close()
@@ -179,11 +175,11 @@
 
 // forwardBuffered reads the complete answer before it sends the first byte.
 func (j *forwardJob) forwardBuffered(resp *gateway.Response) error {
-	j.reportRun()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxForwardBuffer+1))
 	if err != nil {
 		return err
 	}
+	j.reportRun()
 	if len(body) > maxForwardBuffer {
 		return errAnswerTooLarge
 	}
