--- a/connection/duties/holder.go
+++ b/connection/duties/holder.go
@@ -159,16 +159,7 @@
 	return true
 }
 
-// call is one call to the platform, with its result.
-type call struct {
-	duty string
-	do   func(ctx context.Context, by gateway.Holder) error
-	// done applies the result; the caller holds mu.
-	done func(now time.Time, err error)
-	err  error
-	args []any
-}
-
+// tick commits usage and makes the calls that are due.
 func (h *Holder) tick(ctx context.Context) {
 	term, leading := h.options.Log.Leading()
 	h.mu.Lock()
@@ -269,15 +260,17 @@
 // takeNumber returns the fencing number to use, and takes a new one from the log if there
 // is none.
 func (h *Holder) takeNumber(ctx context.Context) (uint64, error) {
+	now := h.options.Now()
 	h.mu.Lock()
-	grant, term, lastCall := h.grant, h.term, h.lastCall
+	if h.grant.Fencing() != 0 && (h.options.Fenced || h.grant.Valid(now)) {
+		defer h.mu.Unlock()
+		return h.grant.Fencing(), nil
+	}
 	h.grants++
+	term, lastCall := h.term, h.lastCall
+	// A new number needs a new incarnation: the table takes a known one for a renewal.
 	incarnation := fmt.Sprintf("%s/%d/%d", h.options.Name, term, h.grants)
 	h.mu.Unlock()
-	now := h.options.Now()
-	if grant.Fencing() != 0 && (h.options.Fenced || grant.Valid(now)) {
-		return grant.Fencing(), nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	request := &lilacv1.LeaseRequest{Name: LeaseName, Holder: h.options.Name, Incarnation: incarnation, DurationMs: uint32(h.options.Lease.Milliseconds())}
@@ -301,80 +294,3 @@
 
 // errHeldByOther is returned while the lease of another holder has not expired.
 var errHeldByOther = errors.New("another process's lease of the duties has not expired yet")
-
-// perform makes the calls, reports in order and beside them all orders at once, and applies
-// the results.
-func (h *Holder) perform(ctx context.Context, by gateway.Holder, reports []*lilacv1.WindowUsage, orders []scaling.Order) {
-	var calls sync.WaitGroup
-	if len(reports) > 0 {
-		calls.Go(func() { h.reportUsage(ctx, by, reports) })
-	}
-	for _, order := range orders {
-		calls.Go(func() { h.order(ctx, by, order) })
-	}
-	calls.Wait()
-}
-
-func (h *Holder) reportUsage(ctx context.Context, by gateway.Holder, reports []*lilacv1.WindowUsage) {
-	acknowledged := int64(0)
-	for _, report := range reports {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := h.options.Calls.ReportUsage(callCtx, by, gateway.UsageReport{Window: report.GetWindow(), Requests: usage.Requests(report)})
-		cancel()
-		h.finished("usage", by, err, "window", report.GetWindow())
-		if err != nil {
-			h.mu.Lock()
-			h.usageRetryAt = h.options.Now().Add(usageRetryInterval)
-			h.mu.Unlock()
-			break
-		}
-		acknowledged = report.GetWindow()
-	}
-	if acknowledged > 0 {
-		_ = h.apply(ctx, &lilacv1.UsageCommand{Op: &lilacv1.UsageCommand_Acknowledged{Acknowledged: acknowledged}})
-	}
-}
-
-func (h *Holder) order(ctx context.Context, by gateway.Holder, order scaling.Order) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := h.options.Calls.OrderReplicas(callCtx, by, gateway.ReplicaOrder{ReplicaGroup: order.Group, Replicas: order.Replicas})
-	h.finished("scaling", by, err, "service", order.Group.Service, "data_center", order.Group.DataCenter,
-		"reclaimable", order.Group.Reclaimable, "replicas", order.Replicas, "reason", order.Reason)
-	outcome := scaling.Unknown
-	switch {
-	case err == nil:
-		outcome = scaling.Accepted
-	case errors.Is(err, gateway.ErrConflict):
-		outcome = scaling.Refused
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.scaling.Step(h.options.Now(), scaling.Answered{Order: order, Outcome: outcome})
-}
-
-// finished logs and counts a call. After a failure the fencing number is not used again:
-// the platform may have seen a higher one, or may carry the call out later.
-func (h *Holder) finished(duty string, by gateway.Holder, err error, args ...any) {
-	outcome := "accepted"
-	switch {
-	case errors.Is(err, gateway.ErrConflict):
-		outcome = "refused"
-	case errors.Is(err, gateway.ErrRateLimited):
-		outcome = "rate_limited"
-	case err != nil:
-		outcome = "unknown"
-	}
-	args = append(args, "fencing", by.Fencing, "outcome", outcome)
-	if err != nil {
-		args = append(args, "error", err)
-	}
-	h.options.Logger.Info("duty call", append([]any{"duty", duty}, args...)...)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.lastCall = h.options.Now()
-	h.calls[CallKind{duty, outcome}]++
-	if (outcome == "refused" || outcome == "unknown") && h.grant.Fencing() == by.Fencing {
-		h.grant = lease.Grant{}
-	}
-}
