--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -179,7 +179,10 @@
 	if err != nil {
 		return err
 	}
-	j.reportRun()
+	if j.q.Route.Kind != routing.Streaming {
+		// A stream begins to run with its first event, so an error in place of it does not count.
+		j.reportRun()
+	}
 	if len(body) > maxForwardBuffer {
 		return errAnswerTooLarge
 	}
