--- a/version/scaling/core.go
+++ b/version/scaling/core.go
@@ -43,7 +43,7 @@
 	// load that rises for some seconds changes the set of replicas once: each change moves
 	// prompts to replicas that have to read them.
 	growthStep = 0.15
-	// retryAfter is the pause after a call without an answer.
+	// retryAfter is the pause after a call that was refused or got no answer.
 	retryAfter = time.Second
 )
 
@@ -103,7 +103,6 @@
 	options  Options
 	services map[string]*service
 	listedAt time.Time
-	servers  []routing.Server
 }
 
 type service struct {
@@ -132,7 +131,7 @@
 	orderedAt time.Time
 	// unavailableUntil is when orders that grow the group are worth trying again.
 	unavailableUntil time.Time
-	// retryAt is when an order without an answer is repeated.
+	// retryAt is when an order that was refused or got no answer is repeated.
 	retryAt time.Time
 }
 
@@ -180,7 +179,7 @@
 // list counts the ready servers of each group. Servers that the platform reclaims are those
 // of a reclaimable group that begin to leave although it was not ordered to shrink.
 func (c *Core) list(now time.Time, servers []routing.Server) {
-	c.listedAt, c.servers = now, servers
+	c.listedAt = now
 	ready := make(map[routing.ReplicaGroup]int)
 	leaving := make(map[routing.ReplicaGroup]int)
 	for i := range servers {
@@ -242,7 +241,7 @@
 	case Accepted:
 		g.ordered, g.retryAt = a.Order.Replicas, time.Time{}
 	case Refused:
-		g.unavailableUntil = now.Add(refusedFor)
+		g.unavailableUntil, g.retryAt = now.Add(refusedFor), now.Add(retryAfter)
 	case Unknown:
 		g.retryAt = now.Add(retryAfter)
 	}
@@ -326,106 +325,6 @@
 	}
 }
 
-// desired returns the number of replicas of each group.
-//
-// Reclaimable replicas are spread evenly over the data centres that have them. Ordinary
-// ones are ordered for what these can't take, and those that exist stay until reclaimable
-// ones are ready in their place.
-func (s *service) desired(now time.Time, dataCenters []string) map[routing.ReplicaGroup]int {
-	desired := make(map[routing.ReplicaGroup]int)
-	cheap := s.cheapDataCenters(now, dataCenters)
-	left := 0
-	for _, dataCenter := range dataCenters {
-		if _, key := s.keys(dataCenter); !slices.Contains(cheap, dataCenter) {
-			// Replicas that are left of a reclaimed group stay.
-			desired[key] = s.group(key).ready
-			left += desired[key]
-		}
-	}
-	missing := s.spread(desired, cheap, max(0, s.total-left), true, unlimited)
-	readyInPlace := 0
-	for key, replicas := range desired {
-		if key.Reclaimable {
-			readyInPlace += min(s.group(key).ready, replicas)
-		}
-	}
-	if s.bootsLate(now) {
-		missing = max(missing, s.total-readyInPlace)
-	}
-	s.spread(desired, dataCenters, missing, false, unlimited)
-	stay := max(0, s.total-readyInPlace-missing)
-	s.spread(desired, dataCenters, stay, false, func(key routing.ReplicaGroup) int { return s.group(key).ready })
-	s.keepMinimum(desired, dataCenters)
-	return desired
-}
-
-// bootsLate reports whether reclaimable replicas were accepted and have not become ready
-// in time.
-func (s *service) bootsLate(now time.Time) bool {
-	for key, g := range s.groups {
-		if key.Reclaimable && g.ordered > g.ready && now.Sub(g.orderedAt) > s.scaling.BootTime+listLag {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *service) keys(dataCenter string) (ordinary, reclaimable routing.ReplicaGroup) {
-	return routing.ReplicaGroup{Service: s.name, DataCenter: dataCenter},
-		routing.ReplicaGroup{Service: s.name, DataCenter: dataCenter, Reclaimable: true}
-}
-
-// cheapDataCenters returns the data centres in which reclaimable replicas can be had.
-func (s *service) cheapDataCenters(now time.Time, dataCenters []string) []string {
-	if s.scaling.ReclaimablePrice <= 0 || s.scaling.ReclaimablePrice >= 1 {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(dataCenters), func(dataCenter string) bool {
-		_, key := s.keys(dataCenter)
-		return now.Before(s.group(key).unavailableUntil)
-	})
-}
-
-// unlimited is a limit of spread that only the maximum of a data centre bounds.
-func unlimited(routing.ReplicaGroup) int { return math.MaxInt }
-
-// spread adds up to count replicas of one kind evenly to the data centres, the cheaper ones
-// first, within the maximum of each data centre and the limit of each group. It returns
-// how many did not fit.
-func (s *service) spread(desired map[routing.ReplicaGroup]int, dataCenters []string, count int, reclaimable bool, limit func(routing.ReplicaGroup) int) int {
-	order := slices.Clone(dataCenters)
-	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(s.scaling.Prices[a], s.scaling.Prices[b]) })
-	for count > 0 {
-		placed := 0
-		for _, dataCenter := range order {
-			ordinaryKey, reclaimableKey := s.keys(dataCenter)
-			key := ordinaryKey
-			if reclaimable {
-				key = reclaimableKey
-			}
-			if count > 0 && desired[key] < limit(key) && desired[ordinaryKey]+desired[reclaimableKey] < s.scaling.Maximum {
-				desired[key]++
-				count--
-				placed++
-			}
-		}
-		if placed == 0 {
-			return count
-		}
-	}
-	return 0
-}
-
-// keepMinimum raises ordinary replicas where both kinds together are below the minimum, and
-// never lowers a group while the other kind has not reached the minimum yet.
-func (s *service) keepMinimum(desired map[routing.ReplicaGroup]int, dataCenters []string) {
-	for _, dataCenter := range dataCenters {
-		ordinary, reclaimable := s.keys(dataCenter)
-		missing := s.scaling.Minimum - min(desired[reclaimable], s.group(reclaimable).ready)
-		desired[ordinary] = max(desired[ordinary], missing)
-	}
-}
-
 // due reports whether the order is to be given now.
 func (s *service) due(now time.Time, key routing.ReplicaGroup, g *group, replicas int) bool {
 	if now.Before(g.retryAt) {
@@ -439,31 +338,3 @@
 	}
 	return replicas != g.ready && now.Sub(g.orderedAt) > s.scaling.BootTime+listLag
 }
-
-// GroupStatus describes a group for operators.
-type GroupStatus struct {
-	Group routing.ReplicaGroup
-	// Ordered is the number last ordered by this holder, -1 for none.
-	Ordered int
-	// Ready is the number of servers listed as ready.
-	Ready int
-	// Reason is the reason of the service's last decision.
-	Reason string
-}
-
-// Status returns the state of all groups, sorted.
-func (c *Core) Status() []GroupStatus {
-	var list []GroupStatus
-	for _, name := range slices.Sorted(maps.Keys(c.services)) {
-		s := c.services[name]
-		for _, dataCenter := range s.dataCenters() {
-			ordinary, reclaimable := s.keys(dataCenter)
-			for _, key := range []routing.ReplicaGroup{ordinary, reclaimable} {
-				if g := s.groups[key]; g != nil {
-					list = append(list, GroupStatus{key, g.ordered, g.ready, s.reason})
-				}
-			}
-		}
-	}
-	return list
-}
--- a/version/scaling/core_test.go
+++ b/version/scaling/core_test.go
@@ -20,12 +20,12 @@
 	ready   map[routing.ReplicaGroup]int
 	booting []boot
 	// unavailable are data centres without reclaimable replicas, down is true if calls get no
-	// answer.
-	unavailable map[string]bool
-	down        bool
-	load        float64
-	orders      int
-	lowest      int
+	// answer, refusing if all are refused.
+	unavailable    map[string]bool
+	down, refusing bool
+	load           float64
+	orders         int
+	lowest         int
 }
 
 type boot struct {
@@ -100,6 +100,8 @@
 	switch {
 	case p.down:
 		return Unknown
+	case p.refusing:
+		return Refused
 	case order.Group.Reclaimable && p.unavailable[order.Group.DataCenter]:
 		return Refused
 	}
@@ -218,6 +220,15 @@
 	is.Equal(p.total(false), 0)
 }
 
+// The platform has no replicas of either kind. Guards against a call each tick.
+func TestRefusedOrdersArePaced(t *testing.T) {
+	is := is.New(t)
+	p := newFakePlatform(10)
+	p.refusing, p.load = true, 30
+	p.run(10 * time.Second)
+	is.True(p.orders <= 10*len(dataCenters)*2)
+}
+
 // An order is undone by a late call of an earlier holder. Guards against a difference that
 // stays.
 func TestDifferentNumberIsOrderedAgain(t *testing.T) {
