--- a/daemon/state/fake_test.go
+++ b/daemon/state/fake_test.go
@@ -50,16 +50,17 @@
 	after   func() error
 }
 
-func (l *memberLog) leads() bool {
+// leader returns the leader's address and whether it is this process.
+func (l *memberLog) leader() (address string, leads bool) {
 	l.group.mu.Lock()
 	defer l.group.mu.Unlock()
-	return l.group.leader == l.address
+	return l.group.leader, l.group.leader == l.address
 }
 
 func (l *memberLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	if !l.leads() {
+	if leader, leads := l.leader(); !leads {
 		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "ask the leader",
-			fault.WithLeader(l.group.leader), fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+			fault.WithLeader(leader), fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
 	}
 	if l.before != nil {
 		if err := l.before(ctx); err != nil {
@@ -83,14 +84,15 @@
 }
 
 func (l *memberLog) Barrier(ctx context.Context) error {
-	if !l.leads() {
-		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "ask the leader", fault.WithLeader(l.group.leader))
+	if leader, leads := l.leader(); !leads {
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "ask the leader", fault.WithLeader(leader))
 	}
 	return nil
 }
 
 func (l *memberLog) Status() LogStatus {
-	return LogStatus{IsLeader: l.leads(), Status: &lilacv1.StateStatus{Leader: l.group.leader, Process: l.address, Term: 1}}
+	leader, leads := l.leader()
+	return LogStatus{IsLeader: leads, Status: &lilacv1.StateStatus{Leader: leader, Process: l.address, Term: 1}}
 }
 
 // process is a state process that serves the real link protocol.
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -40,6 +40,8 @@
 	// if no further attempt follows.
 	failedAnswer   *bufferedAnswer
 	firstTokenSeen bool
+	// began is true once a server has begun to run the request.
+	began bool
 }
 
 // bufferedAnswer is a backend server's complete answer.
@@ -179,10 +181,7 @@
 	if err != nil {
 		return err
 	}
-	if j.q.Route.Kind != routing.Streaming {
-		// A stream begins to run with its first event, so an error in place of it does not count.
-		j.reportRun()
-	}
+	j.reportRun()
 	if len(body) > maxForwardBuffer {
 		return errAnswerTooLarge
 	}
@@ -214,11 +213,14 @@
 	return nil
 }
 
-// reportRun counts the attempt as one that a server has begun to run.
+// reportRun counts the request as one that a server has begun to run, once however many
+// attempts follow.
 func (j *forwardJob) reportRun() {
-	if j.q.Team != nil {
-		j.relay.OnRun(j.q.Team.Name)
+	if j.began || j.q.Team == nil {
+		return
 	}
+	j.began = true
+	j.relay.OnRun(j.q.Team.Name)
 }
 
 // reportTokens counts received tokens and reports them to the core.
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -55,8 +55,8 @@
 	OnConvict func(policy.Convict)
 	// OnAnnounce is called when the digest should be sent at once; it must not block.
 	OnAnnounce func()
-	// OnRun is called for each attempt of a team's request that a server begins to run. It
-	// must not block.
+	// OnRun is called once for each request of a team that a server begins to run. It must not
+	// block.
 	OnRun func(team string)
 	// Log receives one line per event of a request; nil disables it.
 	Log *logs.Log
