Policy: a log line and a counter for each server that an instance stops or resumes using

The line has the reason, the reporting instance and the age of the last own response, which tells the three hypotheses apart.

--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -78,7 +78,7 @@
 		c.recordGone(now, s)
 		if !now.Before(s.ejectedUntil) {
 			c.stats.Crashes++
-			s.eject(now)
+			c.eject(now, s, CrashObserved)
 			c.announce()
 		}
 		s.crashedAt = now
@@ -86,7 +86,7 @@
 		s.cache.clear()
 	default:
 		// No response: the server hangs or is unreachable.
-		s.eject(now)
+		c.eject(now, s, NoResponse)
 	}
 }
 
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -124,11 +124,14 @@
 		}
 	}
 	for _, ejected := range d.GetEjected() {
-		c.applyEjected(now, ejected)
+		c.applyEjected(now, ejected, name)
 	}
 	for _, leaving := range d.GetLeavingServers() {
 		if s := c.servers[leaving]; s != nil {
 			s.recordLeaving(now)
+			if !now.Before(s.leavingUntil) {
+				c.emitUnavailable(now, s, LeavingReported, name, peerLeavingTTL)
+			}
 			s.leavingUntil = now.Add(peerLeavingTTL)
 		}
 	}
@@ -188,7 +191,7 @@
 
 // applyEjected ejects a server whose crash a peer reported: the peer's connections
 // broke before those of this instance.
-func (c *core) applyEjected(now time.Time, name string) {
+func (c *core) applyEjected(now time.Time, name, reporter string) {
 	s := c.servers[name]
 	if s != nil {
 		c.recordCrash(now, s)
@@ -197,6 +200,9 @@
 	if s == nil || s.ejectedUntil.After(now.Add(peerCrashEjection)) {
 		return
 	}
+	if !now.Before(s.ejectedUntil) {
+		c.emitUnavailable(now, s, CrashReported, reporter, peerCrashEjection)
+	}
 	s.ejectedUntil = now.Add(peerCrashEjection)
 	s.probing = true
 }
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -33,7 +33,7 @@
 		} else {
 			s.observeResponse(r, now.Sub(r.started))
 		}
-		s.endProbing()
+		c.recordAnswer(now, s)
 	} else {
 		gap := now.Sub(r.lastAt) / time.Duration(e.Count)
 		s.observeGap(gap)
@@ -60,7 +60,7 @@
 	if r.pool.service && r.attemptTokens == 0 {
 		s.observeResponse(r, now.Sub(r.started))
 	}
-	s.endProbing()
+	c.recordAnswer(now, s)
 	s.lastResponseAt = now
 	s.failureRate -= failureSampleWeight * s.failureRate
 	r.pool.progressAt = now
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -348,13 +348,15 @@
 }
 
 // eject stops new requests to the server after a failure, for longer with each failure in a row.
-func (s *server) eject(now time.Time) {
+// It returns false if the server is ejected already.
+func (s *server) eject(now time.Time) bool {
 	if now.Before(s.ejectedUntil) {
-		return
+		return false
 	}
 	s.ejectFor = min(max(2*s.ejectFor, initialEjection), maxEjection)
 	s.ejectedUntil = now.Add(s.ejectFor)
 	s.probing = true
+	return true
 }
 
 // endProbing ends probing and resets the ejection time.
--- a/request/policy/unresponsive.go
+++ b/request/policy/unresponsive.go
@@ -27,7 +27,7 @@
 		if now.Sub(since) < unresponsiveTimeout+2*oldest.expectedFirst {
 			continue
 		}
-		s.eject(now)
+		c.eject(now, s, NoResponse)
 		c.stats.Unresponsive++
 		c.retryUnanswered(now, s)
 	}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -37,6 +37,8 @@
 	Tokens(n int)
 	// TokensSaved counts tokens of interrupted answers that were not generated again.
 	TokensSaved(n int)
+	// ServerAvailability counts changes of a server's availability by reason.
+	ServerAvailability(reason string)
 	// InvariantViolated counts a violated invariant by name.
 	InvariantViolated(invariant string)
 }
