--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -52,6 +52,8 @@
 	// sent and received count the bytes of all connections.
 	sent, received atomic.Uint64
 	packets        packets.Counter
+	// dial opens a connection; set before the first request.
+	dial DialFunc
 
 	mu sync.Mutex
 	// echoesID records by host:port whether the server echoes request ids. A false value
@@ -61,8 +63,15 @@
 	distrustedUntil map[string]time.Time
 }
 
+// DialFunc opens a TCP connection to host:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 func newPool(idHeader string) *pool {
 	p := &pool{idHeader: idHeader, echoesID: make(map[string]bool), distrustedUntil: make(map[string]time.Time)}
+	dialer := &net.Dialer{Timeout: p.dialTimeout(), KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
+	}}
+	p.dial = dialer.DialContext
 	noReuse := p.transport(idleTimeout)
 	noReuse.DisableKeepAlives = true
 	p.keepAlive = &http.Client{Transport: p.transport(idleTimeout), CheckRedirect: noRedirect}
@@ -72,12 +81,9 @@
 }
 
 func (p *pool) transport(idle time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: p.dialTimeout(), KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
-	}}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := p.dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -32,6 +32,10 @@
 	return &Client{requests: newPool(idHeader), control: newPool(RequestIDHeader)}
 }
 
+// SetDial replaces the function that opens connections. It must be called before the first
+// request.
+func (c *Client) SetDial(dial DialFunc) { c.requests.dial, c.control.dial = dial, dial }
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.requests.keepAlive.CloseIdleConnections()
--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// Guards against an instance that lost its path to a server and thereby makes all others
+// treat the server as leaving: only the platform's list and instances that learned of it
+// elsewhere say that a server leaves.
+func TestCrashReportIsNotALeavingServer(t *testing.T) {
+	for _, size := range sizes {
+		is := is.New(t)
+		f := newFleet(size.entries, size.centers)
+		f.run(10 * time.Second)
+		f.ownDigests[f.names[2]].Ejected = []string{"r7"}
+		f.run(5 * time.Second)
+		for _, name := range f.names {
+			is.True(!f.leaving[name]["r7"])
+		}
+	}
+}
+
 // An instance dies while the platform's list still shows it as live. The others
 // must detect it, and accept it again when it answers.
 func TestDeadEntryIsDetectedDespitePlatformList(t *testing.T) {
--- a/request/policy/replay_engine_test.go
+++ b/request/policy/replay_engine_test.go
@@ -137,6 +137,12 @@
 	if a.generated != 1 && a.generated%replayEventTokens != 0 && a.left > 0 {
 		return
 	}
+	if r.lostPaths.lost(r.now, a.core) {
+		if a.left <= 0 {
+			e.stop(a.core, a.start.ID)
+		}
+		return
+	}
 	outcome := r.outcomes[a.start.ID]
 	if a.generated == 1 {
 		e.limiter.sendReport(r, a)
--- a/request/policy/replay_fleet_test.go
+++ b/request/policy/replay_fleet_test.go
@@ -72,6 +72,7 @@
 func (r *replay) send(a Arrival) {
 	r.arrived[a.ID] = a
 	c := r.cores[r.random.IntN(len(r.cores))]
+	r.sentTo[a.ID] = c
 	r.apply(c, c.Step(r.now, a))
 }
 
--- a/request/policy/replay_test.go
+++ b/request/policy/replay_test.go
@@ -61,6 +61,10 @@
 	callersRetry bool
 	retries      []Arrival
 	retryAt      []time.Time
+	// sentTo is the instance that each request arrived at.
+	sentTo map[ID]*core
+	// lostPaths is nil unless instances lose their paths to the engines.
+	lostPaths *lostPaths
 	// lastID and lastRetry are the number of requests and of retries so far.
 	lastID, lastRetry ID
 }
@@ -68,7 +72,7 @@
 func newReplay(seed uint64, instances, perDataCenter, slots int, speed engineSpeed, kinds []requestKind) *replay {
 	r := &replay{
 		kinds: kinds, engines: make(map[string]*replayEngine), outcomes: make(map[ID]*replayOutcome),
-		arrived: make(map[ID]Arrival), random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
+		arrived: make(map[ID]Arrival), sentTo: make(map[ID]*core), random: rand.New(rand.NewPCG(seed, 1)), now: epoch,
 	}
 	dataCenters := []string{"a", "b", "c"}
 	snapshot := &lilacv1.Snapshot{Revision: 1, Teams: []*lilacv1.Team{{Name: "a"}}}
@@ -101,6 +105,7 @@
 	for at := time.Duration(0); at < length; at += replayStep {
 		r.now = epoch.Add(at)
 		r.arrivals(loadFactor(at))
+		r.lostPaths.advance(r)
 		for _, name := range sortedKeys(r.engines) {
 			r.engines[name].advance(r)
 		}
@@ -131,6 +136,10 @@
 }
 
 func (r *replay) exchangeDigests() {
+	if r.lostPaths != nil {
+		r.lostPaths.exchange(r)
+		return
+	}
 	for i, from := range r.cores {
 		digest := from.Digest(r.now)
 		digest.BindsMs = 1200
@@ -173,6 +182,10 @@
 			r.engines[a.Server].stop(c, a.ID)
 		case Refuse:
 			r.refuse(a)
+		case Announce:
+			if r.lostPaths != nil {
+				r.lostPaths.announced = true
+			}
 		}
 	}
 }
@@ -183,6 +196,10 @@
 	if outcome.startedAt.IsZero() {
 		outcome.startedAt = r.now
 	}
+	if r.lostPaths.lost(r.now, c) {
+		r.lostPaths.failing = append(r.lostPaths.failing, failingDial{c, start, r.now.Add(dialTimeout)})
+		return
+	}
 	toPrefill := a.PromptTokens
 	if e.cached[a.Prefix[0].Hash] || start.FetchFrom != "" {
 		toPrefill -= a.Prefix[0].End
