membership: a crash reported by one instance does not make the server leave elsewhere

What callers saw: instances that reach all servers refused two thirds of their first tries while others had lost their paths. Cause: the digest's list of crashed servers was also the list of leaving ones, so one failed dial closed a server at every instance until the digest changed. Evidence: 'leaving' changes at all instances within 0.2 s of the first failed dials, slots 0 there. Leaving servers now have the digest's field of their own, filled from the platform's list; a crash report is only a crash report. TestLeavingServerPropagatesWithin3s used the crash list as the word 'leaving'; it sets the field that has it now, with the same bounds. The policy still gets leaving servers from membership only.

--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -14,6 +14,7 @@
 	maxSpends   = 8
 	maxSuspects = 16
 	maxEjected  = 32
+	maxLeaving  = 32
 )
 
 // Combine merges digests into one. Every rule is commutative and associative, so a
@@ -30,7 +31,7 @@
 	cutoffs := make(map[string]*lilacv1.PoolCutoff)
 	spends := make(map[string]uint64)
 	suspects := make(map[string]*lilacv1.Suspect)
-	ejected := make(map[string]struct{})
+	ejected, leaving := make(map[string]struct{}), make(map[string]struct{})
 	for _, d := range all {
 		if d == nil {
 			continue
@@ -52,11 +53,15 @@
 		for _, server := range d.GetEjected() {
 			ejected[server] = struct{}{}
 		}
+		for _, server := range d.GetLeavingServers() {
+			leaving[server] = struct{}{}
+		}
 	}
 	out.Cutoffs = truncate(maxCutoffs, sortedValues(cutoffs))
 	out.Spends = topSpends(spends)
 	out.Suspects = truncate(maxSuspects, sortedValues(suspects))
 	out.Ejected = truncate(maxEjected, slices.Sorted(maps.Keys(ejected)))
+	out.LeavingServers = truncate(maxLeaving, slices.Sorted(maps.Keys(leaving)))
 	return out
 }
 
--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -172,9 +172,9 @@
 	for _, size := range sizes {
 		for source, leave := range map[string]func(f *fleet, leaving bool){
 			"own": func(f *fleet, leaving bool) {
-				f.ownDigests[f.names[2]].Ejected = nil
+				f.ownDigests[f.names[2]].LeavingServers = nil
 				if leaving {
-					f.ownDigests[f.names[2]].Ejected = []string{"r7"}
+					f.ownDigests[f.names[2]].LeavingServers = []string{"r7"}
 				}
 			},
 			"list at one entry": func(f *fleet, leaving bool) {
@@ -195,11 +195,11 @@
 					is.True(f.leaving[name]["r7"] || source == "own" && i == 2)
 					// The policy repeats what it was told; that must not keep the
 					// server marked as leaving.
-					f.ownDigests[name].Ejected = append(f.ownDigests[name].GetEjected(), "r7")
+					f.ownDigests[name].LeavingServers = append(f.ownDigests[name].GetLeavingServers(), "r7")
 				}
 				f.run(5 * time.Second)
 				for _, name := range f.names {
-					f.ownDigests[name].Ejected = nil
+					f.ownDigests[name].LeavingServers = nil
 				}
 				leave(f, false)
 				f.run(30 * time.Second)
--- a/process/member/partners.go
+++ b/process/member/partners.go
@@ -161,7 +161,10 @@
 	items := make(map[string]bool)
 	add := func(d *lilacv1.Digest) {
 		for _, server := range d.GetEjected() {
-			items["server "+server] = true
+			items["crashed "+server] = true
+		}
+		for _, server := range d.GetLeavingServers() {
+			items["leaving "+server] = true
 		}
 		for _, suspect := range d.GetSuspects() {
 			items[fmt.Sprint("suspect ", suspect.GetDigest(), len(suspect.GetServers()))] = true
@@ -240,14 +243,14 @@
 // leaving added, and those known only from peers removed: reporting them back would
 // keep them marked as leaving forever.
 func (c *Core) ownDigest(now time.Time) *lilacv1.Digest {
-	ejected := make(map[string]bool)
-	for _, name := range c.own.GetEjected() {
+	leaving := make(map[string]bool)
+	for _, name := range c.own.GetLeavingServers() {
 		if !c.reportedLeaving[name] {
-			ejected[name] = true
+			leaving[name] = true
 		}
 	}
 	for name := range c.listedLeaving {
-		ejected[name] = true
+		leaving[name] = true
 	}
 	own := c.own
 	bindsMs := remainingMs(own.GetPromiseMs(), now, c.ownRequestedAt)
@@ -255,7 +258,8 @@
 		BindsMs: bindsMs, Incomplete: own.GetIncomplete() || bindsMs == 0,
 		Instance: c.self.Name, DataCenter: c.self.DataCenter, Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(),
 		Leaving: own.GetLeaving(), Revision: own.GetRevision(), Cutoffs: own.GetCutoffs(), Loads: own.GetLoads(),
-		Suspects: own.GetSuspects(), Spends: own.GetSpends(), Readings: own.GetReadings(), Work: own.GetWork(), Ejected: slices.Sorted(maps.Keys(ejected)),
+		Suspects: own.GetSuspects(), Spends: own.GetSpends(), Readings: own.GetReadings(), Work: own.GetWork(), Ejected: own.GetEjected(),
+		LeavingServers: slices.Sorted(maps.Keys(leaving)),
 	}
 }
 
@@ -271,11 +275,11 @@
 		if !c.isFresh(now, name) {
 			continue
 		}
-		for _, server := range c.received[name].digest.GetEjected() {
+		for _, server := range c.received[name].digest.GetLeavingServers() {
 			leaving[server] = true
 		}
 	}
-	for _, server := range c.fromParent.digest.GetEjected() {
+	for _, server := range c.fromParent.digest.GetLeavingServers() {
 		leaving[server] = true
 	}
 	var actions []Action
--- a/process/member/validity.go
+++ b/process/member/validity.go
@@ -99,7 +99,7 @@
 	return &lilacv1.Digest{
 		Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Suspects: d.GetSuspects(), Spends: d.GetSpends(),
 		Readings: d.GetReadings(),
-		Ejected:  d.GetEjected(), BindsMs: bindsMs, Incomplete: d.GetIncomplete() || bindsMs == 0,
+		Ejected:  d.GetEjected(), LeavingServers: d.GetLeavingServers(), BindsMs: bindsMs, Incomplete: d.GetIncomplete() || bindsMs == 0,
 	}
 }
 
@@ -111,7 +111,7 @@
 	out := &lilacv1.Digest{
 		Instance: d.GetInstance(), DataCenter: d.GetDataCenter(), Incarnation: d.GetIncarnation(), Sequence: d.GetSequence(),
 		Leaving: d.GetLeaving(), Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Loads: d.GetLoads(),
-		Suspects: d.GetSuspects(), Spends: d.GetSpends(), Ejected: d.GetEjected(), LeavingServers: d.GetLeavingServers(),
+		Suspects: d.GetSuspects(), Spends: d.GetSpends(), Ejected: d.GetEjected(),
 		Readings: d.GetReadings(), Work: d.GetWork(),
 		BindsMs: d.GetBindsMs(), Incomplete: d.GetIncomplete(), PromiseMs: uint32(c.validityPeriod().Milliseconds()),
 	}
