link: streams that forward a connection

Cause: an instance without a path to a backend server needs another one's; the links between processes carry calls and one-way streams only. A forwarded connection tells a regular end from a reset, since a response without a length ends with its connection, and closes its target with its caller. Tests with the race detector: end, reset, 160 KB in order, a caller that leaves, a refusal.

--- /dev/null
+++ b/connection/link/conn_test.go
@@ -0,0 +1,98 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+)
+
+// connectTo returns a connection that another process forwards to target.
+func connectTo(t *testing.T, open ConnHandler) (net.Conn, error) {
+	is := is.New(t)
+	mux := NewMux()
+	mux.HandleConn("connect", open)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	keys := secret.StaticKeys([]byte("one key of all"))
+	server := NewServer(Identity{Peer: Peer{Process: "s"}, Keys: keys}, mux)
+	go server.Serve(listener)
+	client := NewClient(listener.Addr().String(), Identity{Peer: Peer{Process: "c"}, Keys: keys})
+	t.Cleanup(func() { client.Close(); listener.Close(); server.Close() })
+	return client.Connect(t.Context(), "connect", &lilacv1.ConnectRequest{Address: "x"})
+}
+
+// tcpPair returns the two ends of a TCP connection.
+func tcpPair(t *testing.T) (near, far *net.TCPConn) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	accepted, err := listener.Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { dialed.Close(); accepted.Close() })
+	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// Guards against a response that looks complete after the forwarded connection was reset, and
+// against bytes that are lost or reordered.
+func TestForwardedConnTellsEndFromReset(t *testing.T) {
+	for name, reset := range map[string]bool{"end": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := tcpPair(t)
+			conn, err := connectTo(t, func(context.Context, *Exchange) (net.Conn, error) { return near, nil })
+			is.NoErr(err)
+			text := strings.Repeat("request ", 10*chunkBytes/8)
+			go func() { _, _ = conn.Write([]byte(text)) }()
+			got := make([]byte, len(text))
+			_, err = io.ReadFull(far, got)
+			is.NoErr(err)
+			is.True(string(got) == text)
+			_, err = far.Write([]byte("answer"))
+			is.NoErr(err)
+			answer := make([]byte, len("answer"))
+			_, err = io.ReadFull(conn, answer)
+			is.NoErr(err)
+			if reset {
+				is.NoErr(far.SetLinger(0))
+			}
+			far.Close()
+			_, err = conn.Read(answer)
+			is.Equal(err == io.EOF, !reset)
+			is.Equal(errors.Is(err, syscall.ECONNRESET), reset)
+			is.NoErr(conn.Close())
+		})
+	}
+}
+
+// Guards against a server that works on for a caller that has left.
+func TestForwardedConnClosesTargetWithCaller(t *testing.T) {
+	is := is.New(t)
+	near, far := tcpPair(t)
+	conn, err := connectTo(t, func(context.Context, *Exchange) (net.Conn, error) { return near, nil })
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	_, err = far.Read(make([]byte, 1))
+	is.True(err != nil)
+}
+
+// Guards against a refusal that looks like an open connection.
+func TestRefusedForwardedConnIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := connectTo(t, func(context.Context, *Exchange) (net.Conn, error) {
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "no path")
+	})
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE))
+}
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -75,12 +75,14 @@
 
 // Mux maps methods to their handlers.
 type Mux struct {
-	mu       sync.RWMutex
-	handlers map[string]Handler
+	// mu guards the fields below.
+	mu           sync.RWMutex
+	handlers     map[string]Handler
+	connHandlers map[string]ConnHandler
 }
 
 // NewMux returns an empty Mux.
-func NewMux() *Mux { return &Mux{handlers: make(map[string]Handler)} }
+func NewMux() *Mux { return &Mux{handlers: make(map[string]Handler), connHandlers: make(map[string]ConnHandler)} }
 
 // Handle sets the handler of a method.
 func (m *Mux) Handle(method string, h Handler) {
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -125,12 +125,16 @@
 		ctx, stop = context.WithTimeout(ctx, time.Duration(open.GetTimeoutMs())*time.Millisecond)
 		defer stop()
 	}
+	x := &Exchange{Peer: peer, RequestID: open.GetRequestId(), payload: frame.GetMessage()}
+	if h := s.mux.connHandler(open.GetMethod()); h != nil {
+		s.forwardConn(ctx, h, x, stream, reader)
+		return
+	}
 	// The caller sends nothing further, so the read ends when it closes the stream.
 	go func() {
 		defer cancel()
 		reader.ReadByte()
 	}()
-	x := &Exchange{Peer: peer, RequestID: open.GetRequestId(), payload: frame.GetMessage()}
 	x.send = func(m proto.Message) error {
 		payload, err := proto.Marshal(m)
 		if err != nil {
