serverpath: an instance without a path to a server connects through another one

What callers saw: instances that had lost their paths to all backend servers answered 503 to 147 of 149 first tries, although others reached the servers. Cause: a request could leave an instance on the direct path only. Now a dial that fails, or takes longer than a round trip between regions, asks up to three instances to forward the connection, those in the server's data centre first; a lost path is dialled again each second, less often while it comes and goes. The request keeps its place in this instance's queue, limits and tiers, runs at most once as before, and its bytes are those of the server. A server that neither instance reaches is down; the check after a broken connection goes the same way, so that a lost path convicts no request. Ways: handing over whole requests would have needed a second admission, limits and deadlines at the other instance; forwarded connections need none of that.

--- a/connection/gateway/client.go
+++ b/connection/gateway/client.go
@@ -22,6 +22,11 @@
 	return &Client{upstream: up, protocol: protocol}
 }
 
+// Reachable reports whether the server at address (host:port) accepts connections.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	return c.upstream.Reachable(ctx, address)
+}
+
 // Call is one attempt to run a request on a backend server.
 type Call struct {
 	// Address is host:port.
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -82,7 +82,9 @@
 }
 
 // NewMux returns an empty Mux.
-func NewMux() *Mux { return &Mux{handlers: make(map[string]Handler), connHandlers: make(map[string]ConnHandler)} }
+func NewMux() *Mux {
+	return &Mux{handlers: make(map[string]Handler), connHandlers: make(map[string]ConnHandler)}
+}
 
 // Handle sets the handler of a method.
 func (m *Mux) Handle(method string, h Handler) {
--- /dev/null
+++ b/connection/serverpath/core.go
@@ -0,0 +1,199 @@
+// Package serverpath opens connections to backend servers: directly, or forwarded by
+// another instance while the direct path is lost.
+//
+// An instance may lose its network path to some or all backend servers while callers and
+// other instances still reach it. Requests then keep their place in this instance's
+// scheduling; only their connections take another way. An instance never forwards a
+// connection through a third one.
+package serverpath
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fallbackDelay is how long a direct dial may take before another instance is asked to
+	// forward the connection, which is longer than a round trip between regions.
+	fallbackDelay = 150 * time.Millisecond
+	// doubtfulDelay replaces fallbackDelay while the path to any server is lost, and is the
+	// time between two instances that are asked: it is just above a round trip between
+	// regions.
+	doubtfulDelay = 75 * time.Millisecond
+	// maxForwarders is how many instances one dial asks.
+	maxForwarders = 3
+	// minRetryDelay is the time between direct dials to a server whose path is lost. It
+	// doubles up to maxRetryDelay each time that a restored path is lost again within
+	// flapWindow, so that an unstable path is not used in each of its short intervals.
+	minRetryDelay = time.Second
+	maxRetryDelay = 8 * time.Second
+	flapWindow    = 10 * time.Second
+	// avoidPeriod is how long an instance that could not forward a connection is not asked.
+	avoidPeriod = 2 * time.Second
+)
+
+// Peer is another instance that may forward connections.
+type Peer struct{ Name, Address, DataCenter string }
+
+// path is what is known of the direct path to a server.
+type path struct {
+	lost bool
+	// retryAt is when the next direct dial is due while the path is lost.
+	retryAt    time.Time
+	retryDelay time.Duration
+	restoredAt time.Time
+}
+
+// Core decides how to reach each server. It does no I/O and is not safe for concurrent use.
+type Core struct {
+	self  Peer
+	peers []Peer
+	paths map[string]*path
+	// lost is the number of lost paths.
+	lost int
+	// avoidedUntil holds by name the peers that could not forward a connection.
+	avoidedUntil map[string]time.Time
+}
+
+// NewCore returns the core of the instance self.
+func NewCore(self Peer) *Core {
+	return &Core{self: self, paths: make(map[string]*path), avoidedUntil: make(map[string]time.Time)}
+}
+
+// SetPeers replaces the live instances.
+func (c *Core) SetPeers(peers []Peer) { c.peers = peers }
+
+// Plan is how to open one connection.
+type Plan struct {
+	// Direct is true if the server is dialled directly.
+	Direct bool
+	// FallbackAfter is the time after which Forwarders are asked if the direct dial has
+	// neither succeeded nor failed.
+	FallbackAfter time.Duration
+	// Doubtful is true while the path to any server is lost. A failed direct dial then says
+	// little about the server.
+	Doubtful bool
+	// Forwarders are the instances to ask, one after the other.
+	Forwarders []Peer
+}
+
+// Plan returns how to open a connection to the server at address in a data centre.
+func (c *Core) Plan(now time.Time, address, dataCenter string) Plan {
+	plan := Plan{Direct: true, FallbackAfter: fallbackDelay, Forwarders: c.forwarders(now, address, dataCenter)}
+	if c.lost > 0 {
+		plan.FallbackAfter, plan.Doubtful = doubtfulDelay, true
+	}
+	p := c.paths[address]
+	if p == nil || !p.lost || len(plan.Forwarders) == 0 {
+		return plan
+	}
+	if now.Before(p.retryAt) {
+		plan.Direct = false
+		return plan
+	}
+	p.retryAt = now.Add(p.retryDelay)
+	return plan
+}
+
+// forwarders returns the instances to ask: those in the server's data centre first, since
+// the connection crosses the network between data centres only once that way, then those
+// in this instance's, then others. Instances differ in their order, so that they spread.
+func (c *Core) forwarders(now time.Time, address, dataCenter string) []Peer {
+	type candidate struct {
+		Peer
+		distance int
+		hash     uint64
+	}
+	var all []candidate
+	for _, peer := range c.peers {
+		if peer.Name == c.self.Name || now.Before(c.avoidedUntil[peer.Name]) {
+			continue
+		}
+		distance := 2
+		switch peer.DataCenter {
+		case dataCenter:
+			distance = 0
+		case c.self.DataCenter:
+			distance = 1
+		}
+		all = append(all, candidate{peer, distance, xxhash.Sum64String(c.self.Name + "/" + address + "/" + peer.Name)})
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
+	})
+	var peers []Peer
+	for _, one := range all[:min(len(all), maxForwarders)] {
+		peers = append(peers, one.Peer)
+	}
+	return peers
+}
+
+// Change is a change of the state of a direct path.
+type Change int
+
+// The changes of a path.
+const (
+	Unchanged Change = iota
+	// Lost: a direct dial failed and another instance reached the server.
+	Lost
+	// Restored: a direct dial succeeded again.
+	Restored
+)
+
+// Dialled records the outcome of a direct dial. forwarded is true if another instance
+// reached the server meanwhile: a server that neither reaches is down, and its path is not
+// lost.
+func (c *Core) Dialled(now time.Time, address string, succeeded, forwarded bool) Change {
+	p := c.paths[address]
+	switch {
+	case succeeded && p != nil && p.lost:
+		p.lost, p.restoredAt = false, now
+		c.lost--
+		return Restored
+	case succeeded || !forwarded || p != nil && p.lost:
+		return Unchanged
+	}
+	if p == nil {
+		p = &path{}
+		c.paths[address] = p
+	}
+	if p.restoredAt.IsZero() || now.Sub(p.restoredAt) > flapWindow {
+		p.retryDelay = minRetryDelay
+	} else {
+		p.retryDelay = min(2*p.retryDelay, maxRetryDelay)
+	}
+	p.lost, p.retryAt = true, now.Add(p.retryDelay)
+	c.lost++
+	return Lost
+}
+
+// ForwarderFailed records that an instance could not forward a connection for a reason of
+// its own. If it only found the server down, it is not avoided.
+func (c *Core) ForwarderFailed(now time.Time, peer string) {
+	c.avoidedUntil[peer] = now.Add(avoidPeriod)
+}
+
+// IsLost reports whether the direct path to the server is lost.
+func (c *Core) IsLost(address string) bool {
+	p := c.paths[address]
+	return p != nil && p.lost
+}
+
+// LostPaths returns the number of servers whose direct path is lost.
+func (c *Core) LostPaths() int { return c.lost }
+
+// Retain forgets the servers for which keep returns false.
+func (c *Core) Retain(keep func(address string) bool) {
+	for address, p := range c.paths {
+		if keep(address) {
+			continue
+		}
+		if p.lost {
+			c.lost--
+		}
+		delete(c.paths, address)
+	}
+}
--- /dev/null
+++ b/connection/serverpath/dialer_test.go
@@ -0,0 +1,198 @@
+package serverpath
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/secret"
+)
+
+// instance is a dialer with a link server, and a direct path that can be lost.
+type instance struct {
+	*Dialer
+	peer  Peer
+	lost  atomic.Bool
+	dials atomic.Int64
+}
+
+func (i *instance) direct(ctx context.Context, network, address string) (net.Conn, error) {
+	i.dials.Add(1)
+	if i.lost.Load() {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+// startInstances starts instances that know each other and the server at address.
+func startInstances(t *testing.T, count int, address string) []*instance {
+	is := is.New(t)
+	keys := secret.StaticKeys([]byte("one key of all"))
+	var instances []*instance
+	var peers []Peer
+	for i := range count {
+		name := string(rune('a' + i))
+		id := link.Identity{Peer: link.Peer{Process: name}, Keys: keys}
+		one := &instance{}
+		one.Dialer = New(Options{
+			Self: Peer{Name: name, DataCenter: "dc"}, Logger: hclog.NewNullLogger(),
+			Connector: func(to string) link.Connector {
+				client := link.NewClient(to, id)
+				t.Cleanup(func() { client.Close() })
+				return client
+			},
+			DataCenter: func(asked string) (string, bool) { return "dc", asked == address },
+		})
+		mux := link.NewMux()
+		one.Register(mux, one.direct)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		links := link.NewServer(id, mux)
+		go links.Serve(listener)
+		t.Cleanup(func() { listener.Close(); links.Close() })
+		one.peer = Peer{Name: name, Address: listener.Addr().String(), DataCenter: "dc"}
+		instances, peers = append(instances, one), append(peers, one.peer)
+	}
+	for _, one := range instances {
+		one.SetPeers(peers)
+	}
+	return instances
+}
+
+// echoServer returns the address of a server that sends back what it receives.
+func echoServer(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func checkEcho(t *testing.T, conn net.Conn) {
+	is := is.New(t)
+	_, err := conn.Write([]byte("hello"))
+	is.NoErr(err)
+	got := make([]byte, len("hello"))
+	_, err = io.ReadFull(conn, got)
+	is.NoErr(err)
+	is.Equal(string(got), "hello")
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	for !condition() && t.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against an instance that stays without a server which another instance reaches, while
+// some of the instances that it asks have lost their paths too.
+func TestConnectionsTakeAnotherWayWhilePathIsLost(t *testing.T) {
+	is := is.New(t)
+	address := echoServer(t)
+	instances := startInstances(t, 4, address)
+	first := instances[0]
+	for _, one := range instances[:3] {
+		one.lost.Store(true)
+	}
+	for range 4 {
+		conn, err := first.Dial(t.Context(), first.direct, "tcp", address)
+		is.NoErr(err)
+		checkEcho(t, conn)
+		conn.Close()
+	}
+	waitFor(t, func() bool { return first.IsLost(address) })
+	_, served := instances[3].Counts()
+	is.Equal(served, uint64(4))
+	first.lost.Store(false)
+	waitFor(t, func() bool {
+		conn, err := first.Dial(t.Context(), first.direct, "tcp", address)
+		is.NoErr(err)
+		conn.Close()
+		return !first.IsLost(address)
+	})
+}
+
+// Guards against a connection that is passed on from instance to instance.
+func TestForwardedConnectionTakesOneHop(t *testing.T) {
+	is := is.New(t)
+	address := echoServer(t)
+	instances := startInstances(t, 3, address)
+	for _, one := range instances {
+		one.lost.Store(true)
+	}
+	_, err := instances[0].Dial(t.Context(), instances[0].direct, "tcp", address)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	var op *net.OpError
+	is.True(errors.As(err, &op) && op.Op == "dial")
+	for _, one := range instances[1:] {
+		is.True(one.dials.Load() <= 1)
+	}
+}
+
+// Guards against an instance that connects others to addresses which are no backend servers.
+func TestOnlyBackendServersAreReachedThroughAnInstance(t *testing.T) {
+	is := is.New(t)
+	one := startInstances(t, 1, "10.0.0.1:80")[0]
+	_, err := one.serve(t.Context(), one.direct, echoServer(t))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_FORBIDDEN))
+	is.Equal(one.dials.Load(), int64(0))
+}
+
+// Guards against an instance that forwards more connections for others than it has room for.
+func TestForwardedConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	address := echoServer(t)
+	one := startInstances(t, 1, address)[0]
+	one.open.Store(maxServed)
+	_, err := one.serve(t.Context(), one.direct, address)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED))
+	is.Equal(one.open.Load(), int64(maxServed))
+}
+
+// Guards against a graceful shutdown that cuts off requests of other instances.
+func TestDrainWaitsForForwardedConnections(t *testing.T) {
+	is := is.New(t)
+	address := echoServer(t)
+	instances := startInstances(t, 2, address)
+	instances[0].lost.Store(true)
+	conn, err := instances[0].Dial(t.Context(), instances[0].direct, "tcp", address)
+	is.NoErr(err)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		instances[1].Drain(t.Context())
+	}()
+	waitFor(t, instances[1].leaving.Load)
+	checkEcho(t, conn)
+	_, err = instances[1].serve(t.Context(), instances[1].direct, address)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_DRAINING))
+	select {
+	case <-drained:
+		t.Fatal("drained with an open connection")
+	default:
+	}
+	conn.Close()
+	<-drained
+}
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -18,6 +18,11 @@
 // NewClient returns a Client that uses the connections of up.
 func NewClient(up *upstream.Client) *Client { return &Client{upstream: up} }
 
+// Reachable reports whether the service at address (host:port) accepts connections.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	return c.upstream.Reachable(ctx, address)
+}
+
 // Call is one attempt on one service.
 type Call struct {
 	// Address is host:port.
--- a/connection/upstream/failure.go
+++ b/connection/upstream/failure.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -103,14 +102,3 @@
 // reachableTimeout is how long a server may take to accept a connection before it
 // is considered dead.
 const reachableTimeout = 500 * time.Millisecond
-
-// Reachable reports whether the server at address (host:port) accepts connections.
-func Reachable(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: reachableTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	conn.Close()
-	return true
-}
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -52,8 +52,10 @@
 	// sent and received count the bytes of all connections.
 	sent, received atomic.Uint64
 	packets        packets.Counter
-	// dial opens a connection; set before the first request.
-	dial DialFunc
+	// direct opens a direct connection; path may open another one and is nil for none. Both
+	// are set before the first request.
+	direct DialFunc
+	path   Path
 
 	mu sync.Mutex
 	// echoesID records by host:port whether the server echoes request ids. A false value
@@ -64,14 +66,14 @@
 }
 
 // DialFunc opens a TCP connection to host:port.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newPool(idHeader string) *pool {
 	p := &pool{idHeader: idHeader, echoesID: make(map[string]bool), distrustedUntil: make(map[string]time.Time)}
 	dialer := &net.Dialer{Timeout: p.dialTimeout(), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
 	}}
-	p.dial = dialer.DialContext
+	p.direct = dialer.DialContext
 	noReuse := p.transport(idleTimeout)
 	noReuse.DisableKeepAlives = true
 	p.keepAlive = &http.Client{Transport: p.transport(idleTimeout), CheckRedirect: noRedirect}
@@ -105,13 +107,25 @@
 	return dialTimeout
 }
 
+// dial opens a connection to host:port.
+func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if p.path == nil {
+		return p.direct(ctx, network, address)
+	}
+	return p.path.Dial(ctx, p.direct, network, address)
+}
+
+// detours reports whether connections to the server depend on another process. They are
+// not reused.
+func (p *pool) detours(address string) bool { return p.path != nil && p.path.IsLost(address) }
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // clientFor returns the client for requests that may be repeated.
 func (p *pool) clientFor(address string) *http.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.echoesID[address] {
+	if p.echoesID[address] && !p.detours(address) {
 		return p.keepAlive
 	}
 	return p.singleUse
@@ -121,7 +135,7 @@
 func (p *pool) recentClientFor(address string) *http.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.echoesID[address] && time.Now().After(p.distrustedUntil[address]) {
+	if p.echoesID[address] && !p.detours(address) && time.Now().After(p.distrustedUntil[address]) {
 		return p.recent
 	}
 	return p.singleUse
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -3,8 +3,10 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -32,9 +34,37 @@
 	return &Client{requests: newPool(idHeader), control: newPool(RequestIDHeader)}
 }
 
-// SetDial replaces the function that opens connections. It must be called before the first
-// request.
-func (c *Client) SetDial(dial DialFunc) { c.requests.dial, c.control.dial = dial, dial }
+// Path opens connections to backend servers.
+type Path interface {
+	// Dial opens a connection, by direct or through another process.
+	Dial(ctx context.Context, direct DialFunc, network, address string) (net.Conn, error)
+	// IsLost reports whether the server is not reached directly.
+	IsLost(address string) bool
+}
+
+// SetPath has path open all connections. It must be called before the first request.
+func (c *Client) SetPath(path Path) { c.requests.path, c.control.path = path, path }
+
+// SetDirect replaces the function that opens direct connections. It must be called before
+// the first request.
+func (c *Client) SetDirect(dial DialFunc) { c.requests.direct, c.control.direct = dial, dial }
+
+// DialDirect opens a direct connection to the server at address (host:port).
+func (c *Client) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	return c.requests.direct(ctx, network, address)
+}
+
+// Reachable reports whether the server at address (host:port) accepts connections.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
+	defer cancel()
+	conn, err := c.requests.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
 
 // Close closes the idle connections.
 func (c *Client) Close() {
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/loadlink"
 	"github.com/lilacbridge/lilacbridge/connection/operator"
 	"github.com/lilacbridge/lilacbridge/connection/orders"
+	"github.com/lilacbridge/lilacbridge/connection/serverpath"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
 	"github.com/lilacbridge/lilacbridge/connection/stateclient"
 	"github.com/lilacbridge/lilacbridge/process/build"
@@ -44,6 +45,7 @@
 	loads    *loadlink.Link
 	orders   *orders.Controller
 	links    *link.Server
+	paths    *serverpath.Dialer
 	// usage is nil if the settings list no duties.
 	usage *usageReporter
 	// gateway is nil if the settings configure none.
@@ -92,6 +94,7 @@
 		Gateway: protocolOf(platform), Settings: s, CallerKey: callerKey, State: d.state, Logger: logger,
 		OnAnnounce: func() { d.gossip.Announce() }, OnRun: d.usage.started,
 	})
+	d.paths = d.newPaths()
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, StatePeers: s.State, Entries: s.Entries,
 		Dial: d.dialer.dial, Timing: d.timing(), OnView: d.onView, Logger: logger,
@@ -109,6 +112,7 @@
 	d.gossip = d.newGossip()
 	d.gossip.Register(mux)
 	d.loads.Register(mux)
+	d.paths.Register(mux, d.entry.directClient().DialDirect)
 	d.orders = orders.New(orders.Options{View: d.watcher.Current, RequestLease: d.state.Lease, Client: d.entry.clients, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
 	d.links = link.NewServer(id, mux)
@@ -195,7 +199,9 @@
 		// Drains before the framework closes its servers.
 		kratos.BeforeStop(func(context.Context) error {
 			d.gossip.Leave()
+			pathsDrained := d.drainPaths()
 			err := d.entry.Drain(context.Background())
+			<-pathsDrained
 			if d.usage != nil {
 				d.usage.send(context.Background(), true)
 			}
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -58,6 +58,7 @@
 		d.watcher.SetEntries(peers)
 	}
 	d.loads.SetPeers(memberPeers(peers))
+	d.setPathPeers(peers)
 	d.entry.relay.Post(policy.Fleet{Others: policyInstances(peers)})
 	d.orders.SetPosition(d.position(peers))
 	d.entry.poller.SetBudget(pollBudget(len(peers)+1, d.isRelay(peers)))
--- a/daemon/entry/links.go
+++ b/daemon/entry/links.go
@@ -24,7 +24,9 @@
 	return &dialer{id: id, clients: make(map[string]*link.Client)}
 }
 
-func (d *dialer) dial(address string) link.Caller {
+func (d *dialer) dial(address string) link.Caller { return d.client(address) }
+
+func (d *dialer) client(address string) *link.Client {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	client, ok := d.clients[address]
--- a/daemon/entry/lostpaths_test.go
+++ b/daemon/entry/lostpaths_test.go
@@ -56,7 +56,7 @@
 		d, err := NewDaemon(s, hclog.NewNullLogger(), nil)
 		is.NoErr(err)
 		path := &pathTo{silent: silent}
-		d.entry.clients.SetDial(path.dial)
+		d.entry.clients.SetDirect(path.dial)
 		daemons, paths = append(daemons, d), append(paths, path)
 		peers = append(peers, settings.Peer{Name: s.Name, DataCenter: s.DataCenter, Address: settings.Address{Value: d.listeners.link.Addr().String()}})
 	}
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -116,7 +116,7 @@
 
 func (j *forwardJob) attempt(ctx context.Context, att *upstreamAttempt) error {
 	if err := j.send(ctx, att); err != nil {
-		return probeServer(ctx, att, err)
+		return probeServer(ctx, j.relay.Gateway, att, err)
 	}
 	return nil
 }
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -81,13 +81,18 @@
 // probeServer distinguishes a crashed service from a broken connection, so that a request
 // becomes a suspect only after an actual crash.
 func (j *serviceJob) probeServer(ctx context.Context, att *upstreamAttempt, err error) error {
-	return probeServer(ctx, att, err)
+	return probeServer(ctx, j.relay.Services, att, err)
+}
+
+// prober reports whether a server accepts connections.
+type prober interface {
+	Reachable(ctx context.Context, address string) bool
 }
 
 // probeServer returns errConnectionBroken if err looks like a crash but the server still
 // accepts connections, else err.
-func probeServer(ctx context.Context, att *upstreamAttempt, err error) error {
-	if upstream.IsConnectionError(err) && att.state.Written() && upstream.Reachable(ctx, att.server.GetAddress()) {
+func probeServer(ctx context.Context, p prober, att *upstreamAttempt, err error) error {
+	if upstream.IsConnectionError(err) && att.state.Written() && p.Reachable(ctx, att.server.GetAddress()) {
 		return errConnectionBroken
 	}
 	return err
