upstream: idle connections are closed once their path is lost

What callers saw: at the start of a silent cut, requests that were sent on idle connections got no answer until the caller's time was over, and plain calls among them had an unknown outcome. Cause: the pools kept reusing connections to a server whose path was known to be lost. They are closed now; one that is taken at the same moment fails before its first byte, so that the request may start again.

--- /dev/null
+++ b/connection/upstream/conn.go
@@ -0,0 +1,95 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+)
+
+// errPathLost is the error of a write to a connection that was closed while it was idle.
+var errPathLost = errors.New("idle connection was closed, since the path to the server is lost")
+
+// The states of a connection. One that is idle may be closed; from then on it writes nothing.
+const (
+	connBusy int32 = iota
+	connIdle
+	connClosed
+)
+
+// trackedConn asks the current attempt before each write, and counts bytes and packets.
+type trackedConn struct {
+	net.Conn
+	pool    *pool
+	address string
+	state   atomic.Int32
+	attempt atomic.Pointer[Attempt]
+}
+
+func (c *trackedConn) Write(b []byte) (int, error) {
+	if c.state.Load() == connClosed {
+		return 0, errPathLost
+	}
+	if a := c.attempt.Load(); a != nil && !a.beginWrite() {
+		return 0, ErrAbandoned
+	}
+	n, err := c.Conn.Write(b)
+	c.pool.sent.Add(uint64(n))
+	return n, err
+}
+
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.pool.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *trackedConn) Close() error {
+	c.pool.untrack(c)
+	c.pool.packets.Untrack(c.Conn)
+	return c.Conn.Close()
+}
+
+// acquire marks the connection as busy with the attempt.
+func (c *trackedConn) acquire(attempt *Attempt) {
+	c.attempt.Store(attempt)
+	c.state.CompareAndSwap(connIdle, connBusy)
+}
+
+// release marks the connection as idle.
+func (c *trackedConn) release() { c.state.CompareAndSwap(connBusy, connIdle) }
+
+func (p *pool) track(conn net.Conn, address string) *trackedConn {
+	c := &trackedConn{Conn: conn, pool: p, address: address}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == nil {
+		p.conns[address] = make(map[*trackedConn]struct{})
+	}
+	p.conns[address][c] = struct{}{}
+	return c
+}
+
+func (p *pool) untrack(c *trackedConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns[c.address], c)
+	if len(p.conns[c.address]) == 0 {
+		delete(p.conns, c.address)
+	}
+}
+
+// closeIdle closes the idle connections to the server. A request that is about to use one
+// fails before its first byte.
+func (p *pool) closeIdle(address string) {
+	p.mu.Lock()
+	var idle []*trackedConn
+	for c := range p.conns[address] {
+		if c.state.CompareAndSwap(connIdle, connClosed) {
+			idle = append(idle, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -57,7 +57,10 @@
 	direct DialFunc
 	path   Path
 
+	// mu guards the fields below.
 	mu sync.Mutex
+	// conns holds the open connections by host:port.
+	conns map[string]map[*trackedConn]struct{}
 	// echoesID records by host:port whether the server echoes request ids. A false value
 	// is final, until the map is cleared.
 	echoesID map[string]bool
@@ -69,7 +72,7 @@
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newPool(idHeader string) *pool {
-	p := &pool{idHeader: idHeader, echoesID: make(map[string]bool), distrustedUntil: make(map[string]time.Time)}
+	p := &pool{idHeader: idHeader, conns: make(map[string]map[*trackedConn]struct{}), echoesID: make(map[string]bool), distrustedUntil: make(map[string]time.Time)}
 	dialer := &net.Dialer{Timeout: p.dialTimeout(), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
 	}}
@@ -90,7 +93,7 @@
 				return nil, err
 			}
 			p.packets.Track(conn)
-			return &trackedConn{Conn: conn, pool: p}, nil
+			return p.track(conn, address), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerServer,
@@ -164,30 +167,3 @@
 	}
 	p.echoesID[address] = echoed
 }
-
-// trackedConn asks the current attempt before each write, and counts bytes and packets.
-type trackedConn struct {
-	net.Conn
-	pool    *pool
-	attempt atomic.Pointer[Attempt]
-}
-
-func (c *trackedConn) Write(b []byte) (int, error) {
-	if a := c.attempt.Load(); a != nil && !a.beginWrite() {
-		return 0, ErrAbandoned
-	}
-	n, err := c.Conn.Write(b)
-	c.pool.sent.Add(uint64(n))
-	return n, err
-}
-
-func (c *trackedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.pool.received.Add(uint64(n))
-	return n, err
-}
-
-func (c *trackedConn) Close() error {
-	c.pool.packets.Untrack(c.Conn)
-	return c.Conn.Close()
-}
--- a/connection/upstream/pool_test.go
+++ b/connection/upstream/pool_test.go
@@ -88,3 +88,30 @@
 	}
 	is.Equal(connections.Load(), before+2)
 }
+
+// Guards against a request that is sent on an idle connection whose path is lost: it would
+// get no answer, and its outcome would be unknown.
+func TestIdleConnectionsAreNotUsedOnALostPath(t *testing.T) {
+	is := is.New(t)
+	var wrong atomic.Bool
+	url, connections := echoServer(t, &wrong)
+	client := NewClient()
+	defer client.Close()
+	address := strings.TrimPrefix(url, "http://")
+	for _, id := range []string{"1", "2"} {
+		is.NoErr(book(t, client, url, id))
+	}
+	is.Equal(connections.Load(), int64(2))
+	client.CloseIdle(address)
+	attempt := &Attempt{}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader("book"))
+	is.NoErr(err)
+	req.Header.Set(RequestIDHeader, "3")
+	resp, err := client.DoRecentConn(req, attempt)
+	if err == nil {
+		resp.Body.Close()
+		is.Equal(connections.Load(), int64(3))
+	} else {
+		is.True(!attempt.Written())
+	}
+}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -54,6 +54,13 @@
 	return c.requests.direct(ctx, network, address)
 }
 
+// CloseIdle closes the idle connections to the server at address (host:port): on a path that
+// is lost they get no answer.
+func (c *Client) CloseIdle(address string) {
+	c.requests.closeIdle(address)
+	c.control.closeIdle(address)
+}
+
 // Reachable reports whether the server at address (host:port) accepts connections.
 func (c *Client) Reachable(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
@@ -137,12 +144,21 @@
 func (p *pool) do(client *http.Client, req *http.Request, attempt *Attempt) (*http.Response, error) {
 	preventResend(req)
 	var reused bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		reused = info.Reused
-		if conn, ok := info.Conn.(*trackedConn); ok {
-			conn.attempt.Store(attempt)
-		}
-	}}
+	var conn *trackedConn
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			reused = info.Reused
+			var ok bool
+			if conn, ok = info.Conn.(*trackedConn); ok {
+				conn.acquire(attempt)
+			}
+		},
+		PutIdleConn: func(err error) {
+			if err == nil && conn != nil {
+				conn.release()
+			}
+		},
+	}
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/daemon/entry/paths.go
+++ b/daemon/entry/paths.go
@@ -37,6 +37,7 @@
 			dataCenter, ok := current.dataCenters[address]
 			return dataCenter, ok
 		},
+		OnLost: d.entry.closeIdle,
 		Logger: d.logger,
 	})
 	d.entry.clients.SetPath(paths)
@@ -65,6 +66,14 @@
 	return e.clients
 }
 
+// closeIdle closes the idle connections to a server whose path is lost.
+func (e *Entry) closeIdle(address string) {
+	e.clients.CloseIdle(address)
+	if e.gatewayUpstream != nil {
+		e.gatewayUpstream.CloseIdle(address)
+	}
+}
+
 // setPathPeers passes the live instances to the dialer.
 func (d *Daemon) setPathPeers(live []settings.Peer) {
 	peers := make([]serverpath.Peer, 0, len(live))
