upstream: TCP_USER_TIMEOUT agrees with the keep-alive probes

Cause: connections to backend servers had no TCP_USER_TIMEOUT. A library that sets a short one would end the probes early, and without one a connection with unacknowledged bytes on a silent path hangs for many minutes, since no probe is sent then. It is set to the 11 s that the probes take. Links between processes keep the default and ping themselves.

--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/lilacbridge/lilacbridge/connection/packets"
 )
 
@@ -22,6 +26,9 @@
 	tcpKeepAliveIdle     = 5 * time.Second
 	tcpKeepAliveInterval = 2 * time.Second
 	tcpKeepAliveCount    = 3
+	// tcpUserTimeout bounds the time for which sent bytes stay unacknowledged. It also ends
+	// keep-alive probing, so it must not be shorter than that.
+	tcpUserTimeout = tcpKeepAliveIdle + tcpKeepAliveCount*tcpKeepAliveInterval
 	// idleTimeout is below the 5 s after which common servers close an idle connection,
 	// so that no request is sent on a connection that is being closed.
 	idleTimeout = 4 * time.Second
@@ -73,7 +80,7 @@
 
 func newPool(idHeader string) *pool {
 	p := &pool{idHeader: idHeader, conns: make(map[string]map[*trackedConn]struct{}), echoesID: make(map[string]bool), distrustedUntil: make(map[string]time.Time)}
-	dialer := &net.Dialer{Timeout: p.dialTimeout(), KeepAliveConfig: net.KeepAliveConfig{
+	dialer := &net.Dialer{Timeout: p.dialTimeout(), Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
 	}}
 	p.direct = dialer.DialContext
@@ -85,6 +92,15 @@
 	return p
 }
 
+// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
+func setUserTimeout(_, _ string, conn syscall.RawConn) error {
+	var err error
+	controlErr := conn.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
 func (p *pool) transport(idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
