policy: a server that was only silent is used again once it answers

What callers saw: nothing on its own; a sound server may be silent for a second, and every instance then left it out for a second more although it answered again, at a high load more than it takes. Cause: an answer ended the probing after a pause, not the pause. Bookings in flight were kept and nothing was reported before either; the test checks that too. TestServerSilentForASecondIsUsedOnceItAnswers failed before.

--- a/request/policy/availability.go
+++ b/request/policy/availability.go
@@ -51,7 +51,7 @@
 
 // eject stops new requests to the server after a failure.
 func (c *core) eject(now time.Time, s *server, reason AvailabilityReason) {
-	if s.eject(now) {
+	if s.eject(now, reason) {
 		c.emit(AvailabilityChanged{Server: s.name, State: Paused, Reason: reason, LastResponseAge: s.lastResponseAge(now), For: s.ejectFor})
 	}
 }
--- a/request/policy/crashreport.go
+++ b/request/policy/crashreport.go
@@ -66,6 +66,10 @@
 		}
 		s.crashReports.refutedAt[reporter], s.crashReports.reporter = now, ""
 	}
+	if s.ejectedFor == NoResponse && now.Before(s.ejectedUntil) {
+		// It was only silent. A server that refuses connections may still answer on old ones.
+		s.ejectedUntil = now
+	}
 	if s.probing {
 		c.emit(AvailabilityChanged{Server: s.name, State: Available, Reason: Answered})
 	}
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -114,6 +114,8 @@
 
 	ejectedUntil time.Time
 	ejectFor     time.Duration
+	// ejectedFor is the reason of the last ejection.
+	ejectedFor AvailabilityReason
 	// probing limits the server to one request at a time until it has answered one after a
 	// failure.
 	probing      bool
@@ -350,10 +352,11 @@
 
 // eject stops new requests to the server after a failure, for longer with each failure in a row.
 // It returns false if the server is ejected already.
-func (s *server) eject(now time.Time) bool {
+func (s *server) eject(now time.Time, reason AvailabilityReason) bool {
 	if now.Before(s.ejectedUntil) {
 		return false
 	}
+	s.ejectedFor = reason
 	s.ejectFor = min(max(2*s.ejectFor, initialEjection), maxEjection)
 	s.ejectedUntil = now.Add(s.ejectFor)
 	s.probing = true
