policy: servers that fail on rejections are not overrun

What callers saw: not seen yet; the platform announces servers that fall over when they have to turn away more than N requests in a second, and say so in their answers (rule LIMIT). Now each instance has a fixed part of the slots of each server of the pool, and beyond it the instances together start what a half full server has room for; after a rejection an instance pauses for so long that all rejections stay within N. The statement holds for the pool until an answer lacks it, or 30 s without an answer. Known limit: with more instances than slots, those without one serve less.

--- a/connection/gateway/protocol.go
+++ b/connection/gateway/protocol.go
@@ -94,6 +94,9 @@
 	RetryAfter time.Duration
 	// Limit is the server's own rate limit.
 	Limit RateLimit
+	// Rejections is the number of requests that the server can reject per second for lack of
+	// room without failing.
+	Rejections RateLimit
 }
 
 // Load is a server's load report, in requests.
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -126,6 +126,8 @@
 		c.fleet.update(now, e.Others)
 	case LimitReport:
 		c.limitReport(now, e)
+	case RejectionReport:
+		c.rejectionReport(now, e)
 	case CacheEvent:
 		c.cacheEvent(e)
 	case ServerState:
@@ -190,6 +192,7 @@
 	c.ejectUnresponsive(now)
 	c.confirmSuspects(now)
 	c.refreshLimits(now)
+	c.refreshRejectionLimits(now)
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.decayWorkRates()
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -151,6 +151,7 @@
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
 	c.check(InvariantLimit, !s.limitReached(now))
 	s.takeAllowance(now)
+	s.extraStart = s.extraStart && len(s.running) < s.ownSlots
 	s.startBudget--
 	r.attempt++
 	r.server = s
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -70,7 +70,7 @@
 func (c *core) penalizeServer(now time.Time, s *server, e Failed) {
 	switch {
 	case e.Refused:
-		s.busyUntil = now.Add(max(e.RetryAfter, minOverloadBackoff))
+		s.busyUntil = now.Add(s.backoff(e.RetryAfter))
 	case e.Permanent, e.ServerError:
 		s.lastResponseAt = now
 	case e.Crashed:
--- a/request/policy/limitshare.go
+++ b/request/policy/limitshare.go
@@ -93,10 +93,26 @@
 	if len(local) == 0 {
 		local = all
 	}
-	slices.SortFunc(local, func(a, b string) int {
+	sortByHash(s, local)
+	return local[:min(len(local), minSenders+int(s.rateLimit.PerSecond))]
+}
+
+// sortByHash orders the instances for the server, in the same way at all of them.
+func sortByHash(s *server, instances []string) {
+	slices.SortFunc(instances, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(s.name+"/"+a), xxhash.Sum64String(s.name+"/"+b)), cmp.Compare(a, b))
 	})
-	return local[:min(len(local), minSenders+int(s.rateLimit.PerSecond))]
+}
+
+// rank returns the position of this instance in the order for the server, and the number of
+// instances.
+func (f *fleet) rank(s *server) (rank, instances int) {
+	all := []string{f.self.Name}
+	for name := range f.members {
+		all = append(all, name)
+	}
+	sortByHash(s, all)
+	return slices.Index(all, f.self.Name), len(all)
 }
 
 // allowance is a token bucket for requests to a limited server.
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -26,6 +26,8 @@
 	runningByPosition tiers.Demand
 	// quarantine holds suspects that wait for a trial.
 	quarantine []*request
+	// rejectionLimit is what the servers state of the rejections that they survive.
+	rejectionLimit rejectionLimit
 	// parked holds copies of a running request that may only join it; see identical.go.
 	parked []*request
 	// minTokenGapTarget is the strictest target between tokens of the classes in use.
--- /dev/null
+++ b/request/policy/rejections.go
@@ -0,0 +1,155 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// Some servers fail if they have to reject more than a few requests in a second for lack of
+// room, and state that number in their answers. Loads of other instances are known with a
+// delay, so instances that fill such a server up by what they know exceed its room together.
+// Each instance therefore gets a fixed part of the slots of each server of the pool. Beyond
+// that, the instances together start about as many requests in loadDelay as a half full server
+// has room for.
+
+const (
+	// rejectionLimitTTL is how long a rejection limit is kept without an answer from the pool.
+	rejectionLimitTTL = 30 * time.Second
+	// sharedSlots is the fraction of a server's slots up to which instances start requests
+	// beyond their parts.
+	sharedSlots = 0.5
+	// loadDelay is the time until the other instances know of a started request.
+	loadDelay = 300 * time.Millisecond
+	// minRejectionPause and maxRejectionPause bound how long an instance sends nothing to
+	// such a server after a rejection. Between the bounds, the rejections by all instances
+	// stay within the limit.
+	minRejectionPause = time.Second
+	maxRejectionPause = 5 * time.Second
+)
+
+// RejectionReport is what an answer of a server states about the rejections that the servers
+// of its pool survive.
+type RejectionReport struct {
+	Server string
+	// Advertised is false if the answer states no limit.
+	Advertised bool
+	// PerSecond is the number of rejected requests per second that a server survives.
+	PerSecond float64
+}
+
+func (RejectionReport) event() {}
+
+// RejectionLimitChanged reports a new rejection limit of the servers of a pool.
+type RejectionLimitChanged struct {
+	Pool       string
+	Advertised bool
+	PerSecond  float64
+	// Server is the one whose answer stated it; empty if the limit expired.
+	Server string
+}
+
+func (RejectionLimitChanged) action() {}
+
+// rejectionLimit is the rejection limit of the servers of a pool.
+type rejectionLimit struct {
+	advertised bool
+	perSecond  float64
+	// statedAt is when an answer last stated the limit.
+	statedAt time.Time
+}
+
+func (c *core) rejectionReport(now time.Time, e RejectionReport) {
+	s := c.servers[e.Server]
+	if s == nil || !e.Advertised && !s.rejects {
+		return
+	}
+	for _, p := range c.poolOrder {
+		if slices.Contains(p.servers, s) {
+			c.setRejectionLimit(now, p, rejectionLimit{e.Advertised, e.PerSecond, now}, e.Server)
+		}
+	}
+}
+
+func (c *core) setRejectionLimit(now time.Time, p *pool, limit rejectionLimit, server string) {
+	before := p.rejectionLimit
+	p.rejectionLimit = limit
+	if limit.advertised == before.advertised && limit.perSecond == before.perSecond {
+		return
+	}
+	c.shareSlots(p)
+	c.emit(RejectionLimitChanged{Pool: p.name, Advertised: limit.advertised, PerSecond: limit.perSecond, Server: server})
+	if !limit.advertised {
+		c.dispatch(now, p)
+	}
+}
+
+// refreshRejectionLimits drops expired limits and divides the slots among the live instances.
+func (c *core) refreshRejectionLimits(now time.Time) {
+	for _, p := range c.poolOrder {
+		if !p.rejectionLimit.advertised {
+			continue
+		}
+		if now.Sub(p.rejectionLimit.statedAt) > rejectionLimitTTL {
+			c.setRejectionLimit(now, p, rejectionLimit{}, "")
+			continue
+		}
+		c.shareSlots(p)
+	}
+}
+
+// shareSlots sets this instance's part of the slots of each server: all instances get the same
+// number of whole slots, and the first ones by hash one of the rest.
+func (c *core) shareSlots(p *pool) {
+	for _, s := range p.servers {
+		s.rejects = p.rejectionLimit.advertised
+		if !s.rejects {
+			continue
+		}
+		rank, instances := c.fleet.rank(s)
+		s.ownSlots = s.slots / instances
+		if rank < s.slots%instances {
+			s.ownSlots++
+		}
+		c.drawExtraStart(s, instances)
+		s.rejectionPause = maxRejectionPause
+		if p.rejectionLimit.perSecond > 0 {
+			pause := time.Duration(float64(instances) / p.rejectionLimit.perSecond * float64(time.Second))
+			s.rejectionPause = min(max(pause, minRejectionPause), maxRejectionPause)
+		}
+	}
+}
+
+// drawExtraStart draws whether this instance may start a request beyond its part until the
+// next slowTick. If there are fewer slots than instances, only those without one may.
+func (c *core) drawExtraStart(s *server, instances int) {
+	s.extraStart = false
+	if s.ownSlots > 0 && instances > s.slots {
+		return
+	}
+	drawing := instances
+	if instances > s.slots {
+		drawing -= s.slots
+	}
+	held := loadDelay
+	if s.service {
+		held = min(held, time.Duration(s.serviceTime*float64(time.Second)))
+	}
+	room := sharedSlots*float64(s.slots) - s.load()
+	chance := room / float64(drawing) * slowTick.Seconds() / max(held, slowTick).Seconds()
+	s.extraStart = c.random.Float64() < chance
+}
+
+// mayReject reports whether the server states a rejection limit and might reject another
+// request of this instance.
+func (s *server) mayReject() bool {
+	return s.rejects && len(s.running) >= s.ownSlots && !s.extraStart
+}
+
+// backoff returns how long nothing is sent to the server after it rejected a request.
+func (s *server) backoff(asked time.Duration) time.Duration {
+	pause := max(asked, minOverloadBackoff)
+	if s.rejects {
+		pause = max(pause, s.rejectionPause)
+	}
+	return pause
+}
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -155,6 +155,14 @@
 	rateLimit serverLimit
 	allowance allowance
 
+	// rejects is true if the server states how many rejections it survives; ownSlots is this
+	// instance's part of its slots then, rejectionPause the pause after a rejection.
+	rejects  bool
+	ownSlots int
+	// extraStart is true if this instance may start one more request until the next slowTick.
+	extraStart     bool
+	rejectionPause time.Duration
+
 	// trial is the digest of the suspect whose trial runs here or has the server reserved;
 	// peerTrials is the number of trials by other instances.
 	trial      string
@@ -169,7 +177,7 @@
 func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
 
 func (s *server) unavailable(now time.Time) bool {
-	if s.closed() || s.unreachable || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) || s.limitReached(now) {
+	if s.closed() || s.unreachable || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) || s.limitReached(now) || s.mayReject() {
 		return true
 	}
 	return s.probing && len(s.running) > 0
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -161,18 +161,22 @@
 	}
 }
 
-// reportLimit reports to the core the limit that the server states, or that it states none.
+// reportLimit reports to the core the limits that the server states, or that it states none.
 // A reply with status 421 comes from another server at the same address and is ignored.
 func (j *forwardJob) reportLimit(att *upstreamAttempt, resp *gateway.Response) {
-	limit := resp.Info.Limit
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	if limit.Invalid != "" {
+	if limit := resp.Info.Limit; limit.Invalid != "" {
 		j.relay.logBadLimit(j.req, att.start, limit.Invalid)
-		return
+	} else {
+		j.relay.Post(policy.LimitReport{Server: att.start.Server, Advertised: limit.Advertised, PerSecond: limit.PerSecond})
+	}
+	if limit := resp.Info.Rejections; limit.Invalid != "" {
+		j.relay.logBadLimit(j.req, att.start, limit.Invalid)
+	} else {
+		j.relay.Post(policy.RejectionReport{Server: att.start.Server, Advertised: limit.Advertised, PerSecond: limit.PerSecond})
 	}
-	j.relay.Post(policy.LimitReport{Server: att.start.Server, Advertised: limit.Advertised, PerSecond: limit.PerSecond})
 }
 
 // forwardBuffered reads the complete answer before it sends the first byte.
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -54,3 +54,9 @@
 	r.Log.Line(logs.StateChange, "server availability", "server", a.Server, "state", string(a.State), "reason", string(a.Reason),
 		"reporter", a.Reporter, "last_response_age_ms", a.LastResponseAge.Milliseconds(), "for_ms", a.For.Milliseconds())
 }
+
+// logRejectionLimit logs that the servers of a pool started, changed or stopped stating how many
+// rejections they survive.
+func (r *Relay) logRejectionLimit(a policy.RejectionLimitChanged) {
+	r.Log.Line(logs.StateChange, "rejection limit", "pool", a.Pool, "named", a.Advertised, "per_second", a.PerSecond, "server", a.Server)
+}
