serverpath: the instances to ask are looked up only when one is asked

Cause: each dial ordered all instances by hash, also those that succeed at once; with 1,100 instances that is a thousand hashes a connection. A dial that needs no other instance takes none now, and no goroutine to finish.

--- a/connection/serverpath/core.go
+++ b/connection/serverpath/core.go
@@ -68,26 +68,25 @@
 
 // Plan is how to open one connection.
 type Plan struct {
-	// Direct is true if the server is dialled directly.
+	// Direct is true if the server is dialled directly; otherwise other instances are asked
+	// at once.
 	Direct bool
-	// FallbackAfter is the time after which Forwarders are asked if the direct dial has
+	// FallbackAfter is the time after which another instance is asked if the first way has
 	// neither succeeded nor failed.
 	FallbackAfter time.Duration
 	// Doubtful is true while the path to any server is lost. A failed direct dial then says
 	// little about the server.
 	Doubtful bool
-	// Forwarders are the instances to ask, one after the other.
-	Forwarders []Peer
 }
 
 // Plan returns how to open a connection to the server at address in a data centre.
 func (c *Core) Plan(now time.Time, address, dataCenter string) Plan {
-	plan := Plan{Direct: true, FallbackAfter: fallbackDelay, Forwarders: c.forwarders(now, address, dataCenter)}
+	plan := Plan{Direct: true, FallbackAfter: fallbackDelay}
 	if c.lost > 0 {
 		plan.FallbackAfter, plan.Doubtful = doubtfulDelay, true
 	}
 	p := c.paths[address]
-	if p == nil || !p.lost || len(plan.Forwarders) == 0 {
+	if p == nil || !p.lost || len(c.Forwarders(now, address, dataCenter)) == 0 {
 		return plan
 	}
 	if now.Before(p.retryAt) {
@@ -95,13 +94,15 @@
 		return plan
 	}
 	p.retryAt = now.Add(p.retryDelay)
+	plan.FallbackAfter = 0
 	return plan
 }
 
-// forwarders returns the instances to ask: those in the server's data centre first, since
-// the connection crosses the network between data centres only once that way, then those
-// in this instance's, then others. Instances differ in their order, so that they spread.
-func (c *Core) forwarders(now time.Time, address, dataCenter string) []Peer {
+// Forwarders returns the instances to ask, one after the other: those in the server's data
+// centre first, since the connection crosses the network between data centres only once that
+// way, then those in this instance's, then others. Instances differ in their order, so that
+// they spread.
+func (c *Core) Forwarders(now time.Time, address, dataCenter string) []Peer {
 	type candidate struct {
 		Peer
 		distance int
--- a/connection/serverpath/core_test.go
+++ b/connection/serverpath/core_test.go
@@ -67,7 +67,7 @@
 	for i := range 40 {
 		c := testCore()
 		c.self.Name = fmt.Sprint("x", i)
-		peers := c.Plan(epoch, server, "b").Forwarders
+		peers := c.Forwarders(epoch, server, "b")
 		is.Equal(len(peers), maxForwarders)
 		is.Equal(peers[0].DataCenter, "b")
 		is.Equal(peers[1].DataCenter, "b")
@@ -83,10 +83,10 @@
 	is := is.New(t)
 	c := testCore()
 	c.ForwarderFailed(epoch, "e3")
-	for _, peer := range c.Plan(epoch, server, "b").Forwarders {
+	for _, peer := range c.Forwarders(epoch, server, "b") {
 		is.True(peer.Name != "e3")
 	}
-	is.Equal(len(c.Plan(epoch.Add(avoidPeriod), server, "b").Forwarders), maxForwarders)
+	is.Equal(len(c.Forwarders(epoch.Add(avoidPeriod), server, "b")), maxForwarders)
 	for _, name := range []string{"e2", "e3", "e4", "e5", "e6"} {
 		c.ForwarderFailed(epoch, name)
 	}
--- a/connection/serverpath/dialer.go
+++ b/connection/serverpath/dialer.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -95,11 +96,13 @@
 
 // dial is the opening of one connection.
 type dial struct {
-	dialer           *Dialer
-	direct           DialFunc
-	network, address string
-	plan             Plan
-	results          chan dialled
+	dialer                       *Dialer
+	direct                       DialFunc
+	network, address, dataCenter string
+	plan                         Plan
+	// forwarders are the instances that are left to ask; nil until the first is asked.
+	forwarders []Peer
+	results    chan dialled
 	// pending is the number of ways that have no outcome yet.
 	pending int
 	// directErr and forwarderErr are the errors of the direct dial and of the last
@@ -116,10 +119,10 @@
 	d.mu.Lock()
 	plan := d.core.Plan(time.Now(), address, dataCenter)
 	d.mu.Unlock()
-	if len(plan.Forwarders) == 0 {
-		return direct(ctx, network, address)
+	one := &dial{
+		dialer: d, direct: direct, network: network, address: address, dataCenter: dataCenter, plan: plan,
+		results: make(chan dialled, maxForwarders+1),
 	}
-	one := &dial{dialer: d, direct: direct, network: network, address: address, plan: plan, results: make(chan dialled, len(plan.Forwarders)+1)}
 	return one.run(ctx)
 }
 
@@ -139,18 +142,18 @@
 		case r := <-o.results:
 			o.record(r)
 			if r.err == nil {
-				go o.finish()
+				o.finish()
 				return r.conn, nil
 			}
 			if r.forwarder != "" || o.pending == 0 {
 				o.startForwarder(ctx)
 			}
 		case <-ctx.Done():
-			go o.finish()
+			o.finish()
 			return nil, ctx.Err()
 		}
 	}
-	go o.finish()
+	o.finish()
 	return nil, o.err()
 }
 
@@ -166,6 +169,9 @@
 	if o.directErr != nil {
 		return o.directErr
 	}
+	if o.forwarderErr == nil {
+		return &net.OpError{Op: "dial", Net: o.network, Err: syscall.EHOSTUNREACH}
+	}
 	return &net.OpError{Op: "dial", Net: o.network, Err: o.forwarderErr}
 }
 
@@ -181,11 +187,17 @@
 
 // startForwarder asks the next instance, if any is left.
 func (o *dial) startForwarder(ctx context.Context) {
-	if len(o.plan.Forwarders) == 0 || ctx.Err() != nil {
+	if o.forwarders == nil {
+		d := o.dialer
+		d.mu.Lock()
+		o.forwarders = d.core.Forwarders(time.Now(), o.address, o.dataCenter)
+		d.mu.Unlock()
+	}
+	if len(o.forwarders) == 0 || ctx.Err() != nil {
 		return
 	}
-	peer := o.plan.Forwarders[0]
-	o.plan.Forwarders = o.plan.Forwarders[1:]
+	peer := o.forwarders[0]
+	o.forwarders = o.forwarders[1:]
 	o.pending++
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
@@ -215,9 +227,19 @@
 	}
 }
 
-// finish waits for the ways that are still pending, closes their connections and records
-// the state of the direct path.
+// finish records the state of the direct path once all ways have an outcome. It does not
+// wait; the connections of ways that are still pending are closed.
 func (o *dial) finish() {
+	if o.pending > 0 {
+		go o.awaitPending()
+		return
+	}
+	if o.plan.Direct {
+		o.dialer.recordDirect(o.address, o.directErr, o.forwarded)
+	}
+}
+
+func (o *dial) awaitPending() {
 	for o.pending > 0 {
 		r := <-o.results
 		o.record(r)
@@ -225,9 +247,7 @@
 			r.conn.Close()
 		}
 	}
-	if o.plan.Direct {
-		o.dialer.recordDirect(o.address, o.directErr, o.forwarded)
-	}
+	o.finish()
 }
 
 // recordDirect notes the outcome of a direct dial and logs a change of the path.
