policy: availability and observations of a server in files of their own

Moved without a change of behaviour, but for the log's age of 'no response yet', which was rounded to 0 ms and is -1 ms now.

--- a/request/policy/availability.go
+++ b/request/policy/availability.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+const (
+	// minOverloadBackoff is the least time for which a server that refused a request for load
+	// gets no new ones.
+	minOverloadBackoff = 100 * time.Millisecond
+	// initialEjection is how long a failed server gets no new requests; the time doubles with
+	// each failure up to maxEjection.
+	initialEjection = time.Second
+	maxEjection     = 8 * time.Second
+)
+
 // Availability is how an instance uses a server.
 type Availability string
 
@@ -49,18 +59,39 @@
 
 func (AvailabilityChanged) action() {}
 
-// eject stops new requests to the server after a failure.
+// eject stops new requests to the server after a failure, for longer with each failure in a row.
+// A server that is ejected already stays so for as long as before.
 func (c *core) eject(now time.Time, s *server, reason AvailabilityReason) {
-	if s.eject(now, reason) {
-		c.emit(AvailabilityChanged{Server: s.name, State: Paused, Reason: reason, LastResponseAge: s.lastResponseAge(now), For: s.ejectFor})
+	if now.Before(s.ejectedUntil) {
+		return
 	}
+	s.ejectedFor = reason
+	s.ejectFor = min(max(2*s.ejectFor, initialEjection), maxEjection)
+	s.ejectedUntil = now.Add(s.ejectFor)
+	s.probing = true
+	c.emit(AvailabilityChanged{Server: s.name, State: Paused, Reason: reason, LastResponseAge: s.lastResponseAge(now), For: s.ejectFor})
 }
 
 // lastResponseAge returns the time since the server's last response to this instance, or
 // a negative value if there was none.
 func (s *server) lastResponseAge(now time.Time) time.Duration {
 	if s.lastResponseAt.IsZero() {
-		return -1
+		return -time.Millisecond
 	}
 	return now.Sub(s.lastResponseAt)
 }
+
+func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
+
+func (s *server) unavailable(now time.Time) bool {
+	if s.closed() || s.unreachable || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) || s.limitReached(now) || s.mayReject() {
+		return true
+	}
+	return s.probing && len(s.running) > 0
+}
+
+// endProbing ends probing and resets the ejection time.
+func (s *server) endProbing() {
+	s.probing = false
+	s.ejectFor = 0
+}
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -11,13 +11,6 @@
 	// defaultSlots is the number of concurrent requests of a server whose configuration does not
 	// state one.
 	defaultSlots = 8
-	// minOverloadBackoff is the least time for which a server that refused a request for load
-	// gets no new ones.
-	minOverloadBackoff = 100 * time.Millisecond
-	// initialEjection is how long a failed server gets no new requests; the time doubles with
-	// each failure up to maxEjection.
-	initialEjection = time.Second
-	maxEjection     = 8 * time.Second
 	// defaultStepOffset is the batch size at which a step takes twice as long as with an empty
 	// batch: a step takes a fixed time plus some for each request.
 	defaultStepOffset = 6
@@ -29,11 +22,6 @@
 	// defaultServiceTime is the initial estimate of the response time of a plain service, in
 	// seconds.
 	defaultServiceTime = 0.08
-	// sampleWeight is the weight of one sample in a moving average; outlierWeight that of a
-	// sample of more than outlierRatio times the average.
-	sampleWeight  = 0.05
-	outlierWeight = 0.2
-	outlierRatio  = 2.5
 	// headroom is the fraction of a target for the gap between tokens that batches are sized for.
 	headroom = 0.93
 	// historyLength is the number of samples of the own load kept, one for each slowTick.
@@ -174,15 +162,6 @@
 	return &server{name: name, key: loadboard.Key(name), stepOffset: defaultStepOffset, gapPerRequest: defaultGapPerRequest, prefill: defaultPrefill, serviceTime: defaultServiceTime, prefillRatio: 1, startBudget: math.Inf(1), cache: newPrefixCache()}
 }
 
-func (s *server) closed() bool { return s.configLeaving || s.leaving || s.gone }
-
-func (s *server) unavailable(now time.Time) bool {
-	if s.closed() || s.unreachable || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) || now.Before(s.busyUntil) || now.Before(s.fullUntil) || s.limitReached(now) || s.mayReject() {
-		return true
-	}
-	return s.probing && len(s.running) > 0
-}
-
 // load returns the estimated number of requests of all instances on the server.
 func (s *server) load() float64 { return float64(len(s.running)) + s.otherLoad }
 
@@ -232,49 +211,6 @@
 	minStrictBatch = 3
 )
 
-// decayGap returns a gap estimate without recent samples to the pool's average.
-func (s *server) decayGap(now time.Time, poolGapPerRequest float64) {
-	if s.engine != nil {
-		poolGapPerRequest = s.engine.perRequest
-	}
-	if now.Sub(s.lastTokenAt) > gapMaxAge && now.Sub(s.peerGapAt) > gapMaxAge && s.gapPerRequest > poolGapPerRequest {
-		s.gapPerRequest += gapDecay * (poolGapPerRequest - s.gapPerRequest)
-	}
-}
-
-// observeResponse records the time to the first token, or to the response of a plain service.
-func (s *server) observeResponse(r *request, took time.Duration) {
-	if s.service {
-		s.serviceTime += sampleWeight * (took.Seconds() - s.serviceTime)
-		return
-	}
-	work := r.uncached + r.workAhead
-	if s.engine != nil {
-		if r.fetched == 0 && r.workAhead <= maxBacklogRatio*r.uncached {
-			s.observePrefill(took, work)
-		}
-		return
-	}
-	if work < 64 {
-		return
-	}
-	sample := (took - s.gapAt(s.load())).Seconds() / work
-	sample = min(max(sample, 0), 20*defaultPrefill)
-	s.prefill += sampleWeight * (sample - s.prefill)
-}
-
-// observePrefill records the time to the first token after work prompt tokens. It subtracts the
-// step time of the engine model, since the server's own gap estimate includes steps that also
-// prefill long prompts.
-func (s *server) observePrefill(took time.Duration, work float64) {
-	elapsed := took.Seconds() - s.engine.stepAt(s.load())
-	if work < minPrefillSample {
-		s.engine.observeFixed(s, elapsed-s.prefill*work)
-		return
-	}
-	s.engine.observePrefill(s, max(elapsed-s.engine.farDelay(s), 0), work)
-}
-
 // backlogBefore returns the prompt tokens, of all instances, that are prefilled before a request
 // of the level.
 func (s *server) backlogBefore(level int) float64 {
@@ -297,39 +233,9 @@
 	return first
 }
 
-const (
-	// failureSampleWeight is the weight of one request in the server's failure rate.
-	failureSampleWeight = 0.15
-	// failureDecay is the part of the failure rate that is lost at each slowTick. It halves the
-	// rate in 4.6 s, so that a server that failed is tried again.
-	failureDecay = 0.015
-)
-
 // slotWaitGaps is the expected wait for a slot of a full batch, in gaps between tokens.
 const slotWaitGaps = 12
 
-// sampleLoad records the own load and detects a stall: running answers that have had no token for
-// several gaps.
-func (s *server) sampleLoad(now time.Time) {
-	s.historyIndex = (s.historyIndex + 1) % historyLength
-	s.history[s.historyIndex] = int16(len(s.running))
-	s.failureRate -= failureDecay * s.failureRate
-	s.stall = 0
-	if s.decoding == 0 {
-		return
-	}
-	silent := now.Sub(s.lastTokenAt)
-	if silent > minStall && silent > stallGaps*s.gapAt(s.load()) {
-		s.stall = silent
-	}
-}
-
-const (
-	// stallGaps is the number of gaps without a token that make a stall, minStall the least time.
-	stallGaps = 5
-	minStall  = 250 * time.Millisecond
-)
-
 // runningAgo returns how many requests of this instance the server ran at the given age.
 func (s *server) runningAgo(age time.Duration) float64 {
 	steps := int(age / slowTick)
@@ -358,25 +264,6 @@
 	s.otherLoad = (reportWeight*s.reportedLoad + digestWeight*(s.peerLoad+s.boardLoad)) / (reportWeight + digestWeight)
 }
 
-// eject stops new requests to the server after a failure, for longer with each failure in a row.
-// It returns false if the server is ejected already.
-func (s *server) eject(now time.Time, reason AvailabilityReason) bool {
-	if now.Before(s.ejectedUntil) {
-		return false
-	}
-	s.ejectedFor = reason
-	s.ejectFor = min(max(2*s.ejectFor, initialEjection), maxEjection)
-	s.ejectedUntil = now.Add(s.ejectFor)
-	s.probing = true
-	return true
-}
-
-// endProbing ends probing and resets the ejection time.
-func (s *server) endProbing() {
-	s.probing = false
-	s.ejectFor = 0
-}
-
 func (s *server) attach(r *request) {
 	r.serverIndex = len(s.running)
 	s.running = append(s.running, r)
