--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -69,7 +69,8 @@
 		abortStream(stream)
 	}()
 	err = sendFrames(stream, target)
-	if err == nil || !errors.Is(err, net.ErrClosed) {
+	if !errors.Is(err, net.ErrClosed) {
+		// The caller has not closed the stream and reads the status.
 		_ = writeFrames(stream, x.finalFrames(err)...)
 	}
 	target.Close()
--- a/connection/serverpath/core.go
+++ b/connection/serverpath/core.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,7 +65,12 @@
 }
 
 // SetPeers replaces the live instances.
-func (c *Core) SetPeers(peers []Peer) { c.peers = peers }
+func (c *Core) SetPeers(peers []Peer) {
+	c.peers = peers
+	maps.DeleteFunc(c.avoidedUntil, func(name string, _ time.Time) bool {
+		return !slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name })
+	})
+}
 
 // Plan is how to open one connection.
 type Plan struct {
--- a/connection/serverpath/core_test.go
+++ b/connection/serverpath/core_test.go
@@ -92,6 +92,8 @@
 	}
 	c.Dialled(epoch, server, false, true)
 	is.True(c.Plan(epoch, server, "b").Direct) // nobody is left to ask
+	c.SetPeers([]Peer{{"e2", "10.1.0.2:1", "a"}})
+	is.Equal(len(c.avoidedUntil), 1)
 }
 
 // Guards against state of servers that are gone.
