serverpath: instances to ask are found without sorting all of them

Cause: while paths are lost each dial sorted all live instances by a fresh hash: 818 us with 1,100 instances, 1.6 ms a dial with the check before it, 6 % of a core at 36 dials a second. The hashes of names are kept, the nearest three are found in one pass: 55 us (busy machine; BenchmarkForwarders). BenchmarkConnection: a connection and a kilobyte there and back over loopback 0.15 ms directly, 0.41 ms through another instance, both instances' processor time included.

--- a/connection/serverpath/core.go
+++ b/connection/serverpath/core.go
@@ -50,8 +50,9 @@
 
 // Core decides how to reach each server. It does no I/O and is not safe for concurrent use.
 type Core struct {
-	self  Peer
-	peers []Peer
+	self Peer
+	// peers are the other live instances.
+	peers []hashedPeer
 	paths map[string]*path
 	// lost is the number of lost paths.
 	lost int
@@ -64,12 +65,23 @@
 	return &Core{self: self, paths: make(map[string]*path), avoidedUntil: make(map[string]time.Time)}
 }
 
+// hashedPeer is a peer with the hash of its name.
+type hashedPeer struct {
+	Peer
+	hash uint64
+}
+
 // SetPeers replaces the live instances.
 func (c *Core) SetPeers(peers []Peer) {
-	c.peers = peers
-	maps.DeleteFunc(c.avoidedUntil, func(name string, _ time.Time) bool {
-		return !slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name })
-	})
+	c.peers = make([]hashedPeer, 0, len(peers))
+	live := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		live[peer.Name] = true
+		if peer.Name != c.self.Name {
+			c.peers = append(c.peers, hashedPeer{peer, xxhash.Sum64String(peer.Name)})
+		}
+	}
+	maps.DeleteFunc(c.avoidedUntil, func(name string, _ time.Time) bool { return !live[name] })
 }
 
 // Plan is how to open one connection.
@@ -85,14 +97,14 @@
 	Doubtful bool
 }
 
-// Plan returns how to open a connection to the server at address in a data centre.
-func (c *Core) Plan(now time.Time, address, dataCenter string) Plan {
+// Plan returns how to open a connection to the server at address.
+func (c *Core) Plan(now time.Time, address string) Plan {
 	plan := Plan{Direct: true, FallbackAfter: fallbackDelay}
 	if c.lost > 0 {
 		plan.FallbackAfter, plan.Doubtful = doubtfulDelay, true
 	}
 	p := c.paths[address]
-	if p == nil || !p.lost || len(c.Forwarders(now, address, dataCenter)) == 0 {
+	if p == nil || !p.lost || !c.hasForwarder(now) {
 		return plan
 	}
 	if now.Before(p.retryAt) {
@@ -110,34 +122,56 @@
 // they spread.
 func (c *Core) Forwarders(now time.Time, address, dataCenter string) []Peer {
 	type candidate struct {
-		Peer
+		peer     *hashedPeer
 		distance int
-		hash     uint64
+		rank     uint64
 	}
-	var all []candidate
-	for _, peer := range c.peers {
-		if peer.Name == c.self.Name || now.Before(c.avoidedUntil[peer.Name]) {
+	key := xxhash.Sum64String(c.self.Name + "/" + address)
+	var nearest []candidate
+	for i := range c.peers {
+		peer := &c.peers[i]
+		if now.Before(c.avoidedUntil[peer.Name]) {
 			continue
 		}
-		distance := 2
-		switch peer.DataCenter {
-		case dataCenter:
-			distance = 0
-		case c.self.DataCenter:
-			distance = 1
+		one := candidate{peer, c.distance(peer.DataCenter, dataCenter), mix(peer.hash ^ key)}
+		at, _ := slices.BinarySearchFunc(nearest, one, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.rank, b.rank))
+		})
+		if at < maxForwarders {
+			nearest = slices.Insert(nearest, at, one)
+			nearest = nearest[:min(len(nearest), maxForwarders)]
 		}
-		all = append(all, candidate{peer, distance, xxhash.Sum64String(c.self.Name + "/" + address + "/" + peer.Name)})
 	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
-	})
-	var peers []Peer
-	for _, one := range all[:min(len(all), maxForwarders)] {
-		peers = append(peers, one.Peer)
+	peers := make([]Peer, 0, len(nearest))
+	for _, one := range nearest {
+		peers = append(peers, one.peer.Peer)
 	}
 	return peers
 }
 
+// distance orders data centres: the server's, this instance's, then others.
+func (c *Core) distance(of, server string) int {
+	switch of {
+	case server:
+		return 0
+	case c.self.DataCenter:
+		return 1
+	}
+	return 2
+}
+
+// hasForwarder reports whether any instance may be asked.
+func (c *Core) hasForwarder(now time.Time) bool {
+	return slices.ContainsFunc(c.peers, func(p hashedPeer) bool { return !now.Before(c.avoidedUntil[p.Name]) })
+}
+
+// mix spreads the bits of a combined hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // Change is a change of the state of a direct path.
 type Change int
 
--- a/connection/serverpath/core_test.go
+++ b/connection/serverpath/core_test.go
@@ -27,7 +27,7 @@
 	c := testCore()
 	is.Equal(c.Dialled(epoch, server, false, false), Unchanged)
 	is.Equal(c.LostPaths(), 0)
-	is.True(c.Plan(epoch, server, "b").Direct)
+	is.True(c.Plan(epoch, server).Direct)
 }
 
 // Guards against requests that wait for a direct dial again and again while the path is lost,
@@ -36,12 +36,12 @@
 	is := is.New(t)
 	c := testCore()
 	is.Equal(c.Dialled(epoch, server, false, true), Lost)
-	is.True(!c.Plan(epoch.Add(minRetryDelay/2), server, "b").Direct)
-	is.True(c.Plan(epoch.Add(minRetryDelay), server, "b").Direct)
-	is.True(!c.Plan(epoch.Add(minRetryDelay), server, "b").Direct) // one dial each interval
+	is.True(!c.Plan(epoch.Add(minRetryDelay/2), server).Direct)
+	is.True(c.Plan(epoch.Add(minRetryDelay), server).Direct)
+	is.True(!c.Plan(epoch.Add(minRetryDelay), server).Direct) // one dial each interval
 	is.Equal(c.Dialled(epoch.Add(minRetryDelay), server, true, true), Restored)
 	is.Equal(c.LostPaths(), 0)
-	is.True(c.Plan(epoch.Add(minRetryDelay), server, "b").Direct)
+	is.True(c.Plan(epoch.Add(minRetryDelay), server).Direct)
 }
 
 // Guards against a path that comes and goes each second and is used directly whenever it is
@@ -51,7 +51,7 @@
 	c := testCore()
 	now, lost := epoch, 0
 	for range 60 {
-		if c.Plan(now, server, "b").Direct && c.Dialled(now, server, now.Unix()%2 == 0, true) == Lost {
+		if c.Plan(now, server).Direct && c.Dialled(now, server, now.Unix()%2 == 0, true) == Lost {
 			lost++
 		}
 		now = now.Add(time.Second)
@@ -91,7 +91,7 @@
 		c.ForwarderFailed(epoch, name)
 	}
 	c.Dialled(epoch, server, false, true)
-	is.True(c.Plan(epoch, server, "b").Direct) // nobody is left to ask
+	is.True(c.Plan(epoch, server).Direct) // nobody is left to ask
 	c.SetPeers([]Peer{{"e2", "10.1.0.2:1", "a"}})
 	is.Equal(len(c.avoidedUntil), 1)
 }
--- a/connection/serverpath/dialer.go
+++ b/connection/serverpath/dialer.go
@@ -96,10 +96,10 @@
 
 // dial is the opening of one connection.
 type dial struct {
-	dialer                       *Dialer
-	direct                       DialFunc
-	network, address, dataCenter string
-	plan                         Plan
+	dialer           *Dialer
+	direct           DialFunc
+	network, address string
+	plan             Plan
 	// forwarders are the instances that are left to ask; nil until the first is asked.
 	forwarders []Peer
 	results    chan dialled
@@ -115,12 +115,11 @@
 // Dial opens a connection by direct, or through another instance if that fails or takes
 // long.
 func (d *Dialer) Dial(ctx context.Context, direct DialFunc, network, address string) (net.Conn, error) {
-	dataCenter, _ := d.options.DataCenter(address)
 	d.mu.Lock()
-	plan := d.core.Plan(time.Now(), address, dataCenter)
+	plan := d.core.Plan(time.Now(), address)
 	d.mu.Unlock()
 	one := &dial{
-		dialer: d, direct: direct, network: network, address: address, dataCenter: dataCenter, plan: plan,
+		dialer: d, direct: direct, network: network, address: address, plan: plan,
 		results: make(chan dialled, maxForwarders+1),
 	}
 	return one.run(ctx)
@@ -189,8 +188,9 @@
 func (o *dial) startForwarder(ctx context.Context) {
 	if o.forwarders == nil {
 		d := o.dialer
+		dataCenter, _ := d.options.DataCenter(o.address)
 		d.mu.Lock()
-		o.forwarders = d.core.Forwarders(time.Now(), o.address, o.dataCenter)
+		o.forwarders = d.core.Forwarders(time.Now(), o.address, dataCenter)
 		d.mu.Unlock()
 	}
 	if len(o.forwarders) == 0 || ctx.Err() != nil {
