serverpath: a data centre whose instances all lost a path asks another one

Cause: the three instances asked were the nearest ones, all of the server's data centre; where a whole data centre has lost its paths none of them reaches the server, so the path never counted as lost and the server counted as down. TestForwardersIncludeAnotherDataCentre and TestDataCentreWithoutPathsConnectsThroughAnother (refused and silent) failed before.

--- a/connection/serverpath/core.go
+++ b/connection/serverpath/core.go
@@ -118,28 +118,40 @@
 
 // Forwarders returns the instances to ask, one after the other: those in the server's data
 // centre first, since the connection crosses the network between data centres only once that
-// way, then those in this instance's, then others. Instances differ in their order, so that
-// they spread.
+// way, then those in this instance's, then others. The last one is in another data centre than
+// the first, since a whole data centre may have lost its paths. Instances differ in their
+// order, so that they spread.
 func (c *Core) Forwarders(now time.Time, address, dataCenter string) []Peer {
+	key := xxhash.Sum64String(c.self.Name + "/" + address)
+	nearest := c.nearest(now, key, dataCenter, maxForwarders, "")
+	if last := maxForwarders - 1; len(nearest) == maxForwarders && nearest[last].DataCenter == nearest[0].DataCenter {
+		elsewhere := c.nearest(now, key, dataCenter, 1, nearest[0].DataCenter)
+		nearest = append(nearest[:last], append(elsewhere, nearest[last])[0])
+	}
+	return nearest
+}
+
+// nearest returns up to count instances outside the data centre except, in the order of
+// Forwarders.
+func (c *Core) nearest(now time.Time, key uint64, dataCenter string, count int, except string) []Peer {
 	type candidate struct {
 		peer     *hashedPeer
 		distance int
 		rank     uint64
 	}
-	key := xxhash.Sum64String(c.self.Name + "/" + address)
 	var nearest []candidate
 	for i := range c.peers {
 		peer := &c.peers[i]
-		if now.Before(c.avoidedUntil[peer.Name]) {
+		if except != "" && peer.DataCenter == except || now.Before(c.avoidedUntil[peer.Name]) {
 			continue
 		}
 		one := candidate{peer, c.distance(peer.DataCenter, dataCenter), mix(peer.hash ^ key)}
 		at, _ := slices.BinarySearchFunc(nearest, one, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.rank, b.rank))
 		})
-		if at < maxForwarders {
+		if at < count {
 			nearest = slices.Insert(nearest, at, one)
-			nearest = nearest[:min(len(nearest), maxForwarders)]
+			nearest = nearest[:min(len(nearest), count)]
 		}
 	}
 	peers := make([]Peer, 0, len(nearest))
--- a/connection/serverpath/core_test.go
+++ b/connection/serverpath/core_test.go
@@ -78,6 +78,24 @@
 	is.True(first["e4"] > 10)
 }
 
+// Guards against a data centre whose instances have all lost the path to a server and that ask
+// only each other.
+func TestForwardersIncludeAnotherDataCentre(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(Peer{Name: "a0", DataCenter: "a"})
+	var peers []Peer
+	for i := range 25 {
+		peers = append(peers, Peer{Name: fmt.Sprint("a", i), DataCenter: "a"}, Peer{Name: fmt.Sprint("b", i), DataCenter: "b"})
+	}
+	c.SetPeers(peers)
+	asked := c.Forwarders(epoch, server, "a")
+	is.Equal(len(asked), maxForwarders)
+	is.Equal(asked[0].DataCenter, "a")
+	is.Equal(asked[maxForwarders-1].DataCenter, "b")
+	c.SetPeers(peers[:1])
+	is.Equal(len(c.Forwarders(epoch, server, "a")), 0) // itself only
+}
+
 // Guards against connections that wait for an instance which has lost its paths as well.
 func TestInstanceThatCannotForwardIsAvoided(t *testing.T) {
 	is := is.New(t)
--- a/connection/serverpath/dialer.go
+++ b/connection/serverpath/dialer.go
@@ -108,8 +108,10 @@
 	// directErr and forwarderErr are the errors of the direct dial and of the last
 	// instance that was asked.
 	directErr, forwarderErr error
-	// forwarded is true if another instance reached the server, refused if one did not.
-	forwarded, refused bool
+	// forwarded is true if another instance reached the server, unreached is how many did
+	// not.
+	forwarded bool
+	unreached int
 }
 
 // Dial opens a connection by direct, or through another instance if that fails or takes
@@ -156,11 +158,11 @@
 	return nil, o.err()
 }
 
-// serverIsDown reports whether this instance and another one agree that the server does not
-// respond. The others were asked before the direct dial timed out, and one that reaches the
-// server would have answered.
+// serverIsDown reports whether this instance and two others agree that the server does not
+// respond. All were asked before the direct dial timed out, and one that reaches the server
+// would have answered.
 func (o *dial) serverIsDown() bool {
-	return os.IsTimeout(o.directErr) && o.refused && !o.plan.Doubtful
+	return os.IsTimeout(o.directErr) && o.unreached >= 2 && !o.plan.Doubtful
 }
 
 // err returns the error of a dial in which every way failed.
@@ -218,7 +220,7 @@
 		o.forwarded = true
 		d.forwarded.Add(1)
 	case fault.Is(r.err, lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED):
-		o.refused, o.forwarderErr = true, r.err
+		o.unreached, o.forwarderErr = o.unreached+1, r.err
 	default:
 		o.forwarderErr = r.err
 		d.mu.Lock()
--- a/connection/serverpath/dialer_test.go
+++ b/connection/serverpath/dialer_test.go
@@ -25,28 +25,46 @@
 	peer  Peer
 	lost  atomic.Bool
 	dials atomic.Int64
+	// silent makes dials on a lost path time out; otherwise they are refused.
+	silent bool
 }
 
 func (i *instance) direct(ctx context.Context, network, address string) (net.Conn, error) {
 	i.dials.Add(1)
+	if i.lost.Load() && i.silent {
+		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
 	if i.lost.Load() {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	}
 	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
 
-// startInstances starts instances that know each other and the server at address.
+// startInstances starts instances of data centre "dc" that know each other and the server at
+// address.
 func startInstances(t *testing.T, count int, address string) []*instance {
+	dataCenters := make([]string, count)
+	for i := range dataCenters {
+		dataCenters[i] = "dc"
+	}
+	return startInstancesIn(t, dataCenters, address)
+}
+
+// startInstancesIn starts one instance in each of the data centres. The server is in "dc".
+func startInstancesIn(t *testing.T, dataCenters []string, address string) []*instance {
 	is := is.New(t)
 	keys := secret.StaticKeys([]byte("one key of all"))
 	var instances []*instance
 	var peers []Peer
-	for i := range count {
+	for i, dataCenter := range dataCenters {
 		name := string(rune('a' + i))
 		id := link.Identity{Peer: link.Peer{Process: name}, Keys: keys}
 		one := &instance{}
 		one.Dialer = New(Options{
-			Self: Peer{Name: name, DataCenter: "dc"}, Logger: hclog.NewNullLogger(),
+			Self: Peer{Name: name, DataCenter: dataCenter}, Logger: hclog.NewNullLogger(),
 			Connector: func(to string) link.Connector {
 				client := link.NewClient(to, id)
 				t.Cleanup(func() { client.Close() })
@@ -61,7 +79,7 @@
 		links := link.NewServer(id, mux)
 		go links.Serve(listener)
 		t.Cleanup(func() { listener.Close(); links.Close() })
-		one.peer = Peer{Name: name, Address: listener.Addr().String(), DataCenter: "dc"}
+		one.peer = Peer{Name: name, Address: listener.Addr().String(), DataCenter: dataCenter}
 		instances, peers = append(instances, one), append(peers, one.peer)
 	}
 	for _, one := range instances {
@@ -134,6 +152,28 @@
 	})
 }
 
+// Guards against instances of a data centre that take a server for down because none of them
+// reaches it, although those of another data centre do.
+func TestDataCentreWithoutPathsConnectsThroughAnother(t *testing.T) {
+	for name, silent := range map[string]bool{"refused": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := echoServer(t)
+			instances := startInstancesIn(t, []string{"dc", "dc", "dc", "dc", "other"}, address)
+			for _, one := range instances[:4] {
+				one.lost.Store(true)
+				one.silent = silent
+			}
+			conn, err := instances[0].Dial(t.Context(), instances[0].direct, "tcp", address)
+			is.NoErr(err)
+			checkEcho(t, conn)
+			conn.Close()
+			_, served := instances[4].Counts()
+			is.Equal(served, uint64(1))
+		})
+	}
+}
+
 // Guards against a connection that is passed on from instance to instance.
 func TestForwardedConnectionTakesOneHop(t *testing.T) {
 	is := is.New(t)
