serverpath: an instance learns that its path is back also when it is only asked

What callers saw: not seen yet. Cause: only an instance's own dials restored its path, so one without requests of its own kept refusing to forward connections after its path was back; where the others had lost theirs, nobody served. A request to forward dials directly now whenever a retry is due. TestInstanceForwardsOnceItsPathIsBack failed before.

--- a/connection/serverpath/core.go
+++ b/connection/serverpath/core.go
@@ -107,15 +107,28 @@
 	if p == nil || !p.lost || !c.hasForwarder(now) {
 		return plan
 	}
-	if now.Before(p.retryAt) {
+	if !c.MayDial(now, address) {
 		plan.Direct = false
 		return plan
 	}
-	p.retryAt = now.Add(p.retryDelay)
 	plan.FallbackAfter = 0
 	return plan
 }
 
+// MayDial reports whether a direct dial is due: at any time, or once in each retry delay while
+// the path is lost.
+func (c *Core) MayDial(now time.Time, address string) bool {
+	p := c.paths[address]
+	if p == nil || !p.lost {
+		return true
+	}
+	if now.Before(p.retryAt) {
+		return false
+	}
+	p.retryAt = now.Add(p.retryDelay)
+	return true
+}
+
 // Forwarders returns the instances to ask, one after the other: those in the server's data
 // centre first, since the connection crosses the network between data centres only once that
 // way, then those in this instance's, then others. The last one is in another data centre than
--- a/connection/serverpath/dialer_test.go
+++ b/connection/serverpath/dialer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -27,6 +28,36 @@
 	dials atomic.Int64
 	// silent makes dials on a lost path time out; otherwise they are refused.
 	silent bool
+	// accepted are the connections of the link server, for breakLinks.
+	accepted connSet
+}
+
+// connSet holds accepted connections.
+type connSet struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept implements net.Listener.
+func (s *connSet) Accept() (net.Conn, error) {
+	conn, err := s.Listener.Accept()
+	if err == nil {
+		s.mu.Lock()
+		s.conns = append(s.conns, conn)
+		s.mu.Unlock()
+	}
+	return conn, err
+}
+
+// breakLinks closes all links of other instances to this one.
+func (i *instance) breakLinks() {
+	i.accepted.mu.Lock()
+	defer i.accepted.mu.Unlock()
+	for _, conn := range i.accepted.conns {
+		conn.Close()
+	}
+	i.accepted.conns = nil
 }
 
 func (i *instance) direct(ctx context.Context, network, address string) (net.Conn, error) {
@@ -53,23 +84,46 @@
 	return startInstancesIn(t, dataCenters, address)
 }
 
+// clientSet holds the links between instances.
+type clientSet struct {
+	mu      sync.Mutex
+	clients map[string]*link.Client
+}
+
+func (s *clientSet) get(from, to string, id link.Identity) *link.Client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client := s.clients[from+"/"+to]
+	if client == nil {
+		client = link.NewClient(to, id)
+		s.clients[from+"/"+to] = client
+	}
+	return client
+}
+
+func (s *clientSet) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, client := range s.clients {
+		client.Close()
+	}
+}
+
 // startInstancesIn starts one instance in each of the data centres. The server is in "dc".
 func startInstancesIn(t *testing.T, dataCenters []string, address string) []*instance {
 	is := is.New(t)
 	keys := secret.StaticKeys([]byte("one key of all"))
 	var instances []*instance
 	var peers []Peer
+	clients := &clientSet{clients: make(map[string]*link.Client)}
+	t.Cleanup(clients.close)
 	for i, dataCenter := range dataCenters {
 		name := string(rune('a' + i))
 		id := link.Identity{Peer: link.Peer{Process: name}, Keys: keys}
 		one := &instance{}
 		one.Dialer = New(Options{
 			Self: Peer{Name: name, DataCenter: dataCenter}, Logger: hclog.NewNullLogger(),
-			Connector: func(to string) link.Connector {
-				client := link.NewClient(to, id)
-				t.Cleanup(func() { client.Close() })
-				return client
-			},
+			Connector:  func(to string) link.Connector { return clients.get(name, to, id) },
 			DataCenter: func(asked string) (string, bool) { return "dc", asked == address },
 		})
 		mux := link.NewMux()
@@ -77,7 +131,8 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		links := link.NewServer(id, mux)
-		go links.Serve(listener)
+		one.accepted.Listener = listener
+		go links.Serve(&one.accepted)
 		t.Cleanup(func() { listener.Close(); links.Close() })
 		one.peer = Peer{Name: name, Address: listener.Addr().String(), DataCenter: dataCenter}
 		instances, peers = append(instances, one), append(peers, one.peer)
@@ -174,6 +229,23 @@
 	}
 }
 
+// Guards against an instance without own requests that never learns that its path is back, and
+// forwards nothing.
+func TestInstanceForwardsOnceItsPathIsBack(t *testing.T) {
+	is := is.New(t)
+	address := echoServer(t)
+	one := startInstances(t, 1, address)[0]
+	one.core.Dialled(time.Now().Add(-time.Hour), address, false, true)
+	is.True(one.IsLost(address))
+	conn, err := one.serve(t.Context(), one.direct, address)
+	is.NoErr(err)
+	conn.Close()
+	is.True(!one.IsLost(address))
+	one.core.Dialled(time.Now(), address, false, true)
+	_, err = one.serve(t.Context(), one.direct, address)
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE)) // not before the next retry
+}
+
 // Guards against a connection that is passed on from instance to instance.
 func TestForwardedConnectionTakesOneHop(t *testing.T) {
 	is := is.New(t)
--- a/connection/serverpath/serve.go
+++ b/connection/serverpath/serve.go
@@ -42,7 +42,7 @@
 	if d.leaving.Load() {
 		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_DRAINING, "this instance is shutting down; ask another one")
 	}
-	if d.IsLost(address) {
+	if !d.mayDial(address) {
 		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no path to the server either; ask another one")
 	}
 	if d.open.Add(1) > maxServed {
@@ -52,6 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, serveDialTimeout)
 	defer cancel()
 	conn, err := direct(ctx, "tcp", address)
+	d.recordDirect(address, err, false)
 	if err != nil {
 		d.open.Add(-1)
 		return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED, "the server does not accept connections from this instance either")
@@ -60,6 +61,12 @@
 	return &servedConn{Conn: conn, dialer: d}, nil
 }
 
+func (d *Dialer) mayDial(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.MayDial(time.Now(), address)
+}
+
 // servedConn is a connection that this instance forwards for another one.
 type servedConn struct {
 	net.Conn
