--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -48,8 +48,8 @@
 
 // forwardConn opens the target of the stream and forwards bytes until either end closes.
 //
-// The end of the target's bytes is told apart from a failure by the closing status, so that
-// a response that ends with its connection does not look complete after a reset.
+// The closing status distinguishes the end of the target's bytes from a failure: a response
+// that ends with its connection must not look complete after a reset.
 func (s *Server) forwardConn(ctx context.Context, open ConnHandler, x *Exchange, stream *yamux.Stream, reader *bufio.Reader) {
 	target, err := open(ctx, x)
 	if err != nil {
