Logs: finished and attempt failed tell how the server delimited its answer

The log couldn't tell a stream that ended by its last chunk from one that ended with its connection, which is what the hypotheses on broken-off answers differ in.

--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -143,6 +143,7 @@
 		return err
 	}
 	defer resp.Body.Close()
+	j.req.framing = upstream.FramingOf(resp.Response)
 	j.reportLoad(att, resp.Info)
 	j.reportLimit(att, resp)
 	if resp.Info.NotRun {
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -23,12 +23,12 @@
 
 func (r *Relay) logFinished(req *request, start policy.Start) {
 	r.Log.Line(logs.Success, "finished", "request", req.requestID, "server", start.Server, "attempt", start.Attempt,
-		"first_ms", req.firstTokenAfter().Milliseconds(), "took_ms", time.Since(req.arrived).Milliseconds(), "pause_ms", req.longestPause().Milliseconds(), "tokens", req.tokens.Load())
+		"first_ms", req.firstTokenAfter().Milliseconds(), "took_ms", time.Since(req.arrived).Milliseconds(), "pause_ms", req.longestPause().Milliseconds(), "tokens", req.tokens.Load(), "framing", string(req.framing))
 }
 
 func (r *Relay) logFailed(req *request, start policy.Start, err error, unsent bool) {
 	r.Log.Line(logs.Failure, "attempt failed", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt,
-		"unsent", unsent, "after_ms", time.Since(req.arrived).Milliseconds(), "tokens", req.tokens.Load(), "error", err)
+		"unsent", unsent, "after_ms", time.Since(req.arrived).Milliseconds(), "tokens", req.tokens.Load(), "framing", string(req.framing), "error", err)
 }
 
 func (r *Relay) logRefused(req *request, a policy.Refuse) {
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/connection/caller"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
@@ -45,9 +46,11 @@
 	// claimed is set for requests under a claim. Their attempts run to completion even if
 	// the caller disconnects, so that a repeated request gets the answer.
 	claimed bool
-	// record and held are used only by the request's goroutine.
-	record  outcome.Record
-	held    heldAnswer
+	// record, held and framing are used only by the request's goroutine.
+	record outcome.Record
+	held   heldAnswer
+	// framing is that of the attempt's response; empty before its header.
+	framing upstream.Framing
 	actions chan policy.Action
 
 	// unreported counts tokens not yet reported to the core.
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -62,6 +62,7 @@
 		return j.probeServer(ctx, att, err)
 	}
 	defer resp.Body.Close()
+	j.req.framing = upstream.FramingOf(resp)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return j.forwardResponse(att, resp, nil)
 	}
