relay: a stream that ends inside an event has been broken off

Callers saw a stream with status 200, the server's signature and a last chunk that stopped inside an event. Cause: without a length or chunks, the close of a crashed server's connection reads as the regular end of the body. The reader of events then handed on the bytes after the last event, and the entry ended its own chunks.

An end inside an event is now io.ErrUnexpectedEOF, whatever the framing: the half event isn't forwarded, a stream that may be resumed is resumed after its last whole event, any other breaks off.

--- a/request/relay/events.go
+++ b/request/relay/events.go
@@ -19,9 +19,9 @@
 
 // eventReader splits a stream into its events without changing a byte.
 //
-// It returns only complete events, except for the last bytes of a stream that ended
-// normally. Otherwise, if a server stopped in the middle of an event, a caller that resumes
-// would get the beginning of that event twice.
+// It returns only complete events, and blank lines and comments after the last one. Otherwise,
+// if a server stopped in the middle of an event, a caller that resumes would get the beginning
+// of that event twice.
 type eventReader struct {
 	from  *bufio.Reader
 	event []byte
@@ -32,7 +32,8 @@
 }
 
 // next returns the next event, including the empty line that ends it. The slice is valid
-// until the next call. With io.EOF it returns the bytes after the last event.
+// until the next call. With io.EOF it returns the bytes after the last event. The error is
+// io.ErrUnexpectedEOF if the stream ended inside an event.
 func (e *eventReader) next() ([]byte, error) {
 	e.event = e.event[:0]
 	for {
@@ -44,6 +45,8 @@
 				return nil, errEventTooLarge
 			}
 			continue
+		case err == io.EOF && endsInsideEvent(e.event):
+			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return e.event, err
 		}
@@ -55,3 +58,22 @@
 		}
 	}
 }
+
+// endsInsideEvent reports whether the last lines of a stream hold more than blank lines and
+// comments, without the empty line that ends an event.
+func endsInsideEvent(lines []byte) bool {
+	if bytes.IndexByte(lines, '\n') < 0 {
+		// The stream ends its lines with carriage returns alone.
+		lines = bytes.ReplaceAll(lines, []byte("\r"), []byte("\n"))
+	}
+	lines = bytes.ReplaceAll(lines, []byte("\r\n"), []byte("\n"))
+	if end := bytes.LastIndex(lines, []byte("\n\n")); end >= 0 {
+		lines = lines[end+len("\n\n"):]
+	}
+	for line := range bytes.Lines(lines) {
+		if line[len(line)-1] != '\n' || len(line) > 1 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
