gateway: an answer without framing reaches its caller without framing

Callers saw answers with a last chunk, or a length, that no server had sent: without a length or chunks, the end of the server's connection reads the same after a crash as after the whole answer, and the entry added a framing of its own. The framing now claims no more than the server's:

- answers without framing, read whole or as a stream, end with the caller's connection;
- where such an answer breaks off later, and for HTTP/1.0, the caller's connection is reset, since a regular close is the end of the answer there;
- a stream begun in chunks whose rest comes without framing is not ended by a last chunk: it is resumed once more or breaks off;
- a stream that may be resumed and ends without framing before its first event is sent again: nothing of it can come twice.

Weighed: to repeat idempotent calls until an answer is framed (every answer of such a server would run twice), and to break off all streams that end without framing (none of them would ever be served).

--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -115,7 +115,7 @@
 	if h.noKeepAlive.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	rw := newResponseWriter(w)
+	rw := newResponseWriter(w, r)
 	q, err := h.check(w, r)
 	if err != nil {
 		h.refuse(r, rw, err)
--- a/connection/gateway/response.go
+++ b/connection/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,12 +24,15 @@
 	w             http.ResponseWriter
 	control       *http.ResponseController
 	headerWritten bool
+	// unframed is set if the body ends with the connection.
+	unframed      bool
 	status        int
 	writeDeadline time.Time
 }
 
-func newResponseWriter(w http.ResponseWriter) *ResponseWriter {
-	return &ResponseWriter{w: w, control: http.NewResponseController(w)}
+func newResponseWriter(w http.ResponseWriter, r *http.Request) *ResponseWriter {
+	// HTTP/1.0 has no chunks.
+	return &ResponseWriter{w: w, control: http.NewResponseController(w), unframed: !r.ProtoAtLeast(1, 1)}
 }
 
 // Header returns the response header. Changes after WriteHeader have no effect.
@@ -40,6 +44,18 @@
 // Status returns the status sent, or 0 before WriteHeader.
 func (rw *ResponseWriter) Status() int { return rw.status }
 
+// EndWithConnection makes the body end with the connection, without a length or chunks, as
+// that of a server whose response does not show whether it is complete. It must be called
+// before WriteHeader.
+func (rw *ResponseWriter) EndWithConnection() {
+	rw.unframed = true
+	// net/http takes this value as a request to write the body as it is.
+	rw.w.Header().Set("Transfer-Encoding", "identity")
+}
+
+// Unframed reports whether the body ends with the connection.
+func (rw *ResponseWriter) Unframed() bool { return rw.unframed }
+
 // WriteHeader sends the status and the header.
 func (rw *ResponseWriter) WriteHeader(status int) {
 	rw.headerWritten, rw.status = true, status
@@ -69,6 +85,9 @@
 // connection by a panic with http.ErrAbortHandler, so that the caller does not take a
 // partial response for a complete one.
 func (rw *ResponseWriter) Fail(err error) {
+	if rw.headerWritten && rw.unframed {
+		rw.reset()
+	}
 	if rw.headerWritten {
 		panic(http.ErrAbortHandler)
 	}
@@ -80,6 +99,20 @@
 	_, _ = rw.Write([]byte(err.Error() + "\n"))
 }
 
+// reset closes the connection with a TCP reset, since a regular close is the regular end of
+// an unframed body.
+func (rw *ResponseWriter) reset() {
+	conn, _, err := rw.control.Hijack()
+	if err != nil {
+		// The caller has closed the connection.
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
 // permanentStatuses maps the kinds of errors for which a retry is useless to HTTP
 // statuses.
 var permanentStatuses = map[fault.Kind]int{
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -49,6 +49,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// framing is that of the server's response.
+	framing upstream.Framing
 }
 
 var _ job = (*forwardJob)(nil)
@@ -190,7 +192,7 @@
 	if len(body) > maxForwardBuffer {
 		return errAnswerTooLarge
 	}
-	buffered := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
+	buffered := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, framing: j.req.framing}
 	if resp.StatusCode >= http.StatusInternalServerError && !j.rw.HeaderWritten() {
 		j.failedAnswer = buffered
 		return errServerFailed
@@ -207,7 +209,11 @@
 	j.req.record.Answered()
 	j.reportTokens(1)
 	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), buffered.header)
-	j.rw.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	if buffered.framing == upstream.Unframed {
+		j.rw.EndWithConnection()
+	} else {
+		j.rw.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	}
 	j.rw.WriteHeader(buffered.status)
 	if j.q.Method == http.MethodHead {
 		return nil
@@ -265,7 +271,7 @@
 			}
 		}
 		if err == io.EOF {
-			return j.endStream(resp)
+			return j.endStream(resp, running)
 		}
 		if err != nil {
 			return err
@@ -273,17 +279,34 @@
 	}
 }
 
-// endStream sends the header of a stream that had no events.
-func (j *forwardJob) endStream(resp *gateway.Response) error {
+// errUnconfirmedEnd is returned for the regular end of an unframed stream whose first part
+// reached the caller with a framing: ending that would claim that the stream is complete.
+var errUnconfirmedEnd = errors.New("resumed stream ended with its connection and may be incomplete")
+
+// endStream ends the answer with a stream that ended regularly. anyEvents reports whether the
+// server sent a part of it.
+func (j *forwardJob) endStream(resp *gateway.Response, anyEvents bool) error {
+	fresh := j.lastEvent == "" && j.q.LastEvent == ""
+	if j.req.framing == upstream.Unframed && !anyEvents && fresh && j.q.Route.Resumable {
+		// Nothing of it can be lost by a repetition.
+		return io.ErrUnexpectedEOF
+	}
 	if !j.rw.HeaderWritten() {
+		// The stream had no events.
 		j.begin(resp)
 	}
+	if j.req.framing == upstream.Unframed && !j.rw.Unframed() {
+		return errUnconfirmedEnd
+	}
 	return nil
 }
 
 func (j *forwardJob) begin(resp *gateway.Response) {
 	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), resp.Header)
-	if resp.ContentLength >= 0 && !j.q.Route.Resumable {
+	switch {
+	case j.req.framing == upstream.Unframed:
+		j.rw.EndWithConnection()
+	case resp.ContentLength >= 0 && !j.q.Route.Resumable:
 		j.rw.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	j.rw.WriteHeader(resp.StatusCode)
