ledger: a stored answer without framing is replayed without framing

A repeated request with the same Idempotency-Key got the stored answer with a length, although the service had given neither a length nor chunks and may have broken it off.

TestUnframedAnswerIsReplayedWithoutFraming failed before (chunks).

--- a/daemon/entry/framing_test.go
+++ b/daemon/entry/framing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 )
 
@@ -42,6 +43,20 @@
 	}
 }
 
+// Guards against a stored answer that claims more than the service's did when it is sent again.
+func TestUnframedAnswerIsReplayedWithoutFraming(t *testing.T) {
+	is := is.New(t)
+	backend := newFakeBackend(t, unframed("application/json", `{"booked":true}`, false))
+	f := start(t, testSettings(), backend.service("g1"))
+	for range 2 {
+		resp, body := f.post(bookingURL, booking, "Idempotency-Key", "k1")
+		is.Equal(body, `{"booked":true}`)
+		is.Equal(upstream.FramingOf(resp), upstream.Unframed)
+		waitFor(t, func() bool { return f.ledger.state("k1") == lilacv1.ClaimState_CLAIM_STATE_RAN })
+	}
+	is.Equal(len(backend.calls("/book")), 1)
+}
+
 // Guards against an unframed answer that a reset broke off and that ends regularly at the caller.
 func TestBrokenUnframedServiceAnswerIsReset(t *testing.T) {
 	is := is.New(t)
--- a/process/ledger/ledger_test.go
+++ b/process/ledger/ledger_test.go
@@ -218,6 +218,21 @@
 	is.Equal(restored.OpenClaims(), 0)
 }
 
+// Guards against a stored answer whose service did not say that it was complete, and that says
+// so when it is sent again.
+func TestUnframedAnswerStaysUnframed(t *testing.T) {
+	is := is.New(t)
+	l := New(Limits{})
+	mustGrant(t, l, newClaim("k", "a1", start))
+	done := newOutcome("k", "a1", ran, "filed")
+	done.Answer.Unframed = true
+	_, err := l.Outcome(done)
+	is.NoErr(err)
+	reply, err := l.Claim(newClaim("k", "a2", start))
+	is.NoErr(err)
+	is.True(reply.GetAnswer().GetUnframed())
+}
+
 func TestMalformedClaimsAreRefused(t *testing.T) {
 	for name, corrupt := range map[string]func(*lilacv1.ClaimRequest){
 		"no team":     func(r *lilacv1.ClaimRequest) { r.Team = "" },
--- a/process/ledger/record.go
+++ b/process/ledger/record.go
@@ -29,6 +29,7 @@
 	body        []byte
 	status      uint32
 	tooLarge    bool
+	unframed    bool
 }
 
 func answerFromMessage(m *lilacv1.StoredAnswer) *answer {
@@ -38,14 +39,14 @@
 	// Few content types are in use, so they are interned: a copy per answer would
 	// take more memory than the rest of the answer.
 	contentType := unique.Make(m.GetContentType()).Value()
-	return &answer{contentType: contentType, body: m.GetBody(), status: m.GetStatus(), tooLarge: m.GetTooLarge()}
+	return &answer{contentType: contentType, body: m.GetBody(), status: m.GetStatus(), tooLarge: m.GetTooLarge(), unframed: m.GetUnframed()}
 }
 
 func (a *answer) toMessage() *lilacv1.StoredAnswer {
 	if a == nil {
 		return nil
 	}
-	return &lilacv1.StoredAnswer{Status: a.status, ContentType: a.contentType, Body: a.body, TooLarge: a.tooLarge}
+	return &lilacv1.StoredAnswer{Status: a.status, ContentType: a.contentType, Body: a.body, TooLarge: a.tooLarge, Unframed: a.unframed}
 }
 
 // size returns the length of the kept body.
--- a/request/outcome/claims.go
+++ b/request/outcome/claims.go
@@ -126,11 +126,10 @@
 	return refuse(lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, lilacv1.NotRun_NOT_RUN_UNKNOWN, "it is unknown whether the request ran; check at the service before using a new key")
 }
 
-// Ran stores the complete answer in the background. Bodies above MaxStoredBytes are not
-// stored; the claim then only records that the request ran.
-func (k *Claim) Ran(status int, contentType string, body []byte) {
-	answer := &lilacv1.StoredAnswer{Status: uint32(status), ContentType: contentType, Body: body}
-	if len(body) > MaxStoredBytes {
+// Ran stores the answer in the background. Bodies above MaxStoredBytes are not stored; the
+// claim then only records that the request ran.
+func (k *Claim) Ran(answer *lilacv1.StoredAnswer) {
+	if len(answer.GetBody()) > MaxStoredBytes {
 		answer.Body, answer.TooLarge = nil, true
 	}
 	k.store(lilacv1.ClaimState_CLAIM_STATE_RAN, answer)
--- a/request/relay/chat_write.go
+++ b/request/relay/chat_write.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/lilacbridge/lilacbridge/connection/engine"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 )
 
 // forward sends an engine event to a streaming caller.
@@ -70,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	j.recorder.begin(http.StatusOK, contentJSON)
+	j.recorder.begin(http.StatusOK, contentJSON, upstream.FramedByLength)
 	j.recorder.write(body)
 	j.rw.WriteHeader(http.StatusOK, contentJSON, att.start.Server)
 	if _, err := j.rw.Write(body); err != nil && !j.req.claimed {
--- a/request/relay/claimed.go
+++ b/request/relay/claimed.go
@@ -6,6 +6,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/caller"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 )
 
@@ -15,13 +16,14 @@
 	status      int
 	contentType string
 	body        []byte
+	framing     upstream.Framing
 }
 
-func (rec *answerRecorder) begin(status int, contentType string) {
+func (rec *answerRecorder) begin(status int, contentType string, framing upstream.Framing) {
 	if rec == nil {
 		return
 	}
-	rec.status, rec.contentType = status, contentType
+	rec.status, rec.contentType, rec.framing = status, contentType, framing
 }
 
 // write records one byte more than the ledger stores, which marks the answer as too large.
@@ -54,7 +56,10 @@
 	recorder := &answerRecorder{status: http.StatusOK, contentType: "text/event-stream"}
 	err = run(recorder)
 	if err == nil {
-		claim.Ran(recorder.status, recorder.contentType, recorder.body)
+		claim.Ran(&lilacv1.StoredAnswer{
+			Status: uint32(recorder.status), ContentType: recorder.contentType, Body: recorder.body,
+			Unframed: recorder.framing == upstream.Unframed,
+		})
 		return nil
 	}
 	proof, _ := req.record.Proof()
@@ -65,6 +70,9 @@
 // replay sends the stored answer of an earlier request with the same key.
 func replay(stored *lilacv1.StoredAnswer, rw *caller.ResponseWriter) error {
 	rw.Header().Set("X-Lilac-Replayed", "true")
+	if stored.GetUnframed() {
+		rw.EndWithConnection()
+	}
 	rw.WriteHeader(int(stored.GetStatus()), stored.GetContentType(), "")
 	_, err := rw.Write(stored.GetBody())
 	if err != nil {
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -112,7 +112,7 @@
 	if j.req.framing == upstream.Unframed {
 		j.rw.EndWithConnection()
 	}
-	j.recorder.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+	j.recorder.begin(resp.StatusCode, resp.Header.Get("Content-Type"), j.req.framing)
 	j.rw.WriteHeader(resp.StatusCode, "", att.start.Server)
 	if err := j.write(head); err != nil {
 		return err
