gateway: the answer to a HEAD request keeps the length that the server stated

The caller got a length of 0, that of the body read, in place of the length of the body that a GET would have. TestHeadAnswerKeepsItsLength failed before. With it a test of requests that break off inside their body: none of them runs (held before, too).

--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -49,8 +49,9 @@
 	status int
 	header http.Header
 	body   []byte
-	// framing is that of the server's response.
+	// framing and length are those of the server's response; length is -1 if it stated none.
 	framing upstream.Framing
+	length  int64
 }
 
 var _ job = (*forwardJob)(nil)
@@ -192,7 +193,7 @@
 	if len(body) > maxForwardBuffer {
 		return errAnswerTooLarge
 	}
-	buffered := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, framing: j.req.framing}
+	buffered := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, framing: j.req.framing, length: resp.ContentLength}
 	if resp.StatusCode >= http.StatusInternalServerError && !j.rw.HeaderWritten() {
 		j.failedAnswer = buffered
 		return errServerFailed
@@ -209,10 +210,15 @@
 	j.req.record.Answered()
 	j.reportTokens(1)
 	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), buffered.header)
-	if buffered.framing == upstream.Unframed {
+	length := int64(len(buffered.body))
+	if j.q.Method == http.MethodHead {
+		length = buffered.length
+	}
+	switch {
+	case buffered.framing == upstream.Unframed:
 		j.rw.EndWithConnection()
-	} else {
-		j.rw.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	case length >= 0:
+		j.rw.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	j.rw.WriteHeader(buffered.status)
 	if j.q.Method == http.MethodHead {
