Logs: sent tells the server's software version and what the caller resumes

The list's version wasn't decoded, so nothing told which version a stream began or went on at, nor whether the caller (Resumes, Last-Event-Id) or this instance resumed it. Decided by it is nothing yet.

--- a/connection/gateway/protocol.go
+++ b/connection/gateway/protocol.go
@@ -55,6 +55,9 @@
 	Parts []PromptPart
 	// LastEvent is the id of the last event of a stream that the caller received.
 	LastEvent string
+	// Resumes is the AttemptID of the attempt that brought the first event of that stream;
+	// empty if the caller named none.
+	Resumes string
 }
 
 // ForwardInfo holds the metadata that lilacbridge adds to a forwarded request.
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -34,8 +34,8 @@
 	req   *request
 	q     *gateway.Request
 	rw    *gateway.ResponseWriter
-	// lastEvent is the id of the last complete event sent to the caller.
-	lastEvent string
+	// sentEvent is the id of the last complete event sent to the caller.
+	sentEvent string
 	// failedAnswer is the last 5xx answer of a server; it is sent to the caller unchanged
 	// if no further attempt follows.
 	failedAnswer   *bufferedAnswer
@@ -73,6 +73,7 @@
 	req := &request{
 		requestID: q.AttemptID, class: routing.ClassName(q.Route, priority), team: team,
 		target: q.Route.Pick(rand.Float64()), arrived: time.Now(), deadline: q.Deadline,
+		lastEvent: q.LastEvent, resumes: q.Resumes,
 		actions: make(chan policy.Action, actionSlots),
 	}
 	j := &forwardJob{relay: r, req: req, q: q, rw: rw}
@@ -127,7 +128,7 @@
 // send makes one attempt.
 func (j *forwardJob) send(ctx context.Context, att *upstreamAttempt) error {
 	send := &gateway.ForwardInfo{
-		Server: att.server.GetIdentity(), Priority: att.start.Level, Resumable: j.q.Route.Resumable, LastEvent: j.lastEvent,
+		Server: att.server.GetIdentity(), Priority: att.start.Level, Resumable: j.q.Route.Resumable, LastEvent: j.sentEvent,
 	}
 	if j.q.Team != nil {
 		send.Team = j.q.Team.Name
@@ -292,7 +293,7 @@
 // endStream ends the answer with a stream that ended regularly. anyEvents reports whether the
 // server sent a part of it.
 func (j *forwardJob) endStream(resp *gateway.Response, anyEvents bool) error {
-	fresh := j.lastEvent == "" && j.q.LastEvent == ""
+	fresh := j.sentEvent == "" && j.q.LastEvent == ""
 	if j.req.framing == upstream.Unframed && !anyEvents && fresh && j.q.Route.Resumable {
 		// Nothing of it can be lost by a repetition.
 		return io.ErrUnexpectedEOF
@@ -337,7 +338,7 @@
 		return errCallerGone
 	}
 	if id, ok := eventID(event); ok {
-		j.lastEvent = id
+		j.sentEvent, j.req.lastEvent = id, id
 	}
 	return nil
 }
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/policy"
@@ -12,13 +13,13 @@
 // the choice of server, followed by "finished", "attempt failed" or "refused".
 // docs/OPERATIONS.md lists the fields.
 
-func (r *Relay) logSent(req *request, start policy.Start) {
+func (r *Relay) logSent(req *request, start policy.Start, server *lilacv1.Server) {
 	why := start.Decision
 	r.Log.Line(logs.Success, "sent", "request", req.requestID, "class", req.class, "team", req.team, "target", req.target,
 		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
 		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
 		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
-		"displaces", why.Displaces, "bulk", why.Bulk)
+		"displaces", why.Displaces, "bulk", why.Bulk, "version", server.GetSoftwareVersion(), "after", req.lastEvent, "resumes", req.resumes)
 }
 
 func (r *Relay) logFinished(req *request, start policy.Start) {
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -46,9 +46,12 @@
 	// claimed is set for requests under a claim. Their attempts run to completion even if
 	// the caller disconnects, so that a repeated request gets the answer.
 	claimed bool
-	// record, held and framing are used only by the request's goroutine.
+	// The fields from record to framing are used only by the request's goroutine.
 	record outcome.Record
 	held   heldAnswer
+	// lastEvent is the id of the last event that the caller has, by its own word or from this
+	// instance; resumes names the attempt that brought the first one to it.
+	lastEvent, resumes string
 	// framing is that of the attempt's response; empty before its header.
 	framing upstream.Framing
 	actions chan policy.Action
--- a/version/routing/view.go
+++ b/version/routing/view.go
@@ -20,6 +20,8 @@
 	Slots      int
 	// Draining servers get no new requests.
 	Draining bool
+	// SoftwareVersion is the version of the server's software; empty if unknown.
+	SoftwareVersion string
 	// Reclaimable servers may be reclaimed by the platform at short notice.
 	Reclaimable bool
 }
@@ -100,7 +102,7 @@
 	server := &lilacv1.Server{
 		Name: s.Name, Identity: s.Identity, Address: s.Address, DataCenter: s.DataCenter,
 		Kind: lilacv1.ServerKind_SERVER_KIND_SERVICE, Serves: []string{s.Service},
-		Slots: uint32(s.Slots), Draining: s.Draining,
+		Slots: uint32(s.Slots), Draining: s.Draining, SoftwareVersion: s.SoftwareVersion,
 	}
 	if service.Engine != nil {
 		server.Kind = lilacv1.ServerKind_SERVER_KIND_ENGINE
