policy: a broken answer goes on only at the software version that began it

Callers got streams whose rest another software version had written: after a break, the entry chose any engine for the rest, as nothing read the versions in the platform's list. The core now binds an answer to the version of the server that sent its first tokens:

- if no such server is left, the answer ends at once (before its first token it is not bound and may go anywhere);
- one that waits for room at its version doesn't hold up others, may use the slots that new answers leave free, and may return to the server it broke at if that is the last one of its version.

--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -19,6 +19,9 @@
 		return
 	}
 	r := &request{Arrival: a, quarantinedAt: now, idleSince: now}
+	if a.Resumed {
+		r.bindVersion(a.Version)
+	}
 	if refusal, ok := c.admit(now, r); !ok {
 		refusal.ID = a.ID
 		refusal.Queue.Position = -1
@@ -123,6 +126,7 @@
 	}
 	r.item.Due = now.Add(r.firstTokenTarget() - r.pool.expectedFirst(r))
 	r.item.Guaranteed = r.pool.withinShare(r)
+	r.item.Begun = r.Resumed
 }
 
 // startMargin is added to the expected time to the first token, since other
@@ -152,6 +156,10 @@
 // enqueue puts the request into the quarantine if it is a suspect, else into the
 // queue.
 func (c *core) enqueue(now time.Time, r *request) {
+	if r.lacksVersion(now) {
+		c.endLackingVersion(now, r)
+		return
+	}
 	r.pool.dirty = true
 	r.suspect = false
 	if c.suspects.Len() > 0 && c.suspects.Get(r.Digest) != nil {
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -48,6 +48,10 @@
 	Deadline time.Time
 	// Idempotent requests may be sent again after they reached a server.
 	Idempotent bool
+	// Resumed is set if the caller has a part of the answer from an earlier attempt, which began
+	// at a server of the software version Version.
+	Resumed bool
+	Version string
 	// Pinned answers stay on the server that generates them until it fails, because
 	// their callers cannot tell a change of server from a failure.
 	Pinned bool
--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -103,6 +103,10 @@
 		c.choice.candidates = append(c.choice.candidates, servers[index].candidate(r, now, index, &h))
 		return false
 	}
+	if r.versionBound && r.pool.versioned {
+		c.collectVersion(now, r, &h)
+		return false
+	}
 	if len(servers) <= choose.SampleSize+choose.SampleSize/2 {
 		for i, s := range servers {
 			c.choice.candidates = append(c.choice.candidates, s.candidate(r, now, i, &h))
@@ -229,7 +233,7 @@
 		FirstTokenBudget: r.slack(now), FirstTokenTarget: r.firstTokenTarget(), TokenGapTarget: r.tokenGapTarget(), Avoid: r.failedOn,
 		RemainingTokens: r.tokensLeft(c), ReservedSlots: opts.reserve, Overcommit: opts.overcommit, Suspect: opts.suspect,
 	}
-	if len(r.pool.servers) == 1 {
+	if len(r.pool.servers) == 1 || r.versionBound && r.versionServers(now) == 1 {
 		req.Avoid = ""
 	}
 	index := selector.Choose(&req, c.choice.candidates, c.random)
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -26,6 +26,7 @@
 	}
 	c.configureServers(now, view)
 	c.configurePools(now, view)
+	c.endWithoutVersion(now)
 	for _, p := range c.poolOrder {
 		c.updateClasses(now, p)
 		p.update(now)
@@ -70,6 +71,7 @@
 	s.dataCenter = configured.GetDataCenter()
 	s.remote = c.region(s.dataCenter) != c.region(c.options.DataCenter)
 	s.service = configured.GetKind() == lilacv1.ServerKind_SERVER_KIND_SERVICE
+	s.version = configured.GetSoftwareVersion()
 	s.slots = int(configured.GetSlots())
 	if s.slots == 0 {
 		s.slots = defaultSlots
@@ -141,7 +143,9 @@
 			p.servers = append(p.servers, c.servers[chosen])
 		}
 		p.service = len(p.servers) > 0 && p.servers[0].service
+		p.versioned = false
 		for _, s := range p.servers {
+			p.versioned = p.versioned || s.version != ""
 			if s.largeBatch && !s.service {
 				s.setEngineModel(p.engine)
 			}
@@ -185,6 +189,7 @@
 	}
 	s.setClosed(now, &s.leaving, e.Leaving)
 	s.setClosed(now, &s.gone, e.Gone)
+	c.endWithoutVersion(now)
 	for _, p := range c.poolOrder {
 		p.update(now)
 		c.dispatch(now, p)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -56,7 +56,7 @@
 // startRank starts the first request of a rank within its tier for which a server is
 // available.
 func (c *core) startRank(now time.Time, p *pool, tier, rank int, late bool) bool {
-	for range maxPassedOver {
+	for passedOver := 0; passedOver < maxPassedOver; {
 		item := p.queue.Peek(tier, rank, late)
 		if item == nil {
 			return false
@@ -64,10 +64,17 @@
 		if c.tryStart(now, p, item) {
 			return true
 		}
-		if c.requests[ID(item.ID)].blocked != BlockedByRoom {
+		r := c.requests[ID(item.ID)]
+		if r.blocked != BlockedByRoom {
 			return false
 		}
+		if r.versionBound && p.versioned {
+			// Those behind it are not limited to the servers of its version.
+			c.park(r)
+			continue
+		}
 		p.queue.Skip(item)
+		passedOver++
 	}
 	return false
 }
@@ -92,6 +99,10 @@
 	if !urgent && float64(len(p.running)) >= p.quota {
 		opts.reserve += overQuotaReserve
 	}
+	if r.versionBound && p.versioned {
+		// New answers may start elsewhere and leave the reserve of its version's servers to it.
+		opts.reserve = 0
+	}
 	s := c.choose(now, r, opts)
 	if s == nil && c.identical.serverToJoin(now, r) != nil {
 		c.park(r)
@@ -157,6 +168,7 @@
 	r.server = s
 	r.attemptSent = false
 	r.attemptTokens = 0
+	r.attemptVersion = s.version
 	r.started, r.lastAt = now, now
 	r.level = r.engineLevel()
 	h := c.homesOf(now, r)
--- a/request/policy/giveup.go
+++ b/request/policy/giveup.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -49,6 +50,9 @@
 	if waited >= maxClosedWait && now.Sub(p.openAt) >= maxClosedWait {
 		return true
 	}
+	if waited >= maxClosedWait && r.versionBound && !r.hasOpenServer(now) {
+		return true
+	}
 	if r.suspect && now.Sub(r.quarantinedAt) >= maxTrialWait {
 		return true
 	}
@@ -62,10 +66,14 @@
 // hasOpenServer reports whether any server of the pool is available now or will be
 // after a pause.
 func (p *pool) hasOpenServer(now time.Time) bool {
-	for _, s := range p.servers {
-		if !s.closed() && !s.unreachable && !now.Before(s.leavingUntil) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return s.isOpen(now) })
+}
+
+// hasOpenServer is like that of the pool for the servers that may go on with the answer.
+func (r *request) hasOpenServer(now time.Time) bool {
+	return slices.ContainsFunc(r.pool.servers, func(s *server) bool { return s.isOpen(now) && s.maySend(now, r) })
+}
+
+func (s *server) isOpen(now time.Time) bool {
+	return !s.closed() && !s.unreachable && !now.Before(s.leavingUntil)
 }
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -19,8 +19,10 @@
 	name    string
 	service bool
 	servers []*server
-	queue   *queue.Queue
-	tiers   *tiers.Table
+	// versioned is true if any server states its software version.
+	versioned bool
+	queue     *queue.Queue
+	tiers     *tiers.Table
 	// running holds the requests that this instance runs in the pool.
 	running           []*request
 	runningByPosition tiers.Demand
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -40,6 +40,9 @@
 	}
 	if r.tokens == 0 {
 		r.firstAt = now
+		if !r.versionBound {
+			r.bindVersion(r.attemptVersion)
+		}
 	}
 	r.tokens += e.Count
 	r.attemptTokens += e.Count
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -53,6 +53,10 @@
 	// rate kvTransferRate; 0 and nil for none.
 	kvTransferred  float64
 	kvTransferRate *kvRate
+	// versionBound is set once only servers of the software version may go on with the answer.
+	// attemptVersion is that of the current attempt's server when it started.
+	versionBound            bool
+	version, attemptVersion string
 	// serversTried counts the servers that got the request and failed or refused it.
 	serversTried int
 	// failedOn names the server of the last failed attempt.
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -44,6 +44,8 @@
 	// remote is true for servers in another region.
 	remote  bool
 	service bool
+	// version is the version of the server's software; empty if unknown.
+	version string
 	// largeBatch is true for engines whose configuration states a cache size.
 	largeBatch bool
 	slots      int
--- /dev/null
+++ b/request/policy/softwareversion_test.go
@@ -0,0 +1,162 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// coreWithVersions returns a core with an engine of each software version.
+func coreWithVersions(versions ...string) *core {
+	c := enableFetch(coreWithEngines("e1", len(versions), "a"))
+	setVersions(c, versions...)
+	c.view.Classes["digest"].MaxAttempts = 4
+	return c
+}
+
+// stream returns a request whose answer may go on at another server.
+func stream(id ID) Arrival {
+	a := digest(id, uint64(id))
+	a.Idempotent = true
+	return a
+}
+
+func setVersions(c *core, versions ...string) {
+	next := 0
+	for _, s := range c.ordered {
+		if !s.service {
+			s.version = versions[next%len(versions)]
+			next++
+		}
+	}
+	for _, p := range c.poolOrder {
+		p.versioned = !p.service
+	}
+}
+
+// resumed returns a request whose caller has a part of the answer from a server of the version.
+func resumed(id ID, version string) Arrival {
+	a := stream(id)
+	a.Resumed, a.Version = true, version
+	return a
+}
+
+// Guards against a caller that waits until its time is over for a version that no server has.
+func TestResumedAnswerWithoutItsVersionIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2")
+	refusal := only[Refuse](t, c.Step(epoch, resumed(1, "v3")))
+	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
+	is.True(refusal.RetryAfter >= noVersionRetryAfter)
+}
+
+// Guards against resumed answers that wait for the only engine of their version and keep new
+// answers from starting on others.
+func TestFullVersionDoesNotHoldUpOtherAnswers(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2", "v2")
+	old := c.ordered[0]
+	for _, s := range c.ordered {
+		if s.version == "v1" {
+			old = s
+		}
+	}
+	old.fullUntil = epoch.Add(time.Second)
+	old.startBudget = 0
+	for id := ID(1); id <= 20; id++ {
+		is.Equal(len(all[Start](c.Step(epoch, resumed(id, "v1")))), 0)
+	}
+	start := only[Start](t, c.Step(epoch, stream(30)))
+	is.Equal(c.servers[start.Server].version, "v2")
+}
+
+// Guards against a server that restarts with another software version before the list shows it.
+func TestCrashedServerIsNotTrustedWithItsVersion(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2")
+	start := only[Start](t, c.Step(epoch, stream(1)))
+	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 2})
+	broken := only[Broken](t, c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true}))
+	is.Equal(broken.ID, ID(1))
+	again := epoch.Add(versionDoubtPeriod - time.Second)
+	refusal := only[Refuse](t, c.Step(again, resumed(2, c.servers[start.Server].version)))
+	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
+}
+
+// Guards against a broken answer that avoids the server it broke at, the last one of its version,
+// until its caller has gone.
+func TestAnswerGoesBackToTheLastServerOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2", "v2")
+	first := resumed(1, "v1")
+	start := only[Start](t, c.Step(epoch, first))
+	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 2})
+	again := only[Start](t, c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, ServerError: true}))
+	is.Equal(again.Server, start.Server)
+}
+
+// Guards against answers that hold tokens of two software versions, over breaks, crashes, servers
+// that leave and callers that resume.
+func TestRandomAnswersKeepTheirVersion(t *testing.T) {
+	for seed := range uint64(20) {
+		randomVersions(t, seed)
+	}
+}
+
+func randomVersions(t *testing.T, seed uint64) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(seed, 1))
+	names := []string{"v1", "v2", "v3"}
+	c := coreWithVersions("v1", "v2", "v1", "v3", "v2", "v1")
+	began := make(map[ID]string)
+	running := make(map[ID]Start)
+	now := epoch
+	step := func(event Event) {
+		for _, action := range c.Step(now, event) {
+			switch a := action.(type) {
+			case Start:
+				if version := began[a.ID]; version != "" {
+					is.Equal(c.servers[a.Server].version, version)
+				}
+				running[a.ID] = a
+			case Stop:
+				delete(running, a.ID)
+			case Refuse:
+				delete(running, a.ID)
+			case Broken:
+				delete(running, a.ID)
+			}
+		}
+	}
+	for id := ID(1); id <= 300; id++ {
+		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+		arrival := stream(id)
+		if random.IntN(3) == 0 {
+			arrival = resumed(id, names[random.IntN(len(names))])
+			began[id] = arrival.Version
+		}
+		step(arrival)
+		for id, start := range running {
+			switch random.IntN(8) {
+			case 0:
+				step(Tokens{ID: id, Attempt: start.Attempt, Count: 1})
+				if began[id] == "" {
+					began[id] = c.servers[start.Server].version
+				}
+			case 1:
+				delete(running, id)
+				step(Failed{ID: id, Attempt: start.Attempt, Sent: true, Crashed: random.IntN(4) == 0, ServerError: random.IntN(2) == 0})
+			case 2:
+				delete(running, id)
+				step(Finished{ID: id, Attempt: start.Attempt})
+			}
+		}
+		s := c.ordered[random.IntN(len(c.ordered))]
+		step(ServerState{Server: s.name, Leaving: random.IntN(6) == 0})
+		step(Tick{})
+	}
+}
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -183,7 +183,7 @@
 		c.releaseTrial(r)
 	}
 	for i, s := range r.pool.servers {
-		if !c.trialAllowed(now, s, e, "") || s.load() >= float64(s.slots) {
+		if !c.trialAllowed(now, s, e, "") || !s.maySend(now, r) || s.load() >= float64(s.slots) {
 			continue
 		}
 		isAssigned := i%of == rank
