policy: engines fetch KV cache only from their own software version

An engine could be told to fetch the prompt's KV cache from one of another software version, whose memory need not fit its own. It reads the prompt itself now. TestNoFetchFromAnotherSoftwareVersion failed before.

--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -45,7 +45,8 @@
 	source := promptSource{prefill: h.uncachedAt(s, r)}
 	held := float64(r.PromptTokens+r.tokens) - source.prefill
 	fetched := h.heldTokens - held
-	if h.holder != nil && s != h.holder && s.fetchPerToken > 0 && r.pool.prefillTime(fetched) >= minFetchGain {
+	// KV cache of one software version is of no use to another.
+	if h.holder != nil && s != h.holder && s.version == h.holder.version && s.fetchPerToken > 0 && r.pool.prefillTime(fetched) >= minFetchGain {
 		source.prefill, source.fetched, source.from = source.prefill-fetched, fetched, h.holder
 		held += fetched
 	}
--- a/request/policy/fetch_test.go
+++ b/request/policy/fetch_test.go
@@ -120,6 +120,20 @@
 	is.Equal(only[Start](t, plain.Step(epoch.Add(slowTick), digest(3, 7))).FetchFrom, "")
 }
 
+// Guards against an answer computed from the KV cache of another software version.
+func TestNoFetchFromAnotherSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	c, home := coreWithCachedPrompt(t)
+	finish(c, epoch.Add(slowTick), home)
+	c.Step(epoch, PeerLoads{Report: loadboard.Report{Loads: loadboard.Loads{}}})
+	c.servers[home.Server].version = "v1"
+	leaves := epoch.Add(2 * time.Second)
+	c.Step(leaves, ServerState{Server: home.Server, Leaving: true})
+	away := only[Start](t, c.Step(leaves.Add(time.Second), digest(2, 7)))
+	is.True(away.Server != home.Server)
+	is.Equal(away.FetchFrom, "")
+}
+
 // The prefill of a short shared prefix takes less time than the start of a fetch.
 func TestShortPrefixesAreNotFetched(t *testing.T) {
 	is := is.New(t)
