serverlist: state processes pass on the software version of servers

Entries get the list from the state processes, whose message had no field for it, so that all versions were unknown there. An entry that gets its list from a state process of an earlier version still has none, and takes all servers for one version, as before. TestAllFieldsOfAServerArePassedOn failed before.

--- a/connection/serverlist/serverlist_test.go
+++ b/connection/serverlist/serverlist_test.go
@@ -148,3 +148,17 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a field of a server that is lost between the processes, such as its software
+// version, and against a change of one field that is not passed on.
+func TestAllFieldsOfAServerArePassedOn(t *testing.T) {
+	is := is.New(t)
+	server := routing.Server{
+		Name: "i-1/2", Identity: "i-1", Service: "s", Address: "10.0.0.1:80", DataCenter: "a", Slots: 4,
+		Draining: true, Reclaimable: true, SoftwareVersion: "v1.2",
+	}
+	is.Equal(decode(encode([]routing.Server{server})), []routing.Server{server})
+	changed := server
+	changed.SoftwareVersion = "v1.3"
+	is.True(encode([]routing.Server{server}).GetVersion() != encode([]routing.Server{changed}).GetVersion())
+}
--- a/connection/serverlist/store.go
+++ b/connection/serverlist/store.go
@@ -126,6 +126,7 @@
 		reply.Servers = append(reply.Servers, &lilacv1.ListedServer{
 			Name: s.Name, Identity: s.Identity, Service: s.Service, Address: s.Address,
 			DataCenter: s.DataCenter, Slots: uint32(s.Slots), Leaving: s.Draining, Reclaimable: s.Reclaimable,
+			SoftwareVersion: s.SoftwareVersion,
 		})
 	}
 	// Marshalling a valid message does not fail.
@@ -141,6 +142,7 @@
 		servers = append(servers, routing.Server{
 			Name: s.GetName(), Identity: s.GetIdentity(), Service: s.GetService(), Address: s.GetAddress(),
 			DataCenter: s.GetDataCenter(), Slots: int(s.GetSlots()), Draining: s.GetLeaving(), Reclaimable: s.GetReclaimable(),
+			SoftwareVersion: s.GetSoftwareVersion(),
 		})
 	}
 	return servers
