gateway: a stream that its caller resumes goes on at the software version that began it

A caller that takes a stream up again, here or at another instance, got any engine: only the instance that had forwarded the first event knew the version, and it didn't keep it. Resumes wasn't read.

Each instance now leaves the service and version of a stream that may be resumed with three others, which the caller's attempt id selects (two in its own data centre, one elsewhere), when it sends the request to the engine: before the first event can leave, at no cost to it. A caller that resumes is bound to that origin, wherever it comes; the instance asks the few that may hold it. Nobody knows: if none that answers has seen a second version for as long as a stream may be resumed, it is that one; else 503 and Retry-After, which is true, since nothing ran. A service that the route no longer has isn't used.

Origins are found after the loss of the instance, of its data centre and of the paths between data centres (connection/originlink).

--- /dev/null
+++ b/connection/originlink/originlink.go
@@ -0,0 +1,273 @@
+// Package originlink exchanges the origins of streams between instances, so that a caller may
+// resume a stream at any of them; see package streamorigin.
+package originlink
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+)
+
+// The link methods.
+const (
+	recordMethod = "entry.record_origins"
+	findMethod   = "entry.find_origin"
+)
+
+const (
+	// sendTimeout bounds one call that leaves copies with another instance.
+	sendTimeout = time.Second
+	// resendDelay is the pause after a failed one.
+	resendDelay = 200 * time.Millisecond
+	// maxUnsent bounds the copies that wait for one instance.
+	maxUnsent = 1024
+	// findTimeout bounds the search for an origin: several round trips between regions.
+	findTimeout = 250 * time.Millisecond
+	// otherAnswersWait is how long others are awaited once an instance has the origin: one of
+	// them may have a newer one.
+	otherAnswersWait = 10 * time.Millisecond
+	expireInterval   = time.Second
+)
+
+// Options configure a Link.
+type Options struct {
+	Self member.Peer
+	// Dial returns the caller for an address; the same one each time.
+	Dial func(address string) link.Caller
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Link holds origins for this instance and others. It is safe for concurrent use.
+type Link struct {
+	options Options
+	// failures counts calls that left no copy.
+	failures atomic.Uint64
+
+	// mu guards the fields below. No call is made while it is held.
+	mu     sync.Mutex
+	table  *streamorigin.Table
+	peers  []member.Peer
+	unsent map[string]*outbox
+	// ctx ends with Run.
+	ctx context.Context
+	// closed is set before Run waits for its goroutines.
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// outbox holds the copies for one instance, in order. They are sent one batch at a time.
+type outbox struct {
+	origins []unsentOrigin
+	sending bool
+}
+
+type unsentOrigin struct {
+	message *lilacv1.StreamOrigin
+	expires time.Time
+}
+
+// New returns a Link that knows no other instances.
+func New(o Options) *Link {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Link{options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), ctx: context.Background()}
+}
+
+// Register adds the methods to mux.
+func (l *Link) Register(mux *link.Mux) {
+	mux.Handle(recordMethod, link.Unary(l.receive))
+	mux.Handle(findMethod, link.Unary(l.answer))
+}
+
+// SetPeers replaces the live instances.
+func (l *Link) SetPeers(peers []member.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers = l.peers[:0:0]
+	live := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		if peer.Name != l.options.Self.Name {
+			l.peers, live[peer.Name] = append(l.peers, peer), true
+		}
+	}
+	for name, box := range l.unsent {
+		if !live[name] {
+			box.origins = nil
+		}
+	}
+}
+
+// SetListed records the services and software versions of all listed servers.
+func (l *Link) SetListed(listed []streamorigin.Origin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.SetListed(l.options.Now(), listed)
+}
+
+// Run drops what has expired until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.mu.Lock()
+			l.closed = true
+			l.mu.Unlock()
+			l.wg.Wait()
+			return
+		case <-ticker.C:
+			l.mu.Lock()
+			l.table.Expire(l.options.Now())
+			l.mu.Unlock()
+		}
+	}
+}
+
+// Len returns the number of origins held.
+func (l *Link) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Len()
+}
+
+// Failures returns the number of calls that left no copy with another instance.
+func (l *Link) Failures() uint64 { return l.failures.Load() }
+
+// Record holds the origin of the attempt's stream and leaves copies with other instances in the
+// background. number counts the instance's own attempts at servers.
+func (l *Link) Record(attempt string, origin streamorigin.Origin, number int, ttl time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	l.table.Put(now, attempt, origin, number, ttl)
+	ttl = min(ttl, streamorigin.MaxTTL)
+	message := &lilacv1.StreamOrigin{
+		Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number), TtlMs: uint32(ttl.Milliseconds()),
+	}
+	for _, holder := range streamorigin.Holders(l.options.Self, l.peers, attempt) {
+		l.enqueue(holder, unsentOrigin{message, now.Add(ttl)})
+	}
+}
+
+// enqueue adds a copy for the instance. The caller holds mu.
+func (l *Link) enqueue(peer member.Peer, origin unsentOrigin) {
+	box := l.unsent[peer.Name]
+	if box == nil {
+		box = &outbox{}
+		l.unsent[peer.Name] = box
+	}
+	if len(box.origins) >= maxUnsent {
+		box.origins = box.origins[1:]
+	}
+	box.origins = append(box.origins, origin)
+	if box.sending || l.closed {
+		return
+	}
+	box.sending = true
+	ctx := l.ctx
+	l.wg.Go(func() { l.send(ctx, peer, box) })
+}
+
+// send sends the copies for one instance until none is left. A copy that failed is sent again: a
+// holder with an origin of a lower number would give a wrong one.
+func (l *Link) send(ctx context.Context, peer member.Peer, box *outbox) {
+	for {
+		batch := l.take(ctx, box)
+		if len(batch) == 0 {
+			return
+		}
+		request := &lilacv1.RecordOriginsRequest{}
+		for _, origin := range batch {
+			request.Origins = append(request.Origins, origin.message)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		err := l.options.Dial(peer.Address).Call(callCtx, recordMethod, request, &lilacv1.RecordOriginsReply{})
+		cancel()
+		if err == nil {
+			continue
+		}
+		l.failures.Add(1)
+		l.putBack(peer, box, batch)
+		select {
+		case <-time.After(resendDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// take removes the copies that are still of use, or marks the outbox as idle if there are none.
+func (l *Link) take(ctx context.Context, box *outbox) []unsentOrigin {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	var batch []unsentOrigin
+	for _, origin := range box.origins {
+		if now.Before(origin.expires) {
+			batch = append(batch, origin)
+		}
+	}
+	box.origins = nil
+	box.sending = len(batch) > 0 && ctx.Err() == nil
+	if !box.sending {
+		return nil
+	}
+	return batch
+}
+
+// putBack returns a batch to the front of its outbox, unless the instance has left.
+func (l *Link) putBack(peer member.Peer, box *outbox, batch []unsentOrigin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, live := range l.peers {
+		if live.Name == peer.Name {
+			box.origins = append(batch, box.origins...)
+			return
+		}
+	}
+}
+
+// receive holds copies for another instance.
+func (l *Link) receive(_ context.Context, _ link.Peer, request *lilacv1.RecordOriginsRequest) (*lilacv1.RecordOriginsReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, origin := range request.GetOrigins() {
+		ttl := time.Duration(origin.GetTtlMs()) * time.Millisecond
+		if !l.table.Put(l.options.Now(), origin.GetAttempt(), originOf(origin), int(origin.GetNumber()), ttl) {
+			return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, "this instance holds as many origins of streams as it may; send it later")
+		}
+	}
+	return &lilacv1.RecordOriginsReply{}, nil
+}
+
+func originOf(m *lilacv1.StreamOrigin) streamorigin.Origin {
+	return streamorigin.Origin{Service: m.GetService(), Version: m.GetSoftwareVersion()}
+}
+
+// answer tells another instance what this one knows of a stream.
+func (l *Link) answer(_ context.Context, _ link.Peer, request *lilacv1.FindOriginRequest) (*lilacv1.FindOriginReply, error) {
+	return l.local(request.GetAttempt(), request.GetService()), nil
+}
+
+func (l *Link) local(attempt, service string) *lilacv1.FindOriginReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	reply := &lilacv1.FindOriginReply{Versions: l.table.Versions(now, service)}
+	if origin, number, ok := l.table.Get(now, attempt); ok {
+		reply.Origin = &lilacv1.StreamOrigin{Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number)}
+	}
+	return reply
+}
--- /dev/null
+++ b/connection/originlink/originlink_test.go
@@ -0,0 +1,231 @@
+package originlink
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
+
+// state is how an instance behaves towards others.
+type state int
+
+const (
+	up state = iota
+	gone
+	silent
+)
+
+// fleet is instances in data centres a, b and c that exchange origins.
+type fleet struct {
+	links []*Link
+	muxes []*link.Mux
+	peers []member.Peer
+
+	mu     sync.Mutex
+	states map[string]state
+}
+
+// caller is the connection from one instance to another.
+type caller struct {
+	fleet *fleet
+	local link.Local
+	name  string
+}
+
+func (f *fleet) set(name string, s state) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.states[name] = s
+}
+
+func (f *fleet) state(name string) state {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.states[name]
+}
+
+func (c *caller) Call(ctx context.Context, method string, req, resp proto.Message) error {
+	switch c.fleet.state(c.name) {
+	case gone:
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "gone")
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.local.Call(ctx, method, req, resp)
+}
+
+func (c *caller) Open(ctx context.Context, method string, req proto.Message) (link.Stream, error) {
+	return c.local.Open(ctx, method, req)
+}
+
+// newFleet starts so many instances in each of the data centres a, b and c.
+func newFleet(ctx context.Context, perDataCenter int) *fleet {
+	f := &fleet{states: make(map[string]state)}
+	for _, dataCenter := range []string{"a", "b", "c"} {
+		for i := range perDataCenter {
+			name := dataCenter + strconv.Itoa(i)
+			f.peers = append(f.peers, member.Peer{Name: name, Address: name, DataCenter: dataCenter})
+		}
+	}
+	for i, self := range f.peers {
+		mux := link.NewMux()
+		l := New(Options{Self: self, Dial: func(address string) link.Caller {
+			index := slices.IndexFunc(f.peers, func(p member.Peer) bool { return p.Name == address })
+			return &caller{fleet: f, local: link.Local{Mux: f.muxes[index]}, name: address}
+		}})
+		l.Register(mux)
+		l.SetPeers(f.peers)
+		l.SetListed([]streamorigin.Origin{{Service: "llm", Version: "v1"}, {Service: "llm", Version: "v2"}})
+		f.links, f.muxes = append(f.links, l), append(f.muxes, mux)
+		go f.links[i].Run(ctx)
+	}
+	return f
+}
+
+func inBubble(t *testing.T, perDataCenter int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, perDataCenter)
+		synctest.Wait()
+		test(t, f)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+var v1 = streamorigin.Origin{Service: "llm", Version: "v1"}
+
+// Guards against a stream that can't be resumed after the instance that began it, its data centre
+// or the connections between data centres have gone.
+func TestOriginIsFoundAfterInstancesAreLost(t *testing.T) {
+	for name, lost := range map[string]struct {
+		// gone and silent are data centres, or instances; finder is who asks.
+		gone, silent []string
+		finder       int
+		found        bool
+	}{
+		"nothing":                       {finder: 1, found: true},
+		"the instance":                  {gone: []string{"a0"}, finder: 1, found: true},
+		"the instance, silent":          {silent: []string{"a0"}, finder: 1, found: true},
+		"the instance, asked elsewhere": {gone: []string{"a0"}, finder: 7, found: true},
+		"its data centre":               {gone: []string{"a"}, finder: 7, found: true},
+		"other data centres":            {silent: []string{"b", "c"}, finder: 1, found: true},
+		"all others":                    {gone: []string{"a", "b", "c"}, finder: 1, found: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 4, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				found := 0
+				for i := range 50 {
+					f.links[0].Record("id"+strconv.Itoa(i), v1, 1, 10*time.Second)
+				}
+				synctest.Wait()
+				for _, peer := range f.peers {
+					for _, one := range lost.gone {
+						if peer.DataCenter == one || peer.Name == one {
+							f.set(peer.Name, gone)
+						}
+					}
+					for _, one := range lost.silent {
+						if peer.DataCenter == one || peer.Name == one {
+							f.set(peer.Name, silent)
+						}
+					}
+				}
+				for i := range 50 {
+					began := time.Now()
+					finding := f.links[lost.finder].Find(t.Context(), "id"+strconv.Itoa(i), "llm")
+					is.True(time.Since(began) <= findTimeout)
+					if finding.Source == Own || finding.Source == Peer {
+						is.Equal(finding.Origin, v1)
+						found++
+						continue
+					}
+					is.Equal(finding.Source, Unknown)
+				}
+				if lost.found {
+					is.Equal(found, 50)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a guess: without the origin, one version can be inferred only if nobody has lately
+// seen another.
+func TestOriginIsInferredOnlyFromASingleVersion(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
+		for _, l := range f.links {
+			l.SetListed([]streamorigin.Origin{v1})
+		}
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown) // a stream of v2 may live
+		time.Sleep(2 * streamorigin.MaxTTL)
+		finding := f.links[0].Find(t.Context(), "id1", "llm")
+		is.Equal(finding.Source, OnlyVersion)
+		is.Equal(finding.Origin, v1)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "").Source, Unknown)
+		f.links[1].SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
+	})
+}
+
+// Guards against a holder that keeps the version of an attempt that failed before its first event:
+// its update was lost, and the later one must replace it.
+func TestLaterAttemptReplacesOrigin(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.links[0].Record("id1", v1, 1, 10*time.Second)
+		synctest.Wait()
+		f.set("a1", silent)
+		v2 := streamorigin.Origin{Service: "llm", Version: "v2"}
+		f.links[0].Record("id1", v2, 2, 10*time.Second)
+		time.Sleep(sendTimeout / 2)
+		f.set("a1", up)
+		time.Sleep(2 * sendTimeout)
+		f.set("a0", gone)
+		is.True(f.links[0].Failures() > 0)
+		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
+		f.links[1].Record("id1", v1, 1, 10*time.Second) // an older one changes nothing
+		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
+	})
+}
+
+// Guards against memory that grows with each stream that ever began, and with an instance that
+// does not answer.
+func TestOriginsExpire(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.set("b0", silent)
+		for i := range 5000 {
+			f.links[0].Record(fmt.Sprint("id", i), v1, 1, 5*time.Second)
+		}
+		is.Equal(f.links[0].Len(), 5000)
+		f.links[0].mu.Lock()
+		for _, box := range f.links[0].unsent {
+			is.True(len(box.origins) <= maxUnsent)
+		}
+		f.links[0].mu.Unlock()
+		time.Sleep(10 * time.Second)
+		for _, l := range f.links {
+			is.Equal(l.Len(), 0)
+		}
+	})
+}
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -22,10 +22,12 @@
 	"github.com/lilacbridge/lilacbridge/connection/loadlink"
 	"github.com/lilacbridge/lilacbridge/connection/operator"
 	"github.com/lilacbridge/lilacbridge/connection/orders"
+	"github.com/lilacbridge/lilacbridge/connection/originlink"
 	"github.com/lilacbridge/lilacbridge/connection/serverpath"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
 	"github.com/lilacbridge/lilacbridge/connection/stateclient"
 	"github.com/lilacbridge/lilacbridge/process/build"
+	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -46,6 +48,8 @@
 	orders   *orders.Controller
 	links    *link.Server
 	paths    *serverpath.Dialer
+	// origins is nil without a gateway.
+	origins *originlink.Link
 	// usage is nil if the settings list no duties.
 	usage *usageReporter
 	// gateway is nil if the settings configure none.
@@ -90,10 +94,15 @@
 		platform = nil
 	}
 	d.usage = newUsageReporter(d)
-	d.entry = New(Options{
+	options := Options{
 		Gateway: protocolOf(platform), Settings: s, CallerKey: callerKey, State: d.state, Logger: logger,
 		OnAnnounce: func() { d.gossip.Announce() }, OnRun: d.usage.started,
-	})
+	}
+	if platform != nil {
+		d.origins = d.newOrigins()
+		options.Origins = d.origins
+	}
+	d.entry = New(options)
 	d.paths = d.newPaths()
 	d.watcher = spreadlink.NewWatcher(spreadlink.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, StatePeers: s.State, Entries: s.Entries,
@@ -113,6 +122,10 @@
 	d.gossip.Register(mux)
 	d.loads.Register(mux)
 	d.paths.Register(mux, d.entry.directClient().DialDirect)
+	if d.origins != nil {
+		d.origins.Register(mux)
+		metrics.RegisterOrigins(d.entry.registry, d.origins.Len, d.origins.Failures)
+	}
 	d.orders = orders.New(orders.Options{View: d.watcher.Current, RequestLease: d.state.Lease, Client: d.entry.clients, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
 	d.links = link.NewServer(id, mux)
@@ -180,6 +193,7 @@
 	}
 	if d.gateway != nil {
 		group.Go(func() { d.gateway.run(background) })
+		group.Go(func() { d.origins.Run(background) })
 	} else {
 		// Model orders are given only without a gateway: with one, the platform manages
 		// the engines.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -48,6 +48,8 @@
 	OnRun func(team string)
 	// Gateway is the wire protocol of gateway requests; nil without a gateway.
 	Gateway gateway.Protocol
+	// Origins keeps resumed streams at their software version; nil without a gateway.
+	Origins relay.Origins
 	// Core makes the scheduling decisions; nil means the default policy.
 	Core policy.Core
 }
@@ -94,6 +96,7 @@
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
 		Counter: e.counters, OnConvict: e.queueConviction, OnAnnounce: options.OnAnnounce, OnRun: options.OnRun,
 		Log: e.log, Protocol: options.Gateway, Gateway: e.newGatewayClient(options.Gateway),
+		Origins: options.Origins,
 	})
 	e.registry.MustRegister(newCoreStats(e.relay))
 	metrics.RegisterTraffic(e.registry, "lilacbridge_control_upstream_bytes_total",
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -187,6 +187,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.servers, g.hasList = servers, true
+	g.daemon.setListedOrigins(servers)
 	g.configure()
 }
 
--- a/daemon/entry/gossip.go
+++ b/daemon/entry/gossip.go
@@ -59,6 +59,9 @@
 	}
 	d.loads.SetPeers(memberPeers(peers))
 	d.setPathPeers(peers)
+	if d.origins != nil {
+		d.origins.SetPeers(memberPeers(peers))
+	}
 	d.entry.relay.Post(policy.Fleet{Others: policyInstances(peers)})
 	d.orders.SetPosition(d.position(peers))
 	d.entry.poller.SetBudget(pollBudget(len(peers)+1, d.isRelay(peers)))
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -66,6 +66,8 @@
 	tokens      prometheus.Counter
 	tokensSaved prometheus.Counter
 	violations  *prometheus.CounterVec
+	// resumed counts by source of the origin.
+	resumed *prometheus.CounterVec
 	// availability counts by reason.
 	availability *prometheus.CounterVec
 }
@@ -80,12 +82,13 @@
 		refusals:     counters("lilacbridge_errors_total", "Errors answered to callers.", "kind"),
 		attempts:     counters("lilacbridge_attempts_total", "Attempts at backend servers, by how they ended.", "end"),
 		violations:   counters("lilacbridge_invariants_broken_total", "Broken invariants; must stay 0.", "invariant"),
+		resumed:      counters("lilacbridge_streams_resumed_total", "Streams that callers resume, by where their software version was found: own, peer, only_version or unknown (refused).", "source"),
 		availability: counters("lilacbridge_server_availability_changes_total", "Backend servers that this instance stopped or resumed using, by reason.", "reason"),
 		tokens:       prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_total", Help: "Tokens of answers that came."}),
 		tokensSaved:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_saved_total", Help: "Tokens of broken answers that were not made again."}),
 		firstToken:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lilacbridge_first_token_seconds", Help: "From arrival to the first token.", Buckets: firstTokenBuckets}, []string{"class"}),
 	}
-	registry.MustRegister(e.requests, e.refusals, e.attempts, e.violations, e.availability, e.tokens, e.tokensSaved, e.firstToken)
+	registry.MustRegister(e.requests, e.refusals, e.attempts, e.violations, e.resumed, e.availability, e.tokens, e.tokensSaved, e.firstToken)
 	return e
 }
 
@@ -109,6 +112,9 @@
 // TokensSaved adds n tokens of interrupted responses that did not have to be generated again.
 func (e *Entry) TokensSaved(n int) { e.tokensSaved.Add(float64(n)) }
 
+// StreamResumed counts a stream that its caller resumes, by where its origin was found.
+func (e *Entry) StreamResumed(source string) { e.resumed.WithLabelValues(source).Inc() }
+
 // ServerAvailability counts a server that this instance stopped or resumed using.
 func (e *Entry) ServerAvailability(reason string) { e.availability.WithLabelValues(reason).Inc() }
 
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -172,6 +172,8 @@
 	ID      ID
 	Server  string
 	Attempt int
+	// Version is the software version of the server; empty if unknown.
+	Version string
 	// Priority is the tier, for engines that honor priorities; 0 is the most urgent.
 	Priority int
 	// Level is the engine priority by rank and tier, from 0 (most urgent) to 9. Late
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -200,7 +200,7 @@
 	if from != nil {
 		resume = from.name
 	}
-	c.emit(Start{ID: r.ID, Server: s.name, Attempt: r.attempt, Priority: r.tier(), Level: r.level, ResumeFrom: resume, FetchFrom: fetch, Continue: r.tokens > 0, Decision: decision})
+	c.emit(Start{ID: r.ID, Server: s.name, Version: s.version, Attempt: r.attempt, Priority: r.tier(), Level: r.level, ResumeFrom: resume, FetchFrom: fetch, Continue: r.tokens > 0, Decision: decision})
 }
 
 // decision records the inputs of the choice. It must be called before the request is
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -86,6 +86,11 @@
 		return err
 	}
 	defer r.unregister(req)
+	if r.Origins != nil && resumesStream(q) {
+		if err := r.bindToOrigin(ctx, q, req, &arrival); err != nil {
+			return err
+		}
+	}
 	err := r.run(ctx, req, arrival, j)
 	if err != nil && j.failedAnswer != nil && !rw.HeaderWritten() && ctx.Err() == nil {
 		return j.writeBuffered(j.failedAnswer)
@@ -136,6 +141,7 @@
 	if holder := j.relay.server(att.start.FetchFrom); holder != nil {
 		send.FetchFrom = holder.GetAddress()
 	}
+	j.recordOrigin(att.start)
 	if !j.q.CallerDeadline.IsZero() {
 		send.Remaining = time.Until(j.q.CallerDeadline)
 	}
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/originlink"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/policy"
@@ -13,13 +13,20 @@
 // the choice of server, followed by "finished", "attempt failed" or "refused".
 // docs/OPERATIONS.md lists the fields.
 
-func (r *Relay) logSent(req *request, start policy.Start, server *lilacv1.Server) {
+func (r *Relay) logSent(req *request, start policy.Start) {
 	why := start.Decision
 	r.Log.Line(logs.Success, "sent", "request", req.requestID, "class", req.class, "team", req.team, "target", req.target,
 		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
 		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
 		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
-		"displaces", why.Displaces, "bulk", why.Bulk, "version", server.GetSoftwareVersion(), "after", req.lastEvent, "resumes", req.resumes)
+		"displaces", why.Displaces, "bulk", why.Bulk, "version", start.Version, "after", req.lastEvent, "resumes", req.resumes)
+}
+
+// logResumed logs what is known of a stream that its caller resumes.
+func (r *Relay) logResumed(req *request, f originlink.Finding) {
+	r.Log.Line(logs.Success, "resumed by caller", "request", req.requestID, "resumes", req.resumes, "after", req.lastEvent,
+		"source", string(f.Source), "target", f.Origin.Service, "version", f.Origin.Version, "asked", f.Asked, "answered", f.Answered,
+		"took_ms", time.Since(req.arrived).Milliseconds())
 }
 
 func (r *Relay) logFinished(req *request, start policy.Start) {
--- /dev/null
+++ b/request/relay/origin.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/gateway"
+	"github.com/lilacbridge/lilacbridge/connection/originlink"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+	"github.com/lilacbridge/lilacbridge/request/policy"
+)
+
+// Origins remembers at which service and software version streams began that their callers may
+// resume at any instance. Its methods are called concurrently.
+type Origins interface {
+	// Record holds where the stream of the caller's attempt begins, for as long as ttl. number
+	// counts the instance's own attempts at servers. It does not block.
+	Record(attempt string, origin streamorigin.Origin, number int, ttl time.Duration)
+	// Find returns where the stream of the caller's attempt began; see originlink.Link.
+	Find(ctx context.Context, attempt, service string) originlink.Finding
+}
+
+const (
+	// lateResumption is how long after its time limit a caller may still resume a stream, since
+	// clocks and networks differ.
+	lateResumption = time.Second
+	// unknownOriginRetryAfter is the minimum Retry-After if no instance knows where a stream
+	// began; those that do may be reached by then.
+	unknownOriginRetryAfter = time.Second
+)
+
+// resumesStream reports whether the caller has a part of a stream that a server can go on with.
+func resumesStream(q *gateway.Request) bool { return q.Route.Resumable && q.LastEvent != "" }
+
+// bindToOrigin limits a request that resumes a stream to the service and software version at
+// which the stream began. The error states that the request did not run.
+func (r *Relay) bindToOrigin(ctx context.Context, q *gateway.Request, req *request, arrival *policy.Arrival) error {
+	service := ""
+	if len(q.Route.Backends) == 1 {
+		service = q.Route.Backends[0].Service
+	}
+	finding := r.Origins.Find(ctx, q.Resumes, service)
+	r.Counter.StreamResumed(string(finding.Source))
+	r.logResumed(req, finding)
+	if finding.Source == originlink.Unknown {
+		return notResumed(req, unknownOriginRetryAfter, "no instance that answers knows at which software version the stream began; resume after Retry-After, or start again without Last-Event-Id")
+	}
+	if !q.Route.Allows(finding.Origin.Service) {
+		return notResumed(req, unknownOriginRetryAfter, "the route no longer has the service at which the stream began; start again without Last-Event-Id")
+	}
+	req.target, arrival.Target = finding.Origin.Service, finding.Origin.Service
+	arrival.Resumed, arrival.Version = true, finding.Origin.Version
+	return nil
+}
+
+func notResumed(req *request, after time.Duration, message string) error {
+	return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, message, fault.WithRetryAfter(after+rand.N(after/2)))
+}
+
+// recordOrigin records where the stream begins if the attempt at the server is the one that brings
+// the first event. It is called before the attempt is sent, so that copies are with other
+// instances before the first event can leave this one.
+func (j *forwardJob) recordOrigin(start policy.Start) {
+	if j.relay.Origins == nil || !j.q.Route.Resumable || j.q.AttemptID == "" || j.rw.HeaderWritten() {
+		return
+	}
+	until := j.q.Deadline
+	if j.q.CallerDeadline.After(until) {
+		until = j.q.CallerDeadline
+	}
+	origin := streamorigin.Origin{Service: j.req.target, Version: start.Version}
+	j.relay.Origins.Record(j.q.AttemptID, origin, start.Attempt, time.Until(until)+lateResumption)
+}
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -35,6 +35,9 @@
 	FirstToken(class string, wait time.Duration)
 	// Tokens counts tokens forwarded to callers.
 	Tokens(n int)
+	// StreamResumed counts streams that callers resume, by where their origin was found; see
+	// originlink.Source.
+	StreamResumed(source string)
 	// TokensSaved counts tokens of interrupted answers that were not generated again.
 	TokensSaved(n int)
 	// ServerAvailability counts changes of a server's availability by reason.
@@ -53,6 +56,8 @@
 	Gateway  *gateway.Client
 	Protocol gateway.Protocol
 	Counter  Counter
+	// Origins keeps resumed streams at their software version; nil lets them go on anywhere.
+	Origins Origins
 	// OnConvict is called for a request that crashes servers; it must not block.
 	OnConvict func(policy.Convict)
 	// OnAnnounce is called when the digest should be sent at once; it must not block.
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -116,7 +116,7 @@
 	}
 	att := &upstreamAttempt{start: start, server: server, upstreamID: req.requestID + "-" + strconv.Itoa(start.Attempt)}
 	req.framing = ""
-	r.logSent(req, start, server)
+	r.logSent(req, start)
 	att.state = req.record.Add(func() { r.Post(policy.Sent{ID: req.id, Attempt: start.Attempt}) })
 	err = j.attempt(attemptCtx, att)
 	cause := context.Cause(attemptCtx)
--- a/version/routing/document.go
+++ b/version/routing/document.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -65,6 +66,11 @@
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
 
+// Allows reports whether the route sends requests to the service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
+}
+
 // Backend is a service with its weight among the services of a route.
 type Backend struct {
 	Service string
