originlink: callers that name no attempt are judged by the versions seen, without asking

A caller without Resumes has nothing that others could look up, and an instance that has followed the list for a minute knows the versions of all streams. With tests of how many origins outlive killed instances, and of an instance that has just started.

--- a/connection/originlink/find.go
+++ b/connection/originlink/find.go
@@ -40,20 +40,34 @@
 	if own.GetOrigin() != nil {
 		return Finding{Origin: originOf(own.GetOrigin()), Source: Own}
 	}
+	if attempt == "" || l.watchedLong() && len(own.GetVersions()) == 1 {
+		// Others can't know more.
+		return infer(service, own.GetVersions())
+	}
 	search := &search{replies: make(chan *lilacv1.FindOriginReply), versions: own.GetVersions()}
 	l.ask(ctx, attempt, service, search)
-	finding := Finding{Asked: search.asked, Answered: search.answered}
-	switch {
-	case search.best != nil:
-		finding.Origin, finding.Source = originOf(search.best), Peer
-	case service != "" && len(search.versions) == 1:
-		finding.Origin, finding.Source = streamorigin.Origin{Service: service, Version: search.versions[0]}, OnlyVersion
-	default:
-		finding.Source = Unknown
+	finding := infer(service, search.versions)
+	if search.best != nil {
+		finding = Finding{Origin: originOf(search.best), Source: Peer}
 	}
+	finding.Asked, finding.Answered = search.asked, search.answered
 	return finding
 }
 
+// infer returns the only version of the service that was seen, if there is only one.
+func infer(service string, versions []string) Finding {
+	if service == "" || len(versions) != 1 {
+		return Finding{Source: Unknown}
+	}
+	return Finding{Origin: streamorigin.Origin{Service: service, Version: versions[0]}, Source: OnlyVersion}
+}
+
+func (l *Link) watchedLong() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.WatchedLong(l.options.Now())
+}
+
 // search collects the answers of other instances. Nil replies stand for calls that failed.
 type search struct {
 	replies         chan *lilacv1.FindOriginReply
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -182,11 +182,28 @@
 		is.Equal(finding.Source, OnlyVersion)
 		is.Equal(finding.Origin, v1)
 		is.Equal(f.links[0].Find(t.Context(), "id1", "").Source, Unknown)
-		f.links[1].SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
+		is.Equal(finding.Asked, 0) // it has followed the list for long enough itself
+		f.links[0].SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
 		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
 	})
 }
 
+// Guards against an instance that has just started, sees one version and takes it for the only one
+// while others have seen two.
+func TestStartedInstanceAsksOthersForVersions(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		started := New(f.links[0].options)
+		started.SetPeers(f.peers)
+		started.SetListed([]streamorigin.Origin{v1})
+		is.Equal(started.Find(t.Context(), "id1", "llm").Source, Unknown)
+		for _, peer := range f.peers {
+			f.set(peer.Name, gone)
+		}
+		is.Equal(started.Find(t.Context(), "id1", "llm").Source, OnlyVersion)
+	})
+}
+
 // Guards against a holder that keeps the version of an attempt that failed before its first event:
 // its update was lost, and the later one must replace it.
 func TestLaterAttemptReplacesOrigin(t *testing.T) {
--- a/process/streamorigin/table.go
+++ b/process/streamorigin/table.go
@@ -42,6 +42,8 @@
 	records map[string]record
 	// left is when a version of a service left the list; zero while it is listed.
 	left map[Origin]time.Time
+	// listedSince is when the first list was recorded; zero before.
+	listedSince time.Time
 }
 
 // NewTable returns an empty Table.
@@ -84,6 +86,9 @@
 
 // SetListed records the services and versions of all listed servers.
 func (t *Table) SetListed(now time.Time, listed []Origin) {
+	if t.listedSince.IsZero() {
+		t.listedSince = now
+	}
 	for origin, at := range t.left {
 		if at.IsZero() {
 			t.left[origin] = now
@@ -94,6 +99,12 @@
 	}
 }
 
+// WatchedLong reports whether the table has followed the list for as long as a stream may be
+// resumed, so that it has seen the versions of all streams.
+func (t *Table) WatchedLong(now time.Time) bool {
+	return !t.listedSince.IsZero() && now.Sub(t.listedSince) >= seenPeriod
+}
+
 // Versions returns the versions of the service that were seen lately, sorted.
 func (t *Table) Versions(now time.Time, service string) []string {
 	var versions []string
