originlink: no copies while all streams of a service have one version

When a second version appears it sends what is still of use.

TestOriginsAreCopiedOnceThereAreTwoVersions.

--- a/connection/originlink/find.go
+++ b/connection/originlink/find.go
@@ -40,7 +40,7 @@
 	if own.GetOrigin() != nil {
 		return Finding{Origin: originOf(own.GetOrigin()), Source: Own}
 	}
-	if attempt == "" || l.watchedLong() && len(own.GetVersions()) == 1 {
+	if attempt == "" || l.onlyVersion(service) {
 		// Others can't know more.
 		return infer(service, own.GetVersions())
 	}
@@ -62,10 +62,10 @@
 	return Finding{Origin: streamorigin.Origin{Service: service, Version: versions[0]}, Source: OnlyVersion}
 }
 
-func (l *Link) watchedLong() bool {
+func (l *Link) onlyVersion(service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.WatchedLong(l.options.Now())
+	return l.table.OnlyVersion(l.options.Now(), service)
 }
 
 // search collects the answers of other instances. Nil replies stand for calls that failed.
--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,9 @@
 	table  *streamorigin.Table
 	peers  []member.Peer
 	unsent map[string]*outbox
+	// uncopied holds, by attempt id, this instance's origins that others can infer, since all
+	// servers of the service have one version.
+	uncopied map[string]unsentOrigin
 	// ctx ends with Run.
 	ctx context.Context
 	// closed is set before Run waits for its goroutines.
@@ -79,7 +83,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Link{options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), ctx: context.Background()}
+	return &Link{options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), uncopied: make(map[string]unsentOrigin), ctx: context.Background()}
 }
 
 // Register adds the methods to mux.
@@ -106,11 +110,19 @@
 	}
 }
 
-// SetListed records the services and software versions of all listed servers.
+// SetListed records the services and software versions of all listed servers. Streams of a service
+// that gets its second version can't be inferred any more, so copies of their origins are sent.
 func (l *Link) SetListed(listed []streamorigin.Origin) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table.SetListed(l.options.Now(), listed)
+	now := l.options.Now()
+	l.table.SetListed(now, listed)
+	for attempt, origin := range l.uncopied {
+		if !l.table.OnlyVersion(now, origin.message.GetService()) {
+			delete(l.uncopied, attempt)
+			l.sendCopies(origin)
+		}
+	}
 }
 
 // Run drops what has expired until ctx ends.
@@ -129,13 +141,19 @@
 			l.wg.Wait()
 			return
 		case <-ticker.C:
-			l.mu.Lock()
-			l.table.Expire(l.options.Now())
-			l.mu.Unlock()
+			l.expire()
 		}
 	}
 }
 
+func (l *Link) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	l.table.Expire(now)
+	maps.DeleteFunc(l.uncopied, func(_ string, origin unsentOrigin) bool { return !now.Before(origin.expires) })
+}
+
 // Len returns the number of origins held.
 func (l *Link) Len() int {
 	l.mu.Lock()
@@ -146,19 +164,31 @@
 // Failures returns the number of calls that left no copy with another instance.
 func (l *Link) Failures() uint64 { return l.failures.Load() }
 
-// Record holds the origin of the attempt's stream and leaves copies with other instances in the
-// background. number counts the instance's own attempts at servers.
+// Record holds the origin of the attempt's stream, and leaves copies with other instances in the
+// background unless they can infer it. number counts the instance's own attempts at servers.
 func (l *Link) Record(attempt string, origin streamorigin.Origin, number int, ttl time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
-	l.table.Put(now, attempt, origin, number, ttl)
+	if !l.table.Put(now, attempt, origin, number, ttl) {
+		return
+	}
 	ttl = min(ttl, streamorigin.MaxTTL)
 	message := &lilacv1.StreamOrigin{
 		Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number), TtlMs: uint32(ttl.Milliseconds()),
 	}
-	for _, holder := range streamorigin.Holders(l.options.Self, l.peers, attempt) {
-		l.enqueue(holder, unsentOrigin{message, now.Add(ttl)})
+	unsent := unsentOrigin{message, now.Add(ttl)}
+	if l.table.OnlyVersion(now, origin.Service) {
+		l.uncopied[attempt] = unsent
+		return
+	}
+	l.sendCopies(unsent)
+}
+
+// sendCopies sends the origin to its holders. The caller holds mu.
+func (l *Link) sendCopies(origin unsentOrigin) {
+	for _, holder := range streamorigin.Holders(l.options.Self, l.peers, origin.message.GetAttempt()) {
+		l.enqueue(holder, origin)
 	}
 }
 
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -246,3 +246,26 @@
 		}
 	})
 }
+
+// Guards against control traffic for each stream of a fleet with one version, and against streams
+// begun before the second version appeared that can't be resumed after it.
+func TestOriginsAreCopiedOnceThereAreTwoVersions(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, l := range f.links {
+			l.SetListed([]streamorigin.Origin{v1})
+		}
+		time.Sleep(2 * streamorigin.MaxTTL)
+		f.links[0].Record("id1", v1, 1, 10*time.Second)
+		synctest.Wait()
+		is.Equal(f.links[1].Len()+f.links[2].Len()+f.links[4].Len(), 0)
+		for _, l := range f.links {
+			l.SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
+		}
+		synctest.Wait()
+		f.set("a0", gone)
+		finding := f.links[1].Find(t.Context(), "id1", "llm")
+		is.Equal(finding.Origin, v1)
+		is.True(finding.Source != Unknown)
+	})
+}
--- a/process/streamorigin/table.go
+++ b/process/streamorigin/table.go
@@ -99,10 +99,11 @@
 	}
 }
 
-// WatchedLong reports whether the table has followed the list for as long as a stream may be
-// resumed, so that it has seen the versions of all streams.
-func (t *Table) WatchedLong(now time.Time) bool {
-	return !t.listedSince.IsZero() && now.Sub(t.listedSince) >= seenPeriod
+// OnlyVersion reports whether all streams of the service that may still be resumed began at one
+// version: the table has followed the list for that long and has seen no other.
+func (t *Table) OnlyVersion(now time.Time, service string) bool {
+	watched := !t.listedSince.IsZero() && now.Sub(t.listedSince) >= seenPeriod
+	return watched && len(t.Versions(now, service)) == 1
 }
 
 // Versions returns the versions of the service that were seen lately, sorted.
