--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -1,13 +1,10 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -19,15 +16,6 @@
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
-const (
-	// maxForwardBuffer is the size of the largest answer, in bytes. Answers that are not
-	// event streams are read completely before the first byte is sent, so that an
-	// interrupted one can be retried.
-	maxForwardBuffer = 8 << 20
-	// eventStreamType is the content type of server-sent events.
-	eventStreamType = "text/event-stream"
-)
-
 // forwardJob handles a request of the gateway.
 type forwardJob struct {
 	relay *Relay
@@ -44,24 +32,11 @@
 	began bool
 }
 
-// bufferedAnswer is a backend server's complete answer.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-	// framing and length are those of the server's response; length is -1 if it stated none.
-	framing upstream.Framing
-	length  int64
-}
-
 var _ job = (*forwardJob)(nil)
 
 // errServerFailed is returned if a server ran the request and answered with a 5xx status.
 var errServerFailed = errors.New("backend server ran the request and answered with a failure")
 
-// errAnswerTooLarge is returned for an answer above maxForwardBuffer.
-var errAnswerTooLarge = errors.New("answer exceeds the size limit of 8 MiB")
-
 // Forward handles a request of the gateway. It returns a typed error if the request could not
 // be answered.
 func (r *Relay) Forward(ctx context.Context, q *gateway.Request, rw *gateway.ResponseWriter) error {
@@ -190,53 +165,6 @@
 	}
 }
 
-// forwardBuffered reads the complete answer before it sends the first byte.
-func (j *forwardJob) forwardBuffered(resp *gateway.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxForwardBuffer+1))
-	if err != nil {
-		return err
-	}
-	j.reportRun()
-	if len(body) > maxForwardBuffer {
-		return errAnswerTooLarge
-	}
-	buffered := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, framing: j.req.framing, length: resp.ContentLength}
-	if resp.StatusCode >= http.StatusInternalServerError && !j.rw.HeaderWritten() {
-		j.failedAnswer = buffered
-		return errServerFailed
-	}
-	if j.rw.HeaderWritten() {
-		// A resumed stream was answered with something other than a stream.
-		return errors.New("backend server answered " + strconv.Itoa(resp.StatusCode) + " instead of a resumed stream")
-	}
-	return j.writeBuffered(buffered)
-}
-
-// writeBuffered sends a buffered answer to the caller unchanged.
-func (j *forwardJob) writeBuffered(buffered *bufferedAnswer) error {
-	j.req.record.Answered()
-	j.reportTokens(1)
-	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), buffered.header)
-	length := int64(len(buffered.body))
-	if j.q.Method == http.MethodHead {
-		length = buffered.length
-	}
-	switch {
-	case buffered.framing == upstream.Unframed:
-		j.rw.EndWithConnection()
-	case length >= 0:
-		j.rw.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	j.rw.WriteHeader(buffered.status)
-	if j.q.Method == http.MethodHead {
-		return nil
-	}
-	if _, err := j.rw.Write(buffered.body); err != nil {
-		return errCallerGone
-	}
-	return nil
-}
-
 // reportRun counts the request as one that a server has begun to run, once however many
 // attempts follow.
 func (j *forwardJob) reportRun() {
@@ -256,105 +184,3 @@
 		j.relay.Counter.FirstToken(j.q.Route.Name, time.Since(j.req.arrived))
 	}
 }
-
-// eventTokens returns the number of tokens per event of the stream.
-func (j *forwardJob) eventTokens() int {
-	service := j.q.Table.Service(j.req.target)
-	if service == nil || service.Engine == nil {
-		return 1
-	}
-	return max(service.Engine.EventTokens, 1)
-}
-
-// forwardEvents forwards a stream event by event.
-func (j *forwardJob) forwardEvents(ctx context.Context, resp *gateway.Response) error {
-	tokens := j.eventTokens()
-	var events eventReader
-	events.reset(resp.Body)
-	running := false
-	for {
-		event, err := events.next()
-		if len(event) > 0 && !running {
-			running = true
-			j.reportRun()
-		}
-		if len(event) > 0 && (err == nil || err == io.EOF) {
-			if forwardErr := j.forwardEvent(ctx, resp, event, tokens); forwardErr != nil {
-				return forwardErr
-			}
-		}
-		if err == io.EOF {
-			return j.endStream(resp, running)
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// errUnconfirmedEnd is returned for the regular end of an unframed stream whose first part
-// reached the caller with a framing: ending that would claim that the stream is complete.
-var errUnconfirmedEnd = errors.New("resumed stream ended with its connection and may be incomplete")
-
-// endStream ends the answer with a stream that ended regularly. anyEvents reports whether the
-// server sent a part of it.
-func (j *forwardJob) endStream(resp *gateway.Response, anyEvents bool) error {
-	fresh := j.sentEvent == "" && j.q.LastEvent == ""
-	if j.req.framing == upstream.Unframed && !anyEvents && fresh && j.q.Route.Resumable {
-		// Nothing of it can be lost by a repetition.
-		return io.ErrUnexpectedEOF
-	}
-	if !j.rw.HeaderWritten() {
-		// The stream had no events.
-		j.begin(resp)
-	}
-	if j.req.framing == upstream.Unframed && !j.rw.Unframed() {
-		return errUnconfirmedEnd
-	}
-	return nil
-}
-
-func (j *forwardJob) begin(resp *gateway.Response) {
-	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), resp.Header)
-	switch {
-	case j.req.framing == upstream.Unframed:
-		j.rw.EndWithConnection()
-	case resp.ContentLength >= 0 && !j.q.Route.Resumable:
-		j.rw.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	}
-	j.rw.WriteHeader(resp.StatusCode)
-}
-
-func (j *forwardJob) forwardEvent(ctx context.Context, resp *gateway.Response, event []byte, tokens int) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	if j.req.pastDeadline() {
-		return context.DeadlineExceeded
-	}
-	if !j.rw.HeaderWritten() {
-		j.begin(resp)
-	}
-	j.req.record.Answered()
-	j.reportTokens(tokens)
-	if _, err := j.rw.Write(event); err != nil {
-		return errCallerGone
-	}
-	if err := j.rw.Flush(); err != nil {
-		return errCallerGone
-	}
-	if id, ok := eventID(event); ok {
-		j.sentEvent, j.req.lastEvent = id, id
-	}
-	return nil
-}
-
-// eventID returns the id of a complete event.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
