Fault soak: two software versions in each service, and callers that resume

Engines are listed with one of two versions, callers resume interrupted reviews at any entry with Last-Event-Id and Resumes, and every resumed run must be at the version that brought the first event.

--- a/faultsoak/checks_test.go
+++ b/faultsoak/checks_test.go
@@ -28,6 +28,28 @@
 		r.check(c.status != http.StatusNotFound || c.sent.Before(c.routeKnownBy), "documents in force",
 			"%s on %s was answered 404 by %s %v after entries had to know the route", c.id, c.route, c.entry.name, c.sent.Sub(c.routeKnownBy))
 		r.checkStop(c, len(runs[c.id]) > 0)
+		r.checkVersion(c, runs)
+	}
+}
+
+// checkVersion checks that a stream goes on only at the software version that brought its first
+// event, in one answer and over its caller's tries.
+func (r *run) checkVersion(c *call, runs map[string][]standin.Run) {
+	first := c
+	if c.resumes != nil {
+		first = c.resumes
+	}
+	var began *standin.Run
+	for _, one := range runs[first.id] {
+		if one.LastEvent == "" && (began == nil || one.Started.After(began.Started)) {
+			began = &one
+		}
+	}
+	for _, one := range runs[c.id] {
+		if one.LastEvent != "" && began != nil {
+			r.check(r.fleet.versionOf(one) == r.fleet.versionOf(*began), "one software version",
+				"%s began at %s and went on at %s", c.id, r.fleet.versionOf(*began), r.fleet.versionOf(one))
+		}
 	}
 }
 
--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -200,6 +200,21 @@
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
+// softwareVersion returns the version of the i-th server's software: each service has two.
+func softwareVersion(i int) string { return fmt.Sprintf("v%d", 1+i/2%2) }
+
+// versionOf returns the software version of the server that ran the request.
+func (f *fleet) versionOf(one standin.Run) string {
+	for i, s := range f.servers {
+		for _, run := range s.Runs() {
+			if run == one {
+				return softwareVersion(i)
+			}
+		}
+	}
+	return ""
+}
+
 // serveList serves the platform's list of backend servers.
 func (f *fleet) serveList(w http.ResponseWriter, _ *http.Request) {
 	var list []standin.ListedServer
@@ -208,6 +223,7 @@
 		list = append(list, standin.ListedServer{
 			Identity: s.Identity, Service: []string{"desk", "engines"}[i%2], Address: s.Address(),
 			DataCenter: fmt.Sprintf("dc-%d", i/2%3), Slots: 8, Leaving: !f.drainingSince[s.Identity].IsZero(),
+			Version: softwareVersion(i),
 		})
 	}
 	f.mu.Unlock()
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,9 @@
 	sent, ended    time.Time
 	status         int
 	interrupted    bool
+	// resumes is the call whose stream the caller resumes after the event number after.
+	resumes *call
+	after   int
 	// routeKnownBy is when every entry must know the route.
 	routeKnownBy time.Time
 }
@@ -292,28 +296,48 @@
 	}
 	routeKnownBy := r.document.ackedAt.Add(appliedWithin + slack)
 	r.mu.Unlock()
-	c := &call{id: fmt.Sprintf("id-%d", r.lastID.Add(1)), route: route, routeKnownBy: routeKnownBy, key: key, entry: entry, sent: time.Now()}
+	c := &call{id: r.newID(), route: route, routeKnownBy: routeKnownBy, key: key, entry: entry}
+	events := r.send(client, c)
+	if c.interrupted && c.route == "review" && events > 0 {
+		// Callers resume at any entry, also at one that does not run.
+		again := &call{id: r.newID(), route: route, routeKnownBy: routeKnownBy, key: key, entry: r.fleet.entries[rand.IntN(len(r.fleet.entries))], resumes: c, after: events}
+		r.send(&http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}, again)
+	}
+}
+
+func (r *run) newID() string { return fmt.Sprintf("id-%d", r.lastID.Add(1)) }
+
+// send sends the call and returns the number of complete events received.
+func (r *run) send(client *http.Client, c *call) (events int) {
 	r.mu.Lock()
+	c.sent = time.Now()
 	r.calls[c.id] = c
 	r.mu.Unlock()
-	req, err := standin.NewRequest(entry.callers, route, c.id, key, route == "plan" || route == "review")
+	req, err := standin.NewRequest(c.entry.callers, c.route, c.id, c.key, c.route == "plan" || c.route == "review")
 	if err != nil {
 		r.violation("harness", "%v", err)
-		return
+		return 0
+	}
+	if c.resumes != nil {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(c.after))
+		req.Header.Set("Resumes", c.resumes.id)
 	}
 	resp, err := client.Do(req)
+	status := 0
 	if err == nil {
-		c.status = resp.StatusCode
+		status = resp.StatusCode
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
+		events = strings.Count(string(body), "\n\n")
 		if err == nil {
 			r.checkAnswer(c, resp, string(body))
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.interrupted, c.ended = err != nil, time.Now()
+	c.status, c.interrupted, c.ended = status, err != nil, time.Now()
+	return events
 }
 
 // checkAnswer checks that a successful response is complete and belongs to its request.
@@ -324,7 +348,7 @@
 	want := standin.ResponseBody(c.id)
 	if c.route == "plan" || c.route == "review" {
 		want = ""
-		for number := range 8 {
+		for number := c.after; number < 8; number++ {
 			want += standin.Event(number + 1)
 		}
 	}
