policy: a server that another instance saw crash isn't trusted with its version

Only the instance that saw the crash doubted the version; others could resume a stream at a server that had restarted with another one. They don't until it answers them. TestServerReportedAsCrashedIsNotTrustedWithItsVersion failed before (one request started).

--- a/request/policy/softwareversion.go
+++ b/request/policy/softwareversion.go
@@ -32,10 +32,19 @@
 	return !r.versionBound || s.version == r.version && (r.version != "" || !r.pool.versioned)
 }
 
+// versionInDoubt reports whether the server may run another version than the listed one, since it
+// crashed lately, or since another instance says so and it has not answered this one since.
+func (s *server) versionInDoubt(now time.Time) bool {
+	crashed := !s.crashedAt.IsZero() && now.Sub(s.crashedAt) < versionDoubtPeriod
+	return crashed || s.crashReports.reporter != ""
+}
+
 // maySend reports whether the server may go on with the answer.
 func (s *server) maySend(now time.Time, r *request) bool {
-	inDoubt := r.versionBound && r.pool.versioned && !s.crashedAt.IsZero() && now.Sub(s.crashedAt) < versionDoubtPeriod
-	return s.hasVersion(r) && !inDoubt
+	if !s.hasVersion(r) {
+		return false
+	}
+	return !r.versionBound || !r.pool.versioned || !s.versionInDoubt(now)
 }
 
 // versionServers returns how many servers of the pool are not leaving and may go on with the answer,
--- a/request/policy/softwareversion_test.go
+++ b/request/policy/softwareversion_test.go
@@ -87,6 +87,17 @@
 	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
 }
 
+// Guards against the same where only another instance saw the crash.
+func TestServerReportedAsCrashedIsNotTrustedWithItsVersion(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2")
+	start := only[Start](t, c.Step(epoch, resumed(1, "v1")))
+	c.applyCrashReport(epoch, start.Server, "e2")
+	is.Equal(len(all[Refuse](c.Step(epoch, resumed(2, "v1")))), 1)
+	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 1}) // it answers
+	is.Equal(only[Start](t, c.Step(epoch, resumed(3, "v1"))).Server, start.Server)
+}
+
 // Guards against a broken answer that avoids the server it broke at, the last one of its version,
 // until its caller has gone.
 func TestAnswerGoesBackToTheLastServerOfItsVersion(t *testing.T) {
