--- a/connection/httpserver/unframed.go
+++ b/connection/httpserver/unframed.go
@@ -16,7 +16,7 @@
 func Reset(control *http.ResponseController) {
 	conn, _, err := control.Hijack()
 	if err != nil {
-		// The caller has closed the connection.
+		// Not a connection of HTTP/1: the abort of the handler resets the stream.
 		return
 	}
 	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
