--- a/process/streamorigin/table.go
+++ b/process/streamorigin/table.go
@@ -4,7 +4,7 @@
 // What servers of different software versions write does not fit together in one stream,
 // and only the instance that forwarded the first event knows the version. Each instance
 // therefore leaves copies with a few others, which the caller's attempt id selects, before
-// the first event arrives, while a service has several versions. No package here does I/O.
+// the first event arrives, while a service has several versions. The package does no I/O.
 package streamorigin
 
 import (
