originlink: a started instance sends no copies either while it sees one version

Copies were sent until the list had been followed for a minute. What begins at the only version seen can be inferred by others; only one that began in the minute after another version left, at an instance that had not seen that, is refused now when resumed elsewhere.

TestStartedInstanceSendsNoCopiesForOneVersion failed before.

--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -118,7 +118,7 @@
 	now := l.options.Now()
 	l.table.SetListed(now, listed)
 	for attempt, origin := range l.uncopied {
-		if !l.table.OnlyVersion(now, origin.message.GetService()) {
+		if !l.seesOneVersion(now, origin.message.GetService()) {
 			delete(l.uncopied, attempt)
 			l.sendCopies(origin)
 		}
@@ -178,13 +178,19 @@
 		Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number), TtlMs: uint32(ttl.Milliseconds()),
 	}
 	unsent := unsentOrigin{message, now.Add(ttl)}
-	if l.table.OnlyVersion(now, origin.Service) {
+	if l.seesOneVersion(now, origin.Service) {
 		l.uncopied[attempt] = unsent
 		return
 	}
 	l.sendCopies(unsent)
 }
 
+// seesOneVersion reports whether others can infer the origin of a stream of the service that begins
+// now. The caller holds mu.
+func (l *Link) seesOneVersion(now time.Time, service string) bool {
+	return len(l.table.Versions(now, service)) == 1
+}
+
 // sendCopies sends the origin to its holders. The caller holds mu.
 func (l *Link) sendCopies(origin unsentOrigin) {
 	for _, holder := range streamorigin.Holders(l.options.Self, l.peers, origin.message.GetAttempt()) {
