Retries by cause, and why a request was not retried, in log lines and metrics

A request that had used up its own attempts was refused with the message of an exhausted retry budget, and nothing showed the level of the budget, what a retry was for, or whether it was taken from the budget.

--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -23,6 +23,10 @@
 	invariantsBroken  *prometheus.Desc
 	tokensSaved       *prometheus.Desc
 	serverLimit       *prometheus.Desc
+	retries           *prometheus.Desc
+	retriesUncharged  *prometheus.Desc
+	retriesDenied     *prometheus.Desc
+	retriesLeft       *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*coreStats)(nil)
@@ -36,12 +40,16 @@
 		invariantsBroken:  prometheus.NewDesc("lilacbridge_policy_invariants_broken_total", "Invariants of the policy seen broken; must stay 0.", []string{"invariant"}, nil),
 		tokensSaved:       prometheus.NewDesc("lilacbridge_policy_tokens_spared_total", "Tokens that engines did not have to make: the estimated rest of answers whose caller left or whose deadline passed, and what moved by its KV cache.", []string{"cause"}, nil),
 		serverLimit:       prometheus.NewDesc("lilacbridge_server_limit", "Requests a second that a backend server takes from all instances together, by its own word; only servers that name a limit.", []string{"server"}, nil),
+		retries:           prometheus.NewDesc("lilacbridge_retries_total", "Starts of requests of which an earlier attempt may have reached a server.", []string{"pool", "cause"}, nil),
+		retriesUncharged:  prometheus.NewDesc("lilacbridge_retries_uncharged_total", "Retries that took nothing from the retry budget.", []string{"pool"}, nil),
+		retriesDenied:     prometheus.NewDesc("lilacbridge_retries_denied_total", "Failed requests that were not retried.", []string{"pool", "reason"}, nil),
+		retriesLeft:       prometheus.NewDesc("lilacbridge_retries_left", "Retries left in the budget of this instance.", []string{"pool"}, nil),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *coreStats) Describe(descs chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.events, c.requests, c.invariantsChecked, c.invariantsBroken, c.tokensSaved, c.serverLimit} {
+	for _, desc := range []*prometheus.Desc{c.events, c.requests, c.invariantsChecked, c.invariantsBroken, c.tokensSaved, c.serverLimit, c.retries, c.retriesUncharged, c.retriesDenied, c.retriesLeft} {
 		descs <- desc
 	}
 }
@@ -68,6 +76,16 @@
 	counter(c.tokensSaved, stats.SavedTokens.Canceled, "canceled")
 	counter(c.tokensSaved, stats.SavedTokens.Expired, "expired")
 	counter(c.tokensSaved, stats.SavedTokens.Moved, "moved")
+	for pool, retries := range stats.RetriesByPool {
+		for cause, count := range retries.ByCause {
+			counter(c.retries, count, pool, string(cause))
+		}
+		for reason, count := range retries.Denied {
+			counter(c.retriesDenied, count, pool, string(reason))
+		}
+		counter(c.retriesUncharged, retries.Uncharged, pool)
+		out <- prometheus.MustNewConstMetric(c.retriesLeft, prometheus.GaugeValue, retries.Left, pool)
+	}
 	for server, perSecond := range stats.Limited {
 		out <- prometheus.MustNewConstMetric(c.serverLimit, prometheus.GaugeValue, perSecond, server)
 	}
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -218,6 +218,8 @@
 	// many of those all instances run on the server.
 	Displaces bool
 	Bulk      float64
+	// Retry is why the request starts again; empty if no attempt can have reached a server.
+	Retry RetryCause
 	// Home is 1 or more if the server is one of the home engines of the request's
 	// shared prompt, by order of preference, else 0.
 	Home int
@@ -232,6 +234,10 @@
 	RetryAfter time.Duration
 	// Queue is the state in which the request was given up, for the log.
 	Queue QueueState
+	// RetryDenied is why the request was not retried; empty if it was not to be. RetriesLeft
+	// is the number of retries left in the budget.
+	RetryDenied RetryDenial
+	RetriesLeft float64
 }
 
 // QueueState describes the state of the queue for a request when the request was given up.
--- a/request/policy/copies.go
+++ b/request/policy/copies.go
@@ -56,6 +56,7 @@
 	c.stoppedCopies = slices.DeleteFunc(c.stoppedCopies, func(stopped stoppedCopy) bool { return now.Sub(stopped.at) > stoppedCopyWindow })
 	s := r.server
 	c.stoppedCopies = append(c.stoppedCopies, stoppedCopy{digest: r.Digest, team: r.Team, server: s, at: now})
+	r.retryCause = RetryQuarantined
 	c.stop(now, r)
 	c.enqueue(now, r)
 	c.reserveWhereStopped(now, r, s)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -164,6 +164,7 @@
 	s.takeAllowance(now)
 	s.extraStart = s.extraStart && len(s.running) < s.ownSlots
 	s.startBudget--
+	r.recordRetry()
 	r.attempt++
 	r.server = s
 	r.attemptSent = false
@@ -178,6 +179,9 @@
 	c.setTransferred(now, r, s, from)
 	decision := c.decision(now, r, s)
 	decision.Home = h.ordinal(s)
+	if r.reached {
+		decision.Retry = r.retryCause
+	}
 	s.attach(r)
 	c.identical.add(r)
 	s.ownBacklog.add(r.level, r.uncached)
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -32,6 +32,10 @@
 	}
 	if e.Sent || e.Refused {
 		r.serversTried++
+		r.reached, r.retryCause = true, RetryAfterFailure
+	}
+	if e.Refused {
+		r.retryCause = RetryAfterRejection
 	}
 	if e.Sent && !e.Refused && !e.Permanent {
 		s.failureRate += failureSampleWeight * (1 - s.failureRate)
@@ -111,10 +115,15 @@
 	if !e.Sent && !e.Refused || e.Refused && !bounded {
 		return 0, "", false
 	}
-	if r.attempt >= maxAttempts || r.attemptsExhausted() || !c.budget.Take() {
-		return lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED, "the backend server failed and the retry budget is exhausted; send the request again after Retry-After", true
+	switch {
+	case r.attempt >= maxAttempts || r.attemptsExhausted():
+		c.denyRetry(r, RetryDeniedByAttempts)
+	case !c.chargeRetry(r, r.retryCause):
+		c.denyRetry(r, RetryDeniedByBudget)
+	}
+	if r.retryDenied != RetryNotDenied {
+		return lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED, r.retryDenied.message(), true
 	}
-	c.check(InvariantBudget, c.budget.WithinBudget())
 	c.stats.Retries++
 	return 0, "", false
 }
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -42,7 +42,7 @@
 		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
 	}
 	c.stats.Refused++
-	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Queue: r.queueState()})
+	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Queue: r.queueState(), RetryDenied: r.retryDenied, RetriesLeft: c.budget.Left()})
 }
 
 // queueState returns the request's state in the queue and why it has not started.
@@ -73,6 +73,8 @@
 		return
 	}
 	c.emit(Stop{ID: r.ID, Server: r.server.name, Attempt: r.attempt})
+	// Its first byte may be on its way.
+	r.reached = true
 	c.detachFromServer(now, r)
 }
 
--- a/request/policy/leaving.go
+++ b/request/policy/leaving.go
@@ -73,10 +73,9 @@
 		return false
 	}
 	s := c.choose(now, r, chooseOptions{late: true})
-	if s == nil || !c.aboutToBeLost(now, r, s) || !c.transferPays(now, r, s) || !c.budget.Take() {
+	if s == nil || !c.aboutToBeLost(now, r, s) || !c.transferPays(now, r, s) || !c.chargeRetry(r, RetryMoved) {
 		return false
 	}
-	c.check(InvariantBudget, c.budget.WithinBudget())
 	c.stats.Moved++
 	c.transfer(now, r, s)
 	return true
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -75,11 +75,10 @@
 	from, failedOn := r.server, r.failedOn
 	r.failedOn = from.name
 	s := c.choose(now, r, chooseOptions{late: from.unreachable})
-	if s == nil || !from.unreachable && !c.improves(now, r, s) || !c.budget.Take() {
+	if s == nil || !from.unreachable && !c.improves(now, r, s) || !c.chargeRetry(r, RetryMoved) {
 		r.failedOn = failedOn
 		return false
 	}
-	c.check(InvariantBudget, c.budget.WithinBudget())
 	c.stats.Moved++
 	c.stop(now, r)
 	c.start(now, r, s)
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -79,6 +79,8 @@
 	Peers    []string
 	// Estimates is the error of the predicted answer lengths.
 	Estimates estimate.ErrorStats
+	// RetriesByPool counts the retries by pool.
+	RetriesByPool map[string]RetryStats
 	// Limited is the stated rate limits by server, in requests per second.
 	Limited map[string]float64
 	// Checked counts evaluations of invariants, Violations the failed ones.
@@ -113,8 +115,12 @@
 		copied.Violations[name] = count
 	}
 	copied.Admitted = make(map[string]int, len(c.pools))
+	copied.RetriesByPool = make(map[string]RetryStats, len(c.pools))
 	for _, p := range c.poolOrder {
 		copied.Admitted[p.name] = p.tiers.Admitted()
+		retries := p.retries.clone()
+		retries.Left = c.budget.Left()
+		copied.RetriesByPool[p.name] = retries
 	}
 	copied.Limited = make(map[string]float64)
 	for _, s := range c.ordered {
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -66,6 +66,8 @@
 	// ownPrefillGap is this instance's estimate of the gap beside long prompts, in seconds.
 	plan          loadboard.LanePlan
 	ownPrefillGap float64
+	// retries counts the retries of the pool's requests.
+	retries RetryStats
 	// openAt is when a server was last available, progressAt when one last sent anything to this
 	// instance, rejectedAt when an attempt last failed.
 	openAt, progressAt, rejectedAt time.Time
@@ -93,7 +95,7 @@
 }
 
 func newPool(name string, now time.Time) *pool {
-	p := &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), usageByClass: make(map[string]*classUsage), quota: 1, tokenRate: 1, work: newLaneWork(), engine: newEngineModel(), medianPrefill: initialPrefill, sizes: make(map[string][laneCount]int), openAt: now, progressAt: now}
+	p := &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), usageByClass: make(map[string]*classUsage), quota: 1, tokenRate: 1, work: newLaneWork(), engine: newEngineModel(), medianPrefill: initialPrefill, sizes: make(map[string][laneCount]int), retries: newRetryStats(), openAt: now, progressAt: now}
 	for level := range p.queueBounds {
 		p.queueBounds[level] = maxQueueBound
 	}
--- a/request/policy/preempt.go
+++ b/request/policy/preempt.go
@@ -24,6 +24,7 @@
 	s := victim.server
 	c.check(InvariantTier, victim.tier() > r.tier() && victim.tier() == r.pool.lowestRunningTier())
 	c.stats.Preempted++
+	victim.retryCause = RetryPreempted
 	c.stop(now, victim)
 	c.enqueue(now, victim)
 	return s
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -14,7 +14,7 @@
 
 func (c *core) sent(e Sent) {
 	if r := c.currentAttempt(e.ID, e.Attempt); r != nil {
-		r.attemptSent = true
+		r.attemptSent, r.reached = true, true
 	}
 }
 
@@ -24,7 +24,7 @@
 		return
 	}
 	s := r.server
-	r.attemptSent, r.everSent = true, true
+	r.attemptSent, r.everSent, r.reached = true, true, true
 	if r.attemptTokens == 0 {
 		s.ownBacklog.add(r.level, -r.uncached)
 		s.decoding++
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -25,6 +25,13 @@
 	// was sent without the server stating that it did not run it.
 	attemptSent bool
 	everSent    bool
+	// reached is true if any attempt may have reached a server. retryCause is why the request
+	// starts again, retryCharged whether its next start was taken from the retry budget.
+	reached      bool
+	retryCause   RetryCause
+	retryCharged bool
+	// retryDenied is why the request is not retried.
+	retryDenied RetryDenial
 	// tokens counts the tokens that the caller holds, attemptTokens those of the
 	// current attempt.
 	tokens, attemptTokens int
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -19,7 +19,7 @@
 		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
 		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
 		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
-		"displaces", why.Displaces, "bulk", why.Bulk, "version", start.Version, "after", req.lastEvent, "resumes", req.resumes)
+		"retry", string(why.Retry), "displaces", why.Displaces, "bulk", why.Bulk, "version", start.Version, "after", req.lastEvent, "resumes", req.resumes)
 }
 
 // logResumed logs what is known of a stream that its caller resumes.
@@ -43,7 +43,8 @@
 	r.Log.Line(logs.Failure, "refused", "request", req.requestID, "class", req.class, "team", req.team, "target", req.target,
 		"kind", fault.Name(a.Kind), "not_run", a.NotRun.String(), "retry_after_ms", a.RetryAfter.Milliseconds(),
 		"after_ms", time.Since(req.arrived).Milliseconds(), "level", a.Queue.Position, "before", a.Queue.Before,
-		"running", a.Queue.Running, "slots", a.Queue.Slots, "blocked", string(a.Queue.Blocked))
+		"running", a.Queue.Running, "slots", a.Queue.Slots, "blocked", string(a.Queue.Blocked),
+		"retry_denied", string(a.RetryDenied), "retries_left", a.RetriesLeft)
 }
 
 func (r *Relay) logBadLimit(req *request, start policy.Start, text string) {
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -36,6 +36,9 @@
 	return true
 }
 
+// Left returns the number of retries left.
+func (b *Budget) Left() float64 { return b.level }
+
 // WithinBudget reports whether the invariant holds that all retries so far fit what was
 // earned plus Burst.
 func (b *Budget) WithinBudget() bool { return float64(b.retries) <= b.earned+Burst }
