Failing test: instances retry beyond the fleet's bound together

Several cores, two services with servers that fail, reject or break connections; arrivals are counted at the servers as the rule does.

--- /dev/null
+++ b/request/policy/retrybudget_test.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fleetSizes are the sizes of fleets, with the retries that each may make beyond its share.
+var fleetSizes = map[string]struct {
+	instances int
+	extra     float64
+	perSecond float64
+}{
+	"7 instances":   {7, 54, 10},
+	"76 instances":  {76, 190, 100},
+	"300 instances": {300, 600, 100},
+}
+
+const (
+	// failFrom and failUntil are when the desk fails, and its callers come in a burst.
+	failFrom, failUntil = 15 * time.Second, 27 * time.Second
+	runLength           = 40 * time.Second
+	burst               = 5
+)
+
+// fail makes nine tenths of the desk's attempts end in the given way while it fails.
+func (f *retryFleet) fail(how ending) {
+	f.end = func(service, _ string) ending {
+		at := f.now.Sub(epoch)
+		if service == "desk" && at >= failFrom && at < failUntil && f.random.Float64() < 0.9 {
+			return how
+		}
+		return answered
+	}
+}
+
+// loads sends the traffic of both services, with a burst for the desk while it fails.
+func (f *retryFleet) loads(perSecond float64) {
+	f.traffic("archive", 2*time.Second, runLength, 3*perSecond)
+	f.traffic("desk", 2*time.Second, runLength, perSecond)
+	f.traffic("desk", failFrom, failUntil, burst*perSecond)
+}
+
+func checkRetries(t *testing.T, f *retryFleet) {
+	t.Helper()
+	worst := f.worstWindow()
+	if float64(worst.retries) > worst.allowed {
+		t.Errorf("%s: %d retries in the window from %v, %.0f allowed", worst.service, worst.retries, worst.from, worst.allowed)
+	}
+}
+
+// Guards against instances that retry within their own budgets and beyond the fleet's together.
+func TestInstancesRetryTogetherWithinTheFleetsBound(t *testing.T) {
+	for name, size := range fleetSizes {
+		for how, end := range map[string]ending{"errors": serverError, "rejections": rejected, "broken connections": brokenConnection} {
+			t.Run(name+"/"+how, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newRetryFleet(firstSeed(t)+1, size.instances, size.extra)
+				f.fail(end)
+				f.loads(size.perSecond)
+				f.run(runLength)
+				is.True(len(f.again["desk"]) > 0)
+				checkRetries(t, f)
+			})
+		}
+	}
+}
