Bound the retries of all instances together, for each pool

Callers saw a service get more retries than the fleet is allowed, while it failed: the budget was one for each instance, 20 retries at once and 0.2 for each first attempt of any pool. Seven instances could make 140 at once where 54 are allowed, 76 could make 1,520 where 190 are, and first attempts for engines paid for retries of a plain service. A restarted process began with a full budget.

The settings now state the bound (retry_share, retry_extra, retry_window). Each instance has an equal part of the retries that requests do not earn, for each pool, and uses it in two ways: earnings saved up to half of it, and extra retries in any window. An instance that is not heard from keeps its part for an hour; a new process begins without savings, and with its part one window later. A granted retry counts until it reaches a server, and is returned if its request ends before.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
@@ -122,7 +123,7 @@
 	_, _ = rand.Read(seed[:])
 	return policy.New(policy.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, Incarnation: rand.Text(),
-		Seed: binary.LittleEndian.Uint64(seed[:]), Weights: s.Policy,
+		Seed: binary.LittleEndian.Uint64(seed[:]), Weights: s.Policy, Started: time.Now(),
 	})
 }
 
--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -36,6 +36,13 @@
 	in := &instance{world: w, name: instanceName(i), dataCenter: w.fleet.dataCenter(i)}
 	in.live, in.jobs, in.lastDigest = map[policy.ID]*call{}, map[policy.ID]*job{}, map[string]time.Duration{}
 	in.core = make(policy.Options{Instance: in.name, DataCenter: in.dataCenter, Incarnation: "1", Seed: seed + uint64(i), Weights: w.fleet.weights})
+	var others []policy.Instance
+	for other := range instanceCount {
+		if other != i {
+			others = append(others, policy.Instance{Name: instanceName(other), DataCenter: w.fleet.dataCenter(other)})
+		}
+	}
+	in.core.Step(w.clock.time(), policy.Fleet{Others: others})
 	return in
 }
 
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -73,8 +74,14 @@
 	// SubsetSize is the number of backend servers of a pool that an instance uses; 0 means
 	// all, up to 100.
 	SubsetSize int `yaml:"subset_size"`
-	// RetryShare is the maximum ratio of retries to first attempts. Default 0.1.
+	// RetryShare is the maximum number of retries of all instances per request for a pool.
+	// Default 0.1.
 	RetryShare float64 `yaml:"retry_share"`
+	// RetryExtra is how many more retries all instances together may make in any RetryWindow.
+	// Default 50.
+	RetryExtra *float64 `yaml:"retry_extra"`
+	// RetryWindow is the length of the windows in which retries are counted. Default 10s.
+	RetryWindow Duration `yaml:"retry_window"`
 }
 
 const (
@@ -85,9 +92,25 @@
 	defaultDrain       = 5 * time.Minute
 	defaultRemoteCost  = 50 * time.Millisecond
 	defaultRetryShare  = 0.1
+	defaultRetryExtra  = 50
+	defaultRetryWindow = 10 * time.Second
 	defaultWasteWeight = 0.5
 )
 
+// minRetryWindow is the shortest RetryWindow.
+const minRetryWindow = time.Second
+
+// RetryExtraOrDefault returns RetryExtra, or its default.
+func (p *Policy) RetryExtraOrDefault() float64 {
+	if p.RetryExtra == nil {
+		return defaultRetryExtra
+	}
+	return *p.RetryExtra
+}
+
+// RetryWindowOrDefault returns RetryWindow, or its default.
+func (p *Policy) RetryWindowOrDefault() time.Duration { return p.RetryWindow.Or(defaultRetryWindow) }
+
 // Validate checks the settings beyond what their types do, and sets defaults.
 func (e *Entry) Validate() error {
 	all := e.validateCommon()
@@ -114,6 +137,12 @@
 	if e.Policy.RetryShare < 0 || e.Policy.RetryShare > 1 {
 		all = append(all, &Problem{Line: 1, Field: "policy.retry_share", Message: "must be between 0 and 1"})
 	}
+	if extra := e.Policy.RetryExtra; extra != nil && (*extra < 0 || math.IsNaN(*extra) || math.IsInf(*extra, 0)) {
+		all = append(all, &Problem{Line: 1, Field: "policy.retry_extra", Message: "must be a number of retries, 0 or more"})
+	}
+	if window := e.Policy.RetryWindow; window.Line != 0 && window.Duration < minRetryWindow {
+		all = append(all, &Problem{Line: window.Line, Field: "policy.retry_window", Message: fmt.Sprintf("must be %v or more", minRetryWindow)})
+	}
 	all = append(all, e.Duties.validate()...)
 	e.setDefaults()
 	if e.Gateway != nil && e.CloseTimeout() < minCloseTimeout {
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -140,3 +140,46 @@
 	err := Parse("e.yaml", []byte("drain_lag: 2s\ndrain: 6s\n"+gatewayEntry), &Entry{})
 	is.True(err != nil && strings.Contains(err.Error(), "gateway.grace"))
 }
+
+const validEntry = `name: entry-1
+data_center: dakar-a
+link: 127.0.0.1:7201
+admin: 127.0.0.1:7301
+link_key: lilacbridge-test-key
+state: [{name: state-1, address: "127.0.0.1:7000", data_center: dakar-a}]
+gateway:
+  callers: 127.0.0.1:8100
+  readiness: 127.0.0.1:8101
+  server_list: 127.0.0.1:8102
+policy:
+`
+
+func TestRetryBoundOfTheSettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		policy string
+		extra  float64
+		window time.Duration
+		wants  string
+	}{
+		"default":          {"  subset_size: 1\n", defaultRetryExtra, defaultRetryWindow, ""},
+		"set":              {"  retry_extra: 54\n  retry_window: 5s\n", 54, 5 * time.Second, ""},
+		"none":             {"  retry_extra: 0\n", 0, defaultRetryWindow, ""},
+		"negative":         {"  retry_extra: -1\n", 0, 0, "0 or more"},
+		"not a number":     {"  retry_extra: .nan\n", 0, 0, "0 or more"},
+		"window too short": {"  retry_window: 100ms\n", 0, 0, "1s or more"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &Entry{}
+			err := Parse("s.yaml", []byte(validEntry+c.policy), s)
+			if c.wants != "" {
+				is.True(err != nil)
+				is.True(strings.Contains(err.Error(), c.wants))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(s.Policy.RetryExtraOrDefault(), c.extra)
+			is.Equal(s.Policy.RetryWindowOrDefault(), c.window)
+		})
+	}
+}
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -35,6 +35,7 @@
 		c.timers.add(a.Deadline, a.ID)
 	}
 	c.charge(now, r)
+	r.pool.retryBudget.Earn()
 	r.pool.recordUse(r.class, now)
 	r.pool.observeWork(r)
 	r.pool.usageByClass[r.Class].traffic.observeArrival(r.estimated)
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -42,8 +42,10 @@
 	dataCenterHeard map[string]time.Time
 	timers          timers
 	estimates       *estimate.Table
-	budget          *retry.Budget
-	kv              kvCost
+	retryBound      retry.Bound
+	// announcedPart is the part of the retries that was reported last.
+	announcedPart RetryPartChanged
+	kv            kvCost
 	// noticePeriod is the learned time from the notice that a server leaves until it
 	// is gone.
 	noticePeriod time.Duration
@@ -88,7 +90,7 @@
 		knownInstances:  map[string]bool{options.Instance: true},
 		dataCenterHeard: make(map[string]time.Time),
 		estimates:       estimate.NewTable(),
-		budget:          retry.New(options.Weights.RetryShare),
+		retryBound:      retryBound(options.Weights),
 		kv:              newKVCost(),
 		noticePeriod:    initialNotice,
 		suspects:        suspect.NewTable(),
@@ -111,7 +113,7 @@
 	case Canceled:
 		c.cancel(now, e.ID)
 	case Sent:
-		c.sent(e)
+		c.sent(now, e)
 	case Tokens:
 		c.tokens(now, e)
 	case Recomputed:
@@ -193,6 +195,7 @@
 	c.confirmSuspects(now)
 	c.refreshLimits(now)
 	c.refreshRejectionLimits(now)
+	c.shareRetries(now)
 	c.giveUp(now)
 	for _, p := range c.poolOrder {
 		p.decayWorkRates()
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -190,9 +190,6 @@
 	s.cache.insert(r.Prefix, now.Add(r.expectedFirst))
 	c.running++
 	c.stats.Starts++
-	if r.attempt == 1 {
-		c.budget.Earn()
-	}
 	if r.tokens > 0 {
 		c.stats.Continued++
 	}
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -32,10 +32,7 @@
 	}
 	if e.Sent || e.Refused {
 		r.serversTried++
-		r.reached, r.retryCause = true, RetryAfterFailure
-	}
-	if e.Refused {
-		r.retryCause = RetryAfterRejection
+		c.markReached(now, r)
 	}
 	if e.Sent && !e.Refused && !e.Permanent {
 		s.failureRate += failureSampleWeight * (1 - s.failureRate)
@@ -96,8 +93,8 @@
 }
 
 // failureOutcome reports whether a failed request is given up, with the error kind
-// and message. A retry is taken from the budget unless no byte was sent, or the
-// server refused the request and its class sets no maximum number of attempts.
+// and message. A retry is taken from the budget unless no attempt can have reached a
+// server.
 func (c *core) failureOutcome(now time.Time, r *request, e Failed) (fault.Kind, string, bool) {
 	if c.convicted(now, r.Digest) {
 		return lilacv1.ErrorKind_ERROR_KIND_CONVICTED, convictedMessage, true
@@ -111,14 +108,14 @@
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline was exceeded; allow more time", true
 	}
-	bounded := r.class.GetMaxAttempts() > 0
-	if !e.Sent && !e.Refused || e.Refused && !bounded {
-		return 0, "", false
-	}
+	// The number of rejections of a class that sets no maximum is bounded by unservable.
+	bounded := !e.Refused || r.class.GetMaxAttempts() > 0
 	switch {
-	case r.attempt >= maxAttempts || r.attemptsExhausted():
+	case !r.reached || r.grant != nil || !bounded:
+		return 0, "", false
+	case bounded && (r.attempt >= maxAttempts || r.attemptsExhausted()):
 		c.denyRetry(r, RetryDeniedByAttempts)
-	case !c.chargeRetry(r, r.retryCause):
+	case !c.grantRetry(now, r, e.retryCause()):
 		c.denyRetry(r, RetryDeniedByBudget)
 	}
 	if r.retryDenied != RetryNotDenied {
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -42,7 +42,7 @@
 		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
 	}
 	c.stats.Refused++
-	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Queue: r.queueState(), RetryDenied: r.retryDenied, RetriesLeft: c.budget.Left()})
+	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Queue: r.queueState(), RetryDenied: r.retryDenied, RetriesLeft: r.pool.retryBudget.Left(now)})
 }
 
 // queueState returns the request's state in the queue and why it has not started.
@@ -58,6 +58,10 @@
 // forget removes the request and corrects the charge to its team's limit.
 func (c *core) forget(now time.Time, r *request) {
 	delete(c.requests, r.ID)
+	if r.grant != nil {
+		r.pool.retryBudget.Return(r.grant)
+		r.grant = nil
+	}
 	used := float64(r.tokens)
 	if r.everSent {
 		used += float64(r.PromptTokens)
@@ -74,7 +78,7 @@
 	}
 	c.emit(Stop{ID: r.ID, Server: r.server.name, Attempt: r.attempt})
 	// Its first byte may be on its way.
-	r.reached = true
+	c.markReached(now, r)
 	c.detachFromServer(now, r)
 }
 
--- a/request/policy/leaving.go
+++ b/request/policy/leaving.go
@@ -73,11 +73,15 @@
 		return false
 	}
 	s := c.choose(now, r, chooseOptions{late: true})
-	if s == nil || !c.aboutToBeLost(now, r, s) || !c.transferPays(now, r, s) || !c.chargeRetry(r, RetryMoved) {
+	if s == nil || !c.aboutToBeLost(now, r, s) || !c.transferPays(now, r, s) {
+		return false
+	}
+	from := r.server
+	if !c.stopForRetry(now, r, RetryMoved) {
 		return false
 	}
 	c.stats.Moved++
-	c.transfer(now, r, s)
+	c.startWith(now, r, s, from)
 	return true
 }
 
--- a/request/policy/limitshare.go
+++ b/request/policy/limitshare.go
@@ -53,9 +53,14 @@
 type fleet struct {
 	self    Instance
 	members map[string]fleetMember
+	// lost holds instances that were dropped from members, with the time since which they are
+	// missing.
+	lost map[string]time.Time
 }
 
-func newFleet(self Instance) fleet { return fleet{self: self, members: make(map[string]fleetMember)} }
+func newFleet(self Instance) fleet {
+	return fleet{self: self, members: make(map[string]fleetMember), lost: make(map[string]time.Time)}
+}
 
 // update replaces the live instances; those no longer listed become missing.
 func (f *fleet) update(now time.Time, others []Instance) {
@@ -66,14 +71,22 @@
 	}
 	for _, other := range others {
 		f.members[other.Name] = fleetMember{Instance: other}
+		delete(f.lost, other.Name)
 	}
 }
 
-// expire removes instances that have been missing for longer than missingTTL.
+// expire removes instances that have been missing for longer than missingTTL from the members,
+// and for longer than lostInstanceTTL from the lost ones.
 func (f *fleet) expire(now time.Time) {
 	for name, m := range f.members {
 		if !m.missingSince.IsZero() && now.Sub(m.missingSince) > missingTTL {
 			delete(f.members, name)
+			f.lost[name] = m.missingSince
+		}
+	}
+	for name, since := range f.lost {
+		if now.Sub(since) > lostInstanceTTL {
+			delete(f.lost, name)
 		}
 	}
 }
@@ -93,14 +106,14 @@
 	if len(local) == 0 {
 		local = all
 	}
-	sortByHash(s, local)
+	sortByHash(s.name, local)
 	return local[:min(len(local), minSenders+int(s.rateLimit.PerSecond))]
 }
 
-// sortByHash orders the instances for the server, in the same way at all of them.
-func sortByHash(s *server, instances []string) {
+// sortByHash orders the instances for the named server, in the same way at all of them.
+func sortByHash(server string, instances []string) {
 	slices.SortFunc(instances, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(s.name+"/"+a), xxhash.Sum64String(s.name+"/"+b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(server+"/"+a), xxhash.Sum64String(server+"/"+b)), cmp.Compare(a, b))
 	})
 }
 
@@ -111,7 +124,7 @@
 	for name := range f.members {
 		all = append(all, name)
 	}
-	sortByHash(s, all)
+	sortByHash(s.name, all)
 	return slices.Index(all, f.self.Name), len(all)
 }
 
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -75,12 +75,11 @@
 	from, failedOn := r.server, r.failedOn
 	r.failedOn = from.name
 	s := c.choose(now, r, chooseOptions{late: from.unreachable})
-	if s == nil || !from.unreachable && !c.improves(now, r, s) || !c.chargeRetry(r, RetryMoved) {
+	if s == nil || !from.unreachable && !c.improves(now, r, s) || !c.stopForRetry(now, r, RetryMoved) {
 		r.failedOn = failedOn
 		return false
 	}
 	c.stats.Moved++
-	c.stop(now, r)
 	c.start(now, r, s)
 	return true
 }
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/estimate"
@@ -17,6 +18,8 @@
 	Incarnation string
 	// Seed initializes the random numbers used for jitter and server selection.
 	Seed uint64
+	// Started is when the process started; zero if that was long ago.
+	Started time.Time
 	// Weights are the fleet-wide settings.
 	Weights settings.Policy
 }
@@ -118,9 +121,7 @@
 	copied.RetriesByPool = make(map[string]RetryStats, len(c.pools))
 	for _, p := range c.poolOrder {
 		copied.Admitted[p.name] = p.tiers.Admitted()
-		retries := p.retries.clone()
-		retries.Left = c.budget.Left()
-		copied.RetriesByPool[p.name] = retries
+		copied.RetriesByPool[p.name] = p.retries.clone()
 	}
 	copied.Limited = make(map[string]float64)
 	for _, s := range c.ordered {
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -7,6 +7,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/request/queue"
+	"github.com/lilacbridge/lilacbridge/request/retry"
 	"github.com/lilacbridge/lilacbridge/request/tiers"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -66,8 +67,9 @@
 	// ownPrefillGap is this instance's estimate of the gap beside long prompts, in seconds.
 	plan          loadboard.LanePlan
 	ownPrefillGap float64
-	// retries counts the retries of the pool's requests.
-	retries RetryStats
+	// retryBudget is this instance's part of the pool's retries; retries counts them.
+	retryBudget *retry.Budget
+	retries     RetryStats
 	// openAt is when a server was last available, progressAt when one last sent anything to this
 	// instance, rejectedAt when an attempt last failed.
 	openAt, progressAt, rejectedAt time.Time
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -12,9 +12,10 @@
 	return r
 }
 
-func (c *core) sent(e Sent) {
+func (c *core) sent(now time.Time, e Sent) {
 	if r := c.currentAttempt(e.ID, e.Attempt); r != nil {
-		r.attemptSent, r.reached = true, true
+		r.attemptSent = true
+		c.markReached(now, r)
 	}
 }
 
@@ -24,7 +25,8 @@
 		return
 	}
 	s := r.server
-	r.attemptSent, r.everSent, r.reached = true, true, true
+	r.attemptSent, r.everSent = true, true
+	c.markReached(now, r)
 	if r.attemptTokens == 0 {
 		s.ownBacklog.add(r.level, -r.uncached)
 		s.decoding++
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -8,6 +8,7 @@
 	"github.com/lilacbridge/lilacbridge/request/estimate"
 	"github.com/lilacbridge/lilacbridge/request/limits"
 	"github.com/lilacbridge/lilacbridge/request/queue"
+	"github.com/lilacbridge/lilacbridge/request/retry"
 )
 
 // request is the state of a request from its arrival to its final action.
@@ -26,10 +27,11 @@
 	attemptSent bool
 	everSent    bool
 	// reached is true if any attempt may have reached a server. retryCause is why the request
-	// starts again, retryCharged whether its next start was taken from the retry budget.
-	reached      bool
-	retryCause   RetryCause
-	retryCharged bool
+	// starts again, grant is the retry that its next start uses, from the
+	// decision to retry until the retry reaches a server.
+	reached    bool
+	retryCause RetryCause
+	grant      *retry.Grant
 	// retryDenied is why the request is not retried.
 	retryDenied RetryDenial
 	// tokens counts the tokens that the caller holds, attemptTokens those of the
--- a/request/policy/retries.go
+++ b/request/policy/retries.go
@@ -1,6 +1,9 @@
 package policy
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // RetryCause is why a request starts again after an attempt that may have reached a server.
 type RetryCause string
@@ -37,13 +40,13 @@
 
 // RetryStats counts the retries of a pool.
 type RetryStats struct {
-	// ByCause counts retries, Uncharged those of them that took nothing from the budget.
-	ByCause   map[RetryCause]uint64
-	Uncharged uint64
+	// ByCause counts retries.
+	ByCause map[RetryCause]uint64
 	// Denied counts requests that were not retried.
 	Denied map[RetryDenial]uint64
-	// Left is the number of retries left in the budget.
-	Left float64
+	// Part is this instance's part of the retries beyond the share of requests, Left the number
+	// of retries left in its budget.
+	Part, Left float64
 }
 
 func newRetryStats() RetryStats {
@@ -68,16 +71,41 @@
 	return budgetMessage
 }
 
-// chargeRetry takes a retry from the budget and reports whether one was left.
-func (c *core) chargeRetry(r *request, cause RetryCause) bool {
-	if !c.budget.Take() {
+// retryCause returns why a request is retried after the failure.
+func (e Failed) retryCause() RetryCause {
+	if e.Refused {
+		return RetryAfterRejection
+	}
+	return RetryAfterFailure
+}
+
+// grantRetry takes a retry for a request that does not run, and reports whether one was left.
+func (c *core) grantRetry(now time.Time, r *request, cause RetryCause) bool {
+	r.grant, r.retryCause = r.pool.retryBudget.Take(now, 0), cause
+	return r.grant != nil
+}
+
+// stopForRetry stops the running attempt if a retry is left for the request, and reports whether
+// it did.
+func (c *core) stopForRetry(now time.Time, r *request, cause RetryCause) bool {
+	grant := r.pool.retryBudget.Take(now, 0)
+	if grant == nil {
 		return false
 	}
-	c.check(InvariantBudget, c.budget.WithinBudget())
-	r.retryCause, r.retryCharged = cause, true
+	c.stop(now, r)
+	r.grant, r.retryCause = grant, cause
 	return true
 }
 
+// markReached records that an attempt of the request may have reached its server.
+func (c *core) markReached(now time.Time, r *request) {
+	r.reached = true
+	if r.grant != nil {
+		r.pool.retryBudget.Use(now, r.grant)
+		r.grant = nil
+	}
+}
+
 // denyRetry records that the request is not retried.
 func (c *core) denyRetry(r *request, denial RetryDenial) {
 	r.retryDenied = denial
@@ -88,9 +116,5 @@
 func (r *request) recordRetry() {
 	if r.reached {
 		r.pool.retries.ByCause[r.retryCause]++
-		if !r.retryCharged {
-			r.pool.retries.Uncharged++
-		}
 	}
-	r.retryCharged = false
 }
--- a/request/policy/retrybudget_test.go
+++ b/request/policy/retrybudget_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,61 @@
 		}
 	}
 }
+
+// Guards against processes that begin with the budget which their predecessors have just used,
+// and against new or cut-off instances that the others do not count.
+func TestTheFleetsBoundOnRetriesHoldsWhileInstancesComeAndGo(t *testing.T) {
+	for name, change := range map[string]func(*retryFleet){
+		"rollout": func(f *retryFleet) {
+			for i, in := range f.instances {
+				f.at(failFrom+time.Duration(i)*1100*ms, func() { f.restart(in) })
+			}
+		},
+		"killed together": func(f *retryFleet) {
+			for _, in := range f.instances[:5] {
+				f.at(failFrom+4*time.Second, func() { f.restart(in) })
+			}
+		},
+		"cut in two": func(f *retryFleet) {
+			f.at(5*time.Second, func() {
+				for _, in := range f.instances[:3] {
+					in.cutOff = true
+				}
+			})
+		},
+		"cut in two during a rollout": func(f *retryFleet) {
+			for i, in := range f.instances {
+				f.at(failFrom+time.Duration(i)*1100*ms, func() { f.restart(in) })
+			}
+			f.at(5*time.Second, func() {
+				for _, in := range f.instances[4:] {
+					in.cutOff = true
+				}
+			})
+		},
+		"more instances": func(f *retryFleet) {
+			for i := range 6 {
+				f.at(6*time.Second+time.Duration(i)*time.Second, func() { f.addInstance() })
+			}
+		},
+		"more instances while servers fail": func(f *retryFleet) {
+			for i := range 6 {
+				f.at(failFrom+time.Duration(i)*time.Second, func() { f.addInstance() })
+			}
+		},
+	} {
+		for _, extra := range []float64{54, 14} {
+			t.Run(fmt.Sprintf("%s/%.0f", name, extra), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(3) {
+					f := newRetryFleet(firstSeed(t)+seed, 7, extra)
+					f.fail(serverError)
+					f.loads(10)
+					change(f)
+					f.run(runLength)
+					checkRetries(t, f)
+				}
+			})
+		}
+	}
+}
--- a/request/policy/transfer.go
+++ b/request/policy/transfer.go
@@ -6,13 +6,6 @@
 // short prompt would take another server's slot earlier than necessary.
 const minTransferGain = 30 * time.Millisecond
 
-// transfer moves an answer to another server, where it continues with its KV cache.
-func (c *core) transfer(now time.Time, r *request, to *server) {
-	from := r.server
-	c.stop(now, r)
-	c.startWith(now, r, to, from)
-}
-
 // transferPays reports whether moving the answer's KV cache takes less time than a new prefill.
 // There is no cache before the first token, and none can be had from an unreachable or crashed
 // server.
--- a/request/policy/unresponsive.go
+++ b/request/policy/unresponsive.go
@@ -56,12 +56,11 @@
 func (c *core) retryUnanswered(now time.Time, s *server) {
 	for _, r := range c.findRequests(func(r *request) bool { return r.server == s && r.attemptTokens == 0 && r.Idempotent }) {
 		maxServers := int(r.class.GetMaxAttempts())
-		if maxServers > 0 && r.serversTried+1 >= maxServers || r.attempt >= maxAttempts || !c.chargeRetry(r, RetryUnanswered) {
+		if maxServers > 0 && r.serversTried+1 >= maxServers || r.attempt >= maxAttempts || !c.stopForRetry(now, r, RetryUnanswered) {
 			continue
 		}
 		r.serversTried++
 		r.failedOn = s.name
-		c.stop(now, r)
 		c.enqueue(now, r)
 		c.dispatch(now, r.pool)
 	}
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -64,6 +64,11 @@
 		"reporter", a.Reporter, "last_response_age_ms", a.LastResponseAge.Milliseconds(), "for_ms", a.For.Milliseconds())
 }
 
+// logRetryPart logs that this instance's part of the retries of all instances changed.
+func (r *Relay) logRetryPart(a policy.RetryPartChanged) {
+	r.Log.Line(logs.StateChange, "retry part", "instances", a.Instances, "part", a.Part)
+}
+
 // logRejectionLimit logs that the servers of a pool started, changed or stopped stating how many
 // rejections they survive.
 func (r *Relay) logRejectionLimit(a policy.RejectionLimitChanged) {
