Stopped copies of a suspect start again only if a retry is left

A copy of a request that is suspected of crashing servers is stopped and starts again later, which took nothing from the retry budget. Without a retry left it is now answered at once, as possibly run. TestStoppedCopyOfASuspect... failed before: one start with nothing left in the budget.

--- a/request/policy/conviction.go
+++ b/request/policy/conviction.go
@@ -152,12 +152,17 @@
 // the decision; those that must not be restarted end now.
 func (c *core) stopUnconfirmed(now time.Time) {
 	for _, r := range c.findRequests(func(r *request) bool { return c.suspects.Get(r.Digest).Convicted() }) {
-		r.retryCause = RetryQuarantined
-		c.stop(now, r)
+		if r.server == nil || !c.stopForRetry(now, r, RetryQuarantined) {
+			c.stop(now, r)
+		}
 		if !r.Idempotent && r.everSent {
 			c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 			continue
 		}
+		if r.reached && r.grant == nil {
+			c.endStopped(now, r)
+			continue
+		}
 		c.enqueue(now, r)
 	}
 }
--- a/request/policy/copies.go
+++ b/request/policy/copies.go
@@ -56,8 +56,11 @@
 	c.stoppedCopies = slices.DeleteFunc(c.stoppedCopies, func(stopped stoppedCopy) bool { return now.Sub(stopped.at) > stoppedCopyWindow })
 	s := r.server
 	c.stoppedCopies = append(c.stoppedCopies, stoppedCopy{digest: r.Digest, team: r.Team, server: s, at: now})
-	r.retryCause = RetryQuarantined
-	c.stop(now, r)
+	if !c.stopForRetry(now, r, RetryQuarantined) {
+		c.stop(now, r)
+		c.endStopped(now, r)
+		return
+	}
 	c.enqueue(now, r)
 	c.reserveWhereStopped(now, r, s)
 }
--- a/request/policy/retries.go
+++ b/request/policy/retries.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
 // RetryCause is why a request starts again after an attempt that may have reached a server.
@@ -112,6 +114,19 @@
 	r.pool.retries.Denied[denial]++
 }
 
+// endWithoutRetry ends a request that does not run and is not retried.
+func (c *core) endWithoutRetry(now time.Time, r *request, denial RetryDenial) {
+	c.denyRetry(r, denial)
+	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED, denial.message(), c.retryAfter(r.pool))
+}
+
+// endStopped ends a request whose attempt was stopped and for which no retry is left. Its first
+// byte may be on its way, so it is not reported as not run.
+func (c *core) endStopped(now time.Time, r *request) {
+	r.everSent = true
+	c.endWithoutRetry(now, r, RetryDeniedByBudget)
+}
+
 // recordRetry counts a start of the request if it is a retry.
 func (r *request) recordRetry() {
 	if r.reached {
--- a/request/policy/retries_test.go
+++ b/request/policy/retries_test.go
@@ -1,21 +1,14 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
 
-// firstOf returns the first action of the type, or its zero value.
-func firstOf[T Action](actions []Action) (found T) {
-	for _, action := range actions {
-		if a, ok := action.(T); ok {
-			return a
-		}
-	}
-	return found
-}
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
 
 // failLookup sends a lookup whose attempts all fail, and returns its refusal and the number of
 // attempts.
@@ -24,14 +17,16 @@
 	a.Deadline = now.Add(time.Minute)
 	actions := c.Step(now, a)
 	for refusal.ID == 0 {
-		start := firstOf[Start](actions)
-		if start.ID == 0 {
+		starts := all[Start](actions)
+		if len(starts) == 0 {
 			return refusal, attempts
 		}
+		start := starts[0]
 		attempts++
 		c.Step(now, Sent{ID: id, Attempt: start.Attempt})
 		actions = c.Step(now, Failed{ID: id, Attempt: start.Attempt, Sent: true, ServerError: true})
-		refusal = firstOf[Refuse](actions)
+		for _, refusal = range all[Refuse](actions) {
+		}
 	}
 	return refusal, attempts
 }
@@ -55,3 +50,42 @@
 	is.True(stats.ByCause[RetryAfterFailure] >= 20)
 	is.Equal(stats.Denied[RetryDeniedByBudget], uint64(1))
 }
+
+// withoutRetries returns the core with nothing in its retry budgets, now and later.
+func withoutRetries(c *core) *core {
+	c.retryBound.Extra, c.retryBound.Share = 0, 0
+	for _, p := range c.poolOrder {
+		p.retryBudget = nil
+	}
+	c.shareRetries(epoch)
+	return c
+}
+
+// Guards against stopped copies of a suspect that start again without a retry being left.
+func TestStoppedCopyOfASuspectIsRetriedWithinTheBudget(t *testing.T) {
+	for name, shape := range map[string]struct {
+		core   *core
+		starts int
+	}{
+		"retries left": {coreWithPool(4), 1},
+		"none left":    {withoutRetries(coreWithPool(4)), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := shape.core
+			sendCopy(c, 1)
+			actions := slices.Clone(c.Step(epoch, suspectDigest("e2", 1, "", "r9")))
+			is.Equal(len(all[Stop](actions)), 1)
+			for now := epoch; now.Before(epoch.Add(3 * time.Second)); now = now.Add(slowTick) {
+				actions = append(actions, c.Step(now, Tick{})...)
+			}
+			is.Equal(len(all[Start](actions)), shape.starts)
+			refusals := all[Refuse](actions)
+			is.Equal(len(refusals), 1-shape.starts)
+			for _, refusal := range refusals {
+				is.Equal(refusal.RetryDenied, RetryDeniedByBudget)
+				is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
+			}
+		})
+	}
+}
