A request is preempted only if a retry is left for it

A request that was stopped for a more urgent one starts again later, which took nothing from the retry budget. TestRequestsArePreemptedWithinTheBudget failed before: two preempted with nothing left in the budget.

--- a/request/policy/preempt.go
+++ b/request/policy/preempt.go
@@ -21,11 +21,12 @@
 	if victim == nil {
 		return nil
 	}
-	s := victim.server
-	c.check(InvariantTier, victim.tier() > r.tier() && victim.tier() == r.pool.lowestRunningTier())
+	s, lowestTier := victim.server, r.pool.lowestRunningTier()
+	if !c.stopForRetry(now, victim, RetryPreempted) {
+		return nil
+	}
+	c.check(InvariantTier, victim.tier() > r.tier() && victim.tier() == lowestTier)
 	c.stats.Preempted++
-	victim.retryCause = RetryPreempted
-	c.stop(now, victim)
 	c.enqueue(now, victim)
 	return s
 }
--- a/request/policy/retries_test.go
+++ b/request/policy/retries_test.go
@@ -89,3 +89,30 @@
 		})
 	}
 }
+
+// preempted returns how many running batches were stopped for alerts that would be late.
+func preempted(c *core) uint64 {
+	for id := ID(1); id <= 4; id++ {
+		for _, start := range all[Start](c.Step(epoch, arrival(id, "batch"))) {
+			c.Step(epoch, Sent{ID: start.ID, Attempt: start.Attempt})
+			c.Step(epoch.Add(10*ms), Tokens{ID: start.ID, Attempt: start.Attempt, Count: 50})
+		}
+	}
+	for id := ID(10); id < 16; id++ {
+		c.Step(epoch.Add(20*ms), arrival(id, "alerts"))
+	}
+	for now := epoch.Add(30 * ms); now.Before(epoch.Add(400 * ms)); now = now.Add(TickInterval) {
+		for _, r := range c.findRequests(func(r *request) bool { return r.server != nil }) {
+			c.Step(now, Tokens{ID: r.ID, Attempt: r.attempt, Count: 1})
+		}
+		c.Step(now, Tick{})
+	}
+	return c.stats.Preempted
+}
+
+// Guards against preempted requests that start again without a retry being left.
+func TestRequestsArePreemptedWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	is.True(preempted(newCore()) > 0)
+	is.Equal(preempted(withoutRetries(newCore())), uint64(0))
+}
