Each start of a request that may have reached a server needs a granted retry

A rejected request of a class without a maximum number of attempts went from one full server to the next without taking anything from the budget. The budget is now checked where all attempts start, so that a new way to start again can't pass it by. TestRejectedRequestIsRetriedWithinTheBudget failed before: a second attempt with nothing left in the budget.

--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -157,6 +157,10 @@
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 		return
 	}
+	if !c.check(InvariantBudget, !r.reached || r.grant != nil) {
+		c.endWithoutRetry(now, r, RetryDeniedByBudget)
+		return
+	}
 	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
 	c.check(InvariantSuspects, !c.suspects.Get(r.Digest).Convicted() && (!r.trial || s.trial == r.Digest && s.peerTrials == 0))
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -111,7 +111,7 @@
 	// The number of rejections of a class that sets no maximum is bounded by unservable.
 	bounded := !e.Refused || r.class.GetMaxAttempts() > 0
 	switch {
-	case !r.reached || r.grant != nil || !bounded:
+	case !r.reached || r.grant != nil:
 		return 0, "", false
 	case bounded && (r.attempt >= maxAttempts || r.attemptsExhausted()):
 		c.denyRetry(r, RetryDeniedByAttempts)
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -35,7 +35,7 @@
 	InvariantOneFinal Invariant = "one_final"
 	// InvariantLeaving: no start on a server known to be leaving or gone.
 	InvariantLeaving Invariant = "leaving_server"
-	// InvariantBudget: retries stay within their budget.
+	// InvariantBudget: a request that may have reached a server starts only with a retry granted.
 	InvariantBudget Invariant = "retry_budget"
 	// InvariantIdempotent: a non-idempotent request is not restarted once sent.
 	InvariantIdempotent Invariant = "at_most_once"
--- a/request/policy/retries_test.go
+++ b/request/policy/retries_test.go
@@ -116,3 +116,31 @@
 	is.True(preempted(newCore()) > 0)
 	is.Equal(preempted(withoutRetries(newCore())), uint64(0))
 }
+
+// Guards against a rejected request of a class without a maximum number of attempts that is sent
+// to one full server after the other without a retry being left.
+func TestRejectedRequestIsRetriedWithinTheBudget(t *testing.T) {
+	for name, shape := range map[string]struct {
+		core    *core
+		retried bool
+	}{
+		"retries left": {newCore(), true},
+		"none left":    {withoutRetries(newCore()), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := shape.core
+			c.Step(epoch, arrival(1, "alerts"))
+			c.Step(epoch, Sent{ID: 1, Attempt: 1})
+			actions := c.Step(epoch, Failed{ID: 1, Attempt: 1, Sent: true, Refused: true})
+			if shape.retried {
+				is.Equal(len(all[Refuse](actions)), 0)
+				return
+			}
+			refusal := only[Refuse](t, actions)
+			is.Equal(refusal.RetryDenied, RetryDeniedByBudget)
+			is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
+			is.True(refusal.RetryAfter > 0)
+		})
+	}
+}
--- a/request/policy/retrybudget_test.go
+++ b/request/policy/retrybudget_test.go
@@ -50,6 +50,11 @@
 	if float64(worst.retries) > worst.allowed {
 		t.Errorf("%s: %d retries in the window from %v, %.0f allowed", worst.service, worst.retries, worst.from, worst.allowed)
 	}
+	for _, in := range f.instances {
+		if starts := in.core.Stats().Violations[InvariantBudget]; starts > 0 {
+			t.Errorf("%s: %d starts without a granted retry", in.name, starts)
+		}
+	}
 }
 
 // Guards against instances that retry within their own budgets and beyond the fleet's together.
