Parts of the retries are whole numbers

At 91 instances a part of 2.15 retries was split into fractions of less than one, of which an instance without earnings could use one and lend none. All instances now get the same whole number, and the first ones by hash one of the rest.

--- a/request/policy/limitshare.go
+++ b/request/policy/limitshare.go
@@ -57,6 +57,8 @@
 	// lost holds instances that were dropped from members, with the time since which they are
 	// missing.
 	lost map[string]time.Time
+	// position is this instance's position in the order of members and lost ones.
+	position int
 }
 
 func newFleet(self Instance) fleet {
@@ -74,6 +76,7 @@
 		f.members[other.Name] = fleetMember{Instance: other}
 		delete(f.lost, other.Name)
 	}
+	f.updatePosition()
 }
 
 // expire removes instances that have been missing for longer than missingTTL from the members,
@@ -88,6 +91,7 @@
 	for name, since := range f.lost {
 		if now.Sub(since) > lostInstanceTTL {
 			delete(f.lost, name)
+			f.updatePosition()
 		}
 	}
 }
--- a/request/policy/retrypart.go
+++ b/request/policy/retrypart.go
@@ -1,9 +1,10 @@
 package policy
 
 import (
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/retry"
 )
@@ -35,17 +36,14 @@
 
 func (RetryPartChanged) action() {}
 
-// retryPart returns this instance's part of the extra retries.
+// retryPart returns this instance's part of the extra retries, a whole number: all get the same,
+// and the first ones by hash one of the rest.
 func (c *core) retryPart() (part float64, instances int) {
-	extra := c.retryBound.Extra
 	instances = c.fleet.size()
-	part = extra / float64(instances)
-	if part < 1 {
-		// The first instances by hash get one each, and the others none.
-		part = 0
-		if c.fleet.position() < int(extra) {
-			part = 1
-		}
+	extra := int(c.retryBound.Extra)
+	part = float64(extra / instances)
+	if c.fleet.position < extra%instances {
+		part++
 	}
 	return part, instances
 }
@@ -77,15 +75,19 @@
 // size returns the number of instances, this one included, that live or may still live.
 func (f *fleet) size() int { return 1 + len(f.members) + len(f.lost) }
 
-// position returns the position of this instance in the order of all instances by hash.
-func (f *fleet) position() int {
-	all := []string{f.self.Name}
+// updatePosition sets the position of this instance in the order of all instances by hash.
+func (f *fleet) updatePosition() {
+	f.position = 0
+	self := xxhash.Sum64String(f.self.Name)
+	count := func(name string) {
+		if hash := xxhash.Sum64String(name); hash < self || hash == self && name < f.self.Name {
+			f.position++
+		}
+	}
 	for name := range f.members {
-		all = append(all, name)
+		count(name)
 	}
 	for name := range f.lost {
-		all = append(all, name)
+		count(name)
 	}
-	sortByHash("", all)
-	return slices.Index(all, f.self.Name)
 }
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -22,9 +22,10 @@
 	// savedShare is the share of a part that is for saved earnings; the rest is for extra
 	// retries.
 	savedShare = 0.5
-	// minSaved is the least capacity for earnings, within the part: less than one whole retry
-	// could never be used.
+	// minSaved and minExtra are the least capacities for either, if the part has room for them: a
+	// fraction of a retry can't be used by itself.
 	minSaved = 1
+	minExtra = 1
 	// startShare is the share of a part that only a process which has just started uses, and
 	// maxStart the number of retries that it is at most.
 	startShare = 0.1
@@ -84,9 +85,9 @@
 // SetPart sets this instance's part of the bound's extra retries. starting is true while an
 // earlier process of this instance may have used the part in the same window.
 func (b *Budget) SetPart(part float64, starting bool) {
-	reserve := min(startShare*part, maxStart, max(part-minSaved, 0))
+	reserve := min(startShare*part, maxStart, max(part-minSaved-minExtra, 0))
 	rest := part - reserve
-	b.part, b.savedCapacity = part, max(savedShare*rest, min(rest, minSaved))
+	b.part, b.savedCapacity = part, min(max(savedShare*rest, minSaved), rest)
 	b.extraCapacity = rest - b.savedCapacity
 	if starting {
 		b.savedCapacity, b.extraCapacity = min(b.savedCapacity, minSaved), reserve
