With few retries left, failed and urgent requests get them first

Moves and preemptions leave one retry to requests that failed, and a borrowed one goes to the most urgent request that waits, of one position to one that can still be in time. Both tests failed before.

--- a/request/policy/retries.go
+++ b/request/policy/retries.go
@@ -98,10 +98,18 @@
 	return c.check(InvariantBudget, !r.reached || r.grant != nil)
 }
 
+// leftForFailures is how many retries are left for failed requests by those that could go on where
+// they are.
+const leftForFailures = 1
+
 // stopForRetry stops the running attempt if a retry is left for the request, and reports whether
 // it did.
 func (c *core) stopForRetry(now time.Time, r *request, cause RetryCause) bool {
-	grant := r.pool.retryBudget.Take(now, 0)
+	reserve := 0.0
+	if cause == RetryMoved || cause == RetryPreempted {
+		reserve = leftForFailures
+	}
+	grant := r.pool.retryBudget.Take(now, reserve)
 	if grant == nil {
 		return false
 	}
--- a/request/policy/retries_test.go
+++ b/request/policy/retries_test.go
@@ -144,3 +144,46 @@
 		})
 	}
 }
+
+// Guards against moves and preemptions that take the last retry, which a failed request needs.
+func TestLastRetryIsLeftToAFailedRequest(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	c.retryBound.Extra, c.retryBound.Share = 1, 0.2
+	c.shareRetries(epoch)
+	budget := c.pools["redaction"].retryBudget
+	for range 20 {
+		budget.Earn()
+	}
+	is.Equal(budget.Left(epoch), 1.0)
+	start := only[Start](t, c.Step(epoch, arrival(1, "alerts")))
+	c.Step(epoch, Sent{ID: 1, Attempt: start.Attempt})
+	is.True(!c.stopForRetry(epoch, c.requests[1], RetryMoved))
+	is.True(!c.stopForRetry(epoch, c.requests[1], RetryPreempted))
+	actions := c.Step(epoch, Failed{ID: 1, Attempt: start.Attempt, Sent: true, ServerError: true})
+	is.Equal(len(all[Refuse](actions)), 0)
+}
+
+// Guards against a borrowed retry that goes to a late or less urgent request first.
+func TestBorrowedRetryGoesToTheMostUrgentRequest(t *testing.T) {
+	is := is.New(t)
+	c := withoutRetries(newCore())
+	c.Step(epoch, Fleet{Others: []Instance{{"e2", "dakar-a"}}})
+	late := epoch.Add(time.Second)
+	c.Step(epoch, arrival(1, "alerts"))
+	c.Step(late, arrival(2, "batch"))
+	c.Step(late, arrival(3, "alerts"))
+	for id := ID(1); id <= 3; id++ {
+		c.Step(late, Failed{ID: id, Attempt: 1, Sent: true, ServerError: true})
+	}
+	ask := only[BorrowRetries](t, c.Step(late, Tick{}))
+	is.Equal(ask.From, []Instance{{"e2", "dakar-a"}})
+	c.Step(late.Add(30*ms), RetriesBorrowed{Pool: "redaction", Count: 1, AskedAt: late})
+	var waiting []ID
+	for _, b := range c.pools["redaction"].retryLoans.waiting {
+		waiting = append(waiting, b.request.ID)
+	}
+	is.Equal(waiting, []ID{1, 2})
+	actions := c.Step(late.Add(loanWait), Tick{})
+	is.Equal(len(all[Refuse](actions)), 2) // nobody has more
+}
--- a/request/policy/retryloan.go
+++ b/request/policy/retryloan.go
@@ -72,10 +72,24 @@
 	if !c.fleet.anyLive() || now.Before(loans.pausedUntil) || !r.Deadline.IsZero() && !until.Before(r.Deadline) {
 		return false
 	}
-	loans.waiting = append(loans.waiting, borrower{r, until})
+	// The more urgent go first, and of one position those that can still be in time.
+	i := slices.IndexFunc(loans.waiting, func(b borrower) bool { return r.retriedBefore(b.request, now) })
+	if i < 0 {
+		i = len(loans.waiting)
+	}
+	loans.waiting = slices.Insert(loans.waiting, i, borrower{r, until})
 	return true
 }
 
+// retriedBefore reports whether a retry goes to the request rather than to the other one.
+func (r *request) retriedBefore(other *request, now time.Time) bool {
+	position, otherPosition := positionOf(r.class), positionOf(other.class)
+	if position != otherPosition {
+		return position < otherPosition
+	}
+	return r.slack(now) > 0 && other.slack(now) <= 0
+}
+
 // askForLoans asks other instances for as many retries as requests wait, unless a round is open.
 func (c *core) askForLoans(now time.Time, p *pool) {
 	loans := &p.retryLoans
