Fault soak: retries are counted at the servers

Real processes with faults must keep to the bound on retries of each service, as the rule counts it.

--- a/faultsoak/checks_test.go
+++ b/faultsoak/checks_test.go
@@ -17,6 +17,7 @@
 		}
 	}
 	r.checkLimits()
+	r.checkRetries()
 	for id, list := range runs {
 		r.checkRuns(r.calls[id], list)
 	}
--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,7 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	done    chan struct{}
+	starts  []time.Time
 }
 
 func (p *process) start(folder string) error {
@@ -52,9 +54,17 @@
 		close(done)
 	}()
 	p.command, p.done = command, done
+	p.starts = append(p.starts, time.Now())
 	return nil
 }
 
+// startTimes returns when the process was started.
+func (p *process) startTimes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.starts)
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -190,6 +200,7 @@
 		p.data = filepath.Join(f.folder, p.name+"-data")
 		text += fmt.Sprintf("control: %s\nserver_list: %s\ndata: %s\nbootstrap: true\nauto_members: true\naudit_retention: 3\nheartbeat: 120ms\nelection: 600ms\n", p.control, list, p.data)
 	} else {
+		text += fmt.Sprintf("policy:\n  retry_share: %v\n  retry_extra: %v\n  retry_window: %v\n", retryShare, retryExtra, retryWindow)
 		text += fmt.Sprintf("drain_lag: 500ms\ndrain: 5s\ngateway:\n  callers: %s\n  readiness: %s:%d\n  server_list: %s\n  revocation: 5s\n  applied_within: 3s\n", p.callers, ownHost, at.ready, list)
 	}
 	var err error
