--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -60,6 +60,7 @@
 	}
 	// These use a separate generator, so that the other steps of a seed stay the same.
 	steps = append(steps, limitSteps(seed, length, servers)...)
+	steps = append(steps, outageSteps(seed, length)...)
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
--- a/faultsoak/retries_test.go
+++ b/faultsoak/retries_test.go
@@ -1,9 +1,13 @@
 package faultsoak
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/platform/standin"
 )
 
 const (
@@ -13,6 +17,39 @@
 	retryWindow = 4 * time.Second
 )
 
+// outageSteps draws when two thirds of a service's requests fail, and how.
+func outageSteps(seed uint64, length time.Duration) []step {
+	random := rand.New(rand.NewPCG(seed, 79))
+	faults := []standin.Fault{standin.Overloaded, standin.InternalError, standin.ConnReset}
+	var steps []step
+	for _, service := range []string{"desk", "engines"} {
+		at := warmUp + time.Duration(random.Int64N(int64(max(length-warmUp, 1))))
+		fault, duration := faults[random.IntN(len(faults))], time.Duration(2+random.IntN(4))*time.Second
+		steps = append(steps, step{at, fmt.Sprintf("%s fails with fault %d for %v", service, fault, duration), func(r *run) { r.failService(service, fault, duration) }})
+	}
+	return steps
+}
+
+func (r *run) failService(service string, fault standin.Fault, duration time.Duration) {
+	set := func(next func(n int) standin.Fault) {
+		for _, s := range r.fleet.servers {
+			if strings.HasPrefix(s.Identity, service) {
+				s.SetFaults(next)
+			}
+		}
+	}
+	r.background(func() {
+		set(func(n int) standin.Fault {
+			if n%3 != 0 {
+				return fault
+			}
+			return standin.None
+		})
+		r.sleep(duration)
+		set(nil)
+	})
+}
+
 // checkRetries checks that all entries together keep to the bound on retries of each service. An
 // entry that starts more than once in a window may make one more retry for each further start.
 func (r *run) checkRetries() {
