--- a/request/policy/leaving.go
+++ b/request/policy/leaving.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	from := r.server
-	if !c.stopForRetry(now, r, RetryMoved) {
+	if !c.stopForRetry(now, r, RetryLeaving) {
 		return false
 	}
 	c.stats.Moved++
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -74,8 +74,12 @@
 func (c *core) move(now time.Time, r *request) bool {
 	from, failedOn := r.server, r.failedOn
 	r.failedOn = from.name
+	cause := RetryMoved
+	if from.unreachable {
+		cause = RetryUnanswered
+	}
 	s := c.choose(now, r, chooseOptions{late: from.unreachable})
-	if s == nil || !from.unreachable && !c.improves(now, r, s) || !c.stopForRetry(now, r, RetryMoved) {
+	if s == nil || !from.unreachable && !c.improves(now, r, s) || !c.stopForRetry(now, r, cause) {
 		r.failedOn = failedOn
 		return false
 	}
--- a/request/policy/retries.go
+++ b/request/policy/retries.go
@@ -16,10 +16,12 @@
 	RetryAfterFailure RetryCause = "failure"
 	// RetryAfterRejection: the server stated that it did not run the request.
 	RetryAfterRejection RetryCause = "rejection"
-	// RetryUnanswered: the server stopped responding.
+	// RetryUnanswered: the server stopped responding or is unreachable.
 	RetryUnanswered RetryCause = "no response"
-	// RetryMoved: another server continues the answer or is expected to be faster.
+	// RetryMoved: another server is expected to be faster.
 	RetryMoved RetryCause = "move"
+	// RetryLeaving: the server is about to leave.
+	RetryLeaving RetryCause = "leaving"
 	// RetryPreempted: the attempt was stopped for a more urgent request.
 	RetryPreempted RetryCause = "preempted"
 	// RetryQuarantined: the attempt was stopped because its request is suspected of crashing
