A non-idempotent copy that was sent before its stop is answered as unknown

The event that the first byte of an attempt may be written can be processed after the attempt was stopped. A stopped copy of a suspect then waited for a trial as if it had not run, and the check against a second run counted a broken invariant when the trial was to start. Found while looking for starts that the retry budget didn't see. The test failed before: no answer at the event.

--- a/request/policy/copies_test.go
+++ b/request/policy/copies_test.go
@@ -214,3 +214,17 @@
 	view.Convictions = map[string]*lilacv1.Conviction{"same": {Digest: "same"}}
 	is.Equal(only[Refuse](t, c.Step(epoch, Configured{View: &view})).Kind, lilacv1.ErrorKind_ERROR_KIND_CONVICTED)
 }
+
+// Guards against a non-idempotent copy that is stopped while its first byte is on its way, and runs
+// again.
+func TestStoppedCopyThatWasSentDoesNotStartAgain(t *testing.T) {
+	is := is.New(t)
+	c := coreWithPool(4)
+	a := arrival(1, "alerts")
+	a.Digest, a.Idempotent = "same", false
+	is.Equal(len(all[Start](c.Step(epoch, a))), 1)
+	is.Equal(len(all[Stop](c.Step(epoch, suspectDigest("e2", 1, "", "r9")))), 1)
+	refusal := only[Refuse](t, c.Step(epoch, Sent{ID: 1, Attempt: 1}))
+	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
+	is.Equal(len(c.stats.Violations), 0)
+}
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+)
 
 // currentAttempt returns the request if attempt is its running one, else nil: late events of
 // earlier attempts must not affect the running one.
@@ -16,6 +20,17 @@
 	if r := c.currentAttempt(e.ID, e.Attempt); r != nil {
 		r.attemptSent = true
 		c.markReached(now, r)
+		return
+	}
+	// The attempt was stopped before this event was processed.
+	r := c.requests[e.ID]
+	if r == nil {
+		return
+	}
+	r.everSent = true
+	if !r.Idempotent && r.server == nil {
+		c.stop(now, r)
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 	}
 }
 
