A stopped copy counts against the attempts of its class

A copy of a suspect that was stopped ran on another server beyond the number of servers that its class allows. Found while looking for other bounds that a way to start again passed by. TestStoppedCopyStaysWithinItsAttempts failed before: one start with one attempt allowed.

--- a/request/policy/copies_test.go
+++ b/request/policy/copies_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -228,3 +229,23 @@
 	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
 	is.Equal(len(c.stats.Violations), 0)
 }
+
+// Guards against a stopped copy that runs on more servers than its class allows.
+func TestStoppedCopyStaysWithinItsAttempts(t *testing.T) {
+	for maxAttempts, starts := range map[uint32]int{1: 0, 2: 1} {
+		is := is.New(t)
+		c := coreWithPool(4)
+		c.view.Classes["alerts"].MaxAttempts = maxAttempts
+		sendCopy(c, 1)
+		actions := slices.Clone(c.Step(epoch, suspectDigest("e2", 1, "", "r9")))
+		for now := epoch; now.Before(epoch.Add(3 * time.Second)); now = now.Add(slowTick) {
+			actions = append(actions, c.Step(now, Tick{})...)
+		}
+		is.Equal(len(all[Start](actions)), starts)
+		refusals := all[Refuse](actions)
+		is.Equal(len(refusals), 1-starts)
+		for _, refusal := range refusals {
+			is.Equal(refusal.RetryDenied, RetryDeniedByAttempts)
+		}
+	}
+}
--- a/request/policy/retries.go
+++ b/request/policy/retries.go
@@ -104,9 +104,12 @@
 // they are.
 const leftForFailures = 1
 
-// stopForRetry stops the running attempt if a retry is left for the request, and reports whether
-// it did.
+// stopForRetry stops the running attempt if the request may go to another server and a retry is
+// left for it, and reports whether it did.
 func (c *core) stopForRetry(now time.Time, r *request, cause RetryCause) bool {
+	if maxServers := int(r.class.GetMaxAttempts()); maxServers > 0 && r.serversTried+1 >= maxServers {
+		return false
+	}
 	reserve := 0.0
 	if cause == RetryMoved || cause == RetryPreempted {
 		reserve = leftForFailures
@@ -116,6 +119,7 @@
 		return false
 	}
 	c.stop(now, r)
+	r.serversTried++
 	r.grant, r.retryCause = grant, cause
 	return true
 }
@@ -141,11 +145,16 @@
 	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED, denial.message(), c.retryAfter(r.pool))
 }
 
-// endStopped ends a request whose attempt was stopped and for which no retry is left. Its first
+// endStopped ends a request whose attempt was stopped and that may not be retried. Its first
 // byte may be on its way, so it is not reported as not run.
 func (c *core) endStopped(now time.Time, r *request) {
 	r.everSent = true
-	c.endWithoutRetry(now, r, RetryDeniedByBudget)
+	r.serversTried++
+	denial := RetryDeniedByBudget
+	if r.attemptsExhausted() {
+		denial = RetryDeniedByAttempts
+	}
+	c.endWithoutRetry(now, r, denial)
 }
 
 // recordRetry counts a start of the request if it is a retry.
--- a/request/policy/unresponsive.go
+++ b/request/policy/unresponsive.go
@@ -55,11 +55,9 @@
 // idempotence, their class and the retry budget allow.
 func (c *core) retryUnanswered(now time.Time, s *server) {
 	for _, r := range c.findRequests(func(r *request) bool { return r.server == s && r.attemptTokens == 0 && r.Idempotent }) {
-		maxServers := int(r.class.GetMaxAttempts())
-		if maxServers > 0 && r.serversTried+1 >= maxServers || r.attempt >= maxAttempts || !c.stopForRetry(now, r, RetryUnanswered) {
+		if r.attempt >= maxAttempts || !c.stopForRetry(now, r, RetryUnanswered) {
 			continue
 		}
-		r.serversTried++
 		r.failedOn = s.name
 		c.enqueue(now, r)
 		c.dispatch(now, r.pool)
