--- a/request/policy/retrypart.go
+++ b/request/policy/retrypart.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/retry"
 )
@@ -14,13 +12,8 @@
 // while data centres are cut off from each other: an instance that is not heard from any more
 // keeps its part.
 
-const (
-	// lostInstanceTTL is how long an instance that is not heard from keeps its part of the
-	// retries: on the other side of a network partition it still uses it.
-	lostInstanceTTL = time.Hour
-	// fleetSettleTime is how long other instances take at most to know of a new one.
-	fleetSettleTime = 3 * time.Second
-)
+// fleetSettleTime is how long other instances take at most to know of a new one.
+const fleetSettleTime = 3 * time.Second
 
 // retryBound returns the bound on the retries of all instances together.
 func retryBound(weights settings.Policy) retry.Bound {
@@ -71,23 +64,3 @@
 		c.emit(c.announcedPart)
 	}
 }
-
-// size returns the number of instances, this one included, that live or may still live.
-func (f *fleet) size() int { return 1 + len(f.members) + len(f.lost) }
-
-// updatePosition sets the position of this instance in the order of all instances by hash.
-func (f *fleet) updatePosition() {
-	f.position = 0
-	self := xxhash.Sum64String(f.self.Name)
-	count := func(name string) {
-		if hash := xxhash.Sum64String(name); hash < self || hash == self && name < f.self.Name {
-			f.position++
-		}
-	}
-	for name := range f.members {
-		count(name)
-	}
-	for name := range f.lost {
-		count(name)
-	}
-}
