Lines of failed attempts say which parts the prompt shares and whether its answer had begun

Nothing told what the requests lost with crashing engines have in common, so the hypotheses of the incident couldn't be told apart: parts was in no line, tokens counts what the caller has from all attempts, and a lost connection had to be read from the error's text. The policy gets the parts too; no decision uses them yet. TestLoggedPartsLeaveOutTheRequestsOwn.

--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -44,6 +44,9 @@
 	Hint int
 	// Prefix holds the blocks of the prompt, in order.
 	Prefix []Block
+	// Parts identify the parts of the prompt that other requests may share, whatever precedes
+	// them; the part that is the request's own is not among them.
+	Parts []uint64
 	// Deadline is set by the caller; zero means none.
 	Deadline time.Time
 	// Idempotent requests may be sent again after they reached a server.
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -48,13 +48,13 @@
 	req := &request{
 		requestID: q.AttemptID, class: routing.ClassName(q.Route, priority), team: team,
 		target: q.Route.Pick(rand.Float64()), arrived: time.Now(), deadline: q.Deadline,
-		lastEvent: q.LastEvent, resumes: q.Resumes,
+		parts: sharedParts(q.Parts), lastEvent: q.LastEvent, resumes: q.Resumes,
 		actions: make(chan policy.Action, actionSlots),
 	}
 	j := &forwardJob{relay: r, req: req, q: q, rw: rw}
 	arrival := policy.Arrival{
 		Class: req.class, Team: team, Target: req.target, Digest: Digest(team, q.URI, q.Body),
-		PromptTokens: max(q.PromptTokens, 1), MaxTokens: q.MaxTokens, Hint: q.LengthHint, Prefix: prefixOf(q.Parts),
+		PromptTokens: max(q.PromptTokens, 1), MaxTokens: q.MaxTokens, Hint: q.LengthHint, Prefix: prefixOf(q.Parts), Parts: req.parts,
 		Deadline: q.Deadline, Idempotent: q.Route.Repeatable(), Pinned: true,
 	}
 	if err := r.register(req); err != nil {
@@ -92,6 +92,18 @@
 	return blocks
 }
 
+// sharedParts returns the ids of all parts but the last, which belongs to the request itself.
+func sharedParts(parts []gateway.PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, len(parts)-1)
+	for i := range ids {
+		ids[i] = parts[i].ID
+	}
+	return ids
+}
+
 func (j *forwardJob) begun() bool { return j.rw.HeaderWritten() }
 
 // continuable reports whether the route's events carry ids from which another server can
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/connection/originlink"
+	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/policy"
@@ -36,7 +39,23 @@
 
 func (r *Relay) logFailed(req *request, start policy.Start, err error, unsent bool) {
 	r.Log.Line(logs.Failure, "attempt failed", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt,
-		"unsent", unsent, "after_ms", time.Since(req.arrived).Milliseconds(), "tokens", req.tokens.Load(), "framing", string(req.framing), "error", err)
+		"unsent", unsent, "connection_lost", upstream.IsConnectionError(err), "after_ms", time.Since(req.arrived).Milliseconds(),
+		"tokens", req.tokens.Load(), "began", req.lastProgress.Load() != 0, "parts", partList(req.parts), "framing", string(req.framing), "error", err)
+}
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partList formats the ids of prompt parts as in callers' requests.
+func partList(parts []uint64) string {
+	var list strings.Builder
+	for i, part := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			list.WriteByte(',')
+		}
+		list.WriteString(strconv.FormatUint(part, 16))
+	}
+	return list.String()
 }
 
 func (r *Relay) logRefused(req *request, a policy.Refuse) {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -9,6 +9,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/caller"
+	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
@@ -54,3 +55,15 @@
 	is.NoErr(err)
 	is.Equal(string(same), string(q.Body))
 }
+
+// The lines of requests lost with a crashing server must show which parts their prompts share.
+func TestLoggedPartsLeaveOutTheRequestsOwn(t *testing.T) {
+	is := is.New(t)
+	var parts []gateway.PromptPart
+	for id := range uint64(12) {
+		parts = append(parts, gateway.PromptPart{ID: 0xa0 + id, Tokens: 10})
+	}
+	is.Equal(partList(sharedParts(parts[:3])), "a0,a1")
+	is.Equal(partList(sharedParts(parts[:1])), "")
+	is.Equal(partList(sharedParts(parts)), "a0,a1,a2,a3,a4,a5,a6,a7")
+}
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -49,6 +49,8 @@
 	// The fields from record to framing are used only by the request's goroutine.
 	record outcome.Record
 	held   heldAnswer
+	// parts are the prompt's parts that other requests may share; its last part is its own.
+	parts []uint64
 	// lastEvent is the id of the last event that the caller has, by its own word or from this
 	// instance; resumes names the attempt that brought the first one to it.
 	lastEvent, resumes string
