--- a/request/policy/retryfleet_test.go
+++ b/request/policy/retryfleet_test.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -45,31 +44,6 @@
 	brokenConnection
 )
 
-// fleetEvent is a function due at a time.
-type fleetEvent struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-type fleetEvents []fleetEvent
-
-func (e fleetEvents) Len() int { return len(e) }
-func (e fleetEvents) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].sequence < e[j].sequence
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e fleetEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *fleetEvents) Push(x any)   { *e = append(*e, x.(fleetEvent)) }
-func (e *fleetEvents) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // fleetInstance is an instance; a restart replaces its core.
 type fleetInstance struct {
 	name, dataCenter string
@@ -91,12 +65,10 @@
 
 // retryFleet is a simulation run.
 type retryFleet struct {
+	simulation
 	extra     float64
 	view      *model.View
 	random    *rand.Rand
-	now       time.Time
-	sequence  int
-	events    fleetEvents
 	instances []*fleetInstance
 	byName    map[string]*fleetInstance
 	requests  map[ID]*fleetRequest
@@ -112,7 +84,7 @@
 // newRetryFleet returns a fleet with two services, desk and archive.
 func newRetryFleet(seed uint64, instances int, extra float64) *retryFleet {
 	f := &retryFleet{
-		extra: extra, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, requests: make(map[ID]*fleetRequest), byName: make(map[string]*fleetInstance),
+		extra: extra, random: rand.New(rand.NewPCG(seed, 1)), simulation: simulation{now: epoch}, requests: make(map[ID]*fleetRequest), byName: make(map[string]*fleetInstance),
 		end:   func(string, string) ending { return answered },
 		first: make(map[string][]time.Time), again: make(map[string][]time.Time), refusals: make(map[RetryDenial]int),
 	}
@@ -172,15 +144,6 @@
 	f.after(200*ms, func() { f.start(in) })
 }
 
-func (f *retryFleet) at(offset time.Duration, run func()) { f.schedule(epoch.Add(offset), run) }
-
-func (f *retryFleet) after(delay time.Duration, run func()) { f.schedule(f.now.Add(delay), run) }
-
-func (f *retryFleet) schedule(at time.Time, run func()) {
-	f.sequence++
-	heap.Push(&f.events, fleetEvent{at: at, sequence: f.sequence, run: run})
-}
-
 func (f *retryFleet) tick() {
 	if f.now.Sub(epoch)%membershipInterval == 0 {
 		f.updateMembership()
@@ -298,15 +261,6 @@
 	})
 }
 
-// run runs the simulation for the given time.
-func (f *retryFleet) run(length time.Duration) {
-	for len(f.events) > 0 && f.events[0].at.Before(epoch.Add(length)) {
-		event := heap.Pop(&f.events).(fleetEvent)
-		f.now = event.at
-		event.run()
-	}
-}
-
 // served returns the share of the service's requests of a span of time that were answered.
 func (f *retryFleet) served(service string, from, to time.Duration) float64 {
 	asked, answered := 0, 0
