A part of prompts that crashes servers is blocked at all instances

Callers saw: engine after engine ended under requests that share one part of their prompt, 36 and 37 in two spells of the incident, and every answer in progress there broke off.

Cause: a crash was put down to single requests, by the digest of team, path and body. No two of these requests are alike, so no evidence added up: each one was a new suspect, at each instance. The parts of a prompt were known only as hashes of a part and all before it.

Now each crash is also put down to the shared parts of all lost requests that were not past their start, added up over the instances by digests (request/parts). An answer past its start, from an attempt that began after a crash, clears its parts of it. A block is told in digests at once and put into the replicated log as a conviction, which operators list and lift. One instance lets three requests in all through, after 1, 10 and 100 minutes without other crashes; an answer to one of them, or to any other with the part, ends the block everywhere.

A proposal that is out of date no longer holds up those behind it.

TestOutageBlocksNoPart: no block in outages of one, three, half and all engines, in series too. Lost digests, restarts, a cut, no replicated log, an outage besides, two parts at once, a part that stands first and one that was sound before are tested too.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -72,8 +72,9 @@
 	claims          *outcome.Claims
 	callers         *caller.Handler
 	poller          *engine.Poller
-	convictions     chan policy.Convict
-	leaving         atomic.Bool
+	// convictions holds changes of the convictions to propose.
+	convictions chan func(time.Time) *lilacv1.Proposal
+	leaving     atomic.Bool
 	// onLeave tells the gateway handler that the instance drains; nil without a gateway.
 	onLeave func()
 	ctx     context.Context
@@ -85,7 +86,7 @@
 func New(options Options) *Entry {
 	e := &Entry{
 		settings: options.Settings, logger: options.Logger, state: options.State,
-		log: logs.New(options.Logger), registry: metrics.NewRegistry(), clients: upstream.NewClient(), convictions: make(chan policy.Convict, maxPendingConvictions),
+		log: logs.New(options.Logger), registry: metrics.NewRegistry(), clients: upstream.NewClient(), convictions: make(chan func(time.Time) *lilacv1.Proposal, maxPendingConvictions),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.counters = metrics.NewEntry(e.registry)
@@ -97,7 +98,7 @@
 	engines := engine.NewClient(e.clients)
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
-		Counter: e.counters, OnConvict: e.queueConviction, OnAnnounce: options.OnAnnounce, OnRun: options.OnRun, OnBorrow: options.OnBorrow,
+		Counter: e.counters, OnConvict: e.queueConviction, OnLift: e.queueLift, OnAnnounce: options.OnAnnounce, OnRun: options.OnRun, OnBorrow: options.OnBorrow,
 		Log: e.log, Protocol: options.Gateway, Gateway: e.newGatewayClient(options.Gateway),
 		Origins: options.Origins,
 	})
--- a/daemon/entry/stats.go
+++ b/daemon/entry/stats.go
@@ -28,6 +28,8 @@
 	retriesLoaned     *prometheus.Desc
 	retriesDenied     *prometheus.Desc
 	retriesLeft       *prometheus.Desc
+	partsBlocked      *prometheus.Desc
+	partRequests      *prometheus.Desc
 }
 
 var _ prometheus.Collector = (*coreStats)(nil)
@@ -45,13 +47,15 @@
 		retriesLoaned:     prometheus.NewDesc("lilacbridge_retries_loaned_total", "Retries lent to and borrowed from other instances.", []string{"pool", "side"}, nil),
 		retryPart:         prometheus.NewDesc("lilacbridge_retry_part", "Part of this instance in the retries of all instances beyond the share of requests.", []string{"pool"}, nil),
 		retriesDenied:     prometheus.NewDesc("lilacbridge_retries_denied_total", "Failed requests that were not retried.", []string{"pool", "reason"}, nil),
+		partsBlocked:      prometheus.NewDesc("lilacbridge_blocked_parts", "Parts of prompts whose requests are refused because servers crashed under them.", []string{"pool"}, nil),
+		partRequests:      prometheus.NewDesc("lilacbridge_blocked_part_requests_total", "Requests with a blocked part of a prompt: refused, or let through to find out whether it still crashes servers.", []string{"pool", "outcome"}, nil),
 		retriesLeft:       prometheus.NewDesc("lilacbridge_retries_left", "Retries left in the budget of this instance.", []string{"pool"}, nil),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *coreStats) Describe(descs chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.events, c.requests, c.invariantsChecked, c.invariantsBroken, c.tokensSaved, c.serverLimit, c.retries, c.retriesDenied, c.retriesLoaned, c.retryPart, c.retriesLeft} {
+	for _, desc := range []*prometheus.Desc{c.events, c.requests, c.invariantsChecked, c.invariantsBroken, c.tokensSaved, c.serverLimit, c.retries, c.retriesDenied, c.retriesLoaned, c.retryPart, c.retriesLeft, c.partsBlocked, c.partRequests} {
 		descs <- desc
 	}
 }
@@ -90,6 +94,11 @@
 		out <- prometheus.MustNewConstMetric(c.retryPart, prometheus.GaugeValue, retries.Part, pool)
 		out <- prometheus.MustNewConstMetric(c.retriesLeft, prometheus.GaugeValue, retries.Left, pool)
 	}
+	for pool, parts := range stats.PartsByPool {
+		out <- prometheus.MustNewConstMetric(c.partsBlocked, prometheus.GaugeValue, float64(parts.Blocked), pool)
+		counter(c.partRequests, parts.Refused, pool, "refused")
+		counter(c.partRequests, parts.Trials, pool, "tried")
+	}
 	for server, perSecond := range stats.Limited {
 		out <- prometheus.MustNewConstMetric(c.serverLimit, prometheus.GaugeValue, perSecond, server)
 	}
--- a/process/member/combine.go
+++ b/process/member/combine.go
@@ -31,6 +31,7 @@
 	cutoffs := make(map[string]*lilacv1.PoolCutoff)
 	spends := make(map[string]uint64)
 	suspects := make(map[string]*lilacv1.Suspect)
+	parts := make(map[uint32]*poolParts)
 	ejected, leaving := make(map[string]struct{}), make(map[string]struct{})
 	for _, d := range all {
 		if d == nil {
@@ -50,6 +51,12 @@
 		for _, suspect := range d.GetSuspects() {
 			suspects[suspect.GetDigest()] = combineSuspects(suspects[suspect.GetDigest()], suspect)
 		}
+		for _, pool := range d.GetParts() {
+			if parts[pool.GetPool()] == nil {
+				parts[pool.GetPool()] = newPoolParts()
+			}
+			parts[pool.GetPool()].add(pool)
+		}
 		for _, server := range d.GetEjected() {
 			ejected[server] = struct{}{}
 		}
@@ -60,6 +67,7 @@
 	out.Cutoffs = truncate(maxCutoffs, sortedValues(cutoffs))
 	out.Spends = topSpends(spends)
 	out.Suspects = truncate(maxSuspects, sortedValues(suspects))
+	out.Parts = encodeParts(parts)
 	out.Ejected = truncate(maxEjected, slices.Sorted(maps.Keys(ejected)))
 	out.LeavingServers = truncate(maxLeaving, slices.Sorted(maps.Keys(leaving)))
 	return out
--- a/process/member/partners.go
+++ b/process/member/partners.go
@@ -151,8 +151,8 @@
 	return sum
 }
 
-// urgent reports whether there is a leaving server or a suspect that the neighbours
-// cannot know yet.
+// urgent reports whether there is a leaving server, a suspect or a blocked part that the
+// neighbours cannot know yet.
 //
 // At one interval per tree level the information would take longer than the allowed
 // 3 s to stop new requests to a leaving server. An urgent exchange needs one tick
@@ -169,6 +169,14 @@
 		for _, suspect := range d.GetSuspects() {
 			items[fmt.Sprint("suspect ", suspect.GetDigest(), len(suspect.GetServers()))] = true
 		}
+		for _, pool := range d.GetParts() {
+			for _, crash := range pool.GetCrashes() {
+				items[fmt.Sprint("parts lost with ", crash.GetServer(), len(crash.GetParts()) > 0)] = true
+			}
+			for _, blocked := range pool.GetBlocked() {
+				items[fmt.Sprint("blocked ", pool.GetPool(), blocked.GetPart(), blocked.GetTrials())] = true
+			}
+		}
 	}
 	add(c.ownDigest(now))
 	if c.Tree() {
@@ -258,7 +266,7 @@
 		BindsMs: bindsMs, Incomplete: own.GetIncomplete() || bindsMs == 0,
 		Instance: c.self.Name, DataCenter: c.self.DataCenter, Incarnation: own.GetIncarnation(), Sequence: own.GetSequence(),
 		Leaving: own.GetLeaving(), Revision: own.GetRevision(), Cutoffs: own.GetCutoffs(), Loads: own.GetLoads(),
-		Suspects: own.GetSuspects(), Spends: own.GetSpends(), Readings: own.GetReadings(), Work: own.GetWork(), Ejected: own.GetEjected(),
+		Suspects: own.GetSuspects(), Spends: own.GetSpends(), Readings: own.GetReadings(), Work: own.GetWork(), Parts: own.GetParts(), Ejected: own.GetEjected(),
 		LeavingServers: slices.Sorted(maps.Keys(leaving)),
 	}
 }
--- a/process/member/validity.go
+++ b/process/member/validity.go
@@ -98,8 +98,8 @@
 	bindsMs := remainingMs(d.GetBindsMs(), now, r.composedAfter)
 	return &lilacv1.Digest{
 		Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Suspects: d.GetSuspects(), Spends: d.GetSpends(),
-		Readings: d.GetReadings(),
-		Ejected:  d.GetEjected(), LeavingServers: d.GetLeavingServers(), BindsMs: bindsMs, Incomplete: d.GetIncomplete() || bindsMs == 0,
+		Readings: d.GetReadings(), Parts: agedParts(d.GetParts(), now.Sub(r.receivedAt)),
+		Ejected: d.GetEjected(), LeavingServers: d.GetLeavingServers(), BindsMs: bindsMs, Incomplete: d.GetIncomplete() || bindsMs == 0,
 	}
 }
 
@@ -112,7 +112,7 @@
 		Instance: d.GetInstance(), DataCenter: d.GetDataCenter(), Incarnation: d.GetIncarnation(), Sequence: d.GetSequence(),
 		Leaving: d.GetLeaving(), Revision: d.GetRevision(), Cutoffs: d.GetCutoffs(), Loads: d.GetLoads(),
 		Suspects: d.GetSuspects(), Spends: d.GetSpends(), Ejected: d.GetEjected(),
-		Readings: d.GetReadings(), Work: d.GetWork(),
+		Readings: d.GetReadings(), Work: d.GetWork(), Parts: d.GetParts(),
 		BindsMs: d.GetBindsMs(), Incomplete: d.GetIncomplete(), PromiseMs: uint32(c.validityPeriod().Milliseconds()),
 	}
 	if d.GetInstance() == Others {
--- /dev/null
+++ b/request/parts/usage.go
@@ -0,0 +1,59 @@
+package parts
+
+import "time"
+
+const (
+	// usagePeriod is the time that each of two generations of the usage covers.
+	usagePeriod = time.Minute
+	// maxUsedParts bounds the parts of a generation; the next one begins when it is reached.
+	maxUsedParts = 8192
+)
+
+// use is the use of a part in answers that got past their start.
+type use struct {
+	answers   int
+	lastStart time.Time
+}
+
+// usage counts in how many answers of this instance that got past their start each part was, in
+// the last one or two periods.
+type usage struct {
+	current, previous generation
+	// passed counts all answers that got past their start since the process began.
+	passed int
+}
+
+type generation struct {
+	began   time.Time
+	answers int
+	parts   map[uint64]use
+}
+
+func newUsage() usage {
+	return usage{current: generation{parts: make(map[uint64]use)}}
+}
+
+func (u *usage) record(now, started time.Time, parts []uint64) {
+	if now.Sub(u.current.began) > usagePeriod || len(u.current.parts)+len(parts) > maxUsedParts {
+		u.previous = u.current
+		u.current = generation{began: now, parts: make(map[uint64]use)}
+	}
+	u.passed++
+	u.current.answers++
+	for _, part := range parts[:min(len(parts), maxUsedParts)] {
+		known := u.current.parts[part]
+		u.current.parts[part] = use{known.answers + 1, later(known.lastStart, started)}
+	}
+}
+
+func (u *usage) lastStart(part uint64) time.Time {
+	return later(u.current.parts[part].lastStart, u.previous.parts[part].lastStart)
+}
+
+// answers returns the number of answers whose prompts had the part.
+func (u *usage) answers(part uint64) int {
+	return u.current.parts[part].answers + u.previous.parts[part].answers
+}
+
+// all returns the number of all answers of the same time.
+func (u *usage) all() int { return u.current.answers + u.previous.answers }
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -71,6 +71,10 @@
 	if r.pool == nil || len(r.pool.servers) == 0 {
 		return refuseWith(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_MODEL, fmt.Sprintf("no backend server serves %q; GET /v1/models lists what is served", r.Target), 0)
 	}
+	if b := c.refusingBlock(now, r); b != nil {
+		r.pool.partsRefused++
+		return refuseWith(lilacv1.ErrorKind_ERROR_KIND_CONVICTED, partMessage(b.Part), r.partRetryAfter(now, b))
+	}
 	if !r.Deadline.IsZero() && !r.Deadline.After(now) {
 		return refuseWith(lilacv1.ErrorKind_ERROR_KIND_TIMEOUT, "the deadline had passed on arrival; allow more time", 0)
 	}
--- /dev/null
+++ b/request/policy/blockedparts.go
@@ -0,0 +1,300 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/request/parts"
+	"github.com/lilacbridge/lilacbridge/version/model"
+)
+
+// A part of prompts may crash every server that begins an answer to a prompt with it. Requests
+// with it needn't be alike, so convictions of single requests don't stop them. Package parts
+// finds the part; here its requests are refused, at all instances and wherever they wait.
+// docs/design/crashing-parts.md has the whole argument.
+
+// partTrialQuiet is how long no server must have crashed before a blocked part is tried, so that
+// the trial's crash is its own.
+const partTrialQuiet = 10 * time.Second
+
+// partConviction is the prefix of the digests of convictions of parts.
+const partConviction = "part:"
+
+// PartConviction returns the digest of the conviction of a part of the pool's prompts.
+func PartConviction(pool string, part uint64) string {
+	return partConviction + pool + "/" + strconv.FormatUint(part, 16)
+}
+
+// parsePartConviction is the inverse of PartConviction.
+func parsePartConviction(digest string) (pool string, part uint64, ok bool) {
+	name, isPart := strings.CutPrefix(digest, partConviction)
+	slash := strings.LastIndexByte(name, '/')
+	if !isPart || slash < 0 {
+		return "", 0, false
+	}
+	part, err := strconv.ParseUint(name[slash+1:], 16, 64)
+	return name[:slash], part, err == nil
+}
+
+// PartBlocked reports that requests with a part of a prompt are refused from now on.
+type PartBlocked struct {
+	Pool string
+	Part uint64
+	// Reporter is where this instance has it from: itself, another instance or the log.
+	Reporter string
+	Evidence parts.Evidence
+}
+
+// PartLifted reports that requests with a part are no longer refused.
+type PartLifted struct {
+	Pool   string
+	Part   uint64
+	Reason LiftReason
+}
+
+// LiftReason is why a part is no longer blocked.
+type LiftReason string
+
+// The reasons for which the block of a part ends.
+const (
+	// LiftAnswered: a request with the part was answered.
+	LiftAnswered LiftReason = "answered"
+	// LiftRevoked: its conviction was lifted in the replicated log.
+	LiftRevoked LiftReason = "conviction lifted"
+	// LiftExpired: the time of the block is over.
+	LiftExpired LiftReason = "expired"
+)
+
+// PartTried reports that a request with a blocked part may run, to find out whether the part still
+// crashes servers.
+type PartTried struct {
+	ID   ID
+	Pool string
+	Part uint64
+}
+
+// LiftConviction tells the shell to propose the end of a conviction.
+type LiftConviction struct{ Digest string }
+
+func (PartBlocked) action()    {}
+func (PartLifted) action()     {}
+func (PartTried) action()      {}
+func (LiftConviction) action() {}
+
+// reporterLog is the reporter of blocks from the replicated log.
+const reporterLog = "replicated log"
+
+// PartStats counts what was done about crashing parts of a pool's prompts.
+type PartStats struct {
+	// Blocked is the number of blocked parts.
+	Blocked int
+	// Refused counts requests refused because of them, Trials those let through.
+	Refused, Trials uint64
+}
+
+func (p *pool) partStats() PartStats {
+	return PartStats{Blocked: len(p.parts.Blocks()), Refused: p.partsRefused, Trials: p.partTrials}
+}
+
+// recordLostParts records that the request was lost with a crashed server. A request that was
+// lost with one before says nothing new of its parts: it may have been moved from one server of an
+// outage to the next.
+func (c *core) recordLostParts(now time.Time, r *request, s *server) {
+	if r.pastStart || c.suspects.Get(r.Digest) != nil {
+		return
+	}
+	if r.pool.parts.Lost(now, s.name, r.Parts, r.pool.notPastStart()) {
+		c.announce()
+	}
+}
+
+// notPastStart counts the running requests whose answers are not past their start.
+func (p *pool) notPastStart() int {
+	count := 0
+	for _, r := range p.running {
+		if !r.pastStart {
+			count++
+		}
+	}
+	return count
+}
+
+// recordAnsweredParts records that the answer of the current attempt is past its start.
+func (c *core) recordAnsweredParts(now time.Time, r *request) {
+	if r.pastStart {
+		return
+	}
+	r.pastStart = true
+	for _, b := range r.pool.parts.Passed(now, r.started, r.Parts) {
+		r.partTrial = nil
+		c.emitLifted(r.pool, b, LiftAnswered)
+		c.emit(LiftConviction{Digest: PartConviction(r.pool.name, b.Part)})
+		c.announce()
+	}
+}
+
+func (c *core) emitLifted(p *pool, b *parts.Block, reason LiftReason) {
+	c.emit(PartLifted{Pool: p.name, Part: b.Part, Reason: reason})
+}
+
+func (c *core) exportParts(now time.Time) []*lilacv1.PoolParts {
+	var all []*lilacv1.PoolParts
+	for _, p := range c.poolOrder {
+		if told := p.parts.Export(now, p.key); told != nil {
+			all = append(all, told)
+		}
+	}
+	return all
+}
+
+func (c *core) applyParts(now time.Time, from string, told []*lilacv1.PoolParts) {
+	for _, word := range told {
+		at := slices.IndexFunc(c.poolOrder, func(p *pool) bool { return p.key == word.GetPool() })
+		if at < 0 {
+			continue
+		}
+		p := c.poolOrder[at]
+		blocked, lifted := p.parts.Merge(now, from, word, p.notPastStart())
+		for _, b := range lifted {
+			c.emitLifted(p, b, LiftAnswered)
+		}
+		for _, b := range blocked {
+			c.partBlocked(now, p, b, from)
+		}
+	}
+	if len(told) > 0 {
+		c.decideParts(now)
+	}
+}
+
+// decideParts blocks the parts against which the evidence is strong enough.
+func (c *core) decideParts(now time.Time) {
+	for _, p := range c.poolOrder {
+		for _, b := range p.parts.Decide(now, c.fleet.size()) {
+			c.partBlocked(now, p, b, c.options.Instance)
+			c.emit(Convict{Digest: PartConviction(p.name, b.Part), Servers: b.Evidence.Servers})
+			c.announce()
+		}
+	}
+}
+
+// partBlocked refuses the requests with the part that wait or are not past their start.
+func (c *core) partBlocked(now time.Time, p *pool, b *parts.Block, reporter string) {
+	c.emit(PartBlocked{Pool: p.name, Part: b.Part, Reporter: reporter, Evidence: b.Evidence})
+	for _, r := range c.findRequests(func(r *request) bool { return r.pool == p && c.blockedByPart(r) }) {
+		if r.server != nil && r.pastStart {
+			continue
+		}
+		// Its first byte may be on its way.
+		r.everSent = r.everSent || r.server != nil
+		c.stop(now, r)
+		p.partsRefused++
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, partMessage(b.Part), r.partRetryAfter(now, b))
+	}
+}
+
+// blockedByPart reports whether a part of the request's prompt is blocked and not tried by it.
+func (c *core) blockedByPart(r *request) bool {
+	b := r.pool.parts.Blocked(r.Parts)
+	return b != nil && b != r.partTrial
+}
+
+// refusingBlock returns the block for which the request must be refused, or nil. The request may
+// become the trial of the part.
+func (c *core) refusingBlock(now time.Time, r *request) *parts.Block {
+	b := r.pool.parts.Blocked(r.Parts)
+	if b == nil || !c.triesParts(now, b) || !b.TakeTrial(now) {
+		return b
+	}
+	r.partTrial = b
+	if other := r.pool.parts.Blocked(r.Parts); other != b {
+		b.ReturnTrial()
+		r.partTrial = nil
+		return other
+	}
+	r.pool.partTrials++
+	c.emit(PartTried{ID: r.ID, Pool: r.pool.name, Part: b.Part})
+	c.announce()
+	return nil
+}
+
+// triesParts reports whether this instance may try the blocked part: one instance does, and not
+// while servers crash or before it has heard which trials others made.
+func (c *core) triesParts(now time.Time, b *parts.Block) bool {
+	return now.Sub(c.lastNewCrash) >= partTrialQuiet && now.Sub(c.options.Started) >= partTrialQuiet && c.fleet.first(strconv.FormatUint(b.Part, 16))
+}
+
+// returnPartTrial makes up for a trial that ended before it reached a server.
+func (r *request) returnPartTrial() {
+	if r.partTrial != nil && !r.reached {
+		r.partTrial.ReturnTrial()
+	}
+	r.partTrial = nil
+}
+
+// configureParts blocks the parts that the replicated log has convicted, and lifts the blocks whose
+// convictions are gone.
+func (c *core) configureParts(now time.Time, old, view *model.View) {
+	for _, digest := range partConvictions(old) {
+		p, part := c.convictedPart(digest)
+		if p == nil || view.Convictions[digest] != nil {
+			continue
+		}
+		if b := p.parts.Lift(now, part); b != nil {
+			c.emitLifted(p, b, LiftRevoked)
+		}
+	}
+	for _, digest := range partConvictions(view) {
+		p, part := c.convictedPart(digest)
+		known := old.Convictions[digest] != nil && p != nil && old.Pools[p.name] != nil
+		if p == nil || known || !c.convictionInForce(now, digest) {
+			continue
+		}
+		age := parts.BlockTTL - time.UnixMilli(view.Convictions[digest].GetExpiresUnixMs()).Sub(now)
+		if b := p.parts.BlockUntilLifted(now, part, age); b != nil {
+			c.partBlocked(now, p, b, reporterLog)
+		}
+	}
+}
+
+// partConvictions returns the digests of the view's convictions of parts, in order.
+func partConvictions(view *model.View) []string {
+	var digests []string
+	for digest := range view.Convictions {
+		if strings.HasPrefix(digest, partConviction) {
+			digests = append(digests, digest)
+		}
+	}
+	slices.Sort(digests)
+	return digests
+}
+
+// convictedPart returns the pool and the part of a conviction; nil if the pool is unknown.
+func (c *core) convictedPart(digest string) (*pool, uint64) {
+	name, part, ok := parsePartConviction(digest)
+	if !ok {
+		return nil, 0
+	}
+	return c.pools[name], part
+}
+
+func (c *core) expireParts(now time.Time) {
+	for _, p := range c.poolOrder {
+		for _, b := range p.parts.Expire(now) {
+			c.emitLifted(p, b, LiftExpired)
+		}
+	}
+}
+
+func partMessage(part uint64) string {
+	return fmt.Sprintf("part %x of the prompt crashed backend servers and is blocked; leave it out, or ask the operators to lift its conviction", part)
+}
+
+// partRetryAfter returns when it makes sense to send the request again.
+func (r *request) partRetryAfter(now time.Time, b *parts.Block) time.Duration {
+	return min(max(b.UntilTrial(now), minRetryAfter), maxRetryAfter)
+}
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -26,6 +26,7 @@
 	}
 	c.configureServers(now, view)
 	c.configurePools(now, view)
+	c.configureParts(now, old, view)
 	c.shareRetries(now)
 	c.endWithoutVersion(now)
 	for _, p := range c.poolOrder {
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -196,6 +196,7 @@
 	c.detectPartitions(now)
 	c.ejectUnresponsive(now)
 	c.confirmSuspects(now)
+	c.decideParts(now)
 	c.refreshLimits(now)
 	c.refreshRejectionLimits(now)
 	c.shareRetries(now)
@@ -216,6 +217,7 @@
 	if now.After(c.nextExpireAt) {
 		c.nextExpireAt = now.Add(expireInterval)
 		c.suspects.Expire(now)
+		c.expireParts(now)
 		c.limits.Expire(now)
 	}
 }
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -164,6 +164,7 @@
 	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
 	c.check(InvariantSuspects, !c.suspects.Get(r.Digest).Convicted() && (!r.trial || s.trial == r.Digest && s.peerTrials == 0))
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
+	c.check(InvariantParts, !c.blockedByPart(r))
 	c.check(InvariantLimit, !s.limitReached(now))
 	s.takeAllowance(now)
 	s.extraStart = s.extraStart && len(s.running) < s.ownSlots
@@ -172,6 +173,7 @@
 	r.attempt++
 	r.server = s
 	r.attemptSent = false
+	r.pastStart = false
 	r.attemptTokens = 0
 	r.attemptVersion = s.version
 	r.started, r.lastAt = now, now
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -24,6 +24,7 @@
 	s := r.server
 	e.Sent = e.Sent || r.attemptSent && !e.Refused
 	if e.Crashed && e.Sent {
+		c.recordLostParts(now, r, s)
 		c.suspectCrash(now, r, s)
 	}
 	if e.Refused {
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -58,6 +58,7 @@
 // forget removes the request and corrects the charge to its team's limit.
 func (c *core) forget(now time.Time, r *request) {
 	delete(c.requests, r.ID)
+	r.returnPartTrial()
 	if r.grant != nil {
 		r.pool.retryBudget.Return(r.grant)
 		r.grant = nil
--- a/request/policy/fleet.go
+++ b/request/policy/fleet.go
@@ -132,10 +132,19 @@
 // rank returns the position of this instance in the order for the server, and the number of
 // instances.
 func (f *fleet) rank(s *server) (rank, instances int) {
+	all := f.orderFor(s.name)
+	return slices.Index(all, f.self.Name), len(all)
+}
+
+// first reports whether this instance is the first one in the order for the given key.
+func (f *fleet) first(key string) bool { return f.orderFor(key)[0] == f.self.Name }
+
+// orderFor returns the instances in the order for the given key, the same at all of them.
+func (f *fleet) orderFor(key string) []string {
 	all := []string{f.self.Name}
 	for name := range f.members {
 		all = append(all, name)
 	}
-	sortByHash(s.name, all)
-	return slices.Index(all, f.self.Name), len(all)
+	sortByHash(key, all)
+	return all
 }
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -46,6 +46,8 @@
 	// InvariantSuspects: no two suspects share an engine, and none runs after two
 	// crashes.
 	InvariantSuspects Invariant = "suspects"
+	// InvariantParts: no request with a blocked part of a prompt starts, except for a trial.
+	InvariantParts Invariant = "blocked_parts"
 )
 
 // Stats are counters since the start of the process, and invariant violations.
@@ -71,6 +73,8 @@
 	Unresponsive uint64
 	Crashes      uint64
 	Convicted    uint64
+	// PartsByPool counts blocked parts of prompts by pool.
+	PartsByPool map[string]PartStats
 	// AttributedToOutage counts suspects whose crashes were attributed to an outage.
 	AttributedToOutage uint64
 	// Waiting and Running are the current numbers of requests.
@@ -118,10 +122,12 @@
 		copied.Violations[name] = count
 	}
 	copied.Admitted = make(map[string]int, len(c.pools))
+	copied.PartsByPool = make(map[string]PartStats, len(c.pools))
 	copied.RetriesByPool = make(map[string]RetryStats, len(c.pools))
 	for _, p := range c.poolOrder {
 		copied.Admitted[p.name] = p.tiers.Admitted()
 		copied.RetriesByPool[p.name] = p.retries.clone()
+		copied.PartsByPool[p.name] = p.partStats()
 	}
 	copied.Limited = make(map[string]float64)
 	for _, s := range c.ordered {
--- a/request/policy/partfleet_test.go
+++ b/request/policy/partfleet_test.go
@@ -479,3 +479,17 @@
 	}
 	return float64(begun) / float64(max(sent, 1))
 }
+
+// outage crashes that many engines, spread over the given time, whatever they run.
+func (f *partFleet) outage(from, within time.Duration, engines int) {
+	for _, slot := range f.random.Perm(len(f.engines))[:engines] {
+		f.at(from+time.Duration(f.random.Float64()*float64(within)), func() { f.crash(f.engines[slot]) })
+	}
+}
+
+// outageSeries crashes that many engines over and over, with the given pause.
+func (f *partFleet) outageSeries(from, within time.Duration, engines int, pause time.Duration) {
+	for at := from; at < partRunLength; at += within + pause {
+		f.outage(at, within, engines)
+	}
+}
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -50,6 +50,7 @@
 		Readings:    c.advertisedPrefixes(now),
 		Work:        c.encodeWork(),
 		Limits:      c.ownLimits(now).Encode(now),
+		Parts:       c.exportParts(now),
 	}
 	for _, p := range c.poolOrder {
 		d.Cutoffs = append(d.Cutoffs, p.tiers.Cutoff(p.slotDemand(), p.queue.LowestTier()))
@@ -113,6 +114,7 @@
 	c.observePeerPrefixes(now, d.GetReadings())
 	c.applyPeerLimits(now, loadboard.DecodeLimits(now, d.GetLimits()))
 	c.applySuspects(now, name, p, d.GetSuspects())
+	c.applyParts(now, name, d.GetParts())
 	for _, spend := range d.GetSpends() {
 		if team := c.view.Teams[spend.GetTeam()]; team != nil {
 			c.limits.ObserveSpent(name, spend.GetTeam(), limitOf(team), spend.GetTokens(), now)
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -6,6 +6,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/request/parts"
 	"github.com/lilacbridge/lilacbridge/request/queue"
 	"github.com/lilacbridge/lilacbridge/request/retry"
 	"github.com/lilacbridge/lilacbridge/request/tiers"
@@ -17,7 +18,9 @@
 
 // pool is a model or service with its servers and queue.
 type pool struct {
-	name    string
+	name string
+	// key identifies the pool in digests.
+	key     uint32
 	service bool
 	servers []*server
 	// versioned is true if any server states its software version.
@@ -31,6 +34,11 @@
 	quarantine []*request
 	// rejectionLimit is what the servers state of the rejections that they survive.
 	rejectionLimit rejectionLimit
+	// parts tells which parts of prompts crash the pool's servers.
+	parts *parts.Table
+	// partsRefused counts the requests refused because of blocked parts, partTrials those let
+	// through to find out whether the part still crashes servers.
+	partsRefused, partTrials uint64
 	// parked holds copies of a running request that may only join it; see identical.go.
 	parked []*request
 	// minTokenGapTarget is the strictest target between tokens of the classes in use.
@@ -98,7 +106,7 @@
 }
 
 func newPool(name string, now time.Time) *pool {
-	p := &pool{name: name, queue: queue.New(), tiers: tiers.NewTable(name, now), usageByClass: make(map[string]*classUsage), quota: 1, tokenRate: 1, work: newLaneWork(), engine: newEngineModel(), medianPrefill: initialPrefill, sizes: make(map[string][laneCount]int), retries: newRetryStats(), openAt: now, progressAt: now}
+	p := &pool{name: name, key: loadboard.Key(name), queue: queue.New(), tiers: tiers.NewTable(name, now), usageByClass: make(map[string]*classUsage), quota: 1, tokenRate: 1, work: newLaneWork(), engine: newEngineModel(), medianPrefill: initialPrefill, sizes: make(map[string][laneCount]int), retries: newRetryStats(), parts: parts.NewTable(), openAt: now, progressAt: now}
 	for level := range p.queueBounds {
 		p.queueBounds[level] = maxQueueBound
 	}
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -65,6 +65,7 @@
 	r.attemptTokens += e.Count
 	r.lastAt, s.lastTokenAt = now, now
 	c.recordAnswer(now, s)
+	r.pool.parts.Alive(now, s.name, r.started)
 	r.idleSince, r.pool.progressAt, r.rejections = now, now, 0
 	if r.attemptTokens >= trialTokens {
 		c.passedCrashPoint(now, r)
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -7,6 +7,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/request/estimate"
 	"github.com/lilacbridge/lilacbridge/request/limits"
+	"github.com/lilacbridge/lilacbridge/request/parts"
 	"github.com/lilacbridge/lilacbridge/request/queue"
 	"github.com/lilacbridge/lilacbridge/request/retry"
 )
@@ -74,6 +75,10 @@
 	// started to wait as one.
 	trial         bool
 	quarantinedAt time.Time
+	// partTrial is the block of a prompt's part that this request may try; nil for none.
+	partTrial *parts.Block
+	// pastStart is true once the current attempt's answer is past its start.
+	pastStart bool
 	// trialReservation is the server announced for the request's trial.
 	trialReservation *server
 	trialReservedAt  time.Time
--- a/request/policy/suspects.go
+++ b/request/policy/suspects.go
@@ -218,6 +218,7 @@
 // passedCrashPoint records that an attempt returned trialTokens tokens, after which a
 // crash is no longer expected.
 func (c *core) passedCrashPoint(now time.Time, r *request) {
+	c.recordAnsweredParts(now, r)
 	c.identical.markPassed(now, r, slices.ContainsFunc(r.pool.parked, func(p *request) bool { return p.Digest == r.Digest }))
 	if r.trial {
 		c.clearSuspect(now, r)
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -53,7 +53,7 @@
 		if i > 0 {
 			list.WriteByte(',')
 		}
-		list.WriteString(strconv.FormatUint(part, 16))
+		list.WriteString(formatPart(part))
 	}
 	return list.String()
 }
@@ -93,3 +93,26 @@
 func (r *Relay) logRejectionLimit(a policy.RejectionLimitChanged) {
 	r.Log.Line(logs.StateChange, "rejection limit", "pool", a.Pool, "named", a.Advertised, "per_second", a.PerSecond, "server", a.Server)
 }
+
+// logPartBlocked logs that requests with a part of a prompt are refused, and for what evidence.
+func (r *Relay) logPartBlocked(a policy.PartBlocked) {
+	r.Log.Line(logs.StateChange, "prompt part blocked", "pool", a.Pool, "part", formatPart(a.Part), "reporter", a.Reporter,
+		"servers", strings.Join(a.Evidence.Servers, ","), "lost_requests", a.Evidence.Requests, "answers_before", a.Evidence.Before,
+		"with_part", a.Evidence.BeforeWith, "answers_since", a.Evidence.Since, "false_blocks", a.Evidence.FalseBlocks)
+}
+
+// logPartLifted logs that requests with the part are no longer refused.
+func (r *Relay) logPartLifted(a policy.PartLifted) {
+	r.Log.Line(logs.StateChange, "prompt part unblocked", "pool", a.Pool, "part", formatPart(a.Part), "reason", string(a.Reason))
+}
+
+// logPartTried logs that a request with a blocked part may run.
+func (r *Relay) logPartTried(a policy.PartTried) {
+	id := ""
+	if req := r.request(a.ID); req != nil {
+		id = req.requestID
+	}
+	r.Log.Line(logs.StateChange, "blocked prompt part tried", "request", id, "pool", a.Pool, "part", formatPart(a.Part))
+}
+
+func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -155,6 +155,14 @@
 		}
 	case policy.Convict:
 		r.OnConvict(a)
+	case policy.LiftConviction:
+		r.OnLift(a)
+	case policy.PartBlocked:
+		r.logPartBlocked(a)
+	case policy.PartLifted:
+		r.logPartLifted(a)
+	case policy.PartTried:
+		r.logPartTried(a)
 	case policy.LimitChanged:
 		r.logLimit(a)
 		r.recordLimit(time.Now(), a)
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -58,8 +58,10 @@
 	Counter  Counter
 	// Origins keeps resumed streams at their software version; nil lets them go on anywhere.
 	Origins Origins
-	// OnConvict is called for a request that crashes servers; it must not block.
+	// OnConvict is called for a request, or a part of prompts, that crashes servers, OnLift for a
+	// conviction that has proved wrong; they must not block.
 	OnConvict func(policy.Convict)
+	OnLift    func(policy.LiftConviction)
 	// OnAnnounce is called when the digest should be sent at once; it must not block.
 	OnAnnounce func()
 	// OnRun is called once for each request of a team that a server begins to run. It must not
@@ -107,6 +109,9 @@
 	if options.OnConvict == nil {
 		options.OnConvict = func(policy.Convict) {}
 	}
+	if options.OnLift == nil {
+		options.OnLift = func(policy.LiftConviction) {}
+	}
 	if options.OnAnnounce == nil {
 		options.OnAnnounce = func() {}
 	}
