Trials of a blocked part are claimed in the replicated log; shares of parts over all instances

A trial is now a change of the log that is refused if its number is taken, so two requests in all may try a part; an attempt starts only if no part of its prompt is blocked.

The use of suspect parts is now added up over all instances, each telling how many answers it had before and since, and at most 0.001 sound parts may be expected to be blocked in place of 0.01.

A chat request's messages but the last are its parts, so the OpenAI interface is guarded too.

--- a/daemon/entry/convict.go
+++ b/daemon/entry/convict.go
@@ -92,3 +92,18 @@
 	}
 	return err == nil
 }
+
+// claimTrial tries once to claim a trial of a convicted part, and tells the core if it has it.
+func (e *Entry) claimTrial(c policy.ClaimTrial) {
+	change := &lilacv1.Change{Op: &lilacv1.Change_TryConviction{TryConviction: &lilacv1.ConvictionTrial{Digest: c.Digest, Trial: uint32(c.Trial)}}}
+	proposal := e.proposal(time.Now(), fmt.Sprintf("TRY CONVICTION %q %d", c.Digest, c.Trial), change)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+		defer cancel()
+		if _, err := e.state.Propose(ctx, proposal); err != nil {
+			e.logger.Info("no trial of a convicted part claimed", "digest", c.Digest, "trial", c.Trial, "error", err)
+			return
+		}
+		e.relay.Post(policy.TrialClaimed{Digest: c.Digest})
+	}()
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -98,7 +98,7 @@
 	engines := engine.NewClient(e.clients)
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
-		Counter: e.counters, OnConvict: e.queueConviction, OnLift: e.queueLift, OnAnnounce: options.OnAnnounce, OnRun: options.OnRun, OnBorrow: options.OnBorrow,
+		Counter: e.counters, OnConvict: e.queueConviction, OnLift: e.queueLift, OnClaimTrial: e.claimTrial, OnAnnounce: options.OnAnnounce, OnRun: options.OnRun, OnBorrow: options.OnBorrow,
 		Log: e.log, Protocol: options.Gateway, Gateway: e.newGatewayClient(options.Gateway),
 		Origins: options.Origins,
 	})
--- a/process/member/combine_parts.go
+++ b/process/member/combine_parts.go
@@ -15,6 +15,7 @@
 	maxPartCrashes   = 32
 	maxCrashParts    = 64
 	maxAnsweredParts = 64
+	maxSuspectParts  = 64
 	maxBlockedParts  = 32
 )
 
@@ -23,14 +24,15 @@
 	crashes  map[string]*lilacv1.PartCrash
 	answered map[uint64]*lilacv1.AnsweredPart
 	blocked  map[uint64]*lilacv1.BlockedPart
+	suspects map[uint64]*lilacv1.SuspectPart
 }
 
 func newPoolParts() *poolParts {
-	return &poolParts{make(map[string]*lilacv1.PartCrash), make(map[uint64]*lilacv1.AnsweredPart), make(map[uint64]*lilacv1.BlockedPart)}
+	return &poolParts{make(map[string]*lilacv1.PartCrash), make(map[uint64]*lilacv1.AnsweredPart), make(map[uint64]*lilacv1.BlockedPart), make(map[uint64]*lilacv1.SuspectPart)}
 }
 
-// add adds the evidence of another digest. Lost requests and answers are summed, since each is
-// counted by one instance only; of answered parts the latest counts, of blocks the earliest.
+// add adds the evidence of another digest. Counts are summed, since each request is counted by one
+// instance only; of answered parts the latest counts, of blocks the earliest.
 func (p *poolParts) add(told *lilacv1.PoolParts) {
 	for _, c := range told.GetCrashes() {
 		known := p.crashes[c.GetServer()]
@@ -38,7 +40,6 @@
 		slices.Sort(parts)
 		p.crashes[c.GetServer()] = &lilacv1.PartCrash{
 			Server: c.GetServer(), AgeMs: max(known.GetAgeMs(), c.GetAgeMs()), Requests: known.GetRequests() + c.GetRequests(), Parts: slices.Compact(parts),
-			Answers: known.GetAnswers() + c.GetAnswers(),
 		}
 	}
 	for _, a := range told.GetAnswered() {
@@ -46,10 +47,21 @@
 			p.answered[a.GetPart()] = a
 		}
 	}
+	p.addSuspects(told.GetSuspects())
 	for _, b := range told.GetBlocked() {
 		known := p.blocked[b.GetPart()]
 		p.blocked[b.GetPart()] = &lilacv1.BlockedPart{
-			Part: b.GetPart(), AgeMs: max(known.GetAgeMs(), b.GetAgeMs()), BlockedMs: max(known.GetBlockedMs(), b.GetBlockedMs()), Trials: max(known.GetTrials(), b.GetTrials()),
+			Part: b.GetPart(), AgeMs: max(known.GetAgeMs(), b.GetAgeMs()), BlockedMs: max(known.GetBlockedMs(), b.GetBlockedMs()),
+		}
+	}
+}
+
+// addSuspects sums up the use of suspect parts.
+func (p *poolParts) addSuspects(suspects []*lilacv1.SuspectPart) {
+	for _, s := range suspects {
+		known := p.suspects[s.GetPart()]
+		p.suspects[s.GetPart()] = &lilacv1.SuspectPart{
+			Part: s.GetPart(), Before: known.GetBefore() + s.GetBefore(), BeforeWith: known.GetBeforeWith() + s.GetBeforeWith(), Since: known.GetSince() + s.GetSince(),
 		}
 	}
 }
@@ -64,19 +76,29 @@
 			Pool:     key,
 			Crashes:  newest(maxPartCrashes, sortedValues(p.crashes), (*lilacv1.PartCrash).GetAgeMs),
 			Answered: newest(maxAnsweredParts, valuesByKey(p.answered), (*lilacv1.AnsweredPart).GetAgeMs),
+			Suspects: p.encodeSuspects(),
 			Blocked:  newest(maxBlockedParts, valuesByKey(p.blocked), (*lilacv1.BlockedPart).GetBlockedMs),
 		}
 		for _, c := range out.Crashes {
-			c.Parts = p.mostCrashed(c.GetParts())
+			c.Parts = p.mostCrashed(maxCrashParts, c.GetParts())
 		}
 		list = append(list, out)
 	}
 	return truncate(maxPartPools, list)
 }
 
-// mostCrashed returns the parts that most crashes have in common if there are too many.
-func (p *poolParts) mostCrashed(parts []uint64) []uint64 {
-	if len(parts) <= maxCrashParts {
+// encodeSuspects returns the use of the parts that most crashes have in common.
+func (p *poolParts) encodeSuspects() []*lilacv1.SuspectPart {
+	var list []*lilacv1.SuspectPart
+	for _, part := range p.mostCrashed(maxSuspectParts, slices.Sorted(maps.Keys(p.suspects))) {
+		list = append(list, p.suspects[part])
+	}
+	return list
+}
+
+// mostCrashed returns the n parts that most crashes have in common, or all if there are fewer.
+func (p *poolParts) mostCrashed(n int, parts []uint64) []uint64 {
+	if len(parts) <= n {
 		return parts
 	}
 	crashes := make(map[uint64]int)
@@ -87,7 +109,7 @@
 	}
 	sorted := slices.Clone(parts)
 	slices.SortStableFunc(sorted, func(a, b uint64) int { return cmp.Compare(crashes[b], crashes[a]) })
-	return sorted[:maxCrashParts]
+	return sorted[:n]
 }
 
 func newest[T any](n int, list []*T, ageMs func(*T) uint32) []*T {
@@ -108,15 +130,15 @@
 	ms := uint32(max(age.Milliseconds(), 0))
 	var aged []*lilacv1.PoolParts
 	for _, p := range pools {
-		out := &lilacv1.PoolParts{Pool: p.GetPool()}
+		out := &lilacv1.PoolParts{Pool: p.GetPool(), Suspects: p.GetSuspects()}
 		for _, c := range p.GetCrashes() {
-			out.Crashes = append(out.Crashes, &lilacv1.PartCrash{Server: c.GetServer(), AgeMs: c.GetAgeMs() + ms, Requests: c.GetRequests(), Parts: c.GetParts(), Answers: c.GetAnswers()})
+			out.Crashes = append(out.Crashes, &lilacv1.PartCrash{Server: c.GetServer(), AgeMs: c.GetAgeMs() + ms, Requests: c.GetRequests(), Parts: c.GetParts()})
 		}
 		for _, a := range p.GetAnswered() {
 			out.Answered = append(out.Answered, &lilacv1.AnsweredPart{Part: a.GetPart(), AgeMs: a.GetAgeMs() + ms})
 		}
 		for _, b := range p.GetBlocked() {
-			out.Blocked = append(out.Blocked, &lilacv1.BlockedPart{Part: b.GetPart(), AgeMs: b.GetAgeMs() + ms, BlockedMs: b.GetBlockedMs() + ms, Trials: b.GetTrials()})
+			out.Blocked = append(out.Blocked, &lilacv1.BlockedPart{Part: b.GetPart(), AgeMs: b.GetAgeMs() + ms, BlockedMs: b.GetBlockedMs() + ms})
 		}
 		aged = append(aged, out)
 	}
--- a/process/member/partners.go
+++ b/process/member/partners.go
@@ -174,7 +174,7 @@
 				items[fmt.Sprint("parts lost with ", crash.GetServer(), len(crash.GetParts()) > 0)] = true
 			}
 			for _, blocked := range pool.GetBlocked() {
-				items[fmt.Sprint("blocked ", pool.GetPool(), blocked.GetPart(), blocked.GetTrials())] = true
+				items[fmt.Sprint("blocked ", pool.GetPool(), blocked.GetPart())] = true
 			}
 		}
 	}
--- a/request/parts/block.go
+++ b/request/parts/block.go
@@ -15,20 +15,20 @@
 	minCrashes = 3
 	// maxFalseBlocks bounds the expected number of sound parts that all instances block in a
 	// decision.
-	maxFalseBlocks = 0.01
+	maxFalseBlocks = 0.001
 )
 
-// trialTimes are the times since the block at which one request with the part may run, so that a
-// part that is blocked wrongly, or no longer crashes servers, is found out. Each trial may cost
-// a server, so they are few in all.
-var trialTimes = [...]time.Duration{time.Minute, 10 * time.Minute, 100 * time.Minute}
+// trialTimes are the times since the block from which an instance may claim a trial, that is, let
+// one request with the part run, so that a part that is blocked wrongly, or no longer crashes
+// servers, is found out. Each trial may cost a server, so they are few for all instances.
+var trialTimes = [...]time.Duration{time.Minute, 30 * time.Minute}
 
 // Block is a part whose requests are refused.
 type Block struct {
 	Part uint64
 	// At is when the part was blocked, Since the time of the first crash that it is blocked for.
 	At, Since time.Time
-	// Trials is the number of the trialTimes that are used up.
+	// Trials is the number of the last trial that an instance claimed.
 	Trials int
 	// Evidence is empty if another instance or the replicated log has the part blocked.
 	Evidence Evidence
@@ -40,9 +40,8 @@
 	Servers []string
 	// Requests is the number of all requests lost with servers in that time.
 	Requests int
-	// Before is the number of answers at this instance until the first crash and BeforeWith that
-	// of them with the part; Since is the number of answers at all instances since, as far as
-	// known, all without it.
+	// Before is the number of answers of all instances until the first crash, as far as known, and
+	// BeforeWith that of them with the part; Since is the number of answers since, all without it.
 	Before, BeforeWith, Since int
 	// FalseBlocks is the expected number of sound parts with such evidence.
 	FalseBlocks float64
@@ -57,7 +56,7 @@
 
 // falseBlocks returns the expected number of sound parts with such evidence. A part whose share of
 // all answers is s
-//   - is in BeforeWith of the answers at this instance: Poisson's distribution;
+//   - was in BeforeWith of the answers before: Poisson's distribution;
 //   - met so many crashed servers by chance, with so many requests lost: Chernoff's bound;
 //   - is in no answer since the first crash.
 //
@@ -121,8 +120,8 @@
 // evidence weighs the crashes that count against the part.
 func (t *Table) evidence(part uint64, against []*crash) Evidence {
 	first := against[0]
-	since := t.answersSince(first)
-	e := Evidence{Before: max(t.usage.all()-since, 0), BeforeWith: t.usage.answers(part), Since: since + sum(first.answers)}
+	use := t.useOf(part, first)
+	e := Evidence{Before: use.before, BeforeWith: use.beforeWith, Since: use.since}
 	for _, c := range against {
 		e.Servers = append(e.Servers, c.server)
 	}
@@ -163,16 +162,15 @@
 	return nil
 }
 
-// BlockUntilLifted blocks a part that the replicated log has blocked for the given time. It
-// returns nil if the part is blocked already.
-func (t *Table) BlockUntilLifted(now time.Time, part uint64, age time.Duration) *Block {
-	if t.blocked[part] != nil {
+// BlockUntilLifted blocks a part that the replicated log has blocked for the given time, with that
+// many trials claimed. It returns nil if the part is blocked already.
+func (t *Table) BlockUntilLifted(now time.Time, part uint64, age time.Duration, trials int) *Block {
+	if b := t.blocked[part]; b != nil {
+		b.Trials = max(b.Trials, trials)
 		return nil
 	}
 	at := now.Add(-max(age, 0))
-	b := &Block{Part: part, At: at, Since: at}
-	b.Trials = b.trialsDue(now)
-	return t.block(b)
+	return t.block(&Block{Part: part, At: at, Since: at, Trials: trials})
 }
 
 // Lift ends the block of a part and forgets the crashes so far. It returns nil if the part was
@@ -184,28 +182,18 @@
 	return b
 }
 
-// trialsDue returns how many of the trialTimes have come.
-func (b *Block) trialsDue(now time.Time) int {
+// TrialDue returns the number of the trial to claim now, or 0.
+func (b *Block) TrialDue(now time.Time) int {
 	due := 0
 	for due < len(trialTimes) && now.Sub(b.At) >= trialTimes[due] {
 		due++
 	}
-	return due
-}
-
-// TakeTrial uses up a trial of the part if one has come, and reports whether it did.
-func (b *Block) TakeTrial(now time.Time) bool {
-	due := b.trialsDue(now)
-	if b.Trials >= due {
-		return false
+	if due <= b.Trials {
+		return 0
 	}
-	b.Trials = due
-	return true
+	return due
 }
 
-// ReturnTrial makes up for a trial that reached no server.
-func (b *Block) ReturnTrial() { b.Trials = max(b.Trials-1, 0) }
-
 // UntilTrial returns the time until the next trial, or until the end of the block if there is none
 // left.
 func (b *Block) UntilTrial(now time.Time) time.Duration {
--- a/request/parts/parts.go
+++ b/request/parts/parts.go
@@ -26,6 +26,7 @@
 	maxCrashes       = 128
 	maxPartsPerCrash = 128
 	maxAnswered      = 4096
+	maxTold          = 4096
 	// maxBlocked bounds the blocked parts; the one blocked first makes room.
 	maxBlocked = 256
 )
@@ -41,18 +42,13 @@
 	// requests counts the lost requests by the instance or the group of instances that told of them.
 	requests map[string]int
 	// passedBefore is the number of this instance's answers, those in progress included, when it
-	// learned of the crash; answers counts those since at the other instances, by who told of them.
+	// learned of the crash.
 	passedBefore int
-	answers      map[string]int
 }
 
 func (c *crash) lost() int {
-	return sum(c.requests)
-}
-
-func sum(counts map[string]int) int {
 	total := 0
-	for _, count := range counts {
+	for _, count := range c.requests {
 		total += count
 	}
 	return total
@@ -63,6 +59,8 @@
 type Table struct {
 	usage   usage
 	crashes []*crash
+	// told is the use of suspect parts at other instances, by part and by who told of it.
+	told map[uint64]map[string]partUse
 	// answered is when the latest attempt with a part began that got past its start, by the word
 	// of other instances or an operator.
 	answered map[uint64]time.Time
@@ -76,7 +74,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{usage: newUsage(), answered: make(map[uint64]time.Time), blocked: make(map[uint64]*Block), refuted: make(map[uint64]time.Time)}
+	return &Table{usage: newUsage(), told: make(map[uint64]map[string]partUse), answered: make(map[uint64]time.Time), blocked: make(map[uint64]*Block), refuted: make(map[uint64]time.Time)}
 }
 
 // own is the name under which a table counts the requests lost at this instance.
@@ -134,7 +132,7 @@
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
-	c := &crash{server: server, at: at, parts: make(map[uint64]bool), requests: make(map[string]int), answers: make(map[string]int), passedBefore: t.usage.passed + running}
+	c := &crash{server: server, at: at, parts: make(map[uint64]bool), requests: make(map[string]int), passedBefore: t.usage.passed + running}
 	t.crashes = append(t.crashes, c)
 	return c
 }
@@ -204,6 +202,7 @@
 			delete(t.refuted, part)
 		}
 	}
+	t.forgetUses()
 	var ended []*Block
 	for _, b := range t.Blocks() {
 		if now.Sub(b.At) > BlockTTL {
--- a/request/parts/usage.go
+++ b/request/parts/usage.go
@@ -9,6 +9,42 @@
 	maxUsedParts = 8192
 )
 
+// partUse is how often a part that is suspected was in answers that got past their start.
+type partUse struct {
+	// before counts the answers until the first crash that counts against the part, beforeWith those
+	// of them with the part, since those since, none of them with the part.
+	before, beforeWith, since int
+}
+
+func (u partUse) plus(v partUse) partUse {
+	return partUse{u.before + v.before, u.beforeWith + v.beforeWith, u.since + v.since}
+}
+
+// ownUse returns the use of the part at this instance; first is the first crash that counts against
+// it.
+func (t *Table) ownUse(part uint64, first *crash) partUse {
+	since := max(t.usage.passed-first.passedBefore, 0)
+	return partUse{max(t.usage.all()-since, 0), t.usage.answers(part), since}
+}
+
+// useOf returns the use of the part at all instances, as far as known.
+func (t *Table) useOf(part uint64, first *crash) partUse {
+	use := t.ownUse(part, first)
+	for _, told := range t.told[part] {
+		use = use.plus(told)
+	}
+	return use
+}
+
+// forgetUses drops what was told of parts that no crash counts against any more.
+func (t *Table) forgetUses() {
+	for part := range t.told {
+		if len(t.crashesOf(part)) == 0 {
+			delete(t.told, part)
+		}
+	}
+}
+
 // use is the use of a part in answers that got past their start.
 type use struct {
 	answers   int
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -71,7 +71,7 @@
 	if r.pool == nil || len(r.pool.servers) == 0 {
 		return refuseWith(lilacv1.ErrorKind_ERROR_KIND_UNKNOWN_MODEL, fmt.Sprintf("no backend server serves %q; GET /v1/models lists what is served", r.Target), 0)
 	}
-	if b := c.refusingBlock(now, r); b != nil {
+	if b := c.refusingBlock(r); b != nil {
 		r.pool.partsRefused++
 		return refuseWith(lilacv1.ErrorKind_ERROR_KIND_CONVICTED, partMessage(b.Part), r.partRetryAfter(now, b))
 	}
@@ -165,6 +165,10 @@
 		c.endLackingVersion(now, r)
 		return
 	}
+	if b := c.blockOf(r); b != nil {
+		c.endBlocked(now, r, b)
+		return
+	}
 	r.pool.dirty = true
 	r.suspect = false
 	if c.suspects.Len() > 0 && c.suspects.Get(r.Digest) != nil {
--- a/request/policy/blockedparts.go
+++ b/request/policy/blockedparts.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/request/parts"
 	"github.com/lilacbridge/lilacbridge/version/model"
@@ -17,9 +19,13 @@
 // finds the part; here its requests are refused, at all instances and wherever they wait.
 // docs/design/crashing-parts.md has the whole argument.
 
-// partTrialQuiet is how long no server must have crashed before a blocked part is tried, so that
-// the trial's crash is its own.
-const partTrialQuiet = 10 * time.Second
+const (
+	// partTrialQuiet is how long no server must have crashed before a blocked part is tried, so that
+	// the trial's crash is its own.
+	partTrialQuiet = 10 * time.Second
+	// claimInterval is the time between two claims of trials.
+	claimInterval = 10 * time.Second
+)
 
 // partConviction is the prefix of the digests of convictions of parts.
 const partConviction = "part:"
@@ -77,6 +83,15 @@
 	Part uint64
 }
 
+// ClaimTrial tells the shell to claim a trial of a convicted part in the replicated log, once.
+type ClaimTrial struct {
+	Digest string
+	Trial  int
+}
+
+// TrialClaimed reports that this instance has claimed a trial: one request with the part may run.
+type TrialClaimed struct{ Digest string }
+
 // LiftConviction tells the shell to propose the end of a conviction.
 type LiftConviction struct{ Digest string }
 
@@ -84,6 +99,8 @@
 func (PartLifted) action()     {}
 func (PartTried) action()      {}
 func (LiftConviction) action() {}
+func (ClaimTrial) action()     {}
+func (TrialClaimed) event()    {}
 
 // reporterLog is the reporter of blocks from the replicated log.
 const reporterLog = "replicated log"
@@ -171,7 +188,8 @@
 	}
 }
 
-// decideParts blocks the parts against which the evidence is strong enough.
+// decideParts blocks the parts against which the evidence is strong enough, and claims trials of
+// those that are blocked.
 func (c *core) decideParts(now time.Time) {
 	for _, p := range c.poolOrder {
 		for _, b := range p.parts.Decide(now, c.fleet.size()) {
@@ -179,63 +197,84 @@
 			c.emit(Convict{Digest: PartConviction(p.name, b.Part), Servers: b.Evidence.Servers})
 			c.announce()
 		}
+		c.claimTrials(now, p)
 	}
 }
 
 // partBlocked refuses the requests with the part that wait or are not past their start.
 func (c *core) partBlocked(now time.Time, p *pool, b *parts.Block, reporter string) {
 	c.emit(PartBlocked{Pool: p.name, Part: b.Part, Reporter: reporter, Evidence: b.Evidence})
-	for _, r := range c.findRequests(func(r *request) bool { return r.pool == p && c.blockedByPart(r) }) {
+	for _, r := range c.findRequests(func(r *request) bool { return r.pool == p && c.blockOf(r) == b }) {
 		if r.server != nil && r.pastStart {
 			continue
 		}
 		// Its first byte may be on its way.
 		r.everSent = r.everSent || r.server != nil
 		c.stop(now, r)
-		p.partsRefused++
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, partMessage(b.Part), r.partRetryAfter(now, b))
+		c.endBlocked(now, r, b)
 	}
 }
 
-// blockedByPart reports whether a part of the request's prompt is blocked and not tried by it.
-func (c *core) blockedByPart(r *request) bool {
+// blockOf returns the block for which the request must not start, or nil. A trial starts once.
+func (c *core) blockOf(r *request) *parts.Block {
 	b := r.pool.parts.Blocked(r.Parts)
-	return b != nil && b != r.partTrial
+	if b == r.partTrial && r.attempt == 0 {
+		return nil
+	}
+	return b
+}
+
+// endBlocked ends a request with a blocked part that does not run.
+func (c *core) endBlocked(now time.Time, r *request, b *parts.Block) {
+	r.pool.partsRefused++
+	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_CONVICTED, partMessage(b.Part), r.partRetryAfter(now, b))
 }
 
-// refusingBlock returns the block for which the request must be refused, or nil. The request may
-// become the trial of the part.
-func (c *core) refusingBlock(now time.Time, r *request) *parts.Block {
+// refusingBlock returns the block for which an arriving request must be refused, or nil. The
+// request may become the trial of the part.
+func (c *core) refusingBlock(r *request) *parts.Block {
 	b := r.pool.parts.Blocked(r.Parts)
-	if b == nil || !c.triesParts(now, b) || !b.TakeTrial(now) {
+	if b == nil || r.pool.openTrial != b {
 		return b
 	}
+	r.pool.openTrial = nil
 	r.partTrial = b
-	if other := r.pool.parts.Blocked(r.Parts); other != b {
-		b.ReturnTrial()
-		r.partTrial = nil
-		return other
-	}
 	r.pool.partTrials++
 	c.emit(PartTried{ID: r.ID, Pool: r.pool.name, Part: b.Part})
-	c.announce()
 	return nil
 }
 
-// triesParts reports whether this instance may try the blocked part: one instance does, and not
-// while servers crash or before it has heard which trials others made.
-func (c *core) triesParts(now time.Time, b *parts.Block) bool {
-	return now.Sub(c.lastNewCrash) >= partTrialQuiet && now.Sub(c.options.Started) >= partTrialQuiet && c.fleet.first(strconv.FormatUint(b.Part, 16))
-}
-
 // returnPartTrial makes up for a trial that ended before it reached a server.
 func (r *request) returnPartTrial() {
 	if r.partTrial != nil && !r.reached {
-		r.partTrial.ReturnTrial()
+		r.pool.openTrial = r.partTrial
 	}
 	r.partTrial = nil
 }
 
+// claimTrials claims the trials that are due. The replicated log grants each to one instance, so
+// that few requests in all run however the instances see each other.
+func (c *core) claimTrials(now time.Time, p *pool) {
+	if now.Sub(c.lastNewCrash) < partTrialQuiet || p.openTrial != nil || now.Before(p.nextClaimAt) {
+		return
+	}
+	for _, b := range p.parts.Blocks() {
+		digest, trial := PartConviction(p.name, b.Part), b.TrialDue(now)
+		if trial > 0 && c.view.Convictions[digest] != nil && c.fleet.first(digest+"/"+strconv.Itoa(trial)) {
+			p.nextClaimAt = now.Add(claimInterval)
+			c.emit(ClaimTrial{Digest: digest, Trial: trial})
+			return
+		}
+	}
+}
+
+// trialClaimed lets the next request with the part through.
+func (c *core) trialClaimed(digest string) {
+	if p, part := c.convictedPart(digest); p != nil {
+		p.openTrial = p.parts.Blocked([]uint64{part})
+	}
+}
+
 // configureParts blocks the parts that the replicated log has convicted, and lifts the blocks whose
 // convictions are gone.
 func (c *core) configureParts(now time.Time, old, view *model.View) {
@@ -250,12 +289,13 @@
 	}
 	for _, digest := range partConvictions(view) {
 		p, part := c.convictedPart(digest)
-		known := old.Convictions[digest] != nil && p != nil && old.Pools[p.name] != nil
+		conviction := view.Convictions[digest]
+		known := p != nil && old.Pools[p.name] != nil && proto.Equal(old.Convictions[digest], conviction)
 		if p == nil || known || !c.convictionInForce(now, digest) {
 			continue
 		}
-		age := parts.BlockTTL - time.UnixMilli(view.Convictions[digest].GetExpiresUnixMs()).Sub(now)
-		if b := p.parts.BlockUntilLifted(now, part, age); b != nil {
+		age := parts.BlockTTL - time.UnixMilli(conviction.GetExpiresUnixMs()).Sub(now)
+		if b := p.parts.BlockUntilLifted(now, part, age, int(conviction.GetTrials())); b != nil {
 			c.partBlocked(now, p, b, reporterLog)
 		}
 	}
--- a/request/policy/copies.go
+++ b/request/policy/copies.go
@@ -62,7 +62,9 @@
 		return
 	}
 	c.enqueue(now, r)
-	c.reserveWhereStopped(now, r, s)
+	if c.requests[r.ID] == r {
+		c.reserveWhereStopped(now, r, s)
+	}
 }
 
 // reserveWhereStopped reserves the server of a stopped copy for the trial. The copy
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -144,6 +144,8 @@
 		c.applyPeerLoads(now, e)
 	case RetriesBorrowed:
 		c.retriesBorrowed(now, e)
+	case TrialClaimed:
+		c.trialClaimed(e.Digest)
 	case Draining:
 		c.draining = true
 	case Tick:
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -157,6 +157,10 @@
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 		return
 	}
+	if b := c.blockOf(r); b != nil {
+		c.endBlocked(now, r, b)
+		return
+	}
 	if !c.renewGrant(now, r) {
 		c.endWithoutRetry(now, r, RetryDeniedByBudget)
 		return
@@ -164,7 +168,6 @@
 	c.check(InvariantLeaving, !s.closed() || now.Sub(s.closedAt) <= leavingGrace)
 	c.check(InvariantSuspects, !c.suspects.Get(r.Digest).Convicted() && (!r.trial || s.trial == r.Digest && s.peerTrials == 0))
 	c.check(InvariantDeadline, r.Deadline.IsZero() || now.Before(r.Deadline))
-	c.check(InvariantParts, !c.blockedByPart(r))
 	c.check(InvariantLimit, !s.limitReached(now))
 	s.takeAllowance(now)
 	s.extraStart = s.extraStart && len(s.running) < s.ownSlots
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -46,8 +46,6 @@
 	// InvariantSuspects: no two suspects share an engine, and none runs after two
 	// crashes.
 	InvariantSuspects Invariant = "suspects"
-	// InvariantParts: no request with a blocked part of a prompt starts, except for a trial.
-	InvariantParts Invariant = "blocked_parts"
 )
 
 // Stats are counters since the start of the process, and invariant violations.
--- a/request/relay/chat.go
+++ b/request/relay/chat.go
@@ -9,6 +9,8 @@
 	"io"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lilacbridge/lilacbridge/connection/caller"
 	"github.com/lilacbridge/lilacbridge/connection/engine"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
@@ -64,10 +66,11 @@
 	req := newRequest(&q.Meta)
 	texts := q.Texts()
 	words := prefix.Words(texts...)
+	req.parts = textParts(texts)
 	j := &chatJob{relay: r, req: req, q: q, rw: rw, completion: newCompletion(q.RequestID, words)}
 	arrival := policy.Arrival{
 		Class: q.Class, Team: q.Team, Target: q.Target, Digest: Digest(q.Team, q.Path, q.Body),
-		PromptTokens: words, MaxTokens: q.TokenLimit(), Prefix: blocksOf(prefix.Blocks(texts...)),
+		PromptTokens: words, MaxTokens: q.TokenLimit(), Prefix: blocksOf(prefix.Blocks(texts...)), Parts: req.parts,
 		Deadline: q.Deadline, Idempotent: q.Key == "",
 	}
 	return r.serve(ctx, req, &q.Meta, rw, func(recorder *answerRecorder) error {
@@ -76,6 +79,18 @@
 	})
 }
 
+// textParts returns the hashes of all texts but the last, which is the request's own.
+func textParts(texts []string) []uint64 {
+	if len(texts) < 2 {
+		return nil
+	}
+	parts := make([]uint64, len(texts)-1)
+	for i := range parts {
+		parts[i] = xxhash.Sum64String(texts[i])
+	}
+	return parts
+}
+
 // blocksOf returns the hashed blocks of a text with their end positions in tokens.
 func blocksOf(hashes []uint64) []policy.Block {
 	blocks := make([]policy.Block, len(hashes))
--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -157,6 +157,8 @@
 		r.OnConvict(a)
 	case policy.LiftConviction:
 		r.OnLift(a)
+	case policy.ClaimTrial:
+		r.OnClaimTrial(a)
 	case policy.PartBlocked:
 		r.logPartBlocked(a)
 	case policy.PartLifted:
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -59,9 +59,10 @@
 	// Origins keeps resumed streams at their software version; nil lets them go on anywhere.
 	Origins Origins
 	// OnConvict is called for a request, or a part of prompts, that crashes servers, OnLift for a
-	// conviction that has proved wrong; they must not block.
-	OnConvict func(policy.Convict)
-	OnLift    func(policy.LiftConviction)
+	// conviction that has proved wrong, OnClaimTrial for a trial to claim; they must not block.
+	OnConvict    func(policy.Convict)
+	OnLift       func(policy.LiftConviction)
+	OnClaimTrial func(policy.ClaimTrial)
 	// OnAnnounce is called when the digest should be sent at once; it must not block.
 	OnAnnounce func()
 	// OnRun is called once for each request of a team that a server begins to run. It must not
@@ -112,6 +113,9 @@
 	if options.OnLift == nil {
 		options.OnLift = func(policy.LiftConviction) {}
 	}
+	if options.OnClaimTrial == nil {
+		options.OnClaimTrial = func(policy.ClaimTrial) {}
+	}
 	if options.OnAnnounce == nil {
 		options.OnAnnounce = func() {}
 	}
--- a/version/config/change.go
+++ b/version/config/change.go
@@ -46,7 +46,9 @@
 	case *lilacv1.Change_SetInstance:
 		return []undo{t.setInstance(op.SetInstance)}
 	case *lilacv1.Change_Convict:
-		return []undo{put(t.convictions, op.Convict.GetDigest(), op.Convict)}
+		return []undo{t.convict(op.Convict)}
+	case *lilacv1.Change_TryConviction:
+		return []undo{t.claimTrial(op.TryConviction)}
 	case *lilacv1.Change_LiftConviction:
 		return []undo{put(t.convictions, op.LiftConviction, nil)}
 	case *lilacv1.Change_SetDocument:
@@ -57,6 +59,21 @@
 	return nil
 }
 
+// convict sets a conviction. Claimed trials of an earlier one with the same digest stay claimed.
+func (t *tables) convict(conviction *lilacv1.Conviction) undo {
+	if trials := t.convictions[conviction.GetDigest()].GetTrials(); trials > conviction.GetTrials() {
+		conviction = proto.CloneOf(conviction)
+		conviction.Trials = trials
+	}
+	return put(t.convictions, conviction.GetDigest(), conviction)
+}
+
+func (t *tables) claimTrial(trial *lilacv1.ConvictionTrial) undo {
+	conviction := proto.CloneOf(t.convictions[trial.GetDigest()])
+	conviction.Trials = trial.GetTrial()
+	return put(t.convictions, trial.GetDigest(), conviction)
+}
+
 // setDocument replaces the document if the new version is higher.
 //
 // An older document that arrives late or again must not replace a newer one, which
--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -28,6 +28,10 @@
 	return &lilacv1.Change{Op: &lilacv1.Change_Convict{Convict: &lilacv1.Conviction{Digest: digest, ExpiresUnixMs: expires}}}
 }
 
+func tryConviction(digest string, trial uint32) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_TryConviction{TryConviction: &lilacv1.ConvictionTrial{Digest: digest, Trial: trial}}}
+}
+
 func order(name, model string) *lilacv1.Change {
 	return &lilacv1.Change{Op: &lilacv1.Change_OrderModel{OrderModel: &lilacv1.ModelOrder{Server: name, Model: model, Loaded: true}}}
 }
@@ -55,6 +59,10 @@
 		"order to unknown":          {order("none", "m")},
 		"conviction without expiry": {convict("d", 0)},
 		"lift of unknown":           {{Op: &lilacv1.Change_LiftConviction{LiftConviction: "none"}}},
+		"trial of unknown":          {tryConviction("none", 1)},
+		"trial without a number":    {convict("d", 9000), tryConviction("d", 0)},
+		"trial claimed twice":       {convict("d", 9000), tryConviction("d", 1), tryConviction("d", 1)},
+		"trial after a later one":   {convict("d", 9000), tryConviction("d", 2), tryConviction("d", 1)},
 		"last of three wrong":       {team("x"), class("y", 1, 100), class("z", 9, 0)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -237,3 +245,15 @@
 	// After a recovery, the document of the recovered group is authoritative.
 	is.NoErr(f.Load(&lilacv1.Snapshot{Revision: 9, Recoveries: 1, Document: &lilacv1.Document{Version: 6}}))
 }
+
+// Guards against trials of a crashing part that are granted again once another instance has
+// proposed the same conviction.
+func TestClaimedTrialsOutliveTheSameConviction(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(0)
+	is.Equal(kindOf(m.Apply(proposal("1", convict("d", 5000), tryConviction("d", 1)))), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
+	is.Equal(kindOf(m.Apply(proposal("2", convict("d", 9000)))), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
+	is.Equal(m.Config().GetConvictions()[0].GetTrials(), uint32(1))
+	is.Equal(kindOf(m.Apply(proposal("3", tryConviction("d", 1)))), lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE)
+	is.Equal(kindOf(m.Apply(proposal("4", tryConviction("d", 2)))), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
+}
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -62,6 +62,8 @@
 		return checkName("instance", op.SetInstance.GetName())
 	case *lilacv1.Change_Convict:
 		return t.checkConviction(op.Convict)
+	case *lilacv1.Change_TryConviction:
+		return t.checkTrial(op.TryConviction)
 	case *lilacv1.Change_LiftConviction:
 		return checkExists(t.convictions, "conviction", op.LiftConviction)
 	case *lilacv1.Change_SetDocument:
@@ -128,6 +130,16 @@
 	return nil
 }
 
+func (t *tables) checkTrial(trial *lilacv1.ConvictionTrial) error {
+	if err := checkExists(t.convictions, "conviction", trial.GetDigest()); err != nil {
+		return err
+	}
+	if claimed := t.convictions[trial.GetDigest()].GetTrials(); trial.GetTrial() <= claimed {
+		return invalid("trial %d of conviction %q is claimed already; the next one is %d", trial.GetTrial(), trial.GetDigest(), claimed+1)
+	}
+	return nil
+}
+
 func (t *tables) checkOrder(order *lilacv1.ModelOrder) error {
 	if err := checkName("model", order.GetModel()); err != nil {
 		return err
