--- a/faultsoak/logs_test.go
+++ b/faultsoak/logs_test.go
@@ -24,6 +24,7 @@
 	Request string    `json:"request"`
 	Kind    string    `json:"kind"`
 	Error   string    `json:"error"`
+	Part    string    `json:"part"`
 }
 
 // entryLog is the log of an entry in one run.
@@ -31,6 +32,8 @@
 	byRequest map[string][]logLine
 	// gaps are the times from which lines may be missing, as the log itself shows.
 	gaps []logGap
+	// blocked are the parts of prompts that the entry blocked.
+	blocked []string
 }
 
 type logGap struct{ from, to time.Time }
@@ -51,6 +54,8 @@
 		switch {
 		case l.Request != "":
 			read.byRequest[l.Request] = append(read.byRequest[l.Request], l)
+		case l.Message == "prompt part blocked":
+			read.blocked = append(read.blocked, l.Part)
 		case l.Message == "started":
 			read.gaps = append(read.gaps, logGap{l.At.Add(-restartLossWindow), l.At})
 		case l.Message == "log lines left out, the budget of their kind was spent":
@@ -76,7 +81,8 @@
 	return false
 }
 
-// checkLogs checks that the log of the entry explains each error response.
+// checkLogs checks that the log of the entry explains each error response, and that no sound part of
+// prompts was blocked.
 func (r *run) checkLogs() {
 	for _, entry := range r.fleet.entries {
 		read, err := readLog(entry.log, r.started)
@@ -84,6 +90,9 @@
 			r.violation("harness", "%v", err)
 			continue
 		}
+		for _, part := range read.blocked {
+			r.check(part == crashingPart, "sound parts are not blocked", "%s blocked part %s", entry.name, part)
+		}
 		for _, c := range r.calls {
 			if c.entry == entry && c.status >= http.StatusBadRequest {
 				r.check(read.explains(c), "failures are explained", "%s on %s was answered %d by %s, whose log gives no reason", c.id, c.route, c.status, entry.name)
