Answers at other instances count only from a crash after the last answer with the part

An instance that has an answer with the part no longer counts, those without one go on counting from an older crash, so the sum of what they count is biased against sound parts. Each tells from which crash it counts now, and counts from before the last known answer with the part are left out.

--- a/process/member/combine_parts.go
+++ b/process/member/combine_parts.go
@@ -62,6 +62,7 @@
 		known := p.suspects[s.GetPart()]
 		p.suspects[s.GetPart()] = &lilacv1.SuspectPart{
 			Part: s.GetPart(), Before: known.GetBefore() + s.GetBefore(), BeforeWith: known.GetBeforeWith() + s.GetBeforeWith(), Since: known.GetSince() + s.GetSince(),
+			AgeMs: max(known.GetAgeMs(), s.GetAgeMs()),
 		}
 	}
 }
@@ -130,7 +131,10 @@
 	ms := uint32(max(age.Milliseconds(), 0))
 	var aged []*lilacv1.PoolParts
 	for _, p := range pools {
-		out := &lilacv1.PoolParts{Pool: p.GetPool(), Suspects: p.GetSuspects()}
+		out := &lilacv1.PoolParts{Pool: p.GetPool()}
+		for _, s := range p.GetSuspects() {
+			out.Suspects = append(out.Suspects, &lilacv1.SuspectPart{Part: s.GetPart(), Before: s.GetBefore(), BeforeWith: s.GetBeforeWith(), Since: s.GetSince(), AgeMs: s.GetAgeMs() + ms})
+		}
 		for _, c := range p.GetCrashes() {
 			out.Crashes = append(out.Crashes, &lilacv1.PartCrash{Server: c.GetServer(), AgeMs: c.GetAgeMs() + ms, Requests: c.GetRequests(), Parts: c.GetParts()})
 		}
--- a/request/parts/block.go
+++ b/request/parts/block.go
@@ -87,8 +87,9 @@
 	return float64(count)*math.Log(expected) - expected - factorial
 }
 
-// Decide returns the parts that are blocked from now on, by the evidence of all instances. Each of
-// the given number of instances decides by its own answers.
+// Decide returns the parts that are blocked from now on, by the evidence of all instances, of which
+// there are the given number. Only those decide that lost a request in one of the crashes, so that
+// not all instances propose the same conviction; the others hear of it.
 func (t *Table) Decide(now time.Time, instances int) []*Block {
 	if !t.changed && !t.undecided {
 		return nil
@@ -106,7 +107,7 @@
 			continue
 		}
 		against := t.crashesOf(part)
-		if len(against) < minCrashes {
+		if len(against) < minCrashes || !slices.ContainsFunc(against, func(c *crash) bool { return c.own }) {
 			continue
 		}
 		t.undecided = true
--- a/request/parts/exchange.go
+++ b/request/parts/exchange.go
@@ -70,7 +70,7 @@
 	list = t.mostSuspect(list)
 	for _, part := range list[:min(len(list), maxExportedSuspects)] {
 		use := t.ownUse(part, t.crashesOf(part)[0])
-		suspects = append(suspects, &lilacv1.SuspectPart{Part: part, Before: uint32(use.before), BeforeWith: uint32(use.beforeWith), Since: uint32(use.since)})
+		suspects = append(suspects, &lilacv1.SuspectPart{Part: part, Before: uint32(use.before), BeforeWith: uint32(use.beforeWith), Since: uint32(use.since), AgeMs: ageMs(now, use.first)})
 	}
 	return suspects
 }
@@ -142,7 +142,7 @@
 		t.addParts(c, crashed.GetParts())
 	}
 	for _, suspect := range told.GetSuspects() {
-		t.mergeUse(from, suspect)
+		t.mergeUse(now, from, suspect)
 	}
 	for _, b := range told.GetBlocked() {
 		if added := t.mergeBlock(now, b); added != nil {
@@ -153,7 +153,7 @@
 }
 
 // mergeUse records the use of a part at other instances.
-func (t *Table) mergeUse(from string, told *lilacv1.SuspectPart) {
+func (t *Table) mergeUse(now time.Time, from string, told *lilacv1.SuspectPart) {
 	uses := t.told[told.GetPart()]
 	if uses == nil {
 		if len(t.told) >= maxTold {
@@ -162,7 +162,7 @@
 		uses = make(map[string]partUse)
 		t.told[told.GetPart()] = uses
 	}
-	uses[from] = partUse{int(told.GetBefore()), int(told.GetBeforeWith()), int(told.GetSince())}
+	uses[from] = partUse{int(told.GetBefore()), int(told.GetBeforeWith()), int(told.GetSince()), atAge(now, told.GetAgeMs())}
 }
 
 // mergeBlock adopts a block unless an answer with the part is known that refutes it.
--- a/request/parts/usage.go
+++ b/request/parts/usage.go
@@ -14,24 +14,32 @@
 	// before counts the answers until the first crash that counts against the part, beforeWith those
 	// of them with the part, since those since, none of them with the part.
 	before, beforeWith, since int
+	// first is the time of that crash.
+	first time.Time
 }
 
-func (u partUse) plus(v partUse) partUse {
-	return partUse{u.before + v.before, u.beforeWith + v.beforeWith, u.since + v.since}
-}
+// answeredMargin is how much later than the last answer with a part the crash must be from which
+// another instance counts answers without it: ages are short by the time that digests take.
+const answeredMargin = 2 * time.Second
 
 // ownUse returns the use of the part at this instance; first is the first crash that counts against
 // it.
 func (t *Table) ownUse(part uint64, first *crash) partUse {
 	since := max(t.usage.passed-first.passedBefore, 0)
-	return partUse{max(t.usage.all()-since, 0), t.usage.answers(part), since}
+	return partUse{max(t.usage.all()-since, 0), t.usage.answers(part), since, first.at}
 }
 
-// useOf returns the use of the part at all instances, as far as known.
+// useOf returns the use of the part at all instances, as far as known. An instance that doesn't know
+// of the last answer with the part counts from an earlier crash; as those that had an answer with it
+// no longer count, the sum would be biased.
 func (t *Table) useOf(part uint64, first *crash) partUse {
 	use := t.ownUse(part, first)
 	for _, told := range t.told[part] {
-		use = use.plus(told)
+		use.before += told.before
+		use.beforeWith += told.beforeWith
+		if told.first.After(t.answeredAt(part).Add(answeredMargin)) {
+			use.since += told.since
+		}
 	}
 	return use
 }
