--- a/request/parts/block.go
+++ b/request/parts/block.go
@@ -164,13 +164,17 @@
 }
 
 // BlockUntilLifted blocks a part that the replicated log has blocked for the given time, with that
-// many trials claimed. It returns nil if the part is blocked already.
+// many trials claimed. It returns nil if the part is blocked already, or if an answer is known that
+// refutes the block: its end may still be on its way to the log.
 func (t *Table) BlockUntilLifted(now time.Time, part uint64, age time.Duration, trials int) *Block {
 	if b := t.blocked[part]; b != nil {
 		b.Trials = max(b.Trials, trials)
 		return nil
 	}
 	at := now.Add(-max(age, 0))
+	if t.answeredAt(part).After(at) {
+		return nil
+	}
 	return t.block(&Block{Part: part, At: at, Since: at, Trials: trials})
 }
 
--- a/request/parts/parts_test.go
+++ b/request/parts/parts_test.go
@@ -118,6 +118,8 @@
 	_, lifted := b.Merge(tried, "a", told, 0)
 	is.Equal(len(lifted), 1)
 	is.True(b.Blocked([]uint64{9}) == nil)
+	// The log still has the conviction, and it changes.
+	is.True(b.BlockUntilLifted(tried.Add(second), 9, time.Minute, 1) == nil)
 }
 
 func TestTrialsAreDueAtTheirTimes(t *testing.T) {
--- a/request/policy/partfleet_test.go
+++ b/request/policy/partfleet_test.go
@@ -177,13 +177,7 @@
 
 func (f *partFleet) updateMembership() {
 	for _, in := range f.instances {
-		var others []Instance
-		for _, other := range f.instances {
-			if other != in && !other.down && other.cutOff == in.cutOff {
-				others = append(others, Instance{other.name, other.dataCenter})
-			}
-		}
-		f.step(in, Fleet{Others: others})
+		f.step(in, Fleet{Others: in.reachable(f.instances)})
 	}
 }
 
--- a/request/policy/retryfleet_test.go
+++ b/request/policy/retryfleet_test.go
@@ -56,6 +56,17 @@
 	down bool
 }
 
+// reachable returns the others that the instance reaches.
+func (in *fleetInstance) reachable(all []*fleetInstance) []Instance {
+	var others []Instance
+	for _, other := range all {
+		if other != in && !other.down && other.cutOff == in.cutOff {
+			others = append(others, Instance{other.name, other.dataCenter})
+		}
+	}
+	return others
+}
+
 type fleetRequest struct {
 	service   string
 	arrivedAt time.Time
@@ -157,13 +168,7 @@
 // updateMembership tells each instance which others it reaches.
 func (f *retryFleet) updateMembership() {
 	for _, in := range f.instances {
-		var others []Instance
-		for _, other := range f.instances {
-			if other != in && !other.down && other.cutOff == in.cutOff {
-				others = append(others, Instance{other.name, other.dataCenter})
-			}
-		}
-		f.step(in, Fleet{Others: others})
+		f.step(in, Fleet{Others: in.reachable(f.instances)})
 	}
 }
 
