--- a/request/parts/exchange.go
+++ b/request/parts/exchange.go
@@ -137,7 +137,7 @@
 		}
 	}
 	for _, crashed := range told.GetCrashes() {
-		c := t.crash(crashed.GetServer(), atAge(now, crashed.GetAgeMs()), running)
+		c := t.crashAt(crashed.GetServer(), atAge(now, crashed.GetAgeMs()), running)
 		c.requests[from] = max(c.requests[from], int(crashed.GetRequests()))
 		t.addParts(c, crashed.GetParts())
 	}
--- a/request/parts/parts.go
+++ b/request/parts/parts.go
@@ -87,7 +87,7 @@
 	if len(parts) == 0 {
 		return false
 	}
-	c := t.crash(server, now, running)
+	c := t.crashAt(server, now, running)
 	c.own = true
 	c.requests[own]++
 	return t.addParts(c, parts)
@@ -121,9 +121,9 @@
 	return sorted
 }
 
-// crash returns the server's crash at the given time, which is recorded if it is new. running is
+// crashAt returns the server's crash at the given time, which is recorded if it is new. running is
 // the number of this instance's requests in the pool that are not past their start.
-func (t *Table) crash(server string, at time.Time, running int) *crash {
+func (t *Table) crashAt(server string, at time.Time, running int) *crash {
 	for _, c := range t.crashes {
 		if c.server == server && at.Sub(c.at).Abs() <= sameCrash {
 			return c
@@ -193,10 +193,13 @@
 func (t *Table) Expire(now time.Time) []*Block {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) > retention })
 	for part, at := range t.answered {
-		if now.Sub(at) > retention || len(t.answered) > maxAnswered {
+		if now.Sub(at) > retention {
 			delete(t.answered, part)
 		}
 	}
+	if len(t.answered) > maxAnswered {
+		clear(t.answered)
+	}
 	for part, at := range t.refuted {
 		if now.Sub(at) > retention {
 			delete(t.refuted, part)
--- a/request/policy/blockedparts.go
+++ b/request/policy/blockedparts.go
@@ -23,6 +23,8 @@
 	// partTrialQuiet is how long no server must have crashed before a blocked part is tried, so that
 	// the trial's crash is its own.
 	partTrialQuiet = 10 * time.Second
+	// trialOpenFor is how long a claimed trial waits for a request with the part.
+	trialOpenFor = 10 * time.Minute
 	// claimInterval is the time between two claims of trials.
 	claimInterval = 10 * time.Second
 )
@@ -169,13 +171,13 @@
 }
 
 func (c *core) applyParts(now time.Time, from string, told []*lilacv1.PoolParts) {
-	for _, word := range told {
-		at := slices.IndexFunc(c.poolOrder, func(p *pool) bool { return p.key == word.GetPool() })
+	for _, evidence := range told {
+		at := slices.IndexFunc(c.poolOrder, func(p *pool) bool { return p.key == evidence.GetPool() })
 		if at < 0 {
 			continue
 		}
 		p := c.poolOrder[at]
-		blocked, lifted := p.parts.Merge(now, from, word, p.notPastStart())
+		blocked, lifted := p.parts.Merge(now, from, evidence, p.notPastStart())
 		for _, b := range lifted {
 			c.emitLifted(p, b, LiftAnswered)
 		}
@@ -255,6 +257,9 @@
 // claimTrials claims the trials that are due. The replicated log grants each to one instance, so
 // that few requests in all run however the instances see each other.
 func (c *core) claimTrials(now time.Time, p *pool) {
+	if p.openTrial != nil && (p.parts.Blocked([]uint64{p.openTrial.Part}) != p.openTrial || now.Sub(p.trialOpenedAt) > trialOpenFor) {
+		p.openTrial = nil
+	}
 	if now.Sub(c.lastNewCrash) < partTrialQuiet || p.openTrial != nil || now.Before(p.nextClaimAt) {
 		return
 	}
@@ -269,9 +274,9 @@
 }
 
 // trialClaimed lets the next request with the part through.
-func (c *core) trialClaimed(digest string) {
+func (c *core) trialClaimed(now time.Time, digest string) {
 	if p, part := c.convictedPart(digest); p != nil {
-		p.openTrial = p.parts.Blocked([]uint64{part})
+		p.openTrial, p.trialOpenedAt = p.parts.Blocked([]uint64{part}), now
 	}
 }
 
--- a/request/policy/blockedparts_test.go
+++ b/request/policy/blockedparts_test.go
@@ -139,3 +139,18 @@
 		is.Equal(in.core.Stats().PartsByPool["llm"].Blocked, 0)
 	}
 }
+
+// Guards against a claimed trial that no request uses and that keeps other parts from being tried.
+func TestUnusedTrialEnds(t *testing.T) {
+	is := is.New(t)
+	c := coreWithPool(2)
+	c.Step(epoch, Configured{View: partConvictionView(c, 7, epoch.Add(24*time.Hour))})
+	at := epoch.Add(2 * time.Minute)
+	is.Equal(only[ClaimTrial](t, c.Step(at, Tick{})).Trial, 1)
+	c.Step(at, TrialClaimed{Digest: PartConviction(c.poolOrder[0].name, 7)})
+	is.True(c.poolOrder[0].openTrial != nil)
+	c.Step(at.Add(trialOpenFor), Tick{})
+	is.True(c.poolOrder[0].openTrial != nil)
+	c.Step(at.Add(trialOpenFor+time.Second), Tick{})
+	is.True(c.poolOrder[0].openTrial == nil)
+}
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -145,7 +145,7 @@
 	case RetriesBorrowed:
 		c.retriesBorrowed(now, e)
 	case TrialClaimed:
-		c.trialClaimed(e.Digest)
+		c.trialClaimed(now, e.Digest)
 	case Draining:
 		c.draining = true
 	case Tick:
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -39,10 +39,10 @@
 	// partsRefused counts the requests refused because of blocked parts, partTrials those let
 	// through to find out whether the part still crashes servers.
 	partsRefused, partTrials uint64
-	// openTrial is the blocked part that the next request with it tries; nil for none. nextClaimAt
-	// is when this instance may claim another trial.
-	openTrial   *parts.Block
-	nextClaimAt time.Time
+	// openTrial is the blocked part that the next request with it tries since trialOpenedAt; nil for
+	// none. nextClaimAt is when this instance may claim another trial.
+	openTrial                  *parts.Block
+	trialOpenedAt, nextClaimAt time.Time
 	// parked holds copies of a running request that may only join it; see identical.go.
 	parked []*request
 	// minTokenGapTarget is the strictest target between tokens of the classes in use.
