The chance of a block is taken among parts with the same use, in steps that fit it

The sum over a part's share stepped over the narrow peak of such a count, and an exact count of hundreds is improbable for sound and for crashing parts alike. The steps become finer with the count, and the result is relative to the parts with that use.

--- a/request/parts/block.go
+++ b/request/parts/block.go
@@ -48,31 +48,38 @@
 }
 
 // The expected number of sound parts is summed up over their shares of all answers, from
-// smallestShare to 1 in sharesPerDecade steps.
+// smallestShare to 1, in steps of the share's logarithm that become finer with the square root of
+// the number of answers from which it is known.
 const (
-	smallestShare   = 1e-6
-	sharesPerDecade = 8
+	smallestShare = 1e-6
+	shareStep     = 0.25
+	maxShareSteps = 10000
 )
 
-// falseBlocks returns the expected number of sound parts with such evidence. A part whose share of
-// all answers is s
-//   - was in BeforeWith of the answers before: Poisson's distribution;
+// falseBlocks returns the expected number of sound parts that met so many crashed servers and no
+// answer, among those that were in BeforeWith of the answers before. A part whose share of all
+// answers is s
+//   - was in BeforeWith of the answers: Poisson's distribution;
 //   - met so many crashed servers by chance, with so many requests lost: Chernoff's bound;
 //   - is in no answer since the first crash.
 //
-// Parts with a share of s or more are at most 1/s.
+// Parts with a share of s or more are at most 1/s. The part itself is one with that use, so that it
+// counts as one part where fewer are expected.
 func (e *Evidence) falseBlocks() float64 {
-	step := math.Ln10 / sharesPerDecade
-	crashes, total := float64(len(e.Servers)), 0.0
-	for logShare := math.Log(smallestShare); logShare <= 0; logShare += step {
+	crashes, parts, blocked := float64(len(e.Servers)), 0.0, 0.0
+	first := math.Log(smallestShare)
+	step := max(shareStep/(1+math.Sqrt(float64(e.BeforeWith))), -first/maxShareSteps)
+	for logShare := 0.0; logShare >= first; logShare -= step {
 		share := math.Exp(logShare)
-		logChance := logPoisson(e.BeforeWith, share*float64(e.Before)) - share*float64(e.Since)
+		logParts := logPoisson(e.BeforeWith, share*float64(e.Before)) - logShare
+		logChance := -share * float64(e.Since)
 		if expected := share * float64(e.Requests); expected < crashes {
 			logChance += crashes - expected + crashes*math.Log(expected/crashes)
 		}
-		total += math.Exp(logChance) / share * step
+		parts += math.Exp(logParts) * step
+		blocked += math.Exp(logParts+logChance) * step
 	}
-	return total
+	return blocked / min(parts, 1)
 }
 
 // logPoisson returns the logarithm of the chance of a count whose mean is expected.
--- a/request/parts/parts_test.go
+++ b/request/parts/parts_test.go
@@ -46,6 +46,32 @@
 	is.Equal(len(table.Decide(epoch.Add(4*second), 8)), 0) // once
 }
 
+// Guards against a block by evidence that a sound part has by chance.
+func TestEvidenceOfSoundParts(t *testing.T) {
+	cases := map[string]struct {
+		crashes, requests, before, with, since int
+		blocked                                bool
+	}{
+		"in half of all answers, and four without it":     {8, 51, 1165, 577, 4, false},
+		"in half of all answers, and 40 without it":       {8, 51, 1165, 577, 40, true},
+		"in all answers, and none since":                  {30, 300, 100000, 100000, 0, false},
+		"nothing is known":                                {9, 9, 0, 0, 0, false},
+		"never seen, on three of three":                   {3, 4, 2000, 0, 60, true},
+		"never seen, on three of 60 requests":             {3, 60, 2000, 0, 0, false},
+		"in one of 100 answers, on three servers of many": {3, 200, 1000, 10, 20, false},
+		"in one of 100 answers, on five of five":          {5, 6, 1000, 10, 100, true},
+		"seen more often than there were answers":         {3, 10, 5, 9, 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := Evidence{Servers: make([]string, c.crashes), Requests: c.requests, Before: c.before, BeforeWith: c.with, Since: c.since}
+			if expected := e.falseBlocks(); (expected <= maxFalseBlocks) != c.blocked {
+				t.Errorf("%g sound parts expected", expected)
+			}
+		})
+	}
+}
+
 // Guards against counting one crash of a server several times.
 func TestOneServerCountsOnce(t *testing.T) {
 	is := is.New(t)
