--- a/request/parts/usage.go
+++ b/request/parts/usage.go
@@ -19,8 +19,9 @@
 }
 
 // answeredMargin is how much later than the last answer with a part the crash must be from which
-// another instance counts answers without it: ages are short by the time that digests take.
-const answeredMargin = 2 * time.Second
+// another instance counts answers without it: ages are short by the time that digests are in
+// transit.
+const answeredMargin = 500 * time.Millisecond
 
 // ownUse returns the use of the part at this instance; first is the first crash that counts against
 // it.
