--- a/process/member/parts_test.go
+++ b/process/member/parts_test.go
@@ -111,9 +111,9 @@
 			for range b.N {
 				f := newFleet(size.entries, size.centers)
 				f.run(10 * time.Second)
-				before := f.takeBytes()
+				f.takeBytes()
 				f.run(10 * time.Second)
-				before = f.takeBytes()
+				before := f.takeBytes()
 				for i, name := range f.names {
 					told := &lilacv1.PoolParts{Pool: 1}
 					for part := range uint64(10) {
--- a/request/policy/blockedparts_test.go
+++ b/request/policy/blockedparts_test.go
@@ -123,7 +123,7 @@
 // Guards against a block that stays although its part is sound.
 func TestTrialLiftsAWrongBlockEverywhere(t *testing.T) {
 	is := is.New(t)
-	const wrong = 1<<32 | 0
+	const wrong = 1 << 32 // the first part of a class
 	f := newPartFleet(1, 4, 6)
 	f.tickEvery = slowTicks
 	f.sound(time.Second, 2*time.Minute, 20)
