--- a/request/policy/replay_fleet_test.go
+++ b/request/policy/replay_fleet_test.go
@@ -72,7 +72,7 @@
 func (r *replay) send(a Arrival) {
 	r.arrived[a.ID] = a
 	c := r.cores[r.random.IntN(len(r.cores))]
-	if r.random.Float64() < r.toFirst {
+	if r.toFirst > 0 && r.random.Float64() < r.toFirst {
 		c = r.cores[0]
 	}
 	r.sentTo[a.ID] = c
