--- a/review/harness/truncated.go
+++ b/review/harness/truncated.go
@@ -37,7 +37,7 @@
 }
 
 func writePieces(w http.ResponseWriter, body []byte) {
-	const pieces = 10
+	const pieces = 20
 	for i := range pieces {
 		w.Write(body[len(body)*i/pieces : len(body)*(i+1)/pieces])
 		w.(http.Flusher).Flush()
@@ -72,7 +72,11 @@
 	f := newFleet(c.root, c.dir, c.rec, p.address(), 3, 4)
 	defer f.stopAll()
 	f.startAll()
-	putConfig(f, serviceConfig(1, map[string]string{"look": "idempotent", "book": "non_idempotent"}, 5000))
+	config := serviceConfig(1, map[string]string{"look": "idempotent", "book": "non_idempotent"}, 5000)
+	for _, route := range config["routes"].([]any) {
+		route.(map[string]any)["targetLatencyMs"] = 2000
+	}
+	putConfig(f, config)
 	if !f.awaitReady(f.fronts...) {
 		fatal(fmt.Errorf("the fronts did not become ready"))
 	}
@@ -82,7 +86,7 @@
 	stop := time.Now().Add(45 * time.Second)
 	var broken, served, failed atomic.Int64
 	var wg sync.WaitGroup
-	for range 48 {
+	for range 96 {
 		wg.Go(func() {
 			for time.Now().Before(stop) {
 				name, method := "look", http.MethodGet
