--- a/review/harness/banned.go
+++ b/review/harness/banned.go
@@ -124,5 +124,8 @@
 		c.say("not served: %d times %s", n, reason)
 	}
 	c.say("all: %.3f; a quarter of that: %.3f", share(&all), share(&all)/4)
+	if share(counts["office"]) < 0.5 {
+		fatal(fmt.Errorf("the fleet did not serve"))
+	}
 	return share(counts["display"]) < share(&all)/4
 }
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -72,13 +72,32 @@
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-func freePort(ip string) int {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		fatal(err)
+// freePort returns a port that is free on all of the addresses.
+func freePort(ips []string) int {
+	for range 100 {
+		first, err := net.Listen("tcp", ips[0]+":0")
+		if err != nil {
+			fatal(err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		open, free := []net.Listener{first}, true
+		for _, ip := range ips[1:] {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			open = append(open, l)
+		}
+		for _, l := range open {
+			l.Close()
+		}
+		if free {
+			return port
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	fatal(fmt.Errorf("no free port"))
+	return 0
 }
 
 // freeBlock returns the second byte of loopback addresses on which the port for metrics, which the
@@ -132,9 +151,13 @@
 func newFleet(root, dir string, rec *recordFile, platform string, cores, fronts int) *fleet {
 	f := &fleet{root: root, dir: dir, rec: rec, platform: platform, block: freeBlock()}
 	ports := map[int]bool{}
+	var ips []string
+	for i := range max(cores, fronts) {
+		ips = append(ips, fmt.Sprintf("127.%d.1.%d", f.block, i+1), fmt.Sprintf("127.%d.2.%d", f.block, i+1))
+	}
 	pick := func() int {
 		for {
-			p := freePort("0.0.0.0")
+			p := freePort(ips)
 			if !ports[p] && !ports[p+1] && !ports[p-1] {
 				ports[p] = true
 				return p
--- a/review/harness/listing.go
+++ b/review/harness/listing.go
@@ -95,5 +95,8 @@
 		}
 	}
 	c.say("%d served, %d not; %d requests reached %s later than %v after the list showed it as draining", served.Load(), failed.Load(), late, leaving.id, drainTime)
+	if served.Load() == 0 {
+		fatal(fmt.Errorf("the fleet did not serve"))
+	}
 	return late > 0
 }
--- a/review/harness/truncated.go
+++ b/review/harness/truncated.go
@@ -128,5 +128,8 @@
 	}
 	wg.Wait()
 	c.say("%d served whole, %d failed, %d looked complete but were not whole", served.Load(), failed.Load(), broken.Load())
+	if served.Load() == 0 {
+		fatal(fmt.Errorf("the fleet did not serve"))
+	}
 	return broken.Load() > 0
 }
--- a/review/harness/unframed.go
+++ b/review/harness/unframed.go
@@ -126,5 +126,8 @@
 	}
 	wg.Wait()
 	c.say("%d served whole (%d answers without a length), %d failed, %d looked complete but were not whole", served.Load(), without.Load(), failed.Load(), broken.Load())
+	if served.Load() == 0 {
+		fatal(fmt.Errorf("the fleet did not serve"))
+	}
 	return broken.Load() > 0
 }
