Lines "finished" and "attempt failed" name the forwarding instance and count bytes

The log could not tell a server that stated less from an answer that was read short, nor a direct connection from a forwarded one.

Change: both lines have stated_bytes (the server's Content-Length, -1 for none), read_bytes and forwarder (the instance that forwarded the connection; empty for a direct one). connection/serverpath names the forwarder of a connection that it returns.

--- a/connection/serverpath/dialer.go
+++ b/connection/serverpath/dialer.go
@@ -94,6 +94,23 @@
 	forwarder string
 }
 
+// open returns the connection of a way that succeeded.
+func (r dialled) open() net.Conn {
+	if r.forwarder == "" {
+		return r.conn
+	}
+	return &forwardedConn{Conn: r.conn, forwarder: r.forwarder}
+}
+
+// forwardedConn is a connection that another instance forwards for this one.
+type forwardedConn struct {
+	net.Conn
+	forwarder string
+}
+
+// Forwarder returns the name of the other instance.
+func (c *forwardedConn) Forwarder() string { return c.forwarder }
+
 // dial is the opening of one connection.
 type dial struct {
 	dialer           *Dialer
@@ -144,7 +161,7 @@
 			o.record(r)
 			if r.err == nil {
 				o.finish()
-				return r.conn, nil
+				return r.open(), nil
 			}
 			if r.forwarder != "" || o.pending == 0 {
 				o.startForwarder(ctx)
--- a/connection/serverpath/dialer_test.go
+++ b/connection/serverpath/dialer_test.go
@@ -193,6 +193,7 @@
 		conn, err := first.Dial(t.Context(), first.direct, "tcp", address)
 		is.NoErr(err)
 		checkEcho(t, conn)
+		is.Equal(conn.(*forwardedConn).Forwarder(), "d")
 		conn.Close()
 	}
 	waitFor(t, func() bool { return first.IsLost(address) })
--- a/connection/upstream/attempt.go
+++ b/connection/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"sync/atomic"
 )
 
@@ -20,6 +21,25 @@
 	// OnWrite is called once, just before the first byte may be written; may be nil.
 	OnWrite func()
 	state   atomic.Int32
+	// forwarder is set before the first write.
+	forwarder atomic.Pointer[string]
+}
+
+// Forwarder returns the name of the instance that forwards the attempt's connection; empty for
+// a direct one.
+func (a *Attempt) Forwarder() string {
+	if name := a.forwarder.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
+// connect records the connection that the attempt uses.
+func (a *Attempt) connect(conn net.Conn) {
+	if forwarded, ok := conn.(interface{ Forwarder() string }); ok {
+		name := forwarded.Forwarder()
+		a.forwarder.Store(&name)
+	}
 }
 
 // Abandon prevents later writes if none has begun, and reports whether none of the
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -70,6 +70,9 @@
 // acquire marks the connection as busy with the attempt.
 func (c *trackedConn) acquire(attempt *Attempt) {
 	c.attempt.Store(attempt)
+	if attempt != nil {
+		attempt.connect(c.Conn)
+	}
 	c.state.CompareAndSwap(connIdle, connBusy)
 }
 
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	j.req.framing = upstream.FramingOf(resp.Response)
+	j.req.framing, j.req.stated = upstream.FramingOf(resp.Response), resp.ContentLength
 	j.reportLoad(att, resp)
 	j.reportLimit(att, resp)
 	if resp.Info.NotRun {
--- a/request/relay/forward_passed.go
+++ b/request/relay/forward_passed.go
@@ -31,6 +31,7 @@
 	limited := io.LimitReader(resp.Body, maxForwardBuffer+1)
 	if j.q.Hold == nil {
 		body, err = io.ReadAll(limited)
+		j.req.read = int64(len(body))
 		return body, 0, err
 	}
 	if resp.Body == http.NoBody {
@@ -51,6 +52,7 @@
 			known = false
 		}
 		n, err := io.CopyN(&read, limited, step)
+		j.req.read += n
 		if errors.Is(err, io.EOF) {
 			j.q.Hold.Free(holding.Answer, step-n)
 			return read.Bytes(), held - (step - n), nil
@@ -72,6 +74,8 @@
 		return errServerFailed
 	}
 	j.passing = true
+	// The part that was read is read again below.
+	j.req.read = 0
 	j.req.record.Answered()
 	j.reportTokens(1)
 	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), resp.Header)
@@ -86,6 +90,7 @@
 	from := io.MultiReader(bytes.NewReader(head), resp.Body)
 	for {
 		n, err := from.Read(piece)
+		j.req.read += int64(n)
 		if n > 0 {
 			if _, writeErr := j.rw.Write(piece[:n]); writeErr != nil {
 				return j.callerGone(writeErr)
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -56,15 +56,17 @@
 		"took_ms", time.Since(req.arrived).Milliseconds())
 }
 
-func (r *Relay) logFinished(req *request, start policy.Start) {
-	r.Log.Line(logs.Success, "finished", "request", req.requestID, "server", start.Server, "attempt", start.Attempt,
-		"first_ms", req.firstTokenAfter().Milliseconds(), "took_ms", time.Since(req.arrived).Milliseconds(), "pause_ms", req.longestPause().Milliseconds(), "tokens", req.tokens.Load(), "framing", string(req.framing))
+func (r *Relay) logFinished(req *request, att *upstreamAttempt) {
+	r.Log.Line(logs.Success, "finished", "request", req.requestID, "server", att.start.Server, "attempt", att.start.Attempt,
+		"first_ms", req.firstTokenAfter().Milliseconds(), "took_ms", time.Since(req.arrived).Milliseconds(), "pause_ms", req.longestPause().Milliseconds(), "tokens", req.tokens.Load(),
+		"framing", string(req.framing), "stated_bytes", req.stated, "read_bytes", req.read, "forwarder", att.state.Forwarder())
 }
 
-func (r *Relay) logFailed(req *request, start policy.Start, err error, unsent bool) {
-	r.Log.Line(logs.Failure, "attempt failed", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt,
+func (r *Relay) logFailed(req *request, att *upstreamAttempt, err error, unsent bool) {
+	r.Log.Line(logs.Failure, "attempt failed", "request", req.requestID, "class", req.class, "server", att.start.Server, "attempt", att.start.Attempt,
 		"unsent", unsent, "connection_lost", upstream.IsConnectionError(err), "after_ms", time.Since(req.arrived).Milliseconds(),
-		"tokens", req.tokens.Load(), "began", req.lastProgress.Load() != 0, "parts", partList(req.parts), "framing", string(req.framing), "error", err)
+		"tokens", req.tokens.Load(), "began", req.lastProgress.Load() != 0, "parts", partList(req.parts), "framing", string(req.framing),
+		"stated_bytes", req.stated, "read_bytes", req.read, "forwarder", att.state.Forwarder(), "error", err)
 }
 
 // maxLoggedParts bounds the parts of a prompt in a log line.
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -47,7 +47,7 @@
 	// claimed is set for requests under a claim. Their attempts run to completion even if
 	// the caller disconnects, so that a repeated request gets the answer.
 	claimed bool
-	// The fields from record to framing are used only by the request's goroutine.
+	// The fields from record to read are used only by the request's goroutine.
 	record outcome.Record
 	held   heldAnswer
 	// parts are the prompt's parts that other requests may share; its last part is its own.
@@ -57,7 +57,10 @@
 	lastEvent, resumes string
 	// framing is that of the attempt's response; empty before its header.
 	framing upstream.Framing
-	actions chan policy.Action
+	// stated is the length of the response's body by its header, -1 if that states none; read is
+	// how much of the body of a response that isn't a stream has come.
+	stated, read int64
+	actions      chan policy.Action
 	// slow is the way to the caller that may be slow; nil without a gateway.
 	slow *slowCaller
 	// finished is set once the core was told that the server has done its part, which may be
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -132,7 +132,7 @@
 		return false, nil
 	}
 	att := &upstreamAttempt{start: start, server: server, upstreamID: req.requestID + "-" + strconv.Itoa(start.Attempt)}
-	req.framing = ""
+	req.framing, req.stated, req.read = "", -1, 0
 	r.logSent(req, start)
 	att.state = req.record.Add(func() { r.Post(policy.Sent{ID: req.id, Attempt: start.Attempt}) })
 	err = j.attempt(attemptCtx, att)
@@ -144,12 +144,12 @@
 	if err == nil {
 		r.Counter.Attempt("finished")
 		r.postFinished(req, start)
-		r.logFinished(req, start)
+		r.logFinished(req, att)
 		req.held = heldAnswer{}
 		return true, nil
 	}
 	unsent := att.state.Abandon()
-	r.logFailed(req, start, err, unsent)
+	r.logFailed(req, att, err, unsent)
 	switch {
 	case errors.Is(cause, errGivenUp):
 		r.Counter.Attempt("given_up")
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -62,11 +62,12 @@
 		return j.probeServer(ctx, att, err)
 	}
 	defer resp.Body.Close()
-	j.req.framing = upstream.FramingOf(resp)
+	j.req.framing, j.req.stated = upstream.FramingOf(resp), resp.ContentLength
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return j.forwardResponse(att, resp, nil)
 	}
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceBuffer))
+	j.req.read = int64(len(head))
 	if err != nil {
 		return j.probeServer(ctx, att, err)
 	}
@@ -140,6 +141,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := body.Read(buffer)
+		j.req.read += int64(n)
 		if n > 0 {
 			if err := j.write(buffer[:n]); err != nil {
 				return err
