The end of a broken link is not the end of an answer

Cause: connection/link gave the error of a link that ended without a closing status as io.EOF joined with ECONNRESET. request/relay read answers for which room is held with errors.Is(err, io.EOF), which that error matches, so a cut answer was taken for the whole and its length stated anew.

A forwarding instance that states a regular end while it dies is ruled out: net/http reports a body below its stated length. A server that sends less, or two joined attempts, are ruled out: no direct connection is among them, and each had one attempt.

Change: the end of a stream's bytes is io.ErrUnexpectedEOF in connection/link, since a stream ends regularly only with its closing status; this covers all readers of a link. Only io.EOF itself ends an answer, and a request body, which had the same comparison.

--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -386,7 +386,7 @@
 		}
 		n, err := io.CopyN(&body, from, bodyStep)
 		q.Hold.Free(holding.Body, bodyStep-n)
-		if errors.Is(err, io.EOF) {
+		if err == io.EOF {
 			return body.Bytes(), nil
 		}
 		if err != nil {
--- a/connection/gateway/handler_test.go
+++ b/connection/gateway/handler_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"errors"
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/lilacbridge/lilacbridge/connection/holding"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
@@ -64,3 +69,13 @@
 		is.Equal(time.Since(again), time.Duration(0))
 	})
 }
+
+// Guards against a part of a request body that is taken for the whole, since the error of its
+// connection wraps io.EOF.
+func TestRequestBodyWhoseConnectionBreaksIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	q := &Request{Hold: holding.NewStore(holding.Options{Bytes: 1 << 20}).Open(holding.Owner{})}
+	broken := iotest.ErrReader(errors.Join(io.EOF, errors.New("connection closed")))
+	_, err := readInSteps(t.Context(), q, io.MultiReader(strings.NewReader("a part"), broken))
+	is.True(err != nil)
+}
--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -143,7 +143,8 @@
 	return &forwardedConn{stream: stream}, nil
 }
 
-// Read implements net.Conn. A failure of the forwarded connection is ECONNRESET.
+// Read implements net.Conn. A failure of the forwarded connection, or of the link, is ECONNRESET
+// and never matches io.EOF.
 func (c *forwardedConn) Read(b []byte) (int, error) {
 	for len(c.rest) == 0 {
 		frame := &lilacv1.LinkFrame{}
--- a/connection/link/conn_test.go
+++ b/connection/link/conn_test.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -16,8 +17,14 @@
 	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
-// connectTo returns a connection that another process forwards to target.
+// connectTo returns a connection that another process forwards to the one that open returns.
 func connectTo(t *testing.T, open ConnHandler) (net.Conn, error) {
+	_, client := startLink(t, open)
+	return client.Connect(t.Context(), "connect", &lilacv1.ConnectRequest{Address: "x"})
+}
+
+// startLink starts a process that forwards connections, and a client of it.
+func startLink(t *testing.T, open ConnHandler) (*Server, *Client) {
 	is := is.New(t)
 	mux := NewMux()
 	mux.HandleConn("connect", open)
@@ -28,7 +35,7 @@
 	go server.Serve(listener)
 	client := NewClient(listener.Addr().String(), Identity{Peer: Peer{Process: "c"}, Keys: keys})
 	t.Cleanup(func() { client.Close(); listener.Close(); server.Close() })
-	return client.Connect(t.Context(), "connect", &lilacv1.ConnectRequest{Address: "x"})
+	return server, client
 }
 
 // tcpPair returns the two ends of a TCP connection.
@@ -96,3 +103,32 @@
 	})
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE))
 }
+
+// Guards against the end of a link that reads like the end of the target's bytes, to a reader that
+// unwraps errors.
+func TestForwardedConnOfABrokenLinkHasNoRegularEnd(t *testing.T) {
+	for name, breakLink := range map[string]func(*Server, *Client){
+		"other process ends": func(s *Server, _ *Client) { go s.Close() },
+		"given up here":      func(_ *Server, c *Client) { c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := tcpPair(t)
+			server, client := startLink(t, func(context.Context, *Exchange) (net.Conn, error) { return near, nil })
+			conn, err := client.Connect(t.Context(), "connect", &lilacv1.ConnectRequest{Address: "x"})
+			is.NoErr(err)
+			_, err = far.Write([]byte("ans"))
+			is.NoErr(err)
+			part := make([]byte, len("answer"))
+			_, err = io.ReadFull(conn, part[:3])
+			is.NoErr(err)
+			breakLink(server, client)
+			// The first reads may meet the abort of the stream, later ones the end of the link.
+			for err = yamux.ErrTimeout; errors.Is(err, yamux.ErrTimeout); _, err = conn.Read(part) {
+				is.True(!errors.Is(err, io.EOF))
+			}
+			is.True(!errors.Is(err, io.EOF))
+			is.True(errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+}
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"time"
@@ -58,8 +59,14 @@
 	return b[0], err
 }
 
+// readFrame reads one message. A stream ends regularly only with its closing status, so the end
+// of its bytes is io.ErrUnexpectedEOF.
 func readFrame(r protodelim.Reader, m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
+	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 func writeFrame(w io.Writer, m proto.Message) error { return writeFrames(w, m) }
--- a/request/relay/forward_passed.go
+++ b/request/relay/forward_passed.go
@@ -53,7 +53,8 @@
 		}
 		n, err := io.CopyN(&read, limited, step)
 		j.req.read += n
-		if errors.Is(err, io.EOF) {
+		// Only io.EOF itself is a regular end; a connection's error may wrap it.
+		if err == io.EOF {
 			j.q.Hold.Free(holding.Answer, step-n)
 			return read.Bytes(), held - (step - n), nil
 		}
