A late report of a request's end leaves the connection's next use busy

What callers saw: not observed. On the loss of a path a connection in use could be closed as idle, so that its request failed before its end.

Cause: net/http hands a connection to a waiting request before it calls PutIdleConn of the request before. That call then marked the connection, in use again, as idle.

Change: the state of a connection holds the number of its use; a release applies to its own use only.

Test: TestLateReleaseLeavesTheNextUseBusy fails with a release that ignores the use, as before, and passes now.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -21,9 +21,11 @@
 
 // The states of a connection. One that is idle may be closed; from then on it writes nothing.
 const (
-	connBusy int32 = iota
+	connBusy uint64 = iota
 	connIdle
 	connClosed
+	// connStates is the number of states.
+	connStates
 )
 
 // trackedConn asks the current attempt before each write, and counts bytes and packets.
@@ -31,14 +33,16 @@
 	net.Conn
 	pool    *pool
 	address string
-	state   atomic.Int32
+	// state is connStates times the number of requests that have used the connection, plus one of
+	// the states above.
+	state   atomic.Uint64
 	attempt atomic.Pointer[Attempt]
 	// writeTimeout bounds each write; 0 for no bound. It is set while no write is in progress.
 	writeTimeout time.Duration
 }
 
 func (c *trackedConn) Write(b []byte) (int, error) {
-	if c.state.Load() == connClosed {
+	if c.state.Load()%connStates == connClosed {
 		return 0, errPathLost
 	}
 	if a := c.attempt.Load(); a != nil && !a.beginWrite() {
@@ -67,13 +71,19 @@
 	return c.Conn.Close()
 }
 
-// acquire marks the connection as busy with the attempt.
-func (c *trackedConn) acquire(attempt *Attempt) {
+// acquire marks the connection as busy with the attempt. It returns the number of this use.
+func (c *trackedConn) acquire(attempt *Attempt) (use uint64) {
 	c.attempt.Store(attempt)
 	if attempt != nil {
 		attempt.connect(c.Conn)
 	}
-	c.state.CompareAndSwap(connIdle, connBusy)
+	for {
+		old := c.state.Load()
+		use = old/connStates + 1
+		if old%connStates == connClosed || c.state.CompareAndSwap(old, use*connStates+connBusy) {
+			return use
+		}
+	}
 }
 
 // boundWrites bounds each write of the next request, if its body is large.
@@ -88,8 +98,17 @@
 	}
 }
 
-// release marks the connection as idle.
-func (c *trackedConn) release() { c.state.CompareAndSwap(connBusy, connIdle) }
+// release marks the connection as idle after a use. net/http may report the end of a use after
+// the beginning of the next one, during which the connection stays busy.
+func (c *trackedConn) release(use uint64) {
+	c.state.CompareAndSwap(use*connStates+connBusy, use*connStates+connIdle)
+}
+
+// closeIfIdle marks an idle connection as closed, and reports whether it was idle.
+func (c *trackedConn) closeIfIdle() bool {
+	old := c.state.Load()
+	return old%connStates == connIdle && c.state.CompareAndSwap(old, old-connIdle+connClosed)
+}
 
 func (p *pool) track(conn net.Conn, address string) *trackedConn {
 	c := &trackedConn{Conn: conn, pool: p, address: address}
@@ -117,7 +136,7 @@
 	p.mu.Lock()
 	var idle []*trackedConn
 	for c := range p.conns[address] {
-		if c.state.CompareAndSwap(connIdle, connClosed) {
+		if c.closeIfIdle() {
 			idle = append(idle, c)
 		}
 	}
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -150,18 +150,19 @@
 	preventResend(req)
 	var reused bool
 	var conn *trackedConn
+	var use uint64
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			reused = info.Reused
 			var ok bool
 			if conn, ok = info.Conn.(*trackedConn); ok {
-				conn.acquire(attempt)
+				use = conn.acquire(attempt)
 				conn.boundWrites(req.ContentLength)
 			}
 		},
 		PutIdleConn: func(err error) {
 			if err == nil && conn != nil {
-				conn.release()
+				conn.release(use)
 			}
 		},
 	}
