The greatest stated length takes no negative room

What callers saw: a server that states a Content-Length of 2^63-1 gets its answer's caller a connection that is closed without a status; an idempotent request isn't tried elsewhere. Meanwhile the instance takes 2^63 bytes less for held than it holds, so that any request gets room.

Cause: readAnswer asked for room for the length plus one, which overflows; bytes.Buffer.Grow then panics.

Change: the length is bounded before one is added.

Test: TestGreatestStatedLengthTakesNoNegativeRoom, which panicked before.

--- a/request/relay/forward_passed.go
+++ b/request/relay/forward_passed.go
@@ -39,7 +39,7 @@
 	}
 	step, known := int64(answerStep), resp.ContentLength >= 0
 	if known {
-		step = min(resp.ContentLength+1, maxForwardBuffer+1)
+		step = min(resp.ContentLength, maxForwardBuffer) + 1
 	}
 	var read bytes.Buffer
 	for {
--- a/request/relay/forward_passed_test.go
+++ b/request/relay/forward_passed_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,3 +32,16 @@
 		})
 	}
 }
+
+// Guards against an account that gains room, and a request that panics, by a stated length whose
+// successor is no number.
+func TestGreatestStatedLengthTakesNoNegativeRoom(t *testing.T) {
+	is := is.New(t)
+	hold := holding.NewStore(holding.Options{Bytes: 1 << 30}).Open(holding.Owner{})
+	j := &forwardJob{req: &request{}, q: &gateway.Request{Hold: hold}}
+	body := io.NopCloser(io.MultiReader(strings.NewReader("a part"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	_, held, err := j.readAnswer(t.Context(), &gateway.Response{Response: &http.Response{Body: body, ContentLength: math.MaxInt64}})
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.Equal(held, int64(maxForwardBuffer+1))
+	is.Equal(hold.Held()[holding.Answer], held)
+}
