An answer of unknown length takes the memory that it is accounted for

What callers saw: nothing yet. While many servers send without end, an instance used two to three times the memory of its account (limits.held_bytes), up to its end for lack of memory on a small machine.

Cause: answers without a stated length were read into one buffer that doubles; the account held the bytes that were read.

Tests: TestManyAnswersWithoutEndAtOnce failed before. TestAnswersWithoutEnd covers servers that send without end, fast and byte by byte, in status line, header, body, chunks, trailers, events and after the answer, direct and forwarded: no success, every caller gets an end within the deadline, nothing stays held, log lines bounded and without the servers' bytes.

--- a/request/relay/forward_buffered.go
+++ b/request/relay/forward_buffered.go
@@ -23,7 +23,7 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   pieces
 	// framing and length are those of the server's response; length is -1 if it stated none.
 	framing upstream.Framing
 	length  int64
@@ -34,14 +34,14 @@
 func (j *forwardJob) forwardBuffered(ctx context.Context, att *upstreamAttempt, resp *gateway.Response) error {
 	body, held, err := j.readAnswer(ctx, resp)
 	defer func() { j.q.Hold.Free(holding.Answer, held) }()
-	if errors.Is(err, holding.ErrNoRoom) || j.q.Hold != nil && len(body) > maxForwardBuffer {
+	if errors.Is(err, holding.ErrNoRoom) || j.q.Hold != nil && body.size() > maxForwardBuffer {
 		return j.passOn(resp, body)
 	}
 	if err != nil {
 		return err
 	}
 	j.reportRun()
-	if len(body) > maxForwardBuffer {
+	if body.size() > maxForwardBuffer {
 		return errAnswerTooLarge
 	}
 	buffered := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, framing: j.req.framing, length: resp.ContentLength}
@@ -65,7 +65,7 @@
 	j.req.record.Answered()
 	j.reportTokens(1)
 	j.relay.Protocol.CopyResponseHeader(j.rw.Header(), buffered.header)
-	length := int64(len(buffered.body))
+	length := buffered.body.size()
 	if j.q.Method == http.MethodHead {
 		length = buffered.length
 	}
@@ -79,8 +79,10 @@
 	if j.q.Method == http.MethodHead {
 		return nil
 	}
-	if _, err := j.rw.Write(buffered.body); err != nil {
-		return j.callerGone(err)
+	for _, piece := range buffered.body {
+		if _, err := j.rw.Write(piece); err != nil {
+			return j.callerGone(err)
+		}
 	}
 	return nil
 }
