--- a/connection/gossip/gossip_test.go
+++ b/connection/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -166,12 +167,20 @@
 		length int
 		fails  bool
 	}{
-		"fine":          {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, one) }, 1, false},
-		"empty":         {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{}`) }, 0, false},
-		"error":         {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 500) }, 0, true},
-		"no JSON":       {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "<html>") }, 0, true},
-		"cut":           {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, one[:30]) }, 0, true},
-		"not modified":  {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }, 0, false},
+		"fine":         {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, one) }, 1, false},
+		"empty":        {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{}`) }, 0, false},
+		"error":        {func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", 500) }, 0, true},
+		"no JSON":      {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "<html>") }, 0, true},
+		"cut":          {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, one[:30]) }, 0, true},
+		"not modified": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }, 0, false},
+		"spaces without end after it": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, one)
+			for spaces := strings.Repeat(" ", 64<<10); ; {
+				if _, err := fmt.Fprint(w, spaces); err != nil {
+					return
+				}
+			}
+		}, 0, true},
 		"gone mid-body": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/connection/gossip/list.go
+++ b/connection/gossip/list.go
@@ -22,6 +22,8 @@
 	listTimeout = 2 * time.Second
 	// maxListBytes bounds the size of the list.
 	maxListBytes = 8 << 20
+	// maxListHeaderBytes bounds the header of the reply.
+	maxListHeaderBytes = 64 << 10
 )
 
 // listedInstance is one item of the platform's list.
@@ -42,7 +44,7 @@
 // pollList reads the list periodically until ctx ends. A failed read changes nothing,
 // since the list is only a hint.
 func (g *Gossip) pollList(ctx context.Context) {
-	client := &http.Client{Timeout: listTimeout}
+	client := &http.Client{Timeout: listTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxListHeaderBytes}}
 	tag := ""
 	for {
 		list, newTag, size, err := g.readList(ctx, client, tag)
@@ -86,10 +88,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, "", 0, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "reading the platform's list failed with status %s; check instance_list", resp.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
 	if err != nil {
 		return nil, "", len(data), err
 	}
+	if len(data) > maxListBytes {
+		return nil, "", len(data), fault.Newf(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "the platform's list exceeds %d bytes; check instance_list", maxListBytes)
+	}
 	var body struct {
 		Instances []listedInstance `json:"instances"`
 	}
