A killed instance does not end an unframed answer regularly

Cause: the kernel closes the connections of a killed process regularly, and to a body that ends with its connection that is the end. The same class as the answers that are cut with their forwarding instance: an end that says nothing is taken for success.

Change: while such a body is being sent, the caller's connection has SO_LINGER with a time of 0, so that a close by the kernel is a reset. The option is taken back once the complete body has been handed to the kernel. Likewise for streams to callers of HTTP/1.0, and for services of the project's own interface.

--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -66,6 +66,7 @@
 	rw := newResponseWriter(w, r, newRequestID(), h.instance)
 	err := h.serve(w, r, rw)
 	if err == nil {
+		rw.End()
 		return
 	}
 	h.counter.Refused(fault.Name(fault.KindOf(err)))
--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -30,8 +31,12 @@
 	control       *http.ResponseController
 	headerWritten bool
 	stream        bool
+	// ctx is the request's.
+	ctx context.Context
 	// unframed is set if the body ends with the connection.
-	unframed      bool
+	unframed bool
+	// confirmEnd is set while the end of the connection would not be the end of the body.
+	confirmEnd    func()
 	writeDeadline time.Time
 }
 
@@ -39,7 +44,7 @@
 	w.Header().Set(requestIDHeader, requestID)
 	w.Header().Set(instanceHeader, instance)
 	// HTTP/1.0 has no chunks.
-	return &ResponseWriter{RequestID: requestID, w: w, control: http.NewResponseController(w), unframed: !r.ProtoAtLeast(1, 1)}
+	return &ResponseWriter{ctx: r.Context(), RequestID: requestID, w: w, control: http.NewResponseController(w), unframed: !r.ProtoAtLeast(1, 1)}
 }
 
 // Header returns the response header. Changes after WriteHeader have no effect.
@@ -74,9 +79,20 @@
 	if rw.stream {
 		header.Set("Cache-Control", "no-cache")
 	}
+	if rw.unframed && header.Get("Content-Length") == "" {
+		rw.confirmEnd = httpserver.ResetIfKilled(rw.ctx)
+	}
 	rw.w.WriteHeader(status)
 }
 
+// End ends a complete response.
+func (rw *ResponseWriter) End() {
+	// A caller that has left needs no regular end.
+	if rw.confirmEnd != nil && rw.Flush() == nil {
+		rw.confirmEnd()
+	}
+}
+
 // WriteStreamHeader is WriteHeader for a stream of server-sent events.
 func (rw *ResponseWriter) WriteStreamHeader(server string) {
 	rw.WriteHeader(http.StatusOK, eventStream, server)
--- a/connection/caller/slowheader.go
+++ b/connection/caller/slowheader.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 )
 
 // WrapListener returns a listener whose connections send a typed error to a caller whose
@@ -24,7 +25,7 @@
 // ConnContext is an http.Server.ConnContext function that gives the handler access to the
 // connection of a request.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return httpserver.ConnContext(context.WithValue(ctx, connKey{}, conn), conn)
 }
 
 // markHeaderRead records that a request header was read on the connection. The handler
--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -151,7 +151,9 @@
 		h.counter.Refused(fault.Name(fault.KindOf(err)))
 		h.log.Failed(q.AttemptID, statusOf(err), err)
 		rw.Fail(err)
+		return
 	}
+	rw.End()
 }
 
 func (h *Handler) refuse(r *http.Request, rw *ResponseWriter, err error) {
--- a/connection/gateway/response.go
+++ b/connection/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -30,8 +31,12 @@
 	w             http.ResponseWriter
 	control       *http.ResponseController
 	headerWritten bool
+	// ctx is the request's.
+	ctx context.Context
 	// unframed is set if the body ends with the connection.
-	unframed      bool
+	unframed bool
+	// confirmEnd is set while the end of the connection would not be the end of the body.
+	confirmEnd    func()
 	status        int
 	writeTimeout  time.Duration
 	writeDeadline time.Time
@@ -42,7 +47,7 @@
 
 func newResponseWriter(w http.ResponseWriter, r *http.Request, writeTimeout time.Duration) *ResponseWriter {
 	// HTTP/1.0 has no chunks.
-	return &ResponseWriter{w: w, control: http.NewResponseController(w), unframed: !r.ProtoAtLeast(1, 1), writeTimeout: writeTimeout}
+	return &ResponseWriter{ctx: r.Context(), w: w, control: http.NewResponseController(w), unframed: !r.ProtoAtLeast(1, 1), writeTimeout: writeTimeout}
 }
 
 // Header returns the response header. Changes after WriteHeader have no effect.
@@ -74,9 +79,20 @@
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
+	if rw.unframed && header.Get("Content-Length") == "" {
+		rw.confirmEnd = httpserver.ResetIfKilled(rw.ctx)
+	}
 	rw.w.WriteHeader(status)
 }
 
+// End ends a complete response.
+func (rw *ResponseWriter) End() {
+	// A caller that has left needs no regular end.
+	if rw.confirmEnd != nil && rw.Send(nil) == nil {
+		rw.confirmEnd()
+	}
+}
+
 // Write sends a part of the body. It fails if the caller accepts no data for the write
 // timeout.
 func (rw *ResponseWriter) Write(b []byte) (int, error) {
--- a/connection/httpserver/httpserver.go
+++ b/connection/httpserver/httpserver.go
@@ -38,6 +38,7 @@
 	)
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
+	server.ConnContext = ConnContext
 	// Only changes of state are logged, not every broken connection of a caller.
 	server.ErrorLog = log.New(io.Discard, "", 0)
 	return server
