An error answered to a caller of HTTP/1.0 ends regularly

Cause: the end of an answer was confirmed after success only; Fail left the connection with SO_LINGER 0, and its regular close was a reset.

Change: Fail confirms the end of an answer that it completes.

Callers of HTTP/1.1 are not affected, since their errors have a length.

--- a/connection/caller/response.go
+++ b/connection/caller/response.go
@@ -127,6 +127,7 @@
 	body := encodeError(err, rw.RequestID)
 	if !rw.headerWritten {
 		rw.writeError(err, body)
+		rw.End()
 		return
 	}
 	if !rw.stream {
@@ -136,6 +137,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	_ = rw.WriteEvent(append(append([]byte("data: "), body...), '\n', '\n'))
+	rw.End()
 }
 
 func (rw *ResponseWriter) writeError(err error, body []byte) {
--- a/connection/gateway/response.go
+++ b/connection/gateway/response.go
@@ -162,6 +162,7 @@
 	rw.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	rw.WriteHeader(statusOf(err))
 	_, _ = rw.Write([]byte(err.Error() + "\n"))
+	rw.End()
 }
 
 // permanentStatuses maps the kinds of errors for which a retry is useless to HTTP
--- a/connection/upstream/attempt.go
+++ b/connection/upstream/attempt.go
@@ -21,7 +21,8 @@
 	// OnWrite is called once, just before the first byte may be written; may be nil.
 	OnWrite func()
 	state   atomic.Int32
-	// forwarder is set before the first write.
+	// forwarder is the instance that forwards the connection; nil for none. It is set before the
+	// first write.
 	forwarder atomic.Pointer[string]
 }
 
