Dials for the list of instances end with their read

Cause: the transport with a bound on headers, added for replies without end, had no time limit for dials, as the default transport has. A dial that hangs went on for the system's two minutes after its read had ended, one more each second. Found by reading the diff.

Change: dials have the time limit of the read. What is read stays as it was (TestListErrors).

--- a/connection/gossip/list.go
+++ b/connection/gossip/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -44,7 +45,11 @@
 // pollList reads the list periodically until ctx ends. A failed read changes nothing,
 // since the list is only a hint.
 func (g *Gossip) pollList(ctx context.Context) {
-	client := &http.Client{Timeout: listTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxListHeaderBytes}}
+	dialer := &net.Dialer{Timeout: listTimeout}
+	client := &http.Client{
+		Timeout:   listTimeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxListHeaderBytes},
+	}
 	tag := ""
 	for {
 		list, newTag, size, err := g.readList(ctx, client, tag)
