--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -61,10 +61,20 @@
 	// These use a separate generator, so that the other steps of a seed stay the same.
 	steps = append(steps, limitSteps(seed, length, servers)...)
 	steps = append(steps, outageSteps(seed, length)...)
+	steps = append(steps, unendingSteps(seed, length, servers)...)
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
 
+// unendingSteps has a server answer without end, once in a run.
+func unendingSteps(seed uint64, length time.Duration, servers int) []step {
+	random := rand.New(rand.NewPCG(seed, 80))
+	at := warmUp + time.Duration(random.Int64N(int64(max(length-warmUp, 1))))
+	server := random.IntN(servers)
+	duration := time.Second + time.Duration(random.Int64N(int64(time.Second)))
+	return []step{{at, fmt.Sprintf("server %d answers without end for %v", server, duration), func(r *run) { r.injectServerFault(server, standin.Unending, duration) }}}
+}
+
 // killAll kills every process after a change has been acknowledged. No process keeps its
 // memory, so that a change that was not made durable is lost.
 func (r *run) killAll() {
