Each attempt logs by what evidence the one before it counts as not run

A line of an attempt told that it ended, but not whether the policy stopped it, whether its server refused it, on which connection and which use of that connection, or whether the answer carried the request's id; the next attempt's line didn't tell what allowed it. So the three hypotheses on requests that run twice could not be told apart. "attempt failed" has end, evidence, connection, use and answer_named now, "sent" has idempotent and evidence_before, and lilacbridge_repeated_attempts_total counts repetitions by both.

--- a/connection/upstream/attempt.go
+++ b/connection/upstream/attempt.go
@@ -24,6 +24,23 @@
 	// forwarder is the instance that forwards the connection; nil for none. It is set before the
 	// first write.
 	forwarder atomic.Pointer[string]
+	// use is the use of a connection by the attempt; nil for none. It is set before the first write.
+	use atomic.Pointer[Use]
+}
+
+// Use is one use of a connection, by one call.
+type Use struct {
+	// Connection is the number of the connection in this process, counted from 1. Number is how
+	// many calls have used it, including this one.
+	Connection, Number uint64
+}
+
+// Use returns the use of a connection by the attempt; zero before it has one.
+func (a *Attempt) Use() Use {
+	if use := a.use.Load(); use != nil {
+		return *use
+	}
+	return Use{}
 }
 
 // Forwarder returns the name of the instance that forwards the attempt's connection; empty for
@@ -36,7 +53,8 @@
 }
 
 // connect records the connection that the attempt uses.
-func (a *Attempt) connect(conn net.Conn) {
+func (a *Attempt) connect(conn net.Conn, use Use) {
+	a.use.Store(&use)
 	if forwarded, ok := conn.(interface{ Forwarder() string }); ok {
 		name := forwarded.Forwarder()
 		a.forwarder.Store(&name)
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -33,6 +33,7 @@
 	net.Conn
 	pool    *pool
 	address string
+	number  uint64
 	// state is connStates times the number of requests that have used the connection, plus one of
 	// the states above.
 	state   atomic.Uint64
@@ -91,16 +92,17 @@
 // acquire marks the connection as busy with the attempt. It returns the number of this use.
 func (c *trackedConn) acquire(attempt *Attempt) (use uint64) {
 	c.attempt.Store(attempt)
-	if attempt != nil {
-		attempt.connect(c.Conn)
-	}
 	for {
 		old := c.state.Load()
 		use = old/connStates + 1
 		if old%connStates == connClosed || c.state.CompareAndSwap(old, use*connStates+connBusy) {
-			return use
+			break
 		}
 	}
+	if attempt != nil {
+		attempt.connect(c.Conn, Use{Connection: c.number, Number: use})
+	}
+	return use
 }
 
 // boundWrites bounds each write of the next request, if its body is large.
@@ -127,8 +129,11 @@
 	return old%connStates == connIdle && c.state.CompareAndSwap(old, old-connIdle+connClosed)
 }
 
+// connections counts the connections of this process, for their numbers.
+var connections atomic.Uint64
+
 func (p *pool) track(conn net.Conn, address string) *trackedConn {
-	c := &trackedConn{Conn: conn, pool: p, address: address}
+	c := &trackedConn{Conn: conn, pool: p, address: address, number: connections.Add(1)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == nil {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -62,6 +63,7 @@
 	requests    *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	attempts    *prometheus.CounterVec
+	repeated    *prometheus.CounterVec
 	firstToken  *prometheus.HistogramVec
 	tokens      prometheus.Counter
 	tokensSaved prometheus.Counter
@@ -76,12 +78,13 @@
 
 // NewEntry returns metrics that are registered with registry.
 func NewEntry(registry *prometheus.Registry) *Entry {
-	counters := func(name, help, label string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
 	}
 	e := &Entry{
 		requests:     counters("lilacbridge_requests_total", "Requests that passed the checks.", "class"),
 		refusals:     counters("lilacbridge_errors_total", "Errors answered to callers.", "kind"),
+		repeated:     counters("lilacbridge_repeated_attempts_total", "Attempts after the first one of a request, by whether the request is idempotent and by what proves that the attempt before did not run.", "idempotent", "evidence"),
 		attempts:     counters("lilacbridge_attempts_total", "Attempts at backend servers, by how they ended.", "end"),
 		violations:   counters("lilacbridge_invariants_broken_total", "Broken invariants; must stay 0.", "invariant"),
 		resumed:      counters("lilacbridge_streams_resumed_total", "Streams that callers resume, by where their software version was found: own, peer, only_version or unknown (refused).", "source"),
@@ -92,7 +95,7 @@
 		surplus:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_answers_with_surplus_total", Help: "Answers after whose end their server sent more bytes."}),
 		firstToken:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lilacbridge_first_token_seconds", Help: "From arrival to the first token.", Buckets: firstTokenBuckets}, []string{"class"}),
 	}
-	registry.MustRegister(e.requests, e.refusals, e.attempts, e.violations, e.resumed, e.availability, e.givenUp, e.tokens, e.tokensSaved, e.surplus, e.firstToken)
+	registry.MustRegister(e.requests, e.refusals, e.attempts, e.repeated, e.violations, e.resumed, e.availability, e.givenUp, e.tokens, e.tokensSaved, e.surplus, e.firstToken)
 	return e
 }
 
@@ -105,6 +108,11 @@
 // Attempt counts an attempt by how it ended.
 func (e *Entry) Attempt(end string) { e.attempts.WithLabelValues(end).Inc() }
 
+// Repeated implements relay.Counter.
+func (e *Entry) Repeated(idempotent bool, evidence string) {
+	e.repeated.WithLabelValues(strconv.FormatBool(idempotent), evidence).Inc()
+}
+
 // FirstToken observes the time from arrival to the first token.
 func (e *Entry) FirstToken(class string, wait time.Duration) {
 	e.firstToken.WithLabelValues(class).Observe(wait.Seconds())
--- a/request/outcome/record.go
+++ b/request/outcome/record.go
@@ -41,6 +41,38 @@
 	return attempt
 }
 
+// Evidence is what proves that an attempt did not run.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	// NoEvidence: the attempt may have run.
+	NoEvidence Evidence = "none"
+	// NothingWritten: no byte of the attempt was written, and none will be.
+	NothingWritten Evidence = "nothing written"
+	// ServerRefused: the server stated that it did not run the attempt.
+	ServerRefused Evidence = "refused"
+)
+
+// LastEvidence abandons the last attempt and returns what proves that it did not run. It is empty
+// before the first attempt.
+func (r *Record) LastEvidence() Evidence {
+	if len(r.attempts) == 0 {
+		return ""
+	}
+	return r.attempts[len(r.attempts)-1].evidence()
+}
+
+func (a attemptRecord) evidence() Evidence {
+	switch {
+	case a.attempt.Abandon():
+		return NothingWritten
+	case a.refused:
+		return ServerRefused
+	}
+	return NoEvidence
+}
+
 // Refused records that the server stated that it did not run the last attempt.
 func (r *Record) Refused() { r.attempts[len(r.attempts)-1].refused = true }
 
@@ -53,9 +85,7 @@
 func (r *Record) Proof() (Proof, bool) {
 	proved := !r.answered
 	for _, a := range r.attempts {
-		if !a.attempt.Abandon() && !a.refused {
-			proved = false
-		}
+		proved = a.evidence() != NoEvidence && proved
 	}
 	return Proof{valid: proved}, proved
 }
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -10,6 +10,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
+	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
@@ -17,14 +18,15 @@
 // the choice of server, followed by "finished", "attempt failed" or "refused".
 // docs/OPERATIONS.md lists the fields.
 
-func (r *Relay) logSent(req *request, start policy.Start) {
+func (r *Relay) logSent(req *request, start policy.Start, before outcome.Evidence) {
 	why := start.Decision
 	fields := []any{"request", req.requestID, "class", req.class, "team", req.team, "target", req.target,
 		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
 		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
 		"pace", percent(why.Pace), "pace_reported", percent(why.Reported), "pace_age_ms", why.PaceAge.Milliseconds(),
 		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
-		"retry", string(why.Retry), "displaces", why.Displaces, "bulk", why.Bulk, "need", int(why.Need), "held", int(why.Held), "memory", int(why.Memory), "version", start.Version, "after", req.lastEvent, "resumes", req.resumes}
+		"retry", string(why.Retry), "displaces", why.Displaces, "bulk", why.Bulk, "need", int(why.Need), "held", int(why.Held), "memory", int(why.Memory), "version", start.Version, "after", req.lastEvent, "resumes", req.resumes,
+		"idempotent", req.idempotent, "evidence_before", string(before)}
 	r.Log.Line(logs.Success, "sent", append(fields, teamFields(why.Team)...)...)
 }
 
@@ -57,14 +59,16 @@
 }
 
 func (r *Relay) logFinished(req *request, att *upstreamAttempt) {
+	use := att.state.Use()
 	r.Log.Line(logs.Success, "finished", "request", req.requestID, "server", att.start.Server, "attempt", att.start.Attempt,
 		"first_ms", req.firstTokenAfter().Milliseconds(), "took_ms", time.Since(req.arrived).Milliseconds(), "pause_ms", req.longestPause().Milliseconds(), "tokens", req.tokens.Load(),
-		"framing", string(req.framing), "stated_bytes", req.stated, "read_bytes", req.read, "forwarder", att.state.Forwarder())
+		"framing", string(req.framing), "stated_bytes", req.stated, "read_bytes", req.read, "forwarder", att.state.Forwarder(), "connection", use.Connection, "use", use.Number)
 }
 
-func (r *Relay) logFailed(req *request, att *upstreamAttempt, err error, unsent bool) {
+func (r *Relay) logFailed(req *request, att *upstreamAttempt, err error, unsent bool, end string) {
+	use := att.state.Use()
 	r.Log.Line(logs.Failure, "attempt failed", "request", req.requestID, "class", req.class, "server", att.start.Server, "attempt", att.start.Attempt,
-		"unsent", unsent, "connection_lost", upstream.IsConnectionError(err), "after_ms", time.Since(req.arrived).Milliseconds(),
+		"end", end, "unsent", unsent, "evidence", string(req.record.LastEvidence()), "connection", use.Connection, "use", use.Number, "answer_named", req.named, "connection_lost", upstream.IsConnectionError(err), "after_ms", time.Since(req.arrived).Milliseconds(),
 		"tokens", req.tokens.Load(), "began", req.lastProgress.Load() != 0, "parts", partList(req.parts), "framing", string(req.framing),
 		"stated_bytes", req.stated, "read_bytes", req.read, "forwarder", att.state.Forwarder(), "error", err)
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -33,6 +33,9 @@
 type Counter interface {
 	// Attempt counts an ended attempt by result, such as "finished" or "crashed".
 	Attempt(end string)
+	// Repeated counts attempts after the first one of a request, by what proves that the one
+	// before did not run.
+	Repeated(idempotent bool, evidence string)
 	// FirstToken observes the time from arrival to the first token, by class.
 	FirstToken(class string, wait time.Duration)
 	// Tokens counts tokens forwarded to callers.
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -47,6 +47,8 @@
 	// claimed is set for requests under a claim. Their attempts run to completion even if
 	// the caller disconnects, so that a repeated request gets the answer.
 	claimed bool
+	// idempotent is set for requests that may run more than once.
+	idempotent bool
 	// The fields from record to read are used only by the request's goroutine.
 	record outcome.Record
 	held   heldAnswer
@@ -60,7 +62,9 @@
 	// stated is the length of the response's body by its header, -1 if that states none; read is
 	// how much of the body of a response that isn't a stream has come.
 	stated, read int64
-	actions      chan policy.Action
+	// named is set if the response carries the request's id.
+	named   bool
+	actions chan policy.Action
 	// slow is the way to the caller that may be slow; nil without a gateway.
 	slow *slowCaller
 	// finished is set once the core was told that the server has done its part, which may be
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -40,6 +40,7 @@
 func (r *Relay) run(ctx context.Context, req *request, arrival policy.Arrival, j job) error {
 	defer func() { r.release(req.held) }()
 	arrival.ID = req.id
+	req.idempotent = arrival.Idempotent
 	r.Post(arrival)
 	for {
 		action, err := r.wait(ctx, req)
@@ -132,8 +133,12 @@
 		return false, nil
 	}
 	att := &upstreamAttempt{start: start, server: server, upstreamID: req.requestID + "-" + strconv.Itoa(start.Attempt)}
-	req.framing, req.stated, req.read = "", -1, 0
-	r.logSent(req, start)
+	req.framing, req.stated, req.read, req.named = "", -1, 0, false
+	before := req.record.LastEvidence()
+	if before != "" {
+		r.Counter.Repeated(req.idempotent, string(before))
+	}
+	r.logSent(req, start, before)
 	att.state = req.record.Add(func() { r.Post(policy.Sent{ID: req.id, Attempt: start.Attempt}) })
 	err = j.attempt(attemptCtx, att)
 	cause := context.Cause(attemptCtx)
@@ -149,7 +154,14 @@
 		return true, nil
 	}
 	unsent := att.state.Abandon()
-	r.logFailed(req, att, err, unsent)
+	failure, end := classify(err, unsent)
+	if failure.Refused {
+		req.record.Refused()
+	}
+	if stopped {
+		end = "stopped"
+	}
+	r.logFailed(req, att, err, unsent, end)
 	switch {
 	case errors.Is(cause, errGivenUp):
 		r.Counter.Attempt("given_up")
@@ -179,9 +191,6 @@
 func (r *Relay) failed(req *request, att *upstreamAttempt, j job, err error, unsent bool) (done bool, answer error) {
 	failed, end := classify(err, unsent)
 	failed.ID, failed.Attempt = req.id, att.start.Attempt
-	if failed.Refused {
-		req.record.Refused()
-	}
 	if errors.Is(err, upstream.ErrIDMismatch) {
 		r.Counter.InvariantViolated("answer_of_another_request")
 	}
