A stopped request that must run once waits for the outcome of its attempt

Cause: the policy stops the copies of a request that crashes servers. Of one that is not idempotent it looked only whether the word of its first byte, the event Sent, had come. Sent comes from the goroutine that writes, and a decision may come before it; Sent was then noted, but the next attempt had started. A failure of the attempt itself at the same moment was dropped altogether.

Fix: the shell answers each Stop with Stopped, which tells from the request's record whether the attempt may have run. Until then the request is in no queue. It goes on only if the record proves that the attempt did not run and never will, so the order of events no longer matters. Failed of the same attempt counts as its outcome too.

--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -194,6 +194,8 @@
 		return
 	}
 	delete(in.jobs, a.ID)
+	// Its bytes are on their way since its start.
+	in.world.clock.after(0, func() { in.step(policy.Stopped{ID: a.ID, Attempt: a.Attempt, MayHaveRun: true}) })
 	if move {
 		in.pendingMove = j
 		return
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -170,6 +170,9 @@
 // enqueue puts the request into the quarantine if it is a suspect, else into the
 // queue.
 func (c *core) enqueue(now time.Time, r *request) {
+	if r.unsettled > 0 {
+		return
+	}
 	if r.lacksVersion(now) {
 		c.endLackingVersion(now, r)
 		return
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -121,6 +121,15 @@
 	ServerError bool
 }
 
+// Stopped reports that an attempt that the core stopped has ended. Each Stop is followed by a
+// Stopped, or by the Finished, Failed or Canceled of an attempt that ended at the same moment.
+type Stopped struct {
+	ID      ID
+	Attempt int
+	// MayHaveRun is false only if it is proved that the attempt did not run and never will.
+	MayHaveRun bool
+}
+
 // LoadReport is a server's own report of its load, which is Age old.
 type LoadReport struct {
 	Server  string
@@ -329,6 +338,7 @@
 func (Recomputed) event()  {}
 func (Finished) event()    {}
 func (Failed) event()      {}
+func (Stopped) event()     {}
 func (LoadReport) event()  {}
 func (CacheEvent) event()  {}
 func (ServerState) event() {}
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -130,6 +130,8 @@
 		c.finished(now, e)
 	case Failed:
 		c.failed(now, e)
+	case Stopped:
+		c.stopped(now, e)
 	case LoadReport:
 		c.loadReport(now, e)
 	case Fleet:
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -165,7 +165,7 @@
 // startWith starts an attempt. Its KV cache is transferred from the given server,
 // which held the answer; nil for none.
 func (c *core) startWith(now time.Time, r *request, s, from *server) {
-	if !c.check(InvariantIdempotent, r.Idempotent || !r.everSent) {
+	if !c.check(InvariantIdempotent, r.Idempotent || !r.everSent && r.unsettled == 0) {
 		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 		return
 	}
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -22,6 +22,7 @@
 func (c *core) failed(now time.Time, e Failed) {
 	r := c.currentAttempt(e.ID, e.Attempt)
 	if r == nil {
+		c.settle(now, e.ID, e.Attempt, e.Sent && !e.Refused)
 		return
 	}
 	s := r.server
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -43,7 +43,7 @@
 	}
 	c.rememberRefusal(now, r, after)
 	notRun := lilacv1.NotRun_NOT_RUN_TRUE
-	if r.everSent {
+	if r.everSent || r.unsettled > 0 {
 		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
 	}
 	c.stats.Refused++
@@ -87,6 +87,7 @@
 	// Its first byte may be on its way.
 	c.markReached(now, r)
 	c.detachFromServer(now, r)
+	r.awaitOutcome()
 }
 
 func (c *core) dequeue(r *request) {
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -1,10 +1,6 @@
 package policy
 
-import (
-	"time"
-
-	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
-)
+import "time"
 
 // currentAttempt returns the request if attempt is its running one, else nil: late events of
 // earlier attempts must not affect the running one.
@@ -29,8 +25,7 @@
 	}
 	r.everSent = true
 	if !r.Idempotent && r.server == nil {
-		c.stop(now, r)
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
+		c.endUnknown(now, r)
 	}
 }
 
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -27,6 +27,9 @@
 	// was sent without the server stating that it did not run it.
 	attemptSent bool
 	everSent    bool
+	// unsettled is the number of a stopped attempt whose outcome decides whether the request may
+	// start again; 0 for none.
+	unsettled int
 	// reached is true if any attempt may have reached a server. retryCause is why the request
 	// starts again, grant is the retry that its next start uses, from the
 	// decision to retry until the retry reaches a server.
--- a/request/policy/stopped_test.go
+++ b/request/policy/stopped_test.go
@@ -40,3 +40,48 @@
 	refusal := only[Refuse](t, c.Step(later, Sent{ID: 1, Attempt: 1}))
 	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
 }
+
+// Guards against a request that never ends since nothing takes it up after its stop, and against
+// one that is given up although it did not run.
+func TestStoppedRequestGoesOnOnceItsAttemptIsKnownNotToHaveRun(t *testing.T) {
+	for name, outcome := range map[string]Event{
+		"stopped":                  Stopped{ID: 1, Attempt: 1},
+		"refused at the same time": Failed{ID: 1, Attempt: 1, Sent: true, Refused: true},
+		"unsent at the same time":  Failed{ID: 1, Attempt: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := stopBooking(t)
+			c.Step(epoch, outcome)
+			starts := startsUntil(c, epoch, epoch.Add(4*time.Second))
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Attempt, 2)
+			is.Equal(len(c.stats.Violations), 0)
+		})
+	}
+}
+
+// Guards against a second run after an attempt that ended by itself just as it was stopped.
+func TestStoppedRequestEndsIfItsAttemptMayHaveRun(t *testing.T) {
+	for name, outcome := range map[string]Event{
+		"stopped":                 Stopped{ID: 1, Attempt: 1, MayHaveRun: true},
+		"failed at the same time": Failed{ID: 1, Attempt: 1, Sent: true, Crashed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := stopBooking(t)
+			refusal := only[Refuse](t, c.Step(epoch, outcome))
+			is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN)
+			is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_UNKNOWN)
+			is.Equal(len(startsUntil(c, epoch, epoch.Add(4*time.Second))), 0)
+		})
+	}
+}
+
+// Guards against the outcome of an earlier attempt that is taken for that of the last one.
+func TestOutcomeOfAnotherAttemptSettlesNothing(t *testing.T) {
+	is := is.New(t)
+	c := stopBooking(t)
+	c.Step(epoch, Stopped{ID: 1, Attempt: 2})
+	is.Equal(len(startsUntil(c, epoch, epoch.Add(4*time.Second))), 0)
+}
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -9,6 +9,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
@@ -130,6 +131,7 @@
 	attemptCtx, cancel := context.WithCancelCause(base)
 	defer cancel(nil)
 	if !req.begin(start, cancel) {
+		r.Post(policy.Stopped{ID: req.id, Attempt: start.Attempt})
 		return false, nil
 	}
 	att := &upstreamAttempt{start: start, server: server, upstreamID: req.requestID + "-" + strconv.Itoa(start.Attempt)}
@@ -178,6 +180,7 @@
 			r.release(req.held)
 			req.held = heldAnswer{}
 		}
+		r.Post(policy.Stopped{ID: req.id, Attempt: start.Attempt, MayHaveRun: req.record.LastEvidence() == outcome.NoEvidence})
 		return false, nil
 	}
 	if errors.Is(cause, errStalled) {
