The relay starts no second attempt without proof of the first ones

Cause: the relay carried out each start of the policy. Whether an earlier attempt may have run was decided by the policy alone, from events that may come late or not at all, while the request's record, which knows, was only asked for the final error.

Fix: at the one place where attempts start, a request that is not idempotent needs its record's proof that none of its attempts ran: no byte written, and none will be, or a refusal by the server. Without it the request ends, with its outcome unknown, and the broken invariant is counted and logged.

--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -58,6 +58,11 @@
 		"took_ms", time.Since(req.arrived).Milliseconds())
 }
 
+func (r *Relay) logWithoutProof(req *request, start policy.Start) {
+	r.Log.Line(logs.Failure, "repetition without proof refused", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt,
+		"evidence_before", string(req.record.LastEvidence()), "after_ms", time.Since(req.arrived).Milliseconds())
+}
+
 func (r *Relay) logFinished(req *request, att *upstreamAttempt) {
 	use := att.state.Use()
 	r.Log.Line(logs.Success, "finished", "request", req.requestID, "server", att.start.Server, "attempt", att.start.Attempt,
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -121,6 +121,16 @@
 	return ctx, func() {}
 }
 
+// mayStart reports whether another attempt may start. A request that is not idempotent needs proof
+// that none of its attempts ran; from then on they can't write.
+func (req *request) mayStart() bool {
+	if req.idempotent {
+		return true
+	}
+	_, proved := req.record.Proof()
+	return proved
+}
+
 // begin records that an attempt runs; it returns false if the core already stopped it.
 func (req *request) begin(start policy.Start, cancel context.CancelCauseFunc) bool {
 	req.mu.Lock()
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -13,6 +13,8 @@
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
+const interruptedMessage = "the answer was interrupted and can't be continued; it is incomplete"
+
 // errCallerGone is returned for a failed write to the caller.
 var errCallerGone = errors.New("caller disconnected")
 
@@ -54,6 +56,9 @@
 		case policy.Broken:
 			return req.record.Error(a.Kind, a.Message, fault.WithRetryAfter(a.RetryAfter))
 		case policy.Start:
+			if !req.mayStart() {
+				return r.endWithoutProof(req, a, j)
+			}
 			done, err := r.runAttempt(ctx, req, a, j)
 			if done || err != nil {
 				return err
@@ -189,6 +194,18 @@
 	return r.failed(req, att, j, err, unsent)
 }
 
+// endWithoutProof ends a request that the core would start again although an earlier attempt may
+// have run.
+func (r *Relay) endWithoutProof(req *request, start policy.Start, j job) error {
+	r.logWithoutProof(req, start)
+	r.Counter.InvariantViolated("repeated_without_proof")
+	r.Post(policy.Canceled{ID: req.id})
+	if j.begun() {
+		return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, interruptedMessage)
+	}
+	return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "the request was sent to a backend server and may have run; check its outcome at the service before sending it again")
+}
+
 // failed reports a failed attempt to the core. Failures that a retry on another server
 // can't resolve end the request at once.
 func (r *Relay) failed(req *request, att *upstreamAttempt, j job, err error, unsent bool) (done bool, answer error) {
@@ -210,7 +227,7 @@
 
 func (r *Relay) finalError(req *request, j job, err error) error {
 	if j.begun() {
-		return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, "the answer was interrupted and can't be continued; it is incomplete")
+		return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, interruptedMessage)
 	}
 	var status *upstream.StatusError
 	if errors.As(err, &status) && status.Status < 500 {
