An attempt never uses the connection of an earlier one of its request

Cause: all attempts of a request carry the caller's id, so the id in an answer binds it to the request, not to the attempt. A server may send an answer once more where the next one is due. If it refused an attempt and the next one went to the same address, net/http took the connection used last, and the second refusal passed for the refusal of an attempt that ran. With one attempt allowed too: status 421, from a server that took over an address, doesn't count as a server tried, and the list soon names the new server at the same address.

Fix: an attempt at an address that got an earlier attempt of the request uses a new connection, on which no answer to the earlier one can come. Idempotent requests too: their 503 is a promise as well, and a stream that goes on must not take up the answer of an earlier attempt.

--- a/connection/gateway/client.go
+++ b/connection/gateway/client.go
@@ -42,6 +42,10 @@
 	// NonIdempotent is set for calls that must not be repeated. They use a connection that
 	// was used very recently, or a new one, which the server is not about to close.
 	NonIdempotent bool
+	// Repeated is set for calls to an address that got an earlier attempt of the request. They use
+	// new connections: all attempts have one id, so an answer to the earlier one that comes once
+	// more would pass for the answer to this one.
+	Repeated bool
 }
 
 // Response is a backend server's response.
@@ -87,7 +91,10 @@
 		req.Header.Set("User-Agent", "")
 	}
 	do := c.upstream.Do
-	if call.NonIdempotent {
+	switch {
+	case call.Repeated:
+		do = c.upstream.DoNewConn
+	case call.NonIdempotent:
 		do = c.upstream.DoRecentConn
 	}
 	resp, err := do(req, call.Attempt)
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,8 @@
 	// if no further attempt follows.
 	failedAnswer   *bufferedAnswer
 	firstTokenSeen bool
+	// addresses are those that got an attempt.
+	addresses []string
 	// began is true once a server has begun to run the request.
 	began bool
 	// passing is true once an answer that isn't a stream was begun before it was complete.
@@ -140,8 +143,11 @@
 	if !j.q.CallerDeadline.IsZero() {
 		send.Remaining = time.Until(j.q.CallerDeadline)
 	}
+	address := att.server.GetAddress()
+	repeated := slices.Contains(j.addresses, address)
+	j.addresses = append(j.addresses, address)
 	resp, err := j.relay.Gateway.Do(ctx, gateway.Call{
-		Address: att.server.GetAddress(), Method: j.q.Method, URI: j.q.URI, Host: j.q.Host,
+		Address: address, Repeated: repeated, Method: j.q.Method, URI: j.q.URI, Host: j.q.Host,
 		Header: j.q.Header, Body: j.q.Body, Info: send, Attempt: att.state, NonIdempotent: !j.q.Route.Repeatable(),
 	})
 	if err != nil {
