A request whose answer was complete as it was stopped is forgotten

What operators saw: a request in the policy's hands after its caller had its answer, started again for nobody; its slot stayed taken until the caller's deadline, without a deadline for good.

Cause: the answer is complete just as the policy stops its attempt. Finished of an attempt that isn't the running one was dropped, like other late events. Finished is the last word on a request, whichever attempt it names.

Evidence: TestRequestFinishedAsItWasStoppedIsForgotten failed for both kinds of requests.

--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -62,6 +62,7 @@
 	steps = append(steps, limitSteps(seed, length, servers)...)
 	steps = append(steps, outageSteps(seed, length)...)
 	steps = append(steps, unendingSteps(seed, length, servers)...)
+	steps = append(steps, refusalSteps(seed, length, servers)...)
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
@@ -75,6 +76,18 @@
 	return []step{{at, fmt.Sprintf("server %d answers without end for %v", server, duration), func(r *run) { r.injectServerFault(server, standin.Unending, duration) }}}
 }
 
+// refusalSteps has servers refuse requests and send the refusals once more.
+func refusalSteps(seed uint64, length time.Duration, servers int) []step {
+	random := rand.New(rand.NewPCG(seed, 81))
+	var steps []step
+	for at := warmUp; at < length; at += time.Duration(300+random.IntN(700)) * time.Millisecond {
+		fault := [...]standin.Fault{standin.OverloadedTwice, standin.MisdirectedTwice}[random.IntN(2)]
+		server, duration := random.IntN(servers), time.Duration(300+random.IntN(700))*time.Millisecond
+		steps = append(steps, step{at, fmt.Sprintf("server %d refuses twice (fault %d) for %v", server, fault, duration), func(r *run) { r.injectServerFault(server, fault, duration) }})
+	}
+	return steps
+}
+
 // killAll kills every process after a change has been acknowledged. No process keeps its
 // memory, so that a change that was not made durable is lost.
 func (r *run) killAll() {
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -71,6 +71,7 @@
 func (c *core) finished(now time.Time, e Finished) {
 	r := c.currentAttempt(e.ID, e.Attempt)
 	if r == nil {
+		c.finishStopped(now, e.ID)
 		return
 	}
 	s := r.server
--- a/request/policy/stopped.go
+++ b/request/policy/stopped.go
@@ -42,3 +42,16 @@
 	c.dequeue(r)
 	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, outcomeMessage, 0)
 }
+
+// finishStopped ends a request whose answer was complete when its attempt was stopped.
+func (c *core) finishStopped(now time.Time, id ID) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	c.stop(now, r)
+	r.everSent = true
+	c.forget(now, r)
+	c.stats.Finished++
+	c.dispatch(now, r.pool)
+}
--- a/request/policy/stopped_test.go
+++ b/request/policy/stopped_test.go
@@ -85,3 +85,22 @@
 	c.Step(epoch, Stopped{ID: 1, Attempt: 2})
 	is.Equal(len(startsUntil(c, epoch, epoch.Add(4*time.Second))), 0)
 }
+
+// Guards against a request that the policy keeps, and starts again for nobody, since its answer
+// was complete just as its attempt was stopped.
+func TestRequestFinishedAsItWasStoppedIsForgotten(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := coreWithPool(4)
+			a := arrival(1, "alerts")
+			a.Digest, a.Idempotent = "same", idempotent
+			c.Step(epoch, a)
+			only[Stop](t, c.Step(epoch, suspectDigest("e9", 1, "", "r9")))
+			c.Step(epoch, Finished{ID: 1, Attempt: 1})
+			is.Equal(len(c.requests), 0)
+			is.Equal(len(startsUntil(c, epoch, epoch.Add(4*time.Second))), 0)
+			is.Equal(c.running, 0)
+		})
+	}
+}
