Requests past their deadline end before others are dispatched

Cause: a deadline was only looked at by the tick. An event between the deadline and the next tick that frees a server, or an arrival that comes after its deadline, started the request. The relay drops such a start, but the server's slot counted as taken until the next word on the request.

Evidence: TestNothingStartsAfterItsDeadline failed, with the start of a request at its deadline. Each dispatch now ends the requests whose deadlines have passed first.

--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -177,15 +177,7 @@
 }
 
 func (c *core) tick(now time.Time) {
-	for {
-		id, due := c.timers.due(now)
-		if !due {
-			break
-		}
-		if r := c.requests[id]; r != nil {
-			c.expire(now, r)
-		}
-	}
+	c.expireDue(now)
 	for _, p := range c.poolOrder {
 		c.borrow(now, p)
 		c.expireLate(now, p)
--- a/request/policy/core_test.go
+++ b/request/policy/core_test.go
@@ -103,3 +103,26 @@
 	is.Equal(len(c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: 1})), 0)
 	is.Equal(c.requests[1].tokens, 2) // a late token of the first attempt is ignored
 }
+
+// Guards against an attempt that starts after its caller's deadline, since the event that frees a
+// server, or the arrival itself, is handled before the tick that ends the request.
+func TestNothingStartsAfterItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	deadline := epoch.Add(time.Second)
+	id := ID(1)
+	for ; len(all[Start](c.Step(epoch, arrival(id, "batch")))) > 0; id++ {
+		c.Step(epoch, Sent{ID: id, Attempt: 1})
+	}
+	waiting := arrival(id+1, "batch")
+	waiting.Deadline = deadline
+	is.Equal(len(all[Start](c.Step(epoch, waiting))), 0)
+	c.Step(epoch, Canceled{ID: id})
+	refusal := only[Refuse](t, c.Step(deadline, Finished{ID: 1, Attempt: 1}))
+	is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT)
+	late := arrival(id+2, "batch")
+	late.Deadline = deadline
+	refusal = only[Refuse](t, c.Step(deadline, late))
+	is.Equal(refusal.Kind, lilacv1.ErrorKind_ERROR_KIND_TIMEOUT)
+	is.Equal(len(c.stats.Violations), 0)
+}
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -12,6 +12,7 @@
 // below their guaranteed share, then requests that can meet their target, by position,
 // then late ones, by position.
 func (c *core) dispatch(now time.Time, p *pool) {
+	c.expireDue(now)
 	p.dirty = false
 	c.tryTrials(now, p)
 	for p.queue.Len() > 0 {
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -126,6 +126,15 @@
 	return uint64(r.tokensLeft(c))
 }
 
+// expireDue ends the requests whose deadlines have passed.
+func (c *core) expireDue(now time.Time) {
+	for id, due := c.timers.due(now); due; id, due = c.timers.due(now) {
+		if r := c.requests[id]; r != nil {
+			c.expire(now, r)
+		}
+	}
+}
+
 func (c *core) expire(now time.Time, r *request) {
 	c.stats.SavedTokens.Expired += c.remainingTokens(r)
 	c.observeEnd(now, r)
