Fault soak: servers refuse twice

Several servers at a time refuse requests and send each refusal once more where the next answer on the connection is due, with kills, pauses and drains beside it. A request has to choose the same server again within 0.9 s, which the policy avoids while others are there; the tests of platform/ force it.

--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -82,8 +82,12 @@
 	var steps []step
 	for at := warmUp; at < length; at += time.Duration(300+random.IntN(700)) * time.Millisecond {
 		fault := [...]standin.Fault{standin.OverloadedTwice, standin.MisdirectedTwice}[random.IntN(2)]
-		server, duration := random.IntN(servers), time.Duration(300+random.IntN(700))*time.Millisecond
-		steps = append(steps, step{at, fmt.Sprintf("server %d refuses twice (fault %d) for %v", server, fault, duration), func(r *run) { r.injectServerFault(server, fault, duration) }})
+		first, duration := random.IntN(servers), time.Duration(300+random.IntN(700))*time.Millisecond
+		steps = append(steps, step{at, fmt.Sprintf("servers from %d refuse twice (fault %d) for %v", first, fault, duration), func(r *run) {
+			for server := first; server < servers; server++ {
+				r.injectServerFault(server, fault, duration)
+			}
+		}})
 	}
 	return steps
 }
