Lines of failed attempts have the status of the server's answer

All refusals read "backend server answered 503", so that 421, which doesn't count as a server tried, could not be told from 503.

--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -155,7 +155,7 @@
 	}
 	defer resp.Body.Close()
 	j.req.framing, j.req.stated = upstream.FramingOf(resp.Response), resp.ContentLength
-	j.req.named = resp.Info.AttemptID == j.q.AttemptID && resp.Info.AttemptID != ""
+	j.req.status, j.req.named = resp.StatusCode, resp.Info.AttemptID != "" && resp.Info.AttemptID == j.q.AttemptID
 	j.reportLoad(att, resp)
 	j.reportLimit(att, resp)
 	if resp.Info.NotRun {
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -73,7 +73,7 @@
 func (r *Relay) logFailed(req *request, att *upstreamAttempt, err error, unsent bool, end string) {
 	use := att.state.Use()
 	r.Log.Line(logs.Failure, "attempt failed", "request", req.requestID, "class", req.class, "server", att.start.Server, "attempt", att.start.Attempt,
-		"end", end, "unsent", unsent, "evidence", string(req.record.LastEvidence()), "connection", use.Connection, "use", use.Number, "answer_named", req.named, "connection_lost", upstream.IsConnectionError(err), "after_ms", time.Since(req.arrived).Milliseconds(),
+		"end", end, "unsent", unsent, "evidence", string(req.record.LastEvidence()), "connection", use.Connection, "use", use.Number, "answer_status", req.status, "answer_named", req.named, "connection_lost", upstream.IsConnectionError(err), "after_ms", time.Since(req.arrived).Milliseconds(),
 		"tokens", req.tokens.Load(), "began", req.lastProgress.Load() != 0, "parts", partList(req.parts), "framing", string(req.framing),
 		"stated_bytes", req.stated, "read_bytes", req.read, "forwarder", att.state.Forwarder(), "error", err)
 }
--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -62,7 +62,8 @@
 	// stated is the length of the response's body by its header, -1 if that states none; read is
 	// how much of the body of a response that isn't a stream has come.
 	stated, read int64
-	// named is set if the response carries the request's id.
+	// status is that of the response; named is set if the response carries the request's id.
+	status  int
 	named   bool
 	actions chan policy.Action
 	// slow is the way to the caller that may be slow; nil without a gateway.
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -140,7 +140,7 @@
 		return false, nil
 	}
 	att := &upstreamAttempt{start: start, server: server, upstreamID: req.requestID + "-" + strconv.Itoa(start.Attempt)}
-	req.framing, req.stated, req.read, req.named = "", -1, 0, false
+	req.framing, req.stated, req.read, req.status, req.named = "", -1, 0, 0, false
 	before := req.record.LastEvidence()
 	if before != "" {
 		r.Counter.Repeated(req.idempotent, string(before))
