--- a/request/relay/request.go
+++ b/request/relay/request.go
@@ -49,7 +49,7 @@
 	claimed bool
 	// idempotent is set for requests that may run more than once.
 	idempotent bool
-	// The fields from record to read are used only by the request's goroutine.
+	// The fields from record to named are used only by the request's goroutine.
 	record outcome.Record
 	held   heldAnswer
 	// parts are the prompt's parts that other requests may share; its last part is its own.
