--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -288,3 +288,94 @@
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v1)
 	})
 }
+
+// see tells an instance which versions of the service llm the fleet serves.
+func (f *fleet) see(instance int, versions ...string) {
+	var listed []streamorigin.Origin
+	for _, version := range versions {
+		listed = append(listed, streamorigin.Origin{Service: "llm", Version: version})
+	}
+	f.links[instance].SetListed(listed)
+}
+
+// restart replaces an instance by a new one that has its name and no memory.
+func (f *fleet) restart(ctx context.Context, instance int, versions ...string) {
+	started, mux := New(f.links[instance].options), link.NewMux()
+	started.Register(mux)
+	started.SetPeers(f.peers)
+	f.links[instance], f.muxes[instance] = started, mux
+	f.see(instance, versions...)
+	go started.Run(ctx)
+}
+
+// Guards against an instance that has not heard of a new version and resumes its streams at the
+// old one, whether or not it reaches the others and whether or not the caller names its attempt.
+func TestInstanceBehindOnVersionsDoesNotInferTheOldOne(t *testing.T) {
+	for name, cut := range map[string]bool{"connected": false, "cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				for i := range f.links {
+					f.see(i, "v1")
+				}
+				time.Sleep(10 * streamorigin.MaxTTL)
+				const behind = 8
+				time.Sleep(5 * time.Second)
+				for i := range f.links[:behind] {
+					f.see(i, "v1", "v2")
+				}
+				time.Sleep(5 * time.Second)
+				for i := range 50 {
+					f.links[0].Record("id"+strconv.Itoa(i), streamorigin.Origin{Service: "llm", Version: "v2"}, 1, 30*time.Second)
+				}
+				synctest.Wait()
+				if cut {
+					for _, peer := range f.peers[:behind] {
+						f.set(peer.Name, silent)
+					}
+				}
+				for i := range 50 {
+					is.True(f.links[behind].Find(t.Context(), "id"+strconv.Itoa(i), "llm").Origin != v1)
+				}
+				is.True(f.links[behind].Find(t.Context(), "", "llm").Origin != v1)
+			})
+		})
+	}
+}
+
+// Guards against a fleet whose instances were all killed and that resumes the streams of a
+// version whose servers have left at the one that is listed now.
+func TestKilledInstancesDoNotInferTheVersionThatIsLeft(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for i := range f.links {
+			f.see(i, "v2", "v3")
+		}
+		f.links[0].Record("id1", streamorigin.Origin{Service: "llm", Version: "v2"}, 1, 30*time.Second)
+		synctest.Wait()
+		for i := range f.links {
+			f.restart(t.Context(), i, "v3")
+		}
+		time.Sleep(time.Second)
+		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Source, Unknown)
+		is.Equal(f.links[1].Find(t.Context(), "", "llm").Source, Unknown)
+	})
+}
+
+// Guards against an origin that nobody holds since its instance saw one version while others
+// saw two, and that an instance which sees the other version infers.
+func TestInstanceThatSeesOnlyTheNewVersionDoesNotInferIt(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for i := range f.links {
+			f.restart(t.Context(), i, "v1")
+		}
+		f.restart(t.Context(), 8, "v2")
+		f.links[0].Record("id1", v1, 1, 30*time.Second)
+		synctest.Wait()
+		for _, peer := range f.peers[:8] {
+			f.set(peer.Name, silent)
+		}
+		is.True(f.links[8].Find(t.Context(), "id1", "llm").Origin.Version != "v2")
+	})
+}
