An entry whose machine has just booted takes no old configuration for a confirmed one

The age of an entry's configuration counts from the last moment at which it was known to be the newest. Before the first confirmation that moment was 0 on a clock that counts from the boot of the machine, and a configuration older than the machine was dated 0 as well. For as long as the machine is young the configuration passed for fresh: revoked keys could be accepted, and the record of software versions would be believed.

The age starts at an hour now, and a moment may lie before the boot.

TestConfigurationOlderThanTheMachineIsNotConfirmedAtItsBoot failed before: an age of 1 s was reported for a configuration that its sender calls ten minutes old. Found by reading while the proof of versions that are admitted before use was examined.

--- a/connection/spreadlink/freshness.go
+++ b/connection/spreadlink/freshness.go
@@ -7,15 +7,20 @@
 	"github.com/lilacbridge/lilacbridge/process/logs"
 )
 
+// initialAge is the age reported before the first contact with a sender. The clock itself may be
+// younger than what a revision from elsewhere says.
+const initialAge = time.Hour
+
 // freshness records what an entry knows about the newest revision. Times are by
-// Options.Clock; 0 means never.
+// Options.Clock.
 type freshness struct {
 	// newest is the highest revision number seen; it was the newest at asOf.
 	newest uint64
 	asOf   time.Duration
 	// confirmedAt is the last time at which the held revision was known to be the newest.
 	confirmedAt time.Duration
-	// behindSince is the time since which a revision newer than the held one is known.
+	// behindSince is the time since which a revision newer than the held one is known; 0 if
+	// none is.
 	behindSince time.Duration
 }
 
--- a/connection/spreadlink/watcher.go
+++ b/connection/spreadlink/watcher.go
@@ -86,6 +86,7 @@
 	if options.Logger == nil {
 		options.Logger = hclog.NewNullLogger()
 	}
+	longAgo := options.Clock() - initialAge
 	return &Watcher{
 		options:  options,
 		log:      logs.New(options.Logger),
@@ -94,6 +95,8 @@
 		events:   make(chan spread.Event, 64),
 		entries:  options.Entries,
 		changed:  make(chan struct{}),
+
+		freshness: freshness{asOf: longAgo, confirmedAt: longAgo},
 	}
 }
 
--- a/connection/spreadlink/watcher_test.go
+++ b/connection/spreadlink/watcher_test.go
@@ -108,7 +108,12 @@
 
 // runWatcher runs a watcher of the sender until the test ends, inside a synctest bubble.
 func runWatcher(t *testing.T, s *fakeSender, logger hclog.Logger) *Watcher {
-	s.epoch = time.Now().Add(-time.Hour)
+	return runWatcherBooted(t, s, logger, time.Hour)
+}
+
+// runWatcherBooted is like runWatcher on a machine that was booted so long ago.
+func runWatcherBooted(t *testing.T, s *fakeSender, logger hclog.Logger, booted time.Duration) *Watcher {
+	s.epoch = time.Now().Add(-booted)
 	w := NewWatcher(Options{
 		Instance: "e1", DataCenter: "a", Timing: spread.FastTiming, Logger: logger, OnView: s.onView,
 		StatePeers: []settings.Peer{{Name: "s1", DataCenter: "a"}},
@@ -206,6 +211,28 @@
 	})
 }
 
+// Guards against an entry whose machine has just booted and that takes an old configuration for one
+// confirmed at the boot: it would use revoked keys and software versions that have left.
+func TestConfigurationOlderThanTheMachineIsNotConfirmedAtItsBoot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const old = 10 * time.Minute
+		s := &fakeSender{next: func(_, update int) (*lilacv1.WatchUpdate, time.Duration) {
+			if update == 0 {
+				return &lilacv1.WatchUpdate{Newest: 1, AgeMs: uint32(old.Milliseconds()), Revisions: []*lilacv1.Revision{revision(1)}}, 0
+			}
+			return &lilacv1.WatchUpdate{Newest: 1, AgeMs: uint32(old.Milliseconds())}, 300 * time.Millisecond
+		}}
+		w := runWatcherBooted(t, s, nil, time.Second)
+		is.True(w.Staleness() >= old)
+		time.Sleep(2 * time.Second)
+		is.Equal(w.Revision(), uint64(1))
+		is.True(w.Staleness() >= old)
+		_, age := w.LatestKnown()
+		is.True(age >= old)
+	})
+}
+
 // An update that arrives late, as after a network outage or a suspension, must not be
 // treated as current: a key revoked in the meantime would still be accepted.
 func TestDelayedUpdateIsDatedBySendTime(t *testing.T) {
