Configuration holds the software versions of services

The versions are a part of the configuration: announced, admitted or leaving, with each change in the audit trail. The state machine refuses to admit a second version that was not announced, and to drop one that isn't leaving, so that proposals of a former leader do no harm. A recovery from a lost majority adds a mark for the versions that only the lost processes knew.

Nothing writes them yet.

--- a/version/config/change.go
+++ b/version/config/change.go
@@ -55,6 +55,10 @@
 		return []undo{t.setDocument(op.SetDocument)}
 	case *lilacv1.Change_OrderModel:
 		return []undo{put(t.orders, keyOf(op.OrderModel), op.OrderModel)}
+	case *lilacv1.Change_SetVersion:
+		return []undo{put(t.versions, versionKeyOf(op.SetVersion), op.SetVersion)}
+	case *lilacv1.Change_DropVersion:
+		return []undo{put(t.versions, versionKeyOf(op.DropVersion), nil)}
 	}
 	return nil
 }
--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,6 +37,20 @@
 	return &lilacv1.Change{Op: &lilacv1.Change_OrderModel{OrderModel: &lilacv1.ModelOrder{Server: name, Model: model, Loaded: true}}}
 }
 
+func setVersion(service, version string, state lilacv1.VersionState) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_SetVersion{SetVersion: &lilacv1.ServiceVersion{Service: service, Version: version, State: state}}}
+}
+
+func dropVersion(service, version string) *lilacv1.Change {
+	return &lilacv1.Change{Op: &lilacv1.Change_DropVersion{DropVersion: &lilacv1.ServiceVersion{Service: service, Version: version}}}
+}
+
+const (
+	announced = lilacv1.VersionState_VERSION_STATE_ANNOUNCED
+	admitted  = lilacv1.VersionState_VERSION_STATE_ADMITTED
+	leaving   = lilacv1.VersionState_VERSION_STATE_LEAVING
+)
+
 func proposal(id string, changes ...*lilacv1.Change) *lilacv1.Proposal {
 	return &lilacv1.Proposal{CommandId: id, Who: "awa", Instance: "entry-1", Statement: "statement " + id, Changes: changes, ProposedUnixMs: 1000}
 }
@@ -63,6 +78,15 @@
 		"trial without a number":    {convict("d", 9000), tryConviction("d", 0)},
 		"trial claimed twice":       {convict("d", 9000), tryConviction("d", 1), tryConviction("d", 1)},
 		"trial after a later one":   {convict("d", 9000), tryConviction("d", 2), tryConviction("d", 1)},
+		"version without service":   {setVersion("", "v1", admitted)},
+		"version without state":     {setVersion("llm", "v1", 0)},
+		"version with a long name":  {setVersion("llm", strings.Repeat("v", maxNameBytes+1), admitted)},
+		"second version at once":    {setVersion("llm", "v1", admitted), setVersion("llm", "v2", admitted)},
+		"version announced twice":   {setVersion("llm", "v1", announced), setVersion("llm", "v1", announced)},
+		"unknown version leaves":    {setVersion("llm", "v1", leaving)},
+		"drop of unknown version":   {dropVersion("llm", "v1")},
+		"drop of admitted version":  {setVersion("llm", "v1", admitted), dropVersion("llm", "v1")},
+		"lost version":              {{Op: &lilacv1.Change_SetVersion{SetVersion: &lilacv1.ServiceVersion{Lost: true, State: leaving}}}},
 		"last of three wrong":       {team("x"), class("y", 1, 100), class("z", 9, 0)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -178,6 +202,9 @@
 		proposal("3", &lilacv1.Change{Op: &lilacv1.Change_DrainServer{DrainServer: &lilacv1.ServerDrain{Server: "r2", Draining: true}}}),
 		proposal("4", &lilacv1.Change{Op: &lilacv1.Change_DropServer{DropServer: "r1"}}),
 		late,
+		proposal("6", setVersion("llm", "v1", admitted), setVersion("llm", "v2", announced), setVersion("desk", "v1", admitted)),
+		proposal("7", setVersion("llm", "v1", leaving)),
+		proposal("8", dropVersion("llm", "v1")),
 	} {
 		is.Equal(kindOf(m.Apply(p)), lilacv1.ErrorKind_ERROR_KIND_UNSPECIFIED)
 	}
@@ -187,16 +214,19 @@
 	is.NoErr(f.Apply(revisions))
 	is.True(proto.Equal(f.Config(), m.Config()))
 	is.Equal(len(before.Classes), 0)
+	is.Equal(len(before.Versions), 0)
 	view := f.Current()
+	is.Equal(len(view.Versions["llm"]), 1)
+	is.Equal(view.Versions["llm"][0].GetVersion(), "v2")
 	is.Equal(len(view.Convictions), 1)
 	is.Equal(len(view.Orders), 1)
 	is.True(view.Servers["r2"].GetDraining())
 	is.Equal(len(view.Pools["redaction"]), 1)
 
 	is.True(fault.Is(f.Load(m.Config()), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
-	gap := []*lilacv1.Revision{{Number: 9}}
+	gap := []*lilacv1.Revision{{Number: 12}}
 	is.True(fault.Is(f.Apply(gap), lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
-	is.Equal(f.Revision(), uint64(5))
+	is.Equal(f.Revision(), uint64(8))
 }
 
 // BenchmarkChange45000Teams measures the cost of a change with few and with many teams,
--- a/version/config/follower.go
+++ b/version/config/follower.go
@@ -122,7 +122,7 @@
 // not grow with the number of teams.
 func (t *tables) copyChangedMaps(revisions []*lilacv1.Revision) {
 	t.convictions = maps.Clone(t.convictions)
-	var classes, teams, servers, instances bool
+	var classes, teams, servers, instances, versions bool
 	for _, revision := range revisions {
 		for _, change := range revision.GetChanges() {
 			switch change.GetOp().(type) {
@@ -134,6 +134,8 @@
 				servers = true
 			case *lilacv1.Change_SetInstance:
 				instances = true
+			case *lilacv1.Change_SetVersion, *lilacv1.Change_DropVersion:
+				versions = true
 			}
 		}
 	}
@@ -144,6 +146,7 @@
 		t.pools = nil
 	}
 	cloneIf(instances, &t.instances)
+	cloneIf(versions, &t.versions)
 }
 
 func cloneIf[M ~map[K]V, K comparable, V any](changed bool, items *M) {
@@ -166,6 +169,7 @@
 		Orders:      sortOrders(values(t.orders)),
 		Pools:       t.pools,
 		Document:    t.document,
+		Versions:    model.VersionsByService(sortVersions(values(t.versions))),
 	}
 	if view.Pools != nil {
 		return view
--- a/version/config/machine.go
+++ b/version/config/machine.go
@@ -38,6 +38,11 @@
 // Revision returns the number of the newest revision.
 func (m *Machine) Revision() uint64 { return m.tables.revision }
 
+// Versions returns the software versions of all services, sorted. The caller must not modify them.
+func (m *Machine) Versions() []*lilacv1.ServiceVersion {
+	return sortVersions(values(m.tables.versions))
+}
+
 // Apply applies all changes of the proposal as one revision, or refuses the proposal
 // and changes nothing. A repeated command id returns the result of the first call.
 func (m *Machine) Apply(p *lilacv1.Proposal) *lilacv1.CommandResult {
--- a/version/config/recover.go
+++ b/version/config/recover.go
@@ -36,8 +36,16 @@
 // assigned.
 func (m *Machine) Recover(above uint64, who, statement, command string, nowUnixMs int64) *lilacv1.Revision {
 	m.tables.recoveries++
+	m.loseVersions()
 	m.tables.revision = max(m.tables.revision, above) + RecoveryGap
 	revision := &lilacv1.Revision{Number: m.tables.revision, CommandId: command, Who: who, Statement: statement, ProposedUnixMs: nowUnixMs}
 	m.audit.add(revision)
 	return revision
 }
+
+// loseVersions adds the versions that only the lost majority may have known. Otherwise an instance
+// could take those that are left for all there were.
+func (m *Machine) loseVersions() {
+	lost := &lilacv1.ServiceVersion{Lost: true, State: lilacv1.VersionState_VERSION_STATE_LEAVING}
+	m.tables.versions[versionKeyOf(lost)] = lost
+}
--- a/version/config/tables.go
+++ b/version/config/tables.go
@@ -17,6 +17,12 @@
 // orderKey identifies a ModelOrder.
 type orderKey struct{ server, model, adapter string }
 
+// versionKey identifies a ServiceVersion.
+type versionKey struct {
+	service, version string
+	lost             bool
+}
+
 // tables holds the items of one revision by name. Items are replaced, never modified
 // in place, so that readers may keep references to them.
 type tables struct {
@@ -28,6 +34,7 @@
 	instances   map[string]*lilacv1.InstanceState
 	convictions map[string]*lilacv1.Conviction
 	orders      map[orderKey]*lilacv1.ModelOrder
+	versions    map[versionKey]*lilacv1.ServiceVersion
 	// document is nil before the first one.
 	document *lilacv1.Document
 	// shares is the sum of the classes' shares, in permille.
@@ -44,6 +51,7 @@
 		instances:   make(map[string]*lilacv1.InstanceState),
 		convictions: make(map[string]*lilacv1.Conviction),
 		orders:      make(map[orderKey]*lilacv1.ModelOrder),
+		versions:    make(map[versionKey]*lilacv1.ServiceVersion),
 	}
 }
 
@@ -51,6 +59,10 @@
 	return orderKey{o.GetServer(), o.GetModel(), o.GetAdapter()}
 }
 
+func versionKeyOf(v *lilacv1.ServiceVersion) versionKey {
+	return versionKey{v.GetService(), v.GetVersion(), v.GetLost()}
+}
+
 // load adds the items of a snapshot to empty tables.
 func (t *tables) load(s *lilacv1.Snapshot) {
 	t.revision, t.recoveries, t.document = s.GetRevision(), s.GetRecoveries(), s.GetDocument()
@@ -73,6 +85,9 @@
 	for _, item := range s.GetOrders() {
 		t.orders[keyOf(item)] = item
 	}
+	for _, item := range s.GetVersions() {
+		t.versions[versionKeyOf(item)] = item
+	}
 }
 
 // snapshot returns all items sorted by name.
@@ -89,6 +104,7 @@
 		Instances:   values(t.instances),
 		Convictions: values(t.convictions),
 		Orders:      values(t.orders),
+		Versions:    values(t.versions),
 		Document:    t.document,
 	}
 }
@@ -106,6 +122,7 @@
 	sortByName(s.GetInstances())
 	slices.SortFunc(s.GetConvictions(), func(a, b *lilacv1.Conviction) int { return cmp.Compare(a.GetDigest(), b.GetDigest()) })
 	sortOrders(s.GetOrders())
+	sortVersions(s.GetVersions())
 	return s
 }
 
@@ -123,3 +140,20 @@
 	})
 	return list
 }
+
+func sortVersions(list []*lilacv1.ServiceVersion) []*lilacv1.ServiceVersion {
+	slices.SortFunc(list, func(a, b *lilacv1.ServiceVersion) int {
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetVersion(), b.GetVersion()), compareBools(a.GetLost(), b.GetLost()))
+	})
+	return list
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/version/config/validate.go
+++ b/version/config/validate.go
@@ -20,6 +20,9 @@
 	maxTotalShare = 1000
 	// maxConvictions bounds the convictions, which instances add on their own.
 	maxConvictions = 10000
+	// MaxVersions bounds the software versions of all services, which the leader adds as the
+	// list of backend servers shows them.
+	MaxVersions = 4096
 )
 
 func invalid(format string, args ...any) error {
@@ -73,6 +76,10 @@
 		return nil
 	case *lilacv1.Change_OrderModel:
 		return t.checkOrder(op.OrderModel)
+	case *lilacv1.Change_SetVersion:
+		return t.checkVersion(op.SetVersion)
+	case *lilacv1.Change_DropVersion:
+		return t.checkDropVersion(op.DropVersion)
 	case *lilacv1.Change_ForgetKeysBeforeUnixMs:
 		return nil // Checked by the ledger; see daemon/state.
 	}
@@ -140,6 +147,64 @@
 	return nil
 }
 
+func (t *tables) checkVersion(v *lilacv1.ServiceVersion) error {
+	if v.GetLost() {
+		return invalid("lost versions are added by a recovery only")
+	}
+	if err := CheckVersionName(v.GetService(), v.GetVersion()); err != nil {
+		return err
+	}
+	held, known := t.versions[versionKeyOf(v)]
+	if !known && len(t.versions) >= MaxVersions {
+		return invalid("%d software versions of services are known already; find out who lists so many", MaxVersions)
+	}
+	valid := false
+	switch v.GetState() {
+	case lilacv1.VersionState_VERSION_STATE_ANNOUNCED:
+		valid = !known
+	case lilacv1.VersionState_VERSION_STATE_ADMITTED:
+		// Beside others, a version that no instance has heard of must be announced first. A former
+		// leader's proposal may be committed late, after another version was admitted.
+		valid = known && held.GetState() != v.GetState() || !known && !t.countsVersions(v.GetService())
+	case lilacv1.VersionState_VERSION_STATE_LEAVING:
+		valid = known && held.GetState() != v.GetState()
+	}
+	if !valid {
+		return invalid("version %q of service %q can't go from %s to %s", v.GetVersion(), v.GetService(), held.GetState(), v.GetState())
+	}
+	return nil
+}
+
+// countsVersions reports whether the service has a version, or may have had one before a recovery.
+func (t *tables) countsVersions(service string) bool {
+	for key := range t.versions {
+		if key.service == service || key.lost {
+			return true
+		}
+	}
+	return false
+}
+
+// CheckVersionName returns an error if the names of a service and its software version can't be
+// recorded.
+func CheckVersionName(service, version string) error {
+	if err := checkName("version's service", service); err != nil {
+		return err
+	}
+	if len(version) > maxNameBytes {
+		return invalid("the version of service %q has more than %d bytes; use a shorter one", service, maxNameBytes)
+	}
+	return nil
+}
+
+// checkDropVersion refuses to drop a version at which streams may begin.
+func (t *tables) checkDropVersion(v *lilacv1.ServiceVersion) error {
+	if t.versions[versionKeyOf(v)].GetState() != lilacv1.VersionState_VERSION_STATE_LEAVING {
+		return invalid("version %q of service %q is not leaving", v.GetVersion(), v.GetService())
+	}
+	return nil
+}
+
 func (t *tables) checkOrder(order *lilacv1.ModelOrder) error {
 	if err := checkName("model", order.GetModel()); err != nil {
 		return err
--- a/version/model/view.go
+++ b/version/model/view.go
@@ -55,6 +55,9 @@
 	Pools map[string][]*lilacv1.Server
 	// Document is the gateway document, or nil before the first.
 	Document *lilacv1.Document
+	// Versions holds, by service, the software versions of streams that callers may resume;
+	// see package admission.
+	Versions map[string][]*lilacv1.ServiceVersion
 }
 
 // NewView indexes a snapshot. The caller must not modify the snapshot afterwards.
@@ -70,6 +73,7 @@
 		Orders:      s.GetOrders(),
 		Pools:       make(map[string][]*lilacv1.Server),
 		Document:    s.GetDocument(),
+		Versions:    VersionsByService(s.GetVersions()),
 	}
 	for _, class := range s.GetClasses() {
 		v.Classes[class.GetName()] = class
@@ -91,3 +95,12 @@
 	}
 	return v
 }
+
+// VersionsByService groups the versions, in their order.
+func VersionsByService(versions []*lilacv1.ServiceVersion) map[string][]*lilacv1.ServiceVersion {
+	grouped := make(map[string][]*lilacv1.ServiceVersion)
+	for _, version := range versions {
+		grouped[version.GetService()] = append(grouped[version.GetService()], version)
+	}
+	return grouped
+}
