State processes keep a record of software versions

The leader announces a version when its list of backend servers shows it, admits it four seconds later, marks it as leaving once the list has lacked it for five seconds, and removes it when no stream of it can be resumed any more. All waits are by the leader's own monotonic clock and start again with each leader.

Design and the argument why they hold: docs/design/version-admission.md.

--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
@@ -63,6 +64,9 @@
 	// follower keeps the list of backend servers up to date; nil if the settings
 	// configure no server list.
 	follower *serverlist.Updater
+	// versions keeps the record of software versions; nil if the settings configure no server
+	// list.
+	versions *versionKeeper
 	// duties performs the fleet's duties towards the platform while this process leads; nil
 	// if the settings list none.
 	duties *duties.Holder
@@ -122,6 +126,7 @@
 	}
 	if s.ServerList.Value != "" {
 		d.follower = d.newFollower(servers, id, control)
+		d.versions = &versionKeeper{service: service, servers: servers, name: s.Name, logger: logger, core: admission.NewCore()}
 	}
 	if s.Control.Value != "" {
 		if err := d.openControl(control); err != nil {
@@ -223,6 +228,10 @@
 			d.follower.Run(background)
 			return nil
 		})
+		group.Go(func() error {
+			d.versions.run(background)
+			return nil
+		})
 	}
 	group.Go(func() error {
 		secret.ReloadOnHangUp(background, d.logger, d.links.CloseRevokedConns, d.keys)
--- a/daemon/state/machine.go
+++ b/daemon/state/machine.go
@@ -234,6 +234,13 @@
 	return m.config.Config()
 }
 
+// Versions returns the record of software versions.
+func (m *Machine) Versions() []*lilacv1.ServiceVersion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.config.Versions()
+}
+
 // Document returns the gateway's document in force; nil before the first one.
 func (m *Machine) Document() *lilacv1.Document {
 	m.mu.Lock()
