--- a/connection/originlink/find.go
+++ b/connection/originlink/find.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 )
 
 // Source is where an origin was found.
@@ -19,8 +19,8 @@
 	Own Source = "own"
 	// Peer: another instance has it.
 	Peer Source = "peer"
-	// OnlyVersion: no instance that answered has it, nor has any of them seen a second
-	// version of the service for as long as a stream may be resumed.
+	// OnlyVersion: the record of software versions proves that all streams of the service
+	// that may still be resumed began at one version.
 	OnlyVersion Source = "only_version"
 )
 
@@ -28,44 +28,35 @@
 type Finding struct {
 	Origin streamorigin.Origin
 	Source Source
+	// Versions is what this instance knew of the service's software versions.
+	Versions admission.Record
 	// Asked is how many other instances were asked, Answered how many did in time.
 	Asked, Answered int
 }
 
 // Find returns where the stream of the caller's attempt began. An empty attempt stands for a
-// caller that names none. service is the one to infer the only version of; empty if the route
-// has several.
+// caller that names none. service is the one whose only version may be inferred; empty if the
+// route has several.
 func (l *Link) Find(ctx context.Context, attempt, service string) Finding {
-	own := l.local(attempt, service)
-	if own.GetOrigin() != nil {
-		return Finding{Origin: originOf(own.GetOrigin()), Source: Own}
+	finding := Finding{Source: Unknown, Versions: l.options.Versions(service)}
+	if origin := l.local(attempt).GetOrigin(); origin != nil {
+		finding.Origin, finding.Source = originOf(origin), Own
+		return finding
 	}
-	if attempt == "" || l.onlyVersion(service) {
-		// Others can't know more.
-		return infer(service, own.GetVersions())
+	if version, proved := finding.Versions.Origin(); proved {
+		finding.Origin, finding.Source = streamorigin.Origin{Service: service, Version: version}, OnlyVersion
+		return finding
 	}
-	search := &search{replies: make(chan *lilacv1.FindOriginReply), versions: own.GetVersions()}
-	l.ask(ctx, attempt, service, search)
-	finding := infer(service, search.versions)
-	if search.best != nil {
-		finding = Finding{Origin: originOf(search.best), Source: Peer}
+	if attempt == "" {
+		return finding
 	}
+	search := &search{replies: make(chan *lilacv1.FindOriginReply)}
+	l.ask(ctx, attempt, search)
 	finding.Asked, finding.Answered = search.asked, search.answered
-	return finding
-}
-
-// infer returns the only version of the service that was seen, if there is only one.
-func infer(service string, versions []string) Finding {
-	if service == "" || len(versions) != 1 {
-		return Finding{Source: Unknown}
+	if search.best != nil {
+		finding.Origin, finding.Source = originOf(search.best), Peer
 	}
-	return Finding{Origin: streamorigin.Origin{Service: service, Version: versions[0]}, Source: OnlyVersion}
-}
-
-func (l *Link) onlyVersion(service string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.table.OnlyVersion(l.options.Now(), service)
+	return finding
 }
 
 // search collects the answers of other instances. Nil replies stand for calls that failed.
@@ -73,13 +64,11 @@
 	replies         chan *lilacv1.FindOriginReply
 	asked, answered int
 	best            *lilacv1.StreamOrigin
-	// versions are all that were seen by any instance that answered.
-	versions []string
 }
 
 // ask asks the instances that may hold the origin, and returns once all have answered, shortly after
 // one had the origin, or after findTimeout.
-func (l *Link) ask(ctx context.Context, attempt, service string, s *search) {
+func (l *Link) ask(ctx context.Context, attempt string, s *search) {
 	l.mu.Lock()
 	asked := streamorigin.Asked(l.options.Self, l.peers, attempt)
 	l.mu.Unlock()
@@ -89,7 +78,7 @@
 	for _, peer := range asked {
 		go func() {
 			reply := &lilacv1.FindOriginReply{}
-			if l.options.Dial(peer.Address).Call(ctx, findMethod, &lilacv1.FindOriginRequest{Attempt: attempt, Service: service}, reply) != nil {
+			if l.options.Dial(peer.Address).Call(ctx, findMethod, &lilacv1.FindOriginRequest{Attempt: attempt}, reply) != nil {
 				reply = nil
 			}
 			select {
@@ -122,9 +111,8 @@
 	if origin := reply.GetOrigin(); origin != nil && (s.best == nil || origin.GetNumber() > s.best.GetNumber()) {
 		s.best = origin
 	}
-	for _, version := range reply.GetVersions() {
-		if !slices.Contains(s.versions, version) {
-			s.versions = append(s.versions, version)
-		}
-	}
 }
+
+// MayBegin reports whether streams of the service may begin that callers may resume at other
+// instances.
+func (l *Link) MayBegin(service string) bool { return l.options.Versions(service).MayBegin() }
--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -14,6 +14,7 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 )
 
 // The link methods.
@@ -34,7 +35,11 @@
 	// otherAnswersWait is how long others are awaited once an instance has the origin: one of
 	// them may have a newer one.
 	otherAnswersWait = 10 * time.Millisecond
-	expireInterval   = time.Second
+	// confirmTimeout bounds the replacement of an origin that others may hold.
+	confirmTimeout = 250 * time.Millisecond
+	expireInterval = time.Second
+	// copiesInterval is the pause between two looks whether others can still infer origins.
+	copiesInterval = 250 * time.Millisecond
 )
 
 // Options configure a Link.
@@ -42,6 +47,8 @@
 	Self member.Peer
 	// Dial returns the caller for an address; the same one each time.
 	Dial func(address string) link.Caller
+	// Versions returns what is known of the service's software versions.
+	Versions func(service string) admission.Record
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -57,9 +64,10 @@
 	table  *streamorigin.Table
 	peers  []member.Peer
 	unsent map[string]*outbox
-	// uncopied holds, by attempt id, this instance's origins that others can infer, since all
-	// servers of the service have one version.
-	uncopied map[string]unsentOrigin
+	// uncopied holds this instance's origins that others can infer, by service and attempt id.
+	uncopied map[string]map[string]unsentOrigin
+	// copied holds, by attempt id, this instance's origins that others may hold.
+	copied map[string]copied
 	// ctx ends with Run.
 	ctx context.Context
 	// closed is set before Run waits for its goroutines.
@@ -83,7 +91,10 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Link{options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), uncopied: make(map[string]unsentOrigin), ctx: context.Background()}
+	return &Link{
+		options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), uncopied: make(map[string]map[string]unsentOrigin),
+		copied: make(map[string]copied), ctx: context.Background(),
+	}
 }
 
 // Register adds the methods to mux.
@@ -110,28 +121,14 @@
 	}
 }
 
-// SetListed records the services and software versions of all listed servers. Streams of a service
-// that gets its second version can't be inferred any more, so copies of their origins are sent.
-func (l *Link) SetListed(listed []streamorigin.Origin) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.options.Now()
-	l.table.SetListed(now, listed)
-	for attempt, origin := range l.uncopied {
-		if !l.seesOneVersion(now, origin.message.GetService()) {
-			delete(l.uncopied, attempt)
-			l.sendCopies(origin)
-		}
-	}
-}
-
-// Run drops what has expired until ctx ends.
+// Run drops what has expired, and sends copies once others can't infer an origin, until ctx ends.
 func (l *Link) Run(ctx context.Context) {
 	l.mu.Lock()
 	l.ctx = ctx
 	l.mu.Unlock()
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
+	expiry, copies := time.NewTicker(expireInterval), time.NewTicker(copiesInterval)
+	defer expiry.Stop()
+	defer copies.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,8 +137,10 @@
 			l.mu.Unlock()
 			l.wg.Wait()
 			return
-		case <-ticker.C:
+		case <-expiry.C:
 			l.expire()
+		case <-copies.C:
+			l.SendCopies()
 		}
 	}
 }
@@ -151,7 +150,10 @@
 	defer l.mu.Unlock()
 	now := l.options.Now()
 	l.table.Expire(now)
-	maps.DeleteFunc(l.uncopied, func(_ string, origin unsentOrigin) bool { return !now.Before(origin.expires) })
+	for _, origins := range l.uncopied {
+		maps.DeleteFunc(origins, func(_ string, origin unsentOrigin) bool { return !now.Before(origin.expires) })
+	}
+	maps.DeleteFunc(l.copied, func(_ string, c copied) bool { return !now.Before(c.expires) })
 }
 
 // Len returns the number of origins held.
@@ -164,38 +166,14 @@
 // Failures returns the number of calls that left no copy with another instance.
 func (l *Link) Failures() uint64 { return l.failures.Load() }
 
-// Record holds the origin of the attempt's stream, and leaves copies with other instances in the
-// background unless they can infer it. number counts the instance's own attempts at servers.
-func (l *Link) Record(attempt string, origin streamorigin.Origin, number int, ttl time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.options.Now()
-	if !l.table.Put(now, attempt, origin, number, ttl) {
-		return
-	}
-	ttl = min(ttl, streamorigin.MaxTTL)
-	message := &lilacv1.StreamOrigin{
-		Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number), TtlMs: uint32(ttl.Milliseconds()),
-	}
-	unsent := unsentOrigin{message, now.Add(ttl)}
-	if l.seesOneVersion(now, origin.Service) {
-		l.uncopied[attempt] = unsent
-		return
-	}
-	l.sendCopies(unsent)
-}
-
-// seesOneVersion reports whether others can infer the origin of a stream of the service that begins
-// now. The caller holds mu.
-func (l *Link) seesOneVersion(now time.Time, service string) bool {
-	return len(l.table.Versions(now, service)) == 1
-}
-
 // sendCopies sends the origin to its holders. The caller holds mu.
 func (l *Link) sendCopies(origin unsentOrigin) {
-	for _, holder := range streamorigin.Holders(l.options.Self, l.peers, origin.message.GetAttempt()) {
+	attempt := origin.message.GetAttempt()
+	holders := l.holders(attempt, l.copied[attempt].holders)
+	for _, holder := range holders {
 		l.enqueue(holder, origin)
 	}
+	l.copied[attempt] = copied{origin: originOf(origin.message), holders: holders, expires: origin.expires}
 }
 
 // enqueue adds a copy for the instance. The caller holds mu.
@@ -244,14 +222,15 @@
 	}
 }
 
-// take removes the copies that are still of use, or marks the outbox as idle if there are none.
+// take removes the copies that are still of use and not replaced by a later attempt's, or marks the outbox as idle if there are none.
 func (l *Link) take(ctx context.Context, box *outbox) []unsentOrigin {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
 	var batch []unsentOrigin
 	for _, origin := range box.origins {
-		if now.Before(origin.expires) {
+		_, number, held := l.table.Get(now, origin.message.GetAttempt())
+		if replaced := held && number > int(origin.message.GetNumber()); now.Before(origin.expires) && !replaced {
 			batch = append(batch, origin)
 		}
 	}
@@ -294,15 +273,14 @@
 
 // answer tells another instance what this one knows of a stream.
 func (l *Link) answer(_ context.Context, _ link.Peer, request *lilacv1.FindOriginRequest) (*lilacv1.FindOriginReply, error) {
-	return l.local(request.GetAttempt(), request.GetService()), nil
+	return l.local(request.GetAttempt()), nil
 }
 
-func (l *Link) local(attempt, service string) *lilacv1.FindOriginReply {
+func (l *Link) local(attempt string) *lilacv1.FindOriginReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.options.Now()
-	reply := &lilacv1.FindOriginReply{Versions: l.table.Versions(now, service)}
-	if origin, number, ok := l.table.Get(now, attempt); ok {
+	reply := &lilacv1.FindOriginReply{}
+	if origin, number, ok := l.table.Get(l.options.Now(), attempt); ok {
 		reply.Origin = &lilacv1.StreamOrigin{Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number)}
 	}
 	return reply
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
@@ -38,6 +39,57 @@
 
 	mu     sync.Mutex
 	states map[string]state
+	// known is what each instance knows of the versions of the service llm.
+	known []knowledge
+}
+
+// knowledge is an instance's record of versions. It was confirmed at the given time, or always is
+// if that is zero.
+type knowledge struct {
+	versions  []string
+	confirmed time.Time
+}
+
+// see tells instances the record of versions, which they then know to be the newest.
+func (f *fleet) see(versions []string, instances ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range instances {
+		f.known[i] = knowledge{versions: versions}
+	}
+}
+
+// lose cuts an instance off from the state processes.
+func (f *fleet) lose(instance int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known[instance].confirmed = time.Now()
+}
+
+func (f *fleet) record(instance int, service string) admission.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var r admission.Record
+	if service != "llm" {
+		return r
+	}
+	known := f.known[instance]
+	for _, version := range known.versions {
+		r.Counted = append(r.Counted, &lilacv1.ServiceVersion{Service: service, Version: version})
+	}
+	if !known.confirmed.IsZero() {
+		r.Age = time.Since(known.confirmed)
+	}
+	return r
+}
+
+// all returns the numbers of all instances.
+func (f *fleet) all() []int {
+	var numbers []int
+	for i := range f.peers {
+		numbers = append(numbers, i)
+	}
+	return numbers
 }
 
 // caller is the connection from one instance to another.
@@ -83,15 +135,17 @@
 			f.peers = append(f.peers, member.Peer{Name: name, Address: name, DataCenter: dataCenter})
 		}
 	}
+	f.known = make([]knowledge, len(f.peers))
+	f.see([]string{"v1", "v2"}, f.all()...)
 	for i, self := range f.peers {
 		mux := link.NewMux()
-		l := New(Options{Self: self, Dial: func(address string) link.Caller {
+		versions := func(service string) admission.Record { return f.record(i, service) }
+		l := New(Options{Self: self, Versions: versions, Dial: func(address string) link.Caller {
 			index := slices.IndexFunc(f.peers, func(p member.Peer) bool { return p.Name == address })
 			return &caller{fleet: f, local: link.Local{Mux: f.muxes[index]}, name: address}
 		}})
 		l.Register(mux)
 		l.SetPeers(f.peers)
-		l.SetListed([]streamorigin.Origin{{Service: "llm", Version: "v1"}, {Service: "llm", Version: "v2"}})
 		f.links, f.muxes = append(f.links, l), append(f.muxes, mux)
 		go f.links[i].Run(ctx)
 	}
@@ -133,7 +187,7 @@
 				is := is.New(t)
 				found := 0
 				for i := range 50 {
-					f.links[0].Record("id"+strconv.Itoa(i), v1, 1, 10*time.Second)
+					f.record0(t, "id"+strconv.Itoa(i), v1, 1, 10*time.Second)
 				}
 				synctest.Wait()
 				for _, peer := range f.peers {
@@ -167,64 +221,84 @@
 	}
 }
 
-// Guards against a guess: without the origin, one version can be inferred only if nobody has lately
-// seen another.
+// Guards against a guess: without the origin, one version can be inferred only if the record proves
+// that there is no other.
 func TestOriginIsInferredOnlyFromASingleVersion(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
-		for _, l := range f.links {
-			l.SetListed([]streamorigin.Origin{v1})
-		}
-		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown) // a stream of v2 may live
-		time.Sleep(2 * streamorigin.MaxTTL)
+		f.see(nil, f.all()...)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
+		f.see([]string{"v1"}, f.all()...)
 		finding := f.links[0].Find(t.Context(), "id1", "llm")
 		is.Equal(finding.Source, OnlyVersion)
 		is.Equal(finding.Origin, v1)
+		is.Equal(finding.Asked, 0)
 		is.Equal(f.links[0].Find(t.Context(), "id1", "").Source, Unknown)
-		is.Equal(finding.Asked, 0) // it has followed the list for long enough itself
-		f.links[0].SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
+		f.lose(0)
+		time.Sleep(admission.InferenceLease - time.Millisecond)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, OnlyVersion)
+		time.Sleep(time.Millisecond)
 		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
 	})
 }
 
-// Guards against an instance that has just started, sees one version and takes it for the only one
-// while others have seen two.
-func TestStartedInstanceAsksOthersForVersions(t *testing.T) {
+// Guards against an instance that has just started and takes the one version that it has heard of
+// for the only one, whether or not others answer.
+func TestStartedInstanceInfersNothingBeforeItsRecordIsConfirmed(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		started := New(f.links[0].options)
-		started.SetPeers(f.peers)
-		started.SetListed([]streamorigin.Origin{v1})
-		is.Equal(started.Find(t.Context(), "id1", "llm").Source, Unknown)
+		f.restart(t.Context(), 0)
+		f.see([]string{"v1"}, 0)
+		f.lose(0)
+		time.Sleep(admission.InferenceLease)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
 		for _, peer := range f.peers {
 			f.set(peer.Name, gone)
 		}
-		is.Equal(started.Find(t.Context(), "id1", "llm").Source, OnlyVersion)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, Unknown)
+		f.see([]string{"v1"}, 0)
+		is.Equal(f.links[0].Find(t.Context(), "id1", "llm").Source, OnlyVersion)
 	})
 }
 
 // Guards against a holder that keeps the version of an attempt that failed before its first event:
-// its update was lost, and the later one must replace it.
+// the later one must not be sent before all holders have replaced it.
 func TestLaterAttemptReplacesOrigin(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		f.links[0].Record("id1", v1, 1, 10*time.Second)
+		f.record0(t, "id1", v1, 1, 10*time.Second)
 		synctest.Wait()
 		f.set("a1", silent)
 		v2 := streamorigin.Origin{Service: "llm", Version: "v2"}
-		f.links[0].Record("id1", v2, 2, 10*time.Second)
-		time.Sleep(sendTimeout / 2)
+		is.True(f.links[0].Record(t.Context(), "id1", v2, 2, 10*time.Second) != nil)
+		is.True(f.links[0].Failures() > 0)
 		f.set("a1", up)
-		time.Sleep(2 * sendTimeout)
+		is.NoErr(f.links[0].Record(t.Context(), "id1", v2, 3, 10*time.Second))
 		f.set("a0", gone)
-		is.True(f.links[0].Failures() > 0)
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
-		f.links[1].Record("id1", v1, 1, 10*time.Second) // an older one changes nothing
+		is.NoErr(f.links[1].Record(t.Context(), "id1", v1, 1, 10*time.Second)) // an older one changes nothing
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
 	})
 }
 
+// Guards against a copy of an earlier attempt that was delayed and arrives at a holder that
+// has lost its memory since the later one.
+func TestDelayedCopyOfAnEarlierAttemptIsNotSent(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.set("a1", silent)
+		f.record0(t, "id1", v1, 1, 10*time.Second)
+		time.Sleep(sendTimeout + resendDelay/2)
+		f.set("a1", up)
+		is.NoErr(f.links[0].Record(t.Context(), "id1", streamorigin.Origin{Service: "llm", Version: "v2"}, 2, 10*time.Second))
+		f.restart(t.Context(), 1)
+		time.Sleep(2 * sendTimeout)
+		f.set("a0", gone)
+		is.True(f.links[1].Find(t.Context(), "id1", "llm").Origin != v1)
+	})
+}
+
 // Guards against memory that grows with each stream that ever began, and with an instance that
 // does not answer.
 func TestOriginsExpire(t *testing.T) {
@@ -232,7 +306,7 @@
 		is := is.New(t)
 		f.set("b0", silent)
 		for i := range 5000 {
-			f.links[0].Record(fmt.Sprint("id", i), v1, 1, 5*time.Second)
+			f.record0(t, fmt.Sprint("id", i), v1, 1, 5*time.Second)
 		}
 		is.Equal(f.links[0].Len(), 5000)
 		f.links[0].mu.Lock()
@@ -252,21 +326,18 @@
 func TestOriginsAreCopiedOnceThereAreTwoVersions(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		for _, l := range f.links {
-			l.SetListed([]streamorigin.Origin{v1})
-		}
-		time.Sleep(streamorigin.MaxTTL + time.Second) // the record of v2 has expired
-		f.links[0].Record("id1", v1, 1, 10*time.Second)
-		synctest.Wait()
+		f.see([]string{"v1"}, f.all()...)
+		f.record0(t, "id1", v1, 1, 10*time.Second)
+		f.record0(t, "ended", v1, 1, 10*time.Second)
+		f.links[0].Ended("ended")
+		time.Sleep(5 * time.Second)
 		is.Equal(f.links[1].Len()+f.links[2].Len()+f.links[4].Len(), 0)
-		for _, l := range f.links {
-			l.SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
-		}
+		f.see([]string{"v1", "v2"}, f.all()...)
+		f.links[0].SendCopies()
 		synctest.Wait()
 		f.set("a0", gone)
-		finding := f.links[1].Find(t.Context(), "id1", "llm")
-		is.Equal(finding.Origin, v1)
-		is.True(finding.Source != Unknown)
+		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v1)
+		is.Equal(f.links[1].Find(t.Context(), "ended", "llm").Source, Unknown)
 	})
 }
 
@@ -275,36 +346,54 @@
 func TestStartedInstanceSendsNoCopiesForOneVersion(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		started := New(f.links[0].options)
-		started.SetPeers(f.peers)
-		started.SetListed([]streamorigin.Origin{v1})
-		started.Record("id1", v1, 1, 10*time.Second)
-		synctest.Wait()
-		for _, l := range f.links {
+		f.restart(t.Context(), 0)
+		f.see([]string{"v1"}, f.all()...)
+		f.record0(t, "id1", v1, 1, 10*time.Second)
+		time.Sleep(5 * time.Second)
+		for _, l := range f.links[1:] {
 			is.Equal(l.Len(), 0)
 		}
-		started.SetListed([]streamorigin.Origin{v1, {Service: "llm", Version: "v2"}})
+		f.see([]string{"v1", "v2"}, f.all()...)
+		f.links[0].SendCopies()
 		synctest.Wait()
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v1)
 	})
 }
 
-// see tells an instance which versions of the service llm the fleet serves.
-func (f *fleet) see(instance int, versions ...string) {
-	var listed []streamorigin.Origin
-	for _, version := range versions {
-		listed = append(listed, streamorigin.Origin{Service: "llm", Version: version})
-	}
-	f.links[instance].SetListed(listed)
+// Guards against streams of a data centre that is cut off from the state processes and that can't be
+// resumed there after their instance was killed, although there is one version.
+func TestOriginsAreCopiedBeforeTheRecordIsTooOld(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.see([]string{"v1"}, f.all()...)
+		f.record0(t, "before", v1, 1, 10*time.Second)
+		for i, peer := range f.peers {
+			if peer.DataCenter == "a" {
+				f.lose(i)
+			} else {
+				f.set(peer.Name, silent)
+			}
+		}
+		time.Sleep(admission.InferenceLease)
+		f.record0(t, "after", v1, 1, 10*time.Second)
+		synctest.Wait()
+		f.set("a0", gone)
+		is.Equal(f.links[1].Find(t.Context(), "before", "llm").Origin, v1)
+		is.Equal(f.links[2].Find(t.Context(), "after", "llm").Origin, v1)
+	})
+}
+
+// record0 records an origin at the first instance.
+func (f *fleet) record0(t *testing.T, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) {
+	is.New(t).NoErr(f.links[0].Record(t.Context(), attempt, origin, number, ttl))
 }
 
 // restart replaces an instance by a new one that has its name and no memory.
-func (f *fleet) restart(ctx context.Context, instance int, versions ...string) {
+func (f *fleet) restart(ctx context.Context, instance int) {
 	started, mux := New(f.links[instance].options), link.NewMux()
 	started.Register(mux)
 	started.SetPeers(f.peers)
 	f.links[instance], f.muxes[instance] = started, mux
-	f.see(instance, versions...)
 	go started.Run(ctx)
 }
 
@@ -315,18 +404,14 @@
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, 3, func(t *testing.T, f *fleet) {
 				is := is.New(t)
-				for i := range f.links {
-					f.see(i, "v1")
-				}
+				f.see([]string{"v1"}, f.all()...)
 				time.Sleep(10 * streamorigin.MaxTTL)
 				const behind = 8
-				time.Sleep(5 * time.Second)
-				for i := range f.links[:behind] {
-					f.see(i, "v1", "v2")
-				}
+				f.lose(behind)
+				f.see([]string{"v1", "v2"}, f.all()[:behind]...)
 				time.Sleep(5 * time.Second)
 				for i := range 50 {
-					f.links[0].Record("id"+strconv.Itoa(i), streamorigin.Origin{Service: "llm", Version: "v2"}, 1, 30*time.Second)
+					f.record0(t, "id"+strconv.Itoa(i), streamorigin.Origin{Service: "llm", Version: "v2"}, 1, 30*time.Second)
 				}
 				synctest.Wait()
 				if cut {
@@ -348,13 +433,11 @@
 func TestKilledInstancesDoNotInferTheVersionThatIsLeft(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		for i := range f.links {
-			f.see(i, "v2", "v3")
-		}
-		f.links[0].Record("id1", streamorigin.Origin{Service: "llm", Version: "v2"}, 1, 30*time.Second)
+		f.see([]string{"v2", "v3"}, f.all()...)
+		f.record0(t, "id1", streamorigin.Origin{Service: "llm", Version: "v2"}, 1, 30*time.Second)
 		synctest.Wait()
 		for i := range f.links {
-			f.restart(t.Context(), i, "v3")
+			f.restart(t.Context(), i)
 		}
 		time.Sleep(time.Second)
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Source, Unknown)
@@ -367,11 +450,12 @@
 func TestInstanceThatSeesOnlyTheNewVersionDoesNotInferIt(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, f *fleet) {
 		is := is.New(t)
-		for i := range f.links {
-			f.restart(t.Context(), i, "v1")
-		}
-		f.restart(t.Context(), 8, "v2")
-		f.links[0].Record("id1", v1, 1, 30*time.Second)
+		f.see([]string{"v1"}, f.all()...)
+		f.restart(t.Context(), 8)
+		f.see([]string{"v2"}, 8)
+		f.lose(8)
+		time.Sleep(5 * time.Second)
+		f.record0(t, "id1", v1, 1, 30*time.Second)
 		synctest.Wait()
 		for _, peer := range f.peers[:8] {
 			f.set(peer.Name, silent)
--- /dev/null
+++ b/connection/originlink/record.go
@@ -0,0 +1,135 @@
+package originlink
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/streamorigin"
+)
+
+// copied is the last origin of an attempt of which copies were sent, and to whom any were.
+type copied struct {
+	origin  streamorigin.Origin
+	holders []member.Peer
+	expires time.Time
+	// mixed is set while some holders may have an earlier origin.
+	mixed bool
+}
+
+// Record holds the origin of the attempt's stream, and leaves copies with other instances in the
+// background unless they can infer it. number counts the instance's own attempts at servers.
+//
+// If others may hold another origin of the same attempt, it returns once all of them have
+// the new one, or with an error that states that they may not; the attempt must not be sent then.
+func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	if !l.table.Put(now, attempt, origin, number, ttl) {
+		return nil
+	}
+	ttl = min(ttl, streamorigin.MaxTTL)
+	message := &lilacv1.StreamOrigin{
+		Attempt: attempt, Service: origin.Service, SoftwareVersion: origin.Version, Number: uint32(number), TtlMs: uint32(ttl.Milliseconds()),
+	}
+	unsent := unsentOrigin{message, now.Add(ttl)}
+	l.forgetUncopied(attempt)
+	if earlier, exists := l.copied[attempt]; exists && (earlier.mixed || earlier.origin != origin) {
+		return l.replace(ctx, earlier.holders, unsent)
+	}
+	if !l.options.Versions(origin.Service).NeedsCopies() {
+		l.keepUncopied(unsent)
+		return nil
+	}
+	l.sendCopies(unsent)
+	return nil
+}
+
+// replace sends the origin to all instances that may hold an earlier one of the attempt. The caller
+// holds mu, which is released meanwhile.
+func (l *Link) replace(ctx context.Context, earlier []member.Peer, origin unsentOrigin) error {
+	attempt := origin.message.GetAttempt()
+	all := copied{origin: originOf(origin.message), holders: l.holders(attempt, earlier), expires: origin.expires, mixed: true}
+	l.copied[attempt] = all
+	l.mu.Unlock()
+	err := l.confirm(ctx, all.holders, origin)
+	l.mu.Lock()
+	if err != nil {
+		l.failures.Add(1)
+		return err
+	}
+	all.mixed = false
+	l.copied[attempt] = all
+	return nil
+}
+
+// holders returns the instances that get copies of the origin, and those that got earlier ones.
+func (l *Link) holders(attempt string, earlier []member.Peer) []member.Peer {
+	holders := streamorigin.Holders(l.options.Self, l.peers, attempt)
+	for _, holder := range earlier {
+		if !slices.ContainsFunc(holders, func(p member.Peer) bool { return p.Name == holder.Name }) {
+			holders = append(holders, holder)
+		}
+	}
+	return holders
+}
+
+// confirm returns nil once all holders have the origin.
+func (l *Link) confirm(ctx context.Context, holders []member.Peer, origin unsentOrigin) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	failed := make(chan error, len(holders))
+	for _, holder := range holders {
+		go func() {
+			request := &lilacv1.RecordOriginsRequest{Origins: []*lilacv1.StreamOrigin{origin.message}}
+			failed <- l.options.Dial(holder.Address).Call(ctx, recordMethod, request, &lilacv1.RecordOriginsReply{})
+		}()
+	}
+	for range holders {
+		if err := <-failed; err != nil {
+			return fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "another instance may hold the software version of an earlier attempt; send the request again")
+		}
+	}
+	return nil
+}
+
+// Ended tells that the answer of the attempt is complete, so that its origin needs no copies.
+func (l *Link) Ended(attempt string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetUncopied(attempt)
+}
+
+// SendCopies sends copies of origins that other instances could infer when they were recorded and
+// may not be able to infer any more.
+func (l *Link) SendCopies() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for service, origins := range l.uncopied {
+		if !l.options.Versions(service).NeedsCopies() {
+			continue
+		}
+		delete(l.uncopied, service)
+		for _, origin := range origins {
+			l.sendCopies(origin)
+		}
+	}
+}
+
+func (l *Link) keepUncopied(origin unsentOrigin) {
+	service := origin.message.GetService()
+	if l.uncopied[service] == nil {
+		l.uncopied[service] = make(map[string]unsentOrigin)
+	}
+	l.uncopied[service][origin.message.GetAttempt()] = origin
+}
+
+func (l *Link) forgetUncopied(attempt string) {
+	for _, origins := range l.uncopied {
+		delete(origins, attempt)
+	}
+}
--- a/connection/originlink/traffic_bench_test.go
+++ b/connection/originlink/traffic_bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/process/secret"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 )
 
 // BenchmarkTraffic measures the bytes of one copy of an origin on a link, both ways and without
@@ -28,12 +29,13 @@
 	traffic := &link.Traffic{}
 	client := link.NewClient(listener.Addr().String(), link.Identity{Peer: link.Peer{Process: "a"}, Keys: keys, Traffic: traffic})
 	b.Cleanup(func() { client.Close(); listener.Close(); server.Close() })
-	l := New(Options{Self: member.Peer{Name: "a"}, Dial: func(string) link.Caller { return client }})
+	versions := func(string) admission.Record { return admission.Record{} }
+	l := New(Options{Self: member.Peer{Name: "a"}, Versions: versions, Dial: func(string) link.Caller { return client }})
 	l.SetPeers([]member.Peer{{Name: "b"}})
 	origin := v1
 	origin.Service, origin.Version = "huvo11a", "v1.12"
 	for i := range b.N {
-		l.Record("9c41d07be2a3"+strconv.Itoa(1000+i%1000)+strconv.Itoa(i), origin, 1, 10*time.Second)
+		is.NoErr(l.Record(b.Context(), "9c41d07be2a3"+strconv.Itoa(1000+i%1000)+strconv.Itoa(i), origin, 1, 10*time.Second))
 		for holder.Len() <= i && i < 30000 {
 			time.Sleep(10 * time.Microsecond)
 		}
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -128,14 +128,28 @@
 			// The state processes decoded the same text before they accepted it, so this
 			// instance runs another version.
 			g.logger.Error("failed to decode document; run the same version on all instances", "version", newest.GetVersion(), "error", err)
-			return
+			view = withDocumentOf(g.view, view)
+		} else {
+			g.newestTable = routing.NewTable(decoded, view.Revision)
+			g.logger.Info("document in force", "version", newest.GetVersion(), "revision", view.Revision, "routes", len(decoded.Routes),
+				"packed_bytes", len(newest.GetContent()), "decoded_ms", time.Since(start).Milliseconds())
 		}
-		g.newestTable = routing.NewTable(decoded, view.Revision)
-		g.logger.Info("document in force", "version", newest.GetVersion(), "revision", view.Revision, "routes", len(decoded.Routes),
-			"packed_bytes", len(newest.GetContent()), "decoded_ms", time.Since(start).Milliseconds())
 	}
 	g.view = view
 	g.configure()
+	if g.daemon.origins != nil {
+		g.daemon.origins.SendCopies()
+	}
+}
+
+// withDocumentOf returns the view with the document of an earlier one; nil stands for none.
+func withDocumentOf(earlier, view *model.View) *model.View {
+	kept := *view
+	kept.Document = nil
+	if earlier != nil {
+		kept.Document = earlier.Document
+	}
+	return &kept
 }
 
 func (g *gatewayRouter) decode(d *lilacv1.Document) (*routing.Document, error) {
@@ -153,7 +167,7 @@
 	if g.newestTable == nil || !g.hasList {
 		return
 	}
-	g.daemon.entry.Configure(routing.View(g.newestTable, g.servers, g.view.Convictions))
+	g.daemon.entry.Configure(routing.View(g.newestTable, g.servers, g.view))
 	g.table.Store(g.newestTable)
 }
 
@@ -188,7 +202,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.servers, g.hasList = servers, true
-	g.daemon.setListedOrigins(servers)
 	g.configure()
 }
 
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -51,6 +51,8 @@
 	Deadline time.Time
 	// Idempotent requests may be sent again after they reached a server.
 	Idempotent bool
+	// Resumable is set if the caller may resume the answer at any instance.
+	Resumable bool
 	// Resumed is set if the caller has a part of the answer from an earlier attempt, which began
 	// at a server of the software version Version.
 	Resumed bool
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -74,7 +74,7 @@
 	s.dataCenter = configured.GetDataCenter()
 	s.remote = c.region(s.dataCenter) != c.region(c.options.DataCenter)
 	s.service = configured.GetKind() == lilacv1.ServerKind_SERVER_KIND_SERVICE
-	s.version = configured.GetSoftwareVersion()
+	s.version, s.unadmitted = configured.GetSoftwareVersion(), configured.GetUnadmitted()
 	if address := configured.GetAddress(); address != s.address {
 		s.address = address
 		s.forgetPace(now)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -73,8 +73,8 @@
 		if r.blocked != BlockedByRoom {
 			return false
 		}
-		if r.versionBound && p.versioned {
-			// Those behind it are not limited to the servers of its version.
+		if r.limitedByVersion(now) {
+			// Those behind it may use other servers.
 			c.park(r)
 			continue
 		}
--- a/request/policy/giveup.go
+++ b/request/policy/giveup.go
@@ -50,7 +50,7 @@
 	if waited >= maxClosedWait && now.Sub(p.openAt) >= maxClosedWait {
 		return true
 	}
-	if waited >= maxClosedWait && r.versionBound && !r.hasOpenServer(now) {
+	if waited >= maxClosedWait && (r.versionBound || r.Resumable) && !r.hasOpenServer(now) {
 		return true
 	}
 	if r.suspect && now.Sub(r.quarantinedAt) >= maxTrialWait {
@@ -69,7 +69,7 @@
 	return slices.ContainsFunc(p.servers, func(s *server) bool { return s.isOpen(now) })
 }
 
-// hasOpenServer is like that of the pool for the servers that may go on with the answer.
+// hasOpenServer is like that of the pool for the servers that may begin the answer or go on with it.
 func (r *request) hasOpenServer(now time.Time) bool {
 	return slices.ContainsFunc(r.pool.servers, func(s *server) bool { return s.isOpen(now) && s.maySend(now, r) })
 }
--- a/request/policy/memoryreserve.go
+++ b/request/policy/memoryreserve.go
@@ -83,7 +83,7 @@
 func (c *core) serverToReserve(now time.Time, r *request) *server {
 	var best *server
 	for _, s := range r.pool.servers {
-		if s.unavailable(now) || !s.guardsMemory(r.pool) || s.memory.tokens < r.memory.need || s.memory.reservation.request != nil {
+		if s.unavailable(now) || !s.maySend(now, r) || !s.guardsMemory(r.pool) || s.memory.tokens < r.memory.need || s.memory.reservation.request != nil {
 			continue
 		}
 		if best == nil || s.betterToReserve(best) {
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -47,8 +47,10 @@
 	service bool
 	// address is where the server is reached.
 	address string
-	// version is the version of the server's software; empty if unknown.
-	version string
+	// version is the version of the server's software; empty if unknown. unadmitted is true
+	// until answers that callers may resume may begin at it.
+	version    string
+	unadmitted bool
 	// largeBatch is true for engines whose configuration states a cache size.
 	largeBatch bool
 	slots      int
--- a/request/policy/softwareversion.go
+++ b/request/policy/softwareversion.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -39,14 +40,23 @@
 	return crashed || s.crashReports.reporter != ""
 }
 
-// maySend reports whether the server may go on with the answer.
+// maySend reports whether the server may begin the answer or go on with it. Until its software
+// version is admitted, it begins none that the caller may resume at another instance.
 func (s *server) maySend(now time.Time, r *request) bool {
-	if !s.hasVersion(r) {
+	if !s.hasVersion(r) || r.Resumable && !r.versionBound && s.unadmitted {
 		return false
 	}
 	return !r.versionBound || !r.pool.versioned || !s.versionInDoubt(now)
 }
 
+// limitedByVersion reports whether the software versions leave it fewer servers than other requests.
+func (r *request) limitedByVersion(now time.Time) bool {
+	if r.versionBound {
+		return r.pool.versioned
+	}
+	return r.Resumable && slices.ContainsFunc(r.pool.servers, func(s *server) bool { return s.unadmitted && s.isOpen(now) })
+}
+
 // versionServers returns how many servers of the pool are not leaving and may go on with the answer,
 // now or after a pause.
 func (r *request) versionServers(now time.Time) int {
--- a/request/policy/softwareversion_test.go
+++ b/request/policy/softwareversion_test.go
@@ -171,3 +171,58 @@
 		step(Tick{})
 	}
 }
+
+// Guards against an answer that begins at a version that other instances have not heard of, and whose
+// caller may resume it there; other requests may use such servers.
+func TestAnswerThatMayBeResumedBeginsAtAdmittedVersionsOnly(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2", "v2", "v2")
+	setUnadmitted(c, "v2", true)
+	for id := ID(1); id <= 40; id++ {
+		a := stream(id)
+		a.Resumable = true
+		for _, start := range all[Start](c.Step(epoch, a)) {
+			is.Equal(c.servers[start.Server].version, "v1")
+		}
+	}
+	used := make(map[string]bool)
+	for id := ID(101); id <= 120; id++ {
+		for _, start := range all[Start](c.Step(epoch, stream(id))) {
+			used[c.servers[start.Server].version] = true
+		}
+	}
+	is.True(used["v2"])
+	// A stream that began at the version before it left may go on there.
+	a := resumed(200, "v2")
+	a.Resumable = true
+	is.Equal(c.servers[only[Start](t, c.Step(epoch, a)).Server].version, "v2")
+}
+
+// Guards against an answer that waits until its time is over for a version to be admitted, and against
+// one that does not begin once it is.
+func TestAnswerWaitsForAnAdmittedVersion(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v2")
+	setUnadmitted(c, "v2", true)
+	a := stream(1)
+	a.Resumable = true
+	is.Equal(len(all[Start](c.Step(epoch, a))), 0)
+	setUnadmitted(c, "v2", false)
+	is.Equal(only[Start](t, c.Step(epoch.Add(time.Second), Tick{})).ID, ID(1))
+	setUnadmitted(c, "v2", true)
+	b := stream(2)
+	b.Resumable = true
+	is.Equal(len(all[Start](c.Step(epoch.Add(time.Second), b))), 0)
+	refusals := all[Refuse](c.Step(epoch.Add(time.Second+maxClosedWait+giveUpInterval), Tick{}))
+	is.Equal(len(refusals), 1)
+	is.Equal(refusals[0].NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
+	is.True(refusals[0].RetryAfter > 0)
+}
+
+func setUnadmitted(c *core, version string, unadmitted bool) {
+	for _, s := range c.ordered {
+		if s.version == version {
+			s.unadmitted = unadmitted
+		}
+	}
+}
--- a/request/relay/chat.go
+++ b/request/relay/chat.go
@@ -106,6 +106,8 @@
 // passed to another engine as a prefix.
 func (j *chatJob) continuable() bool { return j.completion.plain }
 
+func (j *chatJob) prepare(context.Context, policy.Start) error { return nil }
+
 func (j *chatJob) attempt(ctx context.Context, att *upstreamAttempt) error {
 	if j.complete() {
 		return j.finish(att)
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -66,18 +66,24 @@
 	arrival := policy.Arrival{
 		Class: req.class, Team: team, Target: req.target, Digest: Digest(team, q.URI, q.Body),
 		PromptTokens: max(q.PromptTokens, 1), MaxTokens: q.MaxTokens, Hint: q.LengthHint, Prefix: prefixOf(q.Parts), Parts: req.parts,
-		Deadline: q.Deadline, Idempotent: q.Route.Repeatable(), Pinned: true,
+		Deadline: q.Deadline, Idempotent: q.Route.Repeatable(), Resumable: q.Route.Resumable, Pinned: true,
 	}
 	if err := r.register(req); err != nil {
 		return err
 	}
 	defer r.unregister(req)
+	if err := r.checkVersionsConfirmed(q, req); err != nil {
+		return err
+	}
 	if r.Origins != nil && resumesStream(q) {
 		if err := r.bindToOrigin(ctx, q, req, &arrival); err != nil {
 			return err
 		}
 	}
 	err := r.run(ctx, req, arrival, j)
+	if err == nil && r.Origins != nil && q.Route.Resumable {
+		r.Origins.Ended(q.AttemptID)
+	}
 	if err != nil && j.failedAnswer != nil && !rw.HeaderWritten() && ctx.Err() == nil {
 		return j.writeBuffered(j.failedAnswer)
 	}
@@ -139,7 +145,6 @@
 	if holder := j.relay.server(att.start.FetchFrom); holder != nil {
 		send.FetchFrom = holder.GetAddress()
 	}
-	j.recordOrigin(att.start)
 	if !j.q.CallerDeadline.IsZero() {
 		send.Remaining = time.Until(j.q.CallerDeadline)
 	}
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -12,6 +12,7 @@
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 )
 
 // Log lines of a request in chronological order: "sent" for each attempt, with the reasons for
@@ -55,6 +56,7 @@
 func (r *Relay) logResumed(req *request, f originlink.Finding) {
 	r.Log.Line(logs.Success, "resumed by caller", "request", req.requestID, "resumes", req.resumes, "after", req.lastEvent,
 		"source", string(f.Source), "target", f.Origin.Service, "version", f.Origin.Version, "asked", f.Asked, "answered", f.Answered,
+		"known", versionList(f.Versions), "record_age_ms", f.Versions.Age.Milliseconds(), "revision", f.Versions.Revision,
 		"took_ms", time.Since(req.arrived).Milliseconds())
 }
 
@@ -163,3 +165,19 @@
 }
 
 func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
+
+// maxLoggedVersions bounds the software versions in a log line.
+const maxLoggedVersions = 8
+
+// versionList formats the versions of a service that count, with their states.
+func versionList(r admission.Record) string {
+	var list []string
+	for _, version := range r.Counted[:min(len(r.Counted), maxLoggedVersions)] {
+		state := strings.ToLower(strings.TrimPrefix(version.GetState().String(), "VERSION_STATE_"))
+		list = append(list, version.GetVersion()+" "+state)
+	}
+	if r.Lost {
+		list = append(list, "lost")
+	}
+	return strings.Join(list, ",")
+}
--- a/request/relay/origin.go
+++ b/request/relay/origin.go
@@ -17,10 +17,16 @@
 // resume at any instance. Its methods are called concurrently.
 type Origins interface {
 	// Record holds where the stream of the caller's attempt begins, for as long as ttl. number
-	// counts the instance's own attempts at servers. It does not block.
-	Record(attempt string, origin streamorigin.Origin, number int, ttl time.Duration)
+	// counts the instance's own attempts at servers. After an error the stream must not begin
+	// there. It waits for other instances only if they may hold another origin of the attempt.
+	Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error
 	// Find returns where the stream of the caller's attempt began; see originlink.Link.
 	Find(ctx context.Context, attempt, service string) originlink.Finding
+	// Ended tells that the answer of the attempt is complete.
+	Ended(attempt string)
+	// MayBegin reports whether streams of the service may begin that callers may resume at other
+	// instances.
+	MayBegin(service string) bool
 }
 
 const (
@@ -30,8 +36,20 @@
 	// unknownOriginRetryAfter is the minimum Retry-After if no instance knows where a stream
 	// began; those that do may be reached by then.
 	unknownOriginRetryAfter = time.Second
+	// unconfirmedRetryAfter is the minimum Retry-After if this instance is cut off from the state
+	// processes; the caller may reach another one.
+	unconfirmedRetryAfter = time.Second
 )
 
+// checkVersionsConfirmed returns an error if streams that callers may resume must not begin here,
+// since this instance has not heard of new software versions for too long.
+func (r *Relay) checkVersionsConfirmed(q *gateway.Request, req *request) error {
+	if r.Origins == nil || !q.Route.Resumable || r.Origins.MayBegin(req.target) {
+		return nil
+	}
+	return notResumed(req, unconfirmedRetryAfter, "this instance has been cut off from the state processes for too long to begin streams that may be resumed; send the request again after Retry-After")
+}
+
 // resumesStream reports whether the caller has a part of a stream that a server can go on with.
 func resumesStream(q *gateway.Request) bool { return q.Route.Resumable && q.LastEvent != "" }
 
@@ -60,17 +78,16 @@
 	return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, message, fault.WithRetryAfter(after+rand.N(after/2)))
 }
 
-// recordOrigin records where the stream begins if the attempt at the server is the one that brings
-// the first event. It is called before the attempt is sent, so that copies are with other
-// instances before the first event can leave this one.
-func (j *forwardJob) recordOrigin(start policy.Start) {
+// prepare records where the stream begins if the attempt at the server is the one that brings the
+// first event. Copies are then with other instances before the first event can leave this one.
+func (j *forwardJob) prepare(ctx context.Context, start policy.Start) error {
 	if j.relay.Origins == nil || !j.q.Route.Resumable || j.q.AttemptID == "" || j.rw.HeaderWritten() {
-		return
+		return nil
 	}
 	until := j.q.Deadline
 	if j.q.CallerDeadline.After(until) {
 		until = j.q.CallerDeadline
 	}
 	origin := streamorigin.Origin{Service: j.req.target, Version: start.Version}
-	j.relay.Origins.Record(j.q.AttemptID, origin, start.Attempt, time.Until(until)+lateResumption)
+	return j.relay.Origins.Record(ctx, j.q.AttemptID, origin, start.Attempt, time.Until(until)+lateResumption)
 }
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -9,6 +9,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
@@ -20,6 +21,8 @@
 
 // job implements the attempts of one kind of request.
 type job interface {
+	// prepare is called before an attempt is sent; its error ends the request.
+	prepare(ctx context.Context, start policy.Start) error
 	// attempt runs an attempt; it returns nil once the complete answer was forwarded.
 	attempt(ctx context.Context, att *upstreamAttempt) error
 	// begun reports whether part of the answer was sent to the caller.
@@ -59,6 +62,9 @@
 			if !req.mayStart() {
 				return r.endWithoutProof(req, a, j)
 			}
+			if err := j.prepare(ctx, a); err != nil {
+				return r.endUnprepared(req, a, err)
+			}
 			done, err := r.runAttempt(ctx, req, a, j)
 			if done || err != nil {
 				return err
@@ -206,6 +212,13 @@
 	return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_OUTCOME_UNKNOWN, "the request was sent to a backend server and may have run; check its outcome at the service before sending it again")
 }
 
+// endUnprepared ends a request whose next attempt must not be sent.
+func (r *Relay) endUnprepared(req *request, start policy.Start, err error) error {
+	r.Log.Line(logs.Failure, "attempt not prepared", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt, "version", start.Version, "error", err)
+	r.Post(policy.Canceled{ID: req.id})
+	return req.record.Error(fault.KindOf(err), err.Error(), fault.WithRetryAfter(unknownOriginRetryAfter))
+}
+
 // failed reports a failed attempt to the core. Failures that a retry on another server
 // can't resolve end the request at once.
 func (r *Relay) failed(req *request, att *upstreamAttempt, j job, err error, unsent bool) (done bool, answer error) {
--- a/request/relay/service.go
+++ b/request/relay/service.go
@@ -53,6 +53,8 @@
 func (j *serviceJob) begun() bool       { return j.rw.HeaderWritten() }
 func (j *serviceJob) continuable() bool { return false }
 
+func (j *serviceJob) prepare(context.Context, policy.Start) error { return nil }
+
 func (j *serviceJob) attempt(ctx context.Context, att *upstreamAttempt) error {
 	resp, err := j.relay.Services.Do(ctx, service.Call{
 		Address: att.server.GetAddress(), Method: j.q.Method, URI: j.q.URI, Header: j.q.Header, Body: j.q.Body,
--- a/version/routing/routing_test.go
+++ b/version/routing/routing_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
 func document() *Document {
@@ -81,7 +84,12 @@
 	view := View(table, []Server{
 		{Name: "i-1/x", Identity: "i-1", Service: "engines", Address: "10.0.0.1:80", DataCenter: "a", Draining: true},
 		{Name: "i-2", Identity: "i-2", Service: "gone", Address: "10.0.0.2:80"},
-	}, nil)
+		{Name: "i-3", Service: "engines", Address: "10.0.0.3:80", SoftwareVersion: "v2"},
+		{Name: "i-4", Service: "engines", Address: "10.0.0.4:80", SoftwareVersion: "v3"},
+	}, model.NewView(&lilacv1.Snapshot{Versions: []*lilacv1.ServiceVersion{
+		{Service: "engines", Version: "v2", State: lilacv1.VersionState_VERSION_STATE_ADMITTED},
+		{Service: "engines", Version: "v3", State: lilacv1.VersionState_VERSION_STATE_ANNOUNCED},
+	}}))
 	is.Equal(view.Revision, uint64(9))
 	plans := view.Classes["plans"]
 	is.Equal(plans.GetTier(), uint32(1))
@@ -94,7 +102,10 @@
 	is.True(server.GetDraining())
 	is.Equal(server.GetSlots(), uint32(64))
 	is.Equal(server.GetIdentity(), "i-1")
-	is.Equal(len(view.Servers), 1) // i-2 belongs to a service that is not in the document
+	is.Equal(len(view.Servers), 3) // i-2 belongs to a service that is not in the document
+	is.True(server.GetUnadmitted())
+	is.True(!view.Servers["i-3"].GetUnadmitted())
+	is.True(view.Servers["i-4"].GetUnadmitted())
 	is.Equal(Priority(&table.Document.Routes[0], &table.Document.Teams[0]), 0)
 	is.Equal(Priority(&table.Document.Routes[0], &table.Document.Teams[1]), 1)
 }
--- a/version/routing/view.go
+++ b/version/routing/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -48,8 +49,9 @@
 }
 
 // View translates the document and the servers into a model for the scheduling policy: each
-// combination of route and priority becomes a class, each service a pool.
-func View(t *Table, servers []Server, convictions map[string]*lilacv1.Conviction) *model.View {
+// combination of route and priority becomes a class, each service a pool. config is the
+// configuration that holds the convictions and the record of software versions.
+func View(t *Table, servers []Server, config *model.View) *model.View {
 	s := &lilacv1.Snapshot{Revision: t.Revision, Teams: []*lilacv1.Team{{Name: NoTeam}}}
 	priorities := make(map[int]bool)
 	for i := range t.Document.Teams {
@@ -70,11 +72,13 @@
 	}
 	for i := range servers {
 		if service := t.Service(servers[i].Service); service != nil {
-			s.Servers = append(s.Servers, newServer(&servers[i], service))
+			server := newServer(&servers[i], service)
+			server.Unadmitted = !admission.Admits(config, server.GetServes()[0], server.GetSoftwareVersion())
+			s.Servers = append(s.Servers, server)
 		}
 	}
 	view := model.NewView(s)
-	view.Convictions = convictions
+	view.Convictions = config.Convictions
 	return view
 }
 
