The leader dates replies by when it asked

Followers date what they hear by echoed stamps. The leader took the arrival of replies from a quorum for the moment: replies that were sent before another leader was elected and arrive late made the former leader's configuration look current, for as long as they were late.

Each heartbeat round has a number that replies echo. The leader now keeps when it sent each round, and its configuration is as fresh as the latest round to which a quorum replied. Heartbeats that reach all members begin a round each; the messages stay the same.

--- a/process/replica/freshness.go
+++ b/process/replica/freshness.go
@@ -60,8 +60,8 @@
 
 // freshAt returns the last moment at which the applied state was known to include
 // everything committed. On the leader, once an entry of the current term is applied,
-// that is the time of the latest replies from a quorum; elsewhere it is the date of the
-// last commit index from the leader that has been applied.
+// that is when the latest round was sent to which a quorum has replied; elsewhere it is the
+// date of the last commit index from the leader that has been applied.
 func (c *Core) freshAt() time.Duration {
 	if c.role != Leader || c.applied < c.leaderState.firstIndex {
 		return c.freshness.freshAt
@@ -69,7 +69,7 @@
 	times := []time.Duration{}
 	for _, member := range c.members.latest().GetMembers() {
 		if p := c.leaderState.progress[member.GetId()]; p != nil && member.GetVoter() {
-			times = append(times, p.lastHeard)
+			times = append(times, p.acknowledgedAt)
 		}
 	}
 	if len(times) == 0 {
--- a/process/replica/freshness_test.go
+++ b/process/replica/freshness_test.go
@@ -52,3 +52,23 @@
 	receiveAppend(1)
 	s.is.Equal(s.core.freshAt(), start)
 }
+
+// Guards against a leader that takes replies for current which were sent before another leader was
+// elected and are late: entry processes that follow it would use an outdated configuration.
+func TestLeaderDatesRepliesByTheRoundTheyAnswer(t *testing.T) {
+	s := newTestCore(t)
+	s.becomeLeader()
+	s.ack("b", s.core.log.last())
+	const late = 3
+	var rounds []sentRound
+	for range 20 {
+		s.advance(testHeartbeat)
+		rounds = append(rounds, sentRound{s.core.leaderState.round, s.now})
+		answered := rounds[max(0, len(rounds)-1-late)]
+		s.receive(&message{Kind: kindAppendReply, From: "b", Term: s.core.term, Index: s.core.log.last(), Round: answered.round})
+		s.step(Flush{})
+		s.is.Equal(s.core.role, Leader)
+		s.is.True(s.core.freshAt() <= answered.at)
+	}
+	s.is.True(s.core.freshAt() >= s.now-(late+2)*testHeartbeat)
+}
--- a/process/replica/leader.go
+++ b/process/replica/leader.go
@@ -20,14 +20,25 @@
 	inFlight []uint64
 	// lastHeard is when the last reply arrived.
 	lastHeard time.Duration
-	// round is the latest heartbeat round that the member has acknowledged.
-	round uint64
+	// round is the latest heartbeat round that the member has acknowledged, acknowledgedAt when
+	// it was sent: the member followed this leader at some later moment.
+	round          uint64
+	acknowledgedAt time.Duration
 	// stamp is the stamp of the member's last reply, echoed back to it.
 	stamp            uint64
 	snapshotTransfer *snapshotTransfer
 	diskFull         bool
 }
 
+// sentRound is when a heartbeat round was first sent.
+type sentRound struct {
+	round uint64
+	at    time.Duration
+}
+
+// maxSentRounds bounds the rounds whose replies are dated.
+const maxSentRounds = 256
+
 type pendingRead struct{ requestID, index, round uint64 }
 
 // leaderState exists only while this process is the leader.
@@ -39,6 +50,7 @@
 	// broadcastCommit is the commit index last broadcast by flush.
 	broadcastCommit uint64
 	round           uint64
+	sentRounds      []sentRound
 	newReads        []uint64
 	pendingReads    []pendingRead
 	// transferee is the voter to which leadership is being transferred, until
@@ -53,6 +65,10 @@
 func (c *Core) startLeading() {
 	c.leaderState = leaderState{progress: map[string]*progress{}, heartbeatAt: c.now + c.cfg.Heartbeat}
 	c.updateProgress()
+	for _, p := range c.leaderState.progress {
+		// Freshness counts once an entry of this term is committed, which a quorum has accepted since.
+		p.acknowledgedAt = c.now
+	}
 	c.leaderState.firstIndex = c.appendEntry(lilacv1.RaftEntryKind_RAFT_ENTRY_KIND_EMPTY, nil)
 	c.broadcast(true)
 }
@@ -67,7 +83,7 @@
 		}
 		p := old[member.GetId()]
 		if p == nil {
-			p = &progress{next: c.log.last() + 1, probing: true, lastHeard: c.now}
+			p = &progress{next: c.log.last() + 1, probing: true, lastHeard: c.now, acknowledgedAt: c.now - initialStaleness}
 		}
 		p.member = member
 		c.leaderState.progress[member.GetId()] = p
@@ -163,10 +179,35 @@
 		return
 	}
 	c.leaderState.heartbeatAt = c.now + c.cfg.Heartbeat
+	c.startRound()
 	c.broadcast(true)
 	c.repair()
 }
 
+// startRound starts a heartbeat round. Replies to it are dated by when it was sent, since they may
+// arrive long after the member has turned to another leader.
+func (c *Core) startRound() {
+	l := &c.leaderState
+	l.round++
+	l.sentRounds = append(l.sentRounds, sentRound{l.round, c.now})
+	if len(l.sentRounds) > maxSentRounds {
+		l.sentRounds = slices.Delete(l.sentRounds, 0, len(l.sentRounds)-maxSentRounds)
+	}
+}
+
+// recordRound records the round that a member's reply acknowledges.
+func (c *Core) recordRound(p *progress, round uint64) {
+	if round <= p.round {
+		return
+	}
+	p.round = round
+	for _, sent := range c.leaderState.sentRounds {
+		if sent.round == round {
+			p.acknowledgedAt = sent.at
+		}
+	}
+}
+
 // flush sends what the events of a batch left to send. A new commit index is sent at
 // once, in an empty message if there are no entries to send; otherwise followers, and
 // the entry processes that read revisions from them, would learn of an accepted change
@@ -249,7 +290,7 @@
 		return nil
 	}
 	p.lastHeard, p.diskFull, p.stamp = c.now, m.GetDiskFull(), m.GetStamp()
-	p.round = max(p.round, m.GetRound())
+	c.recordRound(p, m.GetRound())
 	return p
 }
 
--- a/process/replica/read.go
+++ b/process/replica/read.go
@@ -16,7 +16,7 @@
 	if len(c.leaderState.newReads) == 0 || c.commit < c.leaderState.firstIndex {
 		return false
 	}
-	c.leaderState.round++
+	c.startRound()
 	for _, requestID := range c.leaderState.newReads {
 		c.leaderState.pendingReads = append(c.leaderState.pendingReads, pendingRead{requestID: requestID, index: c.commit, round: c.leaderState.round})
 	}
