State processes keep copies of origins

Callers whose streams broke when all instances were killed during a release could not resume any: the instances' memory was gone, and two versions count.

One of the state processes, which the attempt id selects, now gets a copy beside the three instances, while copies are sent at all. Instances ask two of them.

--- a/connection/originlink/find.go
+++ b/connection/originlink/find.go
@@ -17,7 +17,7 @@
 	Unknown Source = "unknown"
 	// Own: this instance has it.
 	Own Source = "own"
-	// Peer: another instance has it.
+	// Peer: another instance or a state process has it.
 	Peer Source = "peer"
 	// OnlyVersion: the record of software versions proves that all streams of the service
 	// that may still be resumed began at one version.
@@ -30,7 +30,7 @@
 	Source Source
 	// Versions is what this instance knew of the service's software versions.
 	Versions admission.Record
-	// Asked is how many other instances were asked, Answered how many did in time.
+	// Asked is how many other processes were asked, Answered how many did in time.
 	Asked, Answered int
 }
 
@@ -70,7 +70,7 @@
 // one had the origin, or after findTimeout.
 func (l *Link) ask(ctx context.Context, attempt string, s *search) {
 	l.mu.Lock()
-	asked := streamorigin.Asked(l.options.Self, l.peers, attempt)
+	asked := append(streamorigin.Asked(l.options.Self, l.peers, attempt), streamorigin.AskedKeepers(l.keepers, attempt)...)
 	l.mu.Unlock()
 	s.asked = len(asked)
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -60,10 +60,13 @@
 	failures atomic.Uint64
 
 	// mu guards the fields below. No call is made while it is held.
-	mu     sync.Mutex
-	table  *streamorigin.Table
-	peers  []member.Peer
-	unsent map[string]*outbox
+	mu    sync.Mutex
+	table *streamorigin.Table
+	peers []member.Peer
+	// keepers are the state processes.
+	keepers   []member.Peer
+	allowance allowance
+	unsent    map[string]*outbox
 	// uncopied holds this instance's origins that others can infer, by service and attempt id.
 	uncopied map[string]map[string]unsentOrigin
 	// copied holds, by attempt id, this instance's origins that others may hold.
@@ -108,17 +111,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peers = l.peers[:0:0]
-	live := make(map[string]bool, len(peers))
 	for _, peer := range peers {
 		if peer.Name != l.options.Self.Name {
-			l.peers, live[peer.Name] = append(l.peers, peer), true
-		}
-	}
-	for name, box := range l.unsent {
-		if !live[name] {
-			box.origins = nil
+			l.peers = append(l.peers, peer)
 		}
 	}
+	l.dropUnsent()
 }
 
 // Run drops what has expired, and sends copies once others can't infer an origin, until ctx ends.
@@ -246,11 +244,8 @@
 func (l *Link) putBack(peer member.Peer, box *outbox, batch []unsentOrigin) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, live := range l.peers {
-		if live.Name == peer.Name {
-			box.origins = append(batch, box.origins...)
-			return
-		}
+	if l.isLive(peer.Name) {
+		box.origins = append(batch, box.origins...)
 	}
 }
 
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -41,6 +41,8 @@
 	states map[string]state
 	// known is what each instance knows of the versions of the service llm.
 	known []knowledge
+	// keepers are state processes by address; instances don't know them before addKeepers.
+	keepers map[string]*Link
 }
 
 // knowledge is an instance's record of versions. It was confirmed at the given time, or always is
@@ -141,6 +143,11 @@
 		mux := link.NewMux()
 		versions := func(service string) admission.Record { return f.record(i, service) }
 		l := New(Options{Self: self, Versions: versions, Dial: func(address string) link.Caller {
+			if keeper := f.keepers[address]; keeper != nil {
+				mux := link.NewMux()
+				keeper.Register(mux)
+				return &caller{fleet: f, local: link.Local{Mux: mux}, name: address}
+			}
 			index := slices.IndexFunc(f.peers, func(p member.Peer) bool { return p.Name == address })
 			return &caller{fleet: f, local: link.Local{Mux: f.muxes[index]}, name: address}
 		}})
@@ -321,6 +328,70 @@
 	})
 }
 
+// addKeepers starts three state processes.
+func (f *fleet) addKeepers(ctx context.Context) {
+	f.keepers = make(map[string]*Link)
+	var peers []member.Peer
+	for _, name := range []string{"state/1", "state/2", "state/3"} {
+		f.keepers[name] = NewKeeper()
+		go f.keepers[name].Run(ctx)
+		peers = append(peers, member.Peer{Name: name, Address: name, DataCenter: "a"})
+	}
+	for _, l := range f.links {
+		l.SetKeepers(peers)
+	}
+}
+
+// Guards against streams that can't be resumed after all instances were killed while several
+// versions serve.
+func TestOriginsOutliveAllInstances(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.addKeepers(t.Context())
+		for i := range 50 {
+			f.record0(t, "id"+strconv.Itoa(i), v1, 1, 10*time.Second)
+		}
+		synctest.Wait()
+		keepers := f.links[0].keepers
+		for i := range f.links {
+			f.restart(t.Context(), i)
+			f.links[i].SetKeepers(keepers)
+		}
+		for i := range 50 {
+			is.Equal(f.links[i%9].Find(t.Context(), "id"+strconv.Itoa(i), "llm").Origin, v1)
+		}
+		time.Sleep(12 * time.Second)
+		for _, keeper := range f.keepers {
+			is.Equal(keeper.Len(), 0)
+		}
+	})
+}
+
+// Guards against state processes that a large fleet overwhelms with copies.
+func TestKeepersGetABoundedRateOfCopies(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.addKeepers(t.Context())
+		others := make([]member.Peer, 1100)
+		for i := range others {
+			others[i] = member.Peer{Name: "x" + strconv.Itoa(i), Address: "a1", DataCenter: "x"}
+		}
+		f.links[0].SetPeers(others)
+		const seconds, perSecond = 10, 100
+		for i := range seconds * perSecond {
+			f.record0(t, fmt.Sprint("id", i), v1, 1, 30*time.Second)
+			time.Sleep(time.Second / perSecond)
+		}
+		kept := 0
+		for _, keeper := range f.keepers {
+			kept += keeper.Len()
+		}
+		rate := copiesPerKeeper * 3 / 1101.0
+		is.True(float64(kept) <= rate*(seconds+keeperBurst.Seconds())+1)
+		is.True(float64(kept) >= rate*seconds/2)
+	})
+}
+
 // Guards against control traffic for each stream of a fleet with one version, and against streams
 // begun before the second version appeared that can't be resumed after it.
 func TestOriginsAreCopiedOnceThereAreTwoVersions(t *testing.T) {
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -67,9 +67,9 @@
 	return nil
 }
 
-// holders returns the instances that get copies of the origin, and those that got earlier ones.
+// holders returns who gets copies of the origin, and who got earlier ones. The caller holds mu.
 func (l *Link) holders(attempt string, earlier []member.Peer) []member.Peer {
-	holders := streamorigin.Holders(l.options.Self, l.peers, attempt)
+	holders := append(streamorigin.Holders(l.options.Self, l.peers, attempt), l.keeper(attempt)...)
 	for _, holder := range earlier {
 		if !slices.ContainsFunc(holders, func(p member.Peer) bool { return p.Name == holder.Name }) {
 			holders = append(holders, holder)
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -220,6 +220,7 @@
 		} else {
 			g.daemon.state.SetPeers(members)
 			g.daemon.watcher.SetStatePeers(members)
+			g.daemon.setKeepers(members)
 			g.daemon.gossip.SetEntries(entries)
 		}
 		if sleep(ctx, membersInterval) != nil {
--- a/daemon/entry/origins.go
+++ b/daemon/entry/origins.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/lilacbridge/lilacbridge/connection/originlink"
 	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/admission"
 )
 
@@ -19,3 +20,13 @@
 	age := d.watcher.Staleness()
 	return admission.RecordOf(d.watcher.Current(), service, age)
 }
+
+// setKeepers tells which state processes keep copies of origins. They share names with entries that
+// run on the same machine.
+func (d *Daemon) setKeepers(members []settings.Peer) {
+	keepers := make([]member.Peer, 0, len(members))
+	for _, peer := range members {
+		keepers = append(keepers, member.Peer{Name: "state/" + peer.Name, Address: peer.Address.Value, DataCenter: peer.DataCenter})
+	}
+	d.origins.SetKeepers(keepers)
+}
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/connection/originlink"
 	"github.com/lilacbridge/lilacbridge/connection/serverlist"
 	"github.com/lilacbridge/lilacbridge/process/build"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
@@ -67,6 +68,8 @@
 	// versions keeps the record of software versions; nil if the settings configure no server
 	// list.
 	versions *versionKeeper
+	// origins keeps origins of streams for entries.
+	origins *originlink.Link
 	// duties performs the fleet's duties towards the platform while this process leads; nil
 	// if the settings list none.
 	duties *duties.Holder
@@ -111,6 +114,8 @@
 	service.Register(mux)
 	servers := serverlist.NewStore()
 	servers.Register(mux)
+	origins := originlink.NewKeeper()
+	origins.Register(mux)
 	holder := newDuties(s, service, servers, control, logger, mux)
 	registerMetrics(registry, service)
 	metrics.RegisterTraffic(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
@@ -122,7 +127,7 @@
 	d := &Daemon{
 		settings: s, logger: logger, log: log, service: service, registry: registry,
 		listener: listener, links: link.NewServer(id, mux), keys: keys,
-		duties: holder,
+		duties: holder, origins: origins,
 	}
 	if s.ServerList.Value != "" {
 		d.follower = d.newFollower(servers, id, control)
@@ -217,6 +222,10 @@
 	group.Go(func() error { return stopApp(d.log.Run(background)) })
 	group.Go(func() error { return stopApp(d.links.Serve(d.listener)) })
 	group.Go(func() error { return d.service.Run(background) })
+	group.Go(func() error {
+		d.origins.Run(background)
+		return nil
+	})
 	if d.duties != nil {
 		group.Go(func() error {
 			d.duties.Run(background)
--- a/process/streamorigin/holders.go
+++ b/process/streamorigin/holders.go
@@ -19,8 +19,24 @@
 	// number of copies, since instances differ in which others they consider alive, and
 	// since the one that recorded the origin holds none for itself.
 	askedPerDataCenter = copiesNear + 1
+	// askedKeepers is how many keepers are asked: instances may differ in which there are.
+	askedKeepers = 2
 )
 
+// Keeper returns the state process that gets a copy of the origin of the attempt's stream, for when
+// all instances are lost; false if there is none.
+func Keeper(keepers []member.Peer, attempt string) (member.Peer, bool) {
+	if len(keepers) == 0 {
+		return member.Peer{}, false
+	}
+	return ranked(keepers, attempt)[0], true
+}
+
+// AskedKeepers returns the state processes that may hold the origin of the attempt's stream.
+func AskedKeepers(keepers []member.Peer, attempt string) []member.Peer {
+	return ranked(keepers, attempt)[:min(askedKeepers, len(keepers))]
+}
+
 // Holders returns the instances that get copies of the origin of the attempt's stream.
 func Holders(self member.Peer, others []member.Peer, attempt string) []member.Peer {
 	var holders []member.Peer
