A request that no admitted version can take says so

While no server of an admitted software version accepts requests, a stream that may be resumed waits three seconds and is then refused. Its message was that no server accepts it; it names the cause now, and the setting without which no version is ever admitted.

--- a/request/policy/giveup.go
+++ b/request/policy/giveup.go
@@ -38,8 +38,12 @@
 		}
 	}
 	for _, r := range c.findRequests(func(r *request) bool { return r.server == nil && r.unservable(now) }) {
+		message := noServerMessage
+		if r.lacksAdmitted(now) {
+			message = unadmittedMessage
+		}
 		c.dequeue(r)
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, noServerMessage, c.retryAfter(r.pool))
+		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, message, c.retryAfter(r.pool))
 	}
 }
 
--- a/request/policy/softwareversion.go
+++ b/request/policy/softwareversion.go
@@ -21,7 +21,8 @@
 	// crashed one may be back by then.
 	noVersionRetryAfter = 2 * time.Second
 
-	noVersionMessage = "no backend server of the software version that began the answer is left; resume after Retry-After, or start again without Last-Event-Id"
+	unadmittedMessage = "the software versions of the pool's servers are not admitted yet; send the request again after Retry-After, or check server_list in the settings of the state processes"
+	noVersionMessage  = "no backend server of the software version that began the answer is left; resume after Retry-After, or start again without Last-Event-Id"
 )
 
 // bindVersion binds the rest of the answer to servers of the version.
@@ -57,6 +58,11 @@
 	return r.Resumable && slices.ContainsFunc(r.pool.servers, func(s *server) bool { return s.unadmitted && s.isOpen(now) })
 }
 
+// lacksAdmitted reports whether all servers that accept requests have versions that are not admitted.
+func (r *request) lacksAdmitted(now time.Time) bool {
+	return r.Resumable && !r.versionBound && r.pool.hasOpenServer(now) && !r.hasOpenServer(now)
+}
+
 // versionServers returns how many servers of the pool are not leaving and may go on with the answer,
 // now or after a pause.
 func (r *request) versionServers(now time.Time) int {
--- a/request/policy/softwareversion_test.go
+++ b/request/policy/softwareversion_test.go
@@ -217,6 +217,7 @@
 	is.Equal(len(refusals), 1)
 	is.Equal(refusals[0].NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
 	is.True(refusals[0].RetryAfter > 0)
+	is.Equal(refusals[0].Message, unadmittedMessage)
 }
 
 func setUnadmitted(c *core, version string, unadmitted bool) {
