New versions are admitted half a second earlier

The wait has to exceed the lease for inferences; what may be lost on the way is the milliseconds that ages are rounded by, now that leaders date replies by when they asked.

--- a/version/admission/core.go
+++ b/version/admission/core.go
@@ -13,7 +13,7 @@
 const (
 	// admissionWait is the time from the announcement of a version to its admission. By then each
 	// instance has heard of it or may infer no origins.
-	admissionWait = InferenceLease + time.Second
+	admissionWait = InferenceLease + 500*time.Millisecond
 	// absenceWait is how long a listed version may be missing from the list before it counts as
 	// leaving. It outlasts a list that is incomplete for a moment.
 	absenceWait = 5 * time.Second
