Odd entries of the list name no server, and hide none

What callers would see: one very deeply nested entry, or one that isn't JSON, made the whole page an error, so that all instances stopped following the list: new servers got no requests, and servers that had left or drained still did. Entries with a port out of range, negative or huge slots, or names with control characters became servers that can't be dialled or counted. A version of more than 128 bytes made each proposal of versions invalid, so that no version of any service was admitted. Two entries of one server became two servers; changes of such a list never fitted at followers, which then asked for all of it each time.

Cause: the page was decoded as a whole, and encoding/json refuses more than 10,000 levels; of a decoded entry only four fields had to be non-empty.

Refused entries are counted in lilacbridge_list_entries_refused_total by field, and logged when they change, at most every 10 s, with up to eight of them.

Existing tests check the same by the new signatures.

--- a/connection/gateway/documents.go
+++ b/connection/gateway/documents.go
@@ -36,6 +36,6 @@
 
 // ServerList reads the platform's list of backend servers.
 type ServerList interface {
-	// Fetch returns the complete list, and the number of invalid entries that it skipped.
-	Fetch(ctx context.Context) (servers []routing.Server, skipped int, err error)
+	// Fetch returns the servers of the complete list, each once, and the entries that it refused.
+	Fetch(ctx context.Context) (servers []routing.Server, refused Refusals, err error)
 }
--- a/connection/serverlist/serverlist_test.go
+++ b/connection/serverlist/serverlist_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
@@ -21,13 +23,15 @@
 	list  []routing.Server
 	err   error
 	calls int
+	// refused are the entries that the list refuses.
+	refused gateway.Refusals
 }
 
-func (p *platform) Fetch(context.Context) ([]routing.Server, int, error) {
+func (p *platform) Fetch(context.Context) ([]routing.Server, gateway.Refusals, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
-	return p.list, 0, p.err
+	return p.list, p.refused, p.err
 }
 
 func (p *platform) called() int {
@@ -162,3 +166,39 @@
 	changed.SoftwareVersion = "v1.3"
 	is.True(encode([]routing.Server{server}).GetVersion() != encode([]routing.Server{changed}).GetVersion())
 }
+
+// Guards against a line for each read of a list with odd entries, and against none.
+func TestRefusedEntriesAreLoggedWhenTheyChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var odd, other gateway.Refusals
+		for i := range 1000 {
+			odd.Add(strings.Repeat("i", i), gateway.AddressField)
+		}
+		other.Add("i-2", gateway.SlotsField)
+		var text strings.Builder
+		counts := make(map[string]int)
+		p := &platform{}
+		u := NewUpdater(NewStore(), Options{
+			List: p, Logger: hclog.New(&hclog.LoggerOptions{Output: &text}),
+			CountRefused: func(field string, count int) { counts[field] += count },
+		})
+		lines := func(refused ...gateway.Refusals) int {
+			text.Reset()
+			for _, p.refused = range refused {
+				is.NoErr(u.read(t.Context()))
+			}
+			return strings.Count(text.String(), "refused=")
+		}
+		is.Equal(lines(odd, odd, gateway.Refusals{}, odd, other), 1)
+		is.True(len(text.String()) < 2000)
+		is.Equal(counts, map[string]int{"address": 3000, "slots": 1})
+		time.Sleep(refusedLogInterval)
+		is.Equal(lines(other, other), 1)
+		is.True(strings.Contains(text.String(), "i-2"))
+		is.True(strings.Contains(text.String(), "slots"))
+		time.Sleep(refusedLogInterval)
+		is.Equal(lines(gateway.Refusals{}), 0)
+		is.True(strings.Contains(text.String(), "no refused entry"))
+	})
+}
--- a/connection/serverlist/updater.go
+++ b/connection/serverlist/updater.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +21,8 @@
 	readTimeout = 2 * time.Second
 	// retryInterval limits the CPU time spent if each read fails at once.
 	retryInterval = 200 * time.Millisecond
+	// refusedLogInterval bounds the lines on entries that come and go.
+	refusedLogInterval = 10 * time.Second
 )
 
 // Options configure an Updater.
@@ -32,7 +35,9 @@
 	Every time.Duration
 	// OnList is called with each list that differs from the last; may be nil.
 	OnList func([]routing.Server)
-	Logger hclog.Logger
+	// CountRefused counts refused entries of the platform's list, by field; may be nil.
+	CountRefused func(field string, count int)
+	Logger       hclog.Logger
 }
 
 // Updater keeps a Store up to date, from other processes or from the platform.
@@ -42,6 +47,9 @@
 	unavailable bool
 	// wantsAll is true if changes couldn't be applied.
 	wantsAll bool
+	// refused is the Sum of the refused entries that were logged last, loggedAt when.
+	refused  uint64
+	loggedAt time.Time
 }
 
 // NewUpdater returns an Updater of the store, which does nothing until Run.
@@ -49,6 +57,9 @@
 	if o.OnList == nil {
 		o.OnList = func([]routing.Server) {}
 	}
+	if o.CountRefused == nil {
+		o.CountRefused = func(string, int) {}
+	}
 	return &Updater{Options: o, store: store}
 }
 
@@ -96,17 +107,36 @@
 func (u *Updater) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	servers, skipped, err := u.List.Fetch(ctx)
+	servers, refused, err := u.List.Fetch(ctx)
 	if err != nil {
 		return err
 	}
-	if skipped > 0 {
-		u.Logger.Debug("skipped invalid entries of the list of backend servers", "skipped", skipped)
-	}
+	u.report(&refused)
 	u.apply(servers)
 	return nil
 }
 
+// report counts the refused entries, and logs them when they change.
+func (u *Updater) report(refused *gateway.Refusals) {
+	for _, field := range refused.Fields() {
+		u.CountRefused(field.String(), refused.ByField[field])
+	}
+	if refused.Sum == u.refused || !u.loggedAt.IsZero() && time.Since(u.loggedAt) < refusedLogInterval {
+		return
+	}
+	u.refused, u.loggedAt = refused.Sum, time.Now()
+	if refused.Total == 0 {
+		u.Logger.Info("list of backend servers has no refused entry any more")
+		return
+	}
+	var entries []string
+	for _, entry := range refused.Examples {
+		entries = append(entries, fmt.Sprintf("%q: %s", entry.Identity, entry.Field))
+	}
+	u.Logger.Warn("entries of the list of backend servers refused; the others are used. Find out who writes them",
+		"refused", refused.Total, "entries", entries)
+}
+
 // have returns the version of the stored list, or 0 if the whole list is wanted.
 func (u *Updater) have() uint64 {
 	if u.wantsAll {
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/serverlist"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
+	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/packed"
@@ -185,7 +186,7 @@
 func (g *gatewayRouter) followList(ctx context.Context) {
 	serverlist.NewUpdater(serverlist.NewStore(), serverlist.Options{
 		Upstream: g.upstream, List: g.list, Every: g.daemon.settings.Gateway.ListInterval.Duration,
-		OnList: g.onList, Logger: g.logger,
+		OnList: g.onList, CountRefused: metrics.RegisterRefusedEntries(g.daemon.entry.registry), Logger: g.logger,
 	}).Run(ctx)
 }
 
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -159,7 +159,7 @@
 	}
 	return serverlist.NewUpdater(holder, serverlist.Options{
 		Upstream: upstream, List: control.List(d.settings.ServerList.Value, serverlist.NewClient()),
-		Every: d.settings.ListInterval.Duration, Logger: d.logger,
+		Every: d.settings.ListInterval.Duration, CountRefused: metrics.RegisterRefusedEntries(d.registry), Logger: d.logger,
 	})
 }
 
