An odd attempt id keeps back no other stream's origin

What callers would see: resumed streams answered 503, since no other instance held their origins. One request whose Attempt-Id has bytes that aren't UTF-8 is enough: no message can carry such a text, so that each batch with its origin failed and was sent again, with all other origins for the same instance behind it, until the odd one expired. A very long id delays others in the same way.

Cause: a whole that fails for a part; ids of callers were used in messages as they came.

Evidence: TestOddAttemptIDDoesNotKeepBackOtherCopies failed before (calls that left no copy).

The request itself is unchanged, and its stream can be resumed.

--- a/connection/originlink/find.go
+++ b/connection/originlink/find.go
@@ -38,6 +38,7 @@
 // caller that names none. service is the one whose only version may be inferred; empty if the
 // route has several.
 func (l *Link) Find(ctx context.Context, attempt, service string) Finding {
+	attempt = keyOf(attempt)
 	finding := Finding{Source: Unknown, Versions: l.options.Versions(service)}
 	if origin := l.local(attempt).GetOrigin(); origin != nil {
 		finding.Origin, finding.Source = originOf(origin), Own
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -392,6 +393,27 @@
 	})
 }
 
+// Guards against one caller's attempt id that a message can't carry, or that fills it, and keeps the
+// copies of all other streams from their holders.
+func TestOddAttemptIDDoesNotKeepBackOtherCopies(t *testing.T) {
+	for _, odd := range []string{"\xff\xfe", strings.Repeat("x", 1<<20)} {
+		inBubble(t, 2, func(t *testing.T, f *fleet) {
+			is := is.New(t)
+			f.record0(t, odd, v1, 1, 10*time.Second)
+			for i := range 20 {
+				f.record0(t, "id"+strconv.Itoa(i), v1, 1, 10*time.Second)
+			}
+			synctest.Wait()
+			is.Equal(f.links[0].Failures(), uint64(0))
+			f.set("a0", gone)
+			for i := range 20 {
+				is.Equal(f.links[3].Find(t.Context(), "id"+strconv.Itoa(i), "llm").Origin, v1)
+			}
+			is.Equal(f.links[3].Find(t.Context(), odd, "llm").Origin, v1)
+		})
+	}
+}
+
 // Guards against control traffic for each stream of a fleet with one version, and against streams
 // begun before the second version appeared that can't be resumed after it.
 func TestOriginsAreCopiedOnceThereAreTwoVersions(t *testing.T) {
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -26,6 +26,7 @@
 // If others may hold another origin of the same attempt, it returns once all of them have
 // the new one, or with an error that states that they may not; the attempt must not be sent then.
 func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error {
+	attempt = keyOf(attempt)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
@@ -99,6 +100,7 @@
 
 // Ended tells that the answer of the attempt is complete, so that its origin needs no copies.
 func (l *Link) Ended(attempt string) {
+	attempt = keyOf(attempt)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.forgetUncopied(attempt)
