--- a/connection/engine/report.go
+++ b/connection/engine/report.go
@@ -33,9 +33,19 @@
 func (c *Client) Load(ctx context.Context, address string) (load *Load, bytes int, err error) {
 	load = &Load{}
 	bytes, err = c.get(ctx, address, "/load", load)
+	if err == nil && !load.plausible() {
+		err = fmt.Errorf("load report of %s states %d running, %d waiting and %d slots", address, load.Running, load.Waiting, load.Slots)
+	}
 	return load, bytes, err
 }
 
+// maxLoad bounds the numbers of a load report, so that their sum is no other number.
+const maxLoad = 1 << 20
+
+func (l *Load) plausible() bool {
+	return min(l.Running, l.Waiting, l.Slots) >= 0 && max(l.Running, l.Waiting, l.Slots) <= maxLoad
+}
+
 // CacheEvents reads the events after the sequence number. bytes is as in Load.
 func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) (events []CacheEvent, bytes int, err error) {
 	var reply struct {
--- a/connection/upstream/failure.go
+++ b/connection/upstream/failure.go
@@ -15,6 +15,9 @@
 // maxErrorBodyBytes bounds the part of an error response that is read.
 const maxErrorBodyBytes = 8 << 10
 
+// maxRetryAfter is the longest Retry-After that is returned, in seconds.
+const maxRetryAfter = 3600
+
 // StatusError is a response with a status that is not a success.
 type StatusError struct {
 	Status int
@@ -43,7 +46,7 @@
 func NewStatusError(status int, header http.Header, body []byte) *StatusError {
 	e := &StatusError{Status: status, Body: body}
 	if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil && seconds >= 0 {
-		e.RetryAfter = time.Duration(seconds) * time.Second
+		e.RetryAfter = time.Duration(min(seconds, maxRetryAfter)) * time.Second
 	}
 	e.NotRun = e.Busy() && statesNotRun(body)
 	return e
--- a/request/policy/rejections.go
+++ b/request/policy/rejections.go
@@ -148,7 +148,7 @@
 
 // backoff returns how long nothing is sent to the server after it rejected a request.
 func (s *server) backoff(asked time.Duration) time.Duration {
-	pause := max(asked, minOverloadBackoff)
+	pause := max(min(asked, maxRetryAfter), minOverloadBackoff)
 	if s.rejects {
 		pause = max(pause, s.rejectionPause)
 	}
--- a/request/policy/rejections_test.go
+++ b/request/policy/rejections_test.go
@@ -215,3 +215,10 @@
 	}
 	is.True(!desk.rejects) // no answer for a while
 }
+
+// Guards against one answer of a server that asks for a pause of years and takes it out of service.
+func TestLongPauseOfAServerIsBounded(t *testing.T) {
+	is := is.New(t)
+	is.Equal((&server{}).backoff(10*365*24*time.Hour), maxRetryAfter)
+	is.Equal((&server{}).backoff(maxRetryAfter/2), maxRetryAfter/2)
+}
