An odd item of the list of instances hides no other

The list of instance_list was decoded as a whole: one item of another type, or nested deeply, lost the hints on all entries and servers that leave. Entries without an address that can be dialled were taken for peers.

--- a/connection/gossip/list.go
+++ b/connection/gossip/list.go
@@ -1,15 +1,19 @@
 package gossip
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/jsonsplit"
 	"github.com/lilacbridge/lilacbridge/process/member"
 )
 
@@ -100,16 +104,48 @@
 	if len(data) > maxListBytes {
 		return nil, "", len(data), fault.Newf(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "the platform's list exceeds %d bytes; check instance_list", maxListBytes)
 	}
-	var body struct {
-		Instances []listedInstance `json:"instances"`
-	}
-	if err := json.Unmarshal(data, &body); err != nil {
+	list, err = decodeList(data)
+	if err != nil {
 		return nil, "", len(data), fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "cannot decode the platform's list; check instance_list")
 	}
-	if body.Instances == nil {
-		body.Instances = []listedInstance{}
+	return list, resp.Header.Get("ETag"), len(data), nil
+}
+
+const (
+	// maxItemDepth bounds the nesting of an item, maxNameBytes its name.
+	maxItemDepth = 64
+	maxNameBytes = 128
+)
+
+// decodeList returns the items that name an instance; others must not hide them.
+func decodeList(data []byte) ([]listedInstance, error) {
+	list := []listedInstance{}
+	text := jsonsplit.New(data)
+	err := text.Object(func(key string) error {
+		raw, _, err := text.Value()
+		if err != nil || key != "instances" || string(bytes.TrimSpace(raw)) == "null" {
+			return err
+		}
+		return jsonsplit.New(raw).Array(func(item []byte, depth int) {
+			var listed listedInstance
+			if depth <= maxItemDepth && json.Unmarshal(item, &listed) == nil && listed.usable() {
+				list = append(list, listed)
+			}
+		})
+	})
+	if err == nil && !text.Ended() {
+		err = errors.New("the list goes on after its end")
+	}
+	return list, err
+}
+
+// usable reports whether the item names an instance, and an address where an entry can be called.
+func (i *listedInstance) usable() bool {
+	if i.Name == "" || len(i.Name) > maxNameBytes {
+		return false
 	}
-	return body.Instances, resp.Header.Get("ETag"), len(data), nil
+	address, err := netip.ParseAddrPort(i.Address)
+	return i.Role != roleEntry || err == nil && address.Port() != 0
 }
 
 func platformEvent(list []listedInstance) member.PlatformList {
