Documents with numbers out of range are invalid

What operators would see: a document with maxAttempts -1 or slots was accepted, and meant 4,294,967,295 attempts or the default slots; timeouts of 1e300 ms became the longest or a negative one by the machine's architecture; weights overflowed when added up.

--- a/version/routing/document.go
+++ b/version/routing/document.go
@@ -152,6 +152,9 @@
 // Validate returns an error that names the route and the field if the document is not
 // valid.
 func (d *Document) Validate() error {
+	if err := d.validateNumbers(); err != nil {
+		return err
+	}
 	services := make(map[string]bool, len(d.Services))
 	for i := range d.Services {
 		services[d.Services[i].Name] = true
