An odd id hides no request from operators

SHOW requests failed at an instance as long as it had one request whose id isn't UTF-8, and ids of 16 KB could fill the reply. Ids are shown as text of at most 128 bytes. TestOddIDHidesNoRequestFromOperators failed before (the reply could not be encoded).

--- a/request/relay/rows.go
+++ b/request/relay/rows.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -65,12 +66,20 @@
 		current := req.row()
 		age := time.Since(req.arrived).Round(time.Millisecond)
 		rows = append(rows, &lilacv1.QueryRow{Values: []string{
-			req.requestID, req.class, req.team, req.target, current.server, current.state, age.String(), strconv.FormatInt(current.tokens, 10),
+			shownID(req.requestID), req.class, req.team, req.target, current.server, current.state, age.String(), strconv.FormatInt(current.tokens, 10),
 		}})
 	}
 	return requestColumns, rows
 }
 
+// maxShownID bounds the ids in a table of requests.
+const maxShownID = 128
+
+// shownID returns the caller's id as a text that a reply can carry.
+func shownID(id string) string {
+	return strings.ToValidUTF8(id[:min(len(id), maxShownID)], "\uFFFD")
+}
+
 // Servers returns the column names and a row for each backend server, sorted by name.
 // in_flight counts only the requests of this instance. paces are those of the servers that state
 // them, as in policy.Stats.
--- a/request/relay/rows_test.go
+++ b/request/relay/rows_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/request/policy"
@@ -38,3 +40,19 @@
 	r.Configure(view(2, "a"))
 	is.Equal(len(r.limits), 0)
 }
+
+// Guards against one caller's id that a reply can't carry, or that fills it, and hides all requests
+// from operators.
+func TestOddIDHidesNoRequestFromOperators(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{})
+	for i, id := range []string{"id1", "\xff\xfe", strings.Repeat("é", 1000)} {
+		r.requests[policy.ID(i)] = &request{id: policy.ID(i), requestID: id}
+	}
+	columns, rows := r.Requests()
+	is.Equal(len(rows), 3)
+	is.Equal(rows[0].GetValues()[0], "id1")
+	data, err := proto.Marshal(&lilacv1.QueryReply{Columns: columns, Rows: rows})
+	is.NoErr(err)
+	is.True(len(data) < 1000)
+}
