An odd cache event hides no other

The reply with cache events was decoded as a whole: an event that doesn't decode lost all of them, and was read again at each poll. TestOddCacheEventHidesNoOther failed before.

--- a/connection/engine/report.go
+++ b/connection/engine/report.go
@@ -46,13 +46,20 @@
 	return min(l.Running, l.Waiting, l.Slots) >= 0 && max(l.Running, l.Waiting, l.Slots) <= maxLoad
 }
 
-// CacheEvents reads the events after the sequence number. bytes is as in Load.
+// CacheEvents reads the events after the sequence number, without those that can't be decoded: the
+// gap in the sequence shows them. bytes is as in Load.
 func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) (events []CacheEvent, bytes int, err error) {
 	var reply struct {
-		Events []CacheEvent `json:"events"`
+		Events []json.RawMessage `json:"events"`
 	}
 	bytes, err = c.get(ctx, address, "/cache/events?after="+strconv.FormatUint(after, 10), &reply)
-	return reply.Events, bytes, err
+	for _, raw := range reply.Events {
+		var event CacheEvent
+		if json.Unmarshal(raw, &event) == nil && event.Sequence != 0 {
+			events = append(events, event)
+		}
+	}
+	return events, bytes, err
 }
 
 func (c *Client) get(ctx context.Context, address, path string, into any) (bytes int, err error) {
--- a/connection/engine/report_test.go
+++ b/connection/engine/report_test.go
@@ -28,3 +28,20 @@
 		is.New(t).Equal(err == nil, sound)
 	}
 }
+
+// Guards against an odd event that is read again for ever and hides those after it.
+func TestOddCacheEventHidesNoOther(t *testing.T) {
+	up := upstream.NewClient()
+	defer up.Close()
+	for _, odd := range []string{`7`, `null`, `{"seq":-1}`, `{"seq":2,"stored":[7]}`, `{"seq":1e999}`, `{}`} {
+		is := is.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"events":[{"seq":1,"stored":["a"]},%s,{"seq":3,"stored":["b"]}]}`, odd)
+		}))
+		events, _, err := NewClient(up).CacheEvents(t.Context(), server.Listener.Addr().String(), 0)
+		server.Close()
+		is.NoErr(err)
+		is.Equal(len(events), 2)
+		is.Equal(events[1].Sequence, uint64(3))
+	}
+}
