--- a/version/routing/routing_test.go
+++ b/version/routing/routing_test.go
@@ -78,6 +78,21 @@
 	is.Equal(counts, map[string]int{"engines": 900, "desk": 100})
 }
 
+// Guards against an entry of another writer that names a server of this configuration under another
+// service: requests would run at a service that their routes don't have, or the server would be
+// out of use because of a service that nobody knows.
+func TestServerOfSeveralServicesIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	view := View(NewTable(document(), 9), []Server{
+		{Name: "i-1", Identity: "i-1", Service: "engines", Address: "10.0.0.1:80"},
+		{Name: "i-1@desk", Identity: "i-1", Service: "desk", Address: "10.0.0.1:80"},
+		{Name: "i-2", Identity: "i-2", Service: "nobody", Address: "10.0.0.2:80"},
+		{Name: "i-2@engines", Identity: "i-2", Service: "engines", Address: "10.0.0.2:80"},
+	}, model.NewView(&lilacv1.Snapshot{}))
+	is.Equal(len(view.Servers), 1)
+	is.True(view.Servers["i-2@engines"] != nil)
+}
+
 func TestViewCreatesClassPerRouteAndPriority(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(document(), 9)
--- a/version/routing/view.go
+++ b/version/routing/view.go
@@ -70,8 +70,9 @@
 			}
 		}
 	}
+	ambiguous := ambiguousServers(t, servers)
 	for i := range servers {
-		if service := t.Service(servers[i].Service); service != nil {
+		if service := t.Service(servers[i].Service); service != nil && !ambiguous[servers[i].Identity] {
 			server := newServer(&servers[i], service)
 			server.Unadmitted = !admission.Admits(config, server.GetServes()[0], server.GetSoftwareVersion())
 			s.Servers = append(s.Servers, server)
@@ -82,6 +83,24 @@
 	return view
 }
 
+// ambiguousServers returns the identities that are listed under several services of the document: at
+// most one entry is right, and a request that goes by another one would run at a service that
+// its route doesn't have.
+func ambiguousServers(t *Table, servers []Server) map[string]bool {
+	services, ambiguous := make(map[string]string, len(servers)), make(map[string]bool)
+	for i := range servers {
+		s := &servers[i]
+		if s.Identity == "" || t.Service(s.Service) == nil {
+			continue
+		}
+		if held, known := services[s.Identity]; known && held != s.Service {
+			ambiguous[s.Identity] = true
+		}
+		services[s.Identity] = s.Service
+	}
+	return ambiguous
+}
+
 // totalSharePermille is divided among the classes as their guaranteed shares.
 const totalSharePermille = 200
 
