Streams that may be resumed find admitted servers in large pools, and none whose version is in doubt

While a pool has several versions, streams that may be resumed begin elsewhere until the doubt is over. TestAdmittedServersAreFoundInALargePool and TestStreamDoesNotBeginAtAServerWhoseVersionIsInDoubt failed before.

--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -103,7 +103,7 @@
 		c.choice.candidates = append(c.choice.candidates, servers[index].candidate(r, now, index, &h))
 		return false
 	}
-	if r.versionBound && r.pool.versioned {
+	if r.limitedByVersion() {
 		c.collectVersion(now, r, &h)
 		return false
 	}
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -153,9 +153,11 @@
 			p.servers = append(p.servers, c.servers[chosen])
 		}
 		p.service = len(p.servers) > 0 && p.servers[0].service
-		p.versioned = false
+		p.versioned, p.mixed, p.unadmitted = false, false, false
 		for _, s := range p.servers {
 			p.versioned = p.versioned || s.version != ""
+			p.mixed = p.mixed || s.version != p.servers[0].version
+			p.unadmitted = p.unadmitted || s.unadmitted
 			if s.largeBatch && !s.service {
 				s.setEngineModel(p.engine)
 			}
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -73,7 +73,7 @@
 		if r.blocked != BlockedByRoom {
 			return false
 		}
-		if r.limitedByVersion(now) {
+		if r.limitedByVersion() {
 			// Those behind it may use other servers.
 			c.park(r)
 			continue
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -24,10 +24,11 @@
 	key     uint32
 	service bool
 	servers []*server
-	// versioned is true if any server states its software version.
-	versioned bool
-	queue     *queue.Queue
-	tiers     *tiers.Table
+	// versioned is true if any server states its software version, mixed if two differ, and
+	// unadmitted if one is not admitted.
+	versioned, mixed, unadmitted bool
+	queue                        *queue.Queue
+	tiers                        *tiers.Table
 	// running holds the requests that this instance runs in the pool.
 	running           []*request
 	runningByPosition tiers.Demand
--- a/request/policy/softwareversion.go
+++ b/request/policy/softwareversion.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"slices"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -41,21 +40,25 @@
 	return crashed || s.crashReports.reporter != ""
 }
 
-// maySend reports whether the server may begin the answer or go on with it. Until its software
-// version is admitted, it begins none that the caller may resume at another instance.
+// maySend reports whether the server may begin the answer or go on with it. It begins none that the
+// caller may resume at another instance until its software version is admitted, nor while it may run
+// another one of the pool.
 func (s *server) maySend(now time.Time, r *request) bool {
-	if !s.hasVersion(r) || r.Resumable && !r.versionBound && s.unadmitted {
-		return false
+	switch {
+	case r.versionBound:
+		return s.hasVersion(r) && (!r.pool.versioned || !s.versionInDoubt(now))
+	case r.Resumable:
+		return !s.unadmitted && (!r.pool.mixed || !s.versionInDoubt(now))
 	}
-	return !r.versionBound || !r.pool.versioned || !s.versionInDoubt(now)
+	return true
 }
 
 // limitedByVersion reports whether the software versions leave it fewer servers than other requests.
-func (r *request) limitedByVersion(now time.Time) bool {
+func (r *request) limitedByVersion() bool {
 	if r.versionBound {
 		return r.pool.versioned
 	}
-	return r.Resumable && slices.ContainsFunc(r.pool.servers, func(s *server) bool { return s.unadmitted && s.isOpen(now) })
+	return r.Resumable && r.pool.unadmitted
 }
 
 // lacksAdmitted reports whether all servers that accept requests have versions that are not admitted.
@@ -93,7 +96,7 @@
 	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, noVersionMessage, c.jitter(noVersionRetryAfter))
 }
 
-// collectVersion lists the candidates for an answer that is bound to a version; it samples many.
+// collectVersion lists the candidates for an answer that versions leave fewer servers; it samples many.
 func (c *core) collectVersion(now time.Time, r *request, h *homes) {
 	var indexes []int
 	for i, s := range r.pool.servers {
--- a/request/policy/softwareversion_test.go
+++ b/request/policy/softwareversion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 		}
 	}
 	for _, p := range c.poolOrder {
-		p.versioned = !p.service
+		p.versioned, p.mixed = !p.service, !p.service && slices.ContainsFunc(versions, func(v string) bool { return v != versions[0] })
 	}
 }
 
@@ -226,4 +227,44 @@
 			s.unadmitted = unadmitted
 		}
 	}
+	for _, p := range c.poolOrder {
+		p.unadmitted = unadmitted
+	}
+}
+
+// Guards against streams that wait although servers of an admitted version are idle among many others.
+func TestAdmittedServersAreFoundInALargePool(t *testing.T) {
+	is := is.New(t)
+	c := enableFetch(coreWithEngines("e1", 100, "a"))
+	versions := make([]string, 100)
+	for i := range versions {
+		versions[i] = "v2"
+		if i < 10 {
+			versions[i] = "v1"
+		}
+	}
+	setVersions(c, versions...)
+	setUnadmitted(c, "v2", true)
+	started := 0
+	for id := ID(1); id <= 40; id++ {
+		a := stream(id)
+		a.Resumable = true
+		started += len(all[Start](c.Step(epoch, a)))
+	}
+	is.Equal(started, 40)
+}
+
+// Guards against a stream that begins at a server which crashed a moment ago and may be back with
+// another version than the one that is recorded.
+func TestStreamDoesNotBeginAtAServerWhoseVersionIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2")
+	for _, s := range c.ordered {
+		s.crashedAt = epoch.Add(time.Second - versionDoubtPeriod)
+	}
+	a := stream(1)
+	a.Resumable = true
+	is.Equal(len(all[Start](c.Step(epoch, a))), 0)
+	is.Equal(len(all[Start](c.Step(epoch, stream(2)))), 1)
+	is.Equal(only[Start](t, c.Step(epoch.Add(2*time.Second), Tick{})).ID, ID(1))
 }
