A stopped answer keeps the version of tokens that were on their way

What callers saw: a whole answer with status 200, its first events of one software version and the rest of another (ORDER).

Cause: an instance that stood still judges the silence of a server by the clock when it wakes, while the server's first events lie unread, and stops all requests at that server that have no tokens. An idempotent request started again in the same step, unbound, at any version. The first events of the stopped attempt were forwarded meanwhile; the policy dropped the word of them, the relay passed their number on as Last-Event-Id, and nothing compared the versions.

Now, while a pool has several versions, a stopped request that may be resumed waits until the relay has told how its attempt ended, as requests do that must run once, and tokens of the stopped attempt bind it. The relay reads what was posted before each tick. Last, whatever the policy decides, the relay starts no attempt at another version than that of what the caller has: the answer breaks off, and lilacbridge_invariants_broken_total{invariant="continued_at_another_version"} counts it.

--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -32,6 +32,7 @@
 func (c *core) tokens(now time.Time, e Tokens) {
 	r := c.currentAttempt(e.ID, e.Attempt)
 	if r == nil || e.Count <= 0 {
+		c.lateTokens(now, e)
 		return
 	}
 	s := r.server
--- a/request/policy/stopped.go
+++ b/request/policy/stopped.go
@@ -8,16 +8,35 @@
 
 // A stopped attempt may have written its first byte although no event says so yet. So a request
 // that is not idempotent stays out of the queue until the shell has reported how the attempt
-// ended.
+// ended. So does an answer without tokens that may go on at another server: its first tokens may have
+// been forwarded, and bind it to their software version.
 
 // awaitOutcome makes a stopped request wait for the outcome of its attempt, if that decides whether
-// it may start again.
+// or where it may start again.
 func (r *request) awaitOutcome() {
-	if !r.Idempotent {
+	if !r.Idempotent || r.Resumable && !r.versionBound && r.pool.mixed {
 		r.unsettled = r.attempt
 	}
 }
 
+// lateTokens binds a request to the version of its stopped attempt, whose first tokens were
+// forwarded before it ended.
+func (c *core) lateTokens(now time.Time, e Tokens) {
+	r := c.requests[e.ID]
+	if r == nil || r.unsettled != e.Attempt || e.Count <= 0 {
+		return
+	}
+	r.everSent = true
+	if r.tokens == 0 {
+		r.firstAt = now
+	}
+	if !r.versionBound {
+		r.bindVersion(r.attemptVersion)
+	}
+	r.tokens += e.Count
+	r.idleSince = now
+}
+
 func (c *core) stopped(now time.Time, e Stopped) { c.settle(now, e.ID, e.Attempt, e.MayHaveRun) }
 
 // settle takes up a request that waits for the outcome of its stopped attempt. An attempt that has
@@ -28,7 +47,7 @@
 		return
 	}
 	r.unsettled = 0
-	if mayHaveRun {
+	if mayHaveRun && !r.Idempotent {
 		c.endUnknown(now, r)
 		return
 	}
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -35,6 +35,9 @@
 	began bool
 	// passing is true once an answer that isn't a stream was begun before it was complete.
 	passing bool
+	// version is the software version of what the caller has of the answer, once bound is set.
+	version string
+	bound   bool
 	// ctx ends with the caller's connection or the deadline.
 	ctx  context.Context
 	slow slowCaller
@@ -79,6 +82,7 @@
 		if err := r.bindToOrigin(ctx, q, req, &arrival); err != nil {
 			return err
 		}
+		j.bindVersion(arrival.Version)
 	}
 	err := r.run(ctx, req, arrival, j)
 	if err == nil && r.Origins != nil && q.Route.Resumable {
--- a/request/relay/forward_events.go
+++ b/request/relay/forward_events.go
@@ -88,6 +88,7 @@
 	}
 	if !j.rw.HeaderWritten() {
 		j.begin(events.resp)
+		j.bindVersion(events.start.Version)
 	}
 	j.req.record.Answered()
 	if !events.readOn {
--- a/request/relay/loop.go
+++ b/request/relay/loop.go
@@ -88,25 +88,30 @@
 	var events []policy.Event
 	var queries []query
 	var progressed []*request
+	receive := func() {
+		events, queries = r.mailbox.take(events, queries)
+		for i, event := range events {
+			r.step(event)
+			events[i] = nil
+		}
+		for i, q := range queries {
+			q(r.Core, time.Now())
+			queries[i] = nil
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.mailbox.wake:
-			events, queries = r.mailbox.take(events, queries)
-			for i, event := range events {
-				r.step(event)
-				events[i] = nil
-			}
-			for i, q := range queries {
-				q(r.Core, time.Now())
-				queries[i] = nil
-			}
+			receive()
 			if idle && !r.empty() {
 				idle = false
 				timer.Reset(policy.TickInterval)
 			}
 		case now := <-timer.C:
+			// A tick judges silence, so all that was heard comes first.
+			receive()
 			progressed = r.mailbox.takeProgressed(progressed)
 			for i, req := range progressed {
 				if event, ok := req.takeTokens(); ok {
--- a/request/relay/origin.go
+++ b/request/relay/origin.go
@@ -78,10 +78,27 @@
 	return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, message, fault.WithRetryAfter(after+rand.N(after/2)))
 }
 
+// errOtherVersion is returned for an attempt at another software version than that of the answer.
+var errOtherVersion = fault.New(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, "the answer can't go on at another software version; resume it, or start again without Last-Event-Id")
+
+// bindVersion records the software version of what the caller has of the answer.
+func (j *forwardJob) bindVersion(version string) {
+	if !j.bound {
+		j.version, j.bound = version, true
+	}
+}
+
 // prepare records where the stream begins if the attempt at the server is the one that brings the
 // first event. Copies are then with other instances before the first event can leave this one.
 func (j *forwardJob) prepare(ctx context.Context, start policy.Start) error {
-	if j.relay.Origins == nil || !j.q.Route.Resumable || j.q.AttemptID == "" || j.rw.HeaderWritten() {
+	if j.relay.Origins == nil || !j.q.Route.Resumable {
+		return nil
+	}
+	if j.bound && start.Version != j.version {
+		j.relay.Counter.InvariantViolated("continued_at_another_version")
+		return errOtherVersion
+	}
+	if j.q.AttemptID == "" || j.rw.HeaderWritten() {
 		return nil
 	}
 	until := j.q.Deadline
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -63,7 +63,7 @@
 				return r.endWithoutProof(req, a, j)
 			}
 			if err := j.prepare(ctx, a); err != nil {
-				return r.endUnprepared(req, a, err)
+				return r.endUnprepared(req, a, j, err)
 			}
 			done, err := r.runAttempt(ctx, req, a, j)
 			if done || err != nil {
@@ -213,9 +213,12 @@
 }
 
 // endUnprepared ends a request whose next attempt must not be sent.
-func (r *Relay) endUnprepared(req *request, start policy.Start, err error) error {
+func (r *Relay) endUnprepared(req *request, start policy.Start, j job, err error) error {
 	r.Log.Line(logs.Failure, "attempt not prepared", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt, "version", start.Version, "error", err)
 	r.Post(policy.Canceled{ID: req.id})
+	if j.begun() {
+		return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, interruptedMessage)
+	}
 	return req.record.Error(fault.KindOf(err), err.Error(), fault.WithRetryAfter(unknownOriginRetryAfter))
 }
 
