Resumed streams: who knew their version, why it wasn't inferred, metrics, SHOW VERSIONS

An operator couldn't tell from "resumed by caller" which of the hypotheses of docs/incidents/resumed-at-another-version.md was the case.

The line now has holder (the process whose origin was used) and not_inferred (admission.Doubt: lost_versions, no_versions, several_versions, too_old, several_services), beside known, record_age_ms and revision:

| hypothesis | shown by | |---|---| | 1, a list that is behind | source only_version with known and revision behind those of other instances' lines; or not_inferred too_old and a high record_age_ms | | 2, no memory after a kill | source only_version or unknown soon after "started"; known lacks the old version; not_inferred no_versions or too_old before the first confirmation | | 3, origins not copied | not_inferred several_versions, answered equal to asked, no holder; lilacbridge_stream_origin_copies_total stands still | | 4, the listed version isn't the server's | source own or peer with a holder, version as in that instance's line "sent" |

Metrics: lilacbridge_streams_resumed_total by source and not_inferred, lilacbridge_version_record_age_seconds, lilacbridge_service_versions by state (entries and state processes), lilacbridge_version_record_refusals_total, lilacbridge_attempts_unprepared_total, lilacbridge_stream_origin_copies_total, lilacbridge_version_proposals_total by outcome (state processes). SHOW VERSIONS lists service, version and state. A state process with control and without server_list warns at its start, since then no version is ever admitted.

--- a/cmd/lilacctl/exec.go
+++ b/cmd/lilacctl/exec.go
@@ -31,7 +31,7 @@
 	return &cobra.Command{
 		Use:       "show SUBJECT [WHERE … ORDER BY … LIMIT …]",
 		Short:     "Run a SHOW statement",
-		ValidArgs: []string{"requests", "servers", "classes", "teams", "instances", "revisions", "audit", "leases", "duties", "replicas", "convictions", "models", "state"},
+		ValidArgs: []string{"requests", "servers", "classes", "teams", "instances", "revisions", "audit", "leases", "duties", "replicas", "convictions", "versions", "models", "state"},
 		Args:      usageArgs(cobra.MinimumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return runStatement(cmd, g, &operator.StatementRequest{Statement: "SHOW " + strings.Join(args, " ")})
--- a/connection/operator/config.go
+++ b/connection/operator/config.go
@@ -8,6 +8,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/version/admission"
 	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/table"
 )
@@ -35,6 +36,8 @@
 		return teams(view)
 	case "convictions":
 		return convictions(view)
+	case "versions":
+		return versions(view)
 	}
 	return models(view)
 }
@@ -72,6 +75,18 @@
 	return t
 }
 
+// versions lists the software versions at which streams that callers resume may have begun. Those
+// that a recovery may have lost are of no known service.
+func versions(view *model.View) *table.Table {
+	t := &table.Table{Columns: []string{"service", "version", "state"}, Rows: [][]string{}}
+	for _, service := range slices.Sorted(maps.Keys(view.Versions)) {
+		for _, v := range view.Versions[service] {
+			t.Rows = append(t.Rows, []string{service, v.GetVersion(), admission.StateName(v)})
+		}
+	}
+	return t
+}
+
 func models(view *model.View) *table.Table {
 	t := &table.Table{Columns: []string{"server", "model", "adapter", "wanted"}, Rows: [][]string{}}
 	for _, order := range view.Orders {
--- a/connection/originlink/find.go
+++ b/connection/originlink/find.go
@@ -30,6 +30,10 @@
 	Source Source
 	// Versions is what this instance knew of the service's software versions.
 	Versions admission.Record
+	// Doubt is why the record proves no origin; it isn't set for Own.
+	Doubt admission.Doubt
+	// Holder is the process whose origin was used, for Peer.
+	Holder string
 	// Asked is how many other processes were asked, Answered how many did in time.
 	Asked, Answered int
 }
@@ -48,23 +52,36 @@
 		finding.Origin, finding.Source = streamorigin.Origin{Service: service, Version: version}, OnlyVersion
 		return finding
 	}
+	finding.Doubt = finding.Versions.Doubt()
+	if service == "" {
+		finding.Doubt = admission.SeveralServices
+	}
 	if attempt == "" {
 		return finding
 	}
-	search := &search{replies: make(chan *lilacv1.FindOriginReply)}
+	search := &search{replies: make(chan reply)}
 	l.ask(ctx, attempt, search)
 	finding.Asked, finding.Answered = search.asked, search.answered
 	if search.best != nil {
 		finding.Origin, finding.Source = originOf(search.best), Peer
+		finding.Holder = search.holder
 	}
 	return finding
 }
 
-// search collects the answers of other instances. Nil replies stand for calls that failed.
+// search collects the answers of other instances.
 type search struct {
-	replies         chan *lilacv1.FindOriginReply
+	replies         chan reply
 	asked, answered int
 	best            *lilacv1.StreamOrigin
+	// holder is the one that best came from.
+	holder string
+}
+
+// reply is the answer of one instance; message is nil if the call failed.
+type reply struct {
+	from    string
+	message *lilacv1.FindOriginReply
 }
 
 // ask asks the instances that may hold the origin, and returns once all have answered, shortly after
@@ -78,12 +95,12 @@
 	defer cancel()
 	for _, peer := range asked {
 		go func() {
-			reply := &lilacv1.FindOriginReply{}
-			if l.options.Dial(peer.Address).Call(ctx, findMethod, &lilacv1.FindOriginRequest{Attempt: attempt}, reply) != nil {
-				reply = nil
+			message := &lilacv1.FindOriginReply{}
+			if l.options.Dial(peer.Address).Call(ctx, findMethod, &lilacv1.FindOriginRequest{Attempt: attempt}, message) != nil {
+				message = nil
 			}
 			select {
-			case s.replies <- reply:
+			case s.replies <- reply{peer.Name, message}:
 			case <-ctx.Done():
 			}
 		}()
@@ -104,13 +121,13 @@
 	}
 }
 
-func (s *search) add(reply *lilacv1.FindOriginReply) {
-	if reply == nil {
+func (s *search) add(r reply) {
+	if r.message == nil {
 		return
 	}
 	s.answered++
-	if origin := reply.GetOrigin(); origin != nil && (s.best == nil || origin.GetNumber() > s.best.GetNumber()) {
-		s.best = origin
+	if origin := r.message.GetOrigin(); origin != nil && (s.best == nil || origin.GetNumber() > s.best.GetNumber()) {
+		s.best, s.holder = origin, r.from
 	}
 }
 
--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -56,8 +56,8 @@
 // Link holds origins for this instance and others. It is safe for concurrent use.
 type Link struct {
 	options Options
-	// failures counts calls that left no copy.
-	failures atomic.Uint64
+	// copies counts those left with other instances, failures the calls that left none.
+	copies, failures atomic.Uint64
 
 	// mu guards the fields below. No call is made while it is held.
 	mu    sync.Mutex
@@ -161,6 +161,9 @@
 	return l.table.Len()
 }
 
+// Copies returns the number of copies left with other instances.
+func (l *Link) Copies() uint64 { return l.copies.Load() }
+
 // Failures returns the number of calls that left no copy with another instance.
 func (l *Link) Failures() uint64 { return l.failures.Load() }
 
@@ -209,6 +212,7 @@
 		err := l.options.Dial(peer.Address).Call(callCtx, recordMethod, request, &lilacv1.RecordOriginsReply{})
 		cancel()
 		if err == nil {
+			l.copies.Add(uint64(len(batch)))
 			continue
 		}
 		l.failures.Add(1)
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -556,3 +556,29 @@
 		is.True(f.links[8].Find(t.Context(), "id1", "llm").Origin.Version != "v2")
 	})
 }
+
+// Guards against operators who can't tell who knew the origin of a resumed stream, or why it wasn't
+// inferred.
+func TestFindingStatesWhoKnewTheOriginAndWhyItWasNotInferred(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.record0(t, "id1", v1, 1, 10*time.Second)
+		synctest.Wait()
+		is.True(f.links[0].Copies() > 0)
+		f.set("a0", gone)
+		finding := f.links[1].Find(t.Context(), "id1", "llm")
+		is.Equal(finding.Source, Own) // a1 holds a copy
+		is.Equal(finding.Holder, "")
+		f.restart(t.Context(), 1)
+		finding = f.links[1].Find(t.Context(), "id1", "llm")
+		is.Equal(finding.Source, Peer)
+		is.True(finding.Holder == "b0" || finding.Holder == "b1" || finding.Holder == "c0" || finding.Holder == "c1")
+		is.Equal(finding.Doubt, admission.SeveralVersions)
+		is.Equal(f.links[1].Find(t.Context(), "", "").Doubt, admission.SeveralServices)
+		f.see([]string{"v1"}, 1)
+		is.Equal(f.links[1].Find(t.Context(), "", "llm").Doubt, admission.NoDoubt)
+		f.lose(1)
+		time.Sleep(admission.InferenceLease)
+		is.Equal(f.links[1].Find(t.Context(), "other", "llm").Doubt, admission.TooOld)
+	})
+}
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -63,6 +63,7 @@
 		l.failures.Add(1)
 		return err
 	}
+	l.copies.Add(uint64(len(all.holders)))
 	all.mixed = false
 	l.copied[attempt] = all
 	return nil
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -128,7 +128,9 @@
 	d.paths.Register(mux, d.entry.directClient().DialDirect)
 	if d.origins != nil {
 		d.origins.Register(mux)
-		metrics.RegisterOrigins(d.entry.registry, d.origins.Len, d.origins.Failures)
+		metrics.RegisterOrigins(d.entry.registry, d.origins.Len, d.origins.Copies, d.origins.Failures)
+		metrics.RegisterVersions(d.entry.registry, d.countVersions)
+		metrics.RegisterRecordAge(d.entry.registry, d.watcher.Staleness)
 	}
 	d.orders = orders.New(orders.Options{View: d.watcher.Current, RequestLease: d.state.Lease, Client: d.entry.clients, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
--- a/daemon/entry/origins.go
+++ b/daemon/entry/origins.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/lilacbridge/lilacbridge/connection/originlink"
 	"github.com/lilacbridge/lilacbridge/process/member"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -30,3 +33,12 @@
 	}
 	d.origins.SetKeepers(keepers)
 }
+
+// countVersions returns the number of software versions of all services, by state.
+func (d *Daemon) countVersions() map[string]int {
+	view := d.watcher.Current()
+	if view == nil {
+		return nil
+	}
+	return admission.CountStates(slices.Concat(slices.Collect(maps.Values(view.Versions))...))
+}
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -118,6 +118,8 @@
 	origins.Register(mux)
 	holder := newDuties(s, service, servers, control, logger, mux)
 	registerMetrics(registry, service)
+	metrics.RegisterVersions(registry, service.countVersions)
+	warnWithoutList(s, logger)
 	metrics.RegisterTraffic(registry, metrics.LinkBytes, metrics.LinkBytesHelp, id.Traffic.Bytes)
 	metrics.RegisterTraffic(registry, metrics.LinkPackets, metrics.LinkPacketsHelp, id.Traffic.Packets)
 	listener, err := net.Listen("tcp", s.Link.Value)
@@ -131,7 +133,7 @@
 	}
 	if s.ServerList.Value != "" {
 		d.follower = d.newFollower(servers, id, control)
-		d.versions = &versionKeeper{service: service, servers: servers, name: s.Name, logger: logger, core: admission.NewCore()}
+		d.versions = &versionKeeper{service: service, servers: servers, name: s.Name, logger: logger, core: admission.NewCore(), proposed: metrics.RegisterVersionProposals(registry)}
 	}
 	if s.Control.Value != "" {
 		if err := d.openControl(control); err != nil {
--- a/daemon/state/versions.go
+++ b/daemon/state/versions.go
@@ -12,6 +12,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/serverlist"
 	"github.com/lilacbridge/lilacbridge/process/clock"
+	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/admission"
 	"github.com/lilacbridge/lilacbridge/version/config"
 )
@@ -32,6 +33,8 @@
 	core    *admission.Core
 	// unrecordable is the number of listed servers whose service or version can't be recorded.
 	unrecordable int
+	// proposed counts changes by outcome.
+	proposed func(outcome string)
 }
 
 // run looks at the list and the record until ctx ends.
@@ -66,9 +69,11 @@
 		ProposedUnixMs: k.service.now().UnixMilli(), Recoveries: k.service.machine.Recoveries(),
 	}
 	if _, err := k.service.replicate(ctx, &lilacv1.Command{Op: &lilacv1.Command_Propose{Propose: proposal}}); err != nil {
+		k.proposed("failed")
 		k.logger.Info("software versions not recorded; trying again", "statement", proposal.GetStatement(), "error", err)
 		return
 	}
+	k.proposed("recorded")
 	k.logger.Info("software versions recorded", "statement", proposal.GetStatement())
 }
 
@@ -103,3 +108,17 @@
 	}
 	return strings.Join(parts, "; ")
 }
+
+// countVersions returns the number of software versions of all services, by state.
+func (s *Service) countVersions() map[string]int {
+	record := s.machine.Versions()
+	return admission.CountStates(record)
+}
+
+// warnWithoutList warns that no software version is ever admitted, since no process reads the list
+// that shows them.
+func warnWithoutList(s *settings.State, logger hclog.Logger) {
+	if s.Control.Value != "" && s.ServerList.Value == "" {
+		logger.Warn("no server_list in the settings: no software version is recorded, and gateways begin no stream that callers may resume; set server_list on all state processes")
+	}
+}
--- a/daemon/state/versions_test.go
+++ b/daemon/state/versions_test.go
@@ -14,7 +14,7 @@
 )
 
 func newVersionKeeper(p *process) *versionKeeper {
-	return &versionKeeper{service: p.service, servers: serverlist.NewStore(), name: p.peer.Name, logger: hclog.NewNullLogger(), core: admission.NewCore()}
+	return &versionKeeper{service: p.service, servers: serverlist.NewStore(), name: p.peer.Name, logger: hclog.NewNullLogger(), core: admission.NewCore(), proposed: func(string) {}}
 }
 
 // Guards against versions that no process records, or that a process records which doesn't lead, and
--- a/process/logs/story/story_test.go
+++ b/process/logs/story/story_test.go
@@ -32,3 +32,18 @@
 	is.True(strings.Contains(printed[2], `attempt failed error="reset"`))
 	is.True(!timeline.Print(&text, "id9"))
 }
+
+// Guards against a history that leaves out what was known of a resumed stream, by whom, and how old
+// it was.
+func TestResumedStreamIsExplained(t *testing.T) {
+	is := is.New(t)
+	s := &Timeline{}
+	is.NoErr(s.Read(strings.NewReader(`{"@level":"info","@message":"resumed by caller","@module":"e2","@timestamp":"2026-01-01T00:00:02.000Z","request":"id3","resumes":"id1","source":"peer","holder":"e1","not_inferred":"several_versions","known":"v1 leaving,v2 admitted","record_age_ms":120,"revision":7}
+{"@level":"info","@message":"attempt not prepared","@module":"e2","@timestamp":"2026-01-01T00:00:02.100Z","request":"id3","version":"v1"}
+`)))
+	var out strings.Builder
+	is.True(s.Print(&out, "id3"))
+	for _, want := range []string{"resumed by caller", `holder="e1"`, `not_inferred="several_versions"`, `known="v1 leaving,v2 admitted"`, "record_age_ms=120", "revision=7", "attempt not prepared"} {
+		is.True(strings.Contains(out.String(), want)) // each field is shown
+	}
+}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -69,8 +69,10 @@
 	tokensSaved prometheus.Counter
 	surplus     prometheus.Counter
 	violations  *prometheus.CounterVec
-	// resumed counts by source of the origin.
-	resumed *prometheus.CounterVec
+	// resumed counts by source of the origin and by why it was not inferred.
+	resumed        *prometheus.CounterVec
+	versionsTooOld prometheus.Counter
+	unprepared     prometheus.Counter
 	// availability and givenUp count by reason.
 	availability *prometheus.CounterVec
 	givenUp      *prometheus.CounterVec
@@ -87,15 +89,21 @@
 		repeated:     counters("lilacbridge_repeated_attempts_total", "Attempts after the first one of a request, by whether the request is idempotent and by what proves that the attempt before did not run.", "idempotent", "evidence"),
 		attempts:     counters("lilacbridge_attempts_total", "Attempts at backend servers, by how they ended.", "end"),
 		violations:   counters("lilacbridge_invariants_broken_total", "Broken invariants; must stay 0.", "invariant"),
-		resumed:      counters("lilacbridge_streams_resumed_total", "Streams that callers resume, by where their software version was found: own, peer, only_version or unknown (refused).", "source"),
+		resumed:      counters("lilacbridge_streams_resumed_total", "Streams that callers resume, by where their software version was found: own, peer, only_version or unknown (refused), and by why the record of versions did not prove it.", "source", "not_inferred"),
 		availability: counters("lilacbridge_server_availability_changes_total", "Backend servers that this instance stopped or resumed using, by reason.", "reason"),
 		givenUp:      counters("lilacbridge_answers_given_up_total", "Answers that ended before their callers had read them, by reason: unread, late, room or drain.", "reason"),
-		tokens:       prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_total", Help: "Tokens of answers that came."}),
-		tokensSaved:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_saved_total", Help: "Tokens of broken answers that were not made again."}),
-		surplus:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_answers_with_surplus_total", Help: "Answers after whose end their server sent more bytes."}),
-		firstToken:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lilacbridge_first_token_seconds", Help: "From arrival to the first token.", Buckets: firstTokenBuckets}, []string{"class"}),
+		versionsTooOld: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lilacbridge_version_record_refusals_total", Help: "Requests for streams that may be resumed that were refused since the record of software versions was too old.",
+		}),
+		unprepared: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lilacbridge_attempts_unprepared_total", Help: "Attempts not sent since other instances may hold the software version of an earlier one.",
+		}),
+		tokens:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_total", Help: "Tokens of answers that came."}),
+		tokensSaved: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_tokens_saved_total", Help: "Tokens of broken answers that were not made again."}),
+		surplus:     prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_answers_with_surplus_total", Help: "Answers after whose end their server sent more bytes."}),
+		firstToken:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lilacbridge_first_token_seconds", Help: "From arrival to the first token.", Buckets: firstTokenBuckets}, []string{"class"}),
 	}
-	registry.MustRegister(e.requests, e.refusals, e.attempts, e.repeated, e.violations, e.resumed, e.availability, e.givenUp, e.tokens, e.tokensSaved, e.surplus, e.firstToken)
+	registry.MustRegister(e.requests, e.refusals, e.attempts, e.repeated, e.violations, e.resumed, e.versionsTooOld, e.unprepared, e.availability, e.givenUp, e.tokens, e.tokensSaved, e.surplus, e.firstToken)
 	return e
 }
 
@@ -124,8 +132,15 @@
 // TokensSaved adds n tokens of interrupted responses that did not have to be generated again.
 func (e *Entry) TokensSaved(n int) { e.tokensSaved.Add(float64(n)) }
 
-// StreamResumed counts a stream that its caller resumes, by where its origin was found.
-func (e *Entry) StreamResumed(source string) { e.resumed.WithLabelValues(source).Inc() }
+// StreamResumed counts a stream that its caller resumes, by where its origin was found and why it
+// was not inferred.
+func (e *Entry) StreamResumed(source, doubt string) { e.resumed.WithLabelValues(source, doubt).Inc() }
+
+// VersionsTooOld implements relay.Counter.
+func (e *Entry) VersionsTooOld() { e.versionsTooOld.Inc() }
+
+// Unprepared implements relay.Counter.
+func (e *Entry) Unprepared() { e.unprepared.Inc() }
 
 // ServerAvailability counts a server that this instance stopped or resumed using.
 func (e *Entry) ServerAvailability(reason string) { e.availability.WithLabelValues(reason).Inc() }
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -55,7 +55,7 @@
 // logResumed logs what is known of a stream that its caller resumes.
 func (r *Relay) logResumed(req *request, f originlink.Finding) {
 	r.Log.Line(logs.Success, "resumed by caller", "request", req.requestID, "resumes", req.resumes, "after", req.lastEvent,
-		"source", string(f.Source), "target", f.Origin.Service, "version", f.Origin.Version, "asked", f.Asked, "answered", f.Answered,
+		"source", string(f.Source), "target", f.Origin.Service, "version", f.Origin.Version, "asked", f.Asked, "answered", f.Answered, "holder", f.Holder, "not_inferred", string(f.Doubt),
 		"known", versionList(f.Versions), "record_age_ms", f.Versions.Age.Milliseconds(), "revision", f.Versions.Revision,
 		"took_ms", time.Since(req.arrived).Milliseconds())
 }
@@ -173,8 +173,7 @@
 func versionList(r admission.Record) string {
 	var list []string
 	for _, version := range r.Counted[:min(len(r.Counted), maxLoggedVersions)] {
-		state := strings.ToLower(strings.TrimPrefix(version.GetState().String(), "VERSION_STATE_"))
-		list = append(list, version.GetVersion()+" "+state)
+		list = append(list, version.GetVersion()+" "+admission.StateName(version))
 	}
 	if r.Lost {
 		list = append(list, "lost")
--- a/request/relay/origin.go
+++ b/request/relay/origin.go
@@ -47,6 +47,7 @@
 	if r.Origins == nil || !q.Route.Resumable || r.Origins.MayBegin(req.target) {
 		return nil
 	}
+	r.Counter.VersionsTooOld()
 	return notResumed(req, unconfirmedRetryAfter, "this instance has been cut off from the state processes for too long to begin streams that may be resumed; send the request again after Retry-After")
 }
 
@@ -61,7 +62,7 @@
 		service = q.Route.Backends[0].Service
 	}
 	finding := r.Origins.Find(ctx, q.Resumes, service)
-	r.Counter.StreamResumed(string(finding.Source))
+	r.Counter.StreamResumed(string(finding.Source), string(finding.Doubt))
 	r.logResumed(req, finding)
 	if finding.Source == originlink.Unknown {
 		return notResumed(req, unknownOriginRetryAfter, "no instance that answers knows at which software version the stream began; resume after Retry-After, or start again without Last-Event-Id")
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -42,7 +42,13 @@
 	Tokens(n int)
 	// StreamResumed counts streams that callers resume, by where their origin was found; see
 	// originlink.Source.
-	StreamResumed(source string)
+	// doubt is why it wasn't inferred; see admission.Doubt.
+	StreamResumed(source, doubt string)
+	// VersionsTooOld counts requests refused since the record of software versions is too old to
+	// begin streams that callers may resume.
+	VersionsTooOld()
+	// Unprepared counts attempts that were not sent since other instances may hold another origin.
+	Unprepared()
 	// TokensSaved counts tokens of interrupted answers that were not generated again.
 	TokensSaved(n int)
 	// ServerAvailability counts changes of a server's availability by reason.
--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -215,6 +215,7 @@
 // endUnprepared ends a request whose next attempt must not be sent.
 func (r *Relay) endUnprepared(req *request, start policy.Start, j job, err error) error {
 	r.Log.Line(logs.Failure, "attempt not prepared", "request", req.requestID, "class", req.class, "server", start.Server, "attempt", start.Attempt, "version", start.Version, "error", err)
+	r.Counter.Unprepared()
 	r.Post(policy.Canceled{ID: req.id})
 	if j.begun() {
 		return req.record.Error(lilacv1.ErrorKind_ERROR_KIND_BROKEN_STREAM, interruptedMessage)
--- a/version/admission/admission_test.go
+++ b/version/admission/admission_test.go
@@ -197,3 +197,22 @@
 	l.is.True(result.GetStatus().GetMessage() != "")
 	l.is.Equal(l.state("v2"), unknown)
 }
+
+// Guards against a refusal that doesn't tell why nothing could be inferred.
+func TestRecordStatesWhyItProvesNothing(t *testing.T) {
+	is := is.New(t)
+	one := []*lilacv1.ServiceVersion{{Service: "llm", Version: "v1", State: admitted}}
+	for doubt, r := range map[Doubt]Record{
+		NoDoubt:         {Counted: one},
+		TooOld:          {Counted: one, Age: InferenceLease},
+		NoVersions:      {Age: InferenceLease},
+		SeveralVersions: {Counted: append(one, one...), Age: InferenceLease},
+		LostVersions:    {Counted: one, Lost: true},
+	} {
+		is.Equal(r.Doubt(), doubt)
+		_, proved := r.Origin()
+		is.Equal(proved, doubt == NoDoubt)
+	}
+	lost := &lilacv1.ServiceVersion{State: leaving, Lost: true}
+	is.Equal(CountStates(append(one, lost)), map[string]int{"announced": 0, "admitted": 1, "leaving": 0, "lost": 1})
+}
--- a/version/admission/record.go
+++ b/version/admission/record.go
@@ -10,6 +10,7 @@
 package admission
 
 import (
+	"strings"
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
@@ -84,3 +85,54 @@
 	}
 	return false
 }
+
+// Doubt is why a record doesn't prove where a stream began.
+type Doubt string
+
+const (
+	// NoDoubt: the record proves it.
+	NoDoubt Doubt = ""
+	// NoVersions: the record counts no version of the service.
+	NoVersions Doubt = "no_versions"
+	// SeveralVersions: it counts more than one.
+	SeveralVersions Doubt = "several_versions"
+	// LostVersions: a recovery of the state processes may have lost some.
+	LostVersions Doubt = "lost_versions"
+	// TooOld: it was last known to be the newest too long ago.
+	TooOld Doubt = "too_old"
+	// SeveralServices: the stream may have begun at any of several services, so no record was used.
+	SeveralServices Doubt = "several_services"
+)
+
+// Doubt returns why Origin proves nothing. What the record counts is stated before its age.
+func (r Record) Doubt() Doubt {
+	switch {
+	case r.Lost:
+		return LostVersions
+	case len(r.Counted) == 0:
+		return NoVersions
+	case len(r.Counted) > 1:
+		return SeveralVersions
+	case r.Age >= InferenceLease:
+		return TooOld
+	}
+	return NoDoubt
+}
+
+// StateName returns the name of the version's state for operators: announced, admitted, leaving, or
+// lost for those that a recovery of the state processes may have lost.
+func StateName(v *lilacv1.ServiceVersion) string {
+	if v.GetLost() {
+		return "lost"
+	}
+	return strings.ToLower(strings.TrimPrefix(v.GetState().String(), "VERSION_STATE_"))
+}
+
+// CountStates returns the number of versions by the names of their states.
+func CountStates(record []*lilacv1.ServiceVersion) map[string]int {
+	counts := map[string]int{"announced": 0, "admitted": 0, "leaving": 0, "lost": 0}
+	for _, version := range record {
+		counts[StateName(version)]++
+	}
+	return counts
+}
--- a/version/statement/grammar.go
+++ b/version/statement/grammar.go
@@ -28,7 +28,7 @@
 
 // Show is a query for the rows of one subject.
 type Show struct {
-	Subject string      `parser:"@( 'REQUESTS' | 'SERVERS' | 'CLASSES' | 'TEAMS' | 'INSTANCES' | 'REVISIONS' | 'AUDIT' | 'LEASES' | 'DUTIES' | 'REPLICAS' | 'CONVICTIONS' | 'MODELS' | 'STATE' | 'SHARES' )"`
+	Subject string      `parser:"@( 'REQUESTS' | 'SERVERS' | 'CLASSES' | 'TEAMS' | 'INSTANCES' | 'REVISIONS' | 'AUDIT' | 'LEASES' | 'DUTIES' | 'REPLICAS' | 'CONVICTIONS' | 'VERSIONS' | 'MODELS' | 'STATE' | 'SHARES' )"`
 	Where   []Condition `parser:"( 'WHERE' @@ ( 'AND' @@ )* )?"`
 	OrderBy string      `parser:"( 'ORDER' 'BY' @Ident"`
 	Desc    bool        `parser:"  ( 'ASC' | @'DESC' )? )?"`
@@ -148,7 +148,7 @@
 // keywords are the words that an error message may suggest.
 var keywords = []string{
 	"SHOW", "SET", "DROP", "DRAIN", "RETURN", "LOAD", "UNLOAD", "LIFT", "FORGET", "KEYS", "BEFORE", "IF", "REVISION",
-	"REQUESTS", "SERVERS", "CLASSES", "TEAMS", "INSTANCES", "REVISIONS", "AUDIT", "LEASES", "DUTIES", "REPLICAS", "CONVICTIONS", "MODELS", "STATE", "SHARES",
+	"REQUESTS", "SERVERS", "CLASSES", "TEAMS", "INSTANCES", "REVISIONS", "AUDIT", "LEASES", "DUTIES", "REPLICAS", "CONVICTIONS", "VERSIONS", "MODELS", "STATE", "SHARES",
 	"WHERE", "AND", "ORDER", "BY", "ASC", "DESC", "LIMIT", "CONTAINS",
 	"CLASS", "TEAM", "SERVER", "INSTANCE", "TIER", "FIRST", "TOKEN", "BETWEEN", "TOKENS", "SHARE", "LATE", "RUN", "REFUSE",
 	"WEIGHT", "BURST", "PER", "SECOND", "NO", "ADDRESS", "DATA", "CENTRE", "ENGINE", "SERVICE", "SERVES", "SLOTS",
