Refusals for lack of room tell how each server is used, by whose report and how old

Cause: a request refused for load said "all backend servers are busy" whatever the reason was, and its line named neither the check nor the servers. That a data centre counts as cut off was not logged at all.

The message says "busy" only if servers are full; otherwise that none is in use after failures or silence, that none is expected to answer within the target, or that as many wait as can start in time. A change of "unreachable" is logged as a change of availability, by its reason. New counter lilacbridge_refused_for_room_total, by check and by the use of most servers.

--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -76,6 +76,8 @@
 	// availability and givenUp count by reason.
 	availability *prometheus.CounterVec
 	givenUp      *prometheus.CounterVec
+	// noRoom counts by check and by how most servers were used.
+	noRoom *prometheus.CounterVec
 }
 
 // NewEntry returns metrics that are registered with registry.
@@ -92,6 +94,7 @@
 		resumed:      counters("lilacbridge_streams_resumed_total", "Streams that callers resume, by where their software version was found: own, peer, only_version or unknown (refused), and by why the record of versions did not prove it.", "source", "not_inferred"),
 		availability: counters("lilacbridge_server_availability_changes_total", "Backend servers that this instance stopped or resumed using, by reason.", "reason"),
 		givenUp:      counters("lilacbridge_answers_given_up_total", "Answers that ended before their callers had read them, by reason: unread, late, room or drain.", "reason"),
+		noRoom:       counters("lilacbridge_refused_for_room_total", "Requests refused for lack of room, by the check that found none and by how most servers of the pool were used, as in the log.", "check", "servers"),
 		versionsTooOld: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lilacbridge_version_record_refusals_total", Help: "Requests for streams that may be resumed that were refused since the record of software versions was too old.",
 		}),
@@ -103,7 +106,7 @@
 		surplus:     prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacbridge_answers_with_surplus_total", Help: "Answers after whose end their server sent more bytes."}),
 		firstToken:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "lilacbridge_first_token_seconds", Help: "From arrival to the first token.", Buckets: firstTokenBuckets}, []string{"class"}),
 	}
-	registry.MustRegister(e.requests, e.refusals, e.attempts, e.repeated, e.violations, e.resumed, e.versionsTooOld, e.unprepared, e.availability, e.givenUp, e.tokens, e.tokensSaved, e.surplus, e.firstToken)
+	registry.MustRegister(e.requests, e.refusals, e.attempts, e.repeated, e.violations, e.resumed, e.versionsTooOld, e.unprepared, e.availability, e.givenUp, e.noRoom, e.tokens, e.tokensSaved, e.surplus, e.firstToken)
 	return e
 }
 
@@ -145,6 +148,9 @@
 // ServerAvailability counts a server that this instance stopped or resumed using.
 func (e *Entry) ServerAvailability(reason string) { e.availability.WithLabelValues(reason).Inc() }
 
+// NoRoom counts a request refused for lack of room.
+func (e *Entry) NoRoom(check, use string) { e.noRoom.WithLabelValues(check, use).Inc() }
+
 // GivenUp counts an answer that ended before its caller had read it.
 func (e *Entry) GivenUp(reason string) { e.givenUp.WithLabelValues(reason).Inc() }
 
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -264,6 +264,8 @@
 	RetryAfter time.Duration
 	// Queue is the state in which the request was given up, for the log.
 	Queue QueueState
+	// Shortage tells why there is no room; nil if the request was refused for another reason.
+	Shortage *Shortage
 	// RetryDenied is why the request was not retried; empty if it was not to be. RetriesLeft
 	// is the number of retries left in the budget.
 	RetryDenied RetryDenial
--- a/request/policy/availability.go
+++ b/request/policy/availability.go
@@ -38,6 +38,12 @@
 	CrashReported AvailabilityReason = "crash reported"
 	// LeavingReported: another instance reported that the server is leaving.
 	LeavingReported AvailabilityReason = "leaving reported"
+	// DataCenterSilent: no instance of the server's data centre is heard from; DataCenterHeard:
+	// one is again.
+	DataCenterSilent AvailabilityReason = "data centre silent"
+	DataCenterHeard  AvailabilityReason = "data centre heard"
+	// AnswersStopped: all answers from the server's data centre stopped at once.
+	AnswersStopped AvailabilityReason = "answers stopped"
 	// Answered: the server answered a request of this instance.
 	Answered AvailabilityReason = "answer"
 )
@@ -53,7 +59,7 @@
 	// LastResponseAge is the time since the server's last response to this instance;
 	// negative for none.
 	LastResponseAge time.Duration
-	// For is the length of the pause; 0 unless the state is Paused.
+	// For is the length of the pause; 0 if it is not known, or unless the state is Paused.
 	For time.Duration
 }
 
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -219,7 +219,7 @@
 		return
 	}
 	s.recordPace(now, e)
-	s.reportAge = e.Age.Seconds()
+	s.reportAge, s.reportedAt = e.Age.Seconds(), now.Add(-e.Age)
 	s.reportedLoad = max(0, float64(e.Running+e.Waiting)-s.runningAgo(e.Age))
 	s.estimateOtherLoad(len(c.peers) > 0)
 	for _, p := range c.poolOrder {
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -47,7 +47,7 @@
 		notRun = lilacv1.NotRun_NOT_RUN_UNKNOWN
 	}
 	c.stats.Refused++
-	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Queue: c.queueState(now, r), RetryDenied: r.retryDenied, RetriesLeft: r.pool.retryBudget.Left(now)})
+	c.emit(Refuse{ID: r.ID, Kind: kind, Message: message, NotRun: notRun, RetryAfter: after, Queue: c.queueState(now, r), Shortage: r.shortage, RetryDenied: r.retryDenied, RetriesLeft: r.pool.retryBudget.Left(now)})
 }
 
 // queueState returns the request's state in the queue and why it has not started.
--- a/request/policy/full.go
+++ b/request/policy/full.go
@@ -94,7 +94,7 @@
 func (c *core) refuseWhenFull(now time.Time, r *request) bool {
 	p := r.pool
 	if p.closedByLimits() {
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, limitedMessage, c.jitter(minRetryAfter))
+		c.endShort(now, r, CheckRates, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, limitedMessage, c.jitter(minRetryAfter))
 		return true
 	}
 	if r.class.GetLate() != lilacv1.LatePolicy_LATE_POLICY_RUN_WITH_ROOM || r.item.Guaranteed || r.returned || !p.full(now, r) {
@@ -104,6 +104,6 @@
 	if now.Add(wait).Before(r.item.Due) && (!p.queueBoundReached(queueLevel(r.class)) || c.yieldTo(now, r)) {
 		return false
 	}
-	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, overloadMessage, c.jitter(min(max(wait, minRetryAfter), maxRetryAfter)))
+	c.endOverloaded(now, r, CheckStart, c.jitter(min(max(wait, minRetryAfter), maxRetryAfter)))
 	return true
 }
--- a/request/policy/giveup.go
+++ b/request/policy/giveup.go
@@ -43,7 +43,7 @@
 			message = unadmittedMessage
 		}
 		c.dequeue(r)
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, message, c.retryAfter(r.pool))
+		c.endShort(now, r, CheckOpen, lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, message, c.retryAfter(r.pool))
 	}
 }
 
--- a/request/policy/overload.go
+++ b/request/policy/overload.go
@@ -15,6 +15,9 @@
 
 	limitedMessage  = "all backend servers limit their request rate, and other instances use up the limits; send the request again after Retry-After, another instance may accept it"
 	overloadMessage = "all backend servers are busy; send the request again after Retry-After"
+	unusedMessage   = "no backend server is in use after failures or silence; send the request again after Retry-After"
+	slowMessage     = "no backend server is expected to answer within the latency target; send the request again after Retry-After"
+	waitingMessage  = "as many requests wait as can start in time; send the request again after Retry-After"
 	lateMessage     = "the class's latency target can no longer be met and its late policy refuses late answers; send the request again after Retry-After"
 )
 
@@ -47,7 +50,7 @@
 	for _, r := range refused {
 		p.observeMissedStart(queueLevel(r.class))
 		c.dequeue(r)
-		c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_LATE, lateMessage, c.retryAfter(p))
+		c.endShort(now, r, CheckLate, lilacv1.ErrorKind_ERROR_KIND_LATE, lateMessage, c.retryAfter(p))
 	}
 }
 
@@ -86,7 +89,7 @@
 		return false
 	}
 	c.check(InvariantTier, p.queue.LowestTier() <= tier && p.tiers.MayShed(tier, now))
-	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, overloadMessage, c.retryAfter(p))
+	c.endOverloaded(now, r, CheckTier, c.retryAfter(p))
 	return true
 }
 
@@ -131,6 +134,6 @@
 	c.check(InvariantTier, p.queue.LowestTier() <= r.tier() && p.tiers.MayShed(tier, now))
 	after := c.retryAfter(p)
 	c.dequeue(r)
-	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, overloadMessage, after)
+	c.endOverloaded(now, r, CheckQueue, after)
 	return true
 }
--- a/request/policy/partition.go
+++ b/request/policy/partition.go
@@ -24,15 +24,35 @@
 		if dataCenter == c.options.DataCenter {
 			continue
 		}
-		unreachable := now.Sub(heard) > peerSilenceTimeout || c.answersStopped(now, dataCenter)
+		reason := DataCenterHeard
+		switch {
+		case now.Sub(heard) > peerSilenceTimeout:
+			reason = DataCenterSilent
+		case c.answersStopped(now, dataCenter):
+			reason = AnswersStopped
+		}
 		for _, s := range c.ordered {
 			if s.dataCenter == dataCenter {
-				s.unreachable = unreachable
+				c.setUnreachable(now, s, reason)
 			}
 		}
 	}
 }
 
+// setUnreachable records whether the server is cut off, and reports a change.
+func (c *core) setUnreachable(now time.Time, s *server, reason AvailabilityReason) {
+	unreachable := reason != DataCenterHeard
+	if unreachable == s.unreachable {
+		return
+	}
+	s.unreachable = unreachable
+	state := Available
+	if unreachable {
+		state = Paused
+	}
+	c.emit(AvailabilityChanged{Server: s.name, State: state, Reason: reason, LastResponseAge: s.lastResponseAge(now)})
+}
+
 // answersStopped reports whether several answers are running in the data centre and
 // all of them have stopped.
 func (c *core) answersStopped(now time.Time, dataCenter string) bool {
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -101,6 +101,10 @@
 	// expectedSlots is how many slots the requests of each position are expected to occupy,
 	// slotSplit how many this instance's requests may; see expected.go.
 	expectedSlots, slotSplit tiers.Demand
+	// shortage is what was last told of the servers to a request refused for lack of room, at
+	// shortageAt.
+	shortage   Shortage
+	shortageAt time.Time
 	// dirty is true if a waiting request may have become able to start.
 	dirty bool
 	// pressure is true if the settings state that callers compete for the pool's servers, paced
--- a/request/policy/request.go
+++ b/request/policy/request.go
@@ -72,6 +72,8 @@
 	// was refused.
 	counted bool
 	reason  RefusalReason
+	// shortage tells why there was no room for it; nil unless it was refused for that.
+	shortage *Shortage
 	// kvTransferred is the length of the KV cache that this attempt received, at the
 	// rate kvTransferRate; 0 and nil for none.
 	kvTransferred  float64
--- a/request/policy/server.go
+++ b/request/policy/server.go
@@ -111,6 +111,8 @@
 	historyIndex int
 	// reportAge is the age of the last load report in seconds; negative for none.
 	reportAge float64
+	// reportedAt is when the server made that report.
+	reportedAt time.Time
 	// reportedLoad is the load by that report without this instance's requests.
 	reportedLoad float64
 
--- a/request/policy/teamshares.go
+++ b/request/policy/teamshares.go
@@ -217,7 +217,7 @@
 		return false
 	}
 	r.pool.teams.stats.Early++
-	c.end(now, r, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, earlyMessage, max(r.returnAt.Sub(now), minRetryAfter))
+	c.endShort(now, r, CheckShare, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, earlyMessage, max(r.returnAt.Sub(now), minRetryAfter))
 	return true
 }
 
@@ -258,7 +258,7 @@
 	yielding := c.requests[ID(item.ID)]
 	after := c.retryAfter(r.pool)
 	c.dequeue(yielding)
-	c.end(now, yielding, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, shareMessage, after)
+	c.endShort(now, yielding, CheckShare, lilacv1.ErrorKind_ERROR_KIND_OVERLOADED, shareMessage, after)
 	return true
 }
 
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -96,13 +99,47 @@
 }
 
 func (r *Relay) logRefused(req *request, a policy.Refuse) {
+	if a.Shortage != nil {
+		r.Counter.NoRoom(string(a.Shortage.Check), a.Shortage.Main())
+	}
 	fields := []any{"request", req.requestID, "class", req.class, "team", req.team, "target", req.target,
 		"kind", fault.Name(a.Kind), "not_run", a.NotRun.String(), "retry_after_ms", a.RetryAfter.Milliseconds(),
 		"after_ms", time.Since(req.arrived).Milliseconds(), "level", a.Queue.Position, "before", a.Queue.Before,
 		"running", a.Queue.Running, "slots", a.Queue.Slots, "blocked", string(a.Queue.Blocked),
 		"reason", string(a.Queue.Reason), "expected_end_ms", a.Queue.ExpectedEnd.Milliseconds(), "limit_ms", a.Queue.Limit.Milliseconds(), "ahead_ms", a.Queue.Ahead.Milliseconds(),
 		"retry_denied", string(a.RetryDenied), "retries_left", a.RetriesLeft}
-	r.Log.Line(logs.Failure, "refused", append(fields, teamFields(a.Queue.Team)...)...)
+	fields = append(fields, teamFields(a.Queue.Team)...)
+	r.Log.Line(logs.Failure, "refused", append(fields, shortageFields(a.Shortage)...)...)
+}
+
+// shortageFields tell which check found no room, and how each server is used and by whose report.
+func shortageFields(s *policy.Shortage) []any {
+	if s == nil {
+		return nil
+	}
+	servers := make([]string, 0, len(s.Servers))
+	for i := range s.Servers {
+		servers = append(servers, formatUse(&s.Servers[i]))
+	}
+	counts := make([]string, 0, len(s.Counts))
+	for _, use := range slices.Sorted(maps.Keys(s.Counts)) {
+		counts = append(counts, string(use)+" "+strconv.Itoa(s.Counts[use]))
+	}
+	return []any{"check", string(s.Check), "waiting", s.Waiting, "rate", int(s.Rate), "start_rate", int(s.StartRate), "full_for_ms", s.FullFor.Milliseconds(),
+		"servers", strings.Join(servers, "; "), "server_counts", strings.Join(counts, ", "), "servers_age_ms", s.Age.Milliseconds()}
+}
+
+// formatUse formats how a server is used; docs/OPERATIONS.md explains the text.
+func formatUse(u *policy.ServerUse) string {
+	text := fmt.Sprintf("%s %s", u.Server, u.Use)
+	if u.Reason != "" {
+		text += " (" + string(u.Reason) + ")"
+	}
+	if u.Left > 0 {
+		text += fmt.Sprintf(" for %d ms", u.Left.Milliseconds())
+	}
+	return fmt.Sprintf("%s, %d own, %.0f of %.0f, expected %d ms, reported %.0f (%d ms), told %.0f (%s, %d ms), last response %d ms, data centre %d ms", text,
+		u.Own, u.Load, u.Limit, u.Expected.Milliseconds(), u.Reported, u.ReportAge.Milliseconds(), u.Told, u.Reporter, u.ToldAge.Milliseconds(), u.LastResponse.Milliseconds(), u.Silent.Milliseconds())
 }
 
 func (r *Relay) logBadLimit(req *request, start policy.Start, text string) {
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -53,6 +53,9 @@
 	TokensSaved(n int)
 	// ServerAvailability counts changes of a server's availability by reason.
 	ServerAvailability(reason string)
+	// NoRoom counts requests refused for lack of room, by the check and by how most of the pool's
+	// servers were used.
+	NoRoom(check, use string)
 	// GivenUp counts answers that ended although their servers had made them, by reason.
 	GivenUp(reason string)
 	// InvariantViolated counts a violated invariant by name.
