Requests don't wait for servers that would be late even when idle

Cause: answers that the frozen instance held back for 3 s were learned as the server's own response time (0.7 s became 2.8 s, more than the target of 2 s). Requests waited although waiting could only make them later, four of them at the head of the queue held up all others, and after 0.4 s the pool counted as full and refused arrivals by its falling rate of starts.

Change: if no candidate of a plain service would answer in time even when idle, the request starts where there is room, as pinned requests to engines do. A response time without an answer for 3 s goes back to the pool's average, as gaps between tokens do.

--- a/request/policy/choice.go
+++ b/request/policy/choice.go
@@ -213,7 +213,7 @@
 	if pinned {
 		selector = &c.choice.pinned
 	}
-	if opts.late || !c.gapAchievable(r) {
+	if opts.late || !c.gapAchievable(r) || !c.firstAchievable(now, r) {
 		selector = &c.choice.late
 		if pinned {
 			selector = &c.choice.pinnedLate
@@ -261,6 +261,23 @@
 	return false
 }
 
+// firstAchievable reports whether any candidate of a plain service would answer in time even when
+// idle. If none does, waiting would make the answer later still. Engines start pinned requests
+// late by pinnedNoDuplicate.
+func (c *core) firstAchievable(now time.Time, r *request) bool {
+	budget := r.slack(now)
+	if !r.pool.service || budget <= 0 {
+		return true
+	}
+	for i := range c.choice.candidates {
+		candidate := &c.choice.candidates[i]
+		if s := r.pool.servers[candidate.Index]; !candidate.Unavailable && s.firstToken(1, 0, 0) <= budget {
+			return true
+		}
+	}
+	return false
+}
+
 // tokensLeft returns the expected number of tokens still to come.
 func (r *request) tokensLeft(c *core) float64 {
 	if r.pool.service {
--- a/request/policy/observe.go
+++ b/request/policy/observe.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// decayServiceTime returns the response time of a plain service that has not answered for a while to
+// the pool's average, so that it is tried again.
+func (s *server) decayServiceTime(now time.Time, poolServiceTime float64) {
+	if s.service && now.Sub(s.lastResponseAt) > gapMaxAge && s.serviceTime > poolServiceTime {
+		s.serviceTime += gapDecay * (poolServiceTime - s.serviceTime)
+	}
+}
+
 // observeResponse records the time to the first token, or to the response of a plain service.
 func (s *server) observeResponse(r *request, took time.Duration) {
 	if s.service {
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -232,13 +232,14 @@
 	p.updateMedianPrefill()
 	p.assignLanes(now, p.otherWorkKnown)
 	p.capacity, p.tokenRate, p.meanGap = 0, 0, 0
-	open, gapsPerRequest := 0, 0.0
+	open, gapsPerRequest, serviceTimes := 0, 0.0, 0.0
 	for _, s := range p.servers {
 		if s.closed() || s.unreachable || now.Before(s.leavingUntil) || now.Before(s.ejectedUntil) {
 			continue
 		}
 		open++
 		gapsPerRequest += s.gapPerRequest
+		serviceTimes += s.serviceTime
 		n := s.limit(s.gapTarget(p, 0), p.minTokenGapTarget)
 		if s.rateLimit.Advertised {
 			n = min(n, s.rateLimit.PerSecond*limitedSlotTime.Seconds())
@@ -251,6 +252,7 @@
 		p.meanGap /= time.Duration(open)
 		for _, s := range p.servers {
 			s.decayGap(now, gapsPerRequest/float64(open))
+			s.decayServiceTime(now, serviceTimes/float64(open))
 		}
 	}
 	p.splitSlots()
