A connection that isn't opened in time is no crash

A broken link to an instance that was to forward a connection counted as a broken connection of the server too. If all servers in use were paused so, all requests were refused.

Change: a connection that neither was refused nor reset is silence, and the next answer of the server ends the pause. Refused and reset ones count as before, and so do reports to other instances while the pause lasts. The error of a forwarder hides its cause.

--- a/connection/serverpath/dialer.go
+++ b/connection/serverpath/dialer.go
@@ -190,9 +190,16 @@
 	if o.forwarderErr == nil {
 		return &net.OpError{Op: "dial", Net: o.network, Err: syscall.EHOSTUNREACH}
 	}
-	return &net.OpError{Op: "dial", Net: o.network, Err: o.forwarderErr}
+	return &net.OpError{Op: "dial", Net: o.network, Err: &forwardError{o.forwarderErr}}
 }
 
+// forwardError is why another instance did not forward a connection. It hides the cause: a broken
+// link to that instance is no broken connection of the server.
+type forwardError struct{ cause error }
+
+// Error implements error.
+func (e *forwardError) Error() string { return e.cause.Error() }
+
 func (o *dial) startDirect(ctx context.Context) {
 	o.pending++
 	// The outcome is of use also after another instance has forwarded the connection.
--- a/connection/serverpath/dialer_test.go
+++ b/connection/serverpath/dialer_test.go
@@ -309,3 +309,15 @@
 	conn.Close()
 	<-drained
 }
+
+// Guards against a server that is taken for crashed since the link to an instance broke that was to
+// forward the connection.
+func TestBrokenLinkToAnotherInstanceIsNoBrokenConnection(t *testing.T) {
+	for _, cause := range []error{io.ErrUnexpectedEOF, io.EOF, syscall.ECONNREFUSED, syscall.ECONNRESET} {
+		is := is.New(t)
+		err := (&dial{network: "tcp", forwarderErr: cause}).err()
+		is.True(!errors.Is(err, cause))
+		var op *net.OpError
+		is.True(errors.As(err, &op) && op.Op == "dial")
+	}
+}
--- a/connection/upstream/failure.go
+++ b/connection/upstream/failure.go
@@ -70,17 +70,20 @@
 	return ok && notRun
 }
 
-// IsConnectionError reports whether err means that the connection to the server failed:
-// refused, reset, or closed before the end of a response.
+// IsConnectionError reports whether err means that the connection to the server failed: refused,
+// reset, closed before the end of a response, or not opened.
 func IsConnectionError(err error) bool {
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		return true
-	}
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-		return true
-	}
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return IsBroken(err) || errors.As(err, &op) && op.Op == "dial"
+}
+
+// IsBroken reports whether err means that the connection to the server was refused, reset or closed
+// before the end of a response. A connection that could not be opened in time, by this instance or
+// another one that would forward it, says less: the server's queue of new ones may be full, or the
+// way to it lost.
+func IsBroken(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)
 }
 
 // maxMessageBytes bounds the result of StatusError.Message.
--- a/request/policy/api.go
+++ b/request/policy/api.go
@@ -106,8 +106,10 @@
 	Attempt int
 	// Sent is false only if it is certain that no byte was written.
 	Sent bool
-	// Crashed is true if the connection to the server was reset or refused.
-	Crashed bool
+	// Crashed is true if the connection to the server was reset or refused, or could not be
+	// opened. Silent is true in the last case if nothing reset or refused it, so that the server
+	// may be sound.
+	Crashed, Silent bool
 	// RetryAfter is the server's own value, if it refused the request because of load.
 	RetryAfter time.Duration
 	// Refused is true if the server refused the request and did not run it.
--- a/request/policy/failure.go
+++ b/request/policy/failure.go
@@ -85,7 +85,7 @@
 		c.recordGone(now, s)
 		if !now.Before(s.ejectedUntil) {
 			c.stats.Crashes++
-			c.eject(now, s, CrashObserved)
+			c.eject(now, s, e.pauseReason())
 			c.unannouncedCrash = s
 		}
 		s.crashedAt = now
@@ -98,6 +98,14 @@
 	}
 }
 
+// pauseReason returns why a server is paused to which the connection failed.
+func (e Failed) pauseReason() AvailabilityReason {
+	if e.Silent {
+		return NoResponse
+	}
+	return CrashObserved
+}
+
 // finalFailure reports whether a failed request must not be retried, with the error kind
 // and message.
 func (c *core) finalFailure(now time.Time, r *request, e Failed) (fault.Kind, string, bool) {
--- a/request/policy/silent_test.go
+++ b/request/policy/silent_test.go
@@ -29,3 +29,23 @@
 	is.Equal(len(c.suspects.Export(now)), 0)
 	is.Equal(len(c.Digest(now).GetEjected()), 0)
 }
+
+// Guards against a server that stays out of use while it answers, since a new connection to it was
+// not opened in time. One that refuses connections stays out of use.
+func TestServerWithFullQueueOfConnectionsIsUsedOnceItAnswers(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		is := is.New(t)
+		c := coreWithEngines("e1", 1, "a")
+		for id := ID(1); id <= 2; id++ {
+			is.Equal(only[Start](t, c.Step(epoch, lookup(id))).Server, "desk-a")
+		}
+		c.Step(epoch, Sent{ID: 1, Attempt: 1})
+		now := epoch.Add(100 * ms)
+		c.Step(now, Failed{ID: 2, Attempt: 1, Crashed: true, Silent: silent})
+		is.True(c.servers["desk-a"].unavailable(now))
+		now = now.Add(ms)
+		c.Step(now, Tokens{ID: 1, Attempt: 1, Count: 1})
+		c.Step(now, Finished{ID: 1, Attempt: 1})
+		is.Equal(c.servers["desk-a"].unavailable(now) && now.Before(c.servers["desk-a"].ejectedUntil), !silent)
+	}
+}
--- a/request/relay/classify.go
+++ b/request/relay/classify.go
@@ -35,7 +35,7 @@
 		failed.ServerError = true
 		return failed, "not_bound"
 	case upstream.IsConnectionError(err):
-		failed.Crashed = true
+		failed.Crashed, failed.Silent = true, unsent && !upstream.IsBroken(err)
 		return failed, "crashed"
 	}
 	return failed, "failed"
