--- a/request/policy/crashreport.go
+++ b/request/policy/crashreport.go
@@ -18,8 +18,10 @@
 
 // crashReports holds what peers reported of the crashes of a server.
 type crashReports struct {
-	// reporter is the instance whose report made this one probe the server; empty for none.
+	// reporter is the instance whose report, received at the time at, made this one probe the
+	// server; empty for none.
 	reporter string
+	at       time.Time
 	// refutedAt holds by reporter when an answer proved its report wrong.
 	refutedAt map[string]time.Time
 }
@@ -52,7 +54,7 @@
 	if s.probing {
 		return
 	}
-	s.probing, s.crashReports.reporter = true, reporter
+	s.probing, s.crashReports.reporter, s.crashReports.at = true, reporter, now
 	c.emit(AvailabilityChanged{Server: s.name, State: Probed, Reason: CrashReported, Reporter: reporter, LastResponseAge: s.lastResponseAge(now)})
 }
 
--- a/request/policy/softwareversion.go
+++ b/request/policy/softwareversion.go
@@ -34,10 +34,10 @@
 }
 
 // versionInDoubt reports whether the server may run another version than the listed one, since it
-// crashed lately, or since another instance says so and it has not answered this one since.
+// crashed lately, or since another instance said so and it has not answered this one since.
 func (s *server) versionInDoubt(now time.Time) bool {
 	crashed := !s.crashedAt.IsZero() && now.Sub(s.crashedAt) < versionDoubtPeriod
-	return crashed || s.crashReports.reporter != ""
+	return crashed || s.crashReports.reporter != "" && now.Sub(s.crashReports.at) < versionDoubtPeriod
 }
 
 // maySend reports whether the server may begin the answer or go on with it. It begins none that the
--- a/request/policy/softwareversion_test.go
+++ b/request/policy/softwareversion_test.go
@@ -88,6 +88,20 @@
 	is.Equal(refusal.NotRun, lilacv1.NotRun_NOT_RUN_TRUE)
 }
 
+// Guards against a server that gets no more streams which may be resumed since another instance said
+// that it had crashed, and since nothing else is sent to it.
+func TestReportedCrashIsForgottenOnceTheListIsNewer(t *testing.T) {
+	is := is.New(t)
+	c := coreWithVersions("v1", "v2")
+	for _, s := range c.ordered {
+		c.applyCrashReport(epoch, s.name, "e2")
+	}
+	a := stream(1)
+	a.Resumable = true
+	is.Equal(len(all[Start](c.Step(epoch, a))), 0)
+	is.Equal(only[Start](t, c.Step(epoch.Add(versionDoubtPeriod), Tick{})).ID, ID(1))
+}
+
 // Guards against the same where only another instance saw the crash.
 func TestServerReportedAsCrashedIsNotTrustedWithItsVersion(t *testing.T) {
 	is := is.New(t)
