The search of a page that can't be split is bounded by bytes

With all odd entries of the stand-in on one page, one of them nested 20,000 deep, the bound on the number of objects was reached before the sound entries. What is bounded now is the work.

--- a/process/jsonsplit/jsonsplit.go
+++ b/process/jsonsplit/jsonsplit.go
@@ -152,33 +152,33 @@
 	return errEnds
 }
 
-// Leading returns the object or array with which the text begins, if its brackets and quotes match
-// and its depth is at most maxDepth.
-func Leading(text []byte, maxDepth int) (raw []byte, depth int, ok bool) {
+// Leading returns the length and depth of the object or array with which the text begins, if its
+// brackets and quotes match and its depth is at most maxDepth. If not, the length is that of what was read.
+func Leading(text []byte, maxDepth int) (length, depth int, ok bool) {
 	s := New(text)
 	var open []byte
 	for s.at < len(text) {
 		switch b := text[s.at]; b {
 		case '"':
 			if s.text() != nil {
-				return nil, 0, false
+				return s.at, 0, false
 			}
 			continue
 		case '[', '{':
 			open = append(open, b+2) // the closing one of both is two further on in ASCII
 			if depth = max(depth, len(open)); depth > maxDepth {
-				return nil, 0, false
+				return s.at, 0, false
 			}
 		case ']', '}':
 			if len(open) == 0 || open[len(open)-1] != b {
-				return nil, 0, false
+				return s.at, 0, false
 			}
 			open = open[:len(open)-1]
 		}
 		s.at++
 		if len(open) == 0 {
-			return text[:s.at], depth, true
+			return s.at, depth, true
 		}
 	}
-	return nil, 0, false
+	return s.at, 0, false
 }
