Instances that are cut off begin resumable streams for five minutes, and resume without that limit

An instance that had not heard from a quorum for a minute refused all requests of routes that may be resumed, also those that resume a stream whose origin is known. Resumptions by a record need no young record of versions.

--- a/process/streamorigin/table.go
+++ b/process/streamorigin/table.go
@@ -15,7 +15,7 @@
 
 const (
 	// MaxTTL bounds how long an origin is held.
-	MaxTTL = time.Minute
+	MaxTTL = 5 * time.Minute
 	// maxRecords bounds the origins that an instance holds, at about 100 bytes each.
 	maxRecords = 1 << 15
 )
--- a/request/relay/origin.go
+++ b/request/relay/origin.go
@@ -44,7 +44,7 @@
 // checkVersionsConfirmed returns an error if streams that callers may resume must not begin here,
 // since this instance has not heard of new software versions for too long.
 func (r *Relay) checkVersionsConfirmed(q *gateway.Request, req *request) error {
-	if r.Origins == nil || !q.Route.Resumable || r.Origins.MayBegin(req.target) {
+	if r.Origins == nil || !q.Route.Resumable || resumesStream(q) || r.Origins.MayBegin(req.target) {
 		return nil
 	}
 	r.Counter.VersionsTooOld()
--- a/version/admission/record.go
+++ b/version/admission/record.go
@@ -26,9 +26,9 @@
 	copyAfter = 2 * time.Second
 	// beginLease is the age up to which streams that callers may resume begin. removalWait
 	// covers it.
-	beginLease = time.Minute
+	beginLease = 5 * time.Minute
 	// MaxStream bounds for how long after its request arrived a stream may be resumed.
-	MaxStream = time.Minute
+	MaxStream = 5 * time.Minute
 )
 
 // Record is what an instance knows of the versions of one service.
