A new holder that is gone keeps back no attempt at another version

An attempt at another version than the one before is sent once the instances that may hold the earlier origin have confirmed the new one. Instances that were to hold it for the first time had to confirm too, so callers got 503 if one of those did not answer. They get an ordinary copy now, once the others have confirmed; they hold nothing that could be wrong.

Earlier holders still have to confirm, also if they have left: one that is cut off may be alive and answer callers.

--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -167,16 +167,6 @@
 // Failures returns the number of calls that left no copy with another instance.
 func (l *Link) Failures() uint64 { return l.failures.Load() }
 
-// sendCopies sends the origin to its holders. The caller holds mu.
-func (l *Link) sendCopies(origin unsentOrigin) {
-	attempt := origin.message.GetAttempt()
-	holders := l.holders(attempt, l.copied[attempt].holders)
-	for _, holder := range holders {
-		l.enqueue(holder, origin)
-	}
-	l.copied[attempt] = copied{origin: originOf(origin.message), holders: holders, expires: origin.expires}
-}
-
 // enqueue adds a copy for the instance. The caller holds mu.
 func (l *Link) enqueue(peer member.Peer, origin unsentOrigin) {
 	box := l.unsent[peer.Name]
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -582,3 +582,34 @@
 		is.Equal(f.links[1].Find(t.Context(), "other", "llm").Doubt, admission.TooOld)
 	})
 }
+
+// Guards against an attempt at another version that is refused since an instance does not answer which
+// holds no earlier origin of the stream.
+func TestAttemptRefusedForANewHolderThatIsGone(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.links[0].SetPeers(slices.DeleteFunc(slices.Clone(f.peers), func(p member.Peer) bool { return p.Name == "a1" }))
+		const n = 200
+		for i := range n {
+			f.record0(t, "id"+strconv.Itoa(i), v1, 1, 30*time.Second)
+		}
+		synctest.Wait()
+		f.set("a1", gone)
+		f.links[0].SetPeers(f.peers)
+		refused := 0
+		v2 := streamorigin.Origin{Service: "llm", Version: "v2"}
+		for i := range n {
+			if f.links[0].Record(t.Context(), "id"+strconv.Itoa(i), v2, 2, 30*time.Second) != nil {
+				refused++
+			}
+		}
+		t.Logf("%d of %d attempts refused", refused, n)
+		is.Equal(refused, 0)
+		f.set("a1", up)
+		time.Sleep(2 * sendTimeout)
+		f.set("a0", gone)
+		for i := range n {
+			is.Equal(f.links[1].Find(t.Context(), "id"+strconv.Itoa(i), "llm").Origin, v2)
+		}
+	})
+}
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -23,7 +23,7 @@
 // Record holds the origin of the attempt's stream, and leaves copies with other instances in the
 // background unless they can infer it. number counts the instance's own attempts at servers.
 //
-// If others may hold another origin of the same attempt, it returns once all of them have
+// If others may hold another origin of the same attempt, it returns once all of those have
 // the new one, or with an error that states that they may not; the attempt must not be sent then.
 func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error {
 	attempt = keyOf(attempt)
@@ -46,40 +46,54 @@
 		l.keepUncopied(unsent)
 		return nil
 	}
-	l.sendCopies(unsent)
+	l.sendCopies(unsent, nil)
 	return nil
 }
 
-// replace sends the origin to all instances that may hold an earlier one of the attempt. The caller
-// holds mu, which is released meanwhile.
+// replace sends the origin to all instances that may hold an earlier one of the attempt, and once they
+// have it to the others that hold it from now on. The caller holds mu, which is released meanwhile.
 func (l *Link) replace(ctx context.Context, earlier []member.Peer, origin unsentOrigin) error {
 	attempt := origin.message.GetAttempt()
-	all := copied{origin: originOf(origin.message), holders: l.holders(attempt, earlier), expires: origin.expires, mixed: true}
-	l.copied[attempt] = all
+	l.copied[attempt] = copied{origin: originOf(origin.message), holders: earlier, expires: origin.expires, mixed: true}
 	l.mu.Unlock()
-	err := l.confirm(ctx, all.holders, origin)
+	err := l.confirm(ctx, earlier, origin)
 	l.mu.Lock()
 	if err != nil {
 		l.failures.Add(1)
 		return err
 	}
-	l.copies.Add(uint64(len(all.holders)))
-	all.mixed = false
-	l.copied[attempt] = all
+	l.copies.Add(uint64(len(earlier)))
+	l.sendCopies(origin, earlier)
 	return nil
 }
 
+// sendCopies sends the origin to its holders but those that have confirmed it. The caller holds mu.
+func (l *Link) sendCopies(origin unsentOrigin, confirmed []member.Peer) {
+	attempt := origin.message.GetAttempt()
+	holders := l.holders(attempt, l.copied[attempt].holders)
+	for _, holder := range holders {
+		if !contains(confirmed, holder) {
+			l.enqueue(holder, origin)
+		}
+	}
+	l.copied[attempt] = copied{origin: originOf(origin.message), holders: holders, expires: origin.expires}
+}
+
 // holders returns who gets copies of the origin, and who got earlier ones. The caller holds mu.
 func (l *Link) holders(attempt string, earlier []member.Peer) []member.Peer {
 	holders := append(streamorigin.Holders(l.options.Self, l.peers, attempt), l.keeper(attempt)...)
 	for _, holder := range earlier {
-		if !slices.ContainsFunc(holders, func(p member.Peer) bool { return p.Name == holder.Name }) {
+		if !contains(holders, holder) {
 			holders = append(holders, holder)
 		}
 	}
 	return holders
 }
 
+func contains(peers []member.Peer, peer member.Peer) bool {
+	return slices.ContainsFunc(peers, func(p member.Peer) bool { return p.Name == peer.Name })
+}
+
 // confirm returns nil once all holders have the origin.
 func (l *Link) confirm(ctx context.Context, holders []member.Peer, origin unsentOrigin) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -118,7 +132,7 @@
 		}
 		delete(l.uncopied, service)
 		for _, origin := range origins {
-			l.sendCopies(origin)
+			l.sendCopies(origin, nil)
 		}
 	}
 }
