Copies of a large fleet's streams hold up no requests

When others could no longer infer versions, SendCopies chose the holders of all live streams with the Link's lock held, and sorted all instances by hash for each. Requests that record, find or receive an origin waited meanwhile; so did a new document, since the gateway calls it with its own lock held.

SendCopies only signals Run now. Run chooses the holders without the lock, with a selection instead of a sort, and takes the lock for 64 streams at a time. Record chooses them without the lock too. The choice itself is as before (TestHoldersAreTheFirstByHash).

--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -40,6 +40,8 @@
 	expireInterval = time.Second
 	// copiesInterval is the pause between two looks whether others can still infer origins.
 	copiesInterval = 250 * time.Millisecond
+	// copiesBatch bounds the origins whose copies are queued while requests wait.
+	copiesBatch = 64
 )
 
 // Options configure a Link.
@@ -58,6 +60,8 @@
 	options Options
 	// copies counts those left with other instances, failures the calls that left none.
 	copies, failures atomic.Uint64
+	// look tells Run to look whether others can still infer origins.
+	look chan struct{}
 
 	// mu guards the fields below. No call is made while it is held.
 	mu    sync.Mutex
@@ -96,7 +100,7 @@
 	}
 	return &Link{
 		options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), uncopied: make(map[string]map[string]unsentOrigin),
-		copied: make(map[string]copied), ctx: context.Background(),
+		copied: make(map[string]copied), look: make(chan struct{}, 1), ctx: context.Background(),
 	}
 }
 
@@ -138,7 +142,9 @@
 		case <-expiry.C:
 			l.expire()
 		case <-copies.C:
-			l.SendCopies()
+			l.sendUncopied()
+		case <-l.look:
+			l.sendUncopied()
 		}
 	}
 }
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +28,11 @@
 // the new one, or with an error that states that they may not; the attempt must not be sent then.
 func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error {
 	attempt = keyOf(attempt)
+	needed := l.options.Versions(origin.Service).NeedsCopies()
+	var holders []member.Peer
+	if needed {
+		holders = l.choose(attempt)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
@@ -39,22 +45,34 @@
 	}
 	unsent := unsentOrigin{message, now.Add(ttl)}
 	l.forgetUncopied(attempt)
+	var confirmed []member.Peer
 	if earlier, exists := l.copied[attempt]; exists && (earlier.mixed || earlier.origin != origin) {
-		return l.replace(ctx, earlier.holders, unsent)
+		if err := l.replace(ctx, earlier.holders, unsent); err != nil {
+			return err
+		}
+		confirmed = earlier.holders
 	}
-	if !l.options.Versions(origin.Service).NeedsCopies() {
+	if !needed {
 		l.keepUncopied(unsent)
 		return nil
 	}
-	l.sendCopies(unsent, nil)
+	l.sendCopies(unsent, holders, confirmed)
 	return nil
 }
 
-// replace sends the origin to all instances that may hold an earlier one of the attempt, and once they
-// have it to the others that hold it from now on. The caller holds mu, which is released meanwhile.
+// choose returns the instances that get copies of the origin.
+func (l *Link) choose(attempt string) []member.Peer {
+	l.mu.Lock()
+	peers := l.peers
+	l.mu.Unlock()
+	return streamorigin.Holders(l.options.Self, peers, attempt)
+}
+
+// replace sends the origin to all instances that may hold an earlier one of the attempt. The caller
+// holds mu, which is released meanwhile.
 func (l *Link) replace(ctx context.Context, earlier []member.Peer, origin unsentOrigin) error {
-	attempt := origin.message.GetAttempt()
-	l.copied[attempt] = copied{origin: originOf(origin.message), holders: earlier, expires: origin.expires, mixed: true}
+	replaced := copied{origin: originOf(origin.message), holders: earlier, expires: origin.expires, mixed: true}
+	l.copied[origin.message.GetAttempt()] = replaced
 	l.mu.Unlock()
 	err := l.confirm(ctx, earlier, origin)
 	l.mu.Lock()
@@ -63,14 +81,21 @@
 		return err
 	}
 	l.copies.Add(uint64(len(earlier)))
-	l.sendCopies(origin, earlier)
+	replaced.mixed = false
+	l.copied[origin.message.GetAttempt()] = replaced
 	return nil
 }
 
-// sendCopies sends the origin to its holders but those that have confirmed it. The caller holds mu.
-func (l *Link) sendCopies(origin unsentOrigin, confirmed []member.Peer) {
+// sendCopies sends the origin to its holders, a state process and those that got earlier ones, but not to
+// those that have confirmed it. The caller holds mu.
+func (l *Link) sendCopies(origin unsentOrigin, holders, confirmed []member.Peer) {
 	attempt := origin.message.GetAttempt()
-	holders := l.holders(attempt, l.copied[attempt].holders)
+	holders = append(holders, l.keeper(attempt)...)
+	for _, holder := range l.copied[attempt].holders {
+		if !contains(holders, holder) {
+			holders = append(holders, holder)
+		}
+	}
 	for _, holder := range holders {
 		if !contains(confirmed, holder) {
 			l.enqueue(holder, origin)
@@ -79,17 +104,6 @@
 	l.copied[attempt] = copied{origin: originOf(origin.message), holders: holders, expires: origin.expires}
 }
 
-// holders returns who gets copies of the origin, and who got earlier ones. The caller holds mu.
-func (l *Link) holders(attempt string, earlier []member.Peer) []member.Peer {
-	holders := append(streamorigin.Holders(l.options.Self, l.peers, attempt), l.keeper(attempt)...)
-	for _, holder := range earlier {
-		if !contains(holders, holder) {
-			holders = append(holders, holder)
-		}
-	}
-	return holders
-}
-
 func contains(peers []member.Peer, peer member.Peer) bool {
 	return slices.ContainsFunc(peers, func(p member.Peer) bool { return p.Name == peer.Name })
 }
@@ -121,20 +135,49 @@
 	l.forgetUncopied(attempt)
 }
 
-// SendCopies sends copies of origins that other instances could infer when they were recorded and
-// may not be able to infer any more.
+// SendCopies has Run send copies of origins that other instances could infer when they were recorded
+// and may not be able to infer any more. It does not block.
 func (l *Link) SendCopies() {
+	select {
+	case l.look <- struct{}{}:
+	default:
+	}
+}
+
+// sendUncopied sends the copies that SendCopies tells of.
+func (l *Link) sendUncopied() {
+	for batch := range slices.Chunk(l.needed(), copiesBatch) {
+		holders := make([][]member.Peer, len(batch))
+		for i, origin := range batch {
+			holders[i] = l.choose(origin.message.GetAttempt())
+		}
+		l.mu.Lock()
+		for i, origin := range batch {
+			attempt := origin.message.GetAttempt()
+			if of := l.uncopied[origin.message.GetService()]; of[attempt] == origin {
+				delete(of, attempt)
+				l.sendCopies(origin, holders[i], nil)
+			}
+		}
+		l.mu.Unlock()
+	}
+}
+
+// needed returns the uncopied origins that others may not be able to infer any more.
+func (l *Link) needed() []unsentOrigin {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	for service, origins := range l.uncopied {
+	services := slices.Collect(maps.Keys(l.uncopied))
+	l.mu.Unlock()
+	var needed []unsentOrigin
+	for _, service := range services {
 		if !l.options.Versions(service).NeedsCopies() {
 			continue
 		}
-		delete(l.uncopied, service)
-		for _, origin := range origins {
-			l.sendCopies(origin, nil)
-		}
+		l.mu.Lock()
+		needed = slices.AppendSeq(needed, maps.Values(l.uncopied[service]))
+		l.mu.Unlock()
 	}
+	return needed
 }
 
 func (l *Link) keepUncopied(origin unsentOrigin) {
--- a/process/streamorigin/holders.go
+++ b/process/streamorigin/holders.go
@@ -29,66 +29,109 @@
 	if len(keepers) == 0 {
 		return member.Peer{}, false
 	}
-	return ranked(keepers, attempt)[0], true
+	return top(keepers, attempt, 1)[0], true
 }
 
 // AskedKeepers returns the state processes that may hold the origin of the attempt's stream.
 func AskedKeepers(keepers []member.Peer, attempt string) []member.Peer {
-	return ranked(keepers, attempt)[:min(askedKeepers, len(keepers))]
+	return top(keepers, attempt, askedKeepers)
 }
 
 // Holders returns the instances that get copies of the origin of the attempt's stream.
 func Holders(self member.Peer, others []member.Peer, attempt string) []member.Peer {
-	var holders []member.Peer
-	near, elsewhere := copiesNear, copiesElsewhere
-	for _, peer := range ranked(others, attempt) {
-		room := &elsewhere
+	rank := newRanking(attempt)
+	near, elsewhere := make(best, 0, copiesNear), make(best, 0, copiesElsewhere)
+	for _, peer := range others {
 		if peer.DataCenter == self.DataCenter {
-			room = &near
-		}
-		if *room > 0 {
-			*room--
-			holders = append(holders, peer)
+			near.add(rank.of(peer))
+		} else {
+			elsewhere.add(rank.of(peer))
 		}
 	}
-	return holders
+	return elsewhere.appendTo(near.appendTo(nil))
 }
 
 // Asked returns the instances that may hold the origin of the attempt's stream, whichever
 // instance recorded it, those of the data centre of self first.
 func Asked(self member.Peer, others []member.Peer, attempt string) []member.Peer {
-	asked := make(map[string]int)
-	var near, elsewhere []member.Peer
-	for _, peer := range ranked(others, attempt) {
-		if asked[peer.DataCenter] == askedPerDataCenter {
-			continue
+	rank := newRanking(attempt)
+	byDataCenter := make(map[string]best)
+	dataCenters := []string{self.DataCenter}
+	for _, peer := range others {
+		of, exists := byDataCenter[peer.DataCenter]
+		if !exists {
+			of = make(best, 0, askedPerDataCenter)
 		}
-		asked[peer.DataCenter]++
-		if peer.DataCenter == self.DataCenter {
-			near = append(near, peer)
-		} else {
-			elsewhere = append(elsewhere, peer)
+		if !exists && peer.DataCenter != self.DataCenter {
+			dataCenters = append(dataCenters, peer.DataCenter)
 		}
+		of.add(rank.of(peer))
+		byDataCenter[peer.DataCenter] = of
+	}
+	var asked []member.Peer
+	for _, dataCenter := range dataCenters {
+		asked = byDataCenter[dataCenter].appendTo(asked)
 	}
-	return append(near, elsewhere...)
+	return asked
 }
 
-// ranked orders the instances by their rendezvous hash with the attempt.
-func ranked(peers []member.Peer, attempt string) []member.Peer {
-	type entry struct {
-		peer member.Peer
-		hash uint64
-	}
-	entries := make([]entry, 0, len(peers))
+// top returns the first so many of the instances.
+func top(peers []member.Peer, attempt string, limit int) []member.Peer {
+	rank := newRanking(attempt)
+	first := make(best, 0, limit)
 	for _, peer := range peers {
-		entries = append(entries, entry{peer, xxhash.Sum64String(attempt + "/" + peer.Name)})
+		first.add(rank.of(peer))
 	}
-	slices.SortFunc(entries, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.peer.Name, b.peer.Name))
-	})
-	sorted := make([]member.Peer, len(entries))
-	for i, e := range entries {
-		sorted[i] = e.peer
+	return first.appendTo(nil)
+}
+
+// ranking orders instances by their rendezvous hash with an attempt. It is the digest of what is
+// hashed before an instance's name.
+type ranking xxhash.Digest
+
+func newRanking(attempt string) ranking {
+	digest := xxhash.New()
+	digest.WriteString(attempt)
+	digest.WriteString("/")
+	return ranking(*digest)
+}
+
+func (r ranking) of(peer member.Peer) rankedPeer {
+	digest := xxhash.Digest(r)
+	digest.WriteString(peer.Name)
+	return rankedPeer{peer: peer, hash: digest.Sum64()}
+}
+
+type rankedPeer struct {
+	peer member.Peer
+	hash uint64
+}
+
+func (p rankedPeer) before(other rankedPeer) bool {
+	return cmp.Or(cmp.Compare(other.hash, p.hash), cmp.Compare(p.peer.Name, other.peer.Name)) < 0
+}
+
+// best holds the first instances of a ranking, in order and up to its capacity.
+type best []rankedPeer
+
+func (b *best) add(peer rankedPeer) {
+	full := len(*b) == cap(*b)
+	if full && !peer.before((*b)[len(*b)-1]) {
+		return
+	}
+	if full {
+		*b = (*b)[:len(*b)-1]
+	}
+	at := 0
+	for at < len(*b) && (*b)[at].before(peer) {
+		at++
+	}
+	*b = slices.Insert(*b, at, peer)
+}
+
+func (b best) appendTo(peers []member.Peer) []member.Peer {
+	for _, p := range b {
+		peers = append(peers, p.peer)
 	}
-	return sorted
+	return peers
 }
--- a/process/streamorigin/streamorigin_test.go
+++ b/process/streamorigin/streamorigin_test.go
@@ -1,12 +1,14 @@
 package streamorigin
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/lilacbridge/lilacbridge/process/member"
@@ -81,6 +83,23 @@
 	}
 }
 
+// Guards against instances of different builds that choose different holders for an origin.
+func TestHoldersAreTheFirstByHash(t *testing.T) {
+	is := is.New(t)
+	peers := peersIn(5, 20)
+	for i := range 200 {
+		attempt := strconv.Itoa(i)
+		sorted := slices.SortedFunc(slices.Values(peers), func(a, b member.Peer) int {
+			return cmp.Compare(xxhash.Sum64String(attempt+"/"+b.Name), xxhash.Sum64String(attempt+"/"+a.Name))
+		})
+		near := slices.DeleteFunc(slices.Clone(sorted), func(p member.Peer) bool { return p.DataCenter != "d0" })
+		elsewhere := slices.DeleteFunc(slices.Clone(sorted), func(p member.Peer) bool { return p.DataCenter == "d0" })
+		is.Equal(Holders(peers[0], peers, attempt), append(near[:copiesNear:copiesNear], elsewhere[:copiesElsewhere]...))
+		is.Equal(Asked(peers[0], peers, attempt)[:askedPerDataCenter], near[:askedPerDataCenter])
+		is.Equal(AskedKeepers(peers, attempt), sorted[:askedKeepers])
+	}
+}
+
 // Guards against an origin that outlives its stream, and a table that grows without bound.
 func TestTableIsBounded(t *testing.T) {
 	is := is.New(t)
