Streams of a route with several services are copied at once

A caller that resumes names no service, so nobody can infer where a stream of a route with several services began. Its origin was not copied while its service had one version, and callers that resumed at another instance than the stream's got 503. Record is told whether the route has one service, and leaves copies at once if it has several.

--- a/connection/originlink/copies_test.go
+++ b/connection/originlink/copies_test.go
@@ -34,7 +34,7 @@
 	}
 	l.SetPeers(peers)
 	for i := range 1000 {
-		is.NoErr(l.Record(tb.Context(), strconv.Itoa(i), v1, 1, 30*time.Second))
+		is.NoErr(l.Record(tb.Context(), strconv.Itoa(i), v1, true, 1, 30*time.Second))
 	}
 	return l, &several
 }
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -279,13 +279,13 @@
 		synctest.Wait()
 		f.set("a1", silent)
 		v2 := streamorigin.Origin{Service: "llm", Version: "v2"}
-		is.True(f.links[0].Record(t.Context(), "id1", v2, 2, 10*time.Second) != nil)
+		is.True(f.links[0].Record(t.Context(), "id1", v2, true, 2, 10*time.Second) != nil)
 		is.True(f.links[0].Failures() > 0)
 		f.set("a1", up)
-		is.NoErr(f.links[0].Record(t.Context(), "id1", v2, 3, 10*time.Second))
+		is.NoErr(f.links[0].Record(t.Context(), "id1", v2, true, 3, 10*time.Second))
 		f.set("a0", gone)
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
-		is.NoErr(f.links[1].Record(t.Context(), "id1", v1, 1, 10*time.Second)) // an older one changes nothing
+		is.NoErr(f.links[1].Record(t.Context(), "id1", v1, true, 1, 10*time.Second)) // an older one changes nothing
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
 	})
 }
@@ -299,7 +299,7 @@
 		f.record0(t, "id1", v1, 1, 10*time.Second)
 		time.Sleep(sendTimeout + resendDelay/2)
 		f.set("a1", up)
-		is.NoErr(f.links[0].Record(t.Context(), "id1", streamorigin.Origin{Service: "llm", Version: "v2"}, 2, 10*time.Second))
+		is.NoErr(f.links[0].Record(t.Context(), "id1", streamorigin.Origin{Service: "llm", Version: "v2"}, true, 2, 10*time.Second))
 		f.restart(t.Context(), 1)
 		time.Sleep(2 * sendTimeout)
 		f.set("a0", gone)
@@ -478,7 +478,7 @@
 
 // record0 records an origin at the first instance.
 func (f *fleet) record0(t *testing.T, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) {
-	is.New(t).NoErr(f.links[0].Record(t.Context(), attempt, origin, number, ttl))
+	is.New(t).NoErr(f.links[0].Record(t.Context(), attempt, origin, true, number, ttl))
 }
 
 // restart replaces an instance by a new one that has its name and no memory.
@@ -599,7 +599,7 @@
 		refused := 0
 		v2 := streamorigin.Origin{Service: "llm", Version: "v2"}
 		for i := range n {
-			if f.links[0].Record(t.Context(), "id"+strconv.Itoa(i), v2, 2, 30*time.Second) != nil {
+			if f.links[0].Record(t.Context(), "id"+strconv.Itoa(i), v2, true, 2, 30*time.Second) != nil {
 				refused++
 			}
 		}
@@ -613,3 +613,26 @@
 		}
 	})
 }
+
+// Guards against streams of a route with several services that can't be resumed at another instance
+// while each service has one version: there, nobody can infer where a stream began.
+func TestStreamOfARouteWithSeveralServicesIsNotFound(t *testing.T) {
+	inBubble(t, 6, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.see([]string{"v1"}, f.all()...)
+		const n = 100
+		for i := range n {
+			is.NoErr(f.links[0].Record(t.Context(), "id"+strconv.Itoa(i), v1, false, 1, 30*time.Second))
+		}
+		synctest.Wait()
+		f.set("a0", gone)
+		found := 0
+		for i := range n {
+			if finding := f.links[1].Find(t.Context(), "id"+strconv.Itoa(i), ""); finding.Origin == v1 {
+				found++
+			}
+		}
+		t.Logf("%d of %d streams found", found, n)
+		is.Equal(found, n)
+	})
+}
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -22,13 +22,14 @@
 }
 
 // Record holds the origin of the attempt's stream, and leaves copies with other instances in the
-// background unless they can infer it. number counts the instance's own attempts at servers.
+// background unless they can infer it, which takes a route that has the one service only. number
+// counts the instance's own attempts at servers.
 //
 // If others may hold another origin of the same attempt, it returns once all of those have
 // the new one, or with an error that states that they may not; the attempt must not be sent then.
-func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error {
+func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, onlyService bool, number int, ttl time.Duration) error {
 	attempt = keyOf(attempt)
-	needed := l.options.Versions(origin.Service).NeedsCopies()
+	needed := !onlyService || l.options.Versions(origin.Service).NeedsCopies()
 	var holders []member.Peer
 	if needed {
 		holders = l.choose(attempt)
--- a/connection/originlink/traffic_bench_test.go
+++ b/connection/originlink/traffic_bench_test.go
@@ -35,7 +35,7 @@
 	origin := v1
 	origin.Service, origin.Version = "huvo11a", "v1.12"
 	for i := range b.N {
-		is.NoErr(l.Record(b.Context(), "9c41d07be2a3"+strconv.Itoa(1000+i%1000)+strconv.Itoa(i), origin, 1, 10*time.Second))
+		is.NoErr(l.Record(b.Context(), "9c41d07be2a3"+strconv.Itoa(1000+i%1000)+strconv.Itoa(i), origin, true, 1, 10*time.Second))
 		for holder.Len() <= i && i < 30000 {
 			time.Sleep(10 * time.Microsecond)
 		}
--- a/request/relay/origin.go
+++ b/request/relay/origin.go
@@ -16,10 +16,11 @@
 // Origins remembers at which service and software version streams began that their callers may
 // resume at any instance. Its methods are called concurrently.
 type Origins interface {
-	// Record holds where the stream of the caller's attempt begins, for as long as ttl. number
-	// counts the instance's own attempts at servers. After an error the stream must not begin
-	// there. It waits for other instances only if they may hold another origin of the attempt.
-	Record(ctx context.Context, attempt string, origin streamorigin.Origin, number int, ttl time.Duration) error
+	// Record holds where the stream of the caller's attempt begins, for as long as ttl.
+	// onlyService is set if the route has no other service. number counts the instance's own
+	// attempts at servers. After an error the stream must not begin there. It waits for other
+	// instances only if they may hold another origin of the attempt.
+	Record(ctx context.Context, attempt string, origin streamorigin.Origin, onlyService bool, number int, ttl time.Duration) error
 	// Find returns where the stream of the caller's attempt began; see originlink.Link.
 	Find(ctx context.Context, attempt, service string) originlink.Finding
 	// Ended tells that the answer of the attempt is complete.
@@ -54,11 +55,15 @@
 // resumesStream reports whether the caller has a part of a stream that a server can go on with.
 func resumesStream(q *gateway.Request) bool { return q.Route.Resumable && q.LastEvent != "" }
 
+// hasOnlyService reports whether the request's route has one service, so that its only version may be
+// inferred.
+func hasOnlyService(q *gateway.Request) bool { return len(q.Route.Backends) == 1 }
+
 // bindToOrigin limits a request that resumes a stream to the service and software version at
 // which the stream began. The error states that the request did not run.
 func (r *Relay) bindToOrigin(ctx context.Context, q *gateway.Request, req *request, arrival *policy.Arrival) error {
 	service := ""
-	if len(q.Route.Backends) == 1 {
+	if hasOnlyService(q) {
 		service = q.Route.Backends[0].Service
 	}
 	finding := r.Origins.Find(ctx, q.Resumes, service)
@@ -107,5 +112,5 @@
 		until = j.q.CallerDeadline
 	}
 	origin := streamorigin.Origin{Service: j.req.target, Version: start.Version}
-	return j.relay.Origins.Record(ctx, j.q.AttemptID, origin, start.Attempt, time.Until(until)+lateResumption)
+	return j.relay.Origins.Record(ctx, j.q.AttemptID, origin, hasOnlyService(j.q), start.Attempt, time.Until(until)+lateResumption)
 }
