Origins that had too few holders are copied once there are more

An instance that had just started knew no others, so its first streams' origins were copied to nobody and never again. Callers that resumed them elsewhere once the instance had gone got 503. The same held for streams that began before the state processes or another data centre were known.

SetPeers and SetKeepers have Run look again at the live streams whose copies went to fewer instances than they should, or to no state process. They are sent again if there are more now than there were, so in a fleet of one data centre a change causes no traffic.

TestOriginsOfAnInstanceThatKnewNoOthersAreNotFound failed before in 3 of 3 cases, and TestOriginsOfAnInstanceThatKnewNoKeepersAreNotFound; both pass now.

TestAttemptRefusedForANewHolderThatIsGone takes four instances for each data centre instead of three: with three the origins had too few holders, so the instance that joins gets a copy of the first version at once and isn't new to the attempt any more.

--- a/connection/originlink/keepers.go
+++ b/connection/originlink/keepers.go
@@ -1,6 +1,7 @@
 package originlink
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/process/member"
@@ -45,8 +46,9 @@
 func (l *Link) SetKeepers(keepers []member.Peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before := l.keepers
 	l.keepers = keepers
-	l.dropUnsent()
+	l.holdersChanged(before, l.keepers)
 }
 
 // keeper returns the state process that gets a copy for the attempt, if it may get one more. The caller
@@ -60,6 +62,17 @@
 	return []member.Peer{keeper}
 }
 
+// holdersChanged drops the copies for those that have left, and has Run look whether those that have joined
+// are to get some. The caller holds mu.
+func (l *Link) holdersChanged(before, now []member.Peer) {
+	if slices.Equal(before, now) {
+		return
+	}
+	l.dropUnsent()
+	l.moreHolders = true
+	l.SendCopies()
+}
+
 // dropUnsent drops the copies for instances and state processes that have left. The caller holds mu.
 func (l *Link) dropUnsent() {
 	for name, box := range l.unsent {
--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -60,7 +60,7 @@
 	options Options
 	// copies counts those left with other instances, failures the calls that left none.
 	copies, failures atomic.Uint64
-	// look tells Run to look whether others can still infer origins.
+	// look tells Run to look whether copies are to be sent.
 	look chan struct{}
 
 	// mu guards the fields below. No call is made while it is held.
@@ -73,6 +73,10 @@
 	unsent    map[string]*outbox
 	// uncopied holds this instance's origins that others can infer, by service and attempt id.
 	uncopied map[string]map[string]unsentOrigin
+	// short holds, by attempt id, those of which copies were sent to fewer than there should be;
+	// moreHolders is set if there may be more now.
+	short       map[string]unsentOrigin
+	moreHolders bool
 	// copied holds, by attempt id, this instance's origins that others may hold.
 	copied map[string]copied
 	// ctx ends with Run.
@@ -100,7 +104,7 @@
 	}
 	return &Link{
 		options: o, table: streamorigin.NewTable(), unsent: make(map[string]*outbox), uncopied: make(map[string]map[string]unsentOrigin),
-		copied: make(map[string]copied), look: make(chan struct{}, 1), ctx: context.Background(),
+		short: make(map[string]unsentOrigin), copied: make(map[string]copied), look: make(chan struct{}, 1), ctx: context.Background(),
 	}
 }
 
@@ -114,13 +118,14 @@
 func (l *Link) SetPeers(peers []member.Peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before := l.peers
 	l.peers = l.peers[:0:0]
 	for _, peer := range peers {
 		if peer.Name != l.options.Self.Name {
 			l.peers = append(l.peers, peer)
 		}
 	}
-	l.dropUnsent()
+	l.holdersChanged(before, l.peers)
 }
 
 // Run drops what has expired, and sends copies once others can't infer an origin, until ctx ends.
@@ -142,9 +147,9 @@
 		case <-expiry.C:
 			l.expire()
 		case <-copies.C:
-			l.sendUncopied()
+			l.sendDue()
 		case <-l.look:
-			l.sendUncopied()
+			l.sendDue()
 		}
 	}
 }
@@ -157,6 +162,7 @@
 	for _, origins := range l.uncopied {
 		maps.DeleteFunc(origins, func(_ string, origin unsentOrigin) bool { return !now.Before(origin.expires) })
 	}
+	maps.DeleteFunc(l.short, func(_ string, origin unsentOrigin) bool { return !now.Before(origin.expires) })
 	maps.DeleteFunc(l.copied, func(_ string, c copied) bool { return !now.Before(c.expires) })
 }
 
--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -586,7 +586,7 @@
 // Guards against an attempt at another version that is refused since an instance does not answer which
 // holds no earlier origin of the stream.
 func TestAttemptRefusedForANewHolderThatIsGone(t *testing.T) {
-	inBubble(t, 3, func(t *testing.T, f *fleet) {
+	inBubble(t, 4, func(t *testing.T, f *fleet) {
 		is := is.New(t)
 		f.links[0].SetPeers(slices.DeleteFunc(slices.Clone(f.peers), func(p member.Peer) bool { return p.Name == "a1" }))
 		const n = 200
@@ -636,3 +636,63 @@
 		is.Equal(found, n)
 	})
 }
+
+// Guards against origins that an instance records before it knows others, or too few of them, and that
+// are never copied.
+func TestOriginsOfAnInstanceThatKnewNoOthersAreNotFound(t *testing.T) {
+	for name, known := range map[string]int{"no others": 0, "one other": 2, "others of its data centre": 3} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.links[0].SetPeers(f.peers[:known])
+				f.record0(t, "id1", v1, 1, 30*time.Second)
+				f.record0(t, "ended", v1, 1, 30*time.Second)
+				f.links[0].Ended("ended")
+				synctest.Wait()
+				f.links[0].SetPeers(f.peers)
+				synctest.Wait()
+				for _, lost := range f.peers[:3] {
+					f.set(lost.Name, gone)
+				}
+				is.Equal(f.links[3].Find(t.Context(), "id1", "llm").Origin, v1)
+				is.Equal(f.links[3].Find(t.Context(), "ended", "llm").Source, Unknown)
+			})
+		})
+	}
+}
+
+// Guards against origins that an instance records before it knows the state processes, and that are lost
+// with all instances.
+func TestOriginsOfAnInstanceThatKnewNoKeepersAreNotFound(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.record0(t, "id1", v1, 1, 30*time.Second)
+		synctest.Wait()
+		f.addKeepers(t.Context())
+		synctest.Wait()
+		kept := 0
+		for _, keeper := range f.keepers {
+			kept += keeper.Len()
+		}
+		is.Equal(kept, 1)
+	})
+}
+
+// Guards against control traffic for all streams each time that another instance joins or leaves.
+func TestCopiesAreNotRepeatedForEachChangeOfTheFleet(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.addKeepers(t.Context())
+		f.links[0].SetPeers(f.peers[:3])
+		f.record0(t, "id1", v1, 1, 30*time.Second)
+		synctest.Wait()
+		for _, peer := range f.peers[1:] {
+			f.set(peer.Name, gone)
+		}
+		for known := range 3 {
+			f.links[0].SetPeers(f.peers[:known+1])
+			synctest.Wait()
+		}
+		is.Equal(f.links[0].Failures(), uint64(0))
+	})
+}
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -17,6 +17,10 @@
 	origin  streamorigin.Origin
 	holders []member.Peer
 	expires time.Time
+	// instances is how many of the holders were chosen among the instances; keepers is set if
+	// state processes were known.
+	instances int
+	keepers   bool
 	// mixed is set while some holders may have an earlier origin.
 	mixed bool
 }
@@ -89,9 +93,13 @@
 
 // sendCopies sends the origin to its holders, a state process and those that got earlier ones, but not to
 // those that have confirmed it. The caller holds mu.
-func (l *Link) sendCopies(origin unsentOrigin, holders, confirmed []member.Peer) {
+func (l *Link) sendCopies(origin unsentOrigin, chosen, confirmed []member.Peer) {
 	attempt := origin.message.GetAttempt()
-	holders = append(holders, l.keeper(attempt)...)
+	l.forgetUncopied(attempt)
+	if len(chosen) < streamorigin.Copies || len(l.keepers) == 0 {
+		l.short[attempt] = origin
+	}
+	holders := append(slices.Clone(chosen), l.keeper(attempt)...)
 	for _, holder := range l.copied[attempt].holders {
 		if !contains(holders, holder) {
 			holders = append(holders, holder)
@@ -102,7 +110,9 @@
 			l.enqueue(holder, origin)
 		}
 	}
-	l.copied[attempt] = copied{origin: originOf(origin.message), holders: holders, expires: origin.expires}
+	l.copied[attempt] = copied{
+		origin: originOf(origin.message), holders: holders, expires: origin.expires, instances: len(chosen), keepers: len(l.keepers) > 0,
+	}
 }
 
 func contains(peers []member.Peer, peer member.Peer) bool {
@@ -145,25 +155,36 @@
 	}
 }
 
-// sendUncopied sends the copies that SendCopies tells of.
-func (l *Link) sendUncopied() {
-	for batch := range slices.Chunk(l.needed(), copiesBatch) {
-		holders := make([][]member.Peer, len(batch))
+// sendDue sends the copies that SendCopies tells of, and those for which there were too few holders
+// before.
+func (l *Link) sendDue() {
+	due := append(l.needed(), l.lacking()...)
+	for batch := range slices.Chunk(due, copiesBatch) {
+		chosen := make([][]member.Peer, len(batch))
 		for i, origin := range batch {
-			holders[i] = l.choose(origin.message.GetAttempt())
+			chosen[i] = l.choose(origin.message.GetAttempt())
 		}
 		l.mu.Lock()
 		for i, origin := range batch {
-			attempt := origin.message.GetAttempt()
-			if of := l.uncopied[origin.message.GetService()]; of[attempt] == origin {
-				delete(of, attempt)
-				l.sendCopies(origin, holders[i], nil)
+			if l.isDue(origin, len(chosen[i])) {
+				l.sendCopies(origin, chosen[i], nil)
 			}
 		}
 		l.mu.Unlock()
 	}
 }
 
+// isDue reports whether copies of the origin are still to be sent, given the number of instances that may
+// hold it: its answer has not ended, and no later attempt has replaced it. The caller holds mu.
+func (l *Link) isDue(origin unsentOrigin, instances int) bool {
+	attempt := origin.message.GetAttempt()
+	if l.uncopied[origin.message.GetService()][attempt] == origin {
+		return true
+	}
+	before := l.copied[attempt]
+	return l.short[attempt] == origin && (instances > before.instances || !before.keepers && len(l.keepers) > 0)
+}
+
 // needed returns the uncopied origins that others may not be able to infer any more.
 func (l *Link) needed() []unsentOrigin {
 	l.mu.Lock()
@@ -181,6 +202,17 @@
 	return needed
 }
 
+// lacking returns the origins that have too few holders if there may be more holders now.
+func (l *Link) lacking() []unsentOrigin {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.moreHolders {
+		return nil
+	}
+	l.moreHolders = false
+	return slices.Collect(maps.Values(l.short))
+}
+
 func (l *Link) keepUncopied(origin unsentOrigin) {
 	service := origin.message.GetService()
 	if l.uncopied[service] == nil {
@@ -193,4 +225,5 @@
 	for _, origins := range l.uncopied {
 		delete(origins, attempt)
 	}
+	delete(l.short, attempt)
 }
--- a/process/streamorigin/holders.go
+++ b/process/streamorigin/holders.go
@@ -15,6 +15,8 @@
 	// centres, for when the whole data centre has gone.
 	copiesNear      = 2
 	copiesElsewhere = 1
+	// Copies is the number of instances that get copies if there are enough.
+	Copies = copiesNear + copiesElsewhere
 	// askedPerDataCenter is how many instances of each data centre are asked. It exceeds the
 	// number of copies, since instances differ in which others they consider alive, and
 	// since the one that recorded the origin holds none for itself.
