An attempt id that is used twice begins no stream at another version

A request with the attempt id of another stream began at its server's version while its instance and all holders kept the other stream's, if its attempt had a lower number; with the same number it replaced the origin of a stream that may go on. A caller that resumed either got an answer joined from two versions. Record now refuses an attempt whose number isn't higher than that of another origin that is held; the numbers of one request rise. An expired origin no longer keeps out a new one of a lower number.

TestAttemptIDUsedTwiceBeginsAtAnotherVersion failed before in both cases, and TestExpiredOriginKeepsOutANewOne; they pass now.

TestLaterAttemptReplacesOrigin asserted that Record of an older attempt at v1 returns no error while v2 is held, which lets that attempt begin at v1. It asserts the refusal now, and as before that the origin stays v2.

--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -285,7 +285,8 @@
 		is.NoErr(f.links[0].Record(t.Context(), "id1", v2, true, 3, 10*time.Second))
 		f.set("a0", gone)
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
-		is.NoErr(f.links[1].Record(t.Context(), "id1", v1, true, 1, 10*time.Second)) // an older one changes nothing
+		older := f.links[1].Record(t.Context(), "id1", v1, true, 1, 10*time.Second) // it changes nothing and must not begin
+		is.Equal(fault.KindOf(older), lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE)
 		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v2)
 	})
 }
@@ -696,3 +697,29 @@
 		is.Equal(f.links[0].Failures(), uint64(0))
 	})
 }
+
+// Guards against a second request with an attempt id that begins at another version while all holders
+// keep the first one's.
+func TestAttemptIDUsedTwiceBeginsAtAnotherVersion(t *testing.T) {
+	for name, first := range map[string]int{"later attempt": 2, "first attempt": 1} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 2, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.record0(t, "id1", v1, first, 10*time.Second)
+				synctest.Wait()
+				v2 := streamorigin.Origin{Service: "llm", Version: "v2"}
+				is.True(f.links[0].Record(t.Context(), "id1", v2, true, 1, 10*time.Second) != nil)
+				is.NoErr(f.links[0].Record(t.Context(), "id1", v1, true, 1, 10*time.Second))
+				for _, l := range f.links[:2] {
+					is.Equal(l.Find(t.Context(), "id1", "llm").Origin, v1)
+				}
+				time.Sleep(10 * time.Second)
+				is.NoErr(f.links[0].Record(t.Context(), "id1", v2, true, 1, 10*time.Second))
+				synctest.Wait()
+				for _, l := range f.links[:2] {
+					is.Equal(l.Find(t.Context(), "id1", "llm").Origin, v2)
+				}
+			})
+		})
+	}
+}
--- a/connection/originlink/record.go
+++ b/connection/originlink/record.go
@@ -31,6 +31,8 @@
 //
 // If others may hold another origin of the same attempt, it returns once all of those have
 // the new one, or with an error that states that they may not; the attempt must not be sent then.
+// An error also tells that another request has the same id and began elsewhere: the numbers of one
+// request rise.
 func (l *Link) Record(ctx context.Context, attempt string, origin streamorigin.Origin, onlyService bool, number int, ttl time.Duration) error {
 	attempt = keyOf(attempt)
 	needed := !onlyService || l.options.Versions(origin.Service).NeedsCopies()
@@ -41,6 +43,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
+	if held, earlier, exists := l.table.Get(now, attempt); exists && held != origin && earlier >= number {
+		return fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "another stream with this attempt id began at another software version; send the request again with an id of its own")
+	}
 	if !l.table.Put(now, attempt, origin, number, ttl) {
 		return nil
 	}
--- a/process/streamorigin/streamorigin_test.go
+++ b/process/streamorigin/streamorigin_test.go
@@ -115,3 +115,15 @@
 	table.Expire(now.Add(MaxTTL))
 	is.Equal(table.Len(), 0)
 }
+
+// Guards against an expired origin of a higher number that keeps out a new one of the same attempt id.
+func TestExpiredOriginKeepsOutANewOne(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	table := NewTable()
+	is.True(table.Put(now, "id1", Origin{Service: "llm", Version: "v1"}, 2, time.Second))
+	is.True(table.Put(now.Add(time.Second), "id1", Origin{Service: "llm", Version: "v2"}, 1, time.Second))
+	origin, _, ok := table.Get(now.Add(time.Second), "id1")
+	is.True(ok)
+	is.Equal(origin.Version, "v2")
+}
--- a/process/streamorigin/table.go
+++ b/process/streamorigin/table.go
@@ -46,7 +46,7 @@
 // table is full.
 func (t *Table) Put(now time.Time, attempt string, origin Origin, number int, ttl time.Duration) bool {
 	held, exists := t.records[attempt]
-	if exists && held.number > number {
+	if exists && held.number > number && now.Before(held.expires) {
 		return true
 	}
 	if !exists && len(t.records) >= maxRecords {
