--- a/internal/versionproof/entry_test.go
+++ b/internal/versionproof/entry_test.go
@@ -133,6 +133,11 @@
 		}
 	}
 	e.link.SetPeers(peers)
+	var keepers []member.Peer
+	for _, k := range s.keepers {
+		keepers = append(keepers, k.peer)
+	}
+	e.link.SetKeepers(keepers)
 	e.nextPeers = s.now + s.between(500*time.Millisecond, 5*time.Second)
 }
 
--- a/internal/versionproof/proof_test.go
+++ b/internal/versionproof/proof_test.go
@@ -15,8 +15,8 @@
 )
 
 var (
-	firstSeed = flag.Uint64("seed", 0, "first seed of the randomised runs; 0 means that of each kind")
-	runs      = flag.Int("runs", 1, "number of randomised runs of each kind")
+	firstSeed = flag.Uint64("seed", 1, "first seed of the randomised runs")
+	runs      = flag.Int("runs", 0, "number of randomised runs of each kind; 0 means those of the tests")
 	onlyKind  = flag.String("kind", "", "kind of the randomised runs; empty means all")
 	showTrace = flag.Bool("trace", false, "print the trace")
 )
@@ -41,11 +41,14 @@
 		t.Run(p.name, func(t *testing.T) {
 			counts := make(map[string]int)
 			began := time.Now()
-			first := *firstSeed
-			if first == 0 {
-				first = p.seed
+			seeds := p.seeds
+			if *runs > 0 {
+				seeds = nil
+				for i := range *runs {
+					seeds = append(seeds, *firstSeed+uint64(i))
+				}
 			}
-			for seed := first; seed < first+uint64(*runs); seed++ {
+			for _, seed := range seeds {
 				s := runSeed(t, p, seed)
 				for name, count := range s.counts {
 					counts[name] += count
@@ -63,7 +66,7 @@
 			for _, name := range slices.Sorted(maps.Keys(counts)) {
 				t.Logf("%-32s %d", name, counts[name])
 			}
-			t.Logf("%d runs in %s", *runs, time.Since(began).Round(time.Millisecond))
+			t.Logf("%d runs in %s", len(seeds), time.Since(began).Round(time.Millisecond))
 		})
 	}
 }
--- a/internal/versionproof/sim_test.go
+++ b/internal/versionproof/sim_test.go
@@ -28,8 +28,8 @@
 // profile is a kind of run.
 type profile struct {
 	name string
-	// seed is that of the tests.
-	seed    uint64
+	// seeds are those of the tests.
+	seeds   []uint64
 	length  time.Duration
 	entries int
 	// still is a service whose servers don't change.
@@ -45,12 +45,12 @@
 }
 
 var profiles = []profile{
-	{name: "one version", seed: 1, length: 100 * time.Second, entries: 6, still: true},
-	{name: "calm", seed: 1, length: 300 * time.Second, entries: 6},
-	{name: "faults", seed: 1, length: 400 * time.Second, entries: 6, faults: true},
-	{name: "quick", seed: 1, length: 300 * time.Second, entries: 6, faults: true, quick: true},
-	{name: "removals", seed: 1, length: 900 * time.Second, entries: 4, faults: true, quick: true, removals: true},
-	{name: "recoveries", seed: 13, length: 400 * time.Second, entries: 4, faults: true, recoveries: true},
+	{name: "one version", seeds: []uint64{1}, length: 100 * time.Second, entries: 6, still: true},
+	{name: "calm", seeds: []uint64{1}, length: 300 * time.Second, entries: 6},
+	{name: "faults", seeds: []uint64{1}, length: 400 * time.Second, entries: 6, faults: true},
+	{name: "quick", seeds: []uint64{1, 4}, length: 300 * time.Second, entries: 6, faults: true, quick: true},
+	{name: "removals", seeds: []uint64{3, 11, 25}, length: 900 * time.Second, entries: 4, faults: true, quick: true, removals: true},
+	{name: "recoveries", seeds: []uint64{14}, length: 400 * time.Second, entries: 4, faults: true, recoveries: true},
 }
 
 // sim is one run in a bubble of testing/synctest. Only the goroutine of run changes it, apart
@@ -64,6 +64,7 @@
 	platform *platform
 	group    *group
 	all      []*entry
+	keepers  []*keeper
 	streams  []*stream
 	network  *network
 	counts   map[string]int
@@ -93,6 +94,9 @@
 	for i := range p.entries {
 		s.all = append(s.all, newEntry(s, i))
 	}
+	for i := range dataCenters {
+		s.keepers = append(s.keepers, newKeeper(s, i))
+	}
 	for _, e := range s.all {
 		e.boot()
 	}
@@ -146,6 +150,9 @@
 		for _, e := range s.all {
 			e.step()
 		}
+		for _, k := range s.keepers {
+			k.step()
+		}
 		s.finishCalls()
 		s.arrive()
 		for _, stream := range s.streams {
@@ -156,6 +163,9 @@
 	for _, e := range s.all {
 		e.kill()
 	}
+	for _, k := range s.keepers {
+		k.cancel()
+	}
 	s.wg.Wait()
 	synctest.Wait()
 }
