A test that lost copies of origins are sent again

The review showed that TestLaterAttemptReplacesOrigin no longer covers it: since attempts at another version wait for confirmations, it does not wait for a copy that was lost and sent again, and passes with the resending taken out. TestLostCopyIsSentAgain fails then.

--- a/connection/originlink/originlink_test.go
+++ b/connection/originlink/originlink_test.go
@@ -291,6 +291,25 @@
 	})
 }
 
+// Guards against a stream that can't be resumed after its instance has gone since a copy of its origin
+// was lost on the way to the holder.
+func TestLostCopyIsSentAgain(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		for _, name := range []string{"b0", "b1", "c0", "c1"} {
+			f.set(name, gone)
+		}
+		f.set("a1", silent)
+		f.record0(t, "id1", v1, 1, 10*time.Second)
+		time.Sleep(sendTimeout / 2)
+		f.set("a1", up)
+		time.Sleep(2 * sendTimeout)
+		f.set("a0", gone)
+		is.True(f.links[0].Failures() > 0)
+		is.Equal(f.links[1].Find(t.Context(), "id1", "llm").Origin, v1)
+	})
+}
+
 // Guards against a copy of an earlier attempt that was delayed and arrives at a holder that
 // has lost its memory since the later one.
 func TestDelayedCopyOfAnEarlierAttemptIsNotSent(t *testing.T) {
