A member of the group is no fresher than its leader

A follower dates the leader's commit index by its own echoed stamp, whatever the quorum of the leader says. Where the replies of the others are late by more than the leader itself notices, entries that follow a near follower or a learner take an old configuration for current: revoked keys, and a record of versions from which origins would be inferred.

The leader sends along how old its commit index is, and followers subtract that. A leader of an earlier program sends none, which counts as before.

--- a/process/replica/freshness.go
+++ b/process/replica/freshness.go
@@ -51,13 +51,20 @@
 }
 
 // observeCommit records the leader's commit index. It is dated by the echoed stamp of
-// this process, since the message may arrive long after it was sent.
+// this process, since the message may arrive long after it was sent, and by its age at the leader,
+// which may have lost its quorum.
 func (c *Core) observeCommit(m *message) {
 	if at, ok := c.stampTime(m.GetStamp()); ok {
-		c.freshness.observe(at, m.GetCommit())
+		c.freshness.observe(at-time.Duration(m.GetAgeMs())*time.Millisecond, m.GetCommit())
 	}
 }
 
+// commitAge returns the time since the leader's commit index was known to be the newest, in
+// milliseconds and rounded up.
+func (c *Core) commitAge() uint64 {
+	return uint64((c.now - c.freshAt() + time.Millisecond - 1).Milliseconds())
+}
+
 // freshAt returns the last moment at which the applied state was known to include
 // everything committed. On the leader, once an entry of the current term is applied,
 // that is when the latest round was sent to which a quorum has replied; elsewhere it is the
--- a/process/replica/leader.go
+++ b/process/replica/leader.go
@@ -266,7 +266,7 @@
 		c.startTransfer(p)
 		return false
 	}
-	m := &message{Kind: kindAppend, To: p.member.GetId(), Term: c.term, Index: previous, LogTerm: term, Commit: c.commit, Round: c.leaderState.round, Stamp: p.stamp}
+	m := &message{Kind: kindAppend, To: p.member.GetId(), Term: c.term, Index: previous, LogTerm: term, Commit: c.commit, Round: c.leaderState.round, Stamp: p.stamp, AgeMs: c.commitAge()}
 	if bytes > 0 {
 		m.Entries = c.log.from(p.next, bytes)
 		last := previous + uint64(len(m.Entries))
