Fault soak: odd entries in the list of backend servers

Another writer's entries (too deep, numbers too large, ports out of range, not JSON) come and go among those of the servers, at any position, half of them with the other fields of a server. No process may end without a signal of the test, and each server that the list has shown for 8 s must have got a request.

--- a/faultsoak/checks_test.go
+++ b/faultsoak/checks_test.go
@@ -19,6 +19,7 @@
 	}
 	r.checkLimits()
 	r.checkRetries()
+	r.checkListFollowed()
 	for id, list := range runs {
 		r.checkRuns(r.calls[id], list)
 	}
--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -29,6 +30,9 @@
 	command *exec.Cmd
 	done    chan struct{}
 	starts  []time.Time
+	// ending is set once the test ends the process; unexpected counts the ends before that.
+	ending     bool
+	unexpected int
 }
 
 func (p *process) start(folder string) error {
@@ -49,13 +53,29 @@
 	done := make(chan struct{})
 	go func() {
 		_ = command.Wait()
+		p.recordEnd(command)
 		close(done)
 	}()
-	p.command, p.done = command, done
+	p.command, p.done, p.ending = command, done, false
 	p.starts = append(p.starts, time.Now())
 	return nil
 }
 
+func (p *process) recordEnd(command *exec.Cmd) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if command == p.command && !p.ending {
+		p.unexpected++
+	}
+}
+
+// endedByItself returns how often the process ended without a signal of the test.
+func (p *process) endedByItself() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unexpected
+}
+
 // startTimes returns when the process was started.
 func (p *process) startTimes() []time.Time {
 	p.mu.Lock()
@@ -66,6 +86,9 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.ending = true
+	}
 	if p.command != nil {
 		_ = p.command.Process.Signal(s)
 	}
@@ -103,6 +126,8 @@
 	backends, current []*backend
 	// cut holds the names of the processes that are cut off. Guarded by mu.
 	cut map[string]bool
+	// odd are further entries of the list. Guarded by mu.
+	odd []json.RawMessage
 	// drainingSince holds the draining servers by identity, drains the drains that have
 	// ended. Guarded by mu.
 	drainingSince map[string]time.Time
--- a/faultsoak/servers_test.go
+++ b/faultsoak/servers_test.go
@@ -16,6 +16,8 @@
 	*standin.Server
 	place   int
 	version string
+	// since is when the list first showed the server.
+	since time.Time
 	// listed is guarded by the fleet.
 	listed bool
 }
@@ -41,7 +43,7 @@
 		return nil, err
 	}
 	replaced = f.current[place]
-	f.current[place] = &backend{Server: s, place: place, version: version, listed: true}
+	f.current[place] = &backend{Server: s, place: place, version: version, since: time.Now(), listed: true}
 	f.backends = append(f.backends, f.current[place])
 	return replaced, nil
 }
@@ -99,8 +101,13 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	var list []standin.ListedServer
+	f.writeList(w)
+}
+
+// list returns the entries of the servers.
+func (f *fleet) list() (list []standin.ListedServer) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, b := range f.backends {
 		if b.listed {
 			list = append(list, standin.ListedServer{
@@ -110,9 +117,7 @@
 			})
 		}
 	}
-	f.mu.Unlock()
-	// A client that fails to read the list requests it again.
-	_ = standin.WriteServerList(w, list)
+	return list
 }
 
 // setCut cuts a process off from all others and from the list, or ends this. Callers and servers
