Fault soak: a run begins, and is calm again, once all entries know each other

Copies can't be left with an entry that isn't known. A run now waits for all entries to know each other, by lilacbridge_entries_live, before it begins, and recovery requires the same: one more check.

--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -1,13 +1,17 @@
 package faultsoak
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +28,7 @@
 	log      string
 	callers  string
 	control  string
+	admin    string
 	proxy    *proxy
 
 	mu      sync.Mutex
@@ -76,6 +81,33 @@
 	return p.unexpected
 }
 
+// others returns how many other entries the entry takes for alive, or -1 if it doesn't say so.
+func (p *process) others() int {
+	resp, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + p.admin + "/metrics")
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if count, found := strings.CutPrefix(lines.Text(), "lilacbridge_entries_live "); found {
+			if others, err := strconv.Atoi(count); err == nil {
+				return others
+			}
+		}
+	}
+	return -1
+}
+
+// joined reports whether all entries know each other.
+func (f *fleet) joined() bool {
+	for _, entry := range f.entries {
+		if entry.others() != len(f.entries)-1 {
+			return false
+		}
+	}
+	return true
+}
+
 // startTimes returns when the process was started.
 func (p *process) startTimes() []time.Time {
 	p.mu.Lock()
@@ -216,6 +248,7 @@
 		name: fmt.Sprintf("%s-%d", role, number), host: advertisedHost, program: "lilacbridge-" + role,
 		log: filepath.Join(f.folder, fmt.Sprintf("%s-%d.log", role, number)), settings: filepath.Join(f.folder, fmt.Sprintf("%s-%d.yaml", role, number)),
 		callers: fmt.Sprintf("%s:%d", ownHost, at.callers), control: fmt.Sprintf("%s:%d", ownHost, at.control),
+		admin: fmt.Sprintf("%s:%d", ownHost, at.admin),
 	}
 	text := fmt.Sprintf("name: %q\ndata_center: dc-%d\nlink: %s:%d\nadvertise: %s:%d\nadmin: %s:%d\nlink_key: key-of-the-fault-soak\nseeds:\n%s",
 		advertisedHost, number%3, ownHost, at.link, advertisedHost, at.link, ownHost, at.admin, seeds)
