Fault soak: random runs and scenarios share the machine

The package took longer than before by the two scenarios and by what the random runs do more. They now run side by side, each with its own lock for documents.

--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -42,6 +42,8 @@
 	stop    chan struct{}
 	callers sync.WaitGroup
 	faults  sync.WaitGroup
+	// putMu serializes put.
+	putMu sync.Mutex
 
 	mu       sync.Mutex
 	problems []string
@@ -209,13 +211,10 @@
 	})
 }
 
-// putMu serializes put.
-var putMu sync.Mutex
-
 // put sends a new version to the state processes in turn until one acknowledges it.
 func (r *run) put(edit func(*documentState)) {
-	putMu.Lock()
-	defer putMu.Unlock()
+	r.putMu.Lock()
+	defer r.putMu.Unlock()
 	r.mu.Lock()
 	edit(&r.document)
 	r.document.version += 1 + uint64(rand.IntN(3))
--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -43,6 +43,7 @@
 // wiped, partitioned and delayed, in sequence and concurrently, while callers keep their
 // connections and operators send documents. Afterwards the fleet must recover.
 func TestFaultSoak(t *testing.T) {
+	t.Parallel()
 	folder := *keep
 	if folder == "" {
 		folder = t.TempDir()
