--- a/connection/originlink/originlink.go
+++ b/connection/originlink/originlink.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// take removes the copies that are still of use and not replaced by a later attempt's, or marks the outbox as idle if there are none.
+// take removes the copies that are still of use and not replaced by a later attempt's, or marks the
+// outbox as idle if there are none.
 func (l *Link) take(ctx context.Context, box *outbox) []unsentOrigin {
 	l.mu.Lock()
 	defer l.mu.Unlock()
