--- a/request/policy/slowservice_test.go
+++ b/request/policy/slowservice_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Guards against a server that is idle for good, since its last answers were slow.
+// Guards against a server that gets no more requests because its last answers were slow.
 func TestServerWhoseLastAnswersWereSlowIsTriedAgain(t *testing.T) {
 	is := is.New(t)
 	c := coreWithThreeDesks()
