Settings: memory and descriptors of every kind of process

State processes had no setting for the memory and the descriptors that they may use, entries none for descriptors.

--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -59,8 +59,8 @@
 	HeaderBytes int `yaml:"header_bytes"`
 	// ReadTimeout limits how long a caller may take to send a request. Default 10s.
 	ReadTimeout Duration `yaml:"read_timeout"`
-	// MemoryMB is the memory that the process may use, in MB (1e6 bytes). Default unknown.
-	MemoryMB int64 `yaml:"memory_mb"`
+	// ProcessLimits is what the process may use of its machine.
+	ProcessLimits `yaml:",inline"`
 	// HeldBytes is the most that the instance holds for callers and backend servers: bodies
 	// and answers. Default a fifth of MemoryMB, or no bound without one.
 	HeldBytes int64 `yaml:"held_bytes"`
@@ -76,7 +76,6 @@
 	// heldDivisor is the part of the memory that the account gets by default. The collector
 	// lets the heap grow beyond what is held, and the process needs memory of its own.
 	heldDivisor = 5
-	bytesPerMB  = 1_000_000
 	// minHeldBytes is the least bound with which a large body, and those of others beside it,
 	// find room.
 	minHeldBytes         = 1 << 20
@@ -95,7 +94,7 @@
 	}
 	l.ReadTimeout.Duration = l.ReadTimeout.Or(defaultReadTimeout)
 	if l.HeldBytes == 0 {
-		l.HeldBytes = l.MemoryMB * bytesPerMB / heldDivisor
+		l.HeldBytes = l.MemoryBytes() / heldDivisor
 	}
 	l.UnreadTimeout.Duration = l.UnreadTimeout.Or(defaultUnreadTimeout)
 	if l.HeldBytes > 0 {
@@ -105,13 +104,11 @@
 
 // validate checks the limits once the defaults are set.
 func (l *EntryLimits) validate() (all []error) {
-	if l.MemoryMB < 0 {
-		all = append(all, &Problem{Line: 1, Field: "limits.memory_mb", Message: "must be a number of MB, 0 for unknown"})
-	}
+	all = l.ProcessLimits.validate()
 	if l.HeldBytes != 0 && l.HeldBytes < minHeldBytes {
 		all = append(all, &Problem{Line: 1, Field: "limits.held_bytes", Message: fmt.Sprintf("is %d bytes, must be %d or more, or 0 for no bound", l.HeldBytes, minHeldBytes)})
 	}
-	if l.MemoryMB > 0 && l.HeldBytes > l.MemoryMB*bytesPerMB/2 {
+	if l.MemoryMB > 0 && l.HeldBytes > l.MemoryBytes()/2 {
 		all = append(all, &Problem{Line: 1, Field: "limits.held_bytes", Message: "must be at most half of limits.memory_mb, since the process needs memory of its own"})
 	}
 	for field, timeout := range map[string]Duration{"limits.unread_timeout": l.UnreadTimeout, "limits.upload_stall": l.UploadStall} {
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// Guards against a state process that accepts limits with which it can't run.
+func TestLimitsOfAStateProcessAreChecked(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	is.NoErr(Parse("s.yaml", []byte(validState+"limits: {memory_mb: 280, file_descriptors: 4096}\n"), s))
+	is.Equal(s.Limits, ProcessLimits{MemoryMB: 280, FileDescriptors: 4096})
+	for _, limits := range []string{"{memory_mb: -1}", "{file_descriptors: -1}", "{file_descriptors: 63}"} {
+		is.True(Parse("s.yaml", []byte(validState+"limits: "+limits+"\n"), &State{}) != nil)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validState))
 	f.Add([]byte(""))
@@ -210,6 +221,7 @@
 		"most of memory":  {"  memory_mb: 100\n  held_bytes: 90000000\n", 0, "at most half"},
 		"timeout":         {"  unread_timeout: 1ms\n", 0, "500ms or more"},
 		"stall":           {"  upload_stall: 1ms\n", 0, "500ms or more"},
+		"few descriptors": {"  file_descriptors: 10\n", 0, "must be 64 or more"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/process/settings/state.go
+++ b/process/settings/state.go
@@ -34,6 +34,8 @@
 	AutoMembers bool `yaml:"auto_members"`
 	// AuditRetention is the number of revisions in the audit trail. Default 100000.
 	AuditRetention int `yaml:"audit_retention"`
+	// Limits is what the process may use of its machine.
+	Limits ProcessLimits `yaml:"limits"`
 	// Duties configures what the leader does towards the platform. Default nothing.
 	Duties StateDuties `yaml:"duties"`
 }
@@ -67,6 +69,7 @@
 	if s.Election.Duration < 3*s.Heartbeat.Duration {
 		all = append(all, &Problem{Line: max(s.Election.Line, 1), Field: "election", Message: "must be at least three heartbeats, or a single lost message starts an election"})
 	}
+	all = append(all, s.Limits.validate()...)
 	all = append(all, s.Duties.validate(s.Name)...)
 	return errors.Join(all...)
 }
