--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,17 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 # On arm64 the race detector itself crashes now and then in this package's simulated time.
 RACELESS := $(if $(filter arm64,$(shell go env GOARCH)),github.com/lilacbridge/lilacbridge/connection/originlink)
+MISBEHAVING := github.com/lilacbridge/lilacbridge/misbehaving
 test:
-	go test -race -timeout 540s $(SKIP) $(if $(RACELESS),$$(go list ./... | grep -vxF $(RACELESS)),./...)
+	go test -race -timeout 540s $(SKIP) $$(go list ./... | grep -vxF $(RACELESS:%=-e %) -e $(MISBEHAVING))
 	$(if $(RACELESS),go test -timeout 540s $(SKIP) $(RACELESS))
+	$(MAKE) test-misbehaving
+
+# Ill-behaved clients and the memory of real processes: alone, and without the race detector,
+# which multiplies memory.
+.PHONY: test-misbehaving
+test-misbehaving:
+	go test -count=1 -timeout 540s $(SKIP) $(MISBEHAVING)
 
 # Runs each test listed in KNOWN-RED.txt RUNS times with its own seeds and RUNS times
 # with others, and prints the number of failures: make known-red RUNS=5 SEED=100.
--- /dev/null
+++ b/misbehaving/connections_test.go
@@ -0,0 +1,43 @@
+package misbehaving
+
+import (
+	"bufio"
+	"testing"
+)
+
+// few are limits of which descriptors are the scarce ones.
+var few = limits{memoryMB: 80, descriptors: 200}
+
+func writeNothing(*bufio.Writer, int) error { return nil }
+
+func writeHalfHead(w *bufio.Writer, _ int) error {
+	_, err := w.WriteString("GET /look/x HTTP/1.1\r\nHost: h")
+	return err
+}
+
+// Guards against connections that take all descriptors of a process: it could open none itself, and
+// ordinary callers would get none.
+func TestIdleConnectionsLeaveDescriptors(t *testing.T) {
+	for name, address := range map[string]func(s *system) string{
+		"callers":                 func(s *system) string { return s.callers },
+		"readiness":               func(s *system) string { return s.readiness },
+		"chat completions":        func(s *system) string { return s.chat },
+		"operators":               func(s *system) string { return s.operators },
+		"administration of entry": func(s *system) string { return s.entryAdmin },
+		"links of entry":          func(s *system) string { return s.entryLink },
+		"control":                 func(s *system) string { return s.control },
+		"administration of state": func(s *system) string { return s.stateAdmin },
+		"links of state":          func(s *system) string { return s.stateLink },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, few)
+			s.withstand(t, crowd{address(s), 300, writeNothing})
+		})
+	}
+}
+
+// Guards against the same by connections that have sent a part of a head.
+func TestHalfHeadsLeaveDescriptors(t *testing.T) {
+	s := newSystem(t, few)
+	s.withstand(t, crowd{s.callers, 300, writeHalfHead})
+}
--- /dev/null
+++ b/misbehaving/crowd_test.go
@@ -0,0 +1,93 @@
+package misbehaving
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+)
+
+const (
+	// sendTimeout ends a client that is neither read nor closed.
+	sendTimeout = 10 * time.Second
+	// endlessBytes is what a client sends that has no end, unless its connection is closed.
+	endlessBytes = 8 << 20
+	// overLimitBytes is the size of a head far over the limit.
+	overLimitBytes = 1_000_000
+)
+
+// crowd is a number of clients that do the same.
+type crowd struct {
+	address     string
+	connections int
+	// write sends what the client with the number sends.
+	write func(w *bufio.Writer, number int) error
+}
+
+// send opens a connection and sends. It discards the answers, and returns the connection, or nil
+// if there is none.
+func (c crowd) send(number int) net.Conn {
+	conn, err := net.DialTimeout("tcp", c.address, sendTimeout)
+	if err != nil {
+		return nil
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	w := bufio.NewWriterSize(conn, 64<<10)
+	if c.write(w, number) == nil {
+		_ = w.Flush()
+	}
+	return conn
+}
+
+// repeat writes units until bytes are written. unit gets the number of the unit.
+func repeat(w *bufio.Writer, bytes int, unit func(n int) string) error {
+	for n := 0; bytes > 0; n++ {
+		text := unit(n)
+		bytes -= len(text)
+		if _, err := w.WriteString(text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// always returns the same unit.
+func always(text string) func(int) string { return func(int) string { return text } }
+
+// shortLine returns a distinct header line of a few bytes.
+func shortLine(n int) string { return fmt.Sprintf("%s:\r\n", lineName(n)) }
+
+// lineName returns a short name that is distinct for each n and none that is used otherwise.
+func lineName(n int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	name := []byte{'x'}
+	for ; n > 0; n /= len(letters) {
+		name = append(name, letters[n%len(letters)])
+	}
+	return string(name)
+}
+
+// begin is the begin of a request for a route, up to and with the headers that it needs.
+func begin(route, id string) string {
+	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\n", route, host, id, key)
+	if route == "plan" || route == "review" {
+		text += "Token-Counts: 100,24\r\n"
+	}
+	return text
+}
+
+// attempt is the id of the n-th request of a client.
+func attempt(number, n int) string { return fmt.Sprintf("%x-%x", number, n) }
+
+// head returns a request with as many short lines, each ended by the given text.
+func head(route, id string, lines int, lineEnd string) string {
+	var text strings.Builder
+	text.WriteString(begin(route, id))
+	for n := range lines {
+		text.WriteString(lineName(n) + ":" + lineEnd)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/misbehaving/heads_test.go
@@ -0,0 +1,162 @@
+package misbehaving
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// usual are the limits of most tests.
+var usual = limits{memoryMB: 80, descriptors: 1000}
+
+// Guards against heads far over the limit, of very many short lines, that take the memory of a
+// process at any of its servers.
+func TestHeadsOverTheLimit(t *testing.T) {
+	for name, address := range map[string]func(s *system) string{
+		"callers":                 func(s *system) string { return s.callers },
+		"readiness":               func(s *system) string { return s.readiness },
+		"chat completions":        func(s *system) string { return s.chat },
+		"operators":               func(s *system) string { return s.operators },
+		"administration of entry": func(s *system) string { return s.entryAdmin },
+		"control":                 func(s *system) string { return s.control },
+		"administration of state": func(s *system) string { return s.stateAdmin },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, usual)
+			s.withstand(t, crowd{address(s), 60, writeHeadOverLimit})
+		})
+	}
+}
+
+func writeHeadOverLimit(w *bufio.Writer, _ int) error {
+	if _, err := w.WriteString("GET / HTTP/1.1\r\nHost: h\r\n"); err != nil {
+		return err
+	}
+	return repeat(w, overLimitBytes, shortLine)
+}
+
+// withoutEnd are the places of a request at which a client may go on without end.
+var withoutEnd = map[string]struct {
+	before string
+	unit   func(n int) string
+}{
+	"request line":                  {"GET /", always("a")},
+	"header line":                   {"GET / HTTP/1.1\r\nHost: h\r\nA: ", always("a")},
+	"short header lines":            {"GET / HTTP/1.1\r\nHost: h\r\n", shortLine},
+	"folded lines":                  {"GET / HTTP/1.1\r\nHost: h\r\nA: a\r\n", always(" a\r\n")},
+	"colons":                        {"GET / HTTP/1.1\r\nHost: h\r\n", always(":\r\n")},
+	"empty lines":                   {"", always("\r\n")},
+	"empty lines after a request":   {begin("look", "1") + "\r\n", always("\r\n")},
+	"bare line feeds":               {begin("look", "1") + "\r\n", always("\n")},
+	"header lines after the body":   {strings.Replace(begin("look", "1"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n1\r\na\r\n0\r\n", shortLine},
+	"header line after the body":    {strings.Replace(begin("look", "1"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n1\r\na\r\n0\r\nA: ", always("a")},
+	"extension of a chunk":          {strings.Replace(begin("look", "1"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n1;", always("a")},
+	"body of more than its length":  {begin("look", "1") + "\r\n", always("a")},
+	"empty lines with a bare start": {"\n", always("\r\n")},
+}
+
+// Guards against requests without end, at each place that a request has.
+func TestRequestsWithoutEnd(t *testing.T) {
+	for name, c := range withoutEnd {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, usual)
+			s.withstand(t, crowd{s.callers, 100, func(w *bufio.Writer, _ int) error {
+				if _, err := w.WriteString(c.before); err != nil {
+					return err
+				}
+				return repeat(w, endlessBytes, c.unit)
+			}})
+		})
+	}
+}
+
+// Guards against heads within the limit that cost many times their bytes, on a route on which
+// requests wait for their turn.
+func TestCostlyHeadsWithinTheLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		lines   int
+		lineEnd string
+		end     string
+	}{
+		"short lines":         {2500, "\r\n", "\r\n"},
+		"bare line feeds":     {4500, "\n", "\n"},
+		"without their end":   {2500, "\r\n", ""},
+		"without a line feed": {2500, "\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, usual)
+			s.withstand(t, crowd{s.callers, 400, func(w *bufio.Writer, number int) error {
+				_, err := w.WriteString(head("plan", attempt(number, 0), c.lines, c.lineEnd) + c.end)
+				return err
+			}})
+		})
+	}
+}
+
+// pipelined is the number of requests that a client sends without waiting for answers.
+const pipelined = 300
+
+// Guards against requests that are sent one after the other without waiting for answers, each of
+// which costs many times its bytes or adds to a table.
+func TestCostlyRequestsWithoutWaiting(t *testing.T) {
+	for name, request := range map[string]func(number, n int) string{
+		"short lines": func(number, n int) string {
+			return head("plan", attempt(number, n), 2500, "\r\n") + "\r\n"
+		},
+		"new parts of prompts": func(number, n int) string {
+			var parts []string
+			for part := range 1300 {
+				parts = append(parts, fmt.Sprintf("%x:9", uint64(number*pipelined+n)*1300+uint64(part)))
+			}
+			return begin("plan", attempt(number, n)) + "Prompt-Prefix: " + strings.Join(parts, ",") + "\r\n\r\n"
+		},
+		"unknown hosts and paths": func(number, n int) string {
+			return fmt.Sprintf("GET /%d-%d/%s HTTP/1.1\r\nHost: h%d-%d.example\r\nAttempt-Id: %s\r\n\r\n", number, n, strings.Repeat("a", 15_000), number, n, attempt(number, n))
+		},
+		"unknown keys": func(number, n int) string {
+			return strings.Replace(begin("look", attempt(number, n)), key, key+attempt(number, n)+strings.Repeat("a", 15_000), 1) + "\r\n"
+		},
+		"long ids": func(number, n int) string {
+			return begin("review", attempt(number, n)+strings.Repeat("a", 15_000)) + "\r\n"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, usual)
+			s.withstand(t, crowd{s.callers, 100, func(w *bufio.Writer, number int) error {
+				for n := range pipelined {
+					if _, err := w.WriteString(request(number, n)); err != nil {
+						return err
+					}
+				}
+				return nil
+			}})
+		})
+	}
+}
+
+// Guards against a limit that a single request within the limits of the document meets.
+func TestASingleCostlyRequestWithinTheLimitIsServed(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, usual)
+	for _, route := range []string{"look", "plan"} {
+		text := begin(route, "1")
+		text += strings.Repeat("a:\n", (maxHeaderBytes-len(text)-2)/3) + "\r\n"
+		is.True(strings.Count(text, "\n") > 5000)
+		conn, err := net.Dial("tcp", s.callers)
+		is.NoErr(err)
+		defer conn.Close()
+		is.NoErr(conn.SetDeadline(time.Now().Add(sendTimeout)))
+		_, err = conn.Write([]byte(text))
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	s.check(t)
+}
