Connections and request headers of clients are bounded before they are read

What callers saw: processes that ran out of memory under clients that send heads over the limit, without end, or within it but of thousands of short lines; and processes without a free descriptor under clients that send nothing.

Cause: net/http reads and parses up to 1 MB of a head, at about 20 times its bytes for short lines, before any check of ours; limits.maxHeaderBytes was checked afterwards. Nothing bounded how many connections there were, and the time for a head and the idle time did not follow the document.

Change: connections count the bytes and lines of a head as they arrive, and charge an account by what they take once parsed before net/http sees them. Core decides, without I/O, who is closed: of the host that uses most, the connection that has been without a complete head for the longest time, never one whose request was read. Limits derive from the memory and descriptors of the settings, for callers and for each other HTTP server of both kinds of process. Refusals are 431, 408 and 503 with Retry-After. It replaces the wrapper for slow heads of chat completions.

--- a/connection/caller/check.go
+++ b/connection/caller/check.go
@@ -40,11 +40,15 @@
 
 func (h *Handler) checkHeader(r *http.Request) error {
 	if headerSize(r) > h.limits.HeaderBytes {
-		return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "request header is longer than "+strconv.Itoa(h.limits.HeaderBytes)+" bytes; shorten it")
+		return h.errHeaderTooLarge()
 	}
 	return nil
 }
 
+func (h *Handler) errHeaderTooLarge() error {
+	return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "request header is longer than "+strconv.Itoa(h.limits.HeaderBytes)+" bytes; shorten it")
+}
+
 // checkMeta sets the team, class, idempotency key and deadline of the request.
 func (h *Handler) checkMeta(r *http.Request, view *model.View, meta *Meta) error {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -62,7 +62,6 @@
 	if h.noKeepAlive.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	markHeaderRead(r.Context())
 	rw := newResponseWriter(w, r, newRequestID(), h.instance)
 	err := h.serve(w, r, rw)
 	if err == nil {
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -312,15 +311,7 @@
 		Operators:  d.operators.Get, Now: time.Now,
 		OnRefused: func() { d.entry.counters.Refused("operator_unauthenticated") },
 	})
-	server := khttp.NewServer(
-		khttp.Listener(listener),
-		khttp.Endpoint(httpserver.Endpoint(listener.Addr().String())),
-		khttp.Timeout(0),
-		khttp.Filter(func(http.Handler) http.Handler { return handler }),
-	)
-	server.ReadHeaderTimeout = d.settings.Limits.ReadTimeout.Duration
-	server.ErrorLog = d.entry.debugLogger()
-	return server
+	return httpserver.New(listener, d.entry.internalGuard("operators"), httpserver.DefaultPolicy(), handler)
 }
 
 func (d *Daemon) liveEntries() []settings.Peer {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -14,6 +14,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/caller"
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/engine"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/holding"
@@ -71,10 +72,13 @@
 	gatewayUpstream *upstream.Client
 	// holdings is nil if what the instance holds isn't bounded.
 	holdings *holding.Store
-	relay    *relay.Relay
-	claims   *outcome.Claims
-	callers  *caller.Handler
-	poller   *engine.Poller
+	// guards are the accounts of connections by server, callerGuard that of all callers.
+	guards      map[string]*connguard.Guard
+	callerGuard *connguard.Guard
+	relay       *relay.Relay
+	claims      *outcome.Claims
+	callers     *caller.Handler
+	poller      *engine.Poller
 	// convictions holds changes of the convictions to propose.
 	convictions chan func(time.Time) *lilacv1.Proposal
 	leaving     atomic.Bool
@@ -100,6 +104,9 @@
 	}
 	e.clients.SetOnSurplus(e.logSurplus)
 	e.openHoldings()
+	e.guards = make(map[string]*connguard.Guard)
+	e.callerGuard = e.newGuard("callers", connguard.CallerLimits(e.machine()))
+	e.registry.MustRegister(connguard.Collector(e.guards))
 	engines := engine.NewClient(e.clients)
 	e.relay = relay.New(relay.Options{
 		Core: core, Engines: engines, Services: service.NewClient(e.clients), Claims: e.claims,
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
@@ -232,11 +234,25 @@
 
 func (g *gatewayRouter) httpServers(l listeners) []transport.Server {
 	return []transport.Server{
-		httpserver.New(l.gatewayCallers, g.handler),
-		httpserver.New(l.readiness, http.HandlerFunc(g.serveReady)),
+		httpserver.New(l.gatewayCallers, g.daemon.entry.callerGuard, connguard.Policy{Limits: g.headLimits, Response: httpserver.PlainResponse}, g.handler),
+		httpserver.New(l.readiness, g.daemon.entry.internalGuard("readiness"), httpserver.DefaultPolicy(), http.HandlerFunc(g.serveReady)),
 	}
 }
 
+// headLimits returns the limits of request headers by the document in force.
+func (g *gatewayRouter) headLimits() connguard.HeadLimits {
+	limits := httpserver.DefaultLimits()
+	table := g.table.Load()
+	if table == nil {
+		return limits
+	}
+	document := table.Document.Limits
+	limits.Bytes = cmp.Or(document.HeaderBytes, limits.Bytes)
+	limits.Time = cmp.Or(document.HeaderTimeout, limits.Time)
+	limits.Idle = cmp.Or(document.IdleTimeout, limits.Idle)
+	return limits
+}
+
 // serveReady answers the load balancer's readiness probe. The instance is not ready
 // while it drains, has no document or can't verify keys.
 func (g *gatewayRouter) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/daemon/state/admin.go
+++ b/daemon/state/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -9,6 +10,7 @@
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
 )
@@ -17,8 +19,8 @@
 const maxReadyStaleness = 5 * time.Second
 
 // newAdmin returns the HTTP server for /metrics, /healthz, /readyz and pprof.
-func newAdmin(address string, s *Service, registry *prometheus.Registry, stopping func() bool) *kratoshttp.Server {
-	server := kratoshttp.NewServer(kratoshttp.Address(address), kratoshttp.Timeout(0), kratoshttp.Endpoint(httpserver.Endpoint(address)))
+func newAdmin(listener net.Listener, guard *connguard.Guard, s *Service, registry *prometheus.Registry, stopping func() bool) *kratoshttp.Server {
+	server := httpserver.NewRouted(listener, guard)
 	server.Handle("/metrics", metrics.Handler(registry))
 	server.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	server.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/duties"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
@@ -25,6 +26,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/serverlist"
 	"github.com/lilacbridge/lilacbridge/process/build"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -73,6 +75,9 @@
 	// duties performs the fleet's duties towards the platform while this process leads; nil
 	// if the settings list none.
 	duties *duties.Holder
+	// guards are the accounts of connections by server.
+	guards map[string]*connguard.Guard
+	admin  *khttp.Server
 	// control serves the operators' interface for the gateway's document; nil without
 	// a gateway.
 	control  *khttp.Server
@@ -129,20 +134,44 @@
 	d := &Daemon{
 		settings: s, logger: logger, log: log, service: service, registry: registry,
 		listener: listener, links: link.NewServer(id, mux), keys: keys,
-		duties: holder, origins: origins,
+		duties: holder, origins: origins, guards: make(map[string]*connguard.Guard),
 	}
+	registry.MustRegister(connguard.Collector(d.guards))
 	if s.ServerList.Value != "" {
 		d.follower = d.newFollower(servers, id, control)
 		d.versions = &versionKeeper{service: service, servers: servers, name: s.Name, logger: logger, core: admission.NewCore(), proposed: metrics.RegisterVersionProposals(registry)}
 	}
-	if s.Control.Value != "" {
-		if err := d.openControl(control); err != nil {
-			return nil, errors.Join(err, listener.Close(), log.Close())
-		}
+	if err := d.openServers(control); err != nil {
+		return nil, errors.Join(err, listener.Close(), log.Close())
 	}
 	return d, nil
 }
 
+// newGuard returns the account of the connections of a server.
+func (d *Daemon) newGuard(server string) *connguard.Guard {
+	limits := &d.settings.Limits
+	machine := connguard.Machine{Memory: limits.MemoryBytes(), Descriptors: limits.Descriptors()}
+	guard := connguard.New(connguard.InternalLimits(machine), logs.New(d.logger))
+	d.guards[server] = guard
+	return guard
+}
+
+// openServers opens the HTTP servers of the process.
+func (d *Daemon) openServers(control Control) error {
+	listener, err := net.Listen("tcp", d.settings.Admin.Value)
+	if err != nil {
+		return err
+	}
+	d.admin = newAdmin(listener, d.newGuard("admin"), d.service, d.registry, d.stopping.Load)
+	if d.settings.Control.Value == "" {
+		return nil
+	}
+	if err := d.openControl(control); err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	return nil
+}
+
 // newFollower returns a follower that reads the server list from the platform if this
 // process leads or has no recent contact with a leader, otherwise from the leader.
 func (d *Daemon) newFollower(holder *serverlist.Store, id link.Identity, control Control) *serverlist.Updater {
@@ -179,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	d.control = httpserver.New(listener, control.Handler(&documents{
+	d.control = httpserver.New(listener, d.newGuard("control"), httpserver.DefaultPolicy(), control.Handler(&documents{
 		service: d.service, decode: control.Decode, logger: d.logger, name: d.settings.Name, control: address,
 	}))
 	return nil
@@ -187,7 +216,7 @@
 
 // servers returns the HTTP servers of the process.
 func (d *Daemon) servers() []transport.Server {
-	servers := []transport.Server{newAdmin(d.settings.Admin.Value, d.service, d.registry, d.stopping.Load)}
+	servers := []transport.Server{d.admin}
 	if d.control != nil {
 		servers = append(servers, d.control)
 	}
--- a/process/settings/limits.go
+++ b/process/settings/limits.go
@@ -1,6 +1,10 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+	"syscall"
+)
 
 const (
 	bytesPerMB = 1_000_000
@@ -21,6 +25,19 @@
 // MemoryBytes returns the memory that the process may use, 0 if it is unknown.
 func (l *ProcessLimits) MemoryBytes() int64 { return l.MemoryMB * bytesPerMB }
 
+// Descriptors returns the number of descriptors that the process may open.
+func (l *ProcessLimits) Descriptors() int {
+	limit := math.MaxInt32
+	var system syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil && system.Cur < uint64(limit) {
+		limit = int(system.Cur)
+	}
+	if l.FileDescriptors > 0 {
+		return min(l.FileDescriptors, limit)
+	}
+	return limit
+}
+
 func (l *ProcessLimits) validate() (all []error) {
 	if l.MemoryMB < 0 {
 		all = append(all, &Problem{Line: 1, Field: "limits.memory_mb", Message: "must be a number of MB, 0 for unknown"})
