Heads of accepted requests are held for their teams, and their size counts separators

What callers saw: with costly requests in progress, heads of other callers found no room, whichever team used it. And a head of lines of three bytes passed at over twice limits.maxHeaderBytes.

Cause: the charge of a head ended with its request, in the account of heads that are being read, which knows hosts only. The sum of a head left out what separates names, values and lines.

Change: a checked request gets room for its head in the account of held bytes, as for its body, by team and caller, and then leaves the other account. The size of a head is the least in which it can have arrived: at least a colon and a line feed for each line, so that none within the limit is refused.

TestRequestsInProgressLeaveRoomForOtherHeads on the code before fails: one of ten requests in progress gets 503.

--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -13,6 +13,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/holding"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/version/routing"
@@ -40,7 +41,7 @@
 	retryJitter = 400 * time.Millisecond
 	// defaultMaxBodyBytes applies if the document sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// maxRoomWait bounds the time that a request waits for room for its body. It is further
+	// maxRoomWait bounds the time that a request waits for room for its header or its body. It is further
 	// bounded to the same fraction of the caller's timeout as the wait for a configuration.
 	maxRoomWait = time.Second
 	// noRoomRetry is the Retry-After of a request for which there was no room.
@@ -192,7 +193,9 @@
 	if q.Table == nil {
 		// The body is read before the wait, since callers treat a request as lost if
 		// its body is not accepted.
-		h.openHold(q, r)
+		if err := h.openHold(q, r); err != nil {
+			return q, err
+		}
 		if q.Body, err = h.readBody(w, r, q, defaultMaxBodyBytes); err != nil {
 			return q, err
 		}
@@ -208,7 +211,9 @@
 	if err := checkHeaderSize(r, limits.HeaderBytes); err != nil {
 		return q, err
 	}
-	h.openHold(q, r)
+	if err := h.openHold(q, r); err != nil {
+		return q, err
+	}
 	if !bodyRead {
 		if q.Body, err = h.readBody(w, r, q, limits.BodyBytes); err != nil {
 			return q, err
@@ -226,16 +231,22 @@
 	return q, nil
 }
 
-// openHold opens the account of what is held for the request, unless it is open.
-func (h *Handler) openHold(q *Request, r *http.Request) {
+// openHold opens the account of what is held for the request, unless it is open, and holds room
+// for its header.
+func (h *Handler) openHold(q *Request, r *http.Request) error {
 	if h.holdings == nil || q.Hold != nil {
-		return
+		return nil
 	}
 	owner := holding.Owner{Caller: hostWithoutPort(r.RemoteAddr)}
 	if q.Team != nil {
 		owner.Team = q.Team.Name
 	}
 	q.Hold = h.holdings.Open(owner)
+	if awaitRoom(r.Context(), q, holding.Head, connguard.Cost(headerSize(r))) != nil {
+		return errNoRoom("header")
+	}
+	connguard.Release(r.Context())
+	return nil
 }
 
 // matchRoute sets the request's route, and its team by the key.
@@ -277,22 +288,36 @@
 	return host
 }
 
-func checkHeaderSize(r *http.Request, limit int) error {
-	if limit == 0 {
-		return nil
-	}
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+// headerSize returns the least number of bytes in which the header can have arrived, and the number
+// of its lines.
+func headerSize(r *http.Request) (bytes, lines int) {
+	const (
+		requestLine = len("  HTTP/1.1\n")
+		hostLine    = len("Host:\n")
+		separators  = len(":\n")
+	)
+	bytes, lines = len(r.Method)+len(r.RequestURI)+requestLine+len(r.Host)+hostLine, 2
 	for name, values := range r.Header {
 		for _, value := range values {
-			size += len(name) + len(value)
+			bytes += len(name) + len(value) + separators
 		}
+		lines += len(values)
 	}
-	if size > limit {
+	return bytes, lines
+}
+
+func checkHeaderSize(r *http.Request, limit int) error {
+	if bytes, _ := headerSize(r); limit > 0 && bytes > limit {
 		return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "the request header is larger than the configuration allows; send a smaller one")
 	}
 	return nil
 }
 
+// errNoRoom refuses a request of which a part finds no room.
+func errNoRoom(part string) error {
+	return refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance holds too much for others to accept the request "+part+"; retry after Retry-After", fault.WithRetryAfter(noRoomRetry+rand.N(retryJitter)))
+}
+
 func errBodyTooLarge() error {
 	return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "the request body is larger than the configuration allows; send a smaller one")
 }
@@ -348,7 +373,7 @@
 	}
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	if r.ContentLength > 0 && r.ContentLength <= limit {
-		if err = awaitRoom(r.Context(), q, r.ContentLength); err == nil {
+		if err = awaitRoom(r.Context(), q, holding.Body, r.ContentLength); err == nil {
 			body = make([]byte, r.ContentLength)
 			_, err = io.ReadFull(limited, body)
 		}
@@ -360,20 +385,20 @@
 	case errors.As(err, &tooLarge):
 		return nil, errBodyTooLarge()
 	case errors.Is(err, holding.ErrNoRoom):
-		return nil, refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance holds too much for others to accept the request body; retry after Retry-After", fault.WithRetryAfter(noRoomRetry+rand.N(retryJitter)))
+		return nil, errNoRoom("body")
 	case err != nil:
 		return nil, refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "the request body is incomplete; send the request again")
 	}
 	return body, nil
 }
 
-// awaitRoom holds room for a part of the body, and waits for it if there is none.
-func awaitRoom(ctx context.Context, q *Request, bytes int64) error {
+// awaitRoom holds room for the header or a part of the body, and waits for it if there is none.
+func awaitRoom(ctx context.Context, q *Request, reason holding.Reason, bytes int64) error {
 	wait := maxRoomWait
 	if q.Timeout > 0 {
 		wait = min(wait, q.Timeout/tableWaitDivisor)
 	}
-	return q.Hold.Wait(ctx, holding.Body, bytes, wait)
+	return q.Hold.Wait(ctx, reason, bytes, wait)
 }
 
 // readInSteps reads a body of unknown length.
@@ -383,7 +408,7 @@
 	}
 	var body bytes.Buffer
 	for {
-		if err := awaitRoom(ctx, q, bodyStep); err != nil {
+		if err := awaitRoom(ctx, q, holding.Body, bodyStep); err != nil {
 			return nil, err
 		}
 		n, err := io.CopyN(&body, from, bodyStep)
--- a/connection/gateway/handler_test.go
+++ b/connection/gateway/handler_test.go
@@ -1,9 +1,15 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -11,7 +17,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/holding"
+	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
@@ -79,3 +87,91 @@
 	_, err := readInSteps(t.Context(), q, io.MultiReader(strings.NewReader("a part"), broken))
 	is.True(err != nil)
 }
+
+// plainProtocol is a Protocol without headers of its own.
+type plainProtocol struct{ Protocol }
+
+func (plainProtocol) ParseRequest(http.Header) (RequestInfo, error) { return RequestInfo{}, nil }
+func (plainProtocol) IDHeader() string                              { return "Id" }
+
+// slowRouter is a Router that answers requests to /slow/ only once they are released.
+type slowRouter struct {
+	Router
+	table    *routing.Table
+	running  chan struct{}
+	released chan struct{}
+}
+
+func (r *slowRouter) Table() *routing.Table { return r.table }
+
+func (r *slowRouter) Forward(_ context.Context, q *Request, rw *ResponseWriter) error {
+	if q.Route.Name == "slow" {
+		r.running <- struct{}{}
+		<-r.released
+	}
+	rw.WriteHeader(http.StatusOK)
+	return nil
+}
+
+// noCounter and noLog record nothing.
+type noCounter struct{}
+
+func (noCounter) Request(string) {}
+func (noCounter) Refused(string) {}
+
+type noLog struct{}
+
+func (noLog) Refused(string, string, string, error) {}
+func (noLog) Failed(string, int, error)             {}
+
+// Guards against requests in progress that keep the heads of others from being read: their own are
+// in the account of what is held for their teams.
+func TestRequestsInProgressLeaveRoomForOtherHeads(t *testing.T) {
+	is := is.New(t)
+	route := func(name string) routing.Route {
+		return routing.Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Public: true, Timeout: time.Minute}
+	}
+	table := routing.NewTable(&routing.Document{Version: 1, Routes: []routing.Route{route("slow"), route("fast")}}, 1)
+	router := &slowRouter{table: table, running: make(chan struct{}), released: make(chan struct{})}
+	h := NewHandler(plainProtocol{}, router, noCounter{}, noLog{})
+	h.SetHoldings(holding.NewStore(holding.Options{Bytes: 1 << 20}), time.Minute)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := httpserver.New(listener, connguard.New(connguard.Limits{Connections: 100, HeadBytes: 10_000}, nil), httpserver.DefaultPolicy(), h)
+	go func() { _ = server.Start(t.Context()) }()
+	defer server.Close()
+	get := func(path string) int {
+		req, err := http.NewRequest(http.MethodGet, "http://"+listener.Addr().String()+path, nil)
+		is.NoErr(err)
+		req.Host = "h"
+		for line := range 20 {
+			req.Header.Set(fmt.Sprint("X-", line), "x")
+		}
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+		is.NoErr(err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	var group sync.WaitGroup
+	for range 10 {
+		group.Go(func() { is.Equal(get("/slow/"), http.StatusOK) })
+		<-router.running
+	}
+	is.Equal(get("/fast/"), http.StatusOK)
+	close(router.released)
+	group.Wait()
+}
+
+// Guards against a head of short lines that passes at over twice its limit, and against one that is
+// refused within it: a line has two separators at least, a colon and a line feed.
+func TestSizeOfAHeadCountsItsSeparators(t *testing.T) {
+	is := is.New(t)
+	text := "GET / HTTP/1.1\nHost:h\n" + strings.Repeat("a:\n", 1000) + "\n"
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	is.NoErr(err)
+	bytes, lines := headerSize(r)
+	is.Equal(bytes, len(text)-1)
+	is.Equal(lines, 1002)
+	is.NoErr(checkHeaderSize(r, len(text)))
+	is.True(checkHeaderSize(r, len(text)-2) != nil)
+}
--- a/connection/holding/core.go
+++ b/connection/holding/core.go
@@ -1,5 +1,5 @@
-// Package holding accounts for the memory that an instance uses on behalf of others: bodies
-// of requests, answers that are read whole, and answers that their callers have not read yet.
+// Package holding accounts for the memory that an instance uses on behalf of others: headers
+// and bodies of requests, answers that are read whole, and answers that their callers have not read yet.
 //
 // Core decides who gets room; it has no locks, clocks or goroutines. Store is the shell
 // around it.
@@ -21,14 +21,16 @@
 	Answer
 	// Unread is the part of a stream that was read from its server and not sent yet.
 	Unread
+	// Head is the header of a request, as it was parsed and as it is forwarded.
+	Head
 	reasons
 )
 
 // Reasons lists all reasons.
-var Reasons = [reasons]Reason{Body, Answer, Unread}
+var Reasons = [reasons]Reason{Body, Answer, Unread, Head}
 
 // String returns the reason's label.
-func (r Reason) String() string { return [reasons]string{"body", "answer", "unread"}[r] }
+func (r Reason) String() string { return [reasons]string{"body", "answer", "unread", "head"}[r] }
 
 // Owner is on whose behalf bytes are held.
 type Owner struct {
--- a/connection/holding/store.go
+++ b/connection/holding/store.go
@@ -184,7 +184,7 @@
 	if !short {
 		message = "room for requests and answers is there again"
 	}
-	s.options.Log.Line(logs.StateChange, message, "limit", s.options.Bytes, "body", stats.Held[Body], "answer", stats.Held[Answer], "unread", stats.Held[Unread],
+	s.options.Log.Line(logs.StateChange, message, "limit", s.options.Bytes, "head", stats.Held[Head], "body", stats.Held[Body], "answer", stats.Held[Answer], "unread", stats.Held[Unread],
 		"blocked", stats.Blocked, "waited", stats.Waited, "refused", stats.Refused, "given_up", stats.GivenUp)
 }
 
--- a/daemon/entry/holdings.go
+++ b/daemon/entry/holdings.go
@@ -32,7 +32,7 @@
 func newHoldingStats(store *holding.Store) *holdingStats {
 	return &holdingStats{
 		store:    store,
-		held:     prometheus.NewDesc("lilacbridge_held_bytes", "Bytes held for callers and backend servers, by reason: body, answer or unread.", []string{"reason"}, nil),
+		held:     prometheus.NewDesc("lilacbridge_held_bytes", "Bytes held for callers and backend servers, by reason: head, body, answer or unread.", []string{"reason"}, nil),
 		oldest:   prometheus.NewDesc("lilacbridge_oldest_unread_seconds", "How long ago the first of the callers that don't read stopped; 0 without one.", nil, nil),
 		requests: prometheus.NewDesc("lilacbridge_held_requests", "Requests that wait for room, and answers whose callers don't read.", []string{"state"}, nil),
 		counts:   prometheus.NewDesc("lilacbridge_room_decisions_total", "Requests and answers that waited for room or were refused it, and answers that were given up for it.", []string{"decision"}, nil),
