Links are served again after a lack of descriptors

What callers saw: an entry whose descriptors were all in use for a moment served no other processes from then on, and a state process stopped.

Cause: the server of links ended at the first accept that failed, EMFILE among them.

Change: an accept that failed for a lack that may pass is repeated after 20 ms. TestServerAcceptsAfterALackOfDescriptors on the code before: the server ended: too many open files.

--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,3 +140,43 @@
 	is.True(call(dial(secret.StaticKeys([]byte(oldKey)))) != nil)
 	is.NoErr(call(dial(clientKeys.get)))
 }
+
+// failingListener fails its first accepts.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) > 0 {
+		err := l.errs[0]
+		l.errs = l.errs[1:]
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that serves no links any more after it had no descriptor for one.
+func TestServerAcceptsAfterALackOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer(testIdentity, testMux())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- server.Serve(&failingListener{listener, []error{syscall.EMFILE, syscall.ECONNABORTED}})
+	}()
+	t.Cleanup(func() { server.Close(); listener.Close() })
+	client := NewClient(listener.Addr().String(), testIdentity)
+	defer client.Close()
+	answered := make(chan error, 1)
+	go func() {
+		answered <- client.Call(t.Context(), "echo", &lilacv1.QueryRequest{Subject: "x"}, &lilacv1.QueryReply{})
+	}()
+	select {
+	case err := <-ended:
+		t.Fatalf("the server ended: %v", err)
+	case err := <-answered:
+		is.NoErr(err)
+	}
+}
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -14,6 +16,12 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 )
 
+// acceptRetryInterval is the pause after an accept that failed for a lack that may pass.
+const acceptRetryInterval = 20 * time.Millisecond
+
+// passingErrors are errors of an accept after which others may succeed.
+var passingErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}
+
 // Server accepts connections of other processes and dispatches their streams to a Mux.
 type Server struct {
 	id  Identity
@@ -38,10 +46,13 @@
 func (s *Server) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		}
-		if err != nil {
+		case slices.ContainsFunc(passingErrors, func(passing error) bool { return errors.Is(err, passing) }):
+			time.Sleep(acceptRetryInterval)
+			continue
+		case err != nil:
 			return err
 		}
 		conn = s.id.Traffic.counted(conn)
