Processes that have not proved a key cost little

What callers saw: anything that reaches the port of links could take the memory of a process with a few bytes a connection, or all its descriptors.

Cause: a message before the handshake could state up to 4 MiB, for which memory was taken at once; the number of connections in the handshake was not bounded.

Change: messages of the handshake are 4 KiB at most.

--- a/connection/connguard/guard.go
+++ b/connection/connguard/guard.go
@@ -99,23 +99,43 @@
 
 // open returns the connection in the account, or nil if there is no room for it.
 func (g *Guard) open(nc net.Conn, policy Policy) *conn {
-	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
 	c := &conn{Conn: nc, guard: g, policy: policy}
 	c.await()
+	if c.member = g.openMember(nc, c.evict); c.member == nil {
+		return nil
+	}
+	return c
+}
+
+// openMember adds a connection to the account, and evicts another one if that is needed. It returns
+// nil if there is no room.
+func (g *Guard) openMember(nc net.Conn, onEvict func()) *Member {
+	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
 	g.mu.Lock()
 	m, evicted := g.core.Open(host)
 	if m != nil {
-		m.onEvict, c.member = c.evict, m
+		m.onEvict = onEvict
 	}
 	g.logShortage(m == nil || evicted != nil)
 	g.mu.Unlock()
 	if evicted != nil {
 		evicted.onEvict()
 	}
+	return m
+}
+
+// Admit accounts for a connection of another kind of server until ended is called. It returns false
+// if there is no room for it, and closes the connection if others need its room. A nil Guard admits
+// all.
+func (g *Guard) Admit(nc net.Conn) (ended func(), ok bool) {
+	if g == nil {
+		return func() {}, true
+	}
+	m := g.openMember(nc, func() { nc.Close() })
 	if m == nil {
-		return nil
+		return nil, false
 	}
-	return c
+	return func() { g.change(func(core *Core) { core.Close(m) }) }, true
 }
 
 // charge adds to what the head of the connection takes, and reports whether there is room.
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -22,6 +22,8 @@
 const (
 	handshakeTimeout = 3 * time.Second
 	nonceSize        = 32
+	// maxHandshakeFrame bounds the messages of a peer that has not proved a key, bytes.
+	maxHandshakeFrame = 4 << 10
 	// dialerRole and acceptorRole are signed with each proof, so that a proof that is
 	// reflected to its sender is rejected.
 	dialerRole   = "dialer"
@@ -61,8 +63,11 @@
 
 // readFrame reads one message. A stream ends regularly only with its closing status, so the end
 // of its bytes is io.ErrUnexpectedEOF.
-func readFrame(r protodelim.Reader, m proto.Message) error {
-	err := protodelim.UnmarshalOptions{MaxSize: MaxFrame}.UnmarshalFrom(r, m)
+func readFrame(r protodelim.Reader, m proto.Message) error { return readFrameUpTo(MaxFrame, r, m) }
+
+// readFrameUpTo reads one message of at most so many bytes.
+func readFrameUpTo(size int64, r protodelim.Reader, m proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: size}.UnmarshalFrom(r, m)
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
@@ -117,14 +122,14 @@
 	}
 	r := unbufferedReader{conn}
 	other := &lilacv1.LinkHello{}
-	if err := readFrame(r, other); err != nil {
+	if err := readFrameUpTo(maxHandshakeFrame, r, other); err != nil {
 		return Peer{}, nil, err
 	}
 	if err := writeFrame(conn, &lilacv1.LinkProof{Signature: sign(keys[0], role, own, other)}); err != nil {
 		return Peer{}, nil, err
 	}
 	proof := &lilacv1.LinkProof{}
-	if err := readFrame(r, proof); err != nil {
+	if err := readFrameUpTo(maxHandshakeFrame, r, proof); err != nil {
 		return Peer{}, nil, err
 	}
 	key := provenKey(keys, proof.GetSignature(), otherRole, other, own)
--- a/connection/link/server.go
+++ b/connection/link/server.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 )
 
 // acceptRetryInterval is the pause after an accept that failed for a lack that may pass.
@@ -28,6 +29,8 @@
 	mux *Mux
 	// OnHandshakeError is called for each connection whose handshake failed; may be nil.
 	OnHandshakeError func(remote string, err error)
+	// Handshakes bounds the connections whose handshakes are in progress; nil for no bound.
+	Handshakes *connguard.Guard
 
 	mu sync.Mutex
 	// conns maps each open connection to the key that its peer proved; nil until then.
@@ -85,7 +88,12 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.untrack(conn)
+	handshakeEnded, admitted := s.Handshakes.Admit(conn)
+	if !admitted {
+		return
+	}
 	peer, key, err := handshake(conn, s.id, acceptorRole, dialerRole)
+	handshakeEnded()
 	if err != nil {
 		if s.OnHandshakeError != nil {
 			s.OnHandshakeError(conn.RemoteAddr().String(), err)
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/connection/gossip"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
@@ -134,6 +135,7 @@
 	d.orders = orders.New(orders.Options{View: d.watcher.Current, RequestLease: d.state.Lease, Client: d.entry.clients, Logger: logger})
 	d.orders.SetPosition(d.position(s.Entries))
 	d.links = link.NewServer(id, mux)
+	d.links.Handshakes = d.entry.newGuard("links", connguard.HandshakeLimits(d.entry.machine()))
 	d.registerMembership()
 	return d, d.listen()
 }
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -141,6 +141,7 @@
 		d.follower = d.newFollower(servers, id, control)
 		d.versions = &versionKeeper{service: service, servers: servers, name: s.Name, logger: logger, core: admission.NewCore(), proposed: metrics.RegisterVersionProposals(registry)}
 	}
+	d.links.Handshakes = d.newGuard("links", connguard.HandshakeLimits)
 	if err := d.openServers(control); err != nil {
 		return nil, errors.Join(err, listener.Close(), log.Close())
 	}
@@ -148,10 +149,9 @@
 }
 
 // newGuard returns the account of the connections of a server.
-func (d *Daemon) newGuard(server string) *connguard.Guard {
-	limits := &d.settings.Limits
-	machine := connguard.Machine{Memory: limits.MemoryBytes(), Descriptors: limits.Descriptors()}
-	guard := connguard.New(connguard.InternalLimits(machine), logs.New(d.logger))
+func (d *Daemon) newGuard(server string, limits func(connguard.Machine) connguard.Limits) *connguard.Guard {
+	machine := connguard.Machine{Memory: d.settings.Limits.MemoryBytes(), Descriptors: d.settings.Limits.Descriptors()}
+	guard := connguard.New(limits(machine), logs.New(d.logger))
 	d.guards[server] = guard
 	return guard
 }
@@ -162,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	d.admin = newAdmin(listener, d.newGuard("admin"), d.service, d.registry, d.stopping.Load)
+	d.admin = newAdmin(listener, d.newGuard("admin", connguard.InternalLimits), d.service, d.registry, d.stopping.Load)
 	if d.settings.Control.Value == "" {
 		return nil
 	}
@@ -208,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	d.control = httpserver.New(listener, d.newGuard("control"), httpserver.DefaultPolicy(), control.Handler(&documents{
+	d.control = httpserver.New(listener, d.newGuard("control", connguard.InternalLimits), httpserver.DefaultPolicy(), control.Handler(&documents{
 		service: d.service, decode: control.Decode, logger: d.logger, name: d.settings.Name, control: address,
 	}))
 	return nil
