What is remembered of prompts is bounded in blocks

What callers saw: an entry whose memory grows with every new part that callers name in a prompt, until it ends.

Cause: the estimate of a server's prefix cache was bounded in tokens only.

Change: an instance remembers blocks for a tenth of its memory, divided among its servers, at least 64 each; the least recently used ones are evicted. With 284 MB and 9 servers that is 19,700 each.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -135,12 +135,16 @@
 	return gateway.NewClient(e.gatewayUpstream, protocol)
 }
 
+// blocksDivisor is the part of the memory for what is remembered of prompts.
+const blocksDivisor = 10
+
 func newCore(s *settings.Entry) policy.Core {
 	var seed [8]byte
 	_, _ = rand.Read(seed[:])
 	return policy.New(policy.Options{
 		Instance: s.Name, DataCenter: s.DataCenter, Incarnation: rand.Text(),
 		Seed: binary.LittleEndian.Uint64(seed[:]), Weights: s.Policy, Started: time.Now(),
+		MaxBlocks: int(s.Limits.MemoryBytes() / blocksDivisor / policy.BlockBytes),
 	})
 }
 
--- a/misbehaving/heads_test.go
+++ b/misbehaving/heads_test.go
@@ -109,13 +109,8 @@
 		"short lines": func(number, n int) string {
 			return head("plan", attempt(number, n), 2500, "\r\n") + "\r\n"
 		},
-		"new parts of prompts": func(number, n int) string {
-			var parts []string
-			for part := range 1300 {
-				parts = append(parts, fmt.Sprintf("%x:9", uint64(number*pipelined+n)*1300+uint64(part)))
-			}
-			return begin("plan", attempt(number, n)) + "Prompt-Prefix: " + strings.Join(parts, ",") + "\r\n\r\n"
-		},
+		"new parts of prompts":            func(number, n int) string { return newParts(number, n, 9) },
+		"new parts of prompts, no tokens": func(number, n int) string { return newParts(number, n, 0) },
 		"unknown hosts and paths": func(number, n int) string {
 			return fmt.Sprintf("GET /%d-%d/%s HTTP/1.1\r\nHost: h%d-%d.example\r\nAttempt-Id: %s\r\n\r\n", number, n, strings.Repeat("a", 15_000), number, n, attempt(number, n))
 		},
@@ -140,6 +135,16 @@
 	}
 }
 
+// newParts returns a request that names parts of a prompt that no other one names.
+func newParts(number, n, tokens int) string {
+	const count = 1300
+	var parts []string
+	for part := range count {
+		parts = append(parts, fmt.Sprintf("%x:%d", (number*pipelined+n)*count+part, tokens))
+	}
+	return begin("plan", attempt(number, n)) + "Prompt-Prefix: " + strings.Join(parts, ",") + "\r\n\r\n"
+}
+
 // Guards against a limit that a single request within the limits of the document meets.
 func TestASingleCostlyRequestWithinTheLimitIsServed(t *testing.T) {
 	is := is.New(t)
--- a/request/policy/configure.go
+++ b/request/policy/configure.go
@@ -26,6 +26,7 @@
 	}
 	c.updateTeamWeights()
 	c.configureServers(now, view)
+	c.shareBlocks()
 	c.configurePools(now, view)
 	c.configureParts(now, old, view)
 	c.shareRetries(now)
--- a/request/policy/options.go
+++ b/request/policy/options.go
@@ -22,6 +22,9 @@
 	Started time.Time
 	// Weights are the fleet-wide settings.
 	Weights settings.Policy
+	// MaxBlocks bounds the blocks of prompts that are remembered for all servers, of BlockBytes each;
+	// 0 means DefaultMaxBlocks.
+	MaxBlocks int
 }
 
 // Invariant names a property that the core checks at run time.
--- a/request/policy/prefix.go
+++ b/request/policy/prefix.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // defaultCacheTokens is the assumed size of a server's prefix cache if the configuration does not
 // state one: 4,096 blocks of 16 tokens.
@@ -14,6 +17,8 @@
 	// newest and oldest are the ends of the list in order of use.
 	newest, oldest    *cachedBlock
 	tokens, maxTokens int
+	// maxBlocks bounds the blocks of whatever size: callers choose how many tokens each has.
+	maxBlocks int
 }
 
 // cachedBlock is a block of the cache, linked in order of use.
@@ -25,11 +30,20 @@
 	newer, older *cachedBlock
 }
 
+const (
+	// DefaultMaxBlocks bounds the blocks of all servers if Options state no bound.
+	DefaultMaxBlocks = 1 << 19
+	// BlockBytes is the memory that a block takes, bytes.
+	BlockBytes = 160
+	// minServerBlocks is the bound of a server at least.
+	minServerBlocks = 64
+)
+
 // eventBlockTokens is the length of the blocks that cache events refer to, in tokens.
 const eventBlockTokens = 16
 
 func newPrefixCache() prefixCache {
-	return prefixCache{blocks: make(map[uint64]*cachedBlock), maxTokens: defaultCacheTokens}
+	return prefixCache{blocks: make(map[uint64]*cachedBlock), maxTokens: defaultCacheTokens, maxBlocks: DefaultMaxBlocks}
 }
 
 // insert records the use of a prompt's blocks, which are prefilled by readyAt if they are new. It
@@ -62,11 +76,25 @@
 	if p.oldest == nil {
 		p.oldest = b
 	}
-	for p.tokens > p.maxTokens && p.oldest != b {
+	p.shrink()
+}
+
+// shrink evicts blocks until the cache is within its bounds.
+func (p *prefixCache) shrink() {
+	for (p.tokens > p.maxTokens || len(p.blocks) > p.maxBlocks) && p.oldest != p.newest {
 		p.remove(p.oldest.hash)
 	}
 }
 
+// shareBlocks divides the bound on blocks among the servers.
+func (c *core) shareBlocks() {
+	share := max(cmp.Or(c.options.MaxBlocks, DefaultMaxBlocks)/max(len(c.servers), 1), minServerBlocks)
+	for _, s := range c.servers {
+		s.cache.maxBlocks = share
+		s.cache.shrink()
+	}
+}
+
 func (p *prefixCache) unlink(b *cachedBlock) {
 	if b.newer != nil {
 		b.newer.older = b.older
