Garbage stays within the memory of the settings

What callers saw: an entry that stays within its accounts and still exceeds its memory while requests of many header lines or parts of prompts come without a pause.

Cause: the collector lets the heap double whatever the memory is; nothing told the runtime its size.

Change: with limits.memory_mb the runtime's limit is two thirds of it, so that the rest has room for the program's own pages.

--- a/daemon/program/program.go
+++ b/daemon/program/program.go
@@ -22,11 +22,20 @@
 // running. A daemon with invalid settings exits with settings.ExitCode.
 const exitFailed = 1
 
+// heapShare of shareWhole is the part of the memory above which the collector runs more often, so that
+// garbage takes no more. The rest is for the program's own pages and for the kernel.
+const (
+	heapShare  = 2
+	shareWhole = 3
+)
+
 // Settings are the settings of one kind of daemon.
 type Settings interface {
 	settings.Validator
 	// Shared returns the settings that every kind of daemon has.
 	Shared() *settings.Common
+	// Machine returns what the process may use of its machine.
+	Machine() *settings.ProcessLimits
 }
 
 // Daemon is a process that runs until ctx ends or it receives a stop signal.
@@ -69,6 +78,9 @@
 	if common.GCPercent > 0 {
 		debug.SetGCPercent(common.GCPercent)
 	}
+	if memory := s.Machine().MemoryBytes(); memory > 0 {
+		debug.SetMemoryLimit(memory * heapShare / shareWhole)
+	}
 	output := logs.NewWriter(os.Stdout)
 	defer output.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
--- a/process/settings/limits.go
+++ b/process/settings/limits.go
@@ -22,6 +22,12 @@
 	FileDescriptors int `yaml:"file_descriptors"`
 }
 
+// Machine returns what the process may use of its machine.
+func (e *Entry) Machine() *ProcessLimits { return &e.Limits.ProcessLimits }
+
+// Machine returns what the process may use of its machine.
+func (s *State) Machine() *ProcessLimits { return &s.Limits }
+
 // MemoryBytes returns the memory that the process may use, 0 if it is unknown.
 func (l *ProcessLimits) MemoryBytes() int64 { return l.MemoryMB * bytesPerMB }
 
