--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -46,6 +46,8 @@
 	maxRoomWait = time.Second
 	// noRoomRetry is the Retry-After of a request for which there was no room.
 	noRoomRetry = time.Second
+	// partBytes is the memory that a part of a prompt takes in the types of a request.
+	partBytes = 100
 	// bodyStep is the room asked for at a time for a body of unknown length.
 	bodyStep = 64 << 10
 )
@@ -242,7 +244,8 @@
 		owner.Team = q.Team.Name
 	}
 	q.Hold = h.holdings.Open(owner)
-	if awaitRoom(r.Context(), q, holding.Head, connguard.Cost(headerSize(r))) != nil {
+	cost := connguard.Cost(headerSize(r)) + int64(len(q.Parts))*partBytes
+	if awaitRoom(r.Context(), q, holding.Head, cost) != nil {
 		return errNoRoom("header")
 	}
 	connguard.Release(r.Context())
--- a/connection/gateway/handler_test.go
+++ b/connection/gateway/handler_test.go
@@ -175,3 +175,18 @@
 	is.NoErr(checkHeaderSize(r, len(text)))
 	is.True(checkHeaderSize(r, len(text)-2) != nil)
 }
+
+// Guards against a header of many parts of a prompt, which takes more than its bytes.
+func TestPartsOfAPromptAreHeld(t *testing.T) {
+	is := is.New(t)
+	const parts = 1000
+	h := NewHandler(plainProtocol{}, nil, noCounter{}, noLog{})
+	h.SetHoldings(holding.NewStore(holding.Options{Bytes: 1 << 20}), time.Minute)
+	q := &Request{RequestInfo: RequestInfo{Parts: make([]PromptPart, parts)}}
+	r, err := http.NewRequest(http.MethodGet, "http://h/", nil)
+	is.NoErr(err)
+	is.NoErr(h.openHold(q, r))
+	is.True(q.Hold.Held()[holding.Head] > parts*partBytes)
+	q.Hold.Close()
+	is.True(h.openHold(&Request{RequestInfo: RequestInfo{Parts: make([]PromptPart, 1<<20)}}, r) != nil)
+}
