Documents of operators are held within an account

What callers saw: a state process that runs out of memory under documents that are sent at the same time, or under a single one of a few MB that consists of very many parts.

Cause: each call read up to 8 MiB, for any number of connections, and decoded it whatever its parts take: an empty route of three bytes takes some hundred.

Change: room for the text and for what it takes once decoded, by its objects and values, before either is spent; at most a quarter of the memory for all. What would not fit by itself gets 413, what has no room now 503. Reading with room is one function for callers and operators.

--- a/cmd/lilacbridge-state/main.go
+++ b/cmd/lilacbridge-state/main.go
@@ -16,10 +16,12 @@
 
 func main() {
 	control := state.Control{
-		Decode:  platform.Protocol{}.ParseDocument,
-		List:    (&platform.Platform{}).ServerList,
-		Duties:  (&platform.Platform{}).DutyCalls,
-		Handler: func(documents gateway.DocumentStore) http.Handler { return &platform.Control{Documents: documents} },
+		Decode: platform.Protocol{}.ParseDocument,
+		List:   (&platform.Platform{}).ServerList,
+		Duties: (&platform.Platform{}).DutyCalls,
+		Handler: func(documents gateway.DocumentStore, bodies gateway.DocumentBodies) http.Handler {
+			return &platform.Control{Documents: documents, Bodies: bodies}
+		},
 	}
 	open := func(s *settings.State, logger hclog.Logger) (program.Daemon, error) {
 		return state.NewDaemon(s, logger, state.OpenReplica, control)
--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,6 +13,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/holding"
+	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
@@ -48,8 +47,6 @@
 	noRoomRetry = time.Second
 	// partBytes is the memory that a part of a prompt takes in the types of a request.
 	partBytes = 100
-	// bodyStep is the room asked for at a time for a body of unknown length.
-	bodyStep = 64 << 10
 )
 
 // Request is a request that passed all checks.
@@ -245,7 +242,7 @@
 	}
 	q.Hold = h.holdings.Open(owner)
 	cost := connguard.Cost(headerSize(r)) + int64(len(q.Parts))*partBytes
-	if awaitRoom(r.Context(), q, holding.Head, cost) != nil {
+	if q.Hold.Wait(r.Context(), holding.Head, cost, roomWait(q)) != nil {
 		return errNoRoom("header")
 	}
 	connguard.Release(r.Context())
@@ -360,29 +357,11 @@
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
+	limits := httpserver.BodyLimits{Bytes: limit, RoomWait: roomWait(q)}
 	if h.holdings != nil {
-		// A caller that doesn't go on keeps no room.
-		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(h.writeTimeout))
-		defer func() {
-			// After an error net/http reads on for a while before it sends the response.
-			if err == nil {
-				_ = control.SetReadDeadline(time.Time{})
-			}
-		}()
-	}
-	limited := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength > 0 && r.ContentLength <= limit {
-		if err = awaitRoom(r.Context(), q, holding.Body, r.ContentLength); err == nil {
-			body = make([]byte, r.ContentLength)
-			_, err = io.ReadFull(limited, body)
-		}
-	} else {
-		body, err = readInSteps(r.Context(), q, limited)
+		limits.Time = h.writeTimeout
 	}
+	body, err = httpserver.ReadBody(w, r, q.Hold, limits)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -395,32 +374,10 @@
 	return body, nil
 }
 
-// awaitRoom holds room for the header or a part of the body, and waits for it if there is none.
-func awaitRoom(ctx context.Context, q *Request, reason holding.Reason, bytes int64) error {
-	wait := maxRoomWait
+// roomWait returns how long a request waits for room.
+func roomWait(q *Request) time.Duration {
 	if q.Timeout > 0 {
-		wait = min(wait, q.Timeout/tableWaitDivisor)
-	}
-	return q.Hold.Wait(ctx, reason, bytes, wait)
-}
-
-// readInSteps reads a body of unknown length.
-func readInSteps(ctx context.Context, q *Request, from io.Reader) ([]byte, error) {
-	if q.Hold == nil {
-		return io.ReadAll(from)
-	}
-	var body bytes.Buffer
-	for {
-		if err := awaitRoom(ctx, q, holding.Body, bodyStep); err != nil {
-			return nil, err
-		}
-		n, err := io.CopyN(&body, from, bodyStep)
-		q.Hold.Free(holding.Body, bodyStep-n)
-		if err == io.EOF {
-			return body.Bytes(), nil
-		}
-		if err != nil {
-			return nil, err
-		}
+		return min(maxRoomWait, q.Timeout/tableWaitDivisor)
 	}
+	return maxRoomWait
 }
--- a/connection/gateway/handler_test.go
+++ b/connection/gateway/handler_test.go
@@ -82,9 +82,9 @@
 // connection wraps io.EOF.
 func TestRequestBodyWhoseConnectionBreaksIsNotComplete(t *testing.T) {
 	is := is.New(t)
-	q := &Request{Hold: holding.NewStore(holding.Options{Bytes: 1 << 20}).Open(holding.Owner{})}
+	hold := holding.NewStore(holding.Options{Bytes: 1 << 20}).Open(holding.Owner{})
 	broken := iotest.ErrReader(errors.Join(io.EOF, errors.New("connection closed")))
-	_, err := readInSteps(t.Context(), q, io.MultiReader(strings.NewReader("a part"), broken))
+	_, err := hold.ReadBody(t.Context(), io.MultiReader(strings.NewReader("a part"), broken), -1, time.Second)
 	is.True(err != nil)
 }
 
--- a/connection/holding/core.go
+++ b/connection/holding/core.go
@@ -140,7 +140,7 @@
 	if after > c.limit {
 		return false
 	}
-	return c.withinPart(owner, bytes) || after <= c.limit-c.limit/reserveDivisor
+	return c.withinPart(owner, bytes) || after <= c.largest()
 }
 
 func (c *Core) withinPart(owner Owner, bytes int64) bool {
@@ -197,7 +197,7 @@
 		c.add(h, reason, bytes)
 		return Granted
 	}
-	if bytes > c.limit-c.limit/reserveDivisor || !now.Before(until) {
+	if bytes > c.largest() || !now.Before(until) {
 		c.stats.Refused++
 		return Refused
 	}
@@ -206,6 +206,9 @@
 	return Waiting
 }
 
+// largest returns the most bytes that one owner may hold.
+func (c *Core) largest() int64 { return c.limit - c.limit/reserveDivisor }
+
 // teamWaits reports whether a holder of the team waits; those after it don't overtake it.
 func (c *Core) teamWaits(team string) bool {
 	return slices.ContainsFunc(c.waiters, func(w waiter) bool { return c.holders[w.id].owner.Team == team })
--- /dev/null
+++ b/connection/holding/read.go
@@ -0,0 +1,60 @@
+package holding
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+)
+
+// readStep is the room asked for at a time for a body of unknown length, bytes.
+const readStep = 64 << 10
+
+// ReadBody reads a body of the given length, which is negative if it is unknown, once there is room
+// for it. It waits at most the given time for room, for each step if the length is unknown.
+func (h *Hold) ReadBody(ctx context.Context, from io.Reader, length int64, wait time.Duration) ([]byte, error) {
+	if length < 0 {
+		return h.readInSteps(ctx, from, wait)
+	}
+	if err := h.Wait(ctx, Body, length, wait); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+func (h *Hold) readInSteps(ctx context.Context, from io.Reader, wait time.Duration) ([]byte, error) {
+	if h == nil {
+		return io.ReadAll(from)
+	}
+	var body bytes.Buffer
+	for {
+		if err := h.Wait(ctx, Body, readStep, wait); err != nil {
+			return nil, err
+		}
+		n, err := io.CopyN(&body, from, readStep)
+		h.Free(Body, readStep-n)
+		if err == io.EOF {
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// WaitToDecode holds room for what a text takes once it is decoded. What would not even fit into an
+// empty account gets all that one owner may have, so that it is decoded by itself.
+func (h *Hold) WaitToDecode(ctx context.Context, cost int64, wait time.Duration) error {
+	if h == nil {
+		return nil
+	}
+	return h.Wait(ctx, Body, min(cost, h.store.core.largest()), wait)
+}
+
+// DecodeCost estimates the memory that a JSON text takes once it is decoded, in bytes, by the number
+// of its objects and of its values.
+func DecodeCost(text []byte, objectBytes, valueBytes int64) int64 {
+	return int64(len(text)) + int64(bytes.Count(text, []byte{'{'}))*objectBytes + int64(bytes.Count(text, []byte{','}))*valueBytes
+}
--- a/connection/holding/store.go
+++ b/connection/holding/store.go
@@ -53,6 +53,9 @@
 	return s.core.Stats()
 }
 
+// Fits reports whether so many bytes would fit into an empty account.
+func (s *Store) Fits(bytes int64) bool { return s == nil || bytes <= s.core.largest() }
+
 // Hold is what the store holds for one request. Take, Wait, Force and Free may be called by
 // one goroutine each at a time. A nil Hold grants everything.
 type Hold struct {
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/connguard"
 	"github.com/lilacbridge/lilacbridge/connection/duties"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
+	"github.com/lilacbridge/lilacbridge/connection/holding"
 	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/connection/originlink"
@@ -86,7 +87,7 @@
 
 // ControlHandler returns the HTTP handler through which operators read and write the
 // gateway's document.
-type ControlHandler func(documents gateway.DocumentStore) http.Handler
+type ControlHandler func(documents gateway.DocumentStore, bodies gateway.DocumentBodies) http.Handler
 
 // Control holds the platform's implementation of the gateway interfaces. Its zero
 // value is for a state process without a gateway.
@@ -208,9 +209,12 @@
 	if err != nil {
 		return err
 	}
-	d.control = httpserver.New(listener, d.newGuard("control", connguard.InternalLimits), httpserver.DefaultPolicy(), control.Handler(&documents{
+	holdings := holding.NewStore(holding.Options{Bytes: d.settings.HeldBytes(), Log: logs.New(d.logger)})
+	d.registry.MustRegister(holding.Collector(holdings))
+	handler := control.Handler(&documents{
 		service: d.service, decode: control.Decode, logger: d.logger, name: d.settings.Name, control: address,
-	}))
+	}, gateway.DocumentBodies{Holdings: holdings})
+	d.control = httpserver.New(listener, d.newGuard("control", connguard.InternalLimits), httpserver.DefaultPolicy(), handler)
 	return nil
 }
 
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -73,9 +73,6 @@
 }
 
 const (
-	// heldDivisor is the part of the memory that the account gets by default. The collector
-	// lets the heap grow beyond what is held, and the process needs memory of its own.
-	heldDivisor = 5
 	// minHeldBytes is the least bound with which a large body, and those of others beside it,
 	// find room.
 	minHeldBytes         = 1 << 20
--- a/process/settings/limits.go
+++ b/process/settings/limits.go
@@ -7,7 +7,13 @@
 )
 
 const (
-	bytesPerMB = 1_000_000
+	// heldDivisor is the part of the memory that the account of what a process holds for others gets
+	// by default. The collector lets the heap grow beyond what is held, and the process needs memory
+	// of its own.
+	heldDivisor = 5
+	// unknownHeldBytes is the bound of a state process whose memory is unknown, bytes.
+	unknownHeldBytes = 200_000_000
+	bytesPerMB       = 1_000_000
 	// minFileDescriptors is enough for the listeners, files and links of a process in a small
 	// fleet, and for a few callers.
 	minFileDescriptors = 64
--- a/process/settings/state.go
+++ b/process/settings/state.go
@@ -41,6 +41,9 @@
 }
 
 const (
+	// stateHeldDivisor is the part of the memory that documents may take while they are received and
+	// decoded. It has room for the largest one on a machine of 280 MB.
+	stateHeldDivisor      = 4
 	defaultHeartbeat      = 200 * time.Millisecond
 	defaultElection       = time.Second
 	defaultClaimRetention = 24 * time.Hour
@@ -73,3 +76,11 @@
 	all = append(all, s.Duties.validate(s.Name)...)
 	return errors.Join(all...)
 }
+
+// HeldBytes returns the most that the process holds for operators, in bytes.
+func (s *State) HeldBytes() int64 {
+	if s.Limits.MemoryMB == 0 {
+		return unknownHeldBytes
+	}
+	return max(s.Limits.MemoryBytes()/stateHeldDivisor, minHeldBytes)
+}
