Bodies of operators are held within the account of the instance

What callers saw: an entry that runs out of memory while operators, or scripts with their token, send large files at the same time.

Cause: each call read up to 16 MiB and parsed it, for any number of connections.

Change: the body, and eight times its bytes for parsing, need room in the account of held bytes; a body has 10 s to arrive. Without room the answer is a typed error that states not run.

--- a/connection/holding/read.go
+++ b/connection/holding/read.go
@@ -44,13 +44,17 @@
 	}
 }
 
-// WaitToDecode holds room for what a text takes once it is decoded. What would not even fit into an
-// empty account gets all that one owner may have, so that it is decoded by itself.
+// WaitToDecode holds room for what a text takes once it is decoded. If that would not even fit into an
+// empty account, the text gets all that one owner may have, so that it is decoded by itself.
 func (h *Hold) WaitToDecode(ctx context.Context, cost int64, wait time.Duration) error {
 	if h == nil {
 		return nil
 	}
-	return h.Wait(ctx, Body, min(cost, h.store.core.largest()), wait)
+	rest := h.store.core.largest()
+	for _, held := range h.Held() {
+		rest -= held
+	}
+	return h.Wait(ctx, Body, min(cost, max(rest, 0)), wait)
 }
 
 // DecodeCost estimates the memory that a JSON text takes once it is decoded, in bytes, by the number
--- a/connection/operator/operator.go
+++ b/connection/operator/operator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/holding"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/secret"
@@ -21,6 +22,11 @@
 	maxBodyBytes = 16 << 20
 	// gatherTimeout is the default of Options.GatherTimeout.
 	gatherTimeout = 2 * time.Second
+	// bodyTime bounds the time for a body to arrive, roomWait the wait for room for it.
+	bodyTime = 10 * time.Second
+	roomWait = 2 * time.Second
+	// decodedShare is what a body takes once it is decoded and parsed, by its bytes.
+	decodedShare = 8
 	// proposeTimeout bounds the wait until a quorum has accepted a change.
 	proposeTimeout = 10 * time.Second
 )
@@ -58,7 +64,9 @@
 	GatherTimeout time.Duration
 	// Operators returns the tokens of the operators.
 	Operators func() *secret.Operators
-	Now       func() time.Time
+	// Holdings is the account of what the instance holds; nil if that isn't bounded.
+	Holdings *holding.Store
+	Now      func() time.Time
 	// OnRefused is called for each request without a valid token; may be nil.
 	OnRefused func()
 }
@@ -92,7 +100,9 @@
 			writeError(w, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no configuration yet; check that the state processes run, or ask another instance"))
 			return
 		}
-		body, err := readBody(w, r)
+		hold := h.Holdings.Open(holding.Owner{Caller: "operator " + who})
+		defer hold.Close()
+		body, err := readBody(w, r, hold)
 		if err != nil {
 			writeError(w, err)
 			return
--- a/connection/operator/reply.go
+++ b/connection/operator/reply.go
@@ -3,10 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/holding"
+	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/version/table"
 )
@@ -120,13 +121,19 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+// readBody reads the body once there is room for it and for what it takes once it is parsed.
+func readBody(w http.ResponseWriter, r *http.Request, hold *holding.Hold) ([]byte, error) {
+	body, err := httpserver.ReadBody(w, r, hold, httpserver.BodyLimits{Bytes: maxBodyBytes, Time: bodyTime, RoomWait: roomWait})
+	if err == nil {
+		err = hold.WaitToDecode(r.Context(), int64(len(body))*decodedShare, roomWait)
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, fault.Newf(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "the request body is larger than %d bytes; split the file", maxBodyBytes)
-	}
-	if err != nil {
+	case errors.Is(err, holding.ErrNoRoom):
+		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance holds too much for others to accept the request body; send it again, or to another instance", fault.WithNotRun(lilacv1.NotRun_NOT_RUN_TRUE))
+	case err != nil:
 		return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "the request body could not be read")
 	}
 	return body, nil
--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -310,7 +310,7 @@
 		View: d.watcher.Current, Newest: d.watcher.LatestKnown, State: d.state, Local: d.query,
 		Peers:      func() []operator.Peer { return d.dialer.peers(d.liveEntries()) },
 		StatePeers: func() []operator.Peer { return d.dialer.peers(d.settings.State) },
-		Operators:  d.operators.Get, Now: time.Now,
+		Operators:  d.operators.Get, Now: time.Now, Holdings: d.entry.holdings,
 		OnRefused: func() { d.entry.counters.Refused("operator_unauthenticated") },
 	})
 	return httpserver.New(listener, d.entry.internalGuard("operators"), httpserver.DefaultPolicy(), handler)
