Headers and bodies of chats are held within the account of the instance

What callers saw: an entry that runs out of memory under chats of legal size, unfinished or of very many messages.

Cause: limits.held_bytes covered gateway requests only. And a header was refused within its limit if its lines are short: it counted four separators a line, where two can do.

Change: chats and requests for plain services get room for their header, their body and what that takes once decoded; without room 503 with Retry-After. The size of a header is the same for both protocols.

--- a/connection/caller/check.go
+++ b/connection/caller/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +9,8 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/holding"
+	"github.com/lilacbridge/lilacbridge/connection/httpserver"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -27,19 +28,8 @@
 	notReadyRetry = 2 * time.Second
 )
 
-// headerSize returns the size of the request line and header in bytes.
-func headerSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI)
-	for key, values := range r.Header {
-		for _, value := range values {
-			size += len(key) + len(value) + len(": \r\n")
-		}
-	}
-	return size
-}
-
 func (h *Handler) checkHeader(r *http.Request) error {
-	if headerSize(r) > h.limits.HeaderBytes {
+	if bytes, _ := httpserver.HeaderSize(r); bytes > h.limits.HeaderBytes {
 		return h.errHeaderTooLarge()
 	}
 	return nil
@@ -91,18 +81,19 @@
 //
 // The deadline covers the whole body and not each read, so that callers can't hold
 // connections and memory by sending single bytes (slow loris).
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, hold *holding.Hold) ([]byte, error) {
 	if r.ContentLength > h.limits.BodyBytes {
 		return nil, h.errBodyTooLarge()
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(h.limits.ReadTimeout.Duration))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.limits.BodyBytes))
+	limits := httpserver.BodyLimits{Bytes: h.limits.BodyBytes, Time: h.limits.ReadTimeout.Duration, RoomWait: maxRoomWait}
+	body, err := httpserver.ReadBody(w, r, hold, limits)
 	var tooLarge *http.MaxBytesError
 	var network net.Error
 	switch {
 	case err == nil:
-		return body, control.SetReadDeadline(time.Time{})
+		return body, nil
+	case errors.Is(err, holding.ErrNoRoom):
+		return nil, errNoRoom("body")
 	case errors.As(err, &tooLarge):
 		return nil, h.errBodyTooLarge()
 	case errors.As(err, &network) && network.Timeout():
--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/connection/holding"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -37,6 +38,8 @@
 	router      Router
 	counter     Counter
 	noKeepAlive atomic.Bool
+	// holdings is nil if what the instance holds isn't bounded.
+	holdings *holding.Store
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -47,6 +50,10 @@
 	return &Handler{instance: s.Name, callerKey: callerKey, limits: s.Limits, router: router, counter: counter}
 }
 
+// SetHoldings has the handler hold headers and bodies by the account of holdings. It must be called
+// before the first request.
+func (h *Handler) SetHoldings(holdings *holding.Store) { h.holdings = holdings }
+
 func newRequestID() string {
 	var id [requestIDBytes]byte
 	_, _ = rand.Read(id[:])
@@ -84,22 +91,30 @@
 	if err := h.checkMeta(r, view, &meta); err != nil {
 		return err
 	}
+	hold, err := h.openHold(r, meta.Team)
+	if err != nil {
+		return err
+	}
+	defer hold.Close()
 	switch path := r.URL.Path; {
 	case path == chatPath && r.Method == http.MethodPost:
-		return h.chat(w, r, view, meta, rw)
+		return h.chat(w, r, view, meta, hold, rw)
 	case path == modelsPath && r.Method == http.MethodGet:
 		return h.models(view, rw)
 	case strings.HasPrefix(path, servicePrefix):
-		return h.service(w, r, view, meta, rw)
+		return h.service(w, r, view, meta, hold, rw)
 	}
 	return refused(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "no endpoint for "+r.Method+" "+strconv.Quote(r.URL.Path)+"; see docs/INTERFACES.md")
 }
 
-func (h *Handler) chat(w http.ResponseWriter, r *http.Request, view *model.View, meta Meta, rw *ResponseWriter) error {
-	body, err := h.readBody(w, r)
+func (h *Handler) chat(w http.ResponseWriter, r *http.Request, view *model.View, meta Meta, hold *holding.Hold, rw *ResponseWriter) error {
+	body, err := h.readBody(w, r, hold)
 	if err != nil {
 		return err
 	}
+	if hold.WaitToDecode(r.Context(), holding.DecodeCost(body, messageBytes, valueBytes), maxRoomWait) != nil {
+		return errNoRoom("body")
+	}
 	fields, err := parseChat(body)
 	if err != nil {
 		return err
@@ -114,12 +129,12 @@
 	return h.router.Chat(ctx, &Chat{Meta: meta, ChatFields: fields}, rw)
 }
 
-func (h *Handler) service(w http.ResponseWriter, r *http.Request, view *model.View, meta Meta, rw *ResponseWriter) error {
+func (h *Handler) service(w http.ResponseWriter, r *http.Request, view *model.View, meta Meta, hold *holding.Hold, rw *ResponseWriter) error {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
 	if !serves(view, name, lilacv1.ServerKind_SERVER_KIND_SERVICE) {
 		return refused(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "service "+strconv.Quote(name)+" is not served by any server; check the path")
 	}
-	body, err := h.readBody(w, r)
+	body, err := h.readBody(w, r, hold)
 	if err != nil {
 		return err
 	}
--- a/connection/caller/rejection.go
+++ b/connection/caller/rejection.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,14 +11,8 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 )
 
-const (
-	// idleTimeout is how long a caller's connection may stay open without a request.
-	idleTimeout = 2 * time.Minute
-	// noRoomRetry is the Retry-After of a request for which there was no room, and retryJitter the
-	// maximum random addition.
-	noRoomRetry = time.Second
-	retryJitter = 400 * time.Millisecond
-)
+// idleTimeout is how long a caller's connection may stay open without a request.
+const idleTimeout = 2 * time.Minute
 
 // ConnectionPolicy returns the limits of request headers, and the typed errors for those that exceed
 // them.
@@ -47,5 +40,5 @@
 	case connguard.TooSlow:
 		return refused(lilacv1.ErrorKind_ERROR_KIND_SLOW_CALLER, "request header did not arrive within "+h.limits.ReadTimeout.String()+"; send it faster")
 	}
-	return refused(lilacv1.ErrorKind_ERROR_KIND_UNAVAILABLE, "this instance has no room for the request; retry after Retry-After", fault.WithRetryAfter(noRoomRetry+rand.N(retryJitter)))
+	return errNoRoom("header")
 }
--- a/connection/gateway/handler.go
+++ b/connection/gateway/handler.go
@@ -241,7 +241,7 @@
 		owner.Team = q.Team.Name
 	}
 	q.Hold = h.holdings.Open(owner)
-	cost := connguard.Cost(headerSize(r)) + int64(len(q.Parts))*partBytes
+	cost := connguard.Cost(httpserver.HeaderSize(r)) + int64(len(q.Parts))*partBytes
 	if q.Hold.Wait(r.Context(), holding.Head, cost, roomWait(q)) != nil {
 		return errNoRoom("header")
 	}
@@ -288,26 +288,8 @@
 	return host
 }
 
-// headerSize returns the least number of bytes in which the header can have arrived, and the number
-// of its lines.
-func headerSize(r *http.Request) (bytes, lines int) {
-	const (
-		requestLine = len("  HTTP/1.1\n")
-		hostLine    = len("Host:\n")
-		separators  = len(":\n")
-	)
-	bytes, lines = len(r.Method)+len(r.RequestURI)+requestLine+len(r.Host)+hostLine, 2
-	for name, values := range r.Header {
-		for _, value := range values {
-			bytes += len(name) + len(value) + separators
-		}
-		lines += len(values)
-	}
-	return bytes, lines
-}
-
 func checkHeaderSize(r *http.Request, limit int) error {
-	if bytes, _ := headerSize(r); limit > 0 && bytes > limit {
+	if bytes, _ := httpserver.HeaderSize(r); limit > 0 && bytes > limit {
 		return refused(lilacv1.ErrorKind_ERROR_KIND_TOO_LARGE, "the request header is larger than the configuration allows; send a smaller one")
 	}
 	return nil
--- a/connection/gateway/handler_test.go
+++ b/connection/gateway/handler_test.go
@@ -162,18 +162,13 @@
 	group.Wait()
 }
 
-// Guards against a head of short lines that passes at over twice its limit, and against one that is
-// refused within it: a line has two separators at least, a colon and a line feed.
-func TestSizeOfAHeadCountsItsSeparators(t *testing.T) {
+// Guards against a header of short lines that passes at over twice the limit of the document.
+func TestHeaderOverTheLimitIsRefused(t *testing.T) {
 	is := is.New(t)
-	text := "GET / HTTP/1.1\nHost:h\n" + strings.Repeat("a:\n", 1000) + "\n"
-	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET / HTTP/1.1\nHost:h\n" + strings.Repeat("a:\n", 1000) + "\n")))
 	is.NoErr(err)
-	bytes, lines := headerSize(r)
-	is.Equal(bytes, len(text)-1)
-	is.Equal(lines, 1002)
-	is.NoErr(checkHeaderSize(r, len(text)))
-	is.True(checkHeaderSize(r, len(text)-2) != nil)
+	is.NoErr(checkHeaderSize(r, 3022))
+	is.True(checkHeaderSize(r, 3021) != nil)
 }
 
 // Guards against a header of many parts of a prompt, which takes more than its bytes.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -120,6 +120,7 @@
 	metrics.RegisterTraffic(e.registry, "lilacbridge_control_upstream_packets_total",
 		"Packets of control calls to backend servers, acknowledgements included.", e.clients.ControlPackets)
 	e.callers = caller.NewHandler(options.Settings, options.CallerKey, e.relay, e.counters)
+	e.callers.SetHoldings(e.holdings)
 	e.poller = engine.NewPoller(engines, reports{e.relay})
 	return e
 }
