Lines of the log are bounded

What callers saw: nothing yet; found by reading. A line quotes paths and ids as long as clients send them, up to 16 kB each, or MBs of a document, and 1,024 lines may wait for a reader: 16 MB and more.

Change: a line has 4 KiB at most. Of a longer one each text keeps 256 bytes and its length; one that is still too long is replaced by a line with its length. TestLinesAreBounded.

--- a/process/logs/logs_test.go
+++ b/process/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -85,3 +86,31 @@
 	is.Equal(strings.Count(text.String(), "Unsolicited response"), linesPerSecond[Failure])
 	is.True(!strings.Contains(text.String(), "secret"))
 }
+
+// Guards against lines as long as what clients send, of which very many may wait for a reader.
+func TestLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var text lockedBuffer
+	w := NewWriter(&text)
+	logger := hclog.New(&hclog.LoggerOptions{Output: w, JSONFormat: true})
+	logger.Info("request refused", "path", "/"+strings.Repeat("\u00e9", 100_000), "status", 503)
+	logger.Info("many", "list", make([]int, 100_000))
+	logger.Info("usual", "path", strings.Repeat("a", maxValueBytes+1))
+	is.NoErr(w.Close())
+	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+	is.Equal(len(lines), 3)
+	var fields struct {
+		Message string `json:"@message"`
+		Path    string
+		Status  int
+	}
+	is.NoErr(json.Unmarshal([]byte(lines[0]), &fields))
+	is.Equal(fields.Message, "request refused")
+	is.Equal(fields.Status, 503)
+	is.True(strings.HasSuffix(fields.Path, "\u00e9... (200001 bytes)"))
+	is.True(strings.Contains(lines[1], "left out"))
+	is.True(strings.Contains(lines[2], strings.Repeat("a", maxValueBytes+1)+`"`))
+	for _, line := range lines {
+		is.True(len(line) <= maxLineBytes)
+	}
+}
--- a/process/logs/writer.go
+++ b/process/logs/writer.go
@@ -3,8 +3,10 @@
 package logs
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,10 @@
 	queueLength = 1024
 	// flushTimeout limits the wait for the last lines when the process exits.
 	flushTimeout = 200 * time.Millisecond
+	// maxLineBytes bounds a line, bytes. Lines quote what clients send.
+	maxLineBytes = 4 << 10
+	// maxValueBytes is what is left of a text in a line that is too long, bytes.
+	maxValueBytes = 256
 )
 
 // Writer forwards lines from a separate goroutine.
@@ -42,7 +48,7 @@
 
 // Write queues a copy of one line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	queued := append([]byte(nil), line...)
+	queued := shorten(line)
 	select {
 	case w.lines <- queued:
 	default:
@@ -95,3 +101,22 @@
 	}
 	_, _ = w.out.Write(line)
 }
+
+// shorten returns a copy of the line, with its texts cut if it is too long.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	var fields map[string]any
+	if json.Unmarshal(line, &fields) == nil {
+		for name, value := range fields {
+			if text, ok := value.(string); ok && len(text) > maxValueBytes {
+				fields[name] = fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxValueBytes], ""), len(text))
+			}
+		}
+		if short, err := json.Marshal(fields); err == nil && len(short) < maxLineBytes {
+			return append(short, '\n')
+		}
+	}
+	return fmt.Appendf(nil, `{"@level":"warn","@message":"log line left out, it is too long","@timestamp":%q,"bytes":%d}`+"\n", time.Now().UTC().Format(time.RFC3339Nano), len(line))
+}
