Readers of the document share its text

What callers saw: a state process that runs out of memory under clients that ask for a large document and don't read it.

Cause: each GET unpacked the document for itself and held the text until its client had read it.

Change: the text is unpacked once for each document in force.

TestUnreadDocumentsTakeNoMemory; crowds may leave answers unread.

--- a/daemon/state/documents.go
+++ b/daemon/state/documents.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,6 +37,11 @@
 	// control is this process's address for operators; all state processes use the
 	// same port.
 	control netip.AddrPort
+
+	// mu guards unpacked and its text, which all readers share. It is held while a text is unpacked.
+	mu       sync.Mutex
+	unpacked *lilacv1.Document
+	text     []byte
 }
 
 var _ gateway.DocumentStore = (*documents)(nil)
@@ -92,7 +98,21 @@
 	if document == nil {
 		return nil, fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_FOUND, "no document has been accepted yet; put one first")
 	}
-	return packed.Text(document)
+	return d.textOf(document)
+}
+
+// textOf returns the text of a document. Readers that don't read on would each hold a copy.
+func (d *documents) textOf(document *lilacv1.Document) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unpacked == document {
+		return d.text, nil
+	}
+	text, err := packed.Text(document)
+	if err == nil {
+		d.unpacked, d.text = document, text
+	}
+	return text, err
 }
 
 // redirectToLeader turns a NOT_LEADER error into a redirect to the leader's address for
--- a/misbehaving/bodies_test.go
+++ b/misbehaving/bodies_test.go
@@ -36,7 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
-			s.withstand(t, crowd{c.address(s), 100, func(w *bufio.Writer, _ int) error {
+			s.withstand(t, crowd{address: c.address(s), connections: 100, write: func(w *bufio.Writer, _ int) error {
 				if _, err := w.WriteString(c.before); err != nil {
 					return err
 				}
@@ -66,6 +66,16 @@
 	s.check(t)
 }
 
+// Guards against readers of the document that don't read on: each would hold its text.
+func TestUnreadDocumentsTakeNoMemory(t *testing.T) {
+	s := newSystem(t, usual)
+	s.putDocument(t, 2, 10_000)
+	s.withstand(t, crowd{address: s.control, connections: 60, unread: true, write: func(w *bufio.Writer, _ int) error {
+		_, err := w.WriteString(strings.Repeat("GET /configuration HTTP/1.1\r\nHost: h\r\n\r\n", 10))
+		return err
+	}})
+}
+
 // Guards against a message before the handshake of the processes that states a length of some MB:
 // it costs its sender a few bytes.
 func TestLinksTakeNoMemoryBeforeTheirHandshake(t *testing.T) {
@@ -75,7 +85,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
-			s.withstand(t, crowd{address(s), 60, func(w *bufio.Writer, _ int) error {
+			s.withstand(t, crowd{address: address(s), connections: 60, write: func(w *bufio.Writer, _ int) error {
 				// The length of a message of 4 MiB as a varint, and most of its bytes.
 				if _, err := w.WriteString("\x80\x80\x80\x02"); err != nil {
 					return err
@@ -90,20 +100,20 @@
 func TestAllKindsAtOnce(t *testing.T) {
 	s := newSystem(t, usual)
 	crowds := []crowd{
-		{s.callers, 20, writeHeadOverLimit}, {s.readiness, 10, writeHeadOverLimit}, {s.entryAdmin, 10, writeHeadOverLimit},
-		{s.control, 10, writeHeadOverLimit}, {s.stateAdmin, 10, writeHeadOverLimit},
-		{s.callers, 100, func(w *bufio.Writer, number int) error {
+		{address: s.callers, connections: 20, write: writeHeadOverLimit}, {address: s.readiness, connections: 10, write: writeHeadOverLimit}, {address: s.entryAdmin, connections: 10, write: writeHeadOverLimit},
+		{address: s.control, connections: 10, write: writeHeadOverLimit}, {address: s.stateAdmin, connections: 10, write: writeHeadOverLimit},
+		{address: s.callers, connections: 100, write: func(w *bufio.Writer, number int) error {
 			_, err := w.WriteString(head("plan", fmt.Sprint("c", number), 2500, "\r\n") + "\r\n")
 			return err
 		}},
-		{s.callers, 100, func(w *bufio.Writer, number int) error {
+		{address: s.callers, connections: 100, write: func(w *bufio.Writer, number int) error {
 			_, err := w.WriteString(head("plan", fmt.Sprint("u", number), 2500, "\r\n"))
 			return err
 		}},
-		{s.callers, 100, writeNothing},
+		{address: s.callers, connections: 100, write: writeNothing},
 	}
 	for _, c := range withoutEnd {
-		crowds = append(crowds, crowd{s.callers, 5, func(w *bufio.Writer, _ int) error {
+		crowds = append(crowds, crowd{address: s.callers, connections: 5, write: func(w *bufio.Writer, _ int) error {
 			if _, err := w.WriteString(c.before); err != nil {
 				return err
 			}
--- a/misbehaving/connections_test.go
+++ b/misbehaving/connections_test.go
@@ -31,7 +31,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, few)
-			s.withstand(t, crowd{address(s), 300, writeNothing})
+			s.withstand(t, crowd{address: address(s), connections: 300, write: writeNothing})
 		})
 	}
 }
@@ -39,5 +39,5 @@
 // Guards against the same by connections that have sent a part of a head.
 func TestHalfHeadsLeaveDescriptors(t *testing.T) {
 	s := newSystem(t, few)
-	s.withstand(t, crowd{s.callers, 300, writeHalfHead})
+	s.withstand(t, crowd{address: s.callers, connections: 300, write: writeHalfHead})
 }
--- a/misbehaving/crowd_test.go
+++ b/misbehaving/crowd_test.go
@@ -24,21 +24,29 @@
 	connections int
 	// write sends what the client with the number sends.
 	write func(w *bufio.Writer, number int) error
+	// unread is set if the clients read no more than the first byte of the answers.
+	unread bool
 }
 
-// send opens a connection and sends. It discards the answers, and returns the connection, or nil
-// if there is none.
+// send opens a connection and sends. It discards the answers, unless they stay unread, and returns the
+// connection, or nil if there is none.
 func (c crowd) send(number int) net.Conn {
 	conn, err := net.DialTimeout("tcp", c.address, sendTimeout)
 	if err != nil {
 		return nil
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))
-	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	if !c.unread {
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+	}
 	w := bufio.NewWriterSize(conn, 64<<10)
 	if c.write(w, number) == nil {
 		_ = w.Flush()
 	}
+	if c.unread {
+		_ = conn.SetReadDeadline(time.Now().Add(sendTimeout))
+		_, _ = conn.Read(make([]byte, 1))
+	}
 	return conn
 }
 
--- a/misbehaving/heads_test.go
+++ b/misbehaving/heads_test.go
@@ -29,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
-			s.withstand(t, crowd{address(s), 60, writeHeadOverLimit})
+			s.withstand(t, crowd{address: address(s), connections: 60, write: writeHeadOverLimit})
 		})
 	}
 }
@@ -66,7 +66,7 @@
 	for name, c := range withoutEnd {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
-			s.withstand(t, crowd{s.callers, 100, func(w *bufio.Writer, _ int) error {
+			s.withstand(t, crowd{address: s.callers, connections: 100, write: func(w *bufio.Writer, _ int) error {
 				if _, err := w.WriteString(c.before); err != nil {
 					return err
 				}
@@ -91,7 +91,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
-			s.withstand(t, crowd{s.callers, 400, func(w *bufio.Writer, number int) error {
+			s.withstand(t, crowd{address: s.callers, connections: 400, write: func(w *bufio.Writer, number int) error {
 				_, err := w.WriteString(head("plan", attempt(number, 0), c.lines, c.lineEnd) + c.end)
 				return err
 			}})
@@ -123,7 +123,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
-			s.withstand(t, crowd{s.callers, 100, func(w *bufio.Writer, number int) error {
+			s.withstand(t, crowd{address: s.callers, connections: 100, write: func(w *bufio.Writer, number int) error {
 				for n := range pipelined {
 					if _, err := w.WriteString(request(number, n)); err != nil {
 						return err
--- a/misbehaving/system_test.go
+++ b/misbehaving/system_test.go
@@ -189,7 +189,7 @@
 		"name: entry-1\ndata_center: dc-0\nlink: %s\nadmin: %s\ncallers: %s\noperators: %s\ncaller_key_file: callers\noperator_tokens_file: operators\n"+
 			"state:\n  - {name: state-1, address: %q, data_center: dc-0}\ngateway:\n  callers: %s\n  readiness: %s\n  server_list: %s\n",
 		s.entryLink, s.entryAdmin, s.chat, s.operators, s.stateLink, s.callers, s.readiness, list), l.descriptors)
-	s.putDocument(t)
+	s.putDocument(t, 1, 0)
 	s.await(t, func() bool { return status("http://"+s.readiness+"/readiness") == http.StatusOK })
 	s.await(t, func() bool { return s.ordinary() == nil })
 	return s
@@ -217,10 +217,14 @@
 // maxHeaderBytes is the limit in the document.
 const maxHeaderBytes = 16384
 
-// putDocument sends the document until it is accepted.
-func (s *system) putDocument(t *testing.T) {
+// putDocument sends a version of the document, with some more routes, until it is accepted.
+func (s *system) putDocument(t *testing.T, version uint64, routes int) {
 	is := is.New(t)
-	text, err := standin.Document(1, nil, map[string][]string{"north": {key}})
+	extra := make([]string, routes)
+	for i := range extra {
+		extra[i] = fmt.Sprint("route-", i)
+	}
+	text, err := standin.Document(version, extra, map[string][]string{"north": {key}})
 	is.NoErr(err)
 	var document map[string]any
 	is.NoErr(json.Unmarshal(text, &document))
