Connections of a crowd have small receive buffers

What callers saw: nothing yet; found by reading. Bytes that arrived and that nobody reads, since a request of the connection is handled or waits for room, count toward the memory of the process. At 128 KiB and more for each of 1,640 connections they exceed it.

Change: from an eighth of the connections on, and from 64, a further connection gets a receive buffer of 16 KiB. Fewer connections, and those of operators, keep the kernel's.

--- a/connection/connguard/conn.go
+++ b/connection/connguard/conn.go
@@ -17,6 +17,9 @@
 	maxLibraryHeaderBytes = math.MaxInt32
 	// readAhead is how many bytes net/http may read beyond the end of a head, bytes.
 	readAhead = 4 << 10
+	// crowdedReadBuffer bounds what the kernel holds of what a client has sent and nobody has read,
+	// where there are many clients, bytes.
+	crowdedReadBuffer = 16 << 10
 	// respondTimeout bounds the time to write a rejection.
 	respondTimeout = 100 * time.Millisecond
 	// lingerTime and lingerBytes bound what is read after a rejection, so that a client that still
--- a/connection/connguard/core.go
+++ b/connection/connguard/core.go
@@ -19,6 +19,10 @@
 	// the table of the header with its strings, and copies of the bytes.
 	costPerLine = 192
 	costPerByte = 3
+	// crowdDivisor is the part of the connections from which on further ones count as a crowd, minCrowd
+	// the least number.
+	crowdDivisor = 8
+	minCrowd     = maxInternalConnections
 	// closingDivisor is the part of the connections that may be open beyond the limit while others
 	// are closing.
 	closingDivisor = 8
@@ -80,6 +84,11 @@
 // Stats returns the present state and the counts.
 func (c *Core) Stats() Stats { return c.stats }
 
+// Crowded reports whether so many connections are open that what the kernel holds for each matters.
+func (c *Core) Crowded() bool {
+	return c.stats.Connections > max(c.limits.Connections/crowdDivisor, minCrowd)
+}
+
 // Roomy reports whether there is room for some more connections and heads.
 func (c *Core) Roomy() bool {
 	return c.stats.Connections < c.limits.Connections-c.limits.Connections/closingDivisor && c.stats.HeadBytes <= c.limits.HeadBytes/2
--- a/connection/connguard/guard.go
+++ b/connection/connguard/guard.go
@@ -101,27 +101,33 @@
 func (g *Guard) open(nc net.Conn, policy Policy) *conn {
 	c := &conn{Conn: nc, guard: g, policy: policy}
 	c.await()
-	if c.member = g.openMember(nc, c.evict); c.member == nil {
+	var crowded bool
+	if c.member, crowded = g.openMember(nc, c.evict); c.member == nil {
 		return nil
 	}
+	if buffered, ok := nc.(interface{ SetReadBuffer(int) error }); ok && crowded {
+		// A connection keeps its usual buffer if this fails.
+		_ = buffered.SetReadBuffer(crowdedReadBuffer)
+	}
 	return c
 }
 
 // openMember adds a connection to the account, and evicts another one if that is needed. It returns
 // nil if there is no room.
-func (g *Guard) openMember(nc net.Conn, onEvict func()) *Member {
+func (g *Guard) openMember(nc net.Conn, onEvict func()) (m *Member, crowded bool) {
 	host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
 	g.mu.Lock()
 	m, evicted := g.core.Open(host)
 	if m != nil {
 		m.onEvict = onEvict
 	}
+	crowded = g.core.Crowded()
 	g.logShortage(m == nil || evicted != nil)
 	g.mu.Unlock()
 	if evicted != nil {
 		evicted.onEvict()
 	}
-	return m
+	return m, crowded
 }
 
 // Admit accounts for a connection of another kind of server until ended is called. It returns false
@@ -131,7 +137,7 @@
 	if g == nil {
 		return func() {}, true
 	}
-	m := g.openMember(nc, func() { nc.Close() })
+	m, _ := g.openMember(nc, func() { nc.Close() })
 	if m == nil {
 		return nil, false
 	}
--- a/misbehaving/bodies_test.go
+++ b/misbehaving/bodies_test.go
@@ -76,6 +76,27 @@
 	}})
 }
 
+// Guards against answers of the administration that are asked for and not read: metrics, profiles and
+// stacks are made in memory.
+func TestUnreadAnswersOfTheAdministrationTakeNoMemory(t *testing.T) {
+	for name, address := range map[string]func(s *system) string{
+		"entry": func(s *system) string { return s.entryAdmin },
+		"state": func(s *system) string { return s.stateAdmin },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t, usual)
+			var crowds []crowd
+			for _, path := range []string{"/metrics", "/debug/pprof/goroutine?debug=2", "/debug/pprof/heap", "/debug/pprof/trace?seconds=1", "/debug/pprof/profile?seconds=1"} {
+				crowds = append(crowds, crowd{address: address(s), connections: 15, write: func(w *bufio.Writer, _ int) error {
+					_, err := w.WriteString(strings.Repeat("GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n", 20))
+					return err
+				}, unread: true})
+			}
+			s.withstand(t, crowds...)
+		})
+	}
+}
+
 // Guards against a message before the handshake of the processes that states a length of some MB:
 // it costs its sender a few bytes.
 func TestLinksTakeNoMemoryBeforeTheirHandshake(t *testing.T) {
