--- a/faultsoak/plan_test.go
+++ b/faultsoak/plan_test.go
@@ -66,6 +66,7 @@
 	steps = append(steps, releaseSteps(seed, length, servers)...)
 	steps = append(steps, outOfStepSteps(seed, length, entries)...)
 	steps = append(steps, oddSteps(seed, length)...)
+	steps = append(steps, crowdSteps(seed, length, states, entries)...)
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
