A request that was answered often is not convicted by an outage

Cause: a request in flight on two crashed servers is convicted unless servers crashed on which it did not run. A page that is asked for often runs on each; that it was answered before was not recorded.

A request without answers is convicted at the second crash as before.

--- a/request/policy/conviction.go
+++ b/request/policy/conviction.go
@@ -12,8 +12,9 @@
 // be one of them by chance, and an innocent request would be refused everywhere for
 // a day. So two crashes block a request at once, but the conviction is only confirmed
 // after a delay in which further crashes may be reported. A request explains only
-// crashes of servers that it ran on. If other servers crashed as well, an outage is
-// the better explanation.
+// crashes of servers that it ran on. If other servers crashed as well, or if the request
+// was answered well before, an outage is the better explanation: what is asked for often
+// runs on each server that crashes. That holds once; a third crash convicts it.
 const (
 	// confirmationDelay is the time from the second crash to the decision.
 	confirmationDelay = 3 * time.Second
@@ -106,7 +107,7 @@
 // confirmSuspect attributes the suspect's crashes to an outage if that explains them,
 // else it confirms the conviction.
 func (c *core) confirmSuspect(now time.Time, e *suspect.Entry) {
-	if !e.AttributedToOutage && c.explainedByOutage(e) {
+	if !e.AttributedToOutage && (c.answered.proven(e.Digest) || c.explainedByOutage(e)) {
 		c.stats.AttributedToOutage++
 		c.suspects.AttributeToOutage(e.Digest, now)
 		return
--- a/request/policy/core.go
+++ b/request/policy/core.go
@@ -57,6 +57,7 @@
 	choice       chooser
 	// identical tracks running requests that copies must join.
 	identical       identicalRequests
+	answered        answeredDigests
 	draining        bool
 	running         int
 	sequence        uint64
@@ -104,6 +105,7 @@
 		limits:          limits.NewTable(),
 		choice:          newChooser(options.Weights),
 		identical:       newIdenticalRequests(),
+		answered:        newAnsweredDigests(),
 		refusals:        shares.NewRefusals(),
 		stats:           Stats{Violations: make(map[Invariant]uint64)},
 	}
--- a/request/policy/progress.go
+++ b/request/policy/progress.go
@@ -83,6 +83,7 @@
 	s.failureRate -= failureSampleWeight * s.failureRate
 	r.pool.progressAt = now
 	c.passedCrashPoint(now, r)
+	c.answered.add(r.Digest)
 	c.observeEnd(now, r)
 	c.detachFromServer(now, r)
 	if !r.pool.service {
