Readability: names of connguard, one table of servers in the tests of clients

No behaviour changes, but that bytes of a body longer than net/http's buffer are no longer counted as a possible part of the next head.

--- a/connection/connguard/conn.go
+++ b/connection/connguard/conn.go
@@ -15,7 +15,8 @@
 const (
 	// maxLibraryHeaderBytes keeps the limit of net/http above those of a Policy, bytes.
 	maxLibraryHeaderBytes = math.MaxInt32
-	// readAhead is how many bytes net/http may read beyond the end of a head, bytes.
+	// readAhead is the size of the buffer of net/http, which may read so far beyond the end of a head,
+	// bytes.
 	readAhead = 4 << 10
 	// crowdedReadBuffer bounds what the kernel holds of what a client has sent and nobody has read,
 	// where there are many clients, bytes.
@@ -101,8 +102,8 @@
 
 func (b byteCount) cost() int64 { return Cost(b.bytes, b.lines) }
 
-// await prepares the connection for the next head.
-func (c *conn) await() {
+// awaitHead prepares the connection for the next head.
+func (c *conn) awaitHead() {
 	c.since, c.headSince, c.received = time.Now(), time.Time{}, 0
 	c.reading.Store(true)
 }
@@ -111,7 +112,11 @@
 func (c *conn) Read(b []byte) (int, error) {
 	if !c.reading.Load() {
 		n, err := c.Conn.Read(b)
-		c.last = countBytes(b[:n])
+		c.last = byteCount{}
+		if n <= readAhead {
+			// A longer read has bypassed the buffer of net/http.
+			c.last = countBytes(b[:n])
+		}
 		return n, err
 	}
 	limits := c.policy.Limits()
@@ -163,16 +168,16 @@
 	return len(b), nil
 }
 
-// handle records that the head is complete. It returns false if the connection must close.
-func (c *conn) handle() (ok bool) {
+// beginRequest records that the head is complete. It returns false if the connection must close.
+func (c *conn) beginRequest() (ok bool) {
 	c.guard.change(func(core *Core) { ok = core.Begin(c.member) })
 	return ok
 }
 
-// end records that a request was handled.
-func (c *conn) end() {
+// endRequest records that a request was handled.
+func (c *conn) endRequest() {
 	c.guard.change(func(core *Core) { core.End(c.member) })
-	c.await()
+	c.awaitHead()
 }
 
 // evict ends the read in progress and all later ones.
--- a/connection/connguard/core.go
+++ b/connection/connguard/core.go
@@ -144,9 +144,6 @@
 	return true, evicted
 }
 
-// Fits reports whether a head that takes so much fits by itself.
-func (c *Core) Fits(bytes int64) bool { return bytes <= c.limits.HeadBytes }
-
 // Begin records that the head of a request is complete and its handler runs: the connection can no
 // longer be evicted. It returns false if that has been decided before.
 func (c *Core) Begin(m *Member) bool {
--- a/connection/connguard/guard.go
+++ b/connection/connguard/guard.go
@@ -68,7 +68,7 @@
 		case ok && state == http.StateActive:
 			c.reading.Store(false)
 		case ok && state == http.StateIdle:
-			c.end()
+			c.endRequest()
 		}
 	}
 }
@@ -100,7 +100,7 @@
 // open returns the connection in the account, or nil if there is no room for it.
 func (g *Guard) open(nc net.Conn, policy Policy) *conn {
 	c := &conn{Conn: nc, guard: g, policy: policy}
-	c.await()
+	c.awaitHead()
 	var crowded bool
 	if c.member, crowded = g.openMember(nc, c.evict); c.member == nil {
 		return nil
@@ -192,7 +192,7 @@
 		next.ServeHTTP(w, r)
 		return
 	}
-	if !c.handle() {
+	if !c.beginRequest() {
 		if hijacked, _, err := http.NewResponseController(w).Hijack(); err == nil {
 			c.respond(NoRoom)
 			hijacked.Close()
--- a/daemon/entry/servers.go
+++ b/daemon/entry/servers.go
@@ -13,7 +13,7 @@
 	"github.com/lilacbridge/lilacbridge/process/metrics"
 )
 
-// newGuard returns the account of the connections of a server, and registers its metrics.
+// newGuard returns the account of the connections of a server, whose name is its label in metrics.
 func (e *Entry) newGuard(server string, limits connguard.Limits) *connguard.Guard {
 	guard := connguard.New(limits, e.log)
 	e.guards[server] = guard
--- a/misbehaving/bodies_test.go
+++ b/misbehaving/bodies_test.go
@@ -100,10 +100,7 @@
 // Guards against a message before the handshake of the processes that states a length of some MB:
 // it costs its sender a few bytes.
 func TestLinksTakeNoMemoryBeforeTheirHandshake(t *testing.T) {
-	for name, address := range map[string]func(s *system) string{
-		"entry": func(s *system) string { return s.entryLink },
-		"state": func(s *system) string { return s.stateLink },
-	} {
+	for name, address := range links {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
 			s.withstand(t, crowd{address: address(s), connections: 60, write: func(w *bufio.Writer, _ int) error {
--- a/misbehaving/connections_test.go
+++ b/misbehaving/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"maps"
 	"testing"
 )
 
@@ -18,17 +19,9 @@
 // Guards against connections that take all descriptors of a process: it could open none itself, and
 // ordinary callers would get none.
 func TestIdleConnectionsLeaveDescriptors(t *testing.T) {
-	for name, address := range map[string]func(s *system) string{
-		"callers":                 func(s *system) string { return s.callers },
-		"readiness":               func(s *system) string { return s.readiness },
-		"chat completions":        func(s *system) string { return s.chat },
-		"operators":               func(s *system) string { return s.operators },
-		"administration of entry": func(s *system) string { return s.entryAdmin },
-		"links of entry":          func(s *system) string { return s.entryLink },
-		"control":                 func(s *system) string { return s.control },
-		"administration of state": func(s *system) string { return s.stateAdmin },
-		"links of state":          func(s *system) string { return s.stateLink },
-	} {
+	servers := maps.Clone(httpServers)
+	maps.Copy(servers, links)
+	for name, address := range servers {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, few)
 			s.withstand(t, crowd{address: address(s), connections: 300, write: writeNothing})
--- a/misbehaving/heads_test.go
+++ b/misbehaving/heads_test.go
@@ -18,15 +18,7 @@
 // Guards against heads far over the limit, of very many short lines, that take the memory of a
 // process at any of its servers.
 func TestHeadsOverTheLimit(t *testing.T) {
-	for name, address := range map[string]func(s *system) string{
-		"callers":                 func(s *system) string { return s.callers },
-		"readiness":               func(s *system) string { return s.readiness },
-		"chat completions":        func(s *system) string { return s.chat },
-		"operators":               func(s *system) string { return s.operators },
-		"administration of entry": func(s *system) string { return s.entryAdmin },
-		"control":                 func(s *system) string { return s.control },
-		"administration of state": func(s *system) string { return s.stateAdmin },
-	} {
+	for name, address := range httpServers {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t, usual)
 			s.withstand(t, crowd{address: address(s), connections: 60, write: writeHeadOverLimit})
--- a/misbehaving/system_test.go
+++ b/misbehaving/system_test.go
@@ -161,6 +161,23 @@
 	control, stateAdmin, stateLink string
 }
 
+// httpServers are the addresses of the HTTP servers of both processes.
+var httpServers = map[string]func(s *system) string{
+	"callers":                 func(s *system) string { return s.callers },
+	"readiness":               func(s *system) string { return s.readiness },
+	"chat completions":        func(s *system) string { return s.chat },
+	"operators":               func(s *system) string { return s.operators },
+	"administration of entry": func(s *system) string { return s.entryAdmin },
+	"control":                 func(s *system) string { return s.control },
+	"administration of state": func(s *system) string { return s.stateAdmin },
+}
+
+// links are the addresses for other processes.
+var links = map[string]func(s *system) string{
+	"links of entry": func(s *system) string { return s.entryLink },
+	"links of state": func(s *system) string { return s.stateLink },
+}
+
 // assign sets each address to a loopback address that is free.
 func assign(t *testing.T, addresses ...*string) {
 	for _, address := range addresses {
@@ -183,7 +200,7 @@
 	}
 	common := fmt.Sprintf("link_key: key-of-the-tests-of-clients\nlimits:\n  memory_mb: %d\n  file_descriptors: %d\n", l.memoryMB, l.descriptors)
 	s.state = start(t, folder, "lilacbridge-state", common+fmt.Sprintf(
-		"name: state-1\ndata_center: dc-0\nlink: %s\nadmin: %s\ncontrol: %s\nserver_list: %s\ndata: data\nbootstrap: true\nheartbeat: 120ms\nelection: 600ms\n",
+		"name: state-1\ndata_center: dc-0\nlink: %s\nadmin: %s\ncontrol: %s\nserver_list: %s\ndata: data\nbootstrap: true\nheartbeat: 50ms\nelection: 200ms\n",
 		s.stateLink, s.stateAdmin, s.control, list), l.descriptors)
 	s.entry = start(t, folder, "lilacbridge-entry", common+fmt.Sprintf(
 		"name: entry-1\ndata_center: dc-0\nlink: %s\nadmin: %s\ncallers: %s\noperators: %s\ncaller_key_file: callers\noperator_tokens_file: operators\n"+
