A chunked body takes no more than is held for it

What callers saw: nothing yet; found by reading. A body of unknown length was collected in a buffer that doubles, so that two to three times what is held was in use, and 64 KiB or more for a small one.

Change: it is read in pieces, each held before it is read, and joined once there is room for the whole beside them. TestBodyOfUnknownLengthIsJoinedWithinTheAccount: half of the account was accepted before, since the copy was not counted.

--- a/connection/holding/read.go
+++ b/connection/holding/read.go
@@ -24,24 +24,41 @@
 	return body, err
 }
 
+// readInSteps reads a body of unknown length in pieces, each held before it is read, and joins them
+// once there is room for the whole beside them.
 func (h *Hold) readInSteps(ctx context.Context, from io.Reader, wait time.Duration) ([]byte, error) {
 	if h == nil {
 		return io.ReadAll(from)
 	}
-	var body bytes.Buffer
+	var pieces [][]byte
+	var total int64
 	for {
 		if err := h.Wait(ctx, Body, readStep, wait); err != nil {
 			return nil, err
 		}
-		n, err := io.CopyN(&body, from, readStep)
+		var piece bytes.Buffer
+		piece.Grow(readStep + bytes.MinRead)
+		n, err := io.CopyN(&piece, from, readStep)
 		h.Free(Body, readStep-n)
+		total += n
 		if err == io.EOF {
-			return body.Bytes(), nil
+			// Without the rest of the buffer, which isn't held.
+			pieces = append(pieces, bytes.Clone(piece.Bytes()))
+			break
 		}
 		if err != nil {
 			return nil, err
 		}
+		pieces = append(pieces, piece.Bytes())
 	}
+	if len(pieces) == 1 {
+		return pieces[0], nil
+	}
+	if err := h.Wait(ctx, Body, total, wait); err != nil {
+		return nil, err
+	}
+	defer h.Free(Body, total)
+	return bytes.Join(pieces, nil), nil
 }
 
 // WaitToDecode holds room for what a text takes once it is decoded. If that would not even fit into an
