--- a/misbehaving/crowd_test.go
+++ b/misbehaving/crowd_test.go
@@ -87,6 +87,11 @@
 	return text
 }
 
+// beginWithBody is begin for a request with a body, of the length or framing in the header.
+func beginWithBody(route, id, framing string) string {
+	return strings.Replace(begin(route, id), "Content-Length: 0", framing, 1) + "\r\n"
+}
+
 // attempt is the id of the n-th request of a client.
 func attempt(number, n int) string { return fmt.Sprintf("%x-%x", number, n) }
 
--- a/misbehaving/heads_test.go
+++ b/misbehaving/heads_test.go
@@ -46,9 +46,9 @@
 	"empty lines":                   {"", always("\r\n")},
 	"empty lines after a request":   {begin("look", "1") + "\r\n", always("\r\n")},
 	"bare line feeds":               {begin("look", "1") + "\r\n", always("\n")},
-	"header lines after the body":   {strings.Replace(begin("look", "1"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n1\r\na\r\n0\r\n", shortLine},
-	"header line after the body":    {strings.Replace(begin("look", "1"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n1\r\na\r\n0\r\nA: ", always("a")},
-	"extension of a chunk":          {strings.Replace(begin("look", "1"), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "\r\n1;", always("a")},
+	"header lines after the body":   {beginWithBody("look", "1", "Transfer-Encoding: chunked") + "1\r\na\r\n0\r\n", shortLine},
+	"header line after the body":    {beginWithBody("look", "1", "Transfer-Encoding: chunked") + "1\r\na\r\n0\r\nA: ", always("a")},
+	"extension of a chunk":          {beginWithBody("look", "1", "Transfer-Encoding: chunked") + "1;", always("a")},
 	"body of more than its length":  {begin("look", "1") + "\r\n", always("a")},
 	"empty lines with a bare start": {"\n", always("\r\n")},
 }
