What the platform speaks stays in platform/ in the tests of ill-behaved clients too

Cause: misbehaving/ and faultsoak/crowd_test.go wrote the platform's headers and paths themselves. platform/standin now writes raw heads, ids and parts; what the tests send is the same, but that the costly head of the soak's crowd states its token counts and time limit. Crowds and bounds are unchanged.

--- a/faultsoak/crowd_test.go
+++ b/faultsoak/crowd_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/platform/standin"
 )
 
 const (
@@ -28,11 +30,11 @@
 // misbehaviors are what ill-behaved clients send; see package misbehaving, which checks what they cost.
 var misbehaviors = []string{
 	"GET / HTTP/1.1\r\nHost: h\r\n" + shortLines(crowdBytes/8),
-	"POST /plan/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: crowd\r\nAuthorization: Bearer none\r\n" + shortLines(2000) + "\r\n",
+	standin.RawHead("plan", "crowd", "none", true) + shortLines(2000) + "\r\n",
 	"POST /look/x HTTP/1.1\r\nHost: h.example\r\n" + shortLines(1000),
 	"GET /" + strings.Repeat("a", crowdBytes),
 	strings.Repeat("\r\n", crowdBytes/2),
-	"PUT /configuration HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n" + strings.Repeat("{},", crowdBytes/3),
+	"PUT " + standin.ControlPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n" + strings.Repeat("{},", crowdBytes/3),
 	"",
 }
 
--- a/misbehaving/bodies_test.go
+++ b/misbehaving/bodies_test.go
@@ -10,12 +10,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacbridge/lilacbridge/platform/standin"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 )
 
 // Guards against bodies that take the memory of a process: large, without end, or costly to decode.
 func TestBodiesTakeNoMoreThanTheirLimit(t *testing.T) {
-	const put = "PUT /configuration HTTP/1.1\r\nHost: h\r\n"
+	const put = "PUT " + standin.ControlPath + " HTTP/1.1\r\nHost: h\r\n"
 	chat := "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + secret.CallerToken([]byte(callerKey), "north") + "\r\nX-Lilac-Class: look\r\n"
 	for name, c := range map[string]struct {
 		address func(s *system) string
@@ -55,7 +56,7 @@
 		`{"version":2,"tenants":[{"apiKeys":[` + strings.Repeat(`"",`, 2_000_000) + `""]}]}`,
 		`{"version":2,"x":` + strings.Repeat("[", 8_000_000) + `}`,
 	} {
-		req, err := http.NewRequest(http.MethodPut, "http://"+s.control+"/configuration", strings.NewReader(text))
+		req, err := http.NewRequest(http.MethodPut, "http://"+s.control+standin.ControlPath, strings.NewReader(text))
 		is.NoErr(err)
 		resp, err := client.Do(req)
 		is.NoErr(err)
@@ -71,7 +72,7 @@
 	s := newSystem(t, usual)
 	s.putDocument(t, 2, 10_000)
 	s.withstand(t, crowd{address: s.control, connections: 60, unread: true, write: func(w *bufio.Writer, _ int) error {
-		_, err := w.WriteString(strings.Repeat("GET /configuration HTTP/1.1\r\nHost: h\r\n\r\n", 10))
+		_, err := w.WriteString(strings.Repeat("GET "+standin.ControlPath+" HTTP/1.1\r\nHost: h\r\n\r\n", 10))
 		return err
 	}})
 }
--- a/misbehaving/crowd_test.go
+++ b/misbehaving/crowd_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/platform/standin"
 )
 
 const (
@@ -80,11 +82,7 @@
 
 // begin is the begin of a request for a route, up to and with the headers that it needs.
 func begin(route, id string) string {
-	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\n", route, host, id, key)
-	if route == "plan" || route == "review" {
-		text += "Token-Counts: 100,24\r\n"
-	}
-	return text
+	return standin.RawHead(route, id, key, route == "plan" || route == "review")
 }
 
 // beginWithBody is begin for a request with a body, of the length or framing in the header.
--- a/misbehaving/heads_test.go
+++ b/misbehaving/heads_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/platform/standin"
 )
 
 // usual are the limits of most tests.
@@ -104,7 +106,7 @@
 		"new parts of prompts":            func(number, n int) string { return newParts(number, n, 9) },
 		"new parts of prompts, no tokens": func(number, n int) string { return newParts(number, n, 0) },
 		"unknown hosts and paths": func(number, n int) string {
-			return fmt.Sprintf("GET /%d-%d/%s HTTP/1.1\r\nHost: h%d-%d.example\r\nAttempt-Id: %s\r\n\r\n", number, n, strings.Repeat("a", 15_000), number, n, attempt(number, n))
+			return fmt.Sprintf("GET /%d-%d/%s HTTP/1.1\r\nHost: h%d-%d.example\r\n%s\r\n", number, n, strings.Repeat("a", 15_000), number, n, standin.RawID(attempt(number, n)))
 		},
 		"unknown keys": func(number, n int) string {
 			return strings.Replace(begin("look", attempt(number, n)), key, key+attempt(number, n)+strings.Repeat("a", 15_000), 1) + "\r\n"
@@ -134,7 +136,7 @@
 	for part := range count {
 		parts = append(parts, fmt.Sprintf("%x:%d", (number*pipelined+n)*count+part, tokens))
 	}
-	return begin("plan", attempt(number, n)) + "Prompt-Prefix: " + strings.Join(parts, ",") + "\r\n\r\n"
+	return begin("plan", attempt(number, n)) + standin.RawParts(parts) + "\r\n"
 }
 
 // Guards against a limit that a single request within the limits of the document meets.
--- a/misbehaving/system_test.go
+++ b/misbehaving/system_test.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	key  = "key-of-north"
-	host = "h.example"
+	key = "key-of-north"
 	// callerKey derives the tokens of callers of chat completions.
 	callerKey     = "key-of-the-callers-of-chat-completions"
 	operatorToken = "token-of-the-operator-alice-in-tests"
@@ -207,7 +206,7 @@
 			"state:\n  - {name: state-1, address: %q, data_center: dc-0}\ngateway:\n  callers: %s\n  readiness: %s\n  server_list: %s\n",
 		s.entryLink, s.entryAdmin, s.chat, s.operators, s.stateLink, s.callers, s.readiness, list), l.descriptors)
 	s.putDocument(t, 1, 0)
-	s.await(t, func() bool { return status("http://"+s.readiness+"/readiness") == http.StatusOK })
+	s.await(t, func() bool { return status("http://"+s.readiness+standin.ReadinessPath) == http.StatusOK })
 	s.await(t, func() bool { return s.ordinary() == nil })
 	return s
 }
