A queue keeps nothing of requests that have left it

What callers saw: nothing at first; an instance that answered requests of one class, while some of them waited, used more memory with each one until its machine had none left.

Cause: request/queue listed the items of a class in order of arrival and dropped those that had left only when it looked for the oldest one. It looks when another class of the same pool is served, or when the class has credit. With one class in a pool it never did, so the list held every request since the start, with its prompt (45 kB for 1,300 parts).

Ruled out: the mailbox (never over 200 events), parts' and prefix tables (2 and 1.6 MB of the profile), garbage (the collector's goal was the live heap).

Fix: the items of a class are a heap by arrival, so that an item leaves when it leaves the queue. One that returns keeps its place by arrival, as before where it was still listed.

--- a/misbehaving/heads_test.go
+++ b/misbehaving/heads_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,6 +142,47 @@
 	return begin("plan", attempt(number, n)) + standin.RawParts(parts) + "\r\n"
 }
 
+// Guards against requests that stay in memory after their answers, while a crowd waits for servers.
+func TestAnsweredRequestsAreNotKept(t *testing.T) {
+	const clients, requests = 40, 250
+	is := is.New(t)
+	s := newSystem(t, usual)
+	var done sync.WaitGroup
+	var answered atomic.Int64
+	for number := range clients {
+		done.Go(func() {
+			conn, err := net.Dial("tcp", s.callers)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			answers := bufio.NewReader(conn)
+			for n := range requests {
+				_ = conn.SetDeadline(time.Now().Add(sendTimeout))
+				if _, err := conn.Write([]byte(newParts(number, n, 9))); err != nil {
+					return
+				}
+				resp, err := http.ReadResponse(answers, nil)
+				if err != nil {
+					return
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				if err != nil || resp.Close {
+					return
+				}
+				if resp.StatusCode == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	done.Wait()
+	t.Logf("%d requests answered", answered.Load())
+	s.check(t)
+	is.NoErr(s.ordinary())
+	s.check(t)
+}
+
 // Guards against a limit that a single request within the limits of the document meets.
 func TestASingleCostlyRequestWithinTheLimitIsServed(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/request/policy/retention_test.go
@@ -0,0 +1,74 @@
+package policy
+
+import (
+	"runtime"
+	"testing"
+	"time"
+	"weak"
+
+	"github.com/matryer/is"
+)
+
+// promptOf gives the request a prompt, which is the largest part of what is kept of it.
+func promptOf(a *Arrival) weak.Pointer[Block] {
+	a.Prefix = make([]Block, 100)
+	for i := range a.Prefix {
+		a.Prefix[i] = Block{Hash: uint64(a.ID)<<32 | uint64(i), End: i + 1}
+	}
+	return weak.Make(&a.Prefix[0])
+}
+
+func countAlive[T any](pointers []weak.Pointer[T]) int {
+	runtime.GC()
+	alive := 0
+	for _, p := range pointers {
+		if p.Value() != nil {
+			alive++
+		}
+	}
+	return alive
+}
+
+// Guards against requests that stay in memory after they have ended, while one that came before
+// them runs.
+func TestRequestsThatEndedAreNotKept(t *testing.T) {
+	for name, digest := range map[string]func(ID) string{
+		"different": func(id ID) string { return string(rune('a' + id)) },
+		"copies":    func(ID) string { return "same" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore()
+			var ended []weak.Pointer[Block]
+			const count = 200
+			arrive := func(id ID, class string) []Action {
+				a := arrival(id, class)
+				a.Digest = digest(id)
+				ended = append(ended, promptOf(&a))
+				return c.Step(epoch, a)
+			}
+			var running []Start
+			for id := range ID(count) {
+				running = append(running, all[Start](arrive(id+1, "batch"))...)
+			}
+			now := epoch
+			for len(running) > 1 {
+				start := running[len(running)-1]
+				running = running[:len(running)-1]
+				now = now.Add(slowTick)
+				c.Step(now, Sent{ID: start.ID, Attempt: start.Attempt})
+				c.Step(now, Tokens{ID: start.ID, Attempt: start.Attempt, Count: trialTokens})
+				running = append(running, all[Start](c.Step(now, Finished{ID: start.ID, Attempt: start.Attempt}))...)
+				running = append(running, all[Start](c.Step(now, Tick{}))...)
+			}
+			for id := range ID(count) {
+				if len(running) == 0 || id+1 != running[0].ID {
+					c.Step(now, Canceled{ID: id + 1})
+				}
+			}
+			c.Step(now.Add(time.Second), Tick{})
+			is.Equal(countAlive(ended), len(c.requests))
+			is.True(len(c.requests) <= 1)
+		})
+	}
+}
--- a/request/queue/class.go
+++ b/request/queue/class.go
@@ -1,6 +1,9 @@
 package queue
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
 
 const (
 	// agingInterval is the wait after which a class accrues credit at twice its
@@ -10,15 +13,39 @@
 	maxCredit = 20000
 )
 
-// classQueue holds the items of a class in arrival order, and the class's credit:
+// classQueue holds the waiting items of a class, the oldest first, and the class's credit:
 // the tokens of service that its guaranteed share has accrued while it waited.
-// Items that no longer wait are dropped lazily.
 type classQueue struct {
-	items   []*Item
-	head    int
-	waiting int
-	share   float64
-	credit  float64
+	items  arrivals
+	share  float64
+	credit float64
+}
+
+// arrivals is a heap ordered by Arrived.
+type arrivals []*Item
+
+func (a arrivals) Len() int { return len(a) }
+func (a arrivals) Less(i, j int) bool {
+	if a[i].Arrived.Equal(a[j].Arrived) {
+		return a[i].ID < a[j].ID
+	}
+	return a[i].Arrived.Before(a[j].Arrived)
+}
+func (a arrivals) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].classIndex, a[j].classIndex = i, j
+}
+func (a *arrivals) Push(x any) {
+	item := x.(*Item)
+	item.classIndex = len(*a)
+	*a = append(*a, item)
+}
+func (a *arrivals) Pop() any {
+	old := *a
+	item := old[len(old)-1]
+	old[len(old)-1] = nil
+	*a = old[:len(old)-1]
+	return item
 }
 
 func (q *Queue) classOf(name string) *classQueue {
@@ -31,31 +58,22 @@
 	return c
 }
 
-func (c *classQueue) push(item *Item) {
-	if c.head > 64 && c.head > len(c.items)/2 {
-		c.items = append(c.items[:0], c.items[c.head:]...)
-		c.head = 0
-	}
-	c.items = append(c.items, item)
-}
+func (c *classQueue) push(item *Item) { heap.Push(&c.items, item) }
+
+func (c *classQueue) remove(item *Item) { heap.Remove(&c.items, item.classIndex) }
 
 func (c *classQueue) oldest() *Item {
-	for c.head < len(c.items) {
-		if item := c.items[c.head]; item.waiting {
-			return item
-		}
-		c.items[c.head] = nil
-		c.head++
+	if len(c.items) == 0 {
+		return nil
 	}
-	c.items, c.head = c.items[:0], 0
-	return nil
+	return c.items[0]
 }
 
 // SetShare sets the guaranteed share of a class, 0 to 1.
 func (q *Queue) SetShare(class string, share float64) { q.classOf(class).share = share }
 
 // ClassLen returns the number of waiting requests of the class.
-func (q *Queue) ClassLen(class string) int { return q.classOf(class).waiting }
+func (q *Queue) ClassLen(class string) int { return len(q.classOf(class).items) }
 
 // AccrueCredit records that tokens were served to the given class and adds credit
 // to every other class with waiting requests, in proportion to its share and to the
@@ -85,11 +103,8 @@
 	mostLeft := 0.0
 	for _, name := range q.classNames {
 		c := q.classes[name]
-		if c.waiting == 0 || c.credit <= 0 {
-			continue
-		}
 		item := c.oldest()
-		if item == nil || now.Sub(item.Arrived) < item.Due.Sub(item.Arrived)/2 {
+		if item == nil || c.credit <= 0 || now.Sub(item.Arrived) < item.Due.Sub(item.Arrived)/2 {
 			continue
 		}
 		if left := c.credit - item.Cost; left >= 0 && (best == nil || left > mostLeft) {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -47,8 +47,9 @@
 	// are not shed for more urgent tiers.
 	Guaranteed bool
 
-	index   int
-	waiting bool
+	// index and classIndex are the item's indexes in its team's and its class's heap.
+	index, classIndex int
+	waiting           bool
 	// skipped is set while the item is in Queue.skipped instead of its heap.
 	skipped bool
 }
@@ -238,7 +239,6 @@
 	if item.exempt() {
 		l.exempt += sign
 	}
-	q.classOf(item.Class).waiting += sign
 }
 
 // Remove removes the item; it does nothing if the item is not waiting.
@@ -254,6 +254,7 @@
 		heap.Remove(tq.heap(item.Late), item.index)
 	}
 	item.waiting = false
+	q.classOf(item.Class).remove(item)
 	q.add(item, -1)
 	if len(tq.onTime)+len(tq.late) == 0 {
 		l.deactivate(tq)
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -1,8 +1,10 @@
 package queue
 
 import (
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/matryer/is"
 )
@@ -135,3 +137,43 @@
 	is.Equal(q.Len(), 0)
 	is.True(q.Peek(1, 0, false) == nil)
 }
+
+// Guards against requests that stay in memory after they have left the queue.
+func TestItemsThatLeftAreNotKept(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	q.Push(item(1, 1, "a", 900))
+	var left []weak.Pointer[Item]
+	for id := range uint64(1000) {
+		i := item(id+2, 1, "a", 900)
+		q.Push(i)
+		q.Started(i)
+		left = append(left, weak.Make(i))
+	}
+	runtime.GC()
+	kept := 0
+	for _, p := range left {
+		if p.Value() != nil {
+			kept++
+		}
+	}
+	is.Equal(kept, 0)
+	is.Equal(q.ClassLen("c"), 1)
+}
+
+// Guards against a share that is measured by a request that came later: one that returns to the
+// queue keeps its place by arrival.
+func TestReturnedItemIsTheOldestOfItsClass(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	q.SetShare("c", 1)
+	first, second := item(1, 1, "a", 0), item(2, 1, "a", 0)
+	second.Arrived = epoch.Add(time.Second)
+	q.Push(first)
+	q.Started(first)
+	q.Push(second)
+	q.Push(first)
+	now := epoch.Add(2 * time.Second)
+	q.AccrueCredit("other", 1000, now)
+	is.Equal(q.NextByCredit(now), first)
+}
