Copies that were set aside are dropped from the list's memory

Callers saw nothing; up to as many requests as ever were set aside at once stayed in memory after their end. Cause: unpark shortens the list of copies to nothing and leaves the pointers in its array. Evidence: 18 of 20 copies were still reachable after all had ended (TestCopiesThatWereSetAsideAreNotKept before the fix), 0 after. Ruled out: the list of trials and the choice's candidates, which hold servers only. Fix: the array is cleared. Read, not shown: the list of requests that wait for a borrowed retry has the same form at its front, bounded by its capacity; unchanged.

--- a/request/policy/identical.go
+++ b/request/policy/identical.go
@@ -114,6 +114,7 @@
 // unpark puts the parked copies back into the queue.
 func (c *core) unpark(now time.Time, p *pool) {
 	parked := slices.Clone(p.parked)
+	clear(p.parked)
 	p.parked = p.parked[:0]
 	for _, r := range parked {
 		c.enqueue(now, r)
--- a/request/policy/retention_test.go
+++ b/request/policy/retention_test.go
@@ -72,3 +72,28 @@
 		})
 	}
 }
+
+// Guards against copies that stay in memory because they were set aside once.
+func TestCopiesThatWereSetAsideAreNotKept(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	const count = 20
+	var copies []weak.Pointer[Block]
+	for id := range ID(count) {
+		a := arrival(id+1, "alerts")
+		a.Digest = "same"
+		copies = append(copies, promptOf(&a))
+		c.Step(epoch, a)
+	}
+	p := c.requests[1].pool
+	is.True(len(p.parked) > 0)
+	c.Step(epoch, Tokens{ID: 1, Attempt: 1, Count: trialTokens})
+	c.Step(epoch.Add(slowTick), Tick{})
+	is.Equal(len(p.parked), 0)
+	for id := range ID(count) {
+		c.Step(epoch.Add(slowTick), Canceled{ID: id + 1})
+	}
+	is.Equal(len(c.requests), 0)
+	is.Equal(countAlive(copies), 0)
+	runtime.KeepAlive(c)
+}
