Admission by the end of the answer is compared over eight seeds

TestAdmissionByEndSurvivesLostDigestsAndInstances compares some 300 and 30 requests in time with and without admission by the end, of one seed.

Ruled out: a fault that only some seeds show.

--- a/request/policy/finish_test.go
+++ b/request/policy/finish_test.go
@@ -116,9 +116,11 @@
 }
 
 // Digests are lost and an instance is killed during the burst: the others decide by what they know
-// themselves, and serve no fewer requests on time than without admission by the end.
+// themselves, and serve no fewer requests on time than without admission by the end. The numbers of one
+// seed differ by up to a sixth either way, so the sums of several are compared.
 func TestAdmissionByEndSurvivesLostDigestsAndInstances(t *testing.T) {
 	t.Parallel()
+	const firstSeed, seeds = 2, 8
 	is := is.New(t)
 	faults := func(r *replay) *replay {
 		r.run(replayLength, func(at time.Duration) float64 {
@@ -135,15 +137,18 @@
 		return r
 	}
 	size := fleetSize{8, 4, 2}
-	before, after := faults(size.replay(2)), faults(size.replay(2).contend())
-	var was, now [2]tally
-	for kind := range was {
-		was[kind], now[kind] = before.tally(kind, 3*time.Second, burstLength), after.tally(kind, 3*time.Second, burstLength)
+	var was, now [2]int
+	for seed := range uint64(seeds) {
+		before, after := faults(size.replay(firstSeed+seed)), faults(size.replay(firstSeed+seed).contend())
+		for kind := range was {
+			was[kind] += before.tally(kind, 3*time.Second, burstLength).inTime
+			now[kind] += after.tally(kind, 3*time.Second, burstLength).inTime
+		}
+		is.True(after.cutOff() <= before.cutOff())
+		after.checkInvariants(is)
 	}
-	is.True(now[0].inTime*20 >= was[0].inTime*19)
-	is.True(now[1].inTime >= was[1].inTime)
-	is.True(after.cutOff() <= before.cutOff())
-	after.checkInvariants(is)
+	is.True(now[0]*20 >= was[0]*19)
+	is.True(now[1] >= was[1])
 }
 
 // killFirst kills the first instance with all its requests.
