A data centre whose servers answer is not cut off

Cause: a data centre counts as cut off by the silence of its instances alone. Evidence: TestServersThatAnswerAreInUseWhileTheirInstancesAreSilent, red since it landed: the desk of the data centre answers each 200 ms and is out of use after 1.3 s. Ruled out: other reasons for the pause; the event names `data centre silent`.

Fix: answers to this instance are signs of life as digests are. Once both are silent for 1.3 s the data centre is cut off as before, which the test's second half checks.

--- a/request/policy/partengine_test.go
+++ b/request/policy/partengine_test.go
@@ -44,13 +44,6 @@
 	})
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // report tells the instance of an event of the attempt, if its process still runs.
 func (a *partAttempt) report(f *partFleet, event Event) {
 	if a.in.starts == a.process && !a.in.down {
--- a/request/policy/partition.go
+++ b/request/policy/partition.go
@@ -18,7 +18,8 @@
 
 // detectPartitions marks the servers of unreachable data centres. A silent network
 // partition breaks no connection: all answers stop at once and digests no longer
-// arrive. Once it heals, digests arrive again, so no probe request is needed.
+// arrive. Once it heals, digests arrive again, so no probe request is needed. Servers that
+// answer while digests don't arrive show that only the instances there are silent.
 func (c *core) detectPartitions(now time.Time) {
 	for dataCenter, heard := range c.dataCenterHeard {
 		if dataCenter == c.options.DataCenter {
@@ -26,7 +27,7 @@
 		}
 		reason := DataCenterHeard
 		switch {
-		case now.Sub(heard) > peerSilenceTimeout:
+		case now.Sub(later(heard, c.lastResponseFrom(dataCenter))) > peerSilenceTimeout:
 			reason = DataCenterSilent
 		case c.answersStopped(now, dataCenter):
 			reason = AnswersStopped
@@ -39,6 +40,25 @@
 	}
 }
 
+// lastResponseFrom returns when a server of the data centre last answered a request of this instance;
+// zero for never.
+func (c *core) lastResponseFrom(dataCenter string) time.Time {
+	var last time.Time
+	for _, s := range c.ordered {
+		if s.dataCenter == dataCenter {
+			last = later(last, s.lastResponseAt)
+		}
+	}
+	return last
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // setUnreachable records whether the server is cut off, and reports a change.
 func (c *core) setUnreachable(now time.Time, s *server, reason AvailabilityReason) {
 	unreachable := reason != DataCenterHeard
