A request that got a borrowed retry is dropped from the list's memory

Callers saw nothing; requests that had waited for a borrowed retry stayed in memory after their end, up to as many as ever waited at once. Cause: serving the first of the list moves the slice's start and leaves the pointer in its array. Ruled out, by reading, for other lists shortened at their front: those of stateclient, replica, ledger and history hold addresses, ids or entries that are cleared.

--- a/request/policy/retention_test.go
+++ b/request/policy/retention_test.go
@@ -97,3 +97,23 @@
 	is.Equal(countAlive(copies), 0)
 	runtime.KeepAlive(c)
 }
+
+// Guards against requests that stay in memory because they waited for a borrowed retry.
+func TestRequestsThatBorrowedARetryAreNotKept(t *testing.T) {
+	is := is.New(t)
+	c := withoutRetries(newCore())
+	c.Step(epoch, Fleet{Others: []Instance{{"e2", "dakar-a"}}})
+	var prompts []weak.Pointer[Block]
+	for id := ID(1); id <= 3; id++ {
+		a := arrival(id, "alerts")
+		prompts = append(prompts, promptOf(&a))
+		c.Step(epoch, a)
+		c.Step(epoch, Failed{ID: id, Attempt: 1, Sent: true, ServerError: true})
+	}
+	c.Step(epoch, Tick{})
+	c.Step(epoch, RetriesBorrowed{Pool: "redaction", Count: 1, AskedAt: epoch})
+	is.Equal(len(c.pools["redaction"].retryLoans.waiting), 2)
+	c.Step(epoch, Canceled{ID: 1})
+	is.Equal(countAlive(prompts), 2)
+	is.Equal(len(c.requests), 2)
+}
--- a/request/policy/retryloan.go
+++ b/request/policy/retryloan.go
@@ -140,7 +140,7 @@
 		if r.grant == nil {
 			return
 		}
-		p.retryLoans.waiting = p.retryLoans.waiting[1:]
+		p.retryLoans.waiting = slices.Delete(p.retryLoans.waiting, 0, 1)
 		c.stats.Retries++
 		c.enqueue(now, r)
 		c.dispatch(now, p)
