--- a/request/policy/retention_test.go
+++ b/request/policy/retention_test.go
@@ -41,15 +41,12 @@
 			c := newCore()
 			var ended []weak.Pointer[Block]
 			const count = 200
-			arrive := func(id ID, class string) []Action {
-				a := arrival(id, class)
-				a.Digest = digest(id)
-				ended = append(ended, promptOf(&a))
-				return c.Step(epoch, a)
-			}
 			var running []Start
 			for id := range ID(count) {
-				running = append(running, all[Start](arrive(id+1, "batch"))...)
+				a := arrival(id+1, "batch")
+				a.Digest = digest(id + 1)
+				ended = append(ended, promptOf(&a))
+				running = append(running, all[Start](c.Step(epoch, a))...)
 			}
 			now := epoch
 			for len(running) > 1 {
