--- a/review/harness-2/secondloss.go
+++ b/review/harness-2/secondloss.go
@@ -11,8 +11,8 @@
 	recovery = 12 * time.Second
 	// silenceAfter is when the open channels go silent, after the first machine is back; secondLoss is
 	// when the second one loses its disk. The first counts as lost until catchUp.
-	silenceAfter = 600 * time.Millisecond
-	secondLoss   = catchUp + 1000*time.Millisecond
+	silenceAfter = time.Second
+	secondLoss   = catchUp + 2*time.Second
 	// readFor is how long the operator reads the config at the end; the page asks for settleWindow at
 	// least.
 	readFor = 20 * time.Second
