Review case 6: a SIGHUP just after the start ends a process

Cause: the programs ask for SIGHUP only after they have read their settings and opened their listeners; until then it has its default effect. Change: a script that rolls two frontends and two core machines and sends each a SIGHUP 6 ms after its start. Nothing of the product changes.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -23,6 +23,7 @@
 var plays = map[string]play{
 	"first-start":      firstStart,
 	"second-disk-loss": secondDiskLoss,
+	"hang-up-at-start": hangUpAtStart,
 }
 
 func main() { os.Exit(run()) }
