Review case 7: a 200 without a replica's signature reaches requesters

Cause: the platform's adapter reads whether an answer bears a signature, and nothing uses that; an answer without an attempt id passes on a new channel. Change: a script in which one replica of three replaces one answer in 34 by bytes that look like a 200. Nothing of the product changes.

--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -18,10 +18,11 @@
 	coreMachines  = 3
 	entryMachines = 3
 	// firstCore and firstEntry are the last numbers of the machines' addresses, platformNumber that of
-	// the platform's, firstInner those of processes behind proxies.
+	// the platform's, firstInner those of processes behind proxies, firstReplica those of replicas.
 	firstCore      = 11
 	firstEntry     = 31
 	firstInner     = 51
+	firstReplica   = 71
 	platformNumber = 200
 )
 
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -24,6 +24,7 @@
 	"first-start":      firstStart,
 	"second-disk-loss": secondDiskLoss,
 	"hang-up-at-start": hangUpAtStart,
+	"wrong-bytes":      wrongBytesCase,
 }
 
 func main() { os.Exit(run()) }
