--- a/daemon/entry/daemon.go
+++ b/daemon/entry/daemon.go
@@ -156,6 +156,11 @@
 	return nil
 }
 
+// ReloadKeys reads the files of keys and tokens again.
+func (d *Daemon) ReloadKeys() {
+	secret.ReloadAll(d.logger, d.links.CloseRevokedConns, d.linkKeys, d.callerKey, d.operators)
+}
+
 // recoveries returns the number of recoveries of the state processes known to this
 // entry.
 func (d *Daemon) recoveries() uint32 {
@@ -208,9 +213,8 @@
 		group.Go(func() { _ = d.orders.Run(background) })
 	}
 	group.Go(func() { _ = d.links.Serve(d.listeners.link) })
-	group.Go(func() {
-		secret.ReloadOnHangUp(background, d.logger, d.links.CloseRevokedConns, d.linkKeys, d.callerKey, d.operators)
-	})
+	// A signal may also end ctx, so that the framework stops twice.
+	drain := sync.OnceValue(d.drain)
 	app := kratos.New(
 		kratos.Name("lilacbridge-entry"),
 		kratos.ID(d.settings.Name),
@@ -218,17 +222,7 @@
 		kratos.Server(d.servers()...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(d.settings.CloseTimeout()),
-		// Drains before the framework closes its servers.
-		kratos.BeforeStop(func(context.Context) error {
-			d.gossip.Leave()
-			pathsDrained := d.drainPaths()
-			err := d.entry.Drain(context.Background())
-			<-pathsDrained
-			if d.usage != nil {
-				d.usage.send(context.Background(), true)
-			}
-			return err
-		}),
+		kratos.BeforeStop(func(context.Context) error { return drain() }),
 	)
 	// The framework runs BeforeStop on a signal but not when its own context ends, so
 	// the end of ctx has to call Stop.
@@ -246,6 +240,19 @@
 	return err
 }
 
+// drain ends what this instance does for callers and other instances, before the framework
+// closes its servers.
+func (d *Daemon) drain() error {
+	d.gossip.Leave()
+	pathsDrained := d.drainPaths()
+	err := d.entry.Drain(context.Background())
+	<-pathsDrained
+	if d.usage != nil {
+		d.usage.send(context.Background(), true)
+	}
+	return err
+}
+
 // openOptional opens a file of secrets, or returns an empty value if absent is true:
 // the interface that needs the secrets is not served then.
 func openOptional[T any](absent bool, file string, read func(string) (T, error)) (*secret.Reloadable[T], error) {
--- a/daemon/program/program.go
+++ b/daemon/program/program.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
+	"github.com/lilacbridge/lilacbridge/daemon/signals"
 	"github.com/lilacbridge/lilacbridge/process/build"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -38,9 +39,9 @@
 	Machine() *settings.ProcessLimits
 }
 
-// Daemon is a process that runs until ctx ends or it receives a stop signal.
+// Daemon is a process that runs until ctx ends.
 type Daemon interface {
-	// Run returns nil after a requested stop.
+	// Run returns nil after the end of ctx, which is a requested stop.
 	Run(ctx context.Context) error
 }
 
@@ -59,11 +60,21 @@
 	}
 	root.Flags().StringVar(&file, "settings", "", "YAML file with the settings of this process")
 	root.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := settings.Load(file, s); err != nil {
+		content, err := settings.Read(file)
+		if err != nil {
+			return err
+		}
+		if err := settings.Parse(file, content, s); err != nil {
 			return err
 		}
 		code = exitFailed
-		return run(cmd.Context(), file, s, open)
+		ctx, cancel := context.WithCancel(cmd.Context())
+		defer cancel()
+		go func() {
+			<-signals.Stops
+			cancel()
+		}()
+		return run(ctx, s, settingsFile{name: file, content: content}, open)
 	}
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -71,7 +82,13 @@
 	}
 }
 
-func run[S Settings](ctx context.Context, file string, s S, open func(S, hclog.Logger) (Daemon, error)) error {
+// settingsFile is a settings file with the content that was read last.
+type settingsFile struct {
+	name    string
+	content []byte
+}
+
+func run[S Settings](ctx context.Context, s S, file settingsFile, open func(S, hclog.Logger) (Daemon, error)) error {
 	// Discards the framework's log lines: they report no state changes of the daemon.
 	kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard))
 	common := s.Shared()
@@ -87,19 +104,17 @@
 		Name: common.Name, Level: hclog.LevelFromString(common.LogLevel), JSONFormat: true, Output: output,
 	})
 	logs.RedirectStandard(logger)
+	if ctx.Err() != nil {
+		return nil
+	}
 	daemon, err := open(s, logger)
 	if err != nil {
 		return err
 	}
 	if reloadable, ok := daemon.(Reloadable[S]); ok {
-		// The baseline for detecting later changes of the file.
-		content, err := os.ReadFile(file)
-		if err != nil {
-			return err
-		}
 		reloadCtx, stop := context.WithCancel(ctx)
 		defer stop()
-		r := &reloader[S]{file: file, logger: logger, daemon: reloadable, content: content}
+		r := &reloader[S]{file: file, logger: logger, daemon: reloadable}
 		go r.run(reloadCtx)
 	}
 	return daemon.Run(ctx)
--- a/daemon/state/daemon.go
+++ b/daemon/state/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -236,16 +237,19 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var group errgroup.Group
+	// A signal may also end ctx, so that the framework stops twice.
+	stepDown := sync.OnceValue(d.stepDown)
 	app := kratos.New(
 		kratos.Name("lilacbridge-state"),
 		kratos.ID(d.settings.Name),
 		kratos.Version(build.Version),
-		kratos.Context(ctx),
 		kratos.Server(d.servers()...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(stopTimeout),
-		kratos.BeforeStop(func(context.Context) error { return d.stepDown() }),
+		kratos.BeforeStop(func(context.Context) error { return stepDown() }),
 	)
+	// The framework runs BeforeStop on a signal but not when its own context ends.
+	defer context.AfterFunc(ctx, func() { _ = app.Stop() })()
 	// A failure of the log, for example a disk error, stops the whole process.
 	stopApp := func(err error) error {
 		if err != nil {
@@ -277,10 +281,6 @@
 			return nil
 		})
 	}
-	group.Go(func() error {
-		secret.ReloadOnHangUp(background, d.logger, d.links.CloseRevokedConns, d.keys)
-		return nil
-	})
 	d.logger.Info("started", "link", d.listener.Addr().String(), "version", build.Version)
 	err := app.Run()
 	stop()
@@ -301,6 +301,11 @@
 	return nil
 }
 
+// ReloadKeys reads the file of link keys again.
+func (d *Daemon) ReloadKeys() {
+	secret.ReloadAll(d.logger, d.links.CloseRevokedConns, d.keys)
+}
+
 // stepDown transfers leadership while this process still answers calls.
 func (d *Daemon) stepDown() error {
 	d.stopping.Store(true)
--- a/process/secret/reload.go
+++ b/process/secret/reload.go
@@ -1,12 +1,8 @@
 package secret
 
 import (
-	"context"
 	"errors"
-	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -48,23 +44,9 @@
 // Reloader is a file that can be read again.
 type Reloader interface{ Reload() error }
 
-// ReloadOnHangUp reloads the files on each SIGHUP until ctx ends, and calls then if all
-// of them succeeded. A file that fails keeps its previous value.
-func ReloadOnHangUp(ctx context.Context, logger hclog.Logger, then func(), files ...Reloader) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangUp:
-			reload(logger, then, files)
-		}
-	}
-}
-
-func reload(logger hclog.Logger, then func(), files []Reloader) {
+// ReloadAll reloads the files, and calls then if all of them succeeded. A file that fails
+// keeps its previous value.
+func ReloadAll(logger hclog.Logger, then func(), files ...Reloader) {
 	var errs []error
 	for _, file := range files {
 		errs = append(errs, file.Reload())
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -47,13 +47,22 @@
 
 // Load decodes file into target and validates it.
 func Load(file string, target Validator) error {
-	data, err := os.ReadFile(file)
+	data, err := Read(file)
 	if err != nil {
-		return fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "can't read the settings file; set its name with --settings")
+		return err
 	}
 	return Parse(file, data, target)
 }
 
+// Read returns the content of a settings file.
+func Read(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fault.Wrap(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST, "can't read the settings file; set its name with --settings")
+	}
+	return data, nil
+}
+
 // Parse is like Load for data that has been read; file is only used in errors.
 func Parse(file string, data []byte, target Validator) error {
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
