The end of a forwarded connection is told at once and again

Cause: the status that says how the target ended was read once; net/http reads again after the end, and that read waited for the stream's own end, which is sent with the link's next bytes. If a write to the target failed, the forwarding instance closed both and sent no status at all. Change: the end that was told is returned to every read. A target that accepts no more is read to its end, which the caller is told. Evidence: TestForwardedConnTellsEndFromReset reads twice now and TestForwardedConnEndsWithATargetThatAcceptsNoMore is new; both fail before.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -63,7 +63,10 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		copyFrames(target, reader)
+		if !copyFrames(target, reader) {
+			// The caller is told what is left to read and how the target ended.
+			return
+		}
 		target.Close()
 		// The caller reads no more, so a blocked write must not wait for it.
 		abortStream(stream)
@@ -78,15 +81,16 @@
 	<-done
 }
 
-// copyFrames writes the payload of the caller's frames to the target until either ends.
-func copyFrames(target io.Writer, reader *bufio.Reader) {
+// copyFrames writes the payload of the caller's frames to the target until either ends. It reports
+// whether the caller did.
+func copyFrames(target io.Writer, reader *bufio.Reader) (callerEnded bool) {
 	for {
 		frame := &lilacv1.LinkFrame{}
 		if readFrame(reader, frame) != nil {
-			return
+			return true
 		}
 		if _, err := target.Write(frame.GetMessage()); err != nil {
-			return
+			return false
 		}
 	}
 }
@@ -114,7 +118,9 @@
 type forwardedConn struct {
 	stream *clientStream
 	// rest holds received bytes that were not read yet.
-	rest      []byte
+	rest []byte
+	// end is how the other process says that the connection ended; nil before.
+	end       error
 	closeOnce sync.Once
 }
 
@@ -147,24 +153,39 @@
 // and never matches io.EOF.
 func (c *forwardedConn) Read(b []byte) (int, error) {
 	for len(c.rest) == 0 {
-		frame := &lilacv1.LinkFrame{}
-		if err := readFrame(c.stream.reader, frame); err != nil {
-			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errors.Join(err, syscall.ECONNRESET)}
-		}
-		status := frame.GetStatus()
-		if status != nil && fault.FromStatus(status) == nil {
-			return 0, io.EOF
+		if c.end != nil {
+			return 0, c.end
 		}
-		if status != nil {
-			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errors.Join(fault.FromStatus(status), syscall.ECONNRESET)}
+		if err := c.receive(); err != nil {
+			return 0, err
 		}
-		c.rest = frame.GetMessage()
 	}
 	n := copy(b, c.rest)
 	c.rest = c.rest[n:]
 	return n, nil
 }
 
+// receive waits for the next bytes of the connection, or for its end. It fails if the link does.
+func (c *forwardedConn) receive() error {
+	frame := &lilacv1.LinkFrame{}
+	if err := readFrame(c.stream.reader, frame); err != nil {
+		return c.broken(err)
+	}
+	c.rest = frame.GetMessage()
+	if status := frame.GetStatus(); status != nil {
+		c.end = io.EOF
+		if err := fault.FromStatus(status); err != nil {
+			c.end = c.broken(err)
+		}
+	}
+	return nil
+}
+
+// broken returns the error of a read from a connection that did not end regularly.
+func (c *forwardedConn) broken(cause error) error {
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errors.Join(cause, syscall.ECONNRESET)}
+}
+
 // Write implements net.Conn.
 func (c *forwardedConn) Write(b []byte) (int, error) {
 	written := 0
--- a/connection/link/conn_test.go
+++ b/connection/link/conn_test.go
@@ -79,11 +79,43 @@
 			_, err = conn.Read(answer)
 			is.Equal(err == io.EOF, !reset)
 			is.Equal(errors.Is(err, syscall.ECONNRESET), reset)
+			_, again := conn.Read(answer)
+			is.Equal(again, err) // a reader may ask again
 			is.NoErr(conn.Close())
 		})
 	}
 }
 
+// Guards against a caller that waits for the rest of an answer whose server reset the connection while
+// the request was still being written.
+func TestForwardedConnEndsWithATargetThatAcceptsNoMore(t *testing.T) {
+	is := is.New(t)
+	near, far := tcpPair(t)
+	conn, err := connectTo(t, func(context.Context, *Exchange) (net.Conn, error) { return &refusingConn{near}, nil })
+	is.NoErr(err)
+	_, err = far.Write([]byte("part"))
+	is.NoErr(err)
+	part := make([]byte, len("part"))
+	_, err = io.ReadFull(conn, part)
+	is.NoErr(err)
+	_, err = conn.Write([]byte("rest of the request"))
+	is.NoErr(err)
+	_, err = io.ReadFull(far, make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.NoErr(far.SetLinger(0))
+	is.NoErr(far.Close())
+	_, err = conn.Read(part)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BACKEND_FAILED)) // it was told at once
+}
+
+// refusingConn accepts no bytes and closes its direction.
+type refusingConn struct{ *net.TCPConn }
+
+func (c *refusingConn) Write([]byte) (int, error) {
+	return 0, errors.Join(syscall.ECONNRESET, c.CloseWrite())
+}
+
 // Guards against a server that works on for a caller that has left.
 func TestForwardedConnClosesTargetWithCaller(t *testing.T) {
 	is := is.New(t)
