--- a/connection/upstream/keepalive_test.go
+++ b/connection/upstream/keepalive_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"net"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -26,7 +25,7 @@
 			is.NoErr(err)
 			defer conn.Close()
 			option := func(number int) (value int) {
-				raw, err := conn.(*net.TCPConn).SyscallConn()
+				raw, err := conn.(syscall.Conn).SyscallConn()
 				is.NoErr(err)
 				is.NoErr(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, number) }))
 				is.NoErr(err)
--- a/connection/upstream/pool.go
+++ b/connection/upstream/pool.go
@@ -88,7 +88,13 @@
 	dialer := &net.Dialer{Timeout: p.dialTimeout(), Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
 	}}
-	p.direct = dialer.DialContext
+	p.direct = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &serverConn{Conn: conn}, nil
+	}
 	noReuse := p.transport(idleTimeout)
 	noReuse.DisableKeepAlives = true
 	p.keepAlive = &http.Client{Transport: p.transport(idleTimeout), CheckRedirect: noRedirect}
