--- a/connection/gateway/client.go
+++ b/connection/gateway/client.go
@@ -72,7 +72,8 @@
 	return target, nil
 }
 
-// Do sends the call. The caller must close the body of the response.
+// Do sends the call. The caller must close the body of the response. A response that is not an
+// answer to the attempt is an *upstream.NotAnswerError.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	target, err := requestURL(call.Address, call.URI)
 	if err != nil {
@@ -97,9 +98,15 @@
 	case call.NonIdempotent:
 		do = c.upstream.DoRecentConn
 	}
-	resp, err := do(req, call.Attempt)
+	received, err := do(req, call.Attempt)
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Response: resp, Info: c.protocol.ParseResponse(resp.Header, resp.StatusCode)}, nil
+	resp := &Response{Response: received, Info: c.protocol.ParseResponse(received.Header, received.StatusCode)}
+	if err := checkAnswer(call.Header.Get(c.protocol.IDHeader()), resp); err != nil {
+		// Closing a body before its end also closes the connection.
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
--- a/connection/gateway/protocol.go
+++ b/connection/gateway/protocol.go
@@ -81,11 +81,12 @@
 
 // ResponseInfo holds the metadata in the header of a backend server's response.
 type ResponseInfo struct {
-	// AttemptID is the id of the request that the response belongs to.
+	// AttemptID is the id of the request that the response belongs to; empty if it carries none or
+	// several.
 	AttemptID string
 	// NotRun is true if the server states that it did not run the request.
 	NotRun bool
-	// Signed reports whether the response carries the server's signature.
+	// Signed reports whether the response carries one signature of the server.
 	Signed bool
 	// Server is the identity of the server that responded; empty if unknown.
 	Server string
--- a/connection/upstream/failure.go
+++ b/connection/upstream/failure.go
@@ -12,6 +12,15 @@
 	"time"
 )
 
+// NotAnswerError is the error of bytes that a backend server sent and that are not an answer to the
+// request. The request may have run.
+type NotAnswerError struct{ Reason string }
+
+// Error implements error.
+func (e *NotAnswerError) Error() string {
+	return "backend server sent bytes that are not an answer: " + e.Reason
+}
+
 // maxErrorBodyBytes bounds the part of an error response that is read.
 const maxErrorBodyBytes = 8 << 10
 
--- a/request/relay/classify.go
+++ b/request/relay/classify.go
@@ -15,6 +15,7 @@
 func classify(err error, unsent bool) (policy.Failed, string) {
 	failed := policy.Failed{Sent: !unsent}
 	var status *upstream.StatusError
+	var notAnswer *upstream.NotAnswerError
 	switch {
 	case errors.Is(err, errPermanent):
 		failed.Permanent = true
@@ -34,6 +35,9 @@
 	case errors.Is(err, upstream.ErrIDMismatch), errors.Is(err, upstream.ErrMissingID):
 		failed.ServerError = true
 		return failed, "not_bound"
+	case errors.As(err, &notAnswer):
+		failed.ServerError = true
+		return failed, "not_an_answer"
 	case upstream.IsConnectionError(err):
 		failed.Crashed, failed.Silent = true, unsent && !upstream.IsBroken(err)
 		return failed, "crashed"
