--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -40,6 +40,12 @@
 	attempt atomic.Pointer[Attempt]
 	// reading is true during a read, ended once a read has failed.
 	reading, ended atomic.Bool
+	// head checks the response of the use headUse. Both are used only by the reader.
+	head    head
+	headUse uint64
+	// checked is the last use whose response has a valid head; headErr is why one has none.
+	checked atomic.Uint64
+	headErr atomic.Pointer[error]
 	// writeTimeout bounds each write; 0 for no bound. It is set while no write is in progress.
 	writeTimeout time.Duration
 }
@@ -70,9 +76,39 @@
 	}
 	c.reading.Store(false)
 	c.pool.received.Add(uint64(n))
+	if headErr := c.checkHead(b[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// checkHead checks bytes that were read, as far as they are the head of a response.
+func (c *trackedConn) checkHead(b []byte) error {
+	if use := c.state.Load() / connStates; use != c.headUse {
+		c.head.reset()
+		c.headUse = use
+	}
+	if err := c.head.scan(b); err != nil {
+		c.headErr.Store(&err)
+		return err
+	}
+	if c.head.part == headEnded {
+		c.checked.Store(c.headUse)
+	}
+	return nil
+}
+
+// headError returns why the response to the use is not an answer; nil for one with a valid head.
+func (c *trackedConn) headError(use uint64) error {
+	if err := c.headErr.Load(); err != nil {
+		return *err
+	}
+	if c.checked.Load() != use {
+		return &NotAnswerError{Reason: "they came before the request was sent"}
+	}
+	return nil
+}
+
 // hasSurplus reports, at Close, whether the server sent more than its answer. net/http always
 // reads from an idle connection. If it closes one without a read in progress and without an error,
 // it has received bytes that belong to no request.
--- a/connection/upstream/upstream.go
+++ b/connection/upstream/upstream.go
@@ -175,9 +175,19 @@
 	}
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
+		if conn != nil && conn.headErr.Load() != nil {
+			err = *conn.headErr.Load()
+		}
 		return nil, err
 	}
-	if err := p.checkID(req, resp, reused); err != nil {
+	err = p.checkID(req, resp, reused)
+	if err == nil && conn != nil {
+		err = conn.headError(use)
+	}
+	if err == nil && resp.StatusCode < http.StatusOK {
+		err = &NotAnswerError{Reason: "status " + strconv.Itoa(resp.StatusCode) + " is not final"}
+	}
+	if err != nil {
 		// Closing a body before its end also closes the connection.
 		resp.Body.Close()
 		return nil, err
