A panic in an answer frees its slot

What it left: a request whose handling panicked while a stream began kept its slot at the server for good; after eight of them a server of eight slots got no more requests from that instance. Cause: what runs after an attempt was skipped, so the policy never heard of the request's end. Change: run tells the policy of the end of a request that panics. Room that is held is freed by deferred calls already, at the handler and in forwardBuffered. Test: TestPanicInAnAnswerFreesItsSlot fails before (504 after 16 panics).

--- a/request/relay/run.go
+++ b/request/relay/run.go
@@ -44,7 +44,20 @@
 // run executes the core's actions for the request until it is answered or refused, or its
 // caller disconnects.
 func (r *Relay) run(ctx context.Context, req *request, arrival policy.Arrival, j job) error {
-	defer func() { r.release(req.held) }()
+	panicking := true
+	defer func() {
+		r.release(req.held)
+		if panicking {
+			// The core would keep the request's slot.
+			r.Post(policy.Canceled{ID: req.id})
+		}
+	}()
+	err := r.runActions(ctx, req, arrival, j)
+	panicking = false
+	return err
+}
+
+func (r *Relay) runActions(ctx context.Context, req *request, arrival policy.Arrival, j job) error {
 	arrival.ID = req.id
 	req.idempotent = arrival.Idempotent
 	r.Post(arrival)
