--- a/connection/upstream/serverconn.go
+++ b/connection/upstream/serverconn.go
@@ -48,17 +48,17 @@
 	return nil, syscall.ENOTSUP
 }
 
-// isReset reports whether the connection is closed in both directions. After a regular end of the
-// server's bytes only that direction is.
+// isReset reports whether the connection is closed in both directions, or by this process meanwhile,
+// as after a failed write. After a regular end of the server's bytes only that direction is.
 func (c *serverConn) isReset() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
 	reset := false
-	err = raw.Control(func(fd uintptr) {
+	closed := raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		reset = err == nil && info.State == tcpClose
 	})
-	return err == nil && reset
+	return reset || closed != nil
 }
--- a/connection/upstream/serverconn_test.go
+++ b/connection/upstream/serverconn_test.go
@@ -71,3 +71,24 @@
 	_, err = conn.Read(got)
 	is.Equal(err, io.EOF)
 }
+
+// closingConn is closed just after the kernel has reported an end.
+type closingConn struct{ *net.TCPConn }
+
+func (c closingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err == io.EOF {
+		c.Close()
+	}
+	return n, err
+}
+
+// Guards against an end that passes for a regular one because the connection was closed, after a
+// failed write, before its state was asked for.
+func TestEndOfAClosedConnectionIsNoEndOfTheAnswer(t *testing.T) {
+	is := is.New(t)
+	conn, server := directPair(t)
+	is.NoErr(server.Close())
+	_, err := (&serverConn{Conn: closingConn{conn.(*serverConn).Conn.(*net.TCPConn)}}).Read(make([]byte, 1))
+	is.True(IsBroken(err) && err != io.EOF)
+}
