--- a/Makefile
+++ b/Makefile
@@ -137,7 +137,7 @@
 # Fuzzes the parsers of external input; make test runs the corpora in testdata/fuzz,
 # to which go test adds failing inputs. The limit is a number of inputs, since a time
 # limit that expires during a slow input is reported as a failure.
-FUZZED := FuzzParse:./version/statement:200000x FuzzParse:./process/settings:100000x FuzzFrame:./connection/link:500000x FuzzRead:./process/wal:15000x FuzzPage:./platform:200000x
+FUZZED := FuzzParse:./version/statement:200000x FuzzParse:./process/settings:100000x FuzzFrame:./connection/link:500000x FuzzRead:./process/wal:15000x FuzzPage:./platform:200000x FuzzAnswer:./platform:60000x
 .PHONY: fuzz
 fuzz:
 	@for f in $(FUZZED); do IFS=: read -r name package count <<< "$$f"; \
