--- a/faultsoak/fleet_test.go
+++ b/faultsoak/fleet_test.go
@@ -35,9 +35,9 @@
 	command *exec.Cmd
 	done    chan struct{}
 	starts  []time.Time
-	// ending is set once the test ends the process; unexpected counts the ends before that.
+	// ending is set once the test ends the process; unexpected describes the ends before that.
 	ending     bool
-	unexpected int
+	unexpected []string
 }
 
 func (p *process) start(folder string) error {
@@ -70,15 +70,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if command == p.command && !p.ending {
-		p.unexpected++
+		ran := time.Since(p.starts[len(p.starts)-1])
+		p.unexpected = append(p.unexpected, fmt.Sprintf("%v after %v: %s", command.ProcessState, ran, lastBytes(p.log)))
 	}
 }
 
-// endedByItself returns how often the process ended without a signal of the test.
-func (p *process) endedByItself() int {
+// lastLogBytes bounds the part of a log that describes an end.
+const lastLogBytes = 2 << 10
+
+func lastBytes(file string) string {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return err.Error()
+	}
+	return string(content[max(0, len(content)-lastLogBytes):])
+}
+
+// endsByItself describes the ends of the process without a signal of the test: its status, how long
+// it ran and its last lines.
+func (p *process) endsByItself() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.unexpected
+	return slices.Clone(p.unexpected)
 }
 
 // others returns how many other entries the entry takes for alive, or -1 if it doesn't say so.
--- a/faultsoak/odd_test.go
+++ b/faultsoak/odd_test.go
@@ -56,7 +56,8 @@
 // shown for a while got requests.
 func (r *run) checkListFollowed() {
 	for _, p := range r.fleet.processes() {
-		r.check(p.endedByItself() == 0, "processes run", "%s ended by itself %d times", p.name, p.endedByItself())
+		ends := p.endsByItself()
+		r.check(len(ends) == 0, "processes run", "%s ended by itself %d times: %q", p.name, len(ends), ends)
 	}
 	for _, b := range r.fleet.allServers() {
 		if until := r.fleet.listedUntil(b); until.Sub(b.since) > usedWithin {
