Test: many servers that answer without end take bounded memory

Operators of similar systems saw the machine that had called a faulty server run out of memory, and other callers' requests end with it. Tests of one server and of heap sizes existed; this one has processes.

--- a/misbehaving/stop_test.go
+++ b/misbehaving/stop_test.go
@@ -57,7 +57,7 @@
 // broken off at the end of its grace time.
 func TestRequestsDuringAStopAreAnsweredOrRefused(t *testing.T) {
 	is := is.New(t)
-	s := (&system{limits: limits{memoryMB: 284, descriptors: 4100}, grace: stopGrace, eventGap: lateEventGap, timeout: lateTimeout}).start(t)
+	s := newSystemWith(t, &system{limits: usual, grace: stopGrace, eventGap: lateEventGap, timeout: lateTimeout})
 	clients := make([]*http.Client, lateClients)
 	var before outcomes
 	var group sync.WaitGroup
--- a/misbehaving/system_test.go
+++ b/misbehaving/system_test.go
@@ -155,7 +155,9 @@
 	// grace is the entry's, eventGap the time between two events of its backend servers.
 	grace, eventGap time.Duration
 	// timeout is that of all routes; 0 for that of the stand-in's document.
-	timeout      time.Duration
+	timeout time.Duration
+	// endless are servers of the service of engines; none for a sound one.
+	endless      []standin.Endless
 	entry, state *process
 	// Addresses of the entry: the gateway's callers and readiness check, callers of the chat
 	// completions API, operators, administration and other processes.
@@ -193,10 +195,16 @@
 }
 
 func newSystem(t *testing.T, l limits) *system {
-	return (&system{limits: l, grace: 8 * time.Second, eventGap: time.Millisecond}).start(t)
+	return newSystemWith(t, &system{limits: l, grace: usualGrace, eventGap: usualEventGap})
 }
 
-func (s *system) start(t *testing.T) *system {
+const (
+	usualGrace    = 8 * time.Second
+	usualEventGap = time.Millisecond
+)
+
+// newSystemWith starts the processes of a system whose first fields are set.
+func newSystemWith(t *testing.T, s *system) *system {
 	is := is.New(t)
 	folder, l := t.TempDir(), s.limits
 	assign(t, &s.callers, &s.readiness, &s.chat, &s.operators, &s.entryAdmin, &s.entryLink, &s.control, &s.stateAdmin, &s.stateLink)
@@ -222,7 +230,18 @@
 func (s *system) startServers(t *testing.T) string {
 	is := is.New(t)
 	var listed []standin.ListedServer
-	for _, service := range []string{"desk", "engines"} {
+	services := []string{"desk", "engines"}
+	if len(s.endless) > 0 {
+		services = services[:1]
+	}
+	for n := range s.endless {
+		server, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { server.Close() })
+		go s.endless[n].Serve(server)
+		listed = append(listed, standin.ListedServer{Identity: fmt.Sprint("engines-", n), Service: "engines", Address: server.Addr().String(), DataCenter: "dc-0", Slots: 8, Version: "v1"})
+	}
+	for _, service := range services {
 		server := &standin.Server{Identity: service + "-1", Events: events, Gap: s.eventGap}
 		is.NoErr(server.Start("127.0.0.1:0"))
 		t.Cleanup(func() { server.Close() })
