--- a/version/scaling/core.go
+++ b/version/scaling/core.go
@@ -288,11 +288,24 @@
 		}
 		list = append(list, Order{key, replicas, s.reason})
 	}
+	s.sortByGrowth(list)
+	return list
+}
+
+// sortByGrowth sorts orders for different groups, growing groups first, into the one order that all
+// instances choose.
+func (s *service) sortByGrowth(list []Order) {
 	slices.SortFunc(list, func(a, b Order) int {
 		growth := func(o Order) int { return o.Replicas - s.groups[o.Group].ready }
-		return cmp.Or(growth(b)-growth(a), cmp.Compare(a.Group.DataCenter, b.Group.DataCenter))
+		byKind := 0
+		if a.Group.Reclaimable != b.Group.Reclaimable {
+			byKind = 1
+			if a.Group.Reclaimable {
+				byKind = -1
+			}
+		}
+		return cmp.Or(growth(b)-growth(a), cmp.Compare(a.Group.DataCenter, b.Group.DataCenter), byKind)
 	})
-	return list
 }
 
 // dataCenters returns the data centres in which the service runs.
--- a/version/scaling/core_test.go
+++ b/version/scaling/core_test.go
@@ -25,7 +25,9 @@
 	down, refusing bool
 	load           float64
 	orders         int
-	lowest         int
+	// history holds the orders given, in order.
+	history []Order
+	lowest  int
 }
 
 type boot struct {
@@ -92,6 +94,7 @@
 	p.core.Step(p.now, Load{Service: "llm", Replicas: p.load})
 	for _, order := range p.core.Step(p.now, Tick{}) {
 		p.orders++
+		p.history = append(p.history, order)
 		p.core.Step(p.now, Answered{Order: order, Outcome: p.carryOut(order)})
 	}
 }
--- a/version/scaling/price_test.go
+++ b/version/scaling/price_test.go
@@ -5,14 +5,21 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
-// bill adds up what a run costs and how far its replicas fall short of the load.
-type bill struct{ price, shortage, calls float64 }
+// bill adds up what a run costs, in hundredths of an ordinary replica for a quarter of a second, and how
+// far its replicas fall short of the load. The price is a whole number, whose sum does not depend on
+// the order of its parts.
+type bill struct {
+	price           int
+	shortage, calls float64
+}
 
 // play runs the platform for d under a load that changes each second, and returns the bill.
 func (p *fakePlatform) play(d time.Duration, load func(time.Duration) float64) (b bill) {
-	prices := map[string]float64{"a": 1, "b": 1.2, "c": 0.8}
+	prices := map[string]int{"a": 100, "b": 120, "c": 80}
 	before := p.orders
 	for at := time.Duration(0); at < d; at += 250 * time.Millisecond {
 		p.load = load(at)
@@ -20,9 +27,9 @@
 		for key, count := range p.ready {
 			price := prices[key.DataCenter]
 			if key.Reclaimable {
-				price *= 0.2
+				price /= 5
 			}
-			b.price += 0.25 * price * float64(count)
+			b.price += price * count
 		}
 		b.shortage += 0.25 * max(0, p.load-float64(p.total(true)+p.total(false)))
 	}
@@ -57,7 +64,7 @@
 		p := pricedPlatform(byPrice)
 		change(p)
 		b := p.play(30*time.Second, load)
-		t.Logf("by price %v: bill %.0f, shortage %.1f, %.0f calls", byPrice, b.price, b.shortage, b.calls)
+		t.Logf("by price %v: bill %d, shortage %.1f, %.0f calls", byPrice, b.price, b.shortage, b.calls)
 		if byPrice {
 			after = b
 		} else {
@@ -74,7 +81,7 @@
 func TestReclaimWithNothingToBeHadBuysNoSpareReplicas(t *testing.T) {
 	is := is.New(t)
 	before, after := playBoth(t, func(p *fakePlatform) { p.reclaim("a") }, steadyLoad)
-	is.True(after.price < 0.8*before.price)
+	is.True(float64(after.price) < 0.8*float64(before.price))
 	is.Equal(after.shortage, 0.0)
 }
 
@@ -104,6 +111,32 @@
 	is.True(after.shortage <= before.shortage)
 }
 
+// Guards against instances that decide differently upon the same input, by the order of a map.
+func TestSameInputGivesTheSameOrders(t *testing.T) {
+	is := is.New(t)
+	play := func() []Order {
+		p := pricedPlatform(true)
+		p.reclaim("a")
+		p.play(30*time.Second, func(at time.Duration) float64 { return 10 + at.Seconds() })
+		return p.history
+	}
+	first := play()
+	for range 50 {
+		is.Equal(play(), first)
+	}
+}
+
+// Guards against orders for both kinds of replicas of a data centre that come in the order of a map.
+func TestOrdersOfEqualGrowthHaveOneOrder(t *testing.T) {
+	is := is.New(t)
+	ordinary, cheap := replicaGroup("a", false), replicaGroup("a", true)
+	s := &service{groups: map[routing.ReplicaGroup]*group{ordinary: {}, cheap: {}}}
+	list, reversed := []Order{{Group: ordinary, Replicas: 2}, {Group: cheap, Replicas: 2}}, []Order{{Group: cheap, Replicas: 2}, {Group: ordinary, Replicas: 2}}
+	s.sortByGrowth(list)
+	s.sortByGrowth(reversed)
+	is.Equal(list, reversed)
+}
+
 // A burst right after a reclaim: guards against too few replicas while none are to be had.
 func TestBurstAfterReclaimIsCarried(t *testing.T) {
 	is := is.New(t)
