A request that waits during a stop is judged by its own length

Cause: with all servers full, every waiting request that may not be repeated was refused when a stop began, also where minutes were left and its answer is short. Change: while no server could begin it, its likely end is that of its length at the class's usual pace, as slow as slots are expected to be held. Test: TestWaitingRequestThatOutlivesItsInstanceIsRefused has a short one beside the long one now; it failed before.

--- a/request/policy/lastrequests.go
+++ b/request/policy/lastrequests.go
@@ -23,12 +23,21 @@
 	if !r.Deadline.IsZero() && !r.Deadline.After(c.leavingUntil) {
 		return false
 	}
-	best, ok := c.bestOutlook(now, r)
-	if !ok {
-		return true
+	return now.Add(c.likelyEnd(now, r)).After(c.leavingUntil)
+}
+
+// likelyEnd returns how long it takes at least until the answer to the request, which has not started,
+// has likely ended.
+func (c *core) likelyEnd(now time.Time, r *request) time.Duration {
+	if best, ok := c.bestOutlook(now, r); ok {
+		return max(best.End(), r.pool.finishing.spread(r.Class).Likely(best.Expectation))
+	}
+	if r.pool.service {
+		return 0
 	}
-	likely := r.pool.finishing.spread(r.Class).Likely(best.Expectation)
-	return now.Add(max(likely, best.End())).After(c.leavingUntil)
+	// No server may begin it now, so it waits first.
+	gap := max(r.pool.usualGap(r.Class), time.Duration(r.pool.engine.stepAt(float64(r.pool.slots()))*float64(time.Second)))
+	return time.Duration(holdSlowdown * r.tokensLeft(c) * float64(gap))
 }
 
 // refuseOutliving refuses a request that waits and might outlive this instance.
--- a/request/policy/lastrequests_test.go
+++ b/request/policy/lastrequests_test.go
@@ -46,15 +46,17 @@
 }
 
 // Guards against a request that waits when the stop begins and is started although its answer is
-// going to be broken off.
+// going to be broken off; and against refusing one that ends before.
 func TestWaitingRequestThatOutlivesItsInstanceIsRefused(t *testing.T) {
 	is, c := is.New(t), newCore()
 	for id := ID(1); id <= 4; id++ {
 		c.Step(epoch, arrival(id, "batch"))
 	}
-	waiting := arrival(5, "batch")
-	waiting.Idempotent, waiting.Hint = false, 1000
-	is.Equal(len(c.Step(epoch, waiting)), 0)
+	for id, hint := range map[ID]int{5: 1000, 6: 10} {
+		waiting := arrival(id, "batch")
+		waiting.Idempotent, waiting.Hint = false, hint
+		is.Equal(len(c.Step(epoch, waiting)), 0)
+	}
 	actions := c.Step(epoch, Leaving{Until: epoch.Add(5 * time.Second)})
 	is.Equal(only[Refuse](t, actions).ID, ID(5))
 }
