--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -41,6 +41,8 @@
 	session *session
 	// pendingDial is nil if no dial is in progress.
 	pendingDial *pendingDial
+	// renewing is true while Renew dials.
+	renewing bool
 	// dialErr is the error of the last dial, nil if it succeeded; failedAt is its time.
 	failedAt time.Time
 	dialErr  error
@@ -132,6 +134,43 @@
 	c.session, c.dialErr, d.session = session, nil, session
 }
 
+// Renew replaces the connection by a new one if nothing has been read from it for the given
+// time. It does not wait for the new one.
+//
+// A connection that went silent without a reset looks like one to a slow peer. It is therefore
+// used until the peer has answered on the new one, and kept if it has been read from by then.
+func (c *Client) Renew(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.renewing || c.session == nil || !c.session.silentFor(idle) {
+		return
+	}
+	c.renewing = true
+	go c.renew(c.session, idle)
+}
+
+func (c *Client) renew(old *session, idle time.Duration) {
+	// The old connection serves on after an error; its keep-alive ends it if it is cut.
+	fresh, err := c.establish()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.renewing = false
+	if err != nil {
+		return
+	}
+	if c.closed || c.session != old || !old.silentFor(idle) {
+		fresh.Close()
+		return
+	}
+	c.session = fresh
+	old.Close()
+}
+
+// silentFor reports whether nothing was read for the given time, or ever will be.
+func (s *session) silentFor(idle time.Duration) bool {
+	return s.IsClosed() || s.out.readActivity.idle() >= idle
+}
+
 func (c *Client) establish() (*session, error) {
 	conn, err := c.dialer(c.ctx, c.address)
 	if err != nil {
--- a/connection/replicalink/transport.go
+++ b/connection/replicalink/transport.go
@@ -20,6 +20,9 @@
 	queueLength = 1024
 	// sendTimeout bounds one call; the log retransmits lost messages.
 	sendTimeout = 2 * time.Second
+	// renewalsPerElectionTimeout determines when the connection of an unanswered call is
+	// renewed: early enough that followers hear from their leader before they campaign.
+	renewalsPerElectionTimeout = 2
 	// maxBatchBytes is the size at which a batch is full. Together with the largest single
 	// message it must stay well below link.MaxFrame.
 	maxBatchBytes = 1 << 20
@@ -39,7 +42,10 @@
 // Transport sends messages to other processes, over one connection to each. It implements
 // replica.Transport and is safe for concurrent use.
 type Transport struct {
-	dial   Dial
+	dial Dial
+	// answerTimeout is the time after which the connection of an unanswered call is renewed.
+	answerTimeout time.Duration
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -52,10 +58,11 @@
 
 var _ replica.Transport = (*Transport)(nil)
 
-// New returns a Transport that connects by dial. The caller closes it.
-func New(dial Dial) *Transport {
+// New returns a Transport that connects by dial, for a group with the given minimum election
+// timeout. The caller closes it.
+func New(dial Dial, election time.Duration) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Transport{dial: dial, ctx: ctx, cancel: cancel, queues: map[string]chan []*lilacv1.RaftMessage{}, callers: map[string]link.Caller{}}
+	return &Transport{dial: dial, answerTimeout: election / renewalsPerElectionTimeout, ctx: ctx, cancel: cancel, queues: map[string]chan []*lilacv1.RaftMessage{}, callers: map[string]link.Caller{}}
 }
 
 // Send queues messages for the process at address, or drops them if its queue is full. It
@@ -160,7 +167,9 @@
 			n++
 		}
 		ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
+		stop := t.renewUnanswered(caller)
 		err := caller.Call(ctx, Method, &lilacv1.RaftBatch{Messages: messages[:n]}, &lilacv1.RaftBatchReply{})
+		stop()
 		cancel()
 		if err != nil {
 			return
@@ -169,6 +178,22 @@
 	}
 }
 
+// renewer is a link.Caller that can replace a connection that went silent.
+type renewer interface{ Renew(idle time.Duration) }
+
+// renewUnanswered renews the caller's connection unless stop is called within answerTimeout.
+//
+// The receiver answers before it syncs anything. Without renewal, a connection that went silent
+// is noticed only by the keep-alive of the link, and the group has no leader, or a lost voter no
+// replacement, for seconds.
+func (t *Transport) renewUnanswered(caller link.Caller) (stop func() bool) {
+	r, ok := caller.(renewer)
+	if !ok {
+		return func() bool { return false }
+	}
+	return time.AfterFunc(t.answerTimeout, func() { r.Renew(t.answerTimeout) }).Stop
+}
+
 // Close stops sending and waits for calls in progress to end.
 func (t *Transport) Close() error {
 	t.cancel()
--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -155,7 +155,7 @@
 	f.is.NoErr(err)
 	identity := link.Identity{Peer: link.Peer{Process: name}, Keys: secret.StaticKeys(key)}
 	p := &process{name: name, listener: listener, machine: &recorder{}}
-	p.out = New(func(address string) link.Caller { return link.NewClient(address, identity) })
+	p.out = New(func(address string) link.Caller { return link.NewClient(address, identity) }, f.election())
 	folder, err := wal.OSFolder(filepath.Join(f.folder, name))
 	f.is.NoErr(err)
 	var peers []replica.Peer
@@ -327,7 +327,7 @@
 		is := is.New(t)
 		caller := &failingCaller{}
 		caller.failures.Store(3)
-		transport := New(func(string) link.Caller { return caller })
+		transport := New(func(string) link.Caller { return caller }, testElection)
 		defer transport.Close()
 		transport.Connect([]string{"a:1"})
 		time.Sleep(connectTimeout)
@@ -335,3 +335,36 @@
 		is.Equal(caller.calls.Load(), int64(4)) // no further calls once connected
 	})
 }
+
+// silentCaller is a caller whose connection is silent until it is renewed.
+type silentCaller struct {
+	link.Caller
+	renewed  chan struct{}
+	answered atomic.Int64
+}
+
+func (s *silentCaller) Renew(time.Duration) { close(s.renewed) }
+
+func (s *silentCaller) Call(ctx context.Context, _ string, _, _ proto.Message) error {
+	select {
+	case <-s.renewed:
+		s.answered.Add(1)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Guards against a group that has no leader for seconds because its open connections went silent.
+func TestSilentConnectionIsRenewedBeforeAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		caller := &silentCaller{renewed: make(chan struct{})}
+		transport := New(func(string) link.Caller { return caller }, testElection)
+		defer transport.Close()
+		transport.Send("a:1", []*lilacv1.RaftMessage{{}})
+		time.Sleep(testElection - testHeartbeat)
+		synctest.Wait()
+		is.Equal(caller.answered.Load(), int64(1))
+	})
+}
--- a/daemon/state/replica.go
+++ b/daemon/state/replica.go
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	peers := replicaPeers(s.Peers)
-	transport := replicalink.New(func(address string) link.Caller { return link.NewClient(address, id) })
+	transport := replicalink.New(func(address string) link.Caller { return link.NewClient(address, id) }, s.Election.Duration)
 	node, err := replica.Open(replica.Options{
 		Name: s.Name, Address: s.AdvertisedLink().Value, DataCenter: s.DataCenter,
 		Peers: peers, Bootstrap: s.Bootstrap, AutoMembers: s.AutoMembers,
