--- a/process/replica/members.go
+++ b/process/replica/members.go
@@ -148,7 +148,7 @@
 		if member.GetName() != joiner.GetName() {
 			continue
 		}
-		if member.GetId() == c.cfg.ID || c.recentlyHeard(member.GetId()) {
+		if member.GetId() == c.cfg.ID || !c.isGone(member, joiner) {
 			return // Two processes run under one name; the existing member is kept.
 		}
 		learner.Replaces = member.GetId()
@@ -163,10 +163,24 @@
 	c.appendMembers(members)
 }
 
-// recentlyHeard reports whether the member replied within two election timeouts.
-func (c *Core) recentlyHeard(id string) bool {
-	p := c.leaderState.progress[id]
-	return p != nil && c.now-p.lastHeard <= 2*c.cfg.Election
+const (
+	// goneElectionTimeouts is the silence, in election timeouts, after which another process may
+	// replace a member.
+	goneElectionTimeouts = 2
+	// goneHeartbeats is the same, in heartbeats, for a process at the member's own address: only
+	// one can listen there.
+	goneHeartbeats = 2
+)
+
+// isGone reports whether the member has been silent for so long that the successor, a process
+// of the same name under another identity, may replace it.
+func (c *Core) isGone(member, successor *lilacv1.RaftMember) bool {
+	p := c.leaderState.progress[member.GetId()]
+	limit := goneElectionTimeouts * c.cfg.Election
+	if successor.GetAddress() == member.GetAddress() {
+		limit = goneHeartbeats * c.cfg.Heartbeat
+	}
+	return p == nil || c.now-p.lastHeard > limit
 }
 
 // repair advances the replacement of a lost voter by one step: first the lost identity
@@ -188,8 +202,8 @@
 		if member.GetVoter() || member.GetReplaces() == "" || !c.caughtUp(member.GetId()) {
 			continue
 		}
-		if findMember(c.members.latest(), member.GetReplaces()) != nil {
-			if !c.recentlyHeard(member.GetReplaces()) {
+		if replaced := findMember(c.members.latest(), member.GetReplaces()); replaced != nil {
+			if c.isGone(replaced, member) {
 				c.appendMembers(withoutMember(c.cloneMembers(), member.GetReplaces()))
 			}
 			return
