--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -28,6 +28,8 @@
 	leaders map[string]string
 	votes   map[string]string
 	lostIDs map[string]bool
+	// group is the group that commits, in runs of the first start.
+	group   string
 	digests map[uint64]entryDigest
 	// voters holds the identities that have been voters.
 	voters map[string]bool
@@ -73,6 +75,9 @@
 	case replica.InvariantViolated:
 		v.check(false, a.Invariant, "%s: %s", n.name, a.Detail)
 	case replica.Apply:
+		if v.sim.profile.firstStart {
+			v.groupCommits(n)
+		}
 		for _, entry := range a.Entries {
 			v.entryApplied(n, entry)
 		}
@@ -87,6 +92,9 @@
 	case replica.MembersChanged:
 		v.sim.note("%s has %d members", n.name, len(a.Members))
 		v.membersChanged(n, a.Members)
+		if f := v.sim.struckFounder; f != nil {
+			f.founded(n)
+		}
 	case replica.Repaired:
 		v.sim.repaired(a.Member.GetName())
 	}
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -19,7 +19,7 @@
 	showTrace = flag.Bool("trace", false, "print the trace")
 )
 
-var profiles = []profile{heavy, busy, churn, fleet, cutoff, cutoffWithFaults, scripted}
+var profiles = []profile{heavy, busy, churn, fleet, cutoff, cutoffWithFaults, scripted, founding}
 
 // settleTimeout bounds the time until a run settles after all faults have ended.
 const settleTimeout = 90 * time.Second
@@ -47,11 +47,16 @@
 	case p.scripts:
 		s.scripts = newScripts(s, seed)
 		s.run(p.faultTime, never)
+	case p.firstStart:
+		s.run(p.faultTime, never)
 	default:
 		s.after(2*time.Second, s.faults)
 		s.run(p.faultTime, never)
 	}
 	s.heal()
+	if p.firstStart {
+		s.requireAck()
+	}
 	done := func() bool { return s.operators.afterHealed > 0 && s.operators.open == 0 && s.settled() }
 	s.run(p.faultTime+settleTimeout, done)
 	v := s.invariants
@@ -146,6 +151,8 @@
 		return 1 // Other tests run more seeds.
 	case p.scripts:
 		return 4
+	case p.firstStart:
+		return 60
 	}
 	return 12
 }
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -61,8 +61,13 @@
 	// the requests received until then.
 	frozenUntil time.Duration
 	pending     []replica.Request
-	// bootstrap is the process's setting; it stays true after the disk is lost.
+	// bootstrap is the process's setting; it stays true after the disk is lost, but for runs of
+	// the first start.
 	bootstrap bool
+	// synced is true once the process has sent a message, for which its first state is synced.
+	synced bool
+	// down, if not 0, is how long the process stays down after the next kill.
+	down time.Duration
 	// leases checks the leases of machine by the node's clock.
 	leases *state.LeaseClock
 	// id is the identity of the process when it last ran.
@@ -105,6 +110,8 @@
 	cutoffs bool
 	// extraFaults kills, freezes or restarts a process during each cut.
 	extraFaults bool
+	// firstStart injects faults while the group is founded, instead of those after it.
+	firstStart bool
 }
 
 var (
@@ -151,6 +158,8 @@
 	extraDelay    map[string]time.Duration
 	snapshotEvery uint64
 	segmentBytes  int64
+	autoMembers   bool
+	struckFounder *struckFounder
 }
 
 func newSim(p profile, seed uint64, log io.Writer) *sim {
@@ -166,10 +175,17 @@
 	if p.nodes > 0 {
 		count = p.nodes
 	}
+	if p.firstStart {
+		count = s.foundingSize()
+	}
 	for i := range count {
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		s.nodes = append(s.nodes, &node{sim: s, name: fmt.Sprint("state-", i), disk: newDisk(own), bootstrap: true, rng: own, backgroundRNG: rand.New(rand.NewPCG(seed, uint64(200+i)))})
 	}
+	if p.firstStart {
+		s.startFounding(seed)
+		return s
+	}
 	for _, n := range s.nodes {
 		s.after(time.Duration(s.rng.IntN(2000))*time.Millisecond, n.start)
 	}
@@ -215,7 +231,7 @@
 	n.leases = state.NewLeaseClock(n.machine, func() time.Time { return time.Unix(0, 0).Add(s.now) })
 	n.frozenUntil, n.pending = 0, nil
 	n.runUntilCrash(func() {
-		runner, err := replica.NewRunner(replica.Options{Name: n.name, Address: n.name, Peers: peers, Bootstrap: n.bootstrap,
+		runner, err := replica.NewRunner(replica.Options{Name: n.name, Address: n.name, Peers: peers, Bootstrap: n.bootstrap, AutoMembers: s.autoMembers,
 			Heartbeat: heartbeat, Election: election, Folder: n.disk, Machine: n.machine, Transport: n, SnapshotEvery: s.snapshotEvery,
 			SegmentBytes: s.segmentBytes, ChunkBytes: cmp.Or(s.profile.chunkBytes, 400), AppendBytes: s.profile.appendBytes, Clock: func() time.Duration { return s.now },
 			Random: n.rng.Uint64, Background: n.background, Observe: func(a replica.Action) { s.invariants.observe(n, a) }})
@@ -329,12 +345,18 @@
 	n.sim.invariants.addChecked(n.runner.Status().InvariantsChecked)
 	n.runner = nil
 	n.disk.crash()
+	if n.down > 0 {
+		n.sim.after(n.down, n.start)
+		n.down = 0
+		return
+	}
 	n.sim.after(time.Duration(n.rng.Int64N(int64(3*time.Second))), n.start)
 }
 
 // Send delivers messages with delay, loss, duplication and reordering.
 func (n *node) Send(address string, messages []*lilacv1.RaftMessage) {
 	s := n.sim
+	n.synced = true
 	for _, m := range messages {
 		s.invariants.messageSent(n, m)
 		if s.cut[n.name+">"+address] || s.rng.Float64() < s.loss {
@@ -349,7 +371,7 @@
 
 func (s *sim) deliver(from *node, address string, m *lilacv1.RaftMessage) {
 	copied := proto.CloneOf(m)
-	s.after(s.delay()+s.extraDelay[address], func() {
+	s.after(s.delay()+s.extraDelay[address]+s.struckFounder.delay(from), func() {
 		if s.cut[from.name+">"+address] {
 			return
 		}
--- a/process/replica/actions.go
+++ b/process/replica/actions.go
@@ -38,6 +38,12 @@
 		r.logger.Info("promoted member now counts towards the quorum", "process", a.Member.GetName(), "id", a.Member.GetId())
 	case Replaced:
 		r.fatalErr = replacedError(r.options.Folder.Path(), r.core.group, a.By)
+	case FoundingDelayed:
+		if a.Reason != "" {
+			r.logger.Warn("no group yet", "reason", a.Reason)
+		}
+	case GroupAbandoned:
+		r.logger.Warn("left a group that was founded but can't elect a leader any more; nothing was accepted in it", "group", a.Group)
 	case RivalGroupDetected:
 		r.logger.Error("another group was recovered from the same original group; changes are refused until one of the two is stopped and its data folders are moved away", "group", a.Group, "address", a.Address)
 	case InvariantViolated:
@@ -110,6 +116,9 @@
 	case NotLeader:
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NOT_LEADER, "another state process is the leader; send the request there", notRun, soon, fault.WithLeader(r.core.leaderAddress))
 	case NoQuorum:
+		if reason := r.core.join.delay; reason != "" {
+			return fault.New(lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, "the state processes have no group: "+reason, notRun, election)
+		}
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_NO_QUORUM, "no quorum of state processes is reachable; check that they are running and the network between them", notRun, election)
 	case NoSpace:
 		return fault.New(lilacv1.ErrorKind_ERROR_KIND_DISK_FULL, "disk of the state process is full; free space in its data folder", notRun, election)
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -50,8 +50,6 @@
 	// ID is this process's identity: random for an empty data folder, otherwise
 	// overridden by the stored one.
 	ID string
-	// SpareID is a second random identity, used if the first one has to be discarded.
-	SpareID string
 	// NewGroupID is the group's ID if this process bootstraps one.
 	NewGroupID string
 	// Peers are the other processes listed in the settings.
@@ -115,6 +113,9 @@
 	term        uint64
 	hardDirty   bool
 	lineage     lineage
+	// founders are the names of the founding members if the data folder was created for the first
+	// start; discarded are its former identities.
+	founders, discarded []string
 
 	log             memoryLog
 	snapshot        *lilacv1.RaftSnapshotMeta
@@ -153,14 +154,19 @@
 	c.leaderHeardAt, c.groupBoundAt = now-2*cfg.Election, now
 	c.freshness.freshAt = now - initialStaleness
 	c.stampEpoch, c.stampBase = now, cfg.Seed>>1|1
+	c.join.round = c.stampBase
 	c.cfg.AppendBytes = cmp.Or(cfg.AppendBytes, defaultAppendBytes)
 	c.cfg.ChunkBytes = cmp.Or(cfg.ChunkBytes, defaultChunkBytes)
 	if hard := restored.Hard; hard != nil {
 		c.cfg.ID, c.group, c.term, c.vote = hard.GetId(), hard.GetGroup(), hard.GetTerm(), hard.GetVote()
 		c.lineage.former, c.lineage.replacedBy = hard.GetFormer(), hard.GetReplacedBy()
+		c.founders, c.discarded = hard.GetFounders(), hard.GetDiscarded()
 	} else {
 		c.hardDirty = true
 	}
+	if names := cfg.settingsFounders(); names != nil && c.group == "" && !slices.Equal(names, c.founders) {
+		c.founders, c.hardDirty = names, true
+	}
 	if c.group == "" {
 		// A crash interrupted the bootstrap: what the files hold belongs to no group.
 		restored.Snapshot, restored.Entries = nil, nil
@@ -267,7 +273,7 @@
 func (c *Core) persist() {
 	p := Persist{}
 	if c.hardDirty {
-		p.Hard = &lilacv1.RaftHardState{Id: c.cfg.ID, Group: c.group, Term: c.term, Vote: c.vote, Former: c.lineage.former, ReplacedBy: c.lineage.replacedBy}
+		p.Hard = &lilacv1.RaftHardState{Id: c.cfg.ID, Group: c.group, Term: c.term, Vote: c.vote, Former: c.lineage.former, ReplacedBy: c.lineage.replacedBy, Founders: c.founders, Discarded: c.discarded}
 		c.hardDirty = false
 	}
 	if c.log.submitted < c.log.last() {
--- a/process/replica/election.go
+++ b/process/replica/election.go
@@ -35,7 +35,7 @@
 func (c *Core) requestVotes(kind kind, term uint64, transfer bool) {
 	for _, member := range c.members.latest().GetMembers() {
 		if member.GetVoter() && member.GetId() != c.cfg.ID {
-			m := &message{Kind: kind, To: member.GetId(), Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer}
+			m := &message{Kind: kind, To: member.GetId(), Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: transfer, Snapshot: c.foundingMeta()}
 			c.send(member.GetAddress(), m, true)
 		}
 	}
--- a/process/replica/event.go
+++ b/process/replica/event.go
@@ -167,6 +167,14 @@
 // Replaced reports that a recovered group has permanently replaced the local one.
 type Replaced struct{ By string }
 
+// FoundingDelayed reports why a process without a group has none yet; empty once it is about to
+// found one.
+type FoundingDelayed struct{ Reason string }
+
+// GroupAbandoned reports that this process left a group that was founded and can never commit an
+// entry.
+type GroupAbandoned struct{ Group string }
+
 // RivalGroupDetected reports a message from another group that was recovered from the
 // same original group.
 type RivalGroupDetected struct{ Group, Address string }
@@ -185,5 +193,7 @@
 func (MembersChanged) action()     {}
 func (Repaired) action()           {}
 func (Replaced) action()           {}
+func (FoundingDelayed) action()    {}
+func (GroupAbandoned) action()     {}
 func (RivalGroupDetected) action() {}
 func (InvariantViolated) action()  {}
--- a/process/replica/join.go
+++ b/process/replica/join.go
@@ -15,29 +15,33 @@
 // to its own again.
 type joinState struct {
 	nextHelloAt time.Duration
-	// round is echoed in replies, so that those to hellos from before this process was
-	// bound to its group are recognised. It is 0 until the process first tries to rejoin.
+	// round is echoed in replies. Its numbers differ for each run of the process.
 	round uint64
-	// emptyPeers records, by peer name, when the peer last replied that it holds no log of
-	// this process's group.
-	emptyPeers map[string]time.Duration
-	// founders holds the replies of peers without a group, by name.
-	founders map[string]founder
-}
-
-type founder struct {
-	member  *lilacv1.RaftMember
-	heardAt time.Duration
-}
-
-// founderNames returns the sorted names of the founding members, including this process;
-// nil without Bootstrap.
-func (c *Core) founderNames() []string {
-	if !c.cfg.Bootstrap {
+	// answers holds the last reply of each peer to a hello, by name.
+	answers map[string]helloAnswer
+	// confirmRound is the round that confirms the answers of all founders, 0 if none was begun.
+	confirmRound uint64
+	// delay is why the group can't be founded or joined yet; see FoundingDelayed.
+	delay string
+}
+
+// helloAnswer is what a peer replied to a hello.
+type helloAnswer struct {
+	member    *lilacv1.RaftMember
+	group     string
+	founders  []string
+	discarded []string
+	round     uint64
+}
+
+// settingsFounders returns the sorted names of the founding members by the settings,
+// including this process; nil without Bootstrap.
+func (cfg *Config) settingsFounders() []string {
+	if !cfg.Bootstrap {
 		return nil
 	}
-	names := []string{c.cfg.Name}
-	for _, peer := range c.cfg.Peers {
+	names := []string{cfg.Name}
+	for _, peer := range cfg.Peers {
 		names = append(names, peer.Name)
 	}
 	slices.Sort(names)
@@ -50,21 +54,30 @@
 		return
 	}
 	c.join.nextHelloAt = c.now + c.cfg.Election/2
+	c.sendHellos()
+	c.tryFound()
+	c.reportDelay()
+}
+
+func (c *Core) sendHellos() {
 	for _, peer := range c.cfg.Peers {
 		c.sendHello(peer.Address)
 	}
-	c.tryBootstrap()
 }
 
 func (c *Core) sendHello(address string) {
-	c.send(address, &message{Kind: kindHello, Member: c.self(), Founders: c.founderNames(), Round: c.join.round}, true)
+	c.send(address, &message{Kind: kindHello, Member: c.self(), Round: c.join.round}, true)
 }
 
 // shouldRejoin reports whether this process has not heard from the leader of its group
-// for long and should ask to be added again: either it is no voter, and the entry that
-// added it was lost with the leader that wrote it, or it may have been removed.
+// for long and should ask its peers: it is no voter, and the entry that added it was lost
+// with the leader that wrote it, or it may have been removed, or its group may have died
+// while it was founded.
 func (c *Core) shouldRejoin() bool {
 	silence := c.now - max(c.leaderHeardAt, c.groupBoundAt)
+	if c.isFounding() {
+		return c.role != Leader && silence > foundingElectionTimeouts*c.cfg.Election
+	}
 	if c.isVoter(c.cfg.ID) {
 		return c.mayHaveBeenRemoved(silence)
 	}
@@ -82,17 +95,8 @@
 	if !c.shouldRejoin() || c.now < c.join.nextHelloAt {
 		return
 	}
-	if c.orphaned() {
-		c.resetIdentity()
-		return
-	}
 	c.join.nextHelloAt = c.now + c.cfg.Election
-	if c.join.round == 0 {
-		c.join.round, c.join.emptyPeers = 1, nil
-	}
-	for _, peer := range c.cfg.Peers {
-		c.sendHello(peer.Address)
-	}
+	c.sendHellos()
 	if c.isVoter(c.cfg.ID) {
 		c.sendHelloToMembers()
 	}
@@ -108,56 +112,11 @@
 	}
 }
 
-// recordHelloReply records whether a peer holds a log of this process's group. Delayed
-// replies from before this process was bound to its group are ignored.
-func (c *Core) recordHelloReply(m *message) {
-	if c.join.round == 0 || m.GetRound() != c.join.round {
-		return
-	}
-	if c.join.emptyPeers == nil {
-		c.join.emptyPeers = map[string]time.Duration{}
-	}
-	delete(c.join.emptyPeers, m.GetMember().GetName())
-	if m.GetIndex() == 0 || m.GetGroup() != c.group {
-		c.join.emptyPeers[m.GetMember().GetName()] = c.now
-	}
-}
-
-// orphaned reports whether the group was lost before it committed anything: neither
-// this process nor any of its peers, all of which replied recently, holds its log.
-func (c *Core) orphaned() bool {
-	if c.log.last() != 0 || c.cfg.SpareID == "" || len(c.cfg.Peers) == 0 {
-		return false
-	}
-	for _, peer := range c.cfg.Peers {
-		at, ok := c.join.emptyPeers[peer.Name]
-		if !ok || c.now-at > 2*c.cfg.Election {
-			return false
-		}
-	}
-	return true
-}
-
-// resetIdentity discards this process's identity and group, and continues with the spare
-// identity.
-//
-// If a founder loses its disk right after the bootstrap, the others are bound to a group
-// that no process can lead and would wait forever. Discarding the identity is as safe as
-// losing an empty disk: it has acknowledged no entry, and since it is never used again,
-// it cannot vote twice.
-func (c *Core) resetIdentity() {
-	c.cfg.ID, c.cfg.SpareID = c.cfg.SpareID, ""
-	c.group, c.term, c.vote, c.hardDirty = "", 0, "", true
-	c.lineage = lineage{}
-	c.join = joinState{}
-	c.setRole(Waiting, "", "")
-}
-
 // handleHello replies with the group that this process belongs to.
 func (c *Core) handleHello(m *message) {
-	answer := &message{Kind: kindHelloReply, Member: c.self(), Leader: c.leaderAddress, Index: c.log.last(), Round: m.GetRound()}
+	answer := &message{Kind: kindHelloReply, Member: c.self(), Leader: c.leaderAddress, Index: c.log.last(), Round: m.GetRound(), Discarded: c.discarded}
 	if c.role == Waiting {
-		answer.Founders = c.founderNames()
+		answer.Founders = c.founders
 	}
 	c.reply(m, answer)
 }
@@ -166,17 +125,14 @@
 	if m.GetTo() != c.cfg.ID || (c.role != Waiting && !c.shouldRejoin()) {
 		return
 	}
-	c.recordHelloReply(m)
-	if c.group != "" && m.GetGroup() != c.group {
+	c.recordAnswer(m)
+	if c.abandonDeadGroup() || c.group != "" && m.GetGroup() != c.group {
 		return
 	}
 	if m.GetGroup() == "" {
-		c.recordFounder(m)
-		c.tryBootstrap()
+		c.tryFound()
 		return
 	}
-	// A group exists already, so any process that still offers to found one has lost its disk.
-	c.join.founders = nil
 	switch m.GetLeader() {
 	case "":
 	case m.GetFromAddress():
@@ -186,53 +142,19 @@
 	}
 }
 
-func (c *Core) recordFounder(m *message) {
-	if c.join.founders == nil {
-		c.join.founders = map[string]founder{}
-	}
-	delete(c.join.founders, m.GetMember().GetName())
-	if slices.Equal(m.GetFounders(), c.founderNames()) {
-		c.join.founders[m.GetMember().GetName()] = founder{member: m.GetMember(), heardAt: c.now}
-	}
-}
-
-// tryBootstrap creates the group if this process has the first name of the founders and
-// all others have replied within an election timeout that they belong to no group.
-//
-// A voter that lost its disk while bootstrap is still set must not create a
-// second group under the same names: with another such process it could override what
-// was committed. Any process with a group reports it, and one that does not reply prevents
-// the bootstrap. If a founder loses its disk immediately, its second group and the first
-// one cannot both have a quorum, because each of the others binds its identity to one
-// group permanently.
-func (c *Core) tryBootstrap() {
-	names := c.founderNames()
-	if len(names) == 0 || names[0] != c.cfg.Name {
+// recordAnswer records a peer's reply to a hello of this run, unless a later one is known. A new
+// identity or group of a peer voids a confirmation that was begun.
+func (c *Core) recordAnswer(m *message) {
+	name := m.GetMember().GetName()
+	before := c.join.answers[name]
+	if m.GetRound() < max(c.stampBase, before.round) || m.GetRound() > c.join.round {
 		return
 	}
-	members := &lilacv1.RaftMembers{}
-	for _, name := range names {
-		if name == c.cfg.Name {
-			self := c.self()
-			self.Voter = true
-			members.Members = append(members.Members, self)
-			continue
-		}
-		f, ok := c.join.founders[name]
-		if !ok || c.now-f.heardAt > c.cfg.Election {
-			return
-		}
-		member := f.member
-		member.Voter = true
-		members.Members = append(members.Members, member)
+	if c.join.answers == nil {
+		c.join.answers = map[string]helloAnswer{}
 	}
-	if !c.check(c.group == "", "group_set_once", "process already belongs to a group") {
-		return
+	if before.member.GetId() != m.GetMember().GetId() || before.group != m.GetGroup() {
+		c.join.confirmRound = 0
 	}
-	c.group, c.hardDirty = c.cfg.NewGroupID, true
-	c.setTerm(1, "")
-	c.install(&lilacv1.RaftSnapshotMeta{Index: 1, Term: 1, Members: members}, nil)
-	c.join = joinState{}
-	c.setRole(Follower, "", "")
-	c.resetElectionTimer()
+	c.join.answers[name] = helloAnswer{member: m.GetMember(), group: m.GetGroup(), founders: m.GetFounders(), discarded: m.GetDiscarded(), round: m.GetRound()}
 }
--- a/process/replica/message.go
+++ b/process/replica/message.go
@@ -102,7 +102,10 @@
 		switch m.GetKind() {
 		case kindPreVote, kindVote, kindAppend, kindSnapshot:
 			c.group, c.lineage.former, c.hardDirty = m.GetGroup(), m.GetFormer(), true
-			c.groupBoundAt, c.join = c.now, joinState{}
+			c.groupBoundAt, c.join = c.now, joinState{round: c.join.round}
+			if meta := m.GetSnapshot(); m.GetKind() != kindSnapshot && findMember(meta.GetMembers(), c.cfg.ID) != nil {
+				c.install(meta, nil)
+			}
 			c.setRole(Follower, "", "")
 			c.resetElectionTimer()
 		}
--- a/process/replica/runner.go
+++ b/process/replica/runner.go
@@ -196,7 +196,7 @@
 	o := r.options
 	// Identities have a fixed length so that they sort and align well.
 	identity := func() string { return fmt.Sprintf("%016x", o.Random()) }
-	config := Config{Name: o.Name, Address: o.Address, DataCenter: o.DataCenter, ID: identity(), SpareID: identity(), NewGroupID: identity(),
+	config := Config{Name: o.Name, Address: o.Address, DataCenter: o.DataCenter, ID: identity(), NewGroupID: identity(),
 		Peers: o.Peers, Bootstrap: o.Bootstrap, AutoMembers: o.AutoMembers, Heartbeat: o.Heartbeat, Election: o.Election, AppendBytes: o.AppendBytes, ChunkBytes: o.ChunkBytes, Seed: o.Random()}
 	r.core = NewCore(config, Restored{Hard: state.Hard, Snapshot: meta, Entries: state.Entries}, o.Clock())
 	r.applied, r.snapshotIndex = r.core.applied, r.core.applied
