--- a/internal/proof/founding_test.go
+++ b/internal/proof/founding_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacbridge/lilacbridge/process/replica"
 )
 
 const (
@@ -152,3 +157,39 @@
 
 // maxLateness is the largest delay of a message.
 const maxLateness = 4 * time.Second
+
+// replacement is a calm group of three that loses a disk.
+var replacement = profile{name: "replacement", faultTime: time.Minute, pause: 700 * time.Millisecond, nodes: 3, appendBytes: 600, chunkBytes: 1 << 20, maxDelay: 2 * time.Millisecond, reads: 1}
+
+// Guards against a disk that is not replaced before the next one may be lost: the process is a voter
+// again within replica.ReplacementTime, though open connections go silent once and are renewed.
+func TestLostDiskIsReplacedInTime(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(200) {
+		is := is.New(t)
+		s := newSim(replacement, seed, nil)
+		s.autoMembers, s.loss, s.dup = true, 0, 0
+		s.operators = newOperators(s)
+		s.run(replacement.faultTime, s.settled)
+		is.True(s.settled())
+		rng := rand.New(rand.NewPCG(seed, 5))
+		n := s.nodes[rng.IntN(len(s.nodes))]
+		down := time.Duration(rng.Int64N(int64(time.Second)))
+		s.loseDisk(n, down)
+		back := s.now + down
+		limit := replica.ReplacementTime(heartbeat, election)
+		s.after(down+time.Duration(rng.Int64N(int64(limit))), func() {
+			for _, from := range s.nodes {
+				for _, to := range s.nodes {
+					s.cut[from.name+">"+to.name] = true
+				}
+			}
+			s.after(election/2, func() { s.cut = map[string]bool{} })
+		})
+		s.run(replacement.faultTime, s.allVoters)
+		is.Equal(s.invariants.failure, "")
+		if took := s.now - back; took > limit {
+			t.Fatalf("seed %d: %s took %s to be a voter again, %s may pass", seed, n.name, took, limit)
+		}
+	}
+}
--- a/process/replica/members.go
+++ b/process/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -172,6 +173,21 @@
 	goneHeartbeats = 2
 )
 
+const (
+	// replacementElections and replacementHeartbeats are the waits of a replacement.
+	replacementElections  = 3
+	replacementHeartbeats = goneHeartbeats + 4
+)
+
+// ReplacementTime returns the longest time from the start of a process with an empty folder until
+// it is a voter again, besides round trips and the transfer of the state: up to two election
+// timeouts until there is a leader, half of one for its question to be repeated, half of one for
+// connections that went silent; then the silence of the lost member, and a heartbeat each to add
+// the process, to find that it has caught up, to remove the lost member and to promote the process.
+func ReplacementTime(heartbeat, election time.Duration) time.Duration {
+	return replacementElections*election + replacementHeartbeats*heartbeat
+}
+
 // isGone reports whether the member has been silent for so long that the successor, a process
 // of the same name under another identity, may replace it.
 func (c *Core) isGone(member, successor *lilacv1.RaftMember) bool {
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -39,6 +39,7 @@
 		"address without data centre": {`, data_center: thies-a`, "", []string{"s.yaml:9:", "data_center"}},
 		"missing field":               {"link_key_file: keys/link\n", "", []string{"link_key_file", "add it"}},
 		"election too short":          {"900ms", "500ms", []string{"s.yaml:7:", "three heartbeats"}},
+		"replacement too slow":        {"900ms", "900ms\ncatch_up: 3s", []string{"s.yaml:8:", "catch_up", "3.9s", "shorten election or heartbeat"}},
 		"invalid YAML":                {"name: state-1", "name: [", []string{"s.yaml:"}},
 		"peer twice":                  {"peers:\n", "peers:\n  - {name: state-2, address: \"127.0.0.1:1\", data_center: x}\n", []string{"s.yaml:10:", "twice"}},
 		"heap growth":                 {"name: state-1", "gc_percent: -5\nname: state-1", []string{"gc_percent", "below 0", "such as 50"}},
--- a/process/settings/state.go
+++ b/process/settings/state.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/replica"
 )
 
 // State holds the settings of a state process.
@@ -19,6 +22,9 @@
 	Heartbeat Duration `yaml:"heartbeat"`
 	// Election is the minimum time without a heartbeat before an election. Default 1s.
 	Election Duration `yaml:"election"`
+	// CatchUp is the time in which a process that is back with an empty folder must be a voter
+	// again, as another one may lose its folder then. Default 0, which checks nothing.
+	CatchUp Duration `yaml:"catch_up"`
 	// ClaimRetention is how long results of non-idempotent requests are kept. Default 24h.
 	ClaimRetention Duration `yaml:"claim_retention"`
 	// Control is the listen address at which the platform's operators write and read the
@@ -72,6 +78,9 @@
 	if s.Election.Duration < 3*s.Heartbeat.Duration {
 		all = append(all, &Problem{Line: max(s.Election.Line, 1), Field: "election", Message: "must be at least three heartbeats, or a single lost message starts an election"})
 	}
+	if need := replica.ReplacementTime(s.Heartbeat.Duration, s.Election.Duration); s.CatchUp.Duration > 0 && need > s.CatchUp.Duration {
+		all = append(all, &Problem{Line: max(s.CatchUp.Line, 1), Field: "catch_up", Message: fmt.Sprintf("a process with an empty folder may need %s to be a voter again; shorten election or heartbeat", need)})
+	}
 	all = append(all, s.Limits.validate()...)
 	all = append(all, s.Duties.validate(s.Name)...)
 	return errors.Join(all...)
