A founder that stopped answering is named; a renewal leaves redials alone

A founder that had answered once and then stopped was not named as the reason why there is no group. TestSilentFounderIsNamed failed before.

A connection that closed while it was being renewed could be dialled by a call as well; the later of the two sessions then replaced the other without closing it. Found by reading; no run shows it.

--- a/connection/link/client.go
+++ b/connection/link/client.go
@@ -142,7 +142,7 @@
 func (c *Client) Renew(idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.renewing || c.session == nil || !c.session.silentFor(idle) {
+	if c.closed || c.renewing || c.session == nil || c.session.IsClosed() || c.session.out.readActivity.idle() < idle {
 		return
 	}
 	c.renewing = true
@@ -158,7 +158,9 @@
 	if err != nil {
 		return
 	}
-	if c.closed || c.session != old || !old.silentFor(idle) {
+	// A call that found the old connection closed has dialled as well.
+	redialled := c.session != old || c.pendingDial != nil
+	if c.closed || redialled || old.out.readActivity.idle() < idle {
 		fresh.Close()
 		return
 	}
@@ -166,11 +168,6 @@
 	old.Close()
 }
 
-// silentFor reports whether nothing was read for the given time, or ever will be.
-func (s *session) silentFor(idle time.Duration) bool {
-	return s.IsClosed() || s.out.readActivity.idle() >= idle
-}
-
 func (c *Client) establish() (*session, error) {
 	conn, err := c.dialer(c.ctx, c.address)
 	if err != nil {
--- a/process/replica/actions.go
+++ b/process/replica/actions.go
@@ -39,9 +39,7 @@
 	case Replaced:
 		r.fatalErr = replacedError(r.options.Folder.Path(), r.core.group, a.By)
 	case FoundingDelayed:
-		if a.Reason != "" {
-			r.logger.Warn("no group yet", "reason", a.Reason)
-		}
+		r.logger.Warn("no group yet", "reason", a.Reason)
 	case GroupAbandoned:
 		r.logger.Warn("left a group that was founded but can't elect a leader any more; nothing was accepted in it", "group", a.Group)
 	case RivalGroupDetected:
--- a/process/replica/event.go
+++ b/process/replica/event.go
@@ -167,8 +167,7 @@
 // Replaced reports that a recovered group has permanently replaced the local one.
 type Replaced struct{ By string }
 
-// FoundingDelayed reports why a process without a group has none yet; empty once it is about to
-// found one.
+// FoundingDelayed reports why a process without a group has none yet.
 type FoundingDelayed struct{ Reason string }
 
 // GroupAbandoned reports that this process left a group that was founded and can never commit an
--- a/process/replica/founding.go
+++ b/process/replica/founding.go
@@ -43,7 +43,7 @@
 		c.join.confirmRound = c.join.round
 		c.sendHellos()
 	}
-	if !c.confirmed() || !c.check(c.group == "", "group_set_once", "process already belongs to a group") {
+	if len(c.unconfirmed()) > 0 || !c.check(c.group == "", "group_set_once", "process already belongs to a group") {
 		return
 	}
 	c.group, c.hardDirty = c.cfg.NewGroupID, true
@@ -90,7 +90,7 @@
 	}
 	switch {
 	case len(silent) > 0:
-		return nil, fmt.Sprintf("no answer from %s; all state processes must run for the first start", strings.Join(silent, ", "))
+		return nil, silentDelay(silent)
 	case len(claims) <= len(c.founders)/2:
 		return nil, fmt.Sprintf("only %s of %d state processes still have the data folders of the first start; start all of them with empty data folders and bootstrap: true", strings.Join(claims, ", "), len(c.founders))
 	case first != c.cfg.Name:
@@ -99,14 +99,11 @@
 	return members, ""
 }
 
-// confirmed reports whether all founders have replied in the round that confirms their answers.
-func (c *Core) confirmed() bool {
-	for _, name := range c.founders {
-		if name != c.cfg.Name && c.join.answers[name].round < c.join.confirmRound {
-			return false
-		}
-	}
-	return true
+// unconfirmed returns the founders that have not replied in the round that confirms the answers.
+func (c *Core) unconfirmed() []string {
+	return slices.DeleteFunc(slices.Clone(c.founders), func(name string) bool {
+		return name == c.cfg.Name || c.join.answers[name].round >= c.join.confirmRound
+	})
 }
 
 // isFounding reports whether this process belongs to a group that was founded but of which it
@@ -174,11 +171,21 @@
 // newIdentity returns a random identity, of the same length as the one of a new data folder.
 func (c *Core) newIdentity() string { return fmt.Sprintf("%016x", c.rng.Uint64()) }
 
+func silentDelay(names []string) string {
+	return fmt.Sprintf("no answer from %s; all state processes must run for the first start", strings.Join(names, ", "))
+}
+
 // reportDelay emits why the group can't be founded or joined yet, if that has changed and takes
 // longer than a start.
 func (c *Core) reportDelay() {
+	if c.role != Waiting || c.now-c.groupBoundAt <= foundingElectionTimeouts*c.cfg.Election {
+		return
+	}
 	_, delay := c.foundingMembers()
-	if c.role == Waiting && delay != c.join.delay && c.now-c.groupBoundAt > foundingElectionTimeouts*c.cfg.Election {
+	if delay == "" {
+		delay = silentDelay(c.unconfirmed())
+	}
+	if delay != c.join.delay {
 		c.join.delay = delay
 		c.emit(FoundingDelayed{Reason: delay})
 	}
--- a/process/replica/founding_test.go
+++ b/process/replica/founding_test.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -159,6 +158,10 @@
 func TestSilentFounderIsNamed(t *testing.T) {
 	s := newFounder(t, "a", true)
 	s.advance((foundingElectionTimeouts + 1) * testElection)
-	delays := takeActions[FoundingDelayed](s)
-	s.is.Equal(fmt.Sprint(delays), "[{no answer from name-b, name-c; all state processes must run for the first start}]")
+	s.is.Equal(takeActions[FoundingDelayed](s), []FoundingDelayed{{"no answer from name-b, name-c; all state processes must run for the first start"}})
+	s.answerHello("b", "b", "", testFounders...)
+	s.answerHello("c", "c", "", testFounders...)
+	s.answerHello("b", "b", "", testFounders...)
+	s.advance(testElection) // c has answered before, but does not confirm it
+	s.is.Equal(takeActions[FoundingDelayed](s), []FoundingDelayed{{"no answer from name-c; all state processes must run for the first start"}})
 }
