Tests of replication keep their folders in memory

Cause: the tests start while other binaries are still built; on this disk a sync then takes seconds. The subject of these tests is the group, not the disk; their checks and time limits are unchanged. Benchmarks stay on the disk, as does every test of process/wal.

--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -21,6 +21,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/internal/loopback"
+	"github.com/lilacbridge/lilacbridge/internal/memfolder"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/replica"
 	"github.com/lilacbridge/lilacbridge/process/secret"
@@ -132,7 +133,7 @@
 // newFleetWithBatch starts processes that let up to batch proposals share a sync; 0 is the
 // default.
 func newFleetWithBatch(t testing.TB, batch int, names ...string) *fleet {
-	f := &fleet{t: t, is: is.New(t), batch: batch, folder: t.TempDir(), addresses: map[string]string{}, running: map[string]*process{}}
+	f := &fleet{t: t, is: is.New(t), batch: batch, folder: memfolder.New(t), addresses: map[string]string{}, running: map[string]*process{}}
 	for _, name := range names {
 		listener, err := loopback.Listen()
 		f.is.NoErr(err)
--- a/daemon/state/cluster_test.go
+++ b/daemon/state/cluster_test.go
@@ -16,6 +16,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/internal/loopback"
+	"github.com/lilacbridge/lilacbridge/internal/memfolder"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
@@ -43,7 +44,7 @@
 }
 
 func newCluster(t testing.TB, n int) *cluster {
-	c := &cluster{t: t, is: is.New(t), folder: t.TempDir(), running: map[string]*stateProcess{}}
+	c := &cluster{t: t, is: is.New(t), folder: memfolder.New(t), running: map[string]*stateProcess{}}
 	var listeners []net.Listener
 	for i := range n {
 		listener, err := loopback.Listen()
--- a/daemon/state/group_test.go
+++ b/daemon/state/group_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/internal/memfolder"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 )
@@ -113,7 +114,7 @@
 
 func TestDaemonServesAndStops(t *testing.T) {
 	is := is.New(t)
-	folder := t.TempDir()
+	folder := memfolder.New(t)
 	key := filepath.Join(folder, "key")
 	is.NoErr(os.WriteFile(key, testKey, 0o600))
 	yaml := "name: a\ndata_center: dakar-a\nlink: 127.0.0.1:0\nadmin: 127.0.0.1:0\nlink_key_file: " + key +
