Elections, profiles and the head of an answer stand where they belong

Moves only; no check, bound or decision changes. What lilacctl and lilacload drop are errors of cobra that only a misspelt flag of theirs can cause; not touched either.

Run here: process/replica, connection/link and internal/style with the race detector, internal/proof and platform without: green.

--- a/connection/link/conn.go
+++ b/connection/link/conn.go
@@ -64,7 +64,7 @@
 	go func() {
 		defer close(done)
 		if !copyFrames(target, reader) {
-			// The caller is told what is left to read and how the target ended.
+			// sendFrames passes on what the target still sends, and its end.
 			return
 		}
 		target.Close()
--- a/misbehaving/servers_test.go
+++ b/misbehaving/servers_test.go
@@ -21,7 +21,7 @@
 
 // endlessBytesOfServers are what faulty servers send until the connection is closed.
 func endlessBytesOfServers() (servers []standin.Endless) {
-	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Signature: signed.{id}\r\n"
+	head := standin.AnswerHead
 	for range endlessCopies {
 		servers = append(servers, []standin.Endless{
 			{Unit: "x"},
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -347,38 +347,6 @@
 	}
 }
 
-func (c *Core) resetElectionTimer() {
-	if c.cfg.AutoMembers {
-		c.electionAt = c.now + c.cfg.Election + c.electionPriorityDelay()
-		return
-	}
-	spread := time.Duration(c.rng.Int64N(int64(c.cfg.Election)))
-	c.electionAt = c.now + c.cfg.Election + spread
-}
-
-// electionPriorityDelay is how much longer than the minimum election timeout this
-// voter waits before it campaigns.
-//
-// It prevents repeated split votes when all voters start at the same moment, as
-// after a power failure, and votes take a cross-region delay to arrive: two voters
-// would campaign within that delay and neither would win, leaving the group without
-// a leader for seconds. Each voter gets a distinct delay by its rank among the
-// sorted voter IDs, plus a smaller random part.
-func (c *Core) electionPriorityDelay() time.Duration {
-	ids := voters(c.members.latest())
-	rank := slices.Index(ids, c.cfg.ID)
-	if rank < 0 {
-		rank = len(ids)
-	}
-	step := c.cfg.Election / priorityStepDivisor
-	return time.Duration(rank)*step + time.Duration(c.rng.Int64N(int64(step)/2))
-}
-
-// priorityStepDivisor divides the minimum election timeout to give the delay between
-// two ranks. At 600 ms the step is 200 ms, which covers pre-vote, vote and sync with a
-// one-way network delay of 30 ms.
-const priorityStepDivisor = 3
-
 // handleCompacted drops entries covered by a synced snapshot.
 func (c *Core) handleCompacted(e Compacted) {
 	if !c.check(e.Meta.GetIndex() <= c.applied, "snapshot_of_applied_only", "snapshot index is past the applied index") {
--- a/process/replica/founding.go
+++ b/process/replica/founding.go
@@ -31,8 +31,8 @@
 //     their identities are known. An identity that was lost before the round takes no further
 //     part in an earlier group, and those that reply have taken none: at most the lost ones
 //     have stored an entry of it, and they are a minority.
-//   - An identity is bound to one group for good, so that two groups with the same founders
-//     can't both have a quorum.
+//   - An identity never changes its group, so that two groups with the same founders can't both
+//     have a quorum.
 func (c *Core) tryFound() {
 	members, delay := c.foundingMembers()
 	if delay != "" {
--- a/process/replica/founding_test.go
+++ b/process/replica/founding_test.go
@@ -120,8 +120,7 @@
 	s.is.True(asked)
 }
 
-// Guards against a process that stays for good in a group without a quorum, which it learned of when
-// the others had founded another one.
+// Guards against a process that is bound to a group without a quorum and never leaves it.
 func TestDeadGroupIsLeft(t *testing.T) {
 	for name, answer := range map[string]*message{
 		"another group": {Member: &lilacv1.RaftMember{Id: "b", Name: "name-b", Address: "b"}, Group: "group of b"},
