--- a/connection/replicalink/transport_test.go
+++ b/connection/replicalink/transport_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -21,7 +19,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/internal/loopback"
-	"github.com/lilacbridge/lilacbridge/internal/memfolder"
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/replica"
 	"github.com/lilacbridge/lilacbridge/process/secret"
@@ -115,11 +113,12 @@
 }
 
 type fleet struct {
-	t         testing.TB
-	is        *is.I
-	bytes     atomic.Int64
-	batch     int
-	folder    string
+	t     testing.TB
+	is    *is.I
+	bytes atomic.Int64
+	batch int
+	// disks are by the process's name; a test replaces the one that a process loses.
+	disks     map[string]wal.Folder
 	addresses map[string]string
 	running   map[string]*process
 }
@@ -133,12 +132,13 @@
 // newFleetWithBatch starts processes that let up to batch proposals share a sync; 0 is the
 // default.
 func newFleetWithBatch(t testing.TB, batch int, names ...string) *fleet {
-	f := &fleet{t: t, is: is.New(t), batch: batch, folder: memfolder.New(t), addresses: map[string]string{}, running: map[string]*process{}}
+	f := &fleet{t: t, is: is.New(t), batch: batch, disks: map[string]wal.Folder{}, addresses: map[string]string{}, running: map[string]*process{}}
 	for _, name := range names {
 		listener, err := loopback.Listen()
 		f.is.NoErr(err)
 		f.addresses[name] = listener.Addr().String()
 		f.is.NoErr(listener.Close())
+		f.disks[name] = memdisk.NewFolder(t)
 	}
 	for _, name := range names {
 		f.start(name, true)
@@ -157,8 +157,6 @@
 	identity := link.Identity{Peer: link.Peer{Process: name}, Keys: secret.StaticKeys(key)}
 	p := &process{name: name, listener: listener, machine: &recorder{}}
 	p.out = New(func(address string) link.Caller { return link.NewClient(address, identity) }, f.election())
-	folder, err := wal.OSFolder(filepath.Join(f.folder, name))
-	f.is.NoErr(err)
 	var peers []replica.Peer
 	for other, address := range f.addresses {
 		if other != name {
@@ -166,7 +164,7 @@
 		}
 	}
 	p.node, err = replica.Open(replica.Options{Name: name, Address: f.addresses[name], Peers: peers, Bootstrap: bootstrap,
-		Heartbeat: testHeartbeat, Election: f.election(), Folder: folder, Machine: p.machine, Transport: p.out, SnapshotEvery: f.snapshotEvery(), MaxBatch: f.batch})
+		Heartbeat: testHeartbeat, Election: f.election(), Folder: f.disks[name], Machine: p.machine, Transport: p.out, SnapshotEvery: f.snapshotEvery(), MaxBatch: f.batch})
 	f.is.NoErr(err)
 	mux := link.NewMux()
 	Handle(mux, p.node)
@@ -243,8 +241,7 @@
 	for i := range 300 {
 		f.propose(fmt.Sprint("while away ", i))
 	}
-	folder := filepath.Join(f.folder, "state-b")
-	f.is.NoErr(os.RemoveAll(folder))
+	f.disks["state-b"] = memdisk.NewFolder(t)
 	back := f.start("state-b", true)
 	f.waitUntil("repair", func() bool {
 		s := back.node.Status()
--- a/daemon/state/cluster_test.go
+++ b/daemon/state/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -16,25 +15,27 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/link"
 	"github.com/lilacbridge/lilacbridge/internal/loopback"
-	"github.com/lilacbridge/lilacbridge/internal/memfolder"
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/process/wal"
 )
 
-// cluster is a set of state processes with real logs and folders. Tests can stop, empty,
+// cluster is a set of state processes with real logs on disks of their own. Tests can stop, empty,
 // recover and restart them on the same addresses.
 type cluster struct {
-	t       testing.TB
-	is      *is.I
-	folder  string
+	t  testing.TB
+	is *is.I
+	// disks are by the process's name; a test takes one away or replaces it.
+	disks   map[string]wal.Folder
 	peers   []settings.Peer
 	running map[string]*stateProcess
 	// random generates the identities of recoveries; deterministic.
 	random atomic.Uint64
 }
 
-// stateProcess is a state process with the real log, in a folder of its own.
+// stateProcess is a state process with the real log.
 type stateProcess struct {
 	process
 	running  RunningLog
@@ -44,7 +45,7 @@
 }
 
 func newCluster(t testing.TB, n int) *cluster {
-	c := &cluster{t: t, is: is.New(t), folder: memfolder.New(t), running: map[string]*stateProcess{}}
+	c := &cluster{t: t, is: is.New(t), disks: map[string]wal.Folder{}, running: map[string]*stateProcess{}}
 	var listeners []net.Listener
 	for i := range n {
 		listener, err := loopback.Listen()
@@ -52,6 +53,7 @@
 		listeners = append(listeners, listener)
 		name := string(rune('a' + i))
 		c.peers = append(c.peers, settings.Peer{Name: name, Address: settings.Address{Value: listener.Addr().String()}, DataCenter: "dc-" + name})
+		c.disks[name] = memdisk.NewFolder(t)
 	}
 	for i, listener := range listeners {
 		c.is.NoErr(c.serve(c.peers[i].Name, listener))
@@ -64,13 +66,11 @@
 	return c
 }
 
-func (c *cluster) data(name string) string { return filepath.Join(c.folder, name) }
-
 func (c *cluster) peerIndex(name string) int {
 	return slices.IndexFunc(c.peers, func(p settings.Peer) bool { return p.Name == name })
 }
 
-// start starts the process on its current folder and returns the error of opening the log.
+// start starts the process on its current disk and returns the error of opening the log.
 func (c *cluster) start(name string) error {
 	listener, err := net.Listen("tcp", c.peers[c.peerIndex(name)].Address.Value)
 	c.is.NoErr(err)
@@ -82,13 +82,13 @@
 	peer := c.peers[i]
 	s := &settings.State{
 		Common: settings.Common{Name: peer.Name, DataCenter: peer.DataCenter, Link: peer.Address},
-		Data:   c.data(name), Peers: slices.Delete(slices.Clone(c.peers), i, i+1), Bootstrap: true,
+		Peers:  slices.Delete(slices.Clone(c.peers), i, i+1), Bootstrap: true,
 		Heartbeat: settings.Duration{Duration: 20 * time.Millisecond}, Election: settings.Duration{Duration: 200 * time.Millisecond},
 	}
 	machine := NewMachine(0, ledger.Limits{})
 	mux := link.NewMux()
 	id := link.Identity{Peer: link.Peer{Process: peer.Name, DataCenter: peer.DataCenter}, Keys: secret.StaticKeys(testKey)}
-	log, err := OpenReplica(s, machine, mux, id, hclog.NewNullLogger(), prometheus.NewRegistry())
+	log, err := openReplica(c.disks[name], s, machine, mux, id, hclog.NewNullLogger(), prometheus.NewRegistry())
 	if err != nil {
 		listener.Close()
 		return err
--- a/daemon/state/group_test.go
+++ b/daemon/state/group_test.go
@@ -12,11 +12,16 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
-	"github.com/lilacbridge/lilacbridge/internal/memfolder"
+	"github.com/lilacbridge/lilacbridge/connection/link"
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/ledger"
+	"github.com/lilacbridge/lilacbridge/process/secret"
 	"github.com/lilacbridge/lilacbridge/process/settings"
+	"github.com/lilacbridge/lilacbridge/process/wal"
 )
 
 // replicatedGroup starts three state processes with the real log over loopback.
@@ -114,14 +119,17 @@
 
 func TestDaemonServesAndStops(t *testing.T) {
 	is := is.New(t)
-	folder := memfolder.New(t)
+	folder := t.TempDir()
 	key := filepath.Join(folder, "key")
 	is.NoErr(os.WriteFile(key, testKey, 0o600))
 	yaml := "name: a\ndata_center: dakar-a\nlink: 127.0.0.1:0\nadmin: 127.0.0.1:0\nlink_key_file: " + key +
 		"\ndata: " + filepath.Join(folder, "data") + "\nbootstrap: true\nheartbeat: 20ms\nelection: 200ms\n"
 	s := &settings.State{}
 	is.NoErr(settings.Parse("test.yaml", []byte(yaml), s))
-	daemon, err := NewDaemon(s, hclog.NewNullLogger(), OpenReplica, Control{})
+	open := func(s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger, registry prometheus.Registerer) (RunningLog, error) {
+		return openReplica(memdisk.New(), s, machine, mux, id, logger, registry)
+	}
+	daemon, err := NewDaemon(s, hclog.NewNullLogger(), open, Control{})
 	is.NoErr(err)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
@@ -136,6 +144,31 @@
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_BAD_REQUEST))
 }
 
+// Guards against a state process that keeps its log elsewhere than in the data folder of its
+// settings, where a restart would not find it.
+func TestOpenReplicaKeepsItsLogInTheDataFolder(t *testing.T) {
+	is := is.New(t)
+	s := &settings.State{Common: settings.Common{Name: "a", DataCenter: "dakar-a", Link: settings.Address{Value: "127.0.0.1:0"}},
+		Data: filepath.Join(t.TempDir(), "data"), Bootstrap: true,
+		Heartbeat: settings.Duration{Duration: 20 * time.Millisecond}, Election: settings.Duration{Duration: 200 * time.Millisecond}}
+	open := func() RunningLog {
+		id := link.Identity{Peer: link.Peer{Process: "a"}, Keys: secret.StaticKeys(testKey)}
+		log, err := OpenReplica(s, NewMachine(0, ledger.Limits{}), link.NewMux(), id, hclog.NewNullLogger(), prometheus.NewRegistry())
+		is.NoErr(err)
+		return log
+	}
+	log := open()
+	waitUntil(func() bool { return log.Status().IsLeader })
+	group := log.Status().Status.GetGroup()
+	is.NoErr(log.Close())
+	report, err := wal.Inspect(wal.ReadOnlyFolder(s.Data))
+	is.NoErr(err)
+	is.Equal(report.Group, group)
+	log = open()
+	is.Equal(log.Status().Status.GetGroup(), group)
+	is.NoErr(log.Close())
+}
+
 // BenchmarkClaims compares claims, which are synced by a quorum of three processes with
 // real files, with calls over the same links that replicate nothing.
 func BenchmarkClaims(b *testing.B) {
--- a/daemon/state/recover_test.go
+++ b/daemon/state/recover_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"os"
+	"maps"
 	"testing"
 	"time"
 
@@ -11,6 +11,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/spreadlink"
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/wal"
@@ -18,7 +19,7 @@
 
 func (c *cluster) options(name string, entries ...string) RecoverOptions {
 	return RecoverOptions{
-		Folder: wal.ReadOnlyFolder(c.data(name)), Limits: ledger.Limits{}, KeyMargin: time.Hour, Entries: entries, Dial: dialer(c.t),
+		Folder: c.disks[name], Limits: ledger.Limits{}, KeyMargin: time.Hour, Entries: entries, Dial: dialer(c.t),
 		Who: "awa", Confirm: true, Random: func() uint64 { return c.random.Add(1) }, Now: time.Now,
 	}
 }
@@ -93,9 +94,10 @@
 	// A recovery is refused while the other voters are running.
 	_, err = Recover(t.Context(), c.options(survivor, entryAddress))
 	is.True(fault.Is(err, lilacv1.ErrorKind_ERROR_KIND_CONFLICT))
+	oldDisks := maps.Clone(c.disks)
 	for _, name := range lost {
 		c.stop(name)
-		is.NoErr(os.Rename(c.data(name), c.data(name)+"-old"))
+		c.disks[name] = memdisk.NewFolder(t)
 	}
 	dry := c.options(survivor, entryAddress)
 	dry.Confirm = false
@@ -140,8 +142,7 @@
 	// Both lost voters return with their old disks and form a quorum of the old group.
 	for _, name := range lost {
 		c.stop(name)
-		is.NoErr(os.RemoveAll(c.data(name)))
-		is.NoErr(os.Rename(c.data(name)+"-old", c.data(name)))
+		c.disks[name] = oldDisks[name]
 	}
 	for _, name := range lost {
 		is.NoErr(c.start(name))
--- a/daemon/state/replica.go
+++ b/daemon/state/replica.go
@@ -28,6 +28,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return openReplica(folder, s, machine, mux, id, logger, registry)
+}
+
+func openReplica(folder wal.Folder, s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger, registry prometheus.Registerer) (RunningLog, error) {
 	peers := replicaPeers(s.Peers)
 	transport := replicalink.New(func(address string) link.Caller { return link.NewClient(address, id) }, s.Election.Duration)
 	node, err := replica.Open(replica.Options{
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/replica"
 )
 
@@ -26,7 +27,7 @@
 	case 0, 1:
 		n.kill()
 	case 2, 3:
-		n.disk.crashAfter = 1 + s.faultRNG.IntN(12)
+		n.disk.CrashDuring(1 + s.faultRNG.IntN(12))
 	case 4:
 		n.freeze(time.Duration(s.faultRNG.Int64N(int64(2 * time.Second))))
 	case 5:
@@ -39,7 +40,7 @@
 	case 9:
 		s.fillDisk(n)
 	case 10:
-		n.disk.failSync = true
+		n.disk.FailNextSync()
 	case 11:
 		s.emptyDisk(n)
 	case 12:
@@ -107,8 +108,8 @@
 
 func (s *sim) fillDisk(n *node) {
 	s.note("%s disk full", n.name)
-	n.disk.space = s.faultRNG.IntN(300)
-	s.after(time.Duration(s.faultRNG.Int64N(int64(6*time.Second))), func() { n.disk.space = -1 })
+	n.disk.LimitSpace(s.faultRNG.IntN(300))
+	s.after(time.Duration(s.faultRNG.Int64N(int64(6*time.Second))), func() { n.disk.LimitSpace(memdisk.Unlimited) })
 }
 
 // emptyDisk replaces the node's disk by an empty one, unless the repair of another
@@ -120,7 +121,7 @@
 	s.lost = n.name
 	s.invariants.diskLost(n)
 	n.kill()
-	n.disk = newDisk(n.rng)
+	n.disk = memdisk.New()
 	s.note("%s lost its disk", n.name)
 }
 
@@ -173,7 +174,7 @@
 		}
 	}
 	for _, n := range s.nodes {
-		n.disk.space, n.disk.failSync, n.disk.crashAfter = -1, false, 0
+		n.disk.Heal()
 		if n.runner == nil {
 			n.start()
 		}
--- a/internal/proof/founding_test.go
+++ b/internal/proof/founding_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/replica"
 )
 
@@ -73,7 +74,7 @@
 	}
 	s.note("%s loses its disk", n.name)
 	n.killFor(down)
-	n.disk = newDisk(n.rng)
+	n.disk = memdisk.New()
 }
 
 // allHaveState reports whether all processes run and have synced their first state.
--- a/internal/proof/sim_test.go
+++ b/internal/proof/sim_test.go
@@ -17,6 +17,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/daemon/state"
+	"github.com/lilacbridge/lilacbridge/internal/memdisk"
 	"github.com/lilacbridge/lilacbridge/process/ledger"
 	"github.com/lilacbridge/lilacbridge/process/replica"
 )
@@ -54,7 +55,7 @@
 type node struct {
 	sim     *sim
 	name    string
-	disk    *disk
+	disk    *memdisk.Disk
 	runner  *replica.Runner
 	machine *state.Machine
 	// frozenUntil is the time at which a suspended process resumes; pending holds
@@ -126,7 +127,7 @@
 	}
 	for i := range count {
 		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
-		s.nodes = append(s.nodes, &node{sim: s, name: fmt.Sprint("state-", i), disk: newDisk(own), bootstrap: true, rng: own, backgroundRNG: rand.New(rand.NewPCG(seed, uint64(200+i)))})
+		s.nodes = append(s.nodes, &node{sim: s, name: fmt.Sprint("state-", i), disk: memdisk.New(), bootstrap: true, rng: own, backgroundRNG: rand.New(rand.NewPCG(seed, uint64(200+i)))})
 	}
 	if p.firstStart {
 		s.startFounding(seed)
@@ -225,7 +226,7 @@
 	defer func() {
 		switch r := recover().(type) {
 		case nil:
-		case crashed:
+		case memdisk.Crash:
 			n.sim.note("%s crashes during an operation", n.name)
 			n.kill()
 		default:
@@ -290,7 +291,7 @@
 	n.identity()
 	n.sim.invariants.addChecked(n.runner.Status().InvariantsChecked)
 	n.runner = nil
-	n.disk.crash()
+	n.disk.Crash(n.rng)
 	if n.down > 0 {
 		n.sim.after(n.down, n.start)
 		n.down = 0
