--- a/connection/duties/holder.go
+++ b/connection/duties/holder.go
@@ -20,6 +20,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/connection/gateway"
 	"github.com/lilacbridge/lilacbridge/process/lease"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/process/usage"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 	"github.com/lilacbridge/lilacbridge/version/scaling"
@@ -238,7 +239,7 @@
 	if h.options.Scaling {
 		orders = h.scalingOrders(now)
 	}
-	budget := max(1, int(h.options.CallsPerSecond*tickInterval.Seconds())-len(reports))
+	budget := max(1, number.Int(h.options.CallsPerSecond*tickInterval.Seconds())-len(reports))
 	return reports, orders[:min(len(orders), budget)]
 }
 
--- a/daemon/entry/gateway.go
+++ b/daemon/entry/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
 	"github.com/lilacbridge/lilacbridge/process/metrics"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/version/model"
 	"github.com/lilacbridge/lilacbridge/version/packed"
@@ -111,7 +112,7 @@
 // within the given share of the bound; always true without a bound.
 func (g *gatewayRouter) confirmedWithin(bound *atomic.Int64, share float64) bool {
 	limit := bound.Load()
-	return limit == 0 || g.daemon.watcher.Staleness() < time.Duration(share*float64(limit))
+	return limit == 0 || g.daemon.watcher.Staleness() < number.Duration(share*float64(limit))
 }
 
 // Forward implements gateway.Router.
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -139,7 +141,7 @@
 		remaining -= take
 	}
 	length := e.base + time.Duration(len(e.running))*e.perRequest + time.Duration(prefillChunk-remaining)*prefillToken
-	length = time.Duration(float64(length) * e.slowdown)
+	length = number.Duration(float64(length) * e.slowdown)
 	e.busy += length
 	epoch := e.epoch
 	e.world.clock.after(length, func() {
--- a/internal/bench/fluid.go
+++ b/internal/bench/fluid.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // bound computes, for each class, the attainment and the good tokens of a relaxed
@@ -81,7 +83,7 @@
 	work := 0.0
 	for i, j := range m.jobs {
 		work += j.remaining
-		if m.now+time.Duration(work/m.speed*float64(time.Second)) > j.deadline {
+		if m.now+number.Seconds(work/m.speed) > j.deadline {
 			return i
 		}
 	}
--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -5,6 +5,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
@@ -255,7 +256,7 @@
 			continue
 		}
 		if w.connected(in.dataCenter, other.dataCenter) && w.random.Float64() >= max(digestLoss, w.scenario.digestLoss) {
-			late := time.Duration(w.random.Float64() * float64(w.scenario.digestDelay))
+			late := number.Duration(w.random.Float64() * float64(w.scenario.digestDelay))
 			w.clock.after(latency(in.dataCenter, other.dataCenter)+late, func() {
 				other.lastDigest[in.name] = w.clock.now
 				other.step(policy.PeerDigest{Digest: digest})
--- a/internal/bench/kv.go
+++ b/internal/bench/kv.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
@@ -52,7 +53,7 @@
 	if from.dataCenter != in.dataCenter || to.dataCenter != in.dataCenter {
 		token = kvTokenFar
 	}
-	return kvFixed + time.Duration(float64(held)*float64(token)*from.slowdown)
+	return kvFixed + number.Duration(float64(held)*float64(token)*from.slowdown)
 }
 
 // export removes a started answer from the engine; held is its length in tokens,
@@ -83,7 +84,7 @@
 func (w *world) drainEngine(e *engine, notice, absence time.Duration) {
 	notify := func(leaving bool) {
 		for _, in := range w.instances {
-			late := time.Duration(w.random.Float64() * float64(listLag))
+			late := number.Duration(w.random.Float64() * float64(listLag))
 			w.clock.after(late, func() { in.step(policy.ServerState{Server: e.name, Leaving: leaving}) })
 		}
 	}
--- a/internal/bench/service.go
+++ b/internal/bench/service.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -46,7 +48,7 @@
 func (s *service) run(j *job) {
 	s.running++
 	j.call.ran()
-	length := time.Duration(float64(serviceTime) * math.Exp(serviceSigma*s.world.random.NormFloat64()))
+	length := number.Duration(float64(serviceTime) * math.Exp(serviceSigma*s.world.random.NormFloat64()))
 	s.world.clock.after(length, func() {
 		s.running--
 		if !j.stopped {
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
@@ -87,7 +88,7 @@
 }
 
 func lognormal(r *rand.Rand, median, sigma float64) int {
-	return max(1, int(median*math.Exp(sigma*r.NormFloat64())))
+	return max(1, number.Int(median*math.Exp(sigma*r.NormFloat64())))
 }
 
 // maxOutput is the largest number of tokens in an answer.
@@ -161,7 +162,7 @@
 		if s.burstFor > 0 && k.name == f.burst && at >= s.burstAt && at < s.burstAt+s.burstFor {
 			rate = k.rate * s.burstFactor(f)
 		}
-		at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+		at += number.Seconds(r.ExpFloat64() / rate)
 		if at >= s.length {
 			return calls
 		}
--- a/loadgen/arrivals.go
+++ b/loadgen/arrivals.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/standin"
 )
 
@@ -114,7 +115,7 @@
 			at = nextChange
 			continue
 		}
-		next := at + time.Duration(s.random.ExpFloat64()/rate*float64(time.Second))
+		next := at + number.Seconds(s.random.ExpFloat64()/rate)
 		// A Poisson process is memoryless, so a draw beyond a change of rate can be
 		// repeated from the time of that change.
 		if next >= nextChange {
--- a/loadgen/claims.go
+++ b/loadgen/claims.go
@@ -9,6 +9,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // Ledger accepts claims and their outcomes. stateclient.Client implements it.
@@ -65,7 +66,7 @@
 	issued := 0
 	for ctx.Err() == nil && time.Since(start) < plan.Duration {
 		<-ticker.C
-		for target := int(time.Since(start).Seconds() * float64(plan.PerSecond)); issued < target; issued++ {
+		for target := number.Int(time.Since(start).Seconds() * float64(plan.PerSecond)); issued < target; issued++ {
 			i := issued
 			select {
 			case inFlight <- struct{}{}:
--- a/process/lease/interval.go
+++ b/process/lease/interval.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 // fullRateInstances is the number of instances per data centre that request a lease
 // at the full rate.
@@ -17,7 +21,7 @@
 // fleet size. No instance stops requesting, so the lease is taken over even if the
 // first ones seem alive but cannot reach the leader.
 func RequestInterval(length time.Duration, position int, jitter float64) time.Duration {
-	interval := RenewInterval(length) + time.Duration(jitter*float64(length))
+	interval := RenewInterval(length) + number.Duration(jitter*float64(length))
 	return interval * time.Duration(1+position/fullRateInstances)
 }
 
--- a/process/ledger/forget.go
+++ b/process/ledger/forget.go
@@ -5,6 +5,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -34,7 +35,7 @@
 	latest := l.nowMs - minKeyRetention.Milliseconds()
 	if beforeUnixMs <= 0 || beforeUnixMs > latest {
 		return fault.Newf(lilacv1.ErrorKind_ERROR_KIND_INVALID_CHANGE,
-			"keys of the last %d days are not forgotten; give a date up to %s", int(minKeyRetention.Hours()/24), time.UnixMilli(latest).UTC().Format(time.DateOnly))
+			"keys of the last %d days are not forgotten; give a date up to %s", number.Int(minKeyRetention.Hours()/24), time.UnixMilli(latest).UTC().Format(time.DateOnly))
 	}
 	return nil
 }
--- a/process/loadboard/board.go
+++ b/process/loadboard/board.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -109,7 +110,7 @@
 // that a collector's replies stay within their budget.
 func (b *Board) interval() time.Duration {
 	replyBytes := float64(b.localPeers * (reportBytes + serverBytes*b.servers))
-	return max(Interval, time.Duration(replyBytes/replyBytesPerSecond*float64(time.Second)))
+	return max(Interval, number.Seconds(replyBytes/replyBytesPerSecond))
 }
 
 // collectors returns the highest-ranked usable instance of each data centre.
--- a/process/loadboard/loads.go
+++ b/process/loadboard/loads.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // BacklogUnit is the number of prompt tokens per unit of an encoded backlog. A
@@ -85,7 +86,7 @@
 		return 0, 0
 	}
 	pace := math.Pow(sum.Speed/sum.Weight, -1.0/speedExponent)
-	return uint32(sum.Weight + 0.5), uint32(min(percentUnit*pace+0.5, 1<<paceBits-1))
+	return number.Uint32(sum.Weight + 0.5), number.Uint32(min(percentUnit*pace+0.5, 1<<paceBits-1))
 }
 
 // DecodePace is the reverse of EncodePace. Values that no instance sends count as unknown.
--- a/process/loadboard/teams.go
+++ b/process/loadboard/teams.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // MaxTeams is the number of teams that a message holds for a pool. At about 10 bytes each they
@@ -76,7 +77,7 @@
 }
 
 func encodeUse(tokens float64) uint32 {
-	return uint32(min(math.Round(max(tokens, 0)/useUnit), math.MaxUint32))
+	return number.Uint32(min(math.Round(max(tokens, 0)/useUnit), math.MaxUint32))
 }
 
 // decodeTeams ignores teams beyond MaxTeams and those that lack a column.
--- a/process/loadboard/work.go
+++ b/process/loadboard/work.go
@@ -8,6 +8,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // PoolWork is the work of instances in one pool and what they have measured there.
@@ -124,7 +125,7 @@
 func encodeClaims(claims []float64) []uint32 {
 	var units []uint32
 	for _, slots := range claims {
-		units = append(units, uint32(math.Round(slots/slotClaimUnit)))
+		units = append(units, number.Uint32(math.Round(slots/slotClaimUnit)))
 	}
 	for len(units) > 0 && units[len(units)-1] == 0 {
 		units = units[:len(units)-1]
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // Entry holds the settings of an entry instance.
@@ -329,7 +331,7 @@
 	lag, drain := defaultDrainLag, defaultDrain
 	if e.Gateway != nil {
 		grace := float64(e.Gateway.Grace.Duration)
-		lag, drain = time.Duration(drainLagShare*grace), time.Duration(drainShare*grace)
+		lag, drain = number.Duration(drainLagShare*grace), number.Duration(drainShare*grace)
 	}
 	e.Drain.Duration = e.Drain.Or(drain)
 	e.DrainLag.Duration = e.DrainLag.Or(lag)
--- a/process/usage/collector.go
+++ b/process/usage/collector.go
@@ -6,6 +6,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -173,7 +174,7 @@
 // patience is how long a window stays open after its end for instances that have not
 // reported all of it.
 func (c *Collector) patience() time.Duration {
-	return time.Duration(closeShare * float64(c.timing.Delay))
+	return number.Duration(closeShare * float64(c.timing.Delay))
 }
 
 // nextWindow returns the window after the last closed one, or the oldest with a count if
--- a/request/estimate/estimate.go
+++ b/request/estimate/estimate.go
@@ -3,7 +3,11 @@
 // answer grows.
 package estimate
 
-import "math"
+import (
+	"math"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 const (
 	// bucketsPerDoubling sets the resolution: adjacent buckets differ by about 19 %.
@@ -34,7 +38,7 @@
 	if tokens < 1 {
 		return 0
 	}
-	return min(bucketCount-1, int(math.Log2(float64(tokens))*bucketsPerDoubling))
+	return min(bucketCount-1, number.Int(math.Log2(float64(tokens))*bucketsPerDoubling))
 }
 
 func bucketCenter(bucket int) float64 {
--- a/request/finish/finish.go
+++ b/request/finish/finish.go
@@ -5,7 +5,11 @@
 // It has no clock and does no I/O. The caller passes in times and what is known of the servers.
 package finish
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 // Expectation is what a server is expected to take for an answer.
 type Expectation struct {
@@ -23,14 +27,14 @@
 func (e Expectation) End() time.Duration {
 	tokens := max(e.Tokens, 0)
 	if e.Busy <= 0 {
-		return e.First + time.Duration(tokens*float64(e.Gap))
+		return e.First + number.Duration(tokens*float64(e.Gap))
 	}
 	gap := max(e.BusyGap, e.Gap)
-	if busy := time.Duration(tokens * float64(gap)); busy <= e.Busy {
+	if busy := number.Duration(tokens * float64(gap)); busy <= e.Busy {
 		return e.First + busy
 	}
 	tokens -= float64(e.Busy) / float64(gap)
-	return e.First + e.Busy + time.Duration(tokens*float64(e.Gap))
+	return e.First + e.Busy + number.Duration(tokens*float64(e.Gap))
 }
 
 // Budget is the time that a request has left.
--- a/request/finish/finish_test.go
+++ b/request/finish/finish_test.go
@@ -123,3 +123,15 @@
 	usual.Observe(time.Minute)
 	is.True(!usual.Observe(10 * time.Second)) // one caller with much time does not change the others
 }
+
+// Guards against an answer that starts although it can't end in time, since its time was too long
+// to be represented and passed for a short one.
+func TestAnswerTooLongToBeTimedIsTooLate(t *testing.T) {
+	is := is.New(t)
+	const mostTokens = 1 << 30
+	budget := Budget{First: 2 * time.Second, End: 10 * time.Second}
+	answer := Expectation{First: time.Second, Gap: 20 * time.Second, Tokens: mostTokens}
+	is.Equal(Judge(answer, budget, NewSpread()), TooLate)
+	answer.Busy, answer.BusyGap = time.Second, 30*time.Second
+	is.Equal(Judge(answer, budget, NewSpread()), TooLate)
+}
--- a/request/finish/returns.go
+++ b/request/finish/returns.go
@@ -1,6 +1,10 @@
 package finish
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 const (
 	// maxPromises bounds the promises that are kept, the oldest are dropped first.
@@ -35,12 +39,12 @@
 // left the caller's time. A caller whose turn comes later than it is willing to wait, or too late for
 // its answer, gets that time but no promise, since it would be refused again.
 func (r *Returns) Assign(now time.Time, caller string, drain, need, left time.Duration, perSecond, jitter float64) time.Duration {
-	interval := time.Duration(float64(time.Second) / max(perSecond, 1))
+	interval := number.Duration(float64(time.Second) / max(perSecond, 1))
 	at := now.Add(max(drain, minReturn))
 	if next := r.last.Add(interval); next.After(at) {
 		at = next
 	}
-	after := at.Sub(now) + time.Duration(jitter*float64(interval))
+	after := at.Sub(now) + number.Duration(jitter*float64(interval))
 	if after+need > left {
 		return max(after, left)
 	}
--- a/request/finish/spread.go
+++ b/request/finish/spread.go
@@ -1,6 +1,10 @@
 package finish
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 const (
 	// evenQuantile and likelyQuantile are the quantiles of the ratio of actual to expected duration
@@ -43,7 +47,7 @@
 func bound(ratio float64) float64 { return min(max(ratio, minRatio), maxRatio) }
 
 func scale(d time.Duration, ratio float64) time.Duration {
-	return time.Duration(ratio * float64(d))
+	return number.Duration(ratio * float64(d))
 }
 
 // quantileStep moves an estimate one relative step towards the quantile q of its samples.
--- a/request/limits/limits.go
+++ b/request/limits/limits.go
@@ -12,6 +12,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // burstSeconds is the default size of a bucket, in seconds of the rate.
@@ -92,7 +94,7 @@
 		return 0, true
 	}
 	rate := max(limit.Rate*t.share, 1)
-	return time.Duration((1 - b.level) / rate * float64(time.Second)), false
+	return number.Seconds((1 - b.level) / rate), false
 }
 
 // Spend deducts tokens from the team's bucket; a negative number is a refund.
@@ -103,7 +105,7 @@
 	b := t.refill(team, limit, now)
 	b.level -= tokens
 	if tokens > 0 {
-		b.spent += uint64(tokens)
+		b.spent += number.Uint64(tokens)
 		b.spentAt = now
 	}
 }
--- a/request/limits/limits_test.go
+++ b/request/limits/limits_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -64,3 +65,16 @@
 	_, ok = table.Allow("a", limit, epoch.Add(wait+10*time.Millisecond))
 	is.True(ok)
 }
+
+// Guards against a team that may send again at once, since the time until it may was too long to
+// be represented.
+func TestWaitTooLongToBeRepresentedIsLong(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 100, Burst: 100}
+	table := NewTable()
+	table.ObserveSpent("1", "a", limit, 0, epoch)
+	table.ObserveSpent("1", "a", limit, math.MaxUint64, epoch)
+	wait, ok := table.Allow("a", limit, epoch)
+	is.True(!ok)
+	is.True(wait > 24*time.Hour)
+}
--- a/request/pace/pace.go
+++ b/request/pace/pace.go
@@ -13,6 +13,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // Usual is the pace of a usual server: work takes as long as usual.
@@ -226,7 +228,7 @@
 		return Sum{}
 	}
 	slices.Sort(paces[:n])
-	return NewSum(float64(n), paces[int(kindQuantile*float64(n-1))]*s.correction())
+	return NewSum(float64(n), paces[number.Int(kindQuantile*float64(n-1))]*s.correction())
 }
 
 func (s *Server) updateKind() {
@@ -238,7 +240,7 @@
 	}
 	exact := math.Log(bound(kind)) / math.Log(kindStep)
 	if !s.known || math.Abs(exact-float64(s.step)) > kindHysteresis {
-		s.step, s.known = int(math.Round(exact)), true
+		s.step, s.known = number.Int(math.Round(exact)), true
 	}
 }
 
--- a/request/policy/backlog.go
+++ b/request/policy/backlog.go
@@ -3,6 +3,7 @@
 import (
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -42,7 +43,7 @@
 	}
 	list := make([]uint32, engineLevels)
 	for level, tokens := range b {
-		list[level] = uint32(tokens)
+		list[level] = number.Uint32(tokens)
 	}
 	return list
 }
--- a/request/policy/candidate.go
+++ b/request/policy/candidate.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/choose"
 )
 
@@ -60,7 +61,7 @@
 	c.AffinityPenalty = s.lanePenalty(r, h, source.prefill)
 	c.Interferes = s.interferes(now, r, source.prefill)
 	if r.Pinned {
-		c.FailurePenalty = time.Duration(s.failureRate * float64(r.firstTokenTarget()))
+		c.FailurePenalty = number.Duration(s.failureRate * float64(r.firstTokenTarget()))
 	}
 	if !s.service {
 		c.TokenGap = s.gapAt(n)
--- a/request/policy/dispatch.go
+++ b/request/policy/dispatch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/queue"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
@@ -246,7 +247,7 @@
 	reported, paceAge := s.pace.Reported(now)
 	decision := Decision{
 		Pace: s.paceNow, Reported: reported, PaceAge: paceAge,
-		Waited: max(now.Sub(r.item.Arrived), 0), Own: len(s.running), Load: s.load(), ReportAge: time.Duration(s.reportAge * float64(time.Second)),
+		Waited: max(now.Sub(r.item.Arrived), 0), Own: len(s.running), Load: s.load(), ReportAge: number.Seconds(s.reportAge),
 		Uncached: r.uncached, Fetched: r.fetched, Ahead: r.workAhead, Expected: r.expectedFirst, Remote: s.remote, Lane: s.lane != laneLong,
 		Displaces: r.displacing, Bulk: s.bulkLoad(), Team: c.teamShare(now, r),
 	}
--- a/request/policy/fetch.go
+++ b/request/policy/fetch.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 // A shared prompt of 13,300 tokens takes an engine a quarter of a second to prefill, and
 // meanwhile all its running answers get their tokens seven times slower. An engine can instead
@@ -37,7 +41,7 @@
 
 // fetchTime returns the time to fetch so many tokens.
 func (s *server) fetchTime(tokens float64) time.Duration {
-	return time.Duration(tokens * float64(s.fetchPerToken))
+	return number.Duration(tokens * float64(s.fetchPerToken))
 }
 
 // sourceAt returns how the server would obtain the request's prompt.
--- a/request/policy/final.go
+++ b/request/policy/final.go
@@ -6,6 +6,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -123,7 +124,7 @@
 	if r.server == nil || !r.attemptSent {
 		return 0
 	}
-	return uint64(r.tokensLeft(c))
+	return number.Uint64(r.tokensLeft(c))
 }
 
 // expireDue ends the requests whose deadlines have passed.
--- a/request/policy/finish.go
+++ b/request/policy/finish.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	byend "github.com/lilacbridge/lilacbridge/request/finish"
 	"github.com/lilacbridge/lilacbridge/request/queue"
@@ -120,19 +121,19 @@
 func (c *core) outlookAt(now time.Time, r *request, s *server, source promptSource) outlook {
 	level := r.engineLevel()
 	n := min(s.load()+1, float64(s.slots))
-	o := outlook{ahead: time.Duration(s.prefill * s.backlogBefore(level) * float64(time.Second))}
+	o := outlook{ahead: number.Seconds(s.prefill * s.backlogBefore(level))}
 	first := s.firstToken(n, source.prefill, level) + s.fetchTime(source.fetched)
 	o.First = r.pool.finishing.first(r.Class).Even(byend.Expectation{First: first})
 	o.Gap, o.Tokens = max(s.gapAt(n), r.pool.usualGap(r.Class)), r.tokensLeft(c)
-	o.Busy = max(time.Duration(s.prefill*s.backlogBefore(engineLevels-1)*float64(time.Second))-o.ahead, 0)
-	o.BusyGap = s.gapAt(n) + time.Duration(s.prefill*prefillChunk*float64(time.Second))
+	o.Busy = max(number.Seconds(s.prefill*s.backlogBefore(engineLevels-1))-o.ahead, 0)
+	o.BusyGap = s.gapAt(n) + number.Seconds(s.prefill*prefillChunk)
 	o.verdict = byend.Judge(o.Expectation, r.budget(now), r.pool.finishing.spread(r.Class))
 	return o
 }
 
 // usualGap returns the mean gap between tokens of the class's recent answers.
 func (p *pool) usualGap(class string) time.Duration {
-	return time.Duration(p.usageByClass[class].traffic.tokenGap * float64(time.Second))
+	return number.Seconds(p.usageByClass[class].traffic.tokenGap)
 }
 
 // bestOutlook returns the request's best outlook on any server, now; ok is false if none may run it.
@@ -195,7 +196,7 @@
 }
 
 func (r *request) hasLongBacklog(o outlook) bool {
-	return o.ahead > time.Duration(longBacklogShare*float64(r.firstTokenTarget()))
+	return o.ahead > number.Duration(longBacklogShare*float64(r.firstTokenTarget()))
 }
 
 // refuseUnfinished refuses a waiting request that can't end in time on any server, or that can only
--- a/request/policy/full.go
+++ b/request/policy/full.go
@@ -5,6 +5,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -85,7 +86,7 @@
 // requests ahead of it.
 func (p *pool) expectedStartWait(r *request) time.Duration {
 	before := float64(p.queue.Ahead(&r.item) + 1)
-	return time.Duration(before / max(p.startRate, 1) * float64(time.Second))
+	return number.Seconds(before / max(p.startRate, 1))
 }
 
 // refuseWhenFull refuses an arrival that would not start in time in a full pool, unless it is
--- a/request/policy/kvcost.go
+++ b/request/policy/kvcost.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -54,7 +56,7 @@
 
 // expect returns the expected time to move an answer with so many tokens held.
 func (k *kvRate) expect(now time.Time, held float64) time.Duration {
-	return time.Duration(k.perToken(now) * (held + kvFixedTokens) * float64(time.Second))
+	return number.Seconds(k.perToken(now) * (held + kvFixedTokens))
 }
 
 // observe records the time that a move took.
--- a/request/policy/lanes.go
+++ b/request/policy/lanes.go
@@ -10,6 +10,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // Prefilling a long prompt lengthens the gaps between tokens of all answers on the engine to
@@ -234,7 +235,7 @@
 			longest = max(longest, u.traffic.answerTime(step))
 		}
 	}
-	return time.Duration(longest * float64(time.Second))
+	return number.Seconds(longest)
 }
 
 // excludesLongPrompts reports whether the engine gets no long prompts: it is in the tight lane,
@@ -305,14 +306,14 @@
 	case l == laneLong || l == laneQuick && n < minEnginesForQuickLane || share < minLaneShare:
 		return 0
 	case size == 0 || math.Abs(target-float64(size)) > laneSizeHysteresis:
-		return max(int(target+0.5), 1)
+		return max(number.Int(target+0.5), 1)
 	}
 	return size
 }
 
 // ownPlan returns this instance's lane sizes, to be shared with other instances.
 func (p *pool) ownPlan(instance string) loadboard.LanePlan {
-	plan := loadboard.LanePlan{Author: instance, InterTokenGapUs: uint32(p.prefillGap() / micro), Sizes: make(map[uint32]loadboard.LaneSizes, len(p.sizes))}
+	plan := loadboard.LanePlan{Author: instance, InterTokenGapUs: number.Uint32(p.prefillGap() / micro), Sizes: make(map[uint32]loadboard.LaneSizes, len(p.sizes))}
 	for dataCenter, size := range p.sizes {
 		plan.Sizes[loadboard.Key(dataCenter)] = loadboard.LaneSizes{Tight: uint32(size[laneTight]), Quick: uint32(size[laneQuick])}
 	}
--- a/request/policy/lastrequests.go
+++ b/request/policy/lastrequests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // An instance that is being stopped still accepts requests for a while, since load balancers notice
@@ -36,8 +37,8 @@
 		return 0
 	}
 	// No server may begin it now, so it waits first.
-	gap := max(r.pool.usualGap(r.Class), time.Duration(r.pool.engine.stepAt(float64(r.pool.slots()))*float64(time.Second)))
-	return time.Duration(holdSlowdown * r.tokensLeft(c) * float64(gap))
+	gap := max(r.pool.usualGap(r.Class), number.Seconds(r.pool.engine.stepAt(float64(r.pool.slots()))))
+	return number.Duration(holdSlowdown * r.tokensLeft(c) * float64(gap))
 }
 
 // refuseOutliving refuses a request that waits and might outlive this instance.
--- a/request/policy/leaving.go
+++ b/request/policy/leaving.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 const (
 	// initialNotice is the assumed time from the notice that a server leaves until it is
@@ -44,7 +48,7 @@
 	s.goneAt = now
 	stayed := max(now.Sub(s.leavingNoticeAt), minNotice)
 	if stayed > c.noticePeriod {
-		stayed = c.noticePeriod + time.Duration(noticeWeight*float64(stayed-c.noticePeriod))
+		stayed = c.noticePeriod + number.Duration(noticeWeight*float64(stayed-c.noticePeriod))
 	}
 	c.noticePeriod = stayed
 }
@@ -101,6 +105,6 @@
 	s := r.server
 	goneBy := s.leavingNoticeAt.Add(c.noticePeriod)
 	move := c.kv.rate(s, to).expect(now, r.tokensHeld())
-	rest := time.Duration(r.tokensLeft(c) * float64(s.gapAt(s.load())))
+	rest := number.Duration(r.tokensLeft(c) * float64(s.gapAt(s.load())))
 	return now.Add(moveWindow+move).After(goneBy) && now.Add(rest).After(goneBy)
 }
--- a/request/policy/limitshare.go
+++ b/request/policy/limitshare.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // A server's limit applies to all instances together. Among hundreds of instances an
@@ -44,7 +46,7 @@
 		local = all
 	}
 	sortByHash(s.name, local)
-	return local[:min(len(local), minSenders+int(s.rateLimit.PerSecond))]
+	return local[:min(len(local), minSenders+number.Int(s.rateLimit.PerSecond))]
 }
 
 // allowance is a token bucket for requests to a limited server.
--- a/request/policy/memory.go
+++ b/request/policy/memory.go
@@ -7,6 +7,7 @@
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/process/member"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/room"
 )
@@ -174,7 +175,7 @@
 		return
 	}
 	c.measureMemory(r)
-	if answerTime := time.Duration(r.memory.Answer * float64(s.gapAt(s.load()))); answerTime < briefAnswer {
+	if answerTime := number.Duration(r.memory.Answer * float64(s.gapAt(s.load()))); answerTime < briefAnswer {
 		r.memory.Least = s.memory.size(s.slots).EmptyShare()
 	}
 	state := s.memoryState(now, r)
@@ -271,7 +272,7 @@
 		requests++
 		held += m.ledger.Added(&r.memory.Request)
 	}
-	return uint32(requests), uint32(held/loadboard.HeldUnit + 0.5)
+	return uint32(requests), number.Uint32(held/loadboard.HeldUnit + 0.5)
 }
 
 // inUse reports whether this instance runs requests on the server or has reserved a place there.
--- a/request/policy/moves.go
+++ b/request/policy/moves.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 const (
 	// stragglerFactor is the ratio of a server's gap to the pool's from which the server is a
@@ -61,13 +65,13 @@
 
 // straggling reports whether the server's gap is far longer than its pool's.
 func (s *server) straggling(p *pool) bool {
-	return s.gapAt(s.load()) > time.Duration(stragglerFactor*float64(p.meanGap))
+	return s.gapAt(s.load()) > number.Duration(stragglerFactor*float64(p.meanGap))
 }
 
 // meanGap returns the mean gap of the whole answer if the remaining tokens come at the given gap.
 func (r *request) meanGap(left float64, gap time.Duration, now time.Time) time.Duration {
 	past := now.Sub(r.firstAt)
-	return time.Duration((float64(past) + left*float64(gap)) / (float64(r.tokens) + left))
+	return number.Duration((float64(past) + left*float64(gap)) / (float64(r.tokens) + left))
 }
 
 // move moves the request to another server that would be in time, and reports whether it did.
--- a/request/policy/paces.go
+++ b/request/policy/paces.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/pace"
 )
 
@@ -71,7 +72,7 @@
 	}
 	slices.Sort(kinds)
 	p.prefillScratch = kinds
-	p.fastKind = kinds[int(fastQuantile*float64(len(kinds)-1))]
+	p.fastKind = kinds[number.Int(fastQuantile*float64(len(kinds)-1))]
 }
 
 // meanKind returns the mean kind of the pool's servers; one that is not known counts as usual.
--- a/request/policy/peerloads.go
+++ b/request/policy/peerloads.go
@@ -5,6 +5,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/pace"
 	"github.com/lilacbridge/lilacbridge/request/tiers"
 )
@@ -73,7 +74,7 @@
 func (p *pool) ownWork(self string) loadboard.PoolWork {
 	work := loadboard.PoolWork{Engine: p.engine.sums(), Plan: p.ownPlan(self), LaneClaims: p.laneDemand()}
 	for l, rate := range p.work.rates {
-		work.Rates[l] = uint32(rate)
+		work.Rates[l] = number.Uint32(rate)
 	}
 	return work
 }
@@ -136,10 +137,10 @@
 		if !s.inUse() && told.Weight == 0 {
 			continue
 		}
-		load := loadboard.Load{Preemptible: uint32(s.ownBulk()), Pace: loadboard.PaceSum(told)}
+		load := loadboard.Load{Preemptible: number.Uint32(s.ownBulk()), Pace: loadboard.PaceSum(told)}
 		load.InFlight, load.Held = s.reportedUse()
 		for level, tokens := range s.ownBacklog {
-			load.Backlog[level] = uint32(tokens/loadboard.BacklogUnit + 0.5)
+			load.Backlog[level] = number.Uint32(tokens/loadboard.BacklogUnit + 0.5)
 		}
 		report.Loads[s.key] = load
 	}
--- a/request/policy/peers.go
+++ b/request/policy/peers.go
@@ -6,6 +6,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/limits"
 	"github.com/lilacbridge/lilacbridge/request/pace"
 	"github.com/lilacbridge/lilacbridge/request/tiers"
@@ -64,7 +65,7 @@
 			inFlight, held := s.reportedUse()
 			reports, percent := loadboard.EncodePace(loadboard.PaceSum(told))
 			d.Loads = append(d.Loads, &lilacv1.ServerLoad{
-				Server: s.name, InFlight: inFlight, Held: held, TokensLeft: uint64(s.ownBacklog.total()), Backlog: s.ownBacklog.encode(),
+				Server: s.name, InFlight: inFlight, Held: held, TokensLeft: number.Uint64(s.ownBacklog.total()), Backlog: s.ownBacklog.encode(),
 				GapUs: s.advertisedGap(now), PaceReports: reports, PacePercent: percent,
 			})
 		}
--- a/request/policy/pool.go
+++ b/request/policy/pool.go
@@ -6,6 +6,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/loadboard"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/parts"
 	"github.com/lilacbridge/lilacbridge/request/queue"
@@ -277,7 +278,7 @@
 
 // prefillTime returns the typical prefill time of so many prompt tokens in the pool.
 func (p *pool) prefillTime(tokens float64) time.Duration {
-	return time.Duration(p.medianPrefill * tokens * float64(time.Second))
+	return number.Seconds(p.medianPrefill * tokens)
 }
 
 func (p *pool) updateMedianPrefill() {
@@ -302,7 +303,7 @@
 
 // queueWait returns the time to serve the queue at this instance's rate.
 func (p *pool) queueWait() time.Duration {
-	return time.Duration(p.queue.Cost() / p.tokenRate * float64(time.Second))
+	return number.Seconds(p.queue.Cost() / p.tokenRate)
 }
 
 func (p *pool) attach(r *request) {
--- a/request/policy/rejections.go
+++ b/request/policy/rejections.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // Some servers fail if they have to reject more than a few requests in a second for lack of
@@ -115,7 +117,7 @@
 		withoutSlots *= 1 - min(1, float64(s.slots)/float64(instances))
 		s.rejectionPause = maxRejectionPause
 		if p.rejectionLimit.perSecond > 0 {
-			pause := time.Duration(float64(instances) / p.rejectionLimit.perSecond * float64(time.Second))
+			pause := number.Seconds(float64(instances) / p.rejectionLimit.perSecond)
 			s.rejectionPause = min(max(pause, minRejectionPause), maxRejectionPause)
 		}
 	}
@@ -134,7 +136,7 @@
 func (c *core) drawExtraStart(s *server, instances float64) bool {
 	held := loadDelay
 	if s.service {
-		held = min(held, time.Duration(s.serviceSeconds()*float64(time.Second)))
+		held = min(held, number.Seconds(s.serviceSeconds()))
 	}
 	room := sharedSlots*float64(s.slots) - s.load()
 	return c.random.Float64() < room/instances*slowTick.Seconds()/max(held, slowTick).Seconds()
--- a/request/policy/retrypart.go
+++ b/request/policy/retrypart.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/process/settings"
 	"github.com/lilacbridge/lilacbridge/request/retry"
 )
@@ -33,7 +34,7 @@
 // and the first ones by hash one of the rest.
 func (c *core) retryPart() (part float64, instances int) {
 	instances = c.fleet.size()
-	extra := int(c.retryBound.Extra)
+	extra := number.Int(c.retryBound.Extra)
 	part = float64(extra / instances)
 	if c.fleet.position < extra%instances {
 		part++
--- a/request/policy/serverestimate.go
+++ b/request/policy/serverestimate.go
@@ -1,13 +1,17 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 // What a server is expected to take, from its learned speed and from what is known of the
 // requests of all instances on it.
 
 // gapAt returns the expected gap between tokens at batch size n.
 func (s *server) gapAt(n float64) time.Duration {
-	gap := time.Duration(s.gapPerRequest * s.paceNow * (n + s.stepOffset) * float64(time.Second))
+	gap := number.Seconds(s.gapPerRequest * s.paceNow * (n + s.stepOffset))
 	return max(gap, s.stall)
 }
 
@@ -61,14 +65,14 @@
 // tokens, as one of n requests.
 func (s *server) firstToken(n, uncached float64, level int) time.Duration {
 	if s.service {
-		return time.Duration(s.serviceSeconds() * max(1, n/float64(s.slots)) * float64(time.Second))
+		return number.Seconds(s.serviceSeconds() * max(1, n/float64(s.slots)))
 	}
-	first := s.gapAt(n) + time.Duration(s.prefillSeconds(uncached+s.backlogBefore(level))*float64(time.Second))
+	first := s.gapAt(n) + number.Seconds(s.prefillSeconds(uncached+s.backlogBefore(level)))
 	if s.engine != nil {
-		first += time.Duration(*s.engine.fixed(s) * float64(time.Second))
+		first += number.Seconds(*s.engine.fixed(s))
 	}
 	if excess := n - float64(s.slots); excess > 0 {
-		first += time.Duration(excess * slotWaitGaps * float64(s.gapAt(n)))
+		first += number.Duration(excess * slotWaitGaps * float64(s.gapAt(n)))
 	}
 	return first
 }
--- a/request/policy/transfer.go
+++ b/request/policy/transfer.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 // minTransferGain is the least time that moving a KV cache must save: below it, the answer of a
 // short prompt would take another server's slot earlier than necessary.
@@ -34,7 +38,7 @@
 
 // prefillTime returns the time to prefill so many tokens.
 func (s *server) prefillTime(tokens float64) time.Duration {
-	return time.Duration(s.prefillSeconds(tokens) * float64(time.Second))
+	return number.Seconds(s.prefillSeconds(tokens))
 }
 
 // observeTransfer records the time from the start of a move to its first token.
@@ -42,7 +46,7 @@
 	took := now.Sub(r.started) - r.server.gapAt(r.server.load())
 	r.kvTransferRate.observe(now, r.kvTransferred, took)
 	c.stats.MovedByKV++
-	c.stats.SavedTokens.Moved += uint64(r.kvTransferred)
+	c.stats.SavedTokens.Moved += number.Uint64(r.kvTransferred)
 }
 
 // observeAbandonedTransfer learns from a move that ended before its first token: it would have
--- a/request/relay/log.go
+++ b/request/relay/log.go
@@ -13,6 +13,7 @@
 	"github.com/lilacbridge/lilacbridge/connection/upstream"
 	"github.com/lilacbridge/lilacbridge/process/fault"
 	"github.com/lilacbridge/lilacbridge/process/logs"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/outcome"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 	"github.com/lilacbridge/lilacbridge/version/admission"
@@ -26,10 +27,10 @@
 	why := start.Decision
 	fields := []any{"request", req.requestID, "class", req.class, "team", req.team, "target", req.target,
 		"server", start.Server, "attempt", start.Attempt, "level", start.Level, "waited_ms", why.Waited.Milliseconds(),
-		"own", why.Own, "load", int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
+		"own", why.Own, "load", number.Int(why.Load), "report_age_ms", why.ReportAge.Milliseconds(),
 		"pace", percent(why.Pace), "pace_reported", percent(why.Reported), "pace_age_ms", why.PaceAge.Milliseconds(),
-		"uncached", int(why.Uncached), "fetched", int(why.Fetched), "from", start.FetchFrom, "ahead", int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
-		"retry", string(why.Retry), "displaces", why.Displaces, "bulk", why.Bulk, "need", int(why.Need), "held", int(why.Held), "memory", int(why.Memory), "version", start.Version, "after", req.lastEvent, "resumes", req.resumes,
+		"uncached", number.Int(why.Uncached), "fetched", number.Int(why.Fetched), "from", start.FetchFrom, "ahead", number.Int(why.Ahead), "expected_ms", why.Expected.Milliseconds(), "remote", why.Remote, "lane", why.Lane, "home", why.Home,
+		"retry", string(why.Retry), "displaces", why.Displaces, "bulk", why.Bulk, "need", number.Int(why.Need), "held", number.Int(why.Held), "memory", number.Int(why.Memory), "version", start.Version, "after", req.lastEvent, "resumes", req.resumes,
 		"idempotent", req.idempotent, "evidence_before", string(before)}
 	r.Log.Line(logs.Success, "sent", append(fields, teamFields(why.Team)...)...)
 }
@@ -40,8 +41,8 @@
 	if s == nil {
 		return nil
 	}
-	return []any{"team_share", formatShare(s.Share), "team_here", int(s.Here), "team_elsewhere", int(s.Elsewhere),
-		"team_asked", int(s.Asked), "team_age_ms", s.Age.Milliseconds(), "team_excess", s.Excess}
+	return []any{"team_share", formatShare(s.Share), "team_here", number.Int(s.Here), "team_elsewhere", number.Int(s.Elsewhere),
+		"team_asked", number.Int(s.Asked), "team_age_ms", s.Age.Milliseconds(), "team_excess", s.Excess}
 }
 
 // formatShare formats a share in tokens; a team without a bound has none.
@@ -49,11 +50,11 @@
 	if math.IsInf(tokens, 1) {
 		return ""
 	}
-	return strconv.Itoa(int(tokens))
+	return strconv.Itoa(number.Int(tokens))
 }
 
 // percent rounds a ratio to whole percent.
-func percent(ratio float64) int { return int(math.Round(100 * ratio)) }
+func percent(ratio float64) int { return number.Int(math.Round(100 * ratio)) }
 
 // logResumed logs what is known of a stream that its caller resumes.
 func (r *Relay) logResumed(req *request, f originlink.Finding) {
@@ -125,7 +126,7 @@
 	for _, use := range slices.Sorted(maps.Keys(s.Counts)) {
 		counts = append(counts, string(use)+" "+strconv.Itoa(s.Counts[use]))
 	}
-	return []any{"check", string(s.Check), "waiting", s.Waiting, "rate", int(s.Rate), "start_rate", int(s.StartRate), "full_for_ms", s.FullFor.Milliseconds(),
+	return []any{"check", string(s.Check), "waiting", s.Waiting, "rate", number.Int(s.Rate), "start_rate", number.Int(s.StartRate), "full_for_ms", s.FullFor.Milliseconds(),
 		"servers", strings.Join(servers, "; "), "server_counts", strings.Join(counts, ", "), "servers_age_ms", s.Age.Milliseconds()}
 }
 
@@ -165,8 +166,8 @@
 	if req := r.request(a.ID); req != nil {
 		id = req.requestID
 	}
-	r.Log.Line(logs.Success, "room reserved", "request", id, "server", a.Server, "need", int(a.Need), "held", int(a.Held), "memory", int(a.Memory),
-		"slot_share", int(a.SlotShare), "reason", string(a.Reason))
+	r.Log.Line(logs.Success, "room reserved", "request", id, "server", a.Server, "need", number.Int(a.Need), "held", number.Int(a.Held), "memory", number.Int(a.Memory),
+		"slot_share", number.Int(a.SlotShare), "reason", string(a.Reason))
 }
 
 // logRetryPart logs that this instance's part of the retries of all instances changed.
--- a/request/relay/shares.go
+++ b/request/relay/shares.go
@@ -6,6 +6,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/request/policy"
 )
 
@@ -39,7 +40,7 @@
 		age = s.Age.Round(time.Millisecond).String()
 	}
 	return &lilacv1.QueryRow{Values: []string{
-		s.Pool, s.Team, strconv.FormatFloat(s.Weight, 'f', -1, 64), formatShare(s.Share), strconv.Itoa(int(s.Here)),
-		strconv.Itoa(int(s.Elsewhere)), strconv.Itoa(int(s.Asked)), age, strconv.FormatBool(s.Excess > 0),
+		s.Pool, s.Team, strconv.FormatFloat(s.Weight, 'f', -1, 64), formatShare(s.Share), strconv.Itoa(number.Int(s.Here)),
+		strconv.Itoa(number.Int(s.Elsewhere)), strconv.Itoa(number.Int(s.Asked)), age, strconv.FormatBool(s.Excess > 0),
 	}}
 }
--- a/request/room/room.go
+++ b/request/room/room.go
@@ -10,7 +10,11 @@
 // instances have been told of it.
 package room
 
-import "math"
+import (
+	"math"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
+)
 
 const (
 	// reserveShare is the share of a server's memory for what requests need beyond a slot share.
@@ -32,7 +36,7 @@
 	if servers == 0 {
 		return minHolders
 	}
-	holders := int(math.Ceil(serversPerInstance * float64(instances) / float64(servers)))
+	holders := number.Int(math.Ceil(serversPerInstance * float64(instances) / float64(servers)))
 	return min(max(holders, minHolders), max(instances, 1))
 }
 
--- a/request/tiers/table.go
+++ b/request/tiers/table.go
@@ -23,6 +23,7 @@
 	"time"
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/version/model"
 )
 
@@ -245,10 +246,10 @@
 		cutoff.HeldBackTier = uint32(t.neededTier + 1)
 	}
 	for _, count := range demand.byTier() {
-		cutoff.Demand = append(cutoff.Demand, uint32(math.Round(count)))
+		cutoff.Demand = append(cutoff.Demand, number.Uint32(math.Round(count)))
 	}
 	for _, count := range demand[:demand.LastPosition()+1] {
-		cutoff.PlaceDemand = append(cutoff.PlaceDemand, uint32(math.Round(count)))
+		cutoff.PlaceDemand = append(cutoff.PlaceDemand, number.Uint32(math.Round(count)))
 	}
 	return cutoff
 }
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 const (
@@ -91,7 +93,7 @@
 	random := rand.New(rand.NewPCG(hash.Sum64(), 0))
 	length := float64(median) * math.Exp(lengthSigma*random.NormFloat64())
 	length = math.Min(math.Max(length, 1), float64(maxMedians*median))
-	tokens := make([]string, int(length))
+	tokens := make([]string, number.Int(length))
 	for i := range tokens {
 		tokens[i] = fmt.Sprintf(" %s%02x", syllables[random.IntN(len(syllables))], random.IntN(256))
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // EngineConfig configures a stand-in engine.
@@ -153,12 +155,12 @@
 		return 0, false
 	}
 	cost := 1 + e.config.BatchSlowdown*float64(len(e.running)-1)
-	return e.scaled(time.Duration(float64(e.config.PerToken) * cost)), true
+	return e.scaled(number.Duration(float64(e.config.PerToken) * cost)), true
 }
 
 func (e *Engine) scaled(d time.Duration) time.Duration {
 	if e.fault.Slowdown > 0 {
-		return time.Duration(float64(d) * e.fault.Slowdown)
+		return number.Duration(float64(d) * e.fault.Slowdown)
 	}
 	return d
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -10,6 +10,8 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // ServiceConfig configures a stand-in service.
@@ -114,7 +116,7 @@
 	}
 	latency := s.config.Latency
 	if fault.Slowdown > 0 {
-		latency = time.Duration(float64(latency) * fault.Slowdown)
+		latency = number.Duration(float64(latency) * fault.Slowdown)
 	}
 	sleep(r.Context(), latency)
 	w.Header().Set("Content-Type", "application/json")
--- a/version/routing/numbers.go
+++ b/version/routing/numbers.go
@@ -13,15 +13,15 @@
 	maxSize   = 1 << 40
 )
 
-// number is a number of a document, of which only 0 to most makes sense.
-type number struct {
+// boundedNumber is a number of a document, of which only 0 to most makes sense.
+type boundedNumber struct {
 	name        string
 	value, most int64
 }
 
 func (d *Document) validateNumbers() error {
 	l := &d.Limits
-	if err := checkNumbers("the limits", []number{
+	if err := checkNumbers("the limits", []boundedNumber{
 		{"header size", int64(l.HeaderBytes), maxSize}, {"body size", l.BodyBytes, maxSize},
 		{"header timeout", int64(l.HeaderTimeout), int64(maxPeriod)}, {"idle timeout", int64(l.IdleTimeout), int64(maxPeriod)},
 	}); err != nil {
@@ -41,30 +41,30 @@
 }
 
 func (r *Route) validateNumbers() error {
-	numbers := []number{
+	numbers := []boundedNumber{
 		{"timeout", int64(r.Timeout), int64(maxPeriod)}, {"target latency", int64(r.TargetLatency), int64(maxPeriod)},
 		{"event gap", int64(r.EventGap), int64(maxPeriod)}, {"maximum of attempts", int64(r.MaxAttempts), maxCount},
 	}
 	for _, backend := range r.Backends {
-		numbers = append(numbers, number{"weight", int64(backend.Weight), maxCount})
+		numbers = append(numbers, boundedNumber{"weight", int64(backend.Weight), maxCount})
 	}
 	return checkNumbers(fmt.Sprintf("route %q", r.Name), numbers)
 }
 
 func (s *Service) validateNumbers() error {
-	numbers := []number{{"connection limit", int64(s.Connections), maxCount}}
+	numbers := []boundedNumber{{"connection limit", int64(s.Connections), maxCount}}
 	if e := s.Engine; e != nil {
-		numbers = append(numbers, number{"slots", int64(e.Slots), maxCount}, number{"cache size", int64(e.CacheTokens), maxSize},
-			number{"tokens of an event", int64(e.EventTokens), maxCount}, number{"time to fetch a token", int64(e.FetchTime), int64(maxPeriod)})
+		numbers = append(numbers, boundedNumber{"slots", int64(e.Slots), maxCount}, boundedNumber{"cache size", int64(e.CacheTokens), maxSize},
+			boundedNumber{"tokens of an event", int64(e.EventTokens), maxCount}, boundedNumber{"time to fetch a token", int64(e.FetchTime), int64(maxPeriod)})
 	}
 	if c := s.Scaling; c != nil {
-		numbers = append(numbers, number{"minimum", int64(c.Minimum), maxCount}, number{"maximum", int64(c.Maximum), maxCount},
-			number{"boot time", int64(c.BootTime), int64(maxPeriod)})
+		numbers = append(numbers, boundedNumber{"minimum", int64(c.Minimum), maxCount}, boundedNumber{"maximum", int64(c.Maximum), maxCount},
+			boundedNumber{"boot time", int64(c.BootTime), int64(maxPeriod)})
 	}
 	return checkNumbers(fmt.Sprintf("service %q", s.Name), numbers)
 }
 
-func checkNumbers(item string, numbers []number) error {
+func checkNumbers(item string, numbers []boundedNumber) error {
 	for _, n := range numbers {
 		if n.value < 0 || n.value > n.most {
 			return invalid("%s has a %s below 0 or too large; set one that is 0 or more", item, n.name)
--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 // Table is a document indexed for the request path.
@@ -68,7 +70,7 @@
 	for _, backend := range r.Backends {
 		total += backend.Weight
 	}
-	remaining := int(draw * float64(total))
+	remaining := number.Int(draw * float64(total))
 	for _, backend := range r.Backends {
 		if remaining < backend.Weight {
 			return backend.Service
--- a/version/scaling/core.go
+++ b/version/scaling/core.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"github.com/lilacbridge/lilacbridge/process/number"
 	"github.com/lilacbridge/lilacbridge/version/routing"
 )
 
@@ -346,13 +347,13 @@
 	for _, l := range s.loads {
 		peak = max(peak, l.replicas)
 	}
-	wanted := int(math.Ceil(peak / options.TargetUse))
-	if needed := int(math.Ceil(peak / max(options.TargetUse, options.OrdinaryUse))); needed > s.needed || settled {
+	wanted := number.Int(math.Ceil(peak / options.TargetUse))
+	if needed := number.Int(math.Ceil(peak / max(options.TargetUse, options.OrdinaryUse))); needed > s.needed || settled {
 		s.needed = needed
 	}
 	if wanted > s.total || wanted < s.total && settled {
 		if wanted > s.total {
-			wanted += int(growthStep * float64(wanted))
+			wanted += number.Int(growthStep * float64(wanted))
 		}
 		s.total = wanted
 		s.reason = fmt.Sprintf("load of %.1f replicas in the last %v, to be at most %.0f%% of capacity", peak, options.ShrinkAfter, 100*options.TargetUse)
--- a/version/statement/compile.go
+++ b/version/statement/compile.go
@@ -8,6 +8,7 @@
 
 	lilacv1 "github.com/lilacbridge/lilacbridge/api/lilacbridge/v1"
 	"github.com/lilacbridge/lilacbridge/process/fault"
+	"github.com/lilacbridge/lilacbridge/process/number"
 )
 
 func invalid(format string, args ...any) error {
@@ -71,7 +72,7 @@
 	if err != nil || percent > 100 {
 		return 0, invalid("%s is not a valid share; use 0%% to 100%%", text)
 	}
-	return uint32(math.Round(percent * 10)), nil
+	return number.Uint32(math.Round(percent * 10)), nil
 }
 
 func (s *SetClass) change() (*lilacv1.Change, error) {
