--- a/request/policy/extremes_test.go
+++ b/request/policy/extremes_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacbridge/lilacbridge/process/loadboard"
 	"github.com/lilacbridge/lilacbridge/request/queue"
 )
 
@@ -44,3 +45,14 @@
 	peer.addEncoded(b.encode(), 1)
 	is.Equal(peer.before(3), float64(math.MaxUint32))
 }
+
+// Guards against an instance that panics because a peer reports a limit that no server states.
+func TestExtremeLimitOfAPeerEndsNoInstance(t *testing.T) {
+	for _, perSecond := range []float64{1e300, math.MaxFloat64, math.MaxInt, 1e-300} {
+		is := is.New(t)
+		c := coreWithEngines("e1", 1, "a")
+		c.Step(epoch, PeerLoads{Report: loadboard.Report{Limits: loadboard.Limits{loadboard.Key("a-0"): {PerSecond: perSecond, Advertised: true, At: epoch}}}})
+		c.Step(epoch.Add(time.Second), Tick{})
+		is.Equal(c.servers["a-0"].allowance.share, perSecond)
+	}
+}
--- a/request/policy/limitshare.go
+++ b/request/policy/limitshare.go
@@ -46,7 +46,9 @@
 		local = all
 	}
 	sortByHash(s.name, local)
-	return local[:min(len(local), minSenders+number.Int(s.rateLimit.PerSecond))]
+	// A peer may report any limit, so it is bounded before anything is added to it.
+	added := number.Int(min(s.rateLimit.PerSecond, float64(len(local))))
+	return local[:min(len(local), minSenders+added)]
 }
 
 // allowance is a token bucket for requests to a limited server.
