--- a/internal/memdisk/memdisk.go
+++ b/internal/memdisk/memdisk.go
@@ -54,6 +54,8 @@
 	// crashAfter is the number of operations that change the disk until the machine crashes; 0
 	// means never.
 	crashAfter int
+	// beforeSync is called before each sync of a file, if set.
+	beforeSync func()
 }
 
 var _ wal.Folder = (*Disk)(nil)
@@ -91,6 +93,14 @@
 	d.failSync = true
 }
 
+// BeforeSync calls f before each sync of a file, which waits for it as for a slow disk; nil ends
+// that.
+func (d *Disk) BeforeSync(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beforeSync = f
+}
+
 // CrashDuring makes the machine crash during an operation that changes the disk; 1 is the next.
 func (d *Disk) CrashDuring(operation int) {
 	d.mu.Lock()
@@ -98,7 +108,7 @@
 	d.crashAfter = operation
 }
 
-// Heal removes all faults that are still to come.
+// Heal removes all faults that are still to come, but not the function of BeforeSync.
 func (d *Disk) Heal() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -331,8 +341,18 @@
 	return n, nil
 }
 
+func (d *Disk) waitToSync() {
+	d.mu.Lock()
+	wait := d.beforeSync
+	d.mu.Unlock()
+	if wait != nil {
+		wait()
+	}
+}
+
 // Sync implements wal.File.
 func (h *handle) Sync() error {
+	h.disk.waitToSync()
 	h.disk.mu.Lock()
 	defer h.disk.mu.Unlock()
 	if h.closed {
--- a/process/replica/batch.go
+++ b/process/replica/batch.go
@@ -170,7 +170,12 @@
 	}
 	start := r.options.Clock()
 	err := r.store.Save(s.batch)
-	r.metrics.syncSeconds.Observe((r.options.Clock() - start).Seconds())
+	took := r.options.Clock() - start
+	r.metrics.syncSeconds.Observe(took.Seconds())
+	if took >= r.options.Election {
+		r.logger.Warn("sync of the log took longer than an election timeout; another process may lead now; check the disk", "folder", r.options.Folder.Path(),
+			"took_ms", took.Milliseconds(), "election_ms", r.options.Election.Milliseconds(), "entries", len(s.batch.Entries), "term", r.core.term)
+	}
 	return err
 }
 
