--- a/process/settings/duties.go
+++ b/process/settings/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -83,15 +84,9 @@
 	if len(d.Perform) > 0 && d.Platform.Value == "" {
 		all = append(all, &Problem{Line: 1, Field: "duties.platform", Message: "missing; set the address of the platform's calls"})
 	}
-	if d.TargetUse < 0 || d.TargetUse > 1 {
-		all = append(all, &Problem{Line: 1, Field: "duties.target_use", Message: "must be above 0 and at most 1"})
-	}
-	if d.OrdinaryUse < 0 || d.OrdinaryUse > 1 {
-		all = append(all, &Problem{Line: 1, Field: "duties.ordinary_use", Message: "must be above 0 and at most 1"})
-	}
-	if d.CallsPerSecond < 0 {
-		all = append(all, &Problem{Line: 1, Field: "duties.calls_per_second", Message: "must be above 0"})
-	}
+	all = append(all, validateNumber("duties.target_use", d.TargetUse, 1, "must be above 0 and at most 1")...)
+	all = append(all, validateNumber("duties.ordinary_use", d.OrdinaryUse, 1, "must be above 0 and at most 1")...)
+	all = append(all, validateNumber("duties.calls_per_second", d.CallsPerSecond, math.MaxFloat64, "must be a number above 0")...)
 	if d.Holder == "" {
 		d.Holder = process
 	}
--- a/process/settings/entry.go
+++ b/process/settings/entry.go
@@ -241,11 +241,11 @@
 		required(e.Gateway.ServerList.Value == "", "gateway.server_list")
 		e.Gateway.setDefaults()
 	}
-	if e.Policy.RetryShare < 0 || e.Policy.RetryShare > 1 {
-		all = append(all, &Problem{Line: 1, Field: "policy.retry_share", Message: "must be between 0 and 1"})
-	}
-	if extra := e.Policy.RetryExtra; extra != nil && (*extra < 0 || math.IsNaN(*extra) || math.IsInf(*extra, 0)) {
-		all = append(all, &Problem{Line: 1, Field: "policy.retry_extra", Message: "must be a number of retries, 0 or more"})
+	all = append(all, validateNumber("policy.attainment_weight", e.Policy.AttainmentWeight, math.MaxFloat64, "must be a number, 0 or more")...)
+	all = append(all, validateNumber("policy.waste_weight", e.Policy.WasteWeight, math.MaxFloat64, "must be a number, 0 or more")...)
+	all = append(all, validateNumber("policy.retry_share", e.Policy.RetryShare, 1, "must be between 0 and 1")...)
+	if extra := e.Policy.RetryExtra; extra != nil {
+		all = append(all, validateNumber("policy.retry_extra", *extra, math.MaxFloat64, "must be a number of retries, 0 or more")...)
 	}
 	if window := e.Policy.RetryWindow; window.Line != 0 && window.Duration < minRetryWindow {
 		all = append(all, &Problem{Line: window.Line, Field: "policy.retry_window", Message: fmt.Sprintf("must be %v or more", minRetryWindow)})
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -259,6 +259,15 @@
 	return peers
 }
 
+// validateNumber returns a problem with the message unless the number is from 0 to most. YAML
+// also has numbers that are infinite or none at all, which are refused for every setting.
+func validateNumber(field string, value, most float64, message string) []error {
+	if value >= 0 && value <= most {
+		return nil
+	}
+	return []error{&Problem{Line: 1, Field: field, Message: message}}
+}
+
 // ValidateReload returns an error if the settings can't replace old without a restart of
 // the process.
 func (c *Common) ValidateReload(old *Common) error {
