--- a/process/loadboard/teams.go
+++ b/process/loadboard/teams.go
@@ -77,7 +77,7 @@
 }
 
 func encodeUse(tokens float64) uint32 {
-	return number.Uint32(min(math.Round(max(tokens, 0)/useUnit), math.MaxUint32))
+	return number.Uint32(math.Round(tokens / useUnit))
 }
 
 // decodeTeams ignores teams beyond MaxTeams and those that lack a column.
