--- a/deploy/sources_test.go
+++ b/deploy/sources_test.go
@@ -10,6 +10,7 @@
 	"path"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -33,15 +34,14 @@
 		`\bmap_shared|\bshared[ _-]?mem(ory)?\b`),
 }
 
-// rejectedReference returns the kind and the text of the first reference in the line that is
-// rejected.
-func rejectedReference(line string) (kind, text string) {
+// rejectedKind returns the kind of a reference in the line that is rejected, or "".
+func rejectedKind(line string) string {
 	for kind, pattern := range rejectedReferences {
-		if text := pattern.FindString(line); text != "" {
-			return kind, text
+		if pattern.MatchString(line) {
+			return kind
 		}
 	}
-	return "", ""
+	return ""
 }
 
 // isSource reports whether the file is source code in any language, other than a test. That only
@@ -62,9 +62,9 @@
 	return true
 }
 
-// sources returns all source files of the repository, including those not committed yet.
-func sources(t *testing.T) []string {
-	out, err := exec.Command("git", "-C", root, "ls-files", "-z", "--cached", "--others", "--exclude-standard").Output()
+// sources returns all source files of a repository, sorted, including those not committed yet.
+func sources(t *testing.T, repository string) []string {
+	out, err := exec.Command("git", "-C", repository, "ls-files", "-z", "--cached", "--others", "--exclude-standard").Output()
 	is.New(t).NoErr(err)
 	var files []string
 	for _, file := range strings.Split(strings.TrimSuffix(string(out), "\x00"), "\x00") {
@@ -72,14 +72,23 @@
 			files = append(files, file)
 		}
 	}
+	slices.Sort(files)
 	return files
 }
 
-// Guards against a source file that makes the users reject the whole repository, wherever in the
-// repository it is and whether or not a program contains it.
-func TestSourcesContainNoRejectedReference(t *testing.T) {
-	for _, file := range sources(t) {
-		data, err := os.ReadFile(filepath.Join(root, file))
+// reference is a place in a source file that is rejected.
+type reference struct {
+	file string
+	line int
+	kind string
+	text string
+}
+
+// rejected returns the lines of all source files of a repository that are rejected.
+func rejected(t *testing.T, repository string) []reference {
+	var found []reference
+	for _, file := range sources(t, repository) {
+		data, err := os.ReadFile(filepath.Join(repository, file))
 		if errors.Is(err, fs.ErrNotExist) {
 			continue // Removed, but still in git's index.
 		}
@@ -87,11 +96,39 @@
 		number := 0
 		for line := range strings.Lines(string(data)) {
 			number++
-			if kind, text := rejectedReference(line); kind != "" {
-				t.Errorf("%s:%d: %q references %s: %s", file, number, text, kind, requirement)
+			if kind := rejectedKind(line); kind != "" {
+				found = append(found, reference{file, number, kind, strings.TrimSpace(line)})
 			}
 		}
 	}
+	return found
+}
+
+// Guards against a source file that makes the users reject the whole repository, wherever in the
+// repository it is and whether or not a program contains it.
+func TestSourcesContainNoRejectedReference(t *testing.T) {
+	for _, r := range rejected(t, root) {
+		t.Errorf("%s:%d references %s: %s\n%s", r.file, r.line, r.kind, requirement, r.text)
+	}
+}
+
+// Guards against a check that passes over a file because no program imports it, it is for another
+// kind of machine, or it is not committed yet.
+func TestRejectedReferencesAreFoundInAllSources(t *testing.T) {
+	is := is.New(t)
+	repository := t.TempDir()
+	const text, kind = "# Mounts /dev/shm.", "shared memory"
+	for _, file := range []string{"internal/unused/unused.go", "daemon/mount_arm64.go", "scripts/run.sh", "Makefile", "README.md", "daemon/mount_test.go"} {
+		is.NoErr(os.MkdirAll(filepath.Join(repository, filepath.Dir(file)), 0o755))
+		is.NoErr(os.WriteFile(filepath.Join(repository, file), []byte("\n"+text+"\n"), 0o600))
+	}
+	for _, arguments := range [][]string{{"init", "--quiet"}, {"add", "internal", "daemon"}} {
+		is.NoErr(exec.Command("git", append([]string{"-C", repository}, arguments...)...).Run())
+	}
+	is.Equal(rejected(t, repository), []reference{
+		{"Makefile", 2, kind, text}, {"daemon/mount_arm64.go", 2, kind, text},
+		{"internal/unused/unused.go", 2, kind, text}, {"scripts/run.sh", 2, kind, text},
+	})
 }
 
 // Guards against a check that misses a way to write a reference, or rejects a word that only looks
@@ -136,8 +173,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			kind, _ := rejectedReference(c.line)
-			is.New(t).Equal(kind, c.kind)
+			is.New(t).Equal(rejectedKind(c.line), c.kind)
 		})
 	}
 }
@@ -154,7 +190,7 @@
 		is.True(!isSource(file))
 	}
 	found := map[string]bool{}
-	for _, file := range sources(t) {
+	for _, file := range sources(t, root) {
 		found[file] = true
 	}
 	is.True(found["deploy/system.toml"] && found["cmd/lilacbridge-entry/main.go"] && found["Makefile"])
