--- a/daemon/state/replica.go
+++ b/daemon/state/replica.go
@@ -31,6 +31,7 @@
 	return openReplica(folder, s, machine, mux, id, logger, registry)
 }
 
+// openReplica opens the log in the folder, which takes the place of the one in the settings.
 func openReplica(folder wal.Folder, s *settings.State, machine *Machine, mux *link.Mux, id link.Identity, logger hclog.Logger, registry prometheus.Registerer) (RunningLog, error) {
 	peers := replicaPeers(s.Peers)
 	transport := replicalink.New(func(address string) link.Caller { return link.NewClient(address, id) }, s.Election.Duration)
